--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,6 @@
 """A sender on a hand-driven clock, for the tests."""
-from molehollow.control import Controller
-from molehollow.interface import (
+from willownotch.control import Controller
+from willownotch.interface import (
     AttemptEnded,
     Effect,
     Endpoint,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from molehollow import adapter, interface
+from willownotch import adapter, interface
 
 CONF = {
     "services": [{"name": "a", "credit": 1.0, "promiseS": 2.0, "hardLimitS": 10.0, "lateShare": 0.5,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,7 +4,7 @@
 import pytest
 from helpers import KEYED, SAFE, UNSAFE, Sender, answers, sends
 
-from molehollow.interface import (
+from willownotch.interface import (
     CallOff,
     CloseIdle,
     Fail,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,16 +4,16 @@
 
 from helpers import CLASSES, Sender, sends
 
-from molehollow.interface import Outcome
+from willownotch.interface import Outcome
 
 ROOT = Path(__file__).parent.parent
 
 
 def test_the_module_stays_within_its_limits():
-    lines = (ROOT / "molehollow" / "control.py").read_text(encoding="utf-8").splitlines()
+    lines = (ROOT / "willownotch" / "control.py").read_text(encoding="utf-8").splitlines()
     assert len([line for line in lines if line.strip()]) <= 460
     assert max(len(line) for line in lines) <= 110
-    assert "molehollow/interface.py" in "\n".join(lines[:8])
+    assert "willownotch/interface.py" in "\n".join(lines[:8])
 
 
 def play(seed):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,9 +4,9 @@
 import pytest
 from helpers import CLASSES, SAFE, UNSAFE, Sender, sends
 
-from molehollow import control
-from molehollow.interface import Decay, Message, MessageClass, Outcome
-from molehollow.state import Unit, follow, job_of
+from willownotch import control
+from willownotch.interface import Decay, Message, MessageClass, Outcome
+from willownotch.state import Unit, follow, job_of
 
 
 def unit(**values):
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -2,7 +2,7 @@
 import re
 from pathlib import Path
 
-from molehollow.interface import Send, Wake
+from willownotch.interface import Send, Wake
 
 README = Path(__file__).parent.parent / "README.md"
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,7 @@
 import pytest
 from helpers import CLASSES, KEYED, ORDERED, SAFE, UNSAFE, ZONED, Sender, answers, sends
 
-from molehollow.interface import Fail, Outcome, Refuse, Send, Timer, Withdrawn
+from willownotch.interface import Fail, Outcome, Refuse, Send, Timer, Withdrawn
 
 MAY_HAVE_RUN = [Outcome.ERROR, Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CALLED_OFF]
 NEVER_RAN = [Outcome.TURNED_AWAY, Outcome.UNREACHABLE, Outcome.NOT_SENT]
@@ -119,7 +119,7 @@
 
 @pytest.mark.parametrize("whole", [True, False])
 def test_nothing_new_goes_to_a_draining_or_missing_endpoint(whole):
-    from molehollow.interface import Endpoint, EndpointList, Readiness
+    from willownotch.interface import Endpoint, EndpointList, Readiness
     sender = Sender(rows=[(1, 1, 0, 0), (2, 1, 0, 0)])
     entries = (Endpoint(2, 1, 0, 0),) if whole else (Endpoint(1, 1, 0, 0, Readiness.DRAINING),)
     out = sender.step(EndpointList(entries, whole), *[sender.message() for _ in range(4)])
--- a/willownotch/adapter.py
+++ b/willownotch/adapter.py
@@ -1,6 +1,6 @@
 """The simulator's wire to the interface and back, for many senders in one process. It decides nothing.
 
-Run as `python -m molehollow.adapter`: one batch of events a line on standard input, one reply a line on
+Run as `python -m willownotch.adapter`: one batch of events a line on standard input, one reply a line on
 standard output. What is malformed is named in one plain line on standard error and passed over.
 """
 from __future__ import annotations
@@ -11,8 +11,8 @@
 from math import inf
 from typing import Any, TextIO
 
-from molehollow import interface as i
-from molehollow.control import Controller
+from willownotch import interface as i
+from willownotch.control import Controller
 
 OUTCOMES = {
     "GOOD": i.Outcome.DELIVERED, "BAD": i.Outcome.ERROR, "FULL": i.Outcome.TURNED_AWAY,
@@ -178,7 +178,7 @@
 
     def complain(self, where: str, what: str) -> None:
         """One plain line on what was wrong and where."""
-        text = f"molehollow: {where}: {what}".replace("\n", " ")
+        text = f"willownotch: {where}: {what}".replace("\n", " ")
         print(text, file=self.errors, flush=True)
 
     def run(self, source: TextIO, sink: TextIO) -> None:
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -1,17 +1,17 @@
-"""All decisions of molehollow. Types, events and actions stand in `molehollow/interface.py`.
+"""All decisions of willownotch. Types, events and actions stand in `willownotch/interface.py`.
 
 The ordinary path is the high-percentile concurrency limit (docs/design.md): calls in flight stay under F x
 min cost x max rate. Exceptions: pace (`refused`), health (`_evidence`), silence (`_overdue`), trials and
-return ramp (`_space`), distrusted connections (`_reused`). `molehollow/state.py` has what is remembered.
+return ramp (`_space`), distrusted connections (`_reused`). `willownotch/state.py` has what is remembered.
 """
 from __future__ import annotations
 
 import random
 from math import inf, sqrt
 
-from molehollow import interface as face
-from molehollow.interface import Effect, Group, Outcome
-from molehollow.state import Book, Bucket, Call, Destination, Fading, Job, Ran, Route, Unit, follow, job_of
+from willownotch import interface as face
+from willownotch.interface import Effect, Group, Outcome
+from willownotch.state import Book, Bucket, Call, Destination, Fading, Job, Ran, Route, Unit, follow, job_of
 
 TICK_S = 0.02  # s; no timer is set nearer than this: short against any time wanted of a message
 PERIOD_S = 1.0  # s; the design feeds its averages once a second
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from math import exp, inf
 
-from molehollow.interface import Decay, Endpoint, EndpointList, Message, MessageClass, Readiness, Settings
+from willownotch.interface import Decay, Endpoint, EndpointList, Message, MessageClass, Readiness, Settings
 
 
 class Ran(Enum):
