--- /dev/null
+++ b/willownotch/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m willownotch`."""
+import sys
+
+from willownotch.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/willownotch/cli.py
@@ -0,0 +1,143 @@
+"""The command line: `serve` (the default), `check`, `journal`, `version`."""
+from __future__ import annotations
+
+import argparse
+import os
+import signal
+import sys
+import threading
+import traceback
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+
+from willownotch import __version__
+from willownotch.net import config as configs
+from willownotch.net import journal as journals
+from willownotch.net.clock import Clock, seconds
+from willownotch.net.journal import Journal
+from willownotch.net.log import Log
+from willownotch.net.north import North
+from willownotch.net.owner import Owner, Stop
+from willownotch.net.registry import Hosts, Notices, Registry
+from willownotch.net.south import South
+
+STACK = 256 * 1024  # bytes for each thread: nothing here recurses
+STOP_AFTER = timedelta(seconds=5)  # from SIGTERM to an end of its own, where no SIGKILL has come
+LAST_ANSWERS = timedelta(seconds=1)
+MEGABYTE = 1_000_000
+FAULTY, DEAD = 2, 70  # exit codes: bad configuration or command line; a thread has died
+
+
+class Threads:
+    """Starts threads. One that dies takes the process with it: half a sender is worse than none."""
+
+    def __init__(self, log: Log) -> None:
+        self.log = log
+
+    def start(self, name: str, work: Callable[[], None], forever: bool = False) -> None:
+        """Run `work` on a thread; with `forever` even its return counts as a death."""
+        threading.Thread(target=self._guard, args=(name, work, forever), name=name, daemon=True).start()
+
+    def _guard(self, name: str, work: Callable[[], None], forever: bool) -> None:
+        try:
+            work()
+            if not forever:
+                return
+            why = "it returned"
+        except BaseException:
+            why = traceback.format_exc()
+        self.log.say("dead", f"thread {name} has died, so the sender ends: {why}")
+        os._exit(DEAD)
+
+
+def serve(config: configs.Config) -> int:
+    """Run the sender until it is told to stop."""
+    signals = {signal.SIGTERM, signal.SIGINT}
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)  # before any thread: only this one takes them
+    threading.stack_size(STACK)
+    clock = Clock()
+    log = Log(clock, config.name)
+    journal = Journal(config.state, int(config.limits.disk_mb * MEGABYTE))
+    try:
+        journal.open()
+        threads = Threads(log)
+        hosts = Hosts(tuple(kind.name for kind in config.settings.kinds), config.zones, log)
+        owner = Owner(config, clock, log, journal, hosts)
+        north = North(config, clock, log, owner, threads.start)
+    except OSError as fault:
+        print(f"willownotch: cannot start: {fault}", file=sys.stderr)
+        return FAULTY
+    for fault in journal.faults:
+        log.say("journal", fault)
+    south = South(config, clock, log, journal, hosts.by_number, owner.post, threads.start)
+    notices = Notices(config, clock, log, owner.noticed)
+    owner.submit, owner.call_off, owner.close_idle = south.submit, south.call_off, south.close_idle
+    owner.notify = notices.post
+    threads.start("owner", owner.run, forever=True)
+    threads.start("watch", Registry(config, log, owner.post).run, forever=True)
+    threads.start("notices", notices.run, forever=True)
+    threads.start("listener", north.run, forever=True)
+    log.say("start", f"listening on {config.listen[0]}:{north.port}, journal in {config.state}")
+    if signal.sigwait(signals) == signal.SIGTERM:
+        owner.post(Stop())
+        signal.sigtimedwait(signals, seconds(STOP_AFTER))
+    north.stop(LAST_ANSWERS)
+    log.say("stop", "ended; what is still owed stands in the journal")
+    sys.stderr.flush()
+    os._exit(0)
+
+
+def show_journal(folder: Path) -> int:
+    """Print what a journal holds, a line for each message that is not over."""
+    try:
+        data = (folder / journals.NAME).read_bytes()
+    except OSError as fault:
+        print(f"willownotch: the journal cannot be read: {fault}", file=sys.stderr)
+        return FAULTY
+    live, damaged = journals.replay(data)
+    for entry in live.values():
+        taken, runs = entry.taken, [entry.may_have_run(n) for n in range(entry.count())]
+        state = f"notice unanswered ({entry.ended.outcome})" if entry.ended else "owed"
+        print(f"{taken.ref} dest={taken.destination} {taken.message_class} until {taken.ends_at:%H:%M:%S.%f} "
+              f"key={taken.key or '-'} relays={len(runs)} may_have_run={sum(runs)} "
+              f"body={len(taken.body)} {state}")
+    print(f"{len(live)} messages, {len(data)} bytes, {damaged} of them damaged")
+    return 0
+
+
+def parse(arguments: list[str] | None) -> argparse.Namespace:
+    """The command line."""
+    parser = argparse.ArgumentParser("willownotch", description="Delivers messages to partner systems.")
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    for name, text in (("serve", "run the sender (the default)"), ("check", "check a configuration")):
+        command = commands.add_parser(name, help=text, description=text)
+        command.add_argument("--config", metavar="FILE", help="the configuration (else $LB_CONFIG)")
+    command = commands.add_parser("journal", help="show what a journal holds")
+    command.add_argument("folder", nargs="?", default=os.environ.get("LB_STATE", "."), type=Path)
+    commands.add_parser("version", help="print the version")
+    parsed = parser.parse_args(arguments)
+    if parsed.command is None:
+        parsed.command, parsed.config = "serve", None
+    return parsed
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Carry out one command and return the exit code."""
+    parsed = parse(arguments)
+    if parsed.command == "version":
+        print(f"willownotch {__version__}")
+        return 0
+    if parsed.command == "journal":
+        return show_journal(parsed.folder)
+    try:
+        config = configs.load(parsed.config)
+    except configs.ConfigError as fault:
+        print(f"willownotch: {fault}".replace("\n", " "), file=sys.stderr)
+        return FAULTY
+    if parsed.command == "check":
+        print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
+              f"{len(config.settings.classes)} classes, {config.settings.slots} slots, "
+              f"room for {config.settings.holding_room} messages")
+        return 0
+    return serve(config)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -179,6 +179,7 @@
         self.due, self.wake_at = inf, -inf  # when there is something to look at; the timer that is set
         self.shares = [Bucket(t.quota_per_s * TENANT_BURST_S, 0.0) for t in settings.tenants]
         self.arrivals, self.reuses, self.drops = Fading(ARRIVALS_S), Fading(ARRIVALS_S), Fading(ARRIVALS_S)
+        self.stops_at = inf  # when this sender may be killed
         self.list_at, self.list_fails = -inf, 0  # when to ask for the list again; failures in a row
 
     def handle(self, now: float, events: list[face.Event]) -> list[face.Action]:
@@ -221,6 +222,8 @@
             self._heard(event)
         elif isinstance(event, face.Withdrawn) and event.ref in self.book.jobs:
             self.book.finish(self.book.jobs[event.ref])
+        elif isinstance(event, face.Stopping):
+            self.stops_at = self.now + event.after_s
 
     def _message(self, message: face.Message) -> None:
         # Short patience at a first hand-in is no lost time: only what comes again has been on its way.
@@ -239,6 +242,9 @@
         most = max(cls.worth for cls in self.settings.classes) or 1.0
         job.priority = (TOP - 1) * job.worth / most + self.random.random()
         self.book.add(job)
+        self.book.recall(job, message.past, self.now)
+        if job.key is not None and job.tainted():  # what was out at a restart may still run for a while
+            self.quiet[job.key] = self.now + self.settings.rules.key_quiet_s
 
     def _ended(self, event: face.AttemptEnded) -> None:
         job = self.book.jobs.get(event.ref)
@@ -455,6 +461,10 @@
             kind, zone = self.settings.kinds[route.entry.kind], route.entry.zone
             if not route.serving() or not may_send(job, route, self.now, self.settings):
                 continue
+            # Cut off by the sender's own end it could never go again: better after the restart.
+            straddles = self.now + self._patience(route.unit) > self.stops_at
+            if straddles and job.cls.effect is Effect.UNSAFE:
+                continue
             sound = not route.failing and route.back_at is None  # else no full calls: they weigh much more
             if number in opened and opened[number].left < kind.batch and sound:
                 best = route
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -175,9 +175,21 @@
     """A subscription or a request for the list failed, or the subscription broke."""
 
 
+@dataclass(slots=True, frozen=True)
+class PastAttempt:
+    """An attempt from before a restart. Its outcome will not come; `may_have_run` is all that is known."""
+
+    endpoint: int
+    sent_ago_s: float
+    may_have_run: bool
+
+
 @dataclass(slots=True, frozen=True)
 class Message:
-    """A new message, owed one final answer within `time_left_s`. `again`: not its first hand-in."""
+    """A new message, owed one final answer within `time_left_s`. `again`: not its first hand-in.
+
+    `past` has its attempts from before a restart, numbered from 0 like all others.
+    """
 
     ref: str
     destination: int
@@ -187,6 +199,7 @@
     key: str | None = None
     cost_hint_s: float = 0.0
     again: bool = False
+    past: tuple[PastAttempt, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -239,6 +252,13 @@
     works: bool
 
 
+@dataclass(slots=True, frozen=True)
+class Stopping:
+    """This sender may be killed any time from `after_s` on; what it holds outlives it."""
+
+    after_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class Timer:
     """A timer has come due."""
@@ -329,6 +349,7 @@
 
 
 Event = (
-    EndpointList | ListFailed | Message | Withdrawn | AttemptEnded | AnswerStarted | ProbeEnded | Note | Timer
+    EndpointList | ListFailed | Message | Withdrawn | AttemptEnded | AnswerStarted | ProbeEnded | Note
+    | Stopping | Timer
 )
 Action = Send | Refuse | Fail | CallOff | Probe | CloseIdle | Tell | Wake | Subscribe | FetchList | Log
--- /dev/null
+++ b/willownotch/net/config.py
@@ -0,0 +1,244 @@
+"""The configuration of one sender: JSON into the few values used, then into the module's settings."""
+from __future__ import annotations
+
+import os
+import re
+from collections.abc import Mapping
+from datetime import timedelta
+from math import inf
+from pathlib import Path
+
+import msgspec
+
+from willownotch import interface as face
+
+
+class ConfigError(ValueError):
+    """What is wrong with the configuration, in one plain line."""
+
+
+class Strict(msgspec.Struct, rename="camel"):
+    """Names as in the settings; keys that are not named here are skipped."""
+
+
+class ClassEntry(Strict):
+    """One class of message."""
+
+    name: str
+    credit: float
+    promise_s: float
+    hard_limit_s: float
+    idempotency: str
+    late_share: float = 0.0
+    group: str | None = "all"
+    memory_span_s: float = 0.0
+    one_at_a_time: bool = False
+    aim_stretch: float = 0.0
+
+
+class Org(Strict):
+    """A tenant."""
+
+    name: str
+    quota_per_s: float = 0.0
+
+
+class Family(Strict):
+    """What this kind of service adds."""
+
+    slots: int
+    decay: str = "even"
+    separate_routes: list[bool] = []
+    fee_by_zone: list[float] = []
+    refusal_cost: float = 0.0
+
+
+class Policy(Strict):
+    """The limits on what a sender may do."""
+
+    max_open: int
+    max_attempts: int
+    connect_timeout_s: float = 1.5
+    keepalive_s: float | None = None
+    max_retry_after_s: float = 0.0
+    may_cancel: bool = False
+    retry_after: bool = False
+    second_copies: bool = False
+
+
+class RuleFigures(Strict):
+    """Figures of the rules."""
+
+    cold_share: float
+    cold_s: float
+    fall_multiple: float
+    fall_s: float
+    grace_to_answer_s: float = 0.0
+    key_quiet_s: float = 0.0
+    ask_within_s: float = 10.0
+
+
+class Costs(Strict, frozen=True):
+    """Points taken off the result."""
+
+    waste: float = 0.0
+    handshake: float = 0.0
+
+
+class Callers(Strict, frozen=True):
+    """How clients behave."""
+
+    marks_retry: bool = False
+
+
+class SettingsEntry(Strict):
+    """The object that an instance of the simulator is born with."""
+
+    services: list[ClassEntry]
+    models: list[str]
+    family_info: Family
+    policy_limits: Policy
+    rules: RuleFigures
+    peers_total: int
+    orgs: list[Org] = []
+    costs: Costs = Costs()
+    callers: Callers = Callers()
+    over_share_worth: float = 1.0
+    weight_kind: str = "none"
+    zones: list[str] = []
+
+
+class Limits(msgspec.Struct):
+    """What the machine allows."""
+
+    sockets: int = 1024
+    disk_mb: float = 3.0
+
+
+class ListedEndpoint(msgspec.Struct):
+    """One entry of discovery's list."""
+
+    name: str
+    address: str
+    group: int
+    status: str
+    type: str = ""
+    zone: str = ""
+    weight: float = 0.0
+
+
+class ListNews(msgspec.Struct):
+    """Discovery's whole list, or the entries changed since the last version."""
+
+    index: int
+    snapshot: bool
+    endpoints: list[ListedEndpoint]
+
+
+class ConfigFile(msgspec.Struct):
+    """The file named by $LB_CONFIG."""
+
+    settings: SettingsEntry
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str = "0"
+    state: str = ""
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: ListNews | None = None
+
+
+class Config(msgspec.Struct, frozen=True):
+    """All that the real sender is told, checked."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    state: Path
+    seed: int
+    limits: Limits
+    known: ListNews | None
+    settings: face.Settings
+    zones: tuple[str, ...]
+    connect_time: timedelta
+    keepalive: timedelta
+
+
+def read_address(text: str, what: str) -> tuple[str, int]:
+    """HOST:PORT."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not re.fullmatch(r"[0-9]{1,5}", port) or int(port) > 65535:
+        raise ConfigError(f"{what} is not HOST:PORT: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def module_settings(entry: SettingsEntry) -> face.Settings:
+    """The module's settings. What no socket can carry (probes, notes between senders) stays off."""
+    family, policy, rules = entry.family_info, entry.policy_limits, entry.rules
+    apart = family.separate_routes
+    return face.Settings(
+        classes=tuple(
+            face.MessageClass(
+                c.name, c.credit, c.promise_s, c.hard_limit_s, c.late_share, face.Effect(c.idempotency),
+                face.Group(c.group or "all"), c.memory_span_s, c.one_at_a_time, c.aim_stretch,
+            ) for c in entry.services
+        ),
+        # A call on a socket carries one message, whatever the simulator would put into one.
+        kinds=tuple(
+            face.Kind(name, routes_apart=n < len(apart) and apart[n])
+            for n, name in enumerate(entry.models)
+        ),
+        slots=family.slots, holding_room=policy.max_open,
+        tenants=tuple(face.Tenant(org.name, org.quota_per_s) for org in entry.orgs),
+        senders=entry.peers_total, max_attempts=policy.max_attempts, decay=face.Decay(family.decay),
+        over_share_worth=entry.over_share_worth, zone_fees=tuple(family.fee_by_zone),
+        refusal_price=family.refusal_cost, waste_price=entry.costs.waste,
+        handshake_price=entry.costs.handshake, keepalive_s=policy.keepalive_s or inf,
+        max_come_back_s=policy.max_retry_after_s if policy.retry_after else 0.0,
+        may_cancel=policy.may_cancel, second_copies=policy.second_copies,
+        listed_rates=entry.weight_kind in ("nominal", "rough"), again_is_marked=entry.callers.marks_retry,
+        rules=face.Rules(
+            rules.grace_to_answer_s, rules.cold_share, rules.cold_s, rules.fall_multiple, rules.fall_s,
+            rules.key_quiet_s, rules.ask_within_s,
+        ),
+    )
+
+
+def read_config(text: bytes, env: Mapping[str, str]) -> Config:
+    """The file's text, with the environment's own variables going first."""
+    try:
+        file = msgspec.json.decode(text, type=ConfigFile)
+    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        raise ConfigError(f"the configuration cannot be read: {fault}") from None
+    state = env.get("LB_STATE") or file.state
+    if not state:
+        raise ConfigError("no folder that lasts: set LB_STATE or 'state'")
+    if not re.fullmatch(r"[0-9a-fA-F]{1,64}", file.seed):
+        raise ConfigError(f"'seed' is not a hexadecimal number: {file.seed!r}")
+    if file.limits.sockets < 64 or file.limits.disk_mb <= 0:
+        raise ConfigError("'limits' want 64 sockets and some disk at the least")
+    try:
+        settings = module_settings(file.settings)
+    except ValueError as fault:
+        raise ConfigError(str(fault)) from None
+    policy = file.settings.policy_limits
+    return Config(
+        name=env.get("LB_NAME") or file.name or "sender",
+        listen=read_address(env.get("LB_LISTEN") or file.listen, "the address to listen on"),
+        discovery=read_address(env.get("LB_DISCOVERY") or file.discovery, "discovery's address"),
+        state=Path(state), seed=int(file.seed, 16), limits=file.limits, known=file.known, settings=settings,
+        zones=tuple(file.settings.zones), connect_time=timedelta(seconds=policy.connect_timeout_s),
+        keepalive=timedelta(seconds=policy.keepalive_s or 60.0),
+    )
+
+
+def load(path: str | None = None, env: Mapping[str, str] = os.environ) -> Config:
+    """The configuration at a path, or where $LB_CONFIG says."""
+    named = path or env.get("LB_CONFIG")
+    if not named:
+        raise ConfigError("no configuration: set LB_CONFIG or give --config FILE")
+    try:
+        text = Path(named).read_bytes()
+    except OSError as fault:
+        raise ConfigError(f"the configuration cannot be read: {fault}") from None
+    return read_config(text, env)
--- /dev/null
+++ b/willownotch/net/log.py
@@ -0,0 +1,38 @@
+"""Lines to standard error by plain print, so many a second of each sort at the most."""
+from __future__ import annotations
+
+import sys
+import threading
+from datetime import datetime, timedelta
+
+from willownotch.net.clock import Clock
+
+PERIOD = timedelta(seconds=1)
+MOST = 5  # lines of one sort in a period
+
+
+class Log:
+    """`say` prints a line under its sort; what the rate keeps back is counted and told afterwards."""
+
+    def __init__(self, clock: Clock, name: str = "-", stream=None) -> None:
+        self.clock, self.name, self.stream = clock, name, stream
+        self._lock = threading.Lock()
+        self._spent: dict[str, tuple[datetime, int]] = {}
+
+    def say(self, sort: str, text: str) -> None:
+        """One line: time, sender, sort, text."""
+        now = self.clock.now()
+        with self._lock:
+            began, count = self._spent.get(sort, (now, 0))
+            kept_back = max(0, count - MOST)
+            if now - began >= PERIOD:
+                began, count = now, 0
+            self._spent[sort] = (began, count + 1)
+            if count >= MOST:
+                return
+            more = f" ({kept_back} more such lines were kept back)" if kept_back and count == 0 else ""
+            line = f"{now:%Y-%m-%dT%H:%M:%S.%f}Z {self.name} {sort}: {text}{more}".replace("\n", " | ")
+            try:
+                print(line, file=self.stream or sys.stderr, flush=True)
+            except (OSError, ValueError):
+                pass  # nobody reads the log any more: no reason to stop delivering
--- /dev/null
+++ b/willownotch/net/north.py
@@ -0,0 +1,267 @@
+"""The north side: clients hand messages in here, each connection on a small thread of its own."""
+from __future__ import annotations
+
+import re
+import socket
+import threading
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from urllib.parse import parse_qs, urlsplit
+
+from willownotch.net import http
+from willownotch.net.clock import NONE, Clock, millis, seconds
+from willownotch.net.config import Config
+from willownotch.net.journal import Taken
+from willownotch.net.log import Log
+from willownotch.net.owner import HandIn, Owner, Ticket, Verdict, Withdraw
+
+PATIENCE = timedelta(milliseconds=250)  # a client waits 400 ms: what is not taken up by then is turned away
+CLAIMED_PATIENCE = timedelta(seconds=5)  # for what is being decided then: it may be owed already
+IDLE_TIME = timedelta(seconds=120)  # between requests
+REQUEST_TIME = timedelta(seconds=5)  # from a request's first byte to its last: slow clients hold no thread
+ANSWER_TIME = timedelta(seconds=2)
+RETRY = timedelta(milliseconds=500)  # told where nothing better is known
+SOUTH_SHARE = 256  # descriptors left to relays, kept connections, files and discovery
+MOST = 512  # client connections, whatever the descriptors allow: each has a thread
+BACKLOG = 512
+ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
+WHOLE = re.compile(r"[0-9]{1,9}\Z")
+DEST = re.compile(r"(?:^|[;,\s])dest=([0-9]{1,9})(?:$|[;,\s])")
+
+
+class RefusedError(ValueError):
+    """A request that is none of ours, with the status that says so."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+def read_message(head: http.Head, body: bytes, arrived: datetime, config: Config) -> Taken:
+    """A hand-in as the core knows it. Its time runs from the client's sending, its first byte here."""
+    headers, settings = head.headers, config.settings
+    ref, name, tenant = (headers.get(h, "") for h in ("request-id", "request-class", "tenant"))
+    cls = next((c for c in settings.classes if c.name == name), None)
+    left, idempotency = headers.get("request-timeout-ms", ""), headers.get("idempotency-key")
+    dest = DEST.search(headers.get("x-consignee", ""))
+    keys = parse_qs(urlsplit(head.target).query).get("thread", [])
+    faults = [
+        (not ID.match(ref), "Request-Id is missing or unreadable"),
+        (cls is None, f"unknown class {name!r}"),
+        (bool(settings.tenants) and tenant not in [t.name for t in settings.tenants],
+         f"unknown tenant {tenant!r}"),
+        (not WHOLE.match(left) or int(left) == 0, "Request-Timeout-Ms is not a whole number above 0"),
+        (dest is None, "X-Consignee names no dest"),
+        (idempotency is not None and not ID.match(idempotency), "Idempotency-Key is unreadable"),
+        (len(keys) > 1 or any(len(key) > 256 for key in keys), "more than one key, or too long a one"),
+    ]
+    for wrong, text in faults:
+        if wrong:
+            raise RefusedError(400, text)
+    return Taken(
+        ref=ref, destination=int(dest[1]), message_class=name, tenant=tenant,
+        ends_at=arrived + timedelta(milliseconds=int(left)), key=keys[0] if keys and cls.in_order else None,
+        idempotency_key=idempotency, again="client-retry" in headers, body=body,
+    )
+
+
+class Client:
+    """One client connection."""
+
+    def __init__(self, sock: socket.socket, now: datetime) -> None:
+        self.sock, self.since, self.idle = sock, now, True
+
+
+class North:
+    """The listener and the connections it has taken."""
+
+    def __init__(self, config: Config, clock: Clock, log: Log, owner: Owner,
+                 start: Callable[[str, Callable[[], None]], None]) -> None:
+        self.config, self.clock, self.log, self.owner, self.start = config, clock, log, owner, start
+        self.most = max(8, min(MOST, config.limits.sockets - SOUTH_SHARE))
+        self._clients: set[Client] = set()
+        self._room = threading.Condition()
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(config.listen)
+        self.listener.listen(BACKLOG)
+        self.port = self.listener.getsockname()[1]
+        self._stopping = False
+
+    def stop(self, patience: timedelta) -> None:
+        """Take no more connections, and let each that is open finish the request it has."""
+        self._stopping = True
+        self.listener.close()
+        ends = self.clock.now() + patience
+        with self._room:
+            for client in self._clients:
+                self._end_reading(client)
+            while self._clients and (left := ends - self.clock.now()) > NONE:
+                self._room.wait(seconds(left))
+
+    @staticmethod
+    def _end_reading(client: Client) -> None:
+        """End only our reading side: a request that crosses this is still read and answered."""
+        client.idle = False
+        try:
+            client.sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass  # it is gone already
+
+    def run(self) -> None:
+        """Take connections until the process ends."""
+        while True:
+            self._make_room()
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as fault:
+                if self._stopping:
+                    threading.Event().wait()  # the process ends in a moment
+                self.log.say("accept", f"no connection could be taken: {fault}")
+                with self._room:  # descriptors are short: until one is free, or a moment has passed
+                    self._room.wait(0.1)
+                continue
+            client = Client(sock, self.clock.now())
+            with self._room:
+                self._clients.add(client)
+            try:
+                self.start("north", lambda client=client: self._serve(client))
+            except RuntimeError as fault:  # no thread to be had: it is ended unread
+                self.log.say("accept", f"no thread for a connection: {fault}")
+                self._leave(client)
+
+    def _make_room(self) -> None:
+        """At the bound, end the connection that has been idle for longest, else wait until one ends."""
+        with self._room:
+            while len(self._clients) >= self.most:
+                idle = [client for client in self._clients if client.idle]
+                if idle:
+                    oldest = min(idle, key=lambda client: client.since)
+                    self._end_reading(oldest)
+                    self.log.say("crowded", f"{self.most} client connections: an idle one was ended")
+                self._room.wait(1.0)
+
+    def _serve(self, client: Client) -> None:
+        try:
+            client.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            parser = http.Parser(answer=False)
+            while self._exchange(client, parser):
+                pass
+        except OSError:
+            pass  # the client is gone
+        except Exception as fault:  # a fault in reading one client must not end the sender
+            self.log.say("error", f"a connection was ended: {type(fault).__name__}: {fault}")
+        finally:
+            self._leave(client)
+
+    def _leave(self, client: Client) -> None:
+        client.sock.close()
+        with self._room:
+            self._clients.discard(client)
+            self._room.notify_all()
+
+    def _exchange(self, client: Client, parser: http.Parser) -> bool:
+        """One request and its answer; whether the connection goes on."""
+        try:
+            found, arrived = self._read(client, parser)
+        except http.BadMessageError as fault:
+            self.log.say("bad", f"{fault}, answered {fault.status}")
+            return self._refuse_unread(client, fault)
+        if found is None:
+            return False
+        head, body = found
+        withdraw = None
+        try:
+            data, withdraw = self._answer(head, body, arrived)
+        except RefusedError as fault:
+            self.log.say("bad", f"{fault}, answered {fault.status}")
+            data = http.write_answer(fault.status, body=f"{fault}\n".encode())
+        except Exception as fault:  # a request must not go unanswered, nor end the sender
+            self.log.say("error", f"a request was answered 500: {type(fault).__name__}: {fault}")
+            data = http.write_answer(500)
+        client.sock.settimeout(seconds(ANSWER_TIME))
+        try:
+            client.sock.sendall(data)
+        except OSError:
+            if withdraw is not None:
+                self.owner.post(Withdraw(withdraw))
+            return False
+        return head.keeps_alive()
+
+    def _read(self, client: Client, parser: http.Parser) -> tuple[tuple[http.Head, bytes] | None, datetime]:
+        """The next request and when its first byte came; None at the connection's end."""
+        arrived, asked = self.clock.now(), False
+        client.idle, client.since = not parser.begun, arrived
+        while (found := parser.next()) is None:
+            if parser.eof:
+                if parser.begun:
+                    raise http.BadMessageError(400, "the connection ended inside a request")
+                return None, arrived
+            if parser.head is not None and not asked and parser.head.headers.get("expect"):
+                asked = True
+                if parser.head.headers["expect"].lower() != "100-continue":
+                    raise http.BadMessageError(417, "unknown expectation")
+                client.sock.sendall(http.write_answer(100))
+            left = REQUEST_TIME - (self.clock.now() - arrived) if parser.begun else IDLE_TIME
+            client.sock.settimeout(max(0.001, seconds(left)))
+            try:
+                data = client.sock.recv(65536)
+            except TimeoutError:
+                if parser.begun:
+                    raise http.BadMessageError(408, "a request came too slowly") from None
+                return None, arrived
+            if not parser.begun:
+                arrived, client.idle = self.clock.now(), False
+            parser.feed(data)
+        client.idle = False
+        return found, arrived
+
+    def _refuse_unread(self, client: Client, fault: http.BadMessageError) -> bool:
+        """Framing is lost: answer, end our sending side, read on a little lest a reset eat the answer."""
+        client.sock.settimeout(seconds(ANSWER_TIME))
+        answer = http.write_answer(fault.status, [("Connection", "close")], f"{fault}\n".encode())
+        client.sock.sendall(answer)
+        client.sock.shutdown(socket.SHUT_WR)
+        ends = self.clock.now() + ANSWER_TIME
+        while (left := ends - self.clock.now()) > NONE:
+            client.sock.settimeout(max(0.001, seconds(left)))
+            if not client.sock.recv(65536):
+                break
+        return False
+
+    def _answer(self, head: http.Head, body: bytes, arrived: datetime) -> tuple[bytes, str | None]:
+        """The answer to a whole request, and the message to withdraw if it cannot be told."""
+        path = urlsplit(head.target).path
+        routes = {"/api": ("POST",), "/health/ready": ("GET", "HEAD"), "/health/live": ("GET", "HEAD")}
+        if path not in routes:
+            raise RefusedError(404, f"nothing is at {path!r}")
+        if head.method not in routes[path]:
+            return http.write_answer(405, [("Allow", ", ".join(routes[path]))]), None
+        if path == "/api":
+            return self._hand_in(read_message(head, body, arrived, self.config), arrived)
+        up = path == "/health/live" or self.owner.ready.is_set()
+        text = b"ok\n" if up else b"not ready\n"
+        answer = http.write_answer(200 if up else 503, body=text)
+        return answer if head.method == "GET" else answer[:-len(text)], None
+
+    def _hand_in(self, taken: Taken, arrived: datetime) -> tuple[bytes, str | None]:
+        ticket = Ticket()
+        self.owner.post(HandIn(taken, ticket))
+        answer = ticket.wait(arrived + PATIENCE - self.clock.now(), CLAIMED_PATIENCE)
+        if answer is None and ticket.claimed:
+            raise RuntimeError(f"{taken.ref} was taken up and never decided")
+        if answer is None:
+            self.log.say("late", f"{taken.ref} was not taken up in time: back-off answer")
+            return self._back_off(RETRY), None
+        if answer.verdict is Verdict.TAKEN:
+            return http.write_answer(202), taken.ref
+        if answer.verdict is Verdict.BACK_OFF:
+            return self._back_off(answer.retry), None
+        return http.write_answer(500, body=b"given up\n"), None
+
+    @staticmethod
+    def _back_off(retry: timedelta) -> bytes:
+        """A back-off answer: handing the message in again is harmless."""
+        return http.write_answer(503, [("Retry-After", f"{millis(retry) / 1000:.3f}")])
+
+
--- /dev/null
+++ b/willownotch/net/owner.py
@@ -0,0 +1,429 @@
+"""The one thread that owns the decision module: a queue in, timers in a heap, actions out.
+
+A message comes in by `HandIn` and goes out by exactly one ending. Nothing here knows how either travels: a
+second protocol hands in the same `Taken`, waits on the same `Ticket` and keeps the same rules.
+"""
+from __future__ import annotations
+
+import heapq
+import itertools
+import queue
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from enum import Enum
+
+from willownotch import interface as face
+from willownotch.control import RAN, Controller
+from willownotch.net import journal as kept
+from willownotch.net.clock import NONE, Clock, millis, seconds, span
+from willownotch.net.config import Config, ListNews
+from willownotch.net.journal import Closed, Ended, Entry, Journal, JournalFullError, Record, Taken
+from willownotch.net.log import Log
+from willownotch.net.registry import Hosts, Notice
+from willownotch.net.south import Relay, RelayEnded
+from willownotch.state import Ran
+
+BACK_OFF = timedelta(milliseconds=500)  # told with a back-off answer where the module has no better figure
+FIRST_NEWS = timedelta(milliseconds=300)  # recovered messages wait so long for the watch's first word
+KILL_AFTER = timedelta(milliseconds=3500)  # SIGKILL comes no sooner after SIGTERM, with some margin
+REMEMBERED = timedelta(seconds=60)  # ended messages whose id is still known, should it be handed in again
+BATCH_MOST = 256
+
+
+class Verdict(Enum):
+    """The answer to a client's hand-in."""
+
+    TAKEN = "taken"
+    BACK_OFF = "back off"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A verdict, and how long to stay away."""
+
+    verdict: Verdict
+    retry: timedelta = NONE
+
+
+class Ticket:
+    """One client's wait. Either the owner claims it in time or the client's side abandons it, never both."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._box: queue.SimpleQueue[Answer] = queue.SimpleQueue()
+        self.claimed = self._abandoned = False
+
+    def claim(self) -> bool:
+        """The owner takes the message up; False if nobody waits any more."""
+        with self._lock:
+            self.claimed = not self._abandoned
+            return self.claimed
+
+    def settle(self, answer: Answer) -> None:
+        """Give the answer."""
+        self._box.put(answer)
+
+    def wait(self, patience: timedelta, claimed_patience: timedelta) -> Answer | None:
+        """The answer; None if the owner did not get to it in time and now never will."""
+        try:
+            return self._box.get(timeout=seconds(max(NONE, patience)))
+        except queue.Empty:
+            with self._lock:
+                self._abandoned = not self.claimed
+                if self._abandoned:
+                    return None
+        try:  # being decided this moment
+            return self._box.get(timeout=seconds(claimed_patience))
+        except queue.Empty:
+            return None
+
+
+@dataclass(slots=True)
+class HandIn:
+    """A message from a client, read whole and found valid."""
+
+    taken: Taken
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class Withdraw:
+    """The client was gone before it could hear that its message was taken on."""
+
+    ref: str
+
+
+@dataclass(slots=True)
+class Noticed:
+    """These messages' notices were answered."""
+
+    refs: list[str]
+
+
+@dataclass(slots=True)
+class Stop:
+    """SIGTERM has come."""
+
+
+@dataclass(slots=True)
+class Owed:
+    """A message in the module's hands, its relays counted as the module counts them."""
+
+    taken: Taken
+    count: int = 0
+    out: dict[int, Relay] = field(default_factory=dict)
+    over: bool = False
+    ticket: Ticket | None = None  # until its client has its answer
+
+
+Item = HandIn | Withdraw | RelayEnded | ListNews | Noticed | Stop
+
+
+class Owner:
+    """Owns the module. All that sockets have to say reaches it through `post`."""
+
+    def __init__(self, config: Config, clock: Clock, log: Log, journal: Journal, hosts: Hosts) -> None:
+        self.config, self.clock, self.log, self.journal, self.hosts = config, clock, log, journal, hosts
+        self.settings = config.settings
+        self.controller = Controller(config.settings, config.seed)
+        self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
+        self.tenants = {t.name: n for n, t in enumerate(config.settings.tenants)}
+        self.ready = threading.Event()
+        self.submit: Callable[[Relay], None] = lambda relay: None
+        self.call_off: Callable[[Relay], None] = lambda relay: None
+        self.close_idle: Callable[[int], None] = lambda number: None
+        self.notify: Callable[[Notice], None] = lambda notice: None
+        self.stopped_at: datetime | None = None
+        self._inbox: queue.SimpleQueue[Item] = queue.SimpleQueue()
+        self._timers: list[tuple[datetime, int, int | Relay]] = []
+        self._order = itertools.count()
+        self._owed: dict[str, Owed] = {}
+        self._unanswered: dict[str, Taken] = {}  # messages whose notice is not answered yet
+        self._gates: dict[str, set[str]] = {}  # of a key, those of them: its next relay waits
+        self._gated: dict[str, list[Relay]] = {}
+        self._ended: dict[str, datetime] = {}  # ids that are over, until when they are remembered
+        self._recovered: list[Entry] | None = []
+        self._listed = False
+        self._began = clock.now()
+
+    def post(self, item: Item) -> None:
+        """Put something in the owner's queue; any thread may."""
+        self._inbox.put(item)
+
+    def noticed(self, refs: list[str]) -> None:
+        """These messages' notices were answered; any thread may say so."""
+        self.post(Noticed(refs))
+
+    def run(self) -> None:
+        """Recover what the journal has, then take rounds until the process ends."""
+        self._recover()
+        while True:
+            self._round(self._next_items())
+
+    def _next_items(self) -> list[Item]:
+        """What has come in; waits for the first of it, or for the next timer."""
+        due = self._timers[0][0] if self._timers else None
+        news_due = self._began + FIRST_NEWS
+        if self._recovered is not None and self.clock.now() < news_due:
+            due = news_due if due is None else min(due, news_due)
+        try:
+            left = None if due is None else max(0.0, seconds(due - self.clock.now()))
+            items = [self._inbox.get(timeout=left)]
+        except queue.Empty:
+            return []
+        while len(items) < BATCH_MOST and not self._inbox.empty():
+            items.append(self._inbox.get())
+        return items
+
+    def _recover(self) -> None:
+        """Notices that are unanswered go out at once; owed messages wait a moment for the list."""
+        self._recovered = []
+        for entry in list(self.journal.live.values()):
+            if entry.ended is not None:
+                self._owe_notice(entry.taken, entry.ended)
+            elif entry.taken.message_class not in self.classes:
+                self.log.say("recover", f"{entry.taken.ref} given up: class no longer configured")
+                ended = Ended(entry.taken.ref, "given_up")
+                self._write([ended])
+                self._owe_notice(entry.taken, ended)
+            else:
+                self._recovered.append(entry)
+        owed, open_notices = len(self._recovered), len(self._unanswered)
+        self.log.say("recover", f"{owed} messages owed and {open_notices} notices unanswered from before")
+        if self.config.known is not None:
+            self._round([self.config.known])
+
+    def _round(self, items: list[Item]) -> None:
+        """Events in, one decision, the journal, then the actions: nothing is told before it is written."""
+        now = self.clock.now()
+        events: list[face.Event] = []
+        records: list[Record] = []
+        fresh: list[Owed] = []
+        for item in items:
+            self._take(item, now, events, records, fresh)
+        waited = now - self._began >= FIRST_NEWS
+        if self._recovered is not None and self._listed and (waited or self._heard_news(items)):
+            for entry in self._recovered:
+                events.append(self._recall(entry, now))
+            self._recovered = None
+            self.ready.set()
+        self._ring(now, events)
+        actions = self.controller.handle(self.clock.module_s(now), events) if events else []
+        ends = self._endings(actions, records, fresh)
+        self._write(records)
+        self._settle(fresh, ends)
+        for ref, ended in ends.items():
+            owed = self._owed[ref]
+            if owed.ticket is None:
+                self._owe_notice(owed.taken, ended)
+            self._forget(owed, now)
+        for action in actions:
+            self._act(action, now)
+
+    def _heard_news(self, items: list[Item]) -> bool:
+        """Whether the watch itself has spoken; the configured list is not its word."""
+        return any(isinstance(item, ListNews) and item is not self.config.known for item in items)
+
+    def _take(self, item: Item, now: datetime, events: list[face.Event], records: list[Record],
+              fresh: list[Owed]) -> None:
+        """One item of the queue, as an event for the module where it is one."""
+        if isinstance(item, HandIn):
+            self._hand_in(item, now, events, records, fresh)
+        elif isinstance(item, RelayEnded):
+            self._relay_ended(item, now, events, records)
+        elif isinstance(item, ListNews):
+            news = self.hosts.read(item)
+            self._listed = self._listed or bool(news.entries)
+            events.append(news)
+        elif isinstance(item, Noticed):
+            for ref in item.refs:
+                self._noticed(ref, records)
+        elif isinstance(item, Withdraw):
+            owed = self._owed.get(item.ref)
+            if owed is not None and not owed.over:
+                records.append(Ended(item.ref, "withdrawn"))
+                events.append(face.Withdrawn(item.ref))
+                self._forget(owed, now)
+        else:
+            self.stopped_at = now
+            self.log.say("stop", "SIGTERM: taking and delivering on until killed")
+            events.append(face.Stopping(seconds(KILL_AFTER)))
+
+    def _hand_in(self, item: HandIn, now: datetime, events: list[face.Event], records: list[Record],
+                 fresh: list[Owed]) -> None:
+        taken = item.taken
+        if not item.ticket.claim():
+            return
+        if taken.ref in self._owed or self._ended.get(taken.ref, now) > now:
+            # The same id again is the same message, sent anew on a connection that closed under it.
+            item.ticket.settle(Answer(Verdict.TAKEN))
+            return
+        full = len(self._owed) >= self.settings.holding_room or not self.journal.fits(taken)
+        if full or not self.hosts.listed(taken.destination) or not self.ready.is_set():
+            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+            sort = "full" if full else "unlisted" if self.ready.is_set() else "early"
+            self.log.say(sort, f"back-off answer to {taken.ref} for destination {taken.destination}")
+            return
+        owed = self._owed[taken.ref] = Owed(taken, ticket=item.ticket)
+        fresh.append(owed)
+        records.append(taken)
+        events.append(self._message(taken, now))
+
+    def _message(self, taken: Taken, now: datetime, past: tuple[face.PastAttempt, ...] = ()) -> face.Message:
+        return face.Message(
+            taken.ref, taken.destination, self.classes[taken.message_class], seconds(taken.ends_at - now),
+            self.tenants.get(taken.tenant, 0), taken.key, again=taken.again or bool(past), past=past,
+        )
+
+    def _recall(self, entry: Entry, now: datetime) -> face.Message:
+        """A recovered message. What was out at the end may have run; what left no trace never began."""
+        past = []
+        for number in range(entry.count()):
+            opened = entry.opened.get(number)
+            ago = seconds(now - opened.at) if opened else 0.0
+            host = self.hosts.number(opened.host) if opened else 0
+            past.append(face.PastAttempt(host, ago, entry.may_have_run(number)))
+        self._owed[entry.taken.ref] = Owed(entry.taken, count=len(past))
+        return self._message(entry.taken, now, tuple(past))
+
+    def _relay_ended(self, ended: RelayEnded, now: datetime, events: list[face.Event],
+                     records: list[Record]) -> None:
+        relay, ref = ended.relay, ended.relay.taken.ref
+        owed = self._owed.get(ref)
+        if owed is None or owed.out.pop(relay.number, None) is None:
+            return
+        if not owed.over:
+            if ended.over:
+                delivered = ended.outcome is face.Outcome.DELIVERED
+                records.append(Ended(ref, "delivered" if delivered else "withdrawn"))
+            else:
+                records.append(Closed(ref, relay.number, RAN[ended.outcome] is not Ran.NEVER))
+        final = owed.over or ended.over
+        events.append(face.AttemptEnded(
+            ref, relay.number, relay.host.number, ended.outcome, seconds(ended.took), final,
+            seconds(ended.wait), ended.no_slot, ended.room_left, ended.limit_per_s,
+        ))
+        if final:
+            self._forget(owed, now)
+
+    def _ring(self, now: datetime, events: list[face.Event]) -> None:
+        """Timers that are due: the module's, and those of relays still behind a gate."""
+        while self._timers and self._timers[0][0] <= now:
+            thing = heapq.heappop(self._timers)[2]
+            if isinstance(thing, Relay):
+                waiting = self._gated.get(thing.taken.key or "", [])
+                if thing in waiting:
+                    waiting.remove(thing)
+                    self.post(RelayEnded(thing, face.Outcome.NOT_SENT, now - thing.begun_at))
+            else:
+                events.append(face.Timer(thing))
+
+    def _endings(self, actions: list[face.Action], records: list[Record],
+                 fresh: list[Owed]) -> dict[str, Ended]:
+        """The module's final answers. One given in the hand-in's own round needs no record and no notice."""
+        ends = {}
+        for action in actions:
+            if isinstance(action, face.Refuse):
+                retry = millis(span(action.come_back_s)) or None
+                ends[action.ref] = Ended(action.ref, "handed_back", retry)
+            elif isinstance(action, face.Fail):
+                ends[action.ref] = Ended(action.ref, "given_up")
+        refused = {owed.taken.ref for owed in fresh if owed.taken.ref in ends}
+        records[:] = [r for r in records if not (isinstance(r, Taken) and r.ref in refused)]
+        records += [ended for ref, ended in ends.items() if ref not in refused]
+        return ends
+
+    def _write(self, records: list[Record]) -> None:
+        if not records:
+            return
+        try:
+            self.journal.append(records)
+        except (OSError, JournalFullError) as fault:
+            # Nothing new may be promised on a record that is not there; endings are still told.
+            self.log.say("journal", f"{len(records)} records could not be written: {fault}")
+            unwritten = {r.ref for r in records if isinstance(r, Taken)}
+            for owed in [self._owed[ref] for ref in unwritten if ref in self._owed]:
+                if owed.ticket is not None:
+                    owed.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+                    owed.ticket = None
+                self.post(Withdraw(owed.taken.ref))
+
+    def _settle(self, fresh: list[Owed], ends: dict[str, Ended]) -> None:
+        """Answer the clients of this round."""
+        for owed in fresh:
+            ended = ends.get(owed.taken.ref)
+            if owed.ticket is None:
+                continue
+            if ended is None:
+                owed.ticket.settle(Answer(Verdict.TAKEN))
+                owed.ticket = None
+            elif ended.outcome == "handed_back":
+                retry = timedelta(milliseconds=ended.retry_in_ms) if ended.retry_in_ms else BACK_OFF
+                owed.ticket.settle(Answer(Verdict.BACK_OFF, retry))
+            else:
+                owed.ticket.settle(Answer(Verdict.FAILED))
+
+    def _owe_notice(self, taken: Taken, ended: Ended) -> None:
+        """Tell the platform. The next relay of its key waits until that is answered."""
+        self._unanswered[taken.ref] = taken
+        if taken.key is not None:
+            self._gates.setdefault(taken.key, set()).add(taken.ref)
+        self.notify(Notice(taken.ref, ended.outcome, ended.retry_in_ms))
+
+    def _noticed(self, ref: str, records: list[Record]) -> None:
+        taken = self._unanswered.pop(ref, None)
+        if taken is None:
+            return
+        records.append(kept.Noticed(ref))
+        gate = self._gates.get(taken.key or "", set())
+        gate.discard(ref)
+        if taken.key is not None and not gate:
+            self._gates.pop(taken.key, None)
+            for relay in self._gated.pop(taken.key, []):
+                self.submit(relay)
+
+    def _forget(self, owed: Owed, now: datetime) -> None:
+        """The message is over. It stays known while relays are out, its id for a while longer."""
+        owed.over = True
+        if not owed.out:
+            self._owed.pop(owed.taken.ref, None)
+        self._ended[owed.taken.ref] = now + REMEMBERED
+        while self._ended:
+            oldest = next(iter(self._ended))
+            if self._ended[oldest] > now:
+                break
+            del self._ended[oldest]
+
+    def _act(self, action: face.Action, now: datetime) -> None:
+        """Carry one action out."""
+        if isinstance(action, face.Send):
+            self._send(action, now)
+        elif isinstance(action, face.Wake):
+            heapq.heappush(self._timers, (now + span(action.after_s), next(self._order), action.label))
+        elif isinstance(action, face.CallOff):
+            relay = self._owed[action.ref].out.get(action.attempt) if action.ref in self._owed else None
+            if relay is not None:
+                self.call_off(relay)
+        elif isinstance(action, face.CloseIdle):
+            self.close_idle(action.endpoint)
+        elif isinstance(action, face.Log):
+            self.log.say("module", action.text)
+        elif not isinstance(action, face.Refuse | face.Fail):
+            self.log.say("module", f"no way to carry out {type(action).__name__} here")
+
+    def _send(self, action: face.Send, now: datetime) -> None:
+        owed, host = self._owed[action.ref], self.hosts.by_number.get(action.endpoint)
+        ends_at = min(now + span(action.time_out_s), owed.taken.ends_at)
+        relay = Relay(owed.taken, owed.count, host, now, ends_at)
+        owed.count += 1
+        owed.out[relay.number] = relay
+        if host is None:  # it left the list in this very round
+            self.post(RelayEnded(relay, face.Outcome.NOT_SENT))
+        elif owed.taken.key is not None and self._gates.get(owed.taken.key):
+            self._gated.setdefault(owed.taken.key, []).append(relay)
+            heapq.heappush(self._timers, (relay.ends_at, next(self._order), relay))
+        else:
+            self.submit(relay)
--- /dev/null
+++ b/willownotch/net/south.py
@@ -0,0 +1,315 @@
+"""The south side: one relay is one call to a south side host, made by a worker on a blocking socket.
+
+What came back becomes an outcome by PROTOCOL's table, and nothing is ever sent a second time from here.
+"""
+from __future__ import annotations
+
+import queue
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from willownotch.interface import Outcome
+from willownotch.net import http
+from willownotch.net.clock import NONE, Clock, millis, seconds
+from willownotch.net.config import Config
+from willownotch.net.journal import Journal, JournalFullError, Opened, Taken
+from willownotch.net.log import Log
+from willownotch.net.registry import Host
+
+IDLE_MARGIN = timedelta(milliseconds=300)  # a host counts idle time from earlier than is known here
+IDLE_MOST = 128  # connections kept open without a relay
+LEAST_TIME = timedelta(milliseconds=1)
+
+
+@dataclass(slots=True, eq=False)
+class Relay:
+    """One attempt, as the owner hands it out."""
+
+    taken: Taken
+    number: int
+    host: Host
+    begun_at: datetime
+    ends_at: datetime  # when waiting stops
+    called_off: bool = False
+    opened: bool = False  # its first byte may have been written
+    sock: socket.socket | None = None
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+
+@dataclass(slots=True)
+class RelayEnded:
+    """What became of a relay. `over`: the message is over for the host too, and nothing more is owed."""
+
+    relay: Relay
+    outcome: Outcome
+    took: timedelta = NONE
+    wait: timedelta = NONE
+    no_slot: bool = False
+    over: bool = False
+    room_left: float | None = None
+    limit_per_s: float | None = None
+
+
+@dataclass(slots=True)
+class Idle:
+    """A kept connection."""
+
+    sock: socket.socket
+    since: datetime
+
+
+def read_load(text: str | None) -> tuple[float | None, float | None]:
+    """The report in an answer, as `x0=0.4,x1=25`: share of the limit left, and the limit."""
+    values: dict[str, float] = {}
+    for part in (text or "").split(","):
+        name, equals, value = part.strip().partition("=")
+        try:
+            values[name] = float(value) if equals else 0.0
+        except ValueError:
+            continue
+    finite = {n: v for n, v in values.items() if 0.0 <= v < 1e9}
+    return finite.get("x0"), finite.get("x1")
+
+
+def read_wait(text: str | None) -> timedelta:
+    """A `Retry-After` in seconds, whole or decimal; nothing where it cannot be read."""
+    try:
+        told = float(text or 0.0)
+    except ValueError:
+        return NONE
+    return timedelta(seconds=told) if 0.0 < told < 86400.0 else NONE
+
+
+def read_outcome(relay: Relay, status: int, headers: dict[str, str]) -> RelayEnded:
+    """PROTOCOL's table, row by row. What is in no row may have run."""
+    ended = RelayEnded(relay, Outcome.ERROR)
+    ended.room_left, ended.limit_per_s = read_load(headers.get("server-load"))
+    if status == 200:
+        ended.outcome, ended.over = Outcome.DELIVERED, True
+    elif status == 429:
+        ended.outcome, ended.wait = Outcome.TURNED_AWAY, read_wait(headers.get("retry-after"))
+    elif status == 503 and headers.get("x-line-busy") == "1":
+        ended.outcome, ended.no_slot = Outcome.NOT_SENT, True
+    elif status == 503:
+        ended.outcome = Outcome.TURNED_AWAY
+    elif status in (504, 410):
+        ended.outcome, ended.over = Outcome.NOT_SENT, status == 410
+    return ended
+
+
+class South:
+    """The workers and the connections that they keep."""
+
+    def __init__(self, config: Config, clock: Clock, log: Log, journal: Journal, hosts: dict[int, Host],
+                 ended: Callable[[RelayEnded], None], start: Callable[[str, Callable[[], None]], None]):
+        self.config, self.clock, self.log, self.journal, self.hosts = config, clock, log, journal, hosts
+        self.ended, self.start = ended, start
+        self.waits: dict[int, datetime] = {}  # of a destination, until when it told to wait
+        self._queue: queue.SimpleQueue[Relay] = queue.SimpleQueue()
+        self._lock = threading.Lock()
+        self._idle: dict[tuple[str, int], list[Idle]] = {}
+        self._workers = 0
+        self._busy = 0
+        self.connects = 0
+
+    def submit(self, relay: Relay) -> None:
+        """Have a relay made; there is a worker for each one that is out."""
+        with self._lock:
+            self._busy += 1
+            fresh = self._busy > self._workers
+            self._workers += fresh
+        if fresh:
+            self.start(f"relay-{self._workers}", self._work)
+        self._queue.put(relay)
+
+    def call_off(self, relay: Relay) -> None:
+        """Stop waiting for a relay: its connection is closed."""
+        with relay.lock:
+            relay.called_off = True
+            if relay.sock is not None:
+                self._shut(relay.sock)
+
+    def close_idle(self, number: int) -> None:
+        """Close the kept connections to a host."""
+        host = self.hosts.get(number)
+        with self._lock:
+            closing = self._idle.pop(host.address, []) if host else []
+        for kept in closing:
+            kept.sock.close()
+
+    def _work(self) -> None:
+        while True:
+            relay = self._queue.get()
+            ended = self._relay(relay)
+            ended.took = self.clock.now() - relay.begun_at
+            if ended.wait:
+                # Told to the other workers now: a relay may already have left the owner's hands.
+                until = self.clock.now() + ended.wait
+                self.waits[relay.host.destination] = max(until, self.waits.get(relay.host.destination, until))
+            with self._lock:
+                self._busy -= 1
+            self.ended(ended)
+
+    def _relay(self, relay: Relay) -> RelayEnded:
+        """One attempt from connection to outcome."""
+        try:
+            sock = self._connection(relay)
+        except OSError:
+            outcome = Outcome.NOT_SENT if relay.called_off else Outcome.UNREACHABLE
+            return RelayEnded(relay, outcome)
+        if sock is None or self._barred(relay):
+            if sock is not None:
+                self._keep(relay, sock)
+            return RelayEnded(relay, Outcome.NOT_SENT)
+        opened = Opened(relay.taken.ref, relay.number, self.clock.now(), relay.host.name)
+        try:
+            self.journal.append([opened])  # before the first byte: a kill right after it finds it
+        except (OSError, JournalFullError) as fault:
+            self.log.say("journal", f"a relay was not made, since it could not be recorded: {fault}")
+            self._keep(relay, sock)
+            return RelayEnded(relay, Outcome.NOT_SENT)
+        relay.opened = True
+        return self._exchange(relay, sock)
+
+    def _barred(self, relay: Relay) -> bool:
+        """Drains, waits and time are looked at again right here: the queue may have aged."""
+        host, now = self.hosts.get(relay.host.number), self.clock.now()
+        waits = self.waits.get(relay.host.destination)
+        return (
+            relay.called_off or host is None or not host.serving or host.address != relay.host.address
+            or (waits is not None and now < waits) or now >= relay.ends_at
+        )
+
+    def _connection(self, relay: Relay) -> socket.socket | None:
+        """A kept connection that is still good, or a new one; None if called off meanwhile."""
+        sock = self._kept(relay.host.address)
+        if sock is not None:
+            with relay.lock:
+                relay.sock = sock
+                if relay.called_off:
+                    relay.sock = None
+                    sock.close()
+                    return None
+            return sock
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            with relay.lock:
+                if relay.called_off:
+                    sock.close()
+                    return None
+                relay.sock = sock
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            left = min(self.config.connect_time, relay.ends_at - self.clock.now())
+            sock.settimeout(seconds(max(LEAST_TIME, left)))
+            self.connects += 1
+            sock.connect(relay.host.address)
+        except OSError:
+            self._drop(relay, sock)
+            raise
+        return sock
+
+    def _kept(self, address: tuple[str, int]) -> socket.socket | None:
+        """The kept connection used last, unless its host may be about to close it or already has."""
+        closing, found = [], None
+        oldest = self.clock.now() - (self.config.keepalive - IDLE_MARGIN)
+        with self._lock:
+            line = self._idle.get(address, [])
+            while line and found is None:
+                kept = line.pop()
+                if kept.since > oldest and self._quiet(kept.sock):
+                    found = kept.sock
+                else:
+                    closing.append(kept.sock)
+        for sock in closing:
+            sock.close()
+        return found
+
+    @staticmethod
+    def _quiet(sock: socket.socket) -> bool:
+        """Whether nothing has come on an idle connection: its end would have, or an answer too many."""
+        try:
+            sock.setblocking(False)
+            sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def _keep(self, relay: Relay, sock: socket.socket) -> None:
+        """Put a connection by, and drop those that have stood idle for too long, wherever they lead."""
+        now, closing = self.clock.now(), []
+        with relay.lock:
+            relay.sock = None
+        with self._lock:
+            for line in self._idle.values():
+                while line and line[0].since <= now - (self.config.keepalive - IDLE_MARGIN):
+                    closing.append(line.pop(0).sock)
+            host = self.hosts.get(relay.host.number)
+            wanted = host is not None and host.address == relay.host.address and not relay.called_off
+            if wanted and sum(map(len, self._idle.values())) < IDLE_MOST:
+                self._idle.setdefault(relay.host.address, []).append(Idle(sock, now))
+            else:
+                closing.append(sock)
+        for old in closing:
+            old.close()
+
+    def _drop(self, relay: Relay, sock: socket.socket) -> None:
+        with relay.lock:
+            relay.sock = None
+        sock.close()
+
+    @staticmethod
+    def _shut(sock: socket.socket) -> None:
+        """Wake whoever waits on a connection by ending it."""
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # not connected yet, or no longer
+
+    def _exchange(self, relay: Relay, sock: socket.socket) -> RelayEnded:
+        """Write the call and read its answer. A break before the last byte is written proves it never ran."""
+        taken, whole = relay.taken, False
+        parser = http.Parser(answer=True)
+        try:
+            left = relay.ends_at - self.clock.now()
+            headers = [("Request-Id", taken.ref), ("Request-Timeout-Ms", str(max(1, millis(left))))]
+            if taken.idempotency_key is not None:
+                headers.append(("Idempotency-Key", taken.idempotency_key))
+            host, port = relay.host.address
+            data = http.write_request("POST", "/inbox", f"{host}:{port}", headers, taken.body)
+            sock.settimeout(seconds(max(LEAST_TIME, left)))
+            sock.sendall(data)
+            whole = True
+            while (found := parser.next()) is None:
+                if parser.eof:
+                    raise ConnectionResetError
+                left = relay.ends_at - self.clock.now()
+                if left <= NONE:
+                    raise TimeoutError
+                sock.settimeout(seconds(left))
+                parser.feed(sock.recv(65536))
+        except (OSError, http.BadMessageError) as fault:
+            self._drop(relay, sock)
+            return self._broken(relay, fault, whole, parser)
+        head, _ = found
+        if head.keeps_alive() and not parser.begun and not parser.eof:
+            self._keep(relay, sock)
+        else:
+            self._drop(relay, sock)
+        return read_outcome(relay, head.status, head.headers)
+
+    def _broken(self, relay: Relay, fault: Exception, whole: bool, parser: http.Parser) -> RelayEnded:
+        """No whole answer. A first line that came all the same counts; else the break itself does."""
+        if whole and parser.status == 200:
+            return read_outcome(relay, 200, parser.head.headers if parser.head else {})
+        if not whole:
+            return RelayEnded(relay, Outcome.NOT_SENT if relay.called_off else Outcome.UNREACHABLE)
+        if relay.called_off:
+            return RelayEnded(relay, Outcome.CALLED_OFF)
+        if isinstance(fault, TimeoutError):
+            return RelayEnded(relay, Outcome.TIMED_OUT)
+        return RelayEnded(relay, Outcome.BROKEN)
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -6,7 +6,16 @@
 from enum import Enum
 from math import exp, inf
 
-from willownotch.interface import Decay, Endpoint, EndpointList, Message, MessageClass, Readiness, Settings
+from willownotch.interface import (
+    Decay,
+    Endpoint,
+    EndpointList,
+    Message,
+    MessageClass,
+    PastAttempt,
+    Readiness,
+    Settings,
+)
 
 
 class Ran(Enum):
@@ -220,6 +229,15 @@
         dest = self.active[job.dest] = self.destinations.setdefault(job.dest, Destination())
         dest.held[job.ref] = job
 
+    def recall(self, job: Job, past: tuple[PastAttempt, ...], now: float) -> None:
+        """Put attempts from before a restart on the record; they hold no slot, and nothing comes of them."""
+        for attempt in past:
+            route = self.routes.get(attempt.endpoint)
+            if route is None:  # no longer listed: it stands for itself alone
+                route = Route(Endpoint(attempt.endpoint, job.dest, 0, -1, Readiness.GONE), Unit(now), now)
+            call = Call(route, now - attempt.sent_ago_s, judged=True, heard=True)
+            job.attempts.append([call, Ran.MAYBE if attempt.may_have_run else Ran.NEVER])
+
     def rest(self, number: int) -> None:
         """Drop a destination from the active ones once it has neither held jobs nor calls."""
         if not self.destinations[number].held and not self.destinations[number].calls:
