--- /dev/null
+++ b/tests/test_net_parsers.py
@@ -0,0 +1,304 @@
+"""Tables of cases for everything that reads bytes or text: HTTP, the journal, the configuration, the list."""
+import json
+import tempfile
+import unittest
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+from toys import ROOT, SETTINGS
+
+from willownotch.adapter import read_settings
+from willownotch.interface import Outcome
+from willownotch.net import config as configs
+from willownotch.net import http, journal
+from willownotch.net.clock import Clock, millis
+from willownotch.net.journal import Closed, Ended, Journal, JournalFullError, Noticed, Opened, Taken
+from willownotch.net.log import MOST, Log
+from willownotch.net.north import RefusedError, read_message
+from willownotch.net.owner import Answer, Ticket, Verdict
+from willownotch.net.registry import Lines
+from willownotch.net.south import read_load, read_outcome, read_wait
+
+ENDS = datetime(2026, 12, 1, 12, 0, tzinfo=UTC)
+
+
+def parsed(data, answer=False, size=None):
+    """All messages in the bytes, fed whole or in pieces, the end of the connection last."""
+    parser, out = http.Parser(answer), []
+    for at in range(0, len(data), size or len(data)):
+        parser.feed(data[at:at + (size or len(data))])
+        while found := parser.next():
+            out.append(found)
+    parser.feed(b"")
+    while found := parser.next():
+        out.append(found)
+        break
+    return out
+
+
+class Http(unittest.TestCase):
+    def test_whole_messages_however_they_are_cut(self):
+        table = [
+            (b"GET /a HTTP/1.1\r\n\r\n", False, [b""]),
+            (b"\r\nGET /a HTTP/1.1\r\nHost: x\r\n\r\n", False, [b""]),
+            (b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.0\r\n\r\n", False, [b"abc", b""]),
+            (b"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", False, [b"abc"]),
+            (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+             b"3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: 1\r\n\r\n", False, [b"abcd"]),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", True, [b"ok"]),
+            (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204\r\n\r\n", True, [b""]),
+            (b"HTTP/1.1 200 OK\r\n\r\nto the end", True, [b"to the end"]),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n0\r\n\r\n", True, [b""]),
+        ]
+        for data, answer, bodies in table:
+            for size in (1, 2, 7, None):
+                with self.subTest(data=data, size=size):
+                    self.assertEqual([body for _, body in parsed(data, answer, size)], bodies)
+
+    def test_what_loses_framing_is_refused(self):
+        post = b"POST / HTTP/1.1\r\n"
+        table = [
+            (b"GET  / HTTP/1.1\r\n\r\n", 400), (b"GET / HTTP/2.0\r\n\r\n", 505),
+            (b"\x16\x03\x01\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nbad name: x\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA : x\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\n folded: x\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA: \x00\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n", 400), (post + b"\r\n", 411),
+            (post + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\n", 400),
+            (post + b"Content-Length: 3, 3\r\n\r\n", 400), (post + b"Content-Length: -3\r\n\r\n", 400),
+            (post + b"Content-Length: 65537\r\n\r\n", 413),
+            (post + b"Content-Length: 99999999999999\r\n\r\n", 400),
+            (post + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            (post + b"Transfer-Encoding: gzip, chunked\r\n\r\n", 501),
+            (post + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n", 400),
+            (post + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", 400),
+            (post + b"Transfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65537, 413),
+            (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 101 + b"\r\n", 431),
+            (b"GET / HTTP/1.1\r\nA: " + b"b" * 20000, 431),
+            (post + b"Request-Id: a\r\nRequest-Id: b\r\n\r\n", 400),
+        ]
+        for data, status in table:
+            with self.subTest(data=data[:70]), self.assertRaises(http.BadMessageError) as caught:
+                parsed(data)
+            self.assertEqual(caught.exception.status, status, data[:70])
+
+    def test_keeping_a_connection(self):
+        for minor, said, keeps in [(1, "", True), (1, "Close", False), (1, "x, close", False),
+                                   (0, "", False), (0, "keep-alive", True)]:
+            head = http.Head(minor, headers={"connection": said})
+            self.assertEqual(head.keeps_alive(), keeps, (minor, said))
+
+    def test_a_first_line_is_known_before_the_rest(self):
+        parser = http.Parser(answer=True)
+        parser.feed(b"HTTP/1.1 200 OK\r\nServer-")
+        self.assertIsNone(parser.next())
+        self.assertEqual(parser.status, 200)
+
+    def test_a_line_end_in_a_header_is_not_written(self):
+        for value in ("a\r\nB: c", "a\nb"):
+            with self.assertRaises(ValueError):
+                http.write_answer(200, [("A", value)])
+
+
+class SouthSide(unittest.TestCase):
+    def test_each_row_of_the_table_of_outcomes(self):
+        table = [
+            (200, {}, Outcome.DELIVERED, True, False, 0), (500, {}, Outcome.ERROR, False, False, 0),
+            (429, {"retry-after": "0.75"}, Outcome.TURNED_AWAY, False, False, 0.75),
+            (503, {}, Outcome.TURNED_AWAY, False, False, 0),
+            (503, {"x-line-busy": "1"}, Outcome.NOT_SENT, False, True, 0),
+            (504, {}, Outcome.NOT_SENT, False, False, 0), (410, {}, Outcome.NOT_SENT, True, False, 0),
+            (418, {}, Outcome.ERROR, False, False, 0),
+        ]
+        for status, headers, outcome, over, no_slot, wait in table:
+            ended = read_outcome(None, status, headers)
+            found = (ended.outcome, ended.over, ended.no_slot, ended.wait.total_seconds())
+            self.assertEqual(found, (outcome, over, no_slot, wait), status)
+
+    def test_reports_and_waits(self):
+        for text, found in [("x0=0.4,x1=25", (0.4, 25.0)), ("x1=3", (None, 3.0)), (None, (None, None)),
+                            ("x0=much, x1 = 2", (None, None)), ("x0=nan,x1=-1", (None, None)),
+                            (",=", (None, None))]:
+            self.assertEqual(read_load(text), found, text)
+        for text, span in [("2", 2.0), ("0.25", 0.25), (None, 0.0), ("soon", 0.0), ("-1", 0.0), ("inf", 0.0),
+                           ("nan", 0.0)]:
+            self.assertEqual(read_wait(text).total_seconds(), span, text)
+
+
+class NorthSide(unittest.TestCase):
+    good = {"request-id": "a1", "request-class": "fee", "tenant": "acme", "request-timeout-ms": "480",
+            "x-consignee": "dest=7"}
+    config = configs.read_config(json.dumps({"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s",
+                                             "discovery": "127.0.0.1:1"}).encode(), {})
+
+    def read(self, target="/api?thread=k%20k", **changes):
+        headers = {k: v for k, v in {**self.good, **changes}.items() if v is not None}
+        return read_message(http.Head(1, "POST", target, headers=headers), b"b", ENDS, self.config)
+
+    def test_a_message_is_read(self):
+        taken = self.read(**{"client-retry": "again", "idempotency-key": "i"})
+        self.assertEqual((taken.ref, taken.destination, taken.key, taken.again, taken.idempotency_key),
+                         ("a1", 7, "k k", True, "i"))
+        self.assertEqual(taken.ends_at - ENDS, timedelta(milliseconds=480))
+        self.assertIsNone(self.read(**{"request-class": "status"}).key)  # only classes in order have one
+
+    def test_what_is_no_message_is_refused(self):
+        for change in [{"request-id": None}, {"request-id": "a b"}, {"request-class": "x"},
+                       {"tenant": None},
+                       {"request-timeout-ms": "0"}, {"request-timeout-ms": "1.5"}, {"x-consignee": "dest=-1"},
+                       {"x-consignee": "x"}, {"idempotency-key": "a b"},
+                       {"target": "/api?thread=a&thread=b"}]:
+            with self.subTest(change), self.assertRaises(RefusedError):
+                self.read(**change)
+
+    def test_a_ticket_is_settled_by_one_side_only(self):
+        """A message whose client was turned away must not be taken on afterwards, nor the reverse."""
+        left, taken = Ticket(), Ticket()
+        self.assertIsNone(left.wait(timedelta(0), timedelta(0)))
+        self.assertFalse(left.claim())
+        self.assertTrue(taken.claim())
+        taken.settle(Answer(Verdict.TAKEN))
+        self.assertEqual(taken.wait(timedelta(0), timedelta(0)).verdict, Verdict.TAKEN)
+
+
+class Configuration(unittest.TestCase):
+    def test_both_readers_of_settings_agree(self):
+        """The simulator's and the real sender's settings are one object: they must be read alike."""
+        for settings in (SETTINGS, json.loads((ROOT / "examples/config.json").read_text())["settings"]):
+            text = json.dumps(settings).encode()
+            entry = configs.msgspec.json.decode(text, type=configs.SettingsEntry)
+            self.assertEqual(configs.module_settings(entry), read_settings(settings))
+
+    def test_addresses(self):
+        self.assertEqual(configs.read_address("127.8.0.1:8000", "x"), ("127.8.0.1", 8000))
+        for text in ["", "8000", ":1", "h:", "h:x", "h:99999", "h:-1"]:
+            with self.assertRaises(configs.ConfigError, msg=text):
+                configs.read_address(text, "x")
+
+    def test_lines_of_a_watch(self):
+        for size in (1, 3, 50):
+            lines, out, data = Lines(), [], b'{"a":1}\n\n{"b":\xc3\xa4}\r\nrest'
+            for at in range(0, len(data), size):
+                out += lines.feed(data[at:at + size])
+            self.assertEqual(out, [b'{"a":1}', b"", b'{"b":\xc3\xa4}'])
+
+
+def taken(ref, body=b"b", key="k"):
+    return Taken(ref, 7, "fee", "acme", ENDS, key, body=body)
+
+
+class Journals(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def open(self, size=100_000):
+        made = Journal(self.folder, size)
+        made.open()
+        self.addCleanup(made.close)
+        return made
+
+    def on_disk(self):
+        return sum(journal.blocks(f.stat().st_size) for f in self.folder.iterdir())
+
+    def test_replay(self):
+        """Deadline, count, marks and order come back; a relay open at the end may have run."""
+        large = b"l" * 5000
+        self.open().append([
+            taken("a"), taken("b", large), taken("c"), taken("d"), Opened("a", 0, ENDS, "s"),
+            Closed("a", 0, False), Opened("a", 2, ENDS, "s"), Opened("b", 0, ENDS, "s"), Closed("b", 0, True),
+            Ended("c", "delivered"), Ended("d", "handed_back", 500), taken("e"),
+            Ended("e", "given_up"), Noticed("e"),
+        ])
+        for _ in range(2):  # as written, and as written anew
+            live = self.open().live
+            self.assertEqual(list(live), ["a", "b", "d"])
+            marks = [live["a"].may_have_run(n) for n in range(live["a"].count())]
+            self.assertEqual(marks, [False, False, True])
+            self.assertEqual((live["b"].may_have_run(0), live["b"].taken.body), (True, large))
+            self.assertEqual((live["d"].ended.retry_in_ms, live["d"].taken.body), (500, b""))
+            self.assertEqual(live["a"].taken.ends_at, ENDS)
+
+    def test_a_torn_tail_at_any_byte_costs_the_last_record_only(self):
+        self.open().append([taken("a"), taken("b")])
+        path = self.folder / "journal"
+        data = path.read_bytes()
+        second = data.index(journal.MAGIC, 1)
+        for cut in range(second, len(data)):
+            path.write_bytes(data[:cut])
+            self.assertEqual(list(self.open().live), ["a"], cut)
+
+    def test_damage_in_the_middle_costs_what_is_damaged(self):
+        self.open().append([taken("a"), taken("b"), taken("c")])
+        path = self.folder / "journal"
+        data = bytearray(path.read_bytes())
+        data[data.index(journal.MAGIC, 1) + 20] ^= 1
+        path.write_bytes(data)
+        made = self.open()
+        self.assertEqual((list(made.live), len(made.faults)), (["a", "c"], 1))
+
+    def test_a_lost_body_is_given_up_not_delivered_empty(self):
+        self.open().append([taken("a", b"x" * 9000)])
+        next(self.folder.glob("body-*")).write_bytes(b"y")
+        self.assertEqual(self.open().live["a"].ended.outcome, "given_up")
+
+    def test_left_over_files_go(self):
+        (self.folder / "journal.new").write_bytes(b"x")
+        (self.folder / "body-1-1").write_bytes(b"x")
+        self.open()
+        self.assertEqual([f.name for f in self.folder.iterdir()], ["journal"])
+
+    def test_the_folder_never_outgrows_its_limit(self):
+        """Old and new file stand side by side while it is written anew; bodies may exceed the disk."""
+        made, open_refs = self.open(), []
+        for n in range(600):
+            message = taken(f"m{n}", b"z" * (n * 37 % 6000))
+            if made.fits(message):
+                made.append([message, Opened(message.ref, 0, ENDS, "s")])
+                open_refs.append(message.ref)
+            else:
+                made.append([Ended(open_refs.pop(0), "delivered")])
+            new = sum(len(journal.frame(r)) for entry in made.live.values() for r in entry.records())
+            self.assertLessEqual(self.on_disk() + journal.blocks(new), 100_000)
+        self.assertGreater(len(open_refs), 5)
+        self.assertEqual(list(self.open().live), open_refs)
+
+    def test_a_record_that_cannot_fit_is_refused_and_the_rest_stands(self):
+        made = self.open(20_000)
+        with self.assertRaises(JournalFullError):
+            made.append([taken(f"m{n}", b"z" * 2000) for n in range(20)])
+        made.append([taken("a")])
+        self.assertEqual(list(self.open(20_000).live), ["a"])
+
+
+class Small(unittest.TestCase):
+    def test_the_log_keeps_to_its_rate_and_says_what_it_kept_back(self):
+        class Hand:
+            at = ENDS
+
+            def now(self):
+                return self.at
+
+        class Sink(list):
+            def write(self, text):
+                self.append(text)
+
+            def flush(self):
+                pass
+
+        clock, sink = Hand(), Sink()
+        log = Log(clock, "n0", sink)
+        for n in range(MOST + 3):
+            log.say("sort", f"line {n}\nsecond")
+        clock.at += timedelta(seconds=2)
+        log.say("sort", "later")
+        lines = "".join(sink).splitlines()
+        self.assertEqual(len(lines), MOST + 1)
+        self.assertIn("3 more", lines[-1])
+
+    def test_the_clock_is_the_wall_clock_and_never_runs_back(self):
+        clock = Clock()
+        first = clock.now()
+        self.assertLess(abs(first - datetime.now(UTC)), timedelta(seconds=1))
+        self.assertGreaterEqual(clock.now(), first)
+        self.assertEqual((millis(timedelta(microseconds=2900)), millis(timedelta(seconds=-1))), (2, 0))
--- /dev/null
+++ b/tests/test_net_sockets.py
@@ -0,0 +1,320 @@
+"""One test with real sockets for each rule of the real sender; what each guards against stands beside it."""
+import json
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+from toys import PATIENCE, ROOT, Discovery, Host, Sender, until
+
+
+class Case(unittest.TestCase):
+    """A host, a discovery and, once asked for, a sender; all ended afterwards."""
+
+    def setUp(self):
+        self.host = Host()
+        self.discovery = Discovery([self.host])
+        self.addCleanup(self.host.close)
+        self.addCleanup(self.discovery.close)
+        self.addCleanup(self.host.held.set)
+
+    def sender(self, **more):
+        sender = Sender(self.discovery, **more)
+        self.addCleanup(sender.close)
+        return sender.ready()
+
+    def noticed(self, ref):
+        return until(lambda: [n for n in self.discovery.notices if n["message"] == ref])[0]
+
+
+class Delivery(Case):
+    def test_a_message_passes_unchanged_on_one_kept_connection(self):
+        sender, bodies = self.sender(), [bytes(range(256)), b"", b"x" * 65536]
+        refs = []
+        for n, body in enumerate(bodies):
+            ref, head = sender.hand_in("order", body=body)
+            self.assertEqual(head.status, 202)
+            refs.append(ref)
+            until(lambda n=n: len(self.host.calls) == n + 1)
+            time.sleep(0.05)  # its answer may be on its way: only then is the connection free again
+        self.assertEqual(self.host.refs(), refs)
+        for (_, head, body), sent, ref in zip(self.host.calls, bodies, refs, strict=True):
+            self.assertEqual((body, head.headers["idempotency-key"]), (sent, f"i{ref}"))
+            self.assertTrue(0 < int(head.headers["request-timeout-ms"]) <= 8000)
+        self.assertEqual(self.host.connections, 1)
+        self.assertEqual(self.discovery.notices, [])
+
+    def test_what_is_refused_goes_again_and_what_may_have_run_unrepeatable_does_not(self):
+        sender = self.sender()
+        self.host.script.put((503, ()))
+        first, _ = sender.hand_in("fee", key="a")
+        until(lambda: self.host.refs().count(first) == 2)
+        self.host.script.put(None)  # the connection breaks after the last byte: it may have run
+        second, _ = sender.hand_in("fee", key="b")
+        self.assertEqual(self.noticed(second)["outcome"], "given_up")
+        self.assertEqual(self.host.refs().count(second), 1)
+
+    def test_a_time_out_closes_the_connection_and_ends_by_a_notice_in_time(self):
+        sender = self.sender()
+        self.host.held.clear()
+        began = time.monotonic()
+        ref, _ = sender.hand_in("status", left=600)
+        notice = self.noticed(ref)
+        self.assertLess(time.monotonic() - began, 0.6 + 0.3)
+        self.assertEqual(notice["outcome"], "handed_back")  # at once, with how long to stay away if known
+        self.assertEqual(set(notice) - {"retry_in_ms"}, {"message", "outcome"})
+
+    def test_a_wait_told_is_kept_for_every_message(self):
+        sender = self.sender()
+        self.host.script.put((429, [("Retry-After", "0.700")]))
+        sender.hand_in()
+        until(lambda: self.host.calls)
+        sender.hand_in()
+        until(lambda: len(self.host.calls) >= 2)
+        self.assertGreaterEqual(self.host.calls[1][0] - self.host.calls[0][0], 0.7)
+
+    def test_messages_of_a_key_go_one_at_a_time_in_order(self):
+        sender = self.sender()
+        self.host.held.clear()
+        refs = [sender.hand_in("fee", key="k")[0] for _ in range(3)]
+        other, _ = sender.hand_in("fee", key="other")
+        until(lambda: len(self.host.calls) == 2)
+        self.assertEqual(set(self.host.refs()), {refs[0], other})
+        self.host.held.set()
+        until(lambda: len(self.host.calls) == 4)
+        self.assertEqual([r for r in self.host.refs() if r != other], refs)
+
+    def test_a_key_waits_until_the_notice_of_the_one_before_is_answered(self):
+        sender = self.sender()
+        self.discovery.deaf = True
+        self.host.script.put((500, ()))
+        first, _ = sender.hand_in("fee", key="k")
+        until(lambda: any("not answered" in line for line in sender.lines))
+        second, _ = sender.hand_in("fee", key="k")
+        free, _ = sender.hand_in("fee", key="free")
+        until(lambda: free in self.host.refs())
+        self.assertNotIn(second, self.host.refs())
+        self.discovery.deaf = False
+        self.assertEqual(self.noticed(first)["outcome"], "given_up")
+        until(lambda: second in self.host.refs())
+
+    def test_nothing_new_goes_to_a_host_that_drains(self):
+        sender = self.sender()
+        self.discovery.change(0, self.host, "Terminating")
+        other = Host()
+        self.addCleanup(other.close)
+        self.discovery.change(1, other, "Ready")
+        until(lambda: sender.hand_in()[1].status == 202 and other.calls)
+        count = len(self.host.calls)
+        for _ in range(4):
+            sender.hand_in()
+        until(lambda: len(other.calls) >= 5)
+        self.assertEqual(len(self.host.calls), count)
+
+    def test_a_host_that_closes_idle_connections_costs_no_message(self):
+        sender = self.sender()
+        for n in range(3):
+            sender.hand_in("fee")
+            until(lambda n=n: len(self.host.calls) == n + 1)
+            time.sleep(0.05)
+            self.host.socks[-1].shutdown(socket.SHUT_RDWR)
+            time.sleep(0.05)  # its end has to cross before it can be seen
+        self.assertEqual((self.host.connections, self.discovery.notices), (3, []))
+
+
+class Admission(Case):
+    def test_answers_where_nothing_is_taken_on(self):
+        sender = self.sender()
+        valid = [("Request-Id", "a"), ("Request-Class", "status"), ("Tenant", "acme"),
+                 ("Request-Timeout-Ms", "900"), ("X-Consignee", "dest=7")]
+        table = [
+            ("unknown class", "POST", "/api", {**dict(valid), "Request-Class": "x"}, 400),
+            ("unknown tenant", "POST", "/api", {**dict(valid), "Tenant": "x"}, 400),
+            ("no id", "POST", "/api", {**dict(valid), "Request-Id": ""}, 400),
+            ("no time", "POST", "/api", {**dict(valid), "Request-Timeout-Ms": "-1"}, 400),
+            ("no destination", "POST", "/api", {**dict(valid), "X-Consignee": "dest=x"}, 400),
+            ("unlisted destination", "POST", "/api", {**dict(valid), "X-Consignee": "dest=99"}, 503),
+            ("unknown path", "POST", "/nothing", dict(valid), 404),
+            ("wrong method", "GET", "/api", {}, 405),
+            ("alive", "GET", "/health/live", {}, 200),
+        ]
+        with sender.connect() as sock:  # framing is whole each time: one connection serves them all
+            for name, method, target, headers, status in table:
+                body = b"x" if method == "POST" else None
+                head = sender.exchange(sender.request(method, target, headers.items(), body), sock)
+                self.assertEqual(head.status, status, name)
+                self.assertEqual("retry-after" in head.headers, status == 503, name)
+        self.assertEqual(self.host.calls, [])
+
+    def test_lost_framing_is_answered_and_the_connection_closed(self):
+        sender = self.sender()
+        for data, status in [
+            (b"nonsense\r\n\r\n", 400), (b"POST /api HTTP/1.1\r\n\r\n", 411),
+            (b"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
+            (b"GET / HTTP/1.1\r\nX: " + b"y" * 20000, 431),
+        ]:
+            with sender.connect() as sock:
+                self.assertEqual(sender.exchange(data, sock).status, status)
+                self.assertEqual(sock.recv(1), b"")
+
+    def test_a_full_sender_gives_back_off_answers_and_loses_nothing(self):
+        sender = self.sender()
+        self.host.held.clear()
+        answers = [sender.hand_in("order", body=b"y" * 100) for _ in range(60)]
+        taken = [ref for ref, head in answers if head.status == 202]
+        self.assertTrue(all("retry-after" in head.headers for _, head in answers if head.status == 503))
+        self.assertTrue(0 < len(taken) < 60)
+        self.host.held.set()
+        ended = lambda: set(self.host.refs()) | {n["message"] for n in self.discovery.notices}  # noqa: E731
+        until(lambda: set(taken) <= ended(), 3 * PATIENCE)
+
+    def test_bodies_never_outgrow_the_disk(self):
+        sender = self.sender(limits={"sockets": 1024, "disk_mb": 0.3})
+        self.host.held.clear()
+        statuses = [sender.hand_in("order", body=b"z" * 60000)[1].status for _ in range(10)]
+        size = sum(-(-f.stat().st_size // 512) * 512 for f in sender.state.iterdir())
+        self.assertLessEqual(size, 300_000)
+        self.assertEqual(set(statuses), {202, 503})
+        self.host.held.set()
+        until(lambda: len({r for r in self.host.refs()}) == statuses.count(202))
+        until(lambda: not list(sender.state.glob("body-*")))  # what is over frees its room
+
+    def test_the_same_id_again_is_the_same_message(self):
+        sender = self.sender()
+        for _ in range(3):
+            self.assertEqual(sender.hand_in(ref="same")[1].status, 202)
+        other, _ = sender.hand_in()
+        until(lambda: other in self.host.refs())
+        self.assertEqual(self.host.refs().count("same"), 1)
+
+    def test_slow_clients_do_not_keep_others_out(self):
+        sender = self.sender(limits={"sockets": 272, "disk_mb": 3})  # room for 16 client connections
+        slow = [sender.connect() for _ in range(40)]
+        for sock in slow:
+            self.addCleanup(sock.close)
+            try:
+                sock.sendall(b"POST /api HTTP/1.1\r\nContent-")
+            except OSError:
+                pass  # ended to make room for the next
+        ref, head = sender.hand_in()
+        self.assertEqual(head.status, 202)
+        until(lambda: ref in self.host.refs())
+
+
+class Restarts(Case):
+    def test_what_was_owed_survives_a_kill_in_order_and_nothing_unrepeatable_runs_twice(self):
+        sender = self.sender(known=self.discovery.known())
+        self.host.held.clear()
+        out, _ = sender.hand_in("fee", key="k", left=20000)
+        again, _ = sender.hand_in("order", left=20000, body=b"q" * 5000)
+        until(lambda: len(self.host.calls) == 2)
+        rest = [sender.hand_in("fee", key="k", left=20000)[0] for _ in range(2)]
+        sender.process.kill()
+        self.host.held.set()
+        sender.restart()
+        self.assertEqual(self.noticed(out)["outcome"], "given_up")
+        until(lambda: set(rest) <= set(self.host.refs()) and self.host.refs().count(again) == 2)
+        refs = self.host.refs()
+        self.assertEqual((refs.count(out), [r for r in refs if r in rest]), (1, rest))
+        self.assertEqual(self.host.calls[-1][2] if refs[-1] == again else b"q" * 5000, b"q" * 5000)
+
+    def test_an_unanswered_notice_is_sent_again_by_the_next_process(self):
+        sender = self.sender(known=self.discovery.known())
+        self.discovery.deaf = True
+        self.host.script.put((500, ()))
+        ref, _ = sender.hand_in("fee", key="k")
+        until(lambda: any("not answered" in line for line in sender.lines))
+        sender.process.kill()
+        self.discovery.deaf = False
+        sender.restart()
+        self.assertEqual(self.noticed(ref)["outcome"], "given_up")
+
+    def test_a_missing_or_damaged_journal_starts_cleanly_and_says_so(self):
+        sender = self.sender(known=self.discovery.known())
+        self.assertTrue(any("no journal found" in line for line in sender.lines))
+        sender.process.kill()
+        sender.process.wait(PATIENCE)
+        (sender.state / "journal").write_bytes(b"\x00garbage" * 500)
+        sender.restart()
+        self.assertTrue(any("torn or damaged" in line for line in sender.lines))
+        shutil.rmtree(sender.state)
+        sender.restart()
+        self.assertEqual(sender.hand_in()[1].status, 202)
+
+    def test_after_sigterm_messages_are_taken_and_no_unrepeatable_relay_begins(self):
+        sender = self.sender()
+        sender.hand_in("status")
+        until(lambda: self.host.calls)
+        sender.process.send_signal(signal.SIGTERM)
+        until(lambda: any("SIGTERM" in line for line in sender.lines))
+        time.sleep(1.7)  # so long is the patience with a host that is not known yet: 2 s of 3.5
+        fee, head = sender.hand_in("fee", left=15000)
+        safe, _ = sender.hand_in("status")
+        until(lambda: safe in self.host.refs())
+        self.assertEqual((head.status, self.host.refs().count(fee)), (202, 0))
+        self.assertEqual(sender.process.wait(PATIENCE), 0)
+        sender.start()
+        until(lambda: fee in self.host.refs())
+
+
+class Platform(Case):
+    def test_no_list_no_readiness_and_nonsense_keeps_the_last_list(self):
+        self.discovery.entries = []
+        sender = Sender(self.discovery)
+        self.addCleanup(sender.close)
+        self.assertEqual(sender.exchange(sender.request("GET", "/health/ready")).status, 503)
+        self.discovery.change(0, self.host, "Ready")
+        sender.ready()
+        self.discovery.news.put("{nonsense")
+        until(lambda: any("watch: broken off" in line for line in sender.lines))
+        self.assertEqual(sender.hand_in()[1].status, 202)
+
+    def test_a_known_list_serves_while_discovery_is_gone(self):
+        known = self.discovery.known()
+        self.discovery.close()
+        sender = self.sender(known=known)
+        self.assertEqual(sender.hand_in()[1].status, 202)
+        until(lambda: self.host.calls)
+
+
+class CommandLine(unittest.TestCase):
+    def run_it(self, *arguments, env=None):
+        return subprocess.run([sys.executable, "-m", "willownotch", *arguments], cwd=ROOT, text=True,
+                              capture_output=True, env=env, timeout=30)
+
+    def test_bad_configurations_are_one_plain_line_and_exit_2(self):
+        good = json.loads((ROOT / "examples" / "config.json").read_text(encoding="utf-8"))
+        for change in [{"settings": {}}, {"listen": "nowhere"}, {"seed": "no"}, {"limits": {"sockets": 3}}]:
+            with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+                json.dump({**good, **change}, file)
+                file.flush()
+                for command in ("check", "serve"):
+                    done = self.run_it(command, "--config", file.name)
+                    self.assertEqual((done.returncode, len(done.stderr.splitlines())), (2, 1), change)
+        self.assertEqual(self.run_it(env={}).returncode, 2)
+
+    def test_version_and_check(self):
+        self.assertRegex(self.run_it("version").stdout, r"^willownotch \d")
+        self.assertEqual(self.run_it("check", "--config", "examples/config.json").returncode, 0)
+
+    def test_the_example_delivers_as_written(self):
+        toy = subprocess.Popen([sys.executable, "examples/toy.py", "--port", "0"], cwd=ROOT, text=True,
+                               stdout=subprocess.PIPE)
+        self.addCleanup(toy.stdout.close)
+        self.addCleanup(toy.wait, PATIENCE)
+        self.addCleanup(toy.kill)
+        discovery = toy.stdout.readline().split()[-1]
+        text = json.loads((ROOT / "examples" / "config.json").read_text(encoding="utf-8"))
+        text.update(listen="127.0.0.1:0", discovery=discovery)
+        sender = Sender(text=text)
+        self.addCleanup(sender.close)
+        sender.ready()
+        ref, head = sender.hand_in("slot-status", tenant="dune-carriers")
+        self.assertEqual(head.status, 202)
+        self.assertIn(f"{ref} 200 b'hello'", toy.stdout.readline())
+
+
--- /dev/null
+++ b/tests/test_restarted.py
@@ -0,0 +1,51 @@
+"""What the module is told of the time before a restart, and of its own coming end."""
+import unittest
+
+from helpers import KEYED, ORDERED, SAFE, UNSAFE, Sender, answers, sends
+
+from willownotch.interface import Endpoint, EndpointList, Fail, Outcome, PastAttempt, Refuse, Stopping, Timer
+
+
+class Restarted(unittest.TestCase):
+    def recovered(self, cls, past, **more):
+        sender = Sender(**more)
+        message = sender.message(cls, key="k" if cls is ORDERED else None)
+        values = {name: getattr(message, name) for name in message.__slots__} | {"past": past, "again": True}
+        sender.tries[message.ref] = len(past) - 1
+        return sender, type(message)(**values)
+
+    def test_what_may_have_run_counts_as_before_the_restart(self):
+        ran, never = PastAttempt(1, 3.0, True), PastAttempt(1, 3.0, False)
+        old = PastAttempt(99, 11.0, True)  # longer ago than a repeat is dropped, at an endpoint long gone
+        table = [
+            (UNSAFE, (ran,), Fail), (UNSAFE, (never,), None), (SAFE, (ran, ran), None), (KEYED, (ran,), None),
+            (KEYED, (old,), Refuse), (SAFE, (never,) * 8, Refuse), (UNSAFE, (never, ran), Fail),
+        ]
+        for cls, past, ending in table:
+            with self.subTest(cls=cls.name, past=past):
+                sender, message = self.recovered(cls, past)
+                out = sender.step(message)
+                self.assertEqual([type(a) for a in answers(out)], [ending] if ending else [])
+                self.assertEqual(len(sends(out)), 0 if ending else 1)
+
+    def test_attempts_go_on_being_numbered(self):
+        sender, message = self.recovered(SAFE, (PastAttempt(1, 1.0, False),) * 2)
+        sent = sends(sender.step(message))[0]
+        sender.step(sender.ended(sent, Outcome.DELIVERED))
+        self.assertEqual(sender.control.book.jobs, {})
+        self.assertEqual(sender.control.book.slots_used, 0)
+
+    def test_a_key_rests_after_a_restart_for_what_may_still_run(self):
+        sender, message = self.recovered(ORDERED, (PastAttempt(1, 0.2, True),), max_attempts=1)
+        out = sender.step(message, sender.message(ORDERED, key="k"))
+        self.assertEqual(len(answers(out)), 1)
+        while not sends(out) and sender.now < 3:
+            out = sender.tick()
+        self.assertGreaterEqual(sender.now, 0.5)
+
+    def test_no_unrepeatable_attempt_that_could_straddle_the_end_begins(self):
+        sender = Sender()
+        sender.step(EndpointList((Endpoint(1, 1, 0, 0),), True), Stopping(3.5))
+        self.assertEqual(len(sends(sender.step(sender.message(UNSAFE), after=1.0))), 1)
+        self.assertEqual(sends(sender.step(sender.message(UNSAFE), at=1.6)), [])
+        self.assertEqual(len(sends(sender.step(sender.message(KEYED), Timer(1), after=0.1))), 1)
--- /dev/null
+++ b/tests/toys.py
@@ -0,0 +1,222 @@
+"""The other parties for the tests with real sockets: hosts, discovery, clients, and the sender's process."""
+import json
+import os
+import queue
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+from willownotch.net import http
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 10.0  # s; no test waits on a condition for longer
+
+SETTINGS = {
+    "services": [
+        {"name": "order", "credit": 1.0, "promiseS": 2.5, "hardLimitS": 16.0, "lateShare": 0.3,
+         "idempotency": "keyed", "group": "all", "memorySpanS": 15.0},
+        {"name": "status", "credit": 1.0, "promiseS": 2.5, "hardLimitS": 28.0, "idempotency": "safe"},
+        {"name": "fee", "credit": 3.0, "promiseS": 2.0, "hardLimitS": 20.0, "idempotency": "unsafe",
+         "oneAtATime": True},
+    ],
+    "models": ["haulier"], "orgs": [{"name": "acme", "quotaPerS": 50.0}], "peersTotal": 1,
+    "familyInfo": {"slots": 6, "decay": "even", "kindBatch": [1], "separateRoutes": [False]},
+    "policyLimits": {"maxOpen": 40, "maxAttempts": 12, "connectTimeoutS": 1.0, "keepaliveS": 5.0,
+                     "maxRetryAfterS": 2.0, "mayCancel": True, "retryAfter": True, "secondCopies": True},
+    "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 2.0, "fallS": 2.0, "keyQuietS": 0.3},
+    "callers": {"marksRetry": True}, "weightKind": "rough", "zones": ["here"],
+}
+
+
+def until(check, patience=PATIENCE):
+    """Wait for a condition and return what it found."""
+    ends = time.monotonic() + patience
+    while not (found := check()):
+        if time.monotonic() > ends:
+            raise AssertionError("waited in vain")
+        time.sleep(0.005)
+    return found
+
+
+class Server:
+    """Takes connections on a port of its own; `answer(head, body, sock)` gives bytes, or None to hang up."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.connections = 0
+        self.socks = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            self.socks.append(sock)
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        parser = http.Parser(answer=False)
+        try:
+            while True:
+                while (found := parser.next()) is None:
+                    if not (data := sock.recv(65536)):
+                        return
+                    parser.feed(data)
+                data = self.answer(*found, sock)
+                if data is None:
+                    return
+                sock.sendall(data)
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    def close(self):
+        for sock in [self.listener, *self.socks]:
+            sock.close()
+
+
+class Host(Server):
+    """A south side host. Its answers are scripted; with none left it delivers."""
+
+    def __init__(self):
+        super().__init__()
+        self.calls, self.script, self.held = [], queue.SimpleQueue(), threading.Event()
+        self.held.set()
+
+    def answer(self, head, body, sock):
+        self.calls.append((time.monotonic(), head, body))
+        self.held.wait(PATIENCE * 3)
+        answer = self.script.get() if not self.script.empty() else (200, ())
+        return None if answer is None else http.write_answer(*answer)
+
+    def refs(self):
+        return [head.headers["request-id"] for _, head, _ in self.calls]
+
+
+class Discovery(Server):
+    """The list, its watch, and notices."""
+
+    def __init__(self, hosts=()):
+        self.news, self.notices, self.deaf = queue.SimpleQueue(), [], False
+        self.index = 1
+        self.entries = [self.entry(n, host) for n, host in enumerate(hosts)]
+        super().__init__()
+
+    @staticmethod
+    def entry(number, host, status="Ready", group=7):
+        return {"name": f"s-{number}", "address": host.address, "zone": "here", "type": "haulier",
+                "group": group, "status": status, "weight": 20.0, "since_ms": 0}
+
+    def known(self):
+        return {"index": self.index, "snapshot": True, "endpoints": self.entries}
+
+    def answer(self, head, body, sock):
+        if head.method == "POST":
+            if self.deaf:
+                return None
+            self.notices += [json.loads(line) for line in body.splitlines()]
+            return http.write_answer(204)
+        sock.sendall(http.write_head("HTTP/1.1 200 OK", [("Transfer-Encoding", "chunked")]))
+        self.chunk(sock, json.dumps(self.known()))
+        while True:
+            self.chunk(sock, self.news.get())
+
+    @staticmethod
+    def chunk(sock, text):
+        data = (text + "\n").encode()
+        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def change(self, number, host, status):
+        self.index += 1
+        self.news.put(json.dumps({"index": self.index, "snapshot": False,
+                                  "endpoints": [self.entry(number, host, status)]}))
+
+
+class Sender:
+    """The program itself, in a process of its own, with a folder that lasts."""
+
+    def __init__(self, discovery=None, known=None, limits=None, text=None):
+        self.folder = tempfile.TemporaryDirectory()
+        self.config = Path(self.folder.name) / "config.json"
+        self.state = Path(self.folder.name) / "state"
+        self.config.write_text(json.dumps(text or {
+            "name": "t0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "5f",
+            "limits": limits or {"sockets": 1024, "disk_mb": 3}, "known": known, "settings": SETTINGS,
+        }), encoding="utf-8")
+        self.count = 0
+        self.start()
+
+    def start(self):
+        env = {"PATH": os.environ["PATH"], "LB_CONFIG": str(self.config), "LB_STATE": str(self.state)}
+        self.process = subprocess.Popen([sys.executable, "-m", "willownotch"], cwd=ROOT, env=env,
+                                        stderr=subprocess.PIPE, text=True)
+        self.lines, self.port = [], None
+        threading.Thread(target=self._read, daemon=True).start()
+        until(lambda: self.port or self.process.poll() is not None)
+
+    def _read(self):
+        for line in self.process.stderr:
+            self.lines.append(line)
+            found = re.search(r"start: listening on [\d.]+:(\d+)", line)
+            self.port = int(found[1]) if found else self.port
+
+    def ready(self):
+        until(lambda: self.exchange(self.request("GET", "/health/ready")).status == 200)
+        return self
+
+    def restart(self, with_signal=signal.SIGKILL):
+        self.process.send_signal(with_signal)
+        self.process.wait(PATIENCE)
+        self.start()
+        return self.ready()
+
+    def close(self):
+        self.process.kill()
+        self.process.wait(PATIENCE)
+        self.process.stderr.close()
+        self.folder.cleanup()
+
+    @staticmethod
+    def request(method, target, headers=(), body=None):
+        return http.write_request(method, target, "api.internal", headers, body)
+
+    def connect(self):
+        sock = socket.create_connection(("127.0.0.1", self.port), PATIENCE)
+        sock.settimeout(PATIENCE)
+        return sock
+
+    def exchange(self, data, sock=None):
+        """Send bytes, and return the head of what is answered."""
+        own = sock or self.connect()
+        try:
+            own.sendall(data)
+            parser = http.Parser(answer=True)
+            while (found := parser.next()) is None:
+                if parser.eof:
+                    raise ConnectionResetError("no answer")
+                parser.feed(own.recv(65536))
+            return found[0]
+        finally:
+            if sock is None:
+                own.close()
+
+    def hand_in(self, cls="status", dest=7, left=8000, key=None, body=b"hello", ref=None, tenant="acme"):
+        """Hand one message in; its id and the answer's head."""
+        self.count += 1
+        ref = ref or f"{self.count:016x}"
+        headers = [("Request-Id", ref), ("Request-Class", cls), ("Tenant", tenant),
+                   ("Request-Timeout-Ms", str(left)), ("X-Consignee", f"dest={dest}"),
+                   ("Idempotency-Key", f"i{ref}")]
+        target = "/api" + (f"?thread={key}" if key else "")
+        return ref, self.exchange(self.request("POST", target, headers, body))
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -24,7 +24,7 @@
 
 STACK = 256 * 1024  # bytes for each thread: nothing here recurses
 STOP_AFTER = timedelta(seconds=5)  # from SIGTERM to an end of its own, where no SIGKILL has come
-LAST_ANSWERS = timedelta(seconds=1)
+LAST_ANSWERS, LAST_RELAYS = timedelta(seconds=1), timedelta(seconds=20)  # to finish what runs, after that
 MEGABYTE = 1_000_000
 FAULTY, DEAD = 2, 70  # exit codes: bad configuration or command line; a thread has died
 
@@ -82,8 +82,9 @@
     if signal.sigwait(signals) == signal.SIGTERM:
         owner.post(Stop())
         signal.sigtimedwait(signals, seconds(STOP_AFTER))
-    north.stop(LAST_ANSWERS)
-    log.say("stop", "ended; what is still owed stands in the journal")
+        north.stop(LAST_ANSWERS)
+        south.finish(LAST_RELAYS)
+    log.say("end", "ended; what is still owed stands in the journal")
     sys.stderr.flush()
     os._exit(0)
 
--- a/willownotch/net/http.py
+++ b/willownotch/net/http.py
@@ -181,9 +181,9 @@
         while self.head is None:
             if self.answer and not self.status:
                 self._early_status()
-            if not self.answer and self._searched == 0:
-                while self.buffer.startswith(b"\r\n"):  # an empty line before a request is passed over
-                    del self.buffer[:2]
+            while not self.answer and self.buffer.startswith(b"\r\n"):
+                del self.buffer[:2]  # an empty line before a request is passed over, however it was cut
+                self._searched = 0
             end = self.buffer.find(b"\r\n\r\n", max(0, self._searched - 3))
             if max(end, len(self.buffer) if end < 0 else 0) > HEAD_MOST:
                 raise BadMessageError(431, "head too large")
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -1,7 +1,8 @@
 """The journal in the folder that lasts: what is owed, what may have run, which notices are unanswered.
 
 Records are framed as magic, length, checksum, body and appended by one write each round. The file is written
-anew, live records only, before it would outgrow its half of the disk: old and new stand side by side then.
+anew, live records only, while old and new still fit the disk side by side. A large message body stands in a
+file of its own, written before the record that names it: it goes at once when its message is over.
 """
 from __future__ import annotations
 
@@ -15,13 +16,14 @@
 
 import msgspec
 
-NAME, NEW_NAME = "journal", "journal.new"
+NAME, NEW_NAME, BODY_PREFIX = "journal", "journal.new", "body-"
 FRAME = Struct("<4sII")
 MAGIC = b"wnJ1"
 BLOCK = 512  # bytes in which files are counted
 MOST_RECORD = 1 << 20
 ALLOWANCE = 1536  # bytes kept for all the small records that a message can still cause
-LIVE_SHARE = 0.9  # of the file's room that may be live: the rest keeps rewriting from being constant
+INLINE = 2048  # bytes of the largest body that stands in the journal itself
+SPARE_SHARE = 0.1  # of the disk, left free of live records: it keeps rewriting from being constant
 
 
 class Taken(msgspec.Struct, tag="taken", frozen=True):
@@ -36,6 +38,8 @@
     idempotency_key: str | None = None
     again: bool = False
     body: bytes = b""
+    apart: str | None = None  # the file that holds the body
+    checksum: int = 0  # of a body that stands apart
 
 
 class Opened(msgspec.Struct, tag="opened", frozen=True):
@@ -85,6 +89,10 @@
     closed: dict[int, Closed] = {}
     ended: Ended | None = None
 
+    def body_size(self) -> int:
+        """What a file for the body takes on the disk."""
+        return blocks(len(self.taken.body)) if self.taken.apart else 0
+
     def records(self) -> Iterator[Record]:
         """The fewest records that say the same."""
         yield self.taken
@@ -111,8 +119,15 @@
 _decode = msgspec.msgpack.Decoder(Record).decode
 
 
+def blocks(size: int) -> int:
+    """A file's size as the limit counts it."""
+    return -(-size // BLOCK) * BLOCK
+
+
 def frame(record: Record) -> bytes:
     """A record as it stands in the file."""
+    if isinstance(record, Taken) and record.apart:
+        record = msgspec.structs.replace(record, body=b"")
     body = _encode(record)
     return FRAME.pack(MAGIC, len(body), zlib.crc32(body)) + body
 
@@ -159,7 +174,7 @@
 def apply(live: dict[str, Entry], record: Record) -> int:
     """Let one record change what is live; how many bytes of room that takes."""
     if isinstance(record, Taken):
-        size = len(record.body) + ALLOWANCE
+        size = ALLOWANCE + (0 if record.apart else len(record.body))
         live[record.ref] = Entry(record, size)
         return size
     entry = live.get(record.ref)
@@ -171,7 +186,7 @@
         entry.closed[record.number] = record
     elif isinstance(record, Ended) and record.owes_notice():
         # What ends by a notice keeps its place, for its key's sake, but needs its body no more.
-        entry.ended, entry.taken = record, msgspec.structs.replace(entry.taken, body=b"")
+        entry.ended, entry.taken = record, msgspec.structs.replace(entry.taken, body=b"", apart=None)
         freed, entry.size = entry.size - ALLOWANCE, ALLOWANCE
         return -freed
     else:
@@ -185,13 +200,15 @@
 
     def __init__(self, folder: Path, disk_bytes: int) -> None:
         self.folder, self.path = folder, folder / NAME
-        self.room = max(BLOCK, disk_bytes // 2 // BLOCK * BLOCK - BLOCK)
+        self.room = disk_bytes // BLOCK * BLOCK - 2 * BLOCK
         self.live: dict[str, Entry] = {}
-        self.live_size = 0
+        self.live_size = 0  # of the records, with all that may still follow
+        self.bodies_size = 0  # of the files with bodies
         self.size = 0  # of the file
         self.faults: list[str] = []  # what replay found wrong, in plain words
         self._lock = threading.Lock()
         self._file = -1
+        self._made = 0  # body files of this process
 
     def open(self) -> None:
         """Replay what is there, then write it anew: a torn tail never stays before new records."""
@@ -209,29 +226,78 @@
         self.live_size = sum(entry.size for entry in self.live.values())
         if damaged:
             self.faults.append(f"{damaged} bytes of the journal are torn or damaged and were passed over")
+        self._read_bodies()
         self.size = len(data)
         self._rewrite()
 
     def fits(self, taken: Taken) -> bool:
         """Whether one more message may be owed without the folder ever outgrowing its limit."""
-        wanted = len(taken.body) + ALLOWANCE
-        return self.live_size + wanted <= LIVE_SHARE * self.room
+        apart = len(taken.body) > INLINE
+        records = self.live_size + ALLOWANCE + (0 if apart else len(taken.body))
+        bodies = self.bodies_size + (blocks(len(taken.body)) if apart else 0)
+        return 2 * records + bodies <= (1 - SPARE_SHARE) * self.room
 
     def append(self, records: Iterable[Record]) -> None:
         """Write these records, in this order, by one write."""
-        records = list(records)
+        records = [self._apart(r) if isinstance(r, Taken) else r for r in records]
         data = b"".join(map(frame, records))
         with self._lock:
-            if self.size + len(data) > self.room:
+            # The file may only grow so far that a new one still fits beside it.
+            most = self.room - self.bodies_size - self.live_size
+            if self.size + len(data) > most:
                 self._rewrite()
-                if self.size + len(data) > self.room:
+                if self.size + len(data) > most:
                     raise JournalFullError(f"{self.size} bytes are live, {len(data)} more do not fit")
             written = os.write(self._file, data)
             self.size += written
             if written < len(data):
                 raise OSError(f"only {written} of {len(data)} bytes were written")
             for record in records:
+                before = self.live.get(record.ref)
+                apart, size = (before.taken.apart, before.body_size()) if before else (None, 0)
                 self.live_size += apply(self.live, record)
+                after = self.live.get(record.ref)
+                self.bodies_size += (after.body_size() if after else 0) - size
+                if apart and (after is None or not after.taken.apart):
+                    (self.folder / apart).unlink(missing_ok=True)
+
+    def _apart(self, taken: Taken) -> Taken:
+        """Write a large body to its own file, before any record names it; a file no record names is void."""
+        if len(taken.body) <= INLINE:
+            return taken
+        self._made += 1
+        name = f"{BODY_PREFIX}{os.getpid()}-{self._made}"
+        file = os.open(self.folder / name, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            view = memoryview(taken.body)
+            while view:
+                view = view[os.write(file, view):]
+        finally:
+            os.close(file)
+        return msgspec.structs.replace(taken, apart=name, checksum=zlib.crc32(taken.body))
+
+    def _read_bodies(self) -> None:
+        """Bodies back into their entries, and away with files that belong to none."""
+        named = set()
+        for entry in list(self.live.values()):
+            taken = entry.taken
+            if not taken.apart:
+                continue
+            named.add(taken.apart)
+            try:
+                body = (self.folder / taken.apart).read_bytes()
+            except OSError:
+                body = None
+            if body is None or zlib.crc32(body) != taken.checksum:
+                # Its end is still owed, but what to deliver is lost.
+                self.faults.append(f"the body of {taken.ref} is missing or damaged: given up")
+                self.live_size += apply(self.live, Ended(taken.ref, "given_up"))
+                continue
+            entry.taken = msgspec.structs.replace(taken, body=body)
+            self.bodies_size += entry.body_size()
+        for file in self.folder.glob(BODY_PREFIX + "*"):
+            if file.name not in named:
+                file.unlink(missing_ok=True)
 
     def _rewrite(self) -> None:
         """Put the live records into a new file and let it take the old one's place in one step."""
--- a/willownotch/net/log.py
+++ b/willownotch/net/log.py
@@ -33,6 +33,6 @@
             more = f" ({kept_back} more such lines were kept back)" if kept_back and count == 0 else ""
             line = f"{now:%Y-%m-%dT%H:%M:%S.%f}Z {self.name} {sort}: {text}{more}".replace("\n", " | ")
             try:
-                print(line, file=self.stream or sys.stderr, flush=True)
+                print(line, file=sys.stderr if self.stream is None else self.stream, flush=True)
             except (OSError, ValueError):
                 pass  # nobody reads the log any more: no reason to stop delivering
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from urllib.parse import parse_qs, urlsplit
 
@@ -13,16 +14,17 @@
 from willownotch.net.config import Config
 from willownotch.net.journal import Taken
 from willownotch.net.log import Log
-from willownotch.net.owner import HandIn, Owner, Ticket, Verdict, Withdraw
+from willownotch.net.owner import Answer, HandIn, Owner, Ticket, Verdict, Withdraw
 
 PATIENCE = timedelta(milliseconds=250)  # a client waits 400 ms: what is not taken up by then is turned away
 CLAIMED_PATIENCE = timedelta(seconds=5)  # for what is being decided then: it may be owed already
 IDLE_TIME = timedelta(seconds=120)  # between requests
+SLOW_TIME = timedelta(seconds=1)  # at the bound, a request that takes longer than this makes room
 REQUEST_TIME = timedelta(seconds=5)  # from a request's first byte to its last: slow clients hold no thread
 ANSWER_TIME = timedelta(seconds=2)
 RETRY = timedelta(milliseconds=500)  # told where nothing better is known
 SOUTH_SHARE = 256  # descriptors left to relays, kept connections, files and discovery
-MOST = 512  # client connections, whatever the descriptors allow: each has a thread
+MOST = 384  # client connections, whatever the descriptors allow: each has a thread
 BACKLOG = 512
 ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
 WHOLE = re.compile(r"[0-9]{1,9}\Z")
@@ -65,11 +67,22 @@
     )
 
 
+@dataclass(slots=True)
+class Reply:
+    """What a client is answered. `taken` is the message taken on by it, withdrawn if it cannot be told."""
+
+    status: int
+    body: bytes = b""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    taken: str | None = None
+
+
 class Client:
     """One client connection."""
 
     def __init__(self, sock: socket.socket, now: datetime) -> None:
-        self.sock, self.since, self.idle = sock, now, True
+        self.sock, self.since = sock, now  # since when it is idle, or reading
+        self.idle, self.reading = True, False
 
 
 class North:
@@ -102,7 +115,7 @@
     @staticmethod
     def _end_reading(client: Client) -> None:
         """End only our reading side: a request that crosses this is still read and answered."""
-        client.idle = False
+        client.idle = client.reading = False
         try:
             client.sock.shutdown(socket.SHUT_RD)
         except OSError:
@@ -134,12 +147,15 @@
         """At the bound, end the connection that has been idle for longest, else wait until one ends."""
         with self._room:
             while len(self._clients) >= self.most:
-                idle = [client for client in self._clients if client.idle]
-                if idle:
-                    oldest = min(idle, key=lambda client: client.since)
+                now = self.clock.now()
+                ending = [c for c in self._clients if c.idle] or [
+                    c for c in self._clients if c.reading and now - c.since > SLOW_TIME
+                ]
+                if ending:
+                    oldest = min(ending, key=lambda client: client.since)
                     self._end_reading(oldest)
-                    self.log.say("crowded", f"{self.most} client connections: an idle one was ended")
-                self._room.wait(1.0)
+                    self.log.say("crowded", f"{self.most} client connections: the idlest ends")
+                self._room.wait(seconds(SLOW_TIME) / 2)
 
     def _serve(self, client: Client) -> None:
         try:
@@ -170,23 +186,24 @@
         if found is None:
             return False
         head, body = found
-        withdraw = None
         try:
-            data, withdraw = self._answer(head, body, arrived)
+            reply = self._answer(head, body, arrived)
         except RefusedError as fault:
             self.log.say("bad", f"{fault}, answered {fault.status}")
-            data = http.write_answer(fault.status, body=f"{fault}\n".encode())
+            reply = Reply(fault.status, f"{fault}\n".encode())
         except Exception as fault:  # a request must not go unanswered, nor end the sender
             self.log.say("error", f"a request was answered 500: {type(fault).__name__}: {fault}")
-            data = http.write_answer(500)
+            reply = Reply(500)
+        last = [] if head.keeps_alive() else [("Connection", "close")]
+        data = http.write_answer(reply.status, [*reply.headers, *last], reply.body)
         client.sock.settimeout(seconds(ANSWER_TIME))
         try:
-            client.sock.sendall(data)
+            client.sock.sendall(data[:-len(reply.body)] if head.method == "HEAD" and reply.body else data)
         except OSError:
-            if withdraw is not None:
-                self.owner.post(Withdraw(withdraw))
+            if reply.taken is not None:
+                self.owner.post(Withdraw(reply.taken))
             return False
-        return head.keeps_alive()
+        return not last
 
     def _read(self, client: Client, parser: http.Parser) -> tuple[tuple[http.Head, bytes] | None, datetime]:
         """The next request and when its first byte came; None at the connection's end."""
@@ -211,9 +228,10 @@
                     raise http.BadMessageError(408, "a request came too slowly") from None
                 return None, arrived
             if not parser.begun:
-                arrived, client.idle = self.clock.now(), False
+                arrived = client.since = self.clock.now()
+                client.idle, client.reading = False, True
             parser.feed(data)
-        client.idle = False
+        client.idle = client.reading = False
         return found, arrived
 
     def _refuse_unread(self, client: Client, fault: http.BadMessageError) -> bool:
@@ -229,22 +247,21 @@
                 break
         return False
 
-    def _answer(self, head: http.Head, body: bytes, arrived: datetime) -> tuple[bytes, str | None]:
-        """The answer to a whole request, and the message to withdraw if it cannot be told."""
+    def _answer(self, head: http.Head, body: bytes, arrived: datetime) -> Reply:
+        """The answer to a whole request."""
         path = urlsplit(head.target).path
         routes = {"/api": ("POST",), "/health/ready": ("GET", "HEAD"), "/health/live": ("GET", "HEAD")}
         if path not in routes:
             raise RefusedError(404, f"nothing is at {path!r}")
         if head.method not in routes[path]:
-            return http.write_answer(405, [("Allow", ", ".join(routes[path]))]), None
+            return Reply(405, headers=[("Allow", ", ".join(routes[path]))])
         if path == "/api":
             return self._hand_in(read_message(head, body, arrived, self.config), arrived)
         up = path == "/health/live" or self.owner.ready.is_set()
-        text = b"ok\n" if up else b"not ready\n"
-        answer = http.write_answer(200 if up else 503, body=text)
-        return answer if head.method == "GET" else answer[:-len(text)], None
+        return Reply(200, b"ok\n") if up else Reply(503, b"not ready\n")
 
-    def _hand_in(self, taken: Taken, arrived: datetime) -> tuple[bytes, str | None]:
+    def _hand_in(self, taken: Taken, arrived: datetime) -> Reply:
+        """Into the owner's queue, and its verdict as HTTP has it."""
         ticket = Ticket()
         self.owner.post(HandIn(taken, ticket))
         answer = ticket.wait(arrived + PATIENCE - self.clock.now(), CLAIMED_PATIENCE)
@@ -252,16 +269,9 @@
             raise RuntimeError(f"{taken.ref} was taken up and never decided")
         if answer is None:
             self.log.say("late", f"{taken.ref} was not taken up in time: back-off answer")
-            return self._back_off(RETRY), None
+            answer = Answer(Verdict.BACK_OFF, RETRY)
         if answer.verdict is Verdict.TAKEN:
-            return http.write_answer(202), taken.ref
+            return Reply(202, taken=taken.ref)
         if answer.verdict is Verdict.BACK_OFF:
-            return self._back_off(answer.retry), None
-        return http.write_answer(500, body=b"given up\n"), None
-
-    @staticmethod
-    def _back_off(retry: timedelta) -> bytes:
-        """A back-off answer: handing the message in again is harmless."""
-        return http.write_answer(503, [("Retry-After", f"{millis(retry) / 1000:.3f}")])
-
-
+            return Reply(503, headers=[("Retry-After", f"{millis(answer.retry) / 1000:.3f}")])
+        return Reply(500, b"given up\n")
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -117,6 +117,7 @@
     out: dict[int, Relay] = field(default_factory=dict)
     over: bool = False
     ticket: Ticket | None = None  # until its client has its answer
+    unwritten: bool = False  # its record could not be written: its client was turned away
 
 
 Item = HandIn | Withdraw | RelayEnded | ListNews | Noticed | Stop
@@ -261,7 +262,8 @@
             # The same id again is the same message, sent anew on a connection that closed under it.
             item.ticket.settle(Answer(Verdict.TAKEN))
             return
-        full = len(self._owed) >= self.settings.holding_room or not self.journal.fits(taken)
+        held = sum(not owed.over for owed in self._owed.values())
+        full = held >= self.settings.holding_room or not self.journal.fits(taken)
         if full or not self.hosts.listed(taken.destination) or not self.ready.is_set():
             item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
             sort = "full" if full else "unlisted" if self.ready.is_set() else "early"
@@ -349,6 +351,7 @@
                 if owed.ticket is not None:
                     owed.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
                     owed.ticket = None
+                owed.unwritten = True
                 self.post(Withdraw(owed.taken.ref))
 
     def _settle(self, fresh: list[Owed], ends: dict[str, Ended]) -> None:
@@ -420,7 +423,7 @@
         relay = Relay(owed.taken, owed.count, host, now, ends_at)
         owed.count += 1
         owed.out[relay.number] = relay
-        if host is None:  # it left the list in this very round
+        if host is None or owed.unwritten:  # it left the list in this very round
             self.post(RelayEnded(relay, face.Outcome.NOT_SENT))
         elif owed.taken.key is not None and self._gates.get(owed.taken.key):
             self._gated.setdefault(owed.taken.key, []).append(relay)
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -16,7 +16,8 @@
 from willownotch.net.config import Config, ConfigError, ListedEndpoint, ListNews, read_address
 from willownotch.net.log import Log
 
-SILENCE = timedelta(seconds=7)  # a watch says something every 2 s: three lines missed and it is made anew
+SILENCE = timedelta(seconds=5)  # a watch says something every 2 s: two lines missed and it is made anew
+FIRST_WORD = timedelta(seconds=2)  # a watch is answered at once
 CONNECT = timedelta(seconds=1)
 AGAIN_FIRST, AGAIN_MOST = timedelta(milliseconds=100), timedelta(seconds=1)  # between tries, doubling
 NOTICE_TIME = timedelta(seconds=1)  # a notice is answered at once: what takes longer is lost
@@ -72,6 +73,9 @@
         readiness, number = READINESS[listed.status], self.number(listed.name)
         address = read_address(listed.address, "its address")
         zone = self.zones.index(listed.zone) if listed.zone in self.zones else 0
+        if readiness is face.Readiness.GONE:
+            self.by_number.pop(number, None)
+            return face.Endpoint(number, listed.group, self.kinds.index(listed.type), zone, readiness)
         self.by_number[number] = Host(
             number, listed.name, address, listed.group, readiness is face.Readiness.SERVING
         )
@@ -135,7 +139,7 @@
     def _watch(self) -> None:
         host, port = self.config.discovery
         with socket.create_connection((host, port), seconds(CONNECT)) as sock:
-            sock.settimeout(seconds(SILENCE))
+            sock.settimeout(seconds(FIRST_WORD))
             target = f"/registry/instances?watch=1&from={self.index}"
             sock.sendall(http.write_request("GET", target, f"{host}:{port}", ()))
             parser, lines = http.Parser(answer=True, stream=True), Lines()
@@ -143,6 +147,7 @@
                 parser.feed(sock.recv(65536))
                 if not parser.read_head():
                     continue
+                sock.settimeout(seconds(SILENCE))
                 if parser.head.status != 200:
                     raise http.BadMessageError(400, f"answered with {parser.head.status}")
                 for line in lines.feed(parser.body_part()):
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -110,6 +110,8 @@
         self.waits: dict[int, datetime] = {}  # of a destination, until when it told to wait
         self._queue: queue.SimpleQueue[Relay] = queue.SimpleQueue()
         self._lock = threading.Lock()
+        self._done = threading.Condition(self._lock)  # a relay has ended
+        self._closing = False
         self._idle: dict[tuple[str, int], list[Idle]] = {}
         self._workers = 0
         self._busy = 0
@@ -143,15 +145,28 @@
     def _work(self) -> None:
         while True:
             relay = self._queue.get()
+            if self._closing:  # stays owed in the journal: an outcome would only have it sent again
+                with self._lock:
+                    self._busy -= 1
+                continue
             ended = self._relay(relay)
             ended.took = self.clock.now() - relay.begun_at
             if ended.wait:
                 # Told to the other workers now: a relay may already have left the owner's hands.
                 until = self.clock.now() + ended.wait
                 self.waits[relay.host.destination] = max(until, self.waits.get(relay.host.destination, until))
+            self.ended(ended)
             with self._lock:
                 self._busy -= 1
-            self.ended(ended)
+                self._done.notify_all()
+
+    def finish(self, patience: timedelta) -> None:
+        """Begin no more relays, and wait for those that are out."""
+        ends = self.clock.now() + patience
+        with self._lock:
+            self._closing = True
+            while self._busy and (left := ends - self.clock.now()) > NONE:
+                self._done.wait(seconds(left))
 
     def _relay(self, relay: Relay) -> RelayEnded:
         """One attempt from connection to outcome."""
@@ -179,7 +194,8 @@
         host, now = self.hosts.get(relay.host.number), self.clock.now()
         waits = self.waits.get(relay.host.destination)
         return (
-            relay.called_off or host is None or not host.serving or host.address != relay.host.address
+            relay.called_off
+            or host is None or not host.serving or host.address != relay.host.address
             or (waits is not None and now < waits) or now >= relay.ends_at
         )
 
@@ -304,8 +320,8 @@
 
     def _broken(self, relay: Relay, fault: Exception, whole: bool, parser: http.Parser) -> RelayEnded:
         """No whole answer. A first line that came all the same counts; else the break itself does."""
-        if whole and parser.status == 200:
-            return read_outcome(relay, 200, parser.head.headers if parser.head else {})
+        if whole and (parser.head or parser.status == 200):
+            return read_outcome(relay, parser.status, parser.head.headers if parser.head else {})
         if not whole:
             return RelayEnded(relay, Outcome.NOT_SENT if relay.called_off else Outcome.UNREACHABLE)
         if relay.called_off:
