Take an id again that was turned away, and leave no body file behind a failed record

Seen in review, each with a test: owner._forget remembered every ended id for a minute, so that an id turned away in the round of its hand-in got a 202 the next time and was never delivered; only what was delivered or given up is remembered now. A notice whose kept connection had been closed while idle waited 100 ms: it goes again at once now.

--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -267,6 +267,9 @@
         made = self.open(20_000)
         with self.assertRaises(JournalFullError):
             made.append([taken(f"m{n}", b"z" * 2000) for n in range(20)])
+        with self.assertRaises(JournalFullError):
+            made.append([taken("large", b"z" * 60_000), *[taken(f"m{n}", b"z" * 2000) for n in range(20)]])
+        self.assertEqual([f.name for f in self.folder.iterdir()], ["journal"])
         made.append([taken("a")])
         self.assertEqual(list(self.open(20_000).live), ["a"])
 
--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -191,6 +191,14 @@
         until(lambda: other in self.host.refs())
         self.assertEqual(self.host.refs().count("same"), 1)
 
+    def test_an_id_that_was_turned_away_may_come_again(self):
+        """An id was remembered as over after a refusal, and its next hand-in got a hollow 202."""
+        sender = self.sender()
+        for left in (1, 8000):  # no time left: turned away in the round of the hand-in
+            _, head = sender.hand_in(ref="again", left=left)
+        self.assertEqual(head.status, 202)
+        until(lambda: "again" in self.host.refs())
+
     def test_slow_clients_do_not_keep_others_out(self):
         sender = self.sender(limits={"sockets": 272, "disk_mb": 3})  # room for 16 client connections
         slow = [sender.connect() for _ in range(40)]
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -82,6 +82,9 @@
     if signal.sigwait(signals) == signal.SIGTERM:
         owner.post(Stop())
         signal.sigtimedwait(signals, seconds(STOP_AFTER))
+        for number in signals:  # whoever asks a third time does not want to wait
+            signal.signal(number, signal.SIG_DFL)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, signals)
         north.stop(LAST_ANSWERS)
         south.finish(LAST_RELAYS)
     log.say("end", "ended; what is still owed stands in the journal")
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -240,7 +240,15 @@
     def append(self, records: Iterable[Record]) -> None:
         """Write these records, in this order, by one write."""
         records = [self._apart(r) if isinstance(r, Taken) else r for r in records]
-        data = b"".join(map(frame, records))
+        try:
+            self._write(records, b"".join(map(frame, records)))
+        except (OSError, JournalFullError):
+            for record in records:
+                if isinstance(record, Taken) and record.apart:
+                    (self.folder / record.apart).unlink(missing_ok=True)
+            raise
+
+    def _write(self, records: list[Record], data: bytes) -> None:
         with self._lock:
             # The file may only grow so far that a new one still fits beside it.
             most = self.room - self.bodies_size - self.live_size
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -117,6 +117,7 @@
     out: dict[int, Relay] = field(default_factory=dict)
     over: bool = False
     ticket: Ticket | None = None  # until its client has its answer
+    confirmed: bool = False  # another hand-in of it was answered: a failed first answer withdraws nothing
     unwritten: bool = False  # its record could not be written: its client was turned away
 
 
@@ -220,7 +221,7 @@
             owed = self._owed[ref]
             if owed.ticket is None:
                 self._owe_notice(owed.taken, ended)
-            self._forget(owed, now)
+            self._forget(owed, now, remember=ended.outcome == "given_up" and owed.ticket is None)
         for action in actions:
             self._act(action, now)
 
@@ -244,7 +245,7 @@
                 self._noticed(ref, records)
         elif isinstance(item, Withdraw):
             owed = self._owed.get(item.ref)
-            if owed is not None and not owed.over:
+            if owed is not None and not owed.over and not owed.confirmed:
                 records.append(Ended(item.ref, "withdrawn"))
                 events.append(face.Withdrawn(item.ref))
                 self._forget(owed, now)
@@ -258,12 +259,16 @@
         taken = item.taken
         if not item.ticket.claim():
             return
-        if taken.ref in self._owed or self._ended.get(taken.ref, now) > now:
+        known = self._owed.get(taken.ref)
+        if (known is not None and not known.over) or self._ended.get(taken.ref, now) > now:
             # The same id again is the same message, sent anew on a connection that closed under it.
+            if known is not None:
+                known.confirmed = True
             item.ticket.settle(Answer(Verdict.TAKEN))
             return
         held = sum(not owed.over for owed in self._owed.values())
-        full = held >= self.settings.holding_room or not self.journal.fits(taken)
+        # What was handed back may come again under its id, but not while a relay of it is still out.
+        full = held >= self.settings.holding_room or known is not None or not self.journal.fits(taken)
         if full or not self.hosts.listed(taken.destination) or not self.ready.is_set():
             item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
             sort = "full" if full else "unlisted" if self.ready.is_set() else "early"
@@ -309,7 +314,7 @@
             seconds(ended.wait), ended.no_slot, ended.room_left, ended.limit_per_s,
         ))
         if final:
-            self._forget(owed, now)
+            self._forget(owed, now, remember=ended.outcome is face.Outcome.DELIVERED)
 
     def _ring(self, now: datetime, events: list[face.Event]) -> None:
         """Timers that are due: the module's, and those of relays still behind a gate."""
@@ -388,12 +393,13 @@
             for relay in self._gated.pop(taken.key, []):
                 self.submit(relay)
 
-    def _forget(self, owed: Owed, now: datetime) -> None:
-        """The message is over. It stays known while relays are out, its id for a while longer."""
+    def _forget(self, owed: Owed, now: datetime, remember: bool = False) -> None:
+        """The message is over. It stays known while relays are out; an id that must not run again, longer."""
         owed.over = True
         if not owed.out:
             self._owed.pop(owed.taken.ref, None)
-        self._ended[owed.taken.ref] = now + REMEMBERED
+        if remember:
+            self._ended[owed.taken.ref] = now + REMEMBERED
         while self._ended:
             oldest = next(iter(self._ended))
             if self._ended[oldest] > now:
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -196,9 +196,13 @@
     def _send(self, notices: list[Notice]) -> None:
         backoff = Backoff()
         while True:
+            kept = self._sock is not None
             try:
                 status = self._exchange(notices)
             except (OSError, http.BadMessageError) as fault:
+                if kept:  # it may have been closed while idle: that is no reason to wait
+                    self._close()
+                    continue
                 self.log.say("notice", f"not answered, tried again: {fault or type(fault).__name__}")
             else:
                 if 200 <= status < 300:
