Count silence on idle connections as no drop where new connections fail too

The design's window, cuts and caps are untouched. Ruled out: reuse failing on the south side (nothing found closed, none written to a closed one).

--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,29 @@
+"""What silence on idle connections proves."""
+import unittest
+
+from helpers import UNSAFE, Sender, sends
+
+from willownotch.interface import CloseIdle, Outcome
+
+
+class Silence(unittest.TestCase):
+    def closes_elsewhere(self, fresh):
+        """Whether idle connections at 3 are closed, after silence at 1 and a new connection there."""
+        rows = [(1, 1, 0, 0), (2, 2, 0, 0), (3, 3, 0, 0)]
+        sender = Sender(rows=rows, keepalive_s=10.0, handshake_price=0.04)
+        for dest in (1, 2, 3):
+            sender.serve(1, dest=dest)
+        lost = sends(sender.step(sender.message(UNSAFE, dest=1), after=3.0))[0]
+        sender.step(sender.ended(lost, Outcome.TIMED_OUT), after=0.1)
+        route = sender.control.book.routes[1]
+        route.idle_at = -100.0  # what was kept is closed by now: the next connection is a new one
+        new = sends(sender.step(sender.message(UNSAFE, dest=1), after=0.5))[0]
+        sender.step(sender.ended(new, fresh, took=1.5), after=1.5)
+        return CloseIdle(3) in sender.step(sender.message(UNSAFE, dest=3), after=0.5)
+
+    def test_an_endpoint_where_new_connections_fail_too_dropped_nothing(self):
+        """Fleet days of one silent kind: nearly every call elsewhere then paid for a new connection."""
+        table = [(Outcome.UNREACHABLE, False), (Outcome.TIMED_OUT, False), (Outcome.DELIVERED, True)]
+        for fresh, closes in table:
+            with self.subTest(fresh=fresh):
+                self.assertEqual(self.closes_elsewhere(fresh), closes)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -263,7 +263,8 @@
                 self._space(route, self.random.random())
         if not call.heard and (not call.judged or event.outcome is Outcome.DELIVERED):
             if call.judged and call.idle_s is not None:
-                self.drops.add(-1.0, self.now)  # slow, not lost
+                self.drops.add(-min(1.0, call.route.lost), self.now)  # slow, not lost
+                call.route.lost = max(0.0, call.route.lost - 1.0)
             self._reused(call, event.outcome)
             if event.outcome is not Outcome.BROKEN or call.idle_s is None:
                 self._evidence(call.route, event)
@@ -306,9 +307,15 @@
 
     def _reused(self, call: Call, outcome: Outcome) -> None:
         """Connections may be dropped unseen while idle: how often calls on idle ones broke or fell silent."""
+        lost = outcome in (Outcome.BROKEN, Outcome.TIMED_OUT)
         if call.idle_s is not None:
             self.reuses.add(1.0, self.now)
-            self.drops.add(float(outcome in (Outcome.BROKEN, Outcome.TIMED_OUT)), self.now)
+            self.drops.add(float(lost), self.now)
+            call.route.lost += lost
+        elif lost or outcome is Outcome.UNREACHABLE:
+            # A new connection fares no better: it is the endpoint that is out, and nothing was dropped.
+            self.drops.add(-call.route.lost, self.now)
+            call.route.lost = 0.0
 
     def _evidence(self, route: Route, event: face.AttemptEnded | face.ProbeEnded) -> None:
         """What one call or probe tells of its route and unit."""
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -109,6 +109,7 @@
     failing_at: float = -inf  # start of the last outage as seen from here
     back_at: float | None = None  # first success after an outage
     last_sent: float = -inf
+    lost: float = 0.0  # calls counted as lost on idle connections here, unless it turns out otherwise
     idle_at: float = -inf  # since when a connection may be open and idle
 
     def serving(self) -> bool:
