Take a refusal that reports a used-up limit for no sign of an outage

An answer that tells a limit and less than half of it left explains itself; others count as before. Pace and refusal handling are unchanged.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -27,3 +27,18 @@
         for fresh, closes in table:
             with self.subTest(fresh=fresh):
                 self.assertEqual(self.closes_elsewhere(fresh), closes)
+
+
+class Refusals(unittest.TestCase):
+    def test_a_refusal_that_reports_a_used_up_limit_is_no_outage(self):
+        """A destination at its limit was judged out, and its return throttled for many seconds."""
+        table = [(4.0, 0.0, False), (0.0, 0.0, True), (None, None, True), (4.0, 0.9, True)]
+        for limit, room, failing in table:
+            sender = Sender()
+            for _ in range(12):
+                sent = sends(sender.step(sender.message(), after=2.0))
+                told = {"room_left": room, "limit_per_s": limit}
+                refusals = [sender.ended(s, Outcome.TURNED_AWAY, **told) for s in sent]
+                sender.step(*refusals, after=0.1)
+            with self.subTest(limit=limit, room=room):
+                self.assertEqual(sender.control.book.routes[1].failing, failing)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -339,6 +339,8 @@
             # At a limit some calls get through; where none of many does, or of a sparse one's few, it's shut.
             bare = route.last_ok < unit.refused_at and (unit.mean_rate or 0.0) < SPARSE
             step = FAIL_STEP if bare else FULL_STEP
+            if event.limit_per_s and event.room_left is not None and event.room_left < ROOM_LEFT:
+                step = 0.0  # the answer itself says that a limit is used up: that is no outage
             refused(unit, now, self.settings)
             self._space(route)
         else:
