Count messages of one round together, and keep room for a message's whole story

The room is counted from the message's own names now, and records are written as arrays, which takes less. An id whose notice is still unanswered gets a back-off answer: its notice's record would have ended the new message too. A relay to a host that has just left the list carries the module's number, where it would have ended the owner's thread.

--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -253,7 +253,7 @@
         made, open_refs = self.open(), []
         for n in range(600):
             message = taken(f"m{n}", b"z" * (n * 37 % 6000))
-            if made.fits(message):
+            if made.fits([message]):
                 made.append([message, Opened(message.ref, 0, ENDS, "s")])
                 open_refs.append(message.ref)
             else:
@@ -263,6 +263,25 @@
         self.assertGreater(len(open_refs), 5)
         self.assertEqual(list(self.open().live), open_refs)
 
+    def test_the_reserve_covers_all_records_of_a_message(self):
+        """Room promised to a message must hold its whole story, or its end could not be written."""
+        for length in (1, 16, 128):
+            message = Taken("r" * length, 7, "fee", "acme", ENDS, "k" * 200, "i" * 100)
+            story = [message, Ended(message.ref, "handed_back", 2000), Noticed(message.ref)]
+            for n in range(journal.ATTEMPTS):
+                opened = Opened(message.ref, n, datetime.now(UTC), "s-5be2a07c")
+                story += [opened, Closed(message.ref, n, True)]
+            self.assertLessEqual(sum(len(journal.frame(r)) for r in story), journal.reserve(message), length)
+
+    def test_messages_of_one_round_are_counted_together(self):
+        """Each of many in one round fitted alone, and together they would have overrun the disk."""
+        made, together = self.open(), []
+        while made.fits([*together, taken(f"m{len(together)}", b"z" * 6000)]):
+            together.append(taken(f"m{len(together)}", b"z" * 6000))
+        made.append(together)
+        self.assertTrue(3 < len(together) < 16)
+        self.assertLessEqual(self.on_disk(), 100_000)
+
     def test_a_record_that_cannot_fit_is_refused_and_the_rest_stands(self):
         made = self.open(20_000)
         with self.assertRaises(JournalFullError):
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -21,12 +21,12 @@
 MAGIC = b"wnJ1"
 BLOCK = 512  # bytes in which files are counted
 MOST_RECORD = 1 << 20
-ALLOWANCE = 1536  # bytes kept for all the small records that a message can still cause
+ATTEMPTS = 12  # for which room is kept with each message; more only have the file written anew sooner
 INLINE = 2048  # bytes of the largest body that stands in the journal itself
 SPARE_SHARE = 0.1  # of the disk, left free of live records: it keeps rewriting from being constant
 
 
-class Taken(msgspec.Struct, tag="taken", frozen=True):
+class Taken(msgspec.Struct, tag="taken", frozen=True, array_like=True):
     """A message that is owed its end. Its place in the file is its place in its key's order."""
 
     ref: str
@@ -42,7 +42,7 @@
     checksum: int = 0  # of a body that stands apart
 
 
-class Opened(msgspec.Struct, tag="opened", frozen=True):
+class Opened(msgspec.Struct, tag="opened", frozen=True, array_like=True):
     """A relay is about to write its first byte: from now on it may have run."""
 
     ref: str
@@ -51,7 +51,7 @@
     host: str
 
 
-class Closed(msgspec.Struct, tag="closed", frozen=True):
+class Closed(msgspec.Struct, tag="closed", frozen=True, array_like=True):
     """A relay has ended without delivery."""
 
     ref: str
@@ -59,7 +59,7 @@
     ran: bool
 
 
-class Ended(msgspec.Struct, tag="ended", frozen=True):
+class Ended(msgspec.Struct, tag="ended", frozen=True, array_like=True):
     """A message is over here. Unless nothing is owed any more, a notice has still to be answered."""
 
     ref: str
@@ -71,12 +71,18 @@
         return self.outcome in ("given_up", "handed_back")
 
 
-class Noticed(msgspec.Struct, tag="noticed", frozen=True):
+class Noticed(msgspec.Struct, tag="noticed", frozen=True, array_like=True):
     """A message's notice was answered."""
 
     ref: str
 
 
+def reserve(taken: Taken) -> int:
+    """Bytes to keep for a message's records, all but the body: two for each attempt, its own and its end."""
+    names = len(taken.message_class) + len(taken.tenant) + len(taken.key or "") * 4
+    return 256 + names + len(taken.idempotency_key or "") + (2 * ATTEMPTS + 3) * (len(taken.ref) + 48)
+
+
 Record = Taken | Opened | Closed | Ended | Noticed
 
 
@@ -174,7 +180,7 @@
 def apply(live: dict[str, Entry], record: Record) -> int:
     """Let one record change what is live; how many bytes of room that takes."""
     if isinstance(record, Taken):
-        size = ALLOWANCE + (0 if record.apart else len(record.body))
+        size = reserve(record) + (0 if record.apart else len(record.body))
         live[record.ref] = Entry(record, size)
         return size
     entry = live.get(record.ref)
@@ -187,8 +193,8 @@
     elif isinstance(record, Ended) and record.owes_notice():
         # What ends by a notice keeps its place, for its key's sake, but needs its body no more.
         entry.ended, entry.taken = record, msgspec.structs.replace(entry.taken, body=b"", apart=None)
-        freed, entry.size = entry.size - ALLOWANCE, ALLOWANCE
-        return -freed
+        before, entry.size = entry.size, reserve(entry.taken)
+        return entry.size - before
     else:
         del live[record.ref]
         return -entry.size
@@ -230,11 +236,13 @@
         self.size = len(data)
         self._rewrite()
 
-    def fits(self, taken: Taken) -> bool:
-        """Whether one more message may be owed without the folder ever outgrowing its limit."""
-        apart = len(taken.body) > INLINE
-        records = self.live_size + ALLOWANCE + (0 if apart else len(taken.body))
-        bodies = self.bodies_size + (blocks(len(taken.body)) if apart else 0)
+    def fits(self, wanted: Iterable[Taken]) -> bool:
+        """Whether these messages may be owed, too, without the folder ever outgrowing its limit."""
+        records, bodies = self.live_size, self.bodies_size
+        for taken in wanted:
+            apart = len(taken.body) > INLINE
+            records += reserve(taken) + (0 if apart else len(taken.body))
+            bodies += blocks(len(taken.body)) if apart else 0
         return 2 * records + bodies <= (1 - SPARE_SHARE) * self.room
 
     def append(self, records: Iterable[Record]) -> None:
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -267,8 +267,11 @@
             item.ticket.settle(Answer(Verdict.TAKEN))
             return
         held = sum(not owed.over for owed in self._owed.values())
-        # What was handed back may come again under its id, but not while a relay of it is still out.
-        full = held >= self.settings.holding_room or known is not None or not self.journal.fits(taken)
+        # What was handed back may come again under its id, but not while a relay or its notice is still out.
+        lasting = known is not None or taken.ref in self._unanswered
+        full = held >= self.settings.holding_room or lasting or not self.journal.fits(
+            [*(owed.taken for owed in fresh), taken]
+        )
         if full or not self.hosts.listed(taken.destination) or not self.ready.is_set():
             item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
             sort = "full" if full else "unlisted" if self.ready.is_set() else "early"
@@ -310,7 +313,7 @@
                 records.append(Closed(ref, relay.number, RAN[ended.outcome] is not Ran.NEVER))
         final = owed.over or ended.over
         events.append(face.AttemptEnded(
-            ref, relay.number, relay.host.number, ended.outcome, seconds(ended.took), final,
+            ref, relay.number, relay.endpoint, ended.outcome, seconds(ended.took), final,
             seconds(ended.wait), ended.no_slot, ended.room_left, ended.limit_per_s,
         ))
         if final:
@@ -426,7 +429,7 @@
     def _send(self, action: face.Send, now: datetime) -> None:
         owed, host = self._owed[action.ref], self.hosts.by_number.get(action.endpoint)
         ends_at = min(now + span(action.time_out_s), owed.taken.ends_at)
-        relay = Relay(owed.taken, owed.count, host, now, ends_at)
+        relay = Relay(owed.taken, owed.count, action.endpoint, host, now, ends_at)
         owed.count += 1
         owed.out[relay.number] = relay
         if host is None or owed.unwritten:  # it left the list in this very round
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -30,7 +30,8 @@
 
     taken: Taken
     number: int
-    host: Host
+    endpoint: int  # the module's number for the host
+    host: Host | None  # as the list had it then; never None for a relay that is handed to a worker
     begun_at: datetime
     ends_at: datetime  # when waiting stops
     called_off: bool = False
