--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -11,6 +11,8 @@
 
 from toys import PATIENCE, ROOT, Discovery, Host, Sender, until
 
+FIN_CROSSED = b"\x05"  # the state FIN-WAIT-2: the other side's kernel has seen the end
+
 
 class Case(unittest.TestCase):
     """A host, a discovery and, once asked for, a sender; all ended afterwards."""
@@ -40,7 +42,7 @@
             self.assertEqual(head.status, 202)
             refs.append(ref)
             until(lambda n=n: len(self.host.calls) == n + 1)
-            time.sleep(0.05)  # its answer may be on its way: only then is the connection free again
+            sender.settled()
         self.assertEqual(self.host.refs(), refs)
         for (_, head, body), sent, ref in zip(self.host.calls, bodies, refs, strict=True):
             self.assertEqual((body, head.headers["idempotency-key"]), (sent, f"i{ref}"))
@@ -120,11 +122,20 @@
         for n in range(3):
             sender.hand_in("fee")
             until(lambda n=n: len(self.host.calls) == n + 1)
-            time.sleep(0.05)
-            self.host.socks[-1].shutdown(socket.SHUT_RDWR)
-            time.sleep(0.05)  # its end has to cross before it can be seen
+            sender.settled()
+            sock = self.host.socks[-1]
+            sock.shutdown(socket.SHUT_WR)
+            until(lambda sock=sock: sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1) == FIN_CROSSED)
         self.assertEqual((self.host.connections, self.discovery.notices), (3, []))
 
+    def test_a_connection_is_not_used_where_its_host_may_be_about_to_close_it(self):
+        sender = self.sender(keepalive=0.8)
+        for _ in range(3):
+            sender.hand_in("fee")
+            sender.settled()
+            time.sleep(0.6)  # within the limit, and past it less the margin
+        self.assertEqual((len(self.host.calls), self.host.connections), (3, 3))
+
 
 class Admission(Case):
     def test_answers_where_nothing_is_taken_on(self):
@@ -316,6 +327,17 @@
                     self.assertEqual((done.returncode, len(done.stderr.splitlines())), (2, 1), change)
         self.assertEqual(self.run_it(env={}).returncode, 2)
 
+    def test_a_dead_thread_is_logged_and_ends_the_process(self):
+        """A sender without its owner or its watch looks alive and serves nobody."""
+        for work, forever in [("lambda: 1 / 0", False), ("lambda: None", True)]:
+            code = ("import threading; from willownotch.cli import Threads; "
+                    "from willownotch.net.log import Log; from willownotch.net.clock import Clock; "
+                    f"Threads(Log(Clock())).start('watch', {work}, {forever}); threading.Event().wait(20)")
+            done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
+                                  timeout=30)
+            self.assertEqual(done.returncode, 70)
+            self.assertIn("thread watch has died", done.stderr)
+
     def test_version_and_check(self):
         self.assertRegex(self.run_it("version").stdout, r"^willownotch \d")
         self.assertEqual(self.run_it("check", "--config", "examples/config.json").returncode, 0)
--- a/tests/toys.py
+++ b/tests/toys.py
@@ -12,7 +12,7 @@
 import time
 from pathlib import Path
 
-from willownotch.net import http
+from willownotch.net import http, journal
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 10.0  # s; no test waits on a condition for longer
@@ -146,13 +146,14 @@
 class Sender:
     """The program itself, in a process of its own, with a folder that lasts."""
 
-    def __init__(self, discovery=None, known=None, limits=None, text=None):
+    def __init__(self, discovery=None, known=None, limits=None, text=None, keepalive=5.0):
         self.folder = tempfile.TemporaryDirectory()
         self.config = Path(self.folder.name) / "config.json"
         self.state = Path(self.folder.name) / "state"
         self.config.write_text(json.dumps(text or {
             "name": "t0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "5f",
-            "limits": limits or {"sockets": 1024, "disk_mb": 3}, "known": known, "settings": SETTINGS,
+            "limits": limits or {"sockets": 1024, "disk_mb": 3}, "known": known,
+            "settings": {**SETTINGS, "policyLimits": {**SETTINGS["policyLimits"], "keepaliveS": keepalive}},
         }), encoding="utf-8")
         self.count = 0
         self.start()
@@ -171,6 +172,10 @@
             found = re.search(r"start: listening on [\d.]+:(\d+)", line)
             self.port = int(found[1]) if found else self.port
 
+    def settled(self):
+        """Wait until nothing is owed: each relay's connection is free again, or gone."""
+        until(lambda: not journal.replay((self.state / journal.NAME).read_bytes())[0])
+
     def ready(self):
         until(lambda: self.exchange(self.request("GET", "/health/ready")).status == 200)
         return self
