End recovered messages in time even if no list of endpoints comes

Seen in trying the example by hand: with neither a known list nor discovery, owner._round kept recovered messages out of the module until a list came, so that their time could run out without a notice. Test: a restart with an empty list. Ruled out: the example itself; every step of examples/README.md ran as written.

--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -1,5 +1,6 @@
 """Tables of cases for everything that reads bytes or text: HTTP, the journal, the configuration, the list."""
 import json
+import re
 import tempfile
 import unittest
 from datetime import UTC, datetime, timedelta
@@ -294,6 +295,13 @@
 
 
 class Small(unittest.TestCase):
+    def test_the_on_call_page_has_every_sort_of_line(self):
+        page = (ROOT / "docs" / "on-call.md").read_text(encoding="utf-8")
+        code = "".join(p.read_text(encoding="utf-8") for p in (ROOT / "willownotch").rglob("*.py"))
+        sorts = set(re.findall(r'\bsay\(\s*"([a-z]+)"', code)) | {"full", "unlisted", "early"}
+        self.assertGreater(len(sorts), 15)
+        self.assertEqual([sort for sort in sorts if f"| `{sort}` |" not in page], [])
+
     def test_the_log_keeps_to_its_rate_and_says_what_it_kept_back(self):
         class Hand:
             at = ENDS
--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -263,6 +263,18 @@
         sender.restart()
         self.assertEqual(self.noticed(ref)["outcome"], "given_up")
 
+    def test_what_is_owed_ends_in_time_even_if_no_list_comes(self):
+        """Recovered messages once waited for a list, and their time ran out unseen."""
+        sender = self.sender()
+        self.host.held.clear()
+        ref, _ = sender.hand_in("status", left=2000)
+        until(lambda: self.host.calls)
+        sender.process.kill()
+        sender.process.wait(PATIENCE)
+        self.discovery.entries = []
+        sender.start()
+        self.assertEqual(self.noticed(ref)["outcome"], "handed_back")
+
     def test_a_missing_or_damaged_journal_starts_cleanly_and_says_so(self):
         sender = self.sender(known=self.discovery.known())
         self.assertTrue(any("no journal found" in line for line in sender.lines))
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -207,10 +207,12 @@
         for item in items:
             self._take(item, now, events, records, fresh)
         waited = now - self._began >= FIRST_NEWS
-        if self._recovered is not None and self._listed and (waited or self._heard_news(items)):
+        if self._recovered is not None and (waited or (self._listed and self._heard_news(items))):
+            # Also without any list: their time runs on, and their ends are owed.
             for entry in self._recovered:
                 events.append(self._recall(entry, now))
             self._recovered = None
+        if self._recovered is None and self._listed:
             self.ready.set()
         self._ring(now, events)
         actions = self.controller.handle(self.clock.module_s(now), events) if events else []
