Share out descriptors by the limit given, not by a fixed part of 1,024

Seen in review: north.North left 256 descriptors to the rest whatever the limit, and South kept up to 128 idle connections: under a limit below some 300 the sender could have run out. Kept connections take a quarter at the most, clients what slots, files and discovery leave. At 1,024 nothing changes (384 clients, 128 kept). The test of slow clients runs with 72 descriptors now.

--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -222,7 +222,7 @@
             self.assertEqual(sender.exchange(data[-200:], sock).status, 202)
 
     def test_slow_clients_do_not_keep_others_out(self):
-        sender = self.sender(limits={"sockets": 272, "disk_mb": 3})  # room for 16 client connections
+        sender = self.sender(limits={"sockets": 72, "disk_mb": 3})  # room for 16 client connections
         slow = [sender.connect() for _ in range(40)]
         for sock in slow:
             self.addCleanup(sock.close)
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -15,6 +15,7 @@
 from willownotch.net.journal import Taken
 from willownotch.net.log import Log
 from willownotch.net.owner import Answer, HandIn, Owner, Ticket, Verdict, Withdraw
+from willownotch.net.south import idle_most
 
 PATIENCE = timedelta(milliseconds=250)  # a client waits 400 ms: what is not taken up by then is turned away
 CLAIMED_PATIENCE = timedelta(seconds=5)  # for what is being decided then: it may be owed already
@@ -23,7 +24,7 @@
 REQUEST_TIME = timedelta(seconds=5)  # from a request's first byte to its last: slow clients hold no thread
 ANSWER_TIME = timedelta(seconds=2)
 RETRY = timedelta(milliseconds=500)  # told where nothing better is known
-SOUTH_SHARE = 256  # descriptors left to relays, kept connections, files and discovery
+OTHERS = 32  # descriptors for files, discovery and the listener
 MOST = 384  # client connections, whatever the descriptors allow: each has a thread
 BACKLOG = 512
 ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
@@ -91,7 +92,8 @@
     def __init__(self, config: Config, clock: Clock, log: Log, owner: Owner,
                  start: Callable[[str, Callable[[], None]], None]) -> None:
         self.config, self.clock, self.log, self.owner, self.start = config, clock, log, owner, start
-        self.most = max(8, min(MOST, config.limits.sockets - SOUTH_SHARE))
+        south = config.settings.slots + idle_most(config)
+        self.most = max(8, min(MOST, config.limits.sockets - south - OTHERS))
         self._clients: set[Client] = set()
         self._room = threading.Condition()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -20,7 +20,7 @@
 from willownotch.net.registry import Host
 
 IDLE_MARGIN = timedelta(milliseconds=300)  # a host counts idle time from earlier than is known here
-IDLE_MOST = 128  # connections kept open without a relay
+IDLE_MOST, IDLE_SHARE = 128, 0.25  # connections kept open without a relay; share of the descriptors
 LEAST_TIME = timedelta(milliseconds=1)
 
 
@@ -101,6 +101,11 @@
     return ended
 
 
+def idle_most(config: Config) -> int:
+    """How many connections may be kept open without a relay."""
+    return min(IDLE_MOST, int(IDLE_SHARE * config.limits.sockets))
+
+
 class South:
     """The workers and the connections that they keep."""
 
@@ -117,6 +122,7 @@
         self._workers = 0
         self._busy = 0
         self.connects = 0
+        self.idle_most = idle_most(config)
 
     def submit(self, relay: Relay) -> None:
         """Have a relay made; there is a worker for each one that is out."""
@@ -267,7 +273,7 @@
                     closing.append(line.pop(0).sock)
             host = self.hosts.get(relay.host.number)
             wanted = host is not None and host.address == relay.host.address and not relay.called_off
-            if wanted and sum(map(len, self._idle.values())) < IDLE_MOST:
+            if wanted and sum(map(len, self._idle.values())) < self.idle_most:
                 self._idle.setdefault(relay.host.address, []).append(Idle(sock, now))
             else:
                 closing.append(sock)
