Take SIGHUP: re-read the file, move watch and notices to the new discovery at once

Examined: cli.serve blocked SIGTERM and SIGINT only; Registry and Notices read config.discovery for good and would have stayed in recv on the old connection for up to 5 s. LB_DISCOVERY went before the file, so that a re-read file would have changed nothing (config.read_config). Changed: a thread waits for SIGHUP and moves the Platform, which ends old connections and cuts waits short; at another address the watch asks from version 0, as one agent's versions say nothing to another.

--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -323,6 +323,54 @@
         until(lambda: self.host.calls)
 
 
+class Reloads(Case):
+    def test_a_reload_moves_watch_and_notices_at_once_and_keeps_all_that_is_held(self):
+        """SIGHUP ended the sender; and a watch that waits for the old agent's next line hears nothing."""
+        sender = self.sender(env={"LB_DISCOVERY": self.discovery.address})
+        self.host.held.clear()
+        held, _ = sender.hand_in("fee", key="k", left=20000)
+        until(lambda: self.host.calls)
+        behind, _ = sender.hand_in("fee", key="k", left=20000)
+        old = self.discovery
+        for _ in range(2):  # reloads repeat; the old agent stays up and silent each time
+            other = Host()
+            self.addCleanup(other.close)
+            new = Discovery([self.host])
+            self.addCleanup(new.close)
+            new.entries.append(new.entry(1, other, group=8))
+            sender.reload({"discovery": new.address}, "discovery is now")
+            until(lambda new=new: new.watched == ["/registry/instances?watch=1&from=0"])
+            until(lambda: sender.hand_in(dest=8)[1].status == 202)
+            until(lambda other=other: other.calls)
+        self.assertEqual(len(old.watched), 1)
+        self.host.held.set()
+        until(lambda: behind in self.host.refs())
+        self.assertEqual([r for r in self.host.refs() if r in (held, behind)], [held, behind])
+
+    def test_a_waiting_notice_goes_to_the_new_address(self):
+        sender = self.sender()
+        sender.hand_in("fee")
+        until(lambda: self.host.calls)
+        self.discovery.deaf = True
+        self.host.script.put((500, ()))
+        ref, _ = sender.hand_in("fee", key="k")
+        until(lambda: any("not answered" in line for line in sender.lines))
+        self.discovery, old = Discovery([self.host]), self.discovery
+        self.addCleanup(old.close)
+        sender.reload({"discovery": self.discovery.address}, "discovery is now")
+        self.assertEqual(self.noticed(ref)["outcome"], "given_up")
+
+    def test_a_bad_file_changes_nothing(self):
+        """A file half written, or one that would not start, must not leave the sender without a platform."""
+        sender = self.sender()
+        for text in ("{", {"discovery": "nowhere"}, {"settings": {}}, {"seed": "no"}):
+            sender.reload(text, "the old settings stay")
+        sender.reload({"limits": {"sockets": 512, "disk_mb": 3}}, "discovery stays")
+        self.assertEqual(len(self.discovery.watched), 1)
+        self.discovery.change(0, self.host, "Gone")
+        until(lambda: sender.hand_in()[1].status == 503)
+
+
 class CommandLine(unittest.TestCase):
     def run_it(self, *arguments, env=None):
         return subprocess.run([sys.executable, "-m", "willownotch", *arguments], cwd=ROOT, text=True,
--- a/tests/toys.py
+++ b/tests/toys.py
@@ -109,6 +109,7 @@
 
     def __init__(self, hosts=()):
         self.news, self.notices, self.deaf = queue.SimpleQueue(), [], False
+        self.watched = []  # the targets of all watches
         self.index = 1
         self.entries = [self.entry(n, host) for n, host in enumerate(hosts)]
         super().__init__()
@@ -127,6 +128,7 @@
                 return None
             self.notices += [json.loads(line) for line in body.splitlines()]
             return http.write_answer(204)
+        self.watched.append(head.target)
         sock.sendall(http.write_head("HTTP/1.1 200 OK", [("Transfer-Encoding", "chunked")]))
         self.chunk(sock, json.dumps(self.known()))
         while True:
@@ -146,20 +148,22 @@
 class Sender:
     """The program itself, in a process of its own, with a folder that lasts."""
 
-    def __init__(self, discovery=None, known=None, limits=None, text=None, keepalive=5.0):
+    def __init__(self, discovery=None, known=None, limits=None, text=None, keepalive=5.0, env=None):
         self.folder = tempfile.TemporaryDirectory()
         self.config = Path(self.folder.name) / "config.json"
         self.state = Path(self.folder.name) / "state"
-        self.config.write_text(json.dumps(text or {
+        self.text = text or {
             "name": "t0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "5f",
             "limits": limits or {"sockets": 1024, "disk_mb": 3}, "known": known,
             "settings": {**SETTINGS, "policyLimits": {**SETTINGS["policyLimits"], "keepaliveS": keepalive}},
-        }), encoding="utf-8")
-        self.count = 0
+        }
+        self.config.write_text(json.dumps(self.text), encoding="utf-8")
+        self.count, self.env = 0, env or {}
         self.start()
 
     def start(self):
-        env = {"PATH": os.environ["PATH"], "LB_CONFIG": str(self.config), "LB_STATE": str(self.state)}
+        env = {"PATH": os.environ["PATH"], "LB_CONFIG": str(self.config), "LB_STATE": str(self.state),
+               **self.env}
         self.process = subprocess.Popen([sys.executable, "-m", "willownotch"], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True)
         self.lines, self.port = [], None
@@ -186,6 +190,14 @@
         self.start()
         return self.ready()
 
+    def reload(self, text, said):
+        """Replace the configuration file, tell the process, and wait for what it says of it."""
+        before = len(self.lines)
+        self.config.write_text(text if isinstance(text, str) else json.dumps({**self.text, **text}),
+                               encoding="utf-8")
+        self.process.send_signal(signal.SIGHUP)
+        until(lambda: any(f"reload: {said}" in line for line in self.lines[before:]))
+
     def close(self):
         self.process.kill()
         self.process.wait(PATIENCE)
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -19,7 +19,7 @@
 from willownotch.net.log import Log
 from willownotch.net.north import North
 from willownotch.net.owner import Owner, Stop
-from willownotch.net.registry import Hosts, Notices, Registry
+from willownotch.net.registry import Hosts, Notices, Platform, Registry
 from willownotch.net.south import South
 
 STACK = 256 * 1024  # bytes for each thread: nothing here recurses
@@ -51,10 +51,26 @@
         os._exit(DEAD)
 
 
-def serve(config: configs.Config) -> int:
+def reload(path: str | None, config: configs.Config, platform: Platform, log: Log) -> None:
+    """Take a replaced file, whole or not at all. Only where the platform is can change in service."""
+    try:
+        fresh = configs.load(path)
+    except configs.ConfigError as fault:
+        log.say("reload", f"the old settings stay: {fault}")
+        return
+    moved = platform.move(fresh.discovery)
+    names = ("name", "listen", "state", "limits", "settings", "zones")
+    later = [name for name in names if getattr(fresh, name) != getattr(config, name)]
+    host, port = fresh.discovery
+    log.say("reload", f"discovery {'is now' if moved else 'stays'} at {host}:{port}"
+            + (f"; {', '.join(later)} as changed will hold from the next start" if later else ""))
+
+
+def serve(config: configs.Config, path: str | None) -> int:
     """Run the sender until it is told to stop."""
     signals = {signal.SIGTERM, signal.SIGINT}
-    signal.pthread_sigmask(signal.SIG_BLOCK, signals)  # before any thread: only this one takes them
+    # Before any thread: this one takes them, and the reloading one SIGHUP, which must never end the sender.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {*signals, signal.SIGHUP})
     threading.stack_size(STACK)
     clock = Clock()
     log = Log(clock, config.name)
@@ -71,11 +87,19 @@
     for fault in journal.faults:
         log.say("journal", fault)
     south = South(config, clock, log, journal, hosts.by_number, owner.post, threads.start)
-    notices = Notices(config, clock, log, owner.noticed)
+    platform = Platform(config.discovery)
+    notices = Notices(platform, log, owner.noticed)
     owner.submit, owner.call_off, owner.close_idle = south.submit, south.call_off, south.close_idle
     owner.notify = notices.post
+
+    def take_reloads() -> None:
+        while True:  # also while the sender ends: its notices follow the platform to the last
+            signal.sigwait({signal.SIGHUP})
+            reload(path, config, platform, log)
+
+    threads.start("reload", take_reloads, forever=True)
     threads.start("owner", owner.run, forever=True)
-    threads.start("watch", Registry(config, log, owner.post).run, forever=True)
+    threads.start("watch", Registry(config, platform, log, owner.post).run, forever=True)
     threads.start("notices", notices.run, forever=True)
     threads.start("listener", north.run, forever=True)
     log.say("start", f"listening on {config.listen[0]}:{north.port}, journal in {config.state}")
@@ -144,4 +168,4 @@
               f"{len(config.settings.classes)} classes, {config.settings.slots} slots, "
               f"room for {config.settings.holding_room} messages")
         return 0
-    return serve(config)
+    return serve(config, parsed.config)
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -205,7 +205,10 @@
 
 
 def read_config(text: bytes, env: Mapping[str, str]) -> Config:
-    """The file's text, with the environment's own variables going first."""
+    """The file's text. The environment's own variables go first, but not before the file's `discovery`.
+
+    A file can be replaced while the process runs; what the start's environment said is the older news.
+    """
     try:
         file = msgspec.json.decode(text, type=ConfigFile)
     except (msgspec.DecodeError, UnicodeDecodeError) as fault:
@@ -225,7 +228,7 @@
     return Config(
         name=env.get("LB_NAME") or file.name or "sender",
         listen=read_address(env.get("LB_LISTEN") or file.listen, "the address to listen on"),
-        discovery=read_address(env.get("LB_DISCOVERY") or file.discovery, "discovery's address"),
+        discovery=read_address(file.discovery or env.get("LB_DISCOVERY", ""), "discovery's address"),
         state=Path(state), seed=int(file.seed, 16), limits=file.limits, known=file.known, settings=settings,
         zones=tuple(file.settings.zones), connect_time=timedelta(seconds=policy.connect_timeout_s),
         keepalive=timedelta(seconds=policy.keepalive_s or 60.0),
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -12,7 +12,7 @@
 
 from willownotch import interface as face
 from willownotch.net import http
-from willownotch.net.clock import Clock, seconds
+from willownotch.net.clock import seconds
 from willownotch.net.config import Config, ConfigError, ListedEndpoint, ListNews, read_address
 from willownotch.net.log import Log
 
@@ -116,32 +116,89 @@
         return span
 
 
+class Platform:
+    """Where the platform's agent is now, and the connections that lead there.
+
+    A new configuration moves it at any time. Whoever waits on a connection to the old address, or for the
+    next try, is woken at once: the old agent may go on and say nothing of what the new one has to tell.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address, self.moves = address, 0
+        self._changed = threading.Condition()
+        self._open: set[socket.socket] = set()
+
+    def move(self, address: tuple[str, int]) -> bool:
+        """Go to another address from now on; False if that is where it is."""
+        with self._changed:
+            if address == self.address:
+                return False
+            self.address, self.moves = address, self.moves + 1
+            for sock in self._open:
+                try:
+                    sock.shutdown(socket.SHUT_RDWR)  # wakes a blocked call; its own thread closes it
+                except OSError:
+                    pass  # not connected yet, or no longer
+            self._changed.notify_all()
+        return True
+
+    def connect(self) -> tuple[socket.socket, str, int]:
+        """A new connection to where it is now, with the name to call it by and the moves made until then."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        with self._changed:
+            self._open.add(sock)
+            address, moves = self.address, self.moves
+        try:
+            sock.settimeout(seconds(CONNECT))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.connect(address)
+        except OSError:
+            self.close(sock)
+            raise
+        return sock, f"{address[0]}:{address[1]}", moves
+
+    def close(self, sock: socket.socket) -> None:
+        """Close a connection made here."""
+        with self._changed:  # never while a move looks at it: its descriptor may be another's by then
+            self._open.discard(sock)
+            sock.close()
+
+    def pause(self, span: timedelta, moves: int) -> None:
+        """Wait before the next try, but not once it has moved since `moves` was read."""
+        with self._changed:
+            self._changed.wait_for(lambda: self.moves != moves, seconds(span))
+
+
 class Registry:
     """Watches the list for good: a watch that breaks, is silent or talks nonsense is made anew."""
 
-    def __init__(self, config: Config, log: Log, tell: Callable[[ListNews], None]) -> None:
-        self.config, self.log, self.tell = config, log, tell
-        self.index = config.known.index if config.known else 0
+    def __init__(self, config: Config, platform: Platform, log: Log,
+                 tell: Callable[[ListNews], None]) -> None:
+        self.platform, self.log, self.tell = platform, log, tell
+        self.index, self._index_moves = config.known.index if config.known else 0, platform.moves
         self._backoff = Backoff()
-        self._pause = threading.Event()
 
     def run(self) -> None:
         """Watch until the process ends."""
         while True:
+            moves = self.platform.moves
             try:
                 self._watch()
                 why = "it was ended"
             except (OSError, http.BadMessageError, msgspec.DecodeError, UnicodeDecodeError) as fault:
                 why = str(fault) or type(fault).__name__
             self.log.say("watch", f"broken off, the last list is kept: {why}")
-            self._pause.wait(seconds(self._backoff.next()))
+            self.platform.pause(self._backoff.next(), moves)
 
     def _watch(self) -> None:
-        host, port = self.config.discovery
-        with socket.create_connection((host, port), seconds(CONNECT)) as sock:
+        sock, name, moves = self.platform.connect()
+        if moves != self._index_moves:
+            # One agent's versions say nothing to another: asked from there, changes could be left out.
+            self.index, self._index_moves, self._backoff = 0, moves, Backoff()
+        try:
             sock.settimeout(seconds(FIRST_WORD))
             target = f"/registry/instances?watch=1&from={self.index}"
-            sock.sendall(http.write_request("GET", target, f"{host}:{port}", ()))
+            sock.sendall(http.write_request("GET", target, name, ()))
             parser, lines = http.Parser(answer=True, stream=True), Lines()
             while not parser.eof:
                 parser.feed(sock.recv(65536))
@@ -155,6 +212,8 @@
                         self._take(line)
                 if parser.body_done():
                     return
+        finally:
+            self.platform.close(sock)
 
     def _take(self, line: bytes) -> None:
         """One line of news. Nonsense breaks the watch off: what it would have said is asked for again."""
@@ -175,11 +234,11 @@
 class Notices:
     """Tells the platform of ended messages, over and over until it has answered."""
 
-    def __init__(self, config: Config, clock: Clock, log: Log, told: Callable[[list[str]], None]) -> None:
-        self.config, self.clock, self.log, self.told = config, clock, log, told
+    def __init__(self, platform: Platform, log: Log, told: Callable[[list[str]], None]) -> None:
+        self.platform, self.log, self.told = platform, log, told
         self._queue: queue.SimpleQueue[Notice] = queue.SimpleQueue()
         self._sock: socket.socket | None = None
-        self._pause = threading.Event()
+        self._name = ""
 
     def post(self, notice: Notice) -> None:
         """Have a notice sent."""
@@ -196,7 +255,7 @@
     def _send(self, notices: list[Notice]) -> None:
         backoff = Backoff()
         while True:
-            kept = self._sock is not None
+            kept, moves = self._sock is not None, self.platform.moves
             try:
                 status = self._exchange(notices)
             except (OSError, http.BadMessageError) as fault:
@@ -211,7 +270,7 @@
                     return self._unread(notices)
                 self.log.say("notice", f"answered with {status}, tried again")
             self._close()
-            self._pause.wait(seconds(backoff.next()))
+            self.platform.pause(backoff.next(), moves)
 
     def _unread(self, notices: list[Notice]) -> None:
         """Found unreadable: one by one, so that a single bad line holds up no other."""
@@ -224,14 +283,12 @@
 
     def _exchange(self, notices: list[Notice]) -> int:
         """One call on the kept connection, or on a new one. Told twice does no harm."""
-        host, port = self.config.discovery
         if self._sock is None:
-            self._sock = socket.create_connection((host, port), seconds(CONNECT))
-            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._sock, self._name, _ = self.platform.connect()
         self._sock.settimeout(seconds(NOTICE_TIME))
         body = b"".join(msgspec.json.encode(notice) + b"\n" for notice in notices)
         headers = [("Content-Type", "application/x-ndjson")]
-        self._sock.sendall(http.write_request("POST", "/v1/outcomes", f"{host}:{port}", headers, body))
+        self._sock.sendall(http.write_request("POST", "/v1/outcomes", self._name, headers, body))
         parser = http.Parser(answer=True)
         while (found := parser.next()) is None:
             if parser.eof:
@@ -243,5 +300,5 @@
 
     def _close(self) -> None:
         if self._sock is not None:
-            self._sock.close()
+            self.platform.close(self._sock)
         self._sock = None
