Trust a spoilt answer only where its first line says 200; all else may have run

At fault: South._broken took any status once a head was in, so that a spoilt 429, 503, 504 or 410 counted as not run; unreadable answers without a status counted as BROKEN, which the module reads as a connection dropped while idle and so closed good ones; and an unfinished answer held its slot until the relay's time was out. Changed: first line 200 is true; all else that cannot be read, or stays unfinished for 0.5 s, is ERROR, marked unread so that its key rests as after silence. A load report that cannot be read is left out of a good answer. Ruled out: extra bytes after an answer and 1xx heads, which were handled (dropped, passed over).

--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -82,6 +82,14 @@
                 parsed(data)
             self.assertEqual(caught.exception.status, status, data[:70])
 
+    def test_an_optional_header_that_cannot_be_read_is_left_out(self):
+        data = b"HTTP/1.1 503 No\r\nServer-Load: \x01\r\nContent-Length: 0\r\n\r\n"
+        parser = http.Parser(answer=True, optional=(b"server-load",))
+        parser.feed(data)
+        self.assertEqual(list(parser.next()[0].headers), ["content-length"])
+        with self.assertRaises(http.BadMessageError):
+            parsed(data, answer=True)
+
     def test_keeping_a_connection(self):
         for minor, said, keeps in [(1, "", True), (1, "Close", False), (1, "x, close", False),
                                    (0, "", False), (0, "keep-alive", True)]:
--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -60,6 +60,37 @@
         self.assertEqual(self.noticed(second)["outcome"], "given_up")
         self.assertEqual(self.host.refs().count(second), 1)
 
+    def test_a_spoilt_answer_may_have_run_unless_its_first_line_says_200(self):
+        """A refusal that cannot be read was taken at its word: an unrepeatable message went again."""
+        sender, good = self.sender(), b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+        table = [  # the answer, how the message ends, calls made for it, whether its connection is kept
+            (b"HTTP/1.1 503 No\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "given_up", 1, False),
+            (b"HTTP/1.1 429 No\r\nRetry-After: 9\r\nno colon\r\n\r\n", "given_up", 1, False),
+            (b"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nshort", "given_up", 1, False),
+            (b"HTTP/1.1 504 No\r\nX-Pad: " + b"p" * 20000, "given_up", 1, False),
+            (b"\x16\x03 noise that never ends its line", "given_up", 1, False),
+            (b"HTTP/1.1 OK 200\r\nContent-Length: 0\r\n\r\n", "given_up", 1, False),
+            (b"HTTP/1.1 503 No\r\nServer-Load: \x01\r\nContent-Length: 0\r\n\r\n", None, 2, True),
+            (good + b"Content-Length: 3\r\n\r\n", None, 1, False),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmuch", None, 1, False),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", None, 1, False),
+            (good + b"\r\n" + good + b"\r\n", None, 1, False),
+            (b"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 102 On\r\n\r\n" + good + b"\r\n", None, 1, True),
+        ]
+        for answer, end, calls, kept in table:
+            with self.subTest(answer=answer[:60]):
+                before = self.host.connections
+                self.host.script.put(answer)
+                ref, _ = sender.hand_in("fee")
+                until(lambda ref=ref, calls=calls: self.host.refs().count(ref) == calls)
+                sender.settled()
+                notices = [n["outcome"] for n in self.discovery.notices if n["message"] == ref]
+                self.assertEqual((notices, self.host.refs().count(ref)), ([end] if end else [], calls))
+                after, _ = sender.hand_in()
+                until(lambda after=after: after in self.host.refs())
+                sender.settled()
+                self.assertEqual(self.host.connections - before, (not before) + (not kept))
+
     def test_a_time_out_closes_the_connection_and_ends_by_a_notice_in_time(self):
         sender = self.sender()
         self.host.held.clear()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -231,11 +231,14 @@
     assert [s.ref for s in sends(out)] == ["m2"]
 
 
-@pytest.mark.parametrize("outcome", [Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CALLED_OFF])
-def test_a_key_stays_quiet_after_an_attempt_that_may_still_run(outcome):
+@pytest.mark.parametrize("outcome, unread", [
+    (Outcome.TIMED_OUT, False), (Outcome.BROKEN, False), (Outcome.CALLED_OFF, False), (Outcome.ERROR, True),
+])
+def test_a_key_stays_quiet_after_an_attempt_that_may_still_run(outcome, unread):
     sender = Sender(max_attempts=1)
     sent = sends(sender.step(sender.message(ORDERED, key="k")))[0]
-    out = sender.step(sender.ended(sent, outcome), sender.message(ORDERED, key="k"), after=1.0)
+    ended = sender.ended(sent, outcome, unread=unread)
+    out = sender.step(ended, sender.message(ORDERED, key="k"), after=1.0)
     assert len(answers(out)) == 1
     told = sender.now
     while not sends(out) and sender.now < told + 5:
--- a/tests/toys.py
+++ b/tests/toys.py
@@ -87,7 +87,7 @@
 
 
 class Host(Server):
-    """A south side host. Its answers are scripted; with none left it delivers."""
+    """A south side host. Its answers are scripted, None to hang up; with none left it delivers."""
 
     def __init__(self):
         super().__init__()
@@ -98,7 +98,7 @@
         self.calls.append((time.monotonic(), head, body))
         self.held.wait(PATIENCE * 3)
         answer = self.script.get() if not self.script.empty() else (200, ())
-        return None if answer is None else http.write_answer(*answer)
+        return answer if answer is None or isinstance(answer, bytes) else http.write_answer(*answer)
 
     def refs(self):
         return [head.headers["request-id"] for _, head, _ in self.calls]
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -273,7 +273,8 @@
             call.route.idle_at = self.now
         self.book.release(call)
         self._close(call.route, event)
-        if job.key is not None and event.outcome in (Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CALLED_OFF):
+        unsure = event.outcome in (Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CALLED_OFF) or event.unread
+        if job.key is not None and unsure:
             self.quiet[job.key] = self.now + self.settings.rules.key_quiet_s
             self.quiet = {key: until for key, until in self.quiet.items() if until > self.now}
         if event.final or job.over:
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -211,7 +211,10 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
-    """The one outcome of an attempt. `final`: the message has its answer, and none is owed."""
+    """The one outcome of an attempt. `final`: the message has its answer, and none is owed.
+
+    `unread`: an answer came that cannot be read; it tells no more than silence whether the call still runs.
+    """
 
     ref: str
     attempt: int
@@ -223,6 +226,7 @@
     no_slot: bool = False
     room_left: float | None = None
     limit_per_s: float | None = None
+    unread: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/willownotch/net/http.py
+++ b/willownotch/net/http.py
@@ -63,10 +63,15 @@
     return Head(int(found[4]), method=found[1].decode(), target=found[2].decode())
 
 
-def read_headers(head: Head, lines: Iterable[bytes]) -> None:
-    """The header lines into the head. A list given twice is joined; a length given twice must agree."""
+def read_headers(head: Head, lines: Iterable[bytes], optional: tuple[bytes, ...] = ()) -> None:
+    """The header lines into the head. A list given twice is joined; a length given twice must agree.
+
+    An optional one is left out where its value cannot be read: it spoils no message that is good without it.
+    """
     for count, line in enumerate(lines):
         name, colon, value = line.partition(b":")
+        if name.lower() in optional and BAD_VALUE.search(value):
+            continue
         if not colon or not TOKEN.match(name) or BAD_VALUE.search(value):
             raise BadMessageError(400, "malformed header line")
         if count >= HEADERS_MOST:
@@ -139,8 +144,9 @@
     and `begun` while a message is partly in. A `stream` gives an answer's body out by `body_part` instead.
     """
 
-    def __init__(self, answer: bool, body_most: int = BODY_MOST, stream: bool = False) -> None:
-        self.answer, self.body_most, self.stream = answer, body_most, stream
+    def __init__(self, answer: bool, body_most: int = BODY_MOST, stream: bool = False,
+                 optional: tuple[bytes, ...] = ()) -> None:
+        self.answer, self.body_most, self.stream, self.optional = answer, body_most, stream, optional
         self.buffer = bytearray()
         self.eof = False
         self._reset()
@@ -193,7 +199,7 @@
             lines = bytes(self.buffer[:end]).split(b"\r\n")
             del self.buffer[:end + 4]
             head = read_first_line(lines[0], self.answer)
-            read_headers(head, lines[1:])
+            read_headers(head, lines[1:], self.optional)
             if self.answer and 100 <= head.status < 200:
                 self._reset()
                 continue
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -316,7 +316,7 @@
         final = owed.over or ended.over
         events.append(face.AttemptEnded(
             ref, relay.number, relay.endpoint, ended.outcome, seconds(ended.took), final,
-            seconds(ended.wait), ended.no_slot, ended.room_left, ended.limit_per_s,
+            seconds(ended.wait), ended.no_slot, ended.room_left, ended.limit_per_s, ended.unread,
         ))
         if final:
             self._forget(owed, now, remember=ended.outcome is face.Outcome.DELIVERED)
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -22,6 +22,7 @@
 IDLE_MARGIN = timedelta(milliseconds=300)  # a host counts idle time from earlier than is known here
 IDLE_MOST, IDLE_SHARE = 128, 0.25  # connections kept open without a relay; share of the descriptors
 LEAST_TIME = timedelta(milliseconds=1)
+REST_TIME = timedelta(milliseconds=500)  # an answer comes in one go: what stays unfinished is spoilt
 
 
 @dataclass(slots=True, eq=False)
@@ -52,6 +53,7 @@
     over: bool = False
     room_left: float | None = None
     limit_per_s: float | None = None
+    unread: bool = False  # an answer came, and nothing can be made of it
 
 
 @dataclass(slots=True)
@@ -295,8 +297,8 @@
 
     def _exchange(self, relay: Relay, sock: socket.socket) -> RelayEnded:
         """Write the call and read its answer. A break before the last byte is written proves it never ran."""
-        taken, whole = relay.taken, False
-        parser = http.Parser(answer=True)
+        taken, whole, begun = relay.taken, False, False
+        parser = http.Parser(answer=True, optional=(b"server-load",))
         try:
             left = relay.ends_at - self.clock.now()
             headers = [("Request-Id", taken.ref), ("Request-Timeout-Ms", str(max(1, millis(left))))]
@@ -306,14 +308,19 @@
             data = http.write_request("POST", "/inbox", f"{host}:{port}", headers, taken.body)
             sock.settimeout(seconds(max(LEAST_TIME, left)))
             sock.sendall(data)
-            whole = True
+            whole, ends_at = True, relay.ends_at
             while (found := parser.next()) is None:
                 if parser.eof:
                     raise ConnectionResetError
-                left = relay.ends_at - self.clock.now()
-                if left <= NONE:
+                now = self.clock.now()
+                if parser.begun and not begun:  # a 1xx head that is whole begins nothing
+                    ends_at = min(relay.ends_at, now + REST_TIME)
+                elif not parser.begun:
+                    ends_at = relay.ends_at
+                begun = parser.begun
+                if ends_at <= now:
                     raise TimeoutError
-                sock.settimeout(seconds(left))
+                sock.settimeout(seconds(ends_at - now))
                 parser.feed(sock.recv(65536))
         except (OSError, http.BadMessageError) as fault:
             self._drop(relay, sock)
@@ -326,13 +333,21 @@
         return read_outcome(relay, head.status, head.headers)
 
     def _broken(self, relay: Relay, fault: Exception, whole: bool, parser: http.Parser) -> RelayEnded:
-        """No whole answer. A first line that came all the same counts; else the break itself does."""
-        if whole and (parser.head or parser.status == 200):
-            return read_outcome(relay, parser.status, parser.head.headers if parser.head else {})
+        """No sound answer, and the connection is not used again.
+
+        A first line with 200 is true in any case. All else that is spoilt proves nothing, a refusal no less:
+        the call may have run, and an unrepeatable message sent again on its word could run twice.
+        """
         if not whole:
             return RelayEnded(relay, Outcome.NOT_SENT if relay.called_off else Outcome.UNREACHABLE)
+        if parser.status == 200:
+            return read_outcome(relay, 200, parser.head.headers if parser.head else {})
         if relay.called_off:
             return RelayEnded(relay, Outcome.CALLED_OFF)
+        if isinstance(fault, http.BadMessageError) or (isinstance(fault, TimeoutError) and parser.begun):
+            self.log.say("spoilt", f"the answer of {relay.host.name} on {relay.taken.ref} cannot be used: "
+                         f"{fault or type(fault).__name__}")
+            return RelayEnded(relay, Outcome.ERROR, unread=True)
         if isinstance(fault, TimeoutError):
             return RelayEnded(relay, Outcome.TIMED_OUT)
         return RelayEnded(relay, Outcome.BROKEN)
