Answer or close bad clients within 3 s, make room at once, keep open ids from strangers

At fault in north.py: IDLE_TIME of 120 s also before the first request; REQUEST_TIME of 5 s counted from the first byte; _make_room ended the idlest of all, usual clients' kept connections before slow strangers; in owner.py: _hand_in took the id alone for the message, and Withdraw went by the id alone. Ruled out: both lengths at once was refused before; it has a test on sockets now.

--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -9,7 +9,11 @@
 import time
 import unittest
 
-from toys import PATIENCE, ROOT, Discovery, Host, Sender, until
+from toys import PATIENCE, ROOT, SETTINGS, Discovery, Host, Sender, until
+
+from willownotch.net import http
+from willownotch.net.config import read_config
+from willownotch.net.north import North
 
 FIN_CROSSED = b"\x05"  # the state FIN-WAIT-2: the other side's kernel has seen the end
 
@@ -203,6 +207,77 @@
                 self.assertEqual(sender.exchange(data, sock).status, status)
                 self.assertEqual(sock.recv(1), b"")
 
+    def test_a_connection_gets_an_error_or_a_close_within_3_s_of_connecting(self):
+        """A silent one was kept for 120 s, and a request that comes byte by byte for 5 s."""
+        sender = self.sender()
+        began = time.monotonic()
+        with sender.connect() as silent, sender.connect() as slow, sender.connect() as large:
+            slow.sendall(b"POST /api HT")
+            large.sendall(b"POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + b"y" * 100_000)
+            self.assertEqual(sender.exchange(b"", large).status, 413)
+            self.assertLess(time.monotonic() - began, 1)
+            self.assertEqual(silent.recv(1), b"")
+            self.assertEqual(sender.exchange(b"", slow).status, 408)
+        self.assertLess(time.monotonic() - began, 3)
+
+    def test_hundreds_that_say_nothing_do_not_keep_others_out(self):
+        """At the bound, the listener waited for one connection to end before it looked at the next."""
+        sender = self.sender(limits={"sockets": 72, "disk_mb": 3})  # room for 16 client connections
+        for _ in range(200):
+            self.addCleanup(sender.connect().close)
+        began = time.monotonic()
+        self.assertEqual(sender.hand_in()[1].status, 202)
+        self.assertLess(time.monotonic() - began, 2)
+
+    def test_the_bound_on_clients_follows_the_memory(self):
+        """Each connection is a thread: as many as the descriptors allow may be more than the memory does."""
+        text = {"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s", "discovery": "127.0.0.1:1"}
+        found = []
+        for memory in (32, 192):
+            limits = {"sockets": 1024, "disk_mb": 3, "memory_mb": memory}
+            config = read_config(json.dumps({**text, "limits": limits}).encode(), {})
+            north = North(config, None, None, None, None)
+            north.listener.close()
+            found.append(north.most)
+        self.assertEqual(found, [200, 384])
+
+    def test_bad_requests_in_a_row_are_read_ever_more_slowly(self):
+        """The same thing again as soon as it is turned away took the usual clients' share of the CPU."""
+        sender = self.sender()
+        with sender.connect() as sock:
+            began, answers = time.monotonic(), b""
+            sock.sendall(sender.request("POST", "/api", (), b"") * 300)
+            while answers.count(b"HTTP/1.1 400") < 6:
+                answers += sock.recv(65536)
+            self.assertGreaterEqual(time.monotonic() - began, 0.01 + 0.02 + 0.04 + 0.08 + 0.16)
+
+    def test_an_open_id_is_no_strangers_to_end(self):
+        """Who names the id of another's open message was told 202 for it, whatever it had to say."""
+        sender = self.sender()
+        self.host.held.clear()
+        held, _ = sender.hand_in("fee", key="k")
+        until(lambda: self.host.calls)
+        ref, _ = sender.hand_in("fee", key="k", ref="mine")
+        self.assertEqual(sender.hand_in("fee", key="k", ref=ref, body=b"other")[1].status, 409)
+        with sender.connect() as sock:  # gone before it could hear its answer
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            sock.sendall(sender.message("fee", key="k", ref=ref, body=b"other"))
+        self.host.held.set()
+        until(lambda: ref in self.host.refs())
+        self.assertEqual([call[2] for call in self.host.calls], [b"hello", b"hello"])
+
+    def test_a_request_with_both_lengths_is_never_passed_on(self):
+        sender = self.sender()
+        headers = sender.headers("status")
+        hidden = sender.request("POST", "/api", sender.headers("status"), b"")
+        data = http.write_request("POST", "/api", "x", [*headers, ("Transfer-Encoding", "chunked")], hidden)
+        with sender.connect() as sock:
+            self.assertEqual(sender.exchange(data, sock).status, 400)
+            self.assertEqual(sock.recv(1), b"")
+        after, _ = sender.hand_in()
+        until(lambda: self.host.calls)
+        self.assertEqual(self.host.refs(), [after])
+
     def test_a_full_sender_gives_back_off_answers_and_loses_nothing(self):
         sender = self.sender()
         self.host.held.clear()
--- a/tests/toys.py
+++ b/tests/toys.py
@@ -228,12 +228,19 @@
             if sock is None:
                 own.close()
 
-    def hand_in(self, cls="status", dest=7, left=8000, key=None, body=b"hello", ref=None, tenant="acme"):
-        """Hand one message in; its id and the answer's head."""
+    def headers(self, cls="status", dest=7, left=8000, ref=None, tenant="acme"):
+        """Those of a hand-in, with an id of its own if none is given."""
         self.count += 1
         ref = ref or f"{self.count:016x}"
-        headers = [("Request-Id", ref), ("Request-Class", cls), ("Tenant", tenant),
-                   ("Request-Timeout-Ms", str(left)), ("X-Consignee", f"dest={dest}"),
-                   ("Idempotency-Key", f"i{ref}")]
-        target = "/api" + (f"?thread={key}" if key else "")
-        return ref, self.exchange(self.request("POST", target, headers, body))
+        return [("Request-Id", ref), ("Request-Class", cls), ("Tenant", tenant),
+                ("Request-Timeout-Ms", str(left)), ("X-Consignee", f"dest={dest}"),
+                ("Idempotency-Key", f"i{ref}")]
+
+    def message(self, cls="status", key=None, body=b"hello", **more):
+        """A hand-in's bytes."""
+        return self.request("POST", f"/api?thread={key}" if key else "/api", self.headers(cls, **more), body)
+
+    def hand_in(self, cls="status", key=None, body=b"hello", **more):
+        """Hand one message in; its id and the answer's head."""
+        data = self.message(cls, key, body, **more)
+        return more.get("ref") or f"{self.count:016x}", self.exchange(data)
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -111,6 +111,7 @@
 class Limits(msgspec.Struct):
     """What the machine allows."""
 
+    memory_mb: float = 192.0
     sockets: int = 1024
     disk_mb: float = 3.0
 
--- a/willownotch/net/http.py
+++ b/willownotch/net/http.py
@@ -13,8 +13,9 @@
 HEADERS_MOST = 100
 REASONS = {
     100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-    405: "Method Not Allowed", 408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
-    417: "Expectation Failed", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+    405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 411: "Length Required",
+    413: "Content Too Large", 417: "Expectation Failed", 429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
     500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable",
     505: "HTTP Version Not Supported",
 }
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from enum import Enum
 from urllib.parse import parse_qs, urlsplit
 
 from willownotch.net import http
@@ -19,13 +20,17 @@
 
 PATIENCE = timedelta(milliseconds=250)  # a client waits 400 ms: what is not taken up by then is turned away
 CLAIMED_PATIENCE = timedelta(seconds=5)  # for what is being decided then: it may be owed already
-IDLE_TIME = timedelta(seconds=120)  # between requests
-SLOW_TIME = timedelta(seconds=1)  # at the bound, a request that takes longer than this makes room
-REQUEST_TIME = timedelta(seconds=5)  # from a request's first byte to its last: slow clients hold no thread
+IDLE_TIME = timedelta(seconds=3)  # between requests: some clients ask once and stay for good
+REQUEST_TIME = timedelta(seconds=2)  # from connecting, and from a later request's first byte, to its last
+SILENT_TIME = timedelta(milliseconds=100)  # at the bound, who connects and says nothing so long makes room
+SLOW_TIME = timedelta(seconds=1)  # and so does a request that takes longer than this
 ANSWER_TIME = timedelta(seconds=2)
+LINGER_TIME, LINGER_MOST = timedelta(milliseconds=300), 256 * 1024  # read on after a refusal; bytes
+BAD_PAUSE, BAD_PAUSE_MOST = timedelta(milliseconds=10), timedelta(milliseconds=500)  # doubles with each
 RETRY = timedelta(milliseconds=500)  # told where nothing better is known
 OTHERS = 32  # descriptors for files, discovery and the listener
 MOST = 384  # client connections, whatever the descriptors allow: each has a thread
+BASE_MB, CLIENT_MB = 24.0, 0.04  # of memory, for all that is no client connection, and for each that is
 BACKLOG = 512
 ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
 WHOLE = re.compile(r"[0-9]{1,9}\Z")
@@ -76,14 +81,34 @@
     body: bytes = b""
     headers: list[tuple[str, str]] = field(default_factory=list)
     taken: str | None = None
+    ticket: Ticket | None = None
+
+
+class Stage(Enum):
+    """What a client connection is at. At the bound, the earlier ones here make room first."""
+
+    LEAVING = 0  # refused and answered: only read on lest a reset eat the answer
+    SILENT = 1  # connected, and no byte has come yet
+    IDLE = 2  # between two requests
+    READING = 3  # part of a request has come
+    ANSWERING = 4  # never ended to make room
 
 
 class Client:
     """One client connection."""
 
     def __init__(self, sock: socket.socket, now: datetime) -> None:
-        self.sock, self.since = sock, now  # since when it is idle, or reading
-        self.idle, self.reading = True, False
+        self.sock, self.opened, self.since = sock, now, now  # since when it is at its stage
+        self.stage, self.asked, self.bad = Stage.SILENT, 0, 0  # requests read whole; bad ones in a row
+        self.ending = False  # it makes room, or the sender stops: the request that it has is its last
+
+    def at(self, stage: Stage, now: datetime) -> None:
+        """It has come to a stage."""
+        self.stage, self.since = stage, now
+
+    def patience(self, stage: Stage) -> timedelta:
+        """How long it may be at a stage before it is the one to make room."""
+        return {Stage.SILENT: SILENT_TIME, Stage.READING: SLOW_TIME}.get(stage, NONE)
 
 
 class North:
@@ -93,7 +118,8 @@
                  start: Callable[[str, Callable[[], None]], None]) -> None:
         self.config, self.clock, self.log, self.owner, self.start = config, clock, log, owner, start
         south = config.settings.slots + idle_most(config)
-        self.most = max(8, min(MOST, config.limits.sockets - south - OTHERS))
+        memory = int((config.limits.memory_mb - BASE_MB) / CLIENT_MB)
+        self.most = max(8, min(MOST, config.limits.sockets - south - OTHERS, memory))
         self._clients: set[Client] = set()
         self._room = threading.Condition()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -102,6 +128,7 @@
         self.listener.listen(BACKLOG)
         self.port = self.listener.getsockname()[1]
         self._stopping = False
+        self._pause = threading.Event()  # never set: a wait of a moment
 
     def stop(self, patience: timedelta) -> None:
         """Take no more connections, and let each that is open finish the request it has."""
@@ -110,14 +137,14 @@
         ends = self.clock.now() + patience
         with self._room:
             for client in self._clients:
-                self._end_reading(client)
+                self._end(client)
             while self._clients and (left := ends - self.clock.now()) > NONE:
                 self._room.wait(seconds(left))
 
     @staticmethod
-    def _end_reading(client: Client) -> None:
+    def _end(client: Client) -> None:
         """End only our reading side: a request that crosses this is still read and answered."""
-        client.idle = client.reading = False
+        client.ending = True
         try:
             client.sock.shutdown(socket.SHUT_RD)
         except OSError:
@@ -146,18 +173,21 @@
                 self._leave(client)
 
     def _make_room(self) -> None:
-        """At the bound, end the connection that has been idle for longest, else wait until one ends."""
+        """At the bound, end the connection least likely to be a usual client's, else wait until one ends.
+
+        Hundreds that connect and say nothing must not keep out clients that do ask.
+        """
         with self._room:
             while len(self._clients) >= self.most:
                 now = self.clock.now()
-                ending = [c for c in self._clients if c.idle] or [
-                    c for c in self._clients if c.reading and now - c.since > SLOW_TIME
+                ready = [
+                    c for c in self._clients if not c.ending and c.stage is not Stage.ANSWERING
+                    and now - c.since >= c.patience(c.stage)
                 ]
-                if ending:
-                    oldest = min(ending, key=lambda client: client.since)
-                    self._end_reading(oldest)
+                if ready:
+                    self._end(min(ready, key=lambda client: (client.stage.value, client.since)))
                     self.log.say("crowded", f"{self.most} client connections: the idlest ends")
-                self._room.wait(seconds(SLOW_TIME) / 2)
+                self._room.wait(seconds(SILENT_TIME) / 4)
 
     def _serve(self, client: Client) -> None:
         try:
@@ -188,52 +218,63 @@
         if found is None:
             return False
         head, body = found
+        client.asked += 1
         try:
             reply = self._answer(head, body, arrived)
+            client.bad = 0
         except RefusedError as fault:
             self.log.say("bad", f"{fault}, answered {fault.status}")
             reply = Reply(fault.status, f"{fault}\n".encode())
+            client.bad += 1
         except Exception as fault:  # a request must not go unanswered, nor end the sender
             self.log.say("error", f"a request was answered 500: {type(fault).__name__}: {fault}")
             reply = Reply(500)
-        last = [] if head.keeps_alive() else [("Connection", "close")]
+        last = [] if head.keeps_alive() and not client.ending else [("Connection", "close")]
         data = http.write_answer(reply.status, [*reply.headers, *last], reply.body)
         client.sock.settimeout(seconds(ANSWER_TIME))
         try:
             client.sock.sendall(data[:-len(reply.body)] if head.method == "HEAD" and reply.body else data)
         except OSError:
             if reply.taken is not None:
-                self.owner.post(Withdraw(reply.taken))
+                self.owner.post(Withdraw(reply.taken, reply.ticket))
             return False
-        return not last
+        if client.bad and not last:
+            # The same thing again as soon as it is turned away: it must not cost the others their share.
+            pause = min(BAD_PAUSE_MOST, BAD_PAUSE * 2 ** min(client.bad - 1, 10))
+            client.at(Stage.LEAVING, self.clock.now())
+            self._pause.wait(seconds(pause))
+        return not last and not client.ending
 
     def _read(self, client: Client, parser: http.Parser) -> tuple[tuple[http.Head, bytes] | None, datetime]:
         """The next request and when its first byte came; None at the connection's end."""
-        arrived, asked = self.clock.now(), False
-        client.idle, client.since = not parser.begun, arrived
+        arrived, expected = self.clock.now(), False
+        first = not client.asked
+        client.at(Stage.READING if parser.begun else Stage.SILENT if first else Stage.IDLE, arrived)
         while (found := parser.next()) is None:
             if parser.eof:
                 if parser.begun:
                     raise http.BadMessageError(400, "the connection ended inside a request")
                 return None, arrived
-            if parser.head is not None and not asked and parser.head.headers.get("expect"):
-                asked = True
+            if parser.head is not None and not expected and parser.head.headers.get("expect"):
+                expected = True
                 if parser.head.headers["expect"].lower() != "100-continue":
                     raise http.BadMessageError(417, "unknown expectation")
                 client.sock.sendall(http.write_answer(100))
-            left = REQUEST_TIME - (self.clock.now() - arrived) if parser.begun else IDLE_TIME
-            client.sock.settimeout(max(0.001, seconds(left)))
+            # An answer or an end is due 3 s after connecting, whatever has come until then.
+            began, most = (client.opened, REQUEST_TIME) if first else (arrived, IDLE_TIME)
+            ends = arrived + REQUEST_TIME if parser.begun and not first else began + most
+            client.sock.settimeout(max(0.001, seconds(ends - self.clock.now())))
             try:
                 data = client.sock.recv(65536)
             except TimeoutError:
                 if parser.begun:
                     raise http.BadMessageError(408, "a request came too slowly") from None
                 return None, arrived
-            if not parser.begun:
-                arrived = client.since = self.clock.now()
-                client.idle, client.reading = False, True
+            if not parser.begun and data:
+                arrived = self.clock.now()
+                client.at(Stage.READING, arrived)
             parser.feed(data)
-        client.idle = client.reading = False
+        client.at(Stage.ANSWERING, self.clock.now())
         return found, arrived
 
     def _refuse_unread(self, client: Client, fault: http.BadMessageError) -> bool:
@@ -242,11 +283,13 @@
         answer = http.write_answer(fault.status, [("Connection", "close")], f"{fault}\n".encode())
         client.sock.sendall(answer)
         client.sock.shutdown(socket.SHUT_WR)
-        ends = self.clock.now() + ANSWER_TIME
-        while (left := ends - self.clock.now()) > NONE:
+        client.at(Stage.LEAVING, self.clock.now())
+        ends, read = client.since + LINGER_TIME, 0
+        while (left := ends - self.clock.now()) > NONE and read < LINGER_MOST and not client.ending:
             client.sock.settimeout(max(0.001, seconds(left)))
-            if not client.sock.recv(65536):
+            if not (data := client.sock.recv(65536)):
                 break
+            read += len(data)
         return False
 
     def _answer(self, head: http.Head, body: bytes, arrived: datetime) -> Reply:
@@ -274,7 +317,9 @@
             self.log.say("late", f"{taken.ref} was not taken up in time: back-off answer")
             answer = Answer(Verdict.BACK_OFF, RETRY)
         if answer.verdict is Verdict.TAKEN:
-            return Reply(202, taken=taken.ref)
+            return Reply(202, taken=taken.ref, ticket=ticket)
+        if answer.verdict is Verdict.CONFLICT:
+            raise RefusedError(409, f"{taken.ref} is the id of another message")
         if answer.verdict is Verdict.BACK_OFF:
             return Reply(503, headers=[("Retry-After", f"{millis(answer.retry) / 1000:.3f}")])
         return Reply(500, b"given up\n")
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -38,6 +38,7 @@
     TAKEN = "taken"
     BACK_OFF = "back off"
     FAILED = "failed"
+    CONFLICT = "conflict"  # the id is another message's
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,9 +92,10 @@
 
 @dataclass(slots=True)
 class Withdraw:
-    """The client was gone before it could hear that its message was taken on."""
+    """The client was gone before it could hear that its message was taken on; `ticket` was its wait."""
 
     ref: str
+    ticket: Ticket | None
 
 
 @dataclass(slots=True)
@@ -117,10 +119,17 @@
     out: dict[int, Relay] = field(default_factory=dict)
     over: bool = False
     ticket: Ticket | None = None  # until its client has its answer
+    by: Ticket | None = None  # of the hand-in that it was taken on by
     confirmed: bool = False  # another hand-in of it was answered: a failed first answer withdraws nothing
     unwritten: bool = False  # its record could not be written: its client was turned away
 
 
+def same_message(one: Taken, other: Taken) -> bool:
+    """Whether two hand-ins under one id are of the same message; its time left differs each time."""
+    fields = ("destination", "message_class", "tenant", "key", "idempotency_key", "body")
+    return all(getattr(one, name) == getattr(other, name) for name in fields)
+
+
 Item = HandIn | Withdraw | RelayEnded | ListNews | Noticed | Stop
 
 
@@ -247,7 +256,8 @@
                 self._noticed(ref, records)
         elif isinstance(item, Withdraw):
             owed = self._owed.get(item.ref)
-            if owed is not None and not owed.over and not owed.confirmed:
+            # Only who handed it in may: the id alone is known to anybody.
+            if owed is not None and owed.by is item.ticket and not owed.over and not owed.confirmed:
                 records.append(Ended(item.ref, "withdrawn"))
                 events.append(face.Withdrawn(item.ref))
                 self._forget(owed, now)
@@ -262,10 +272,10 @@
         if not item.ticket.claim():
             return
         known = self._owed.get(taken.ref)
-        if (known is not None and not known.over) or self._ended.get(taken.ref, now) > now:
-            # The same id again is the same message, sent anew on a connection that closed under it.
-            if known is not None:
-                known.confirmed = True
+        if known is not None and not known.over:
+            self._hand_in_again(item, known)
+            return
+        if self._ended.get(taken.ref, now) > now:
             item.ticket.settle(Answer(Verdict.TAKEN))
             return
         held = sum(not owed.over for owed in self._owed.values())
@@ -279,11 +289,22 @@
             sort = "full" if full else "unlisted" if self.ready.is_set() else "early"
             self.log.say(sort, f"back-off answer to {taken.ref} for destination {taken.destination}")
             return
-        owed = self._owed[taken.ref] = Owed(taken, ticket=item.ticket)
+        owed = self._owed[taken.ref] = Owed(taken, ticket=item.ticket, by=item.ticket)
         fresh.append(owed)
         records.append(taken)
         events.append(self._message(taken, now))
 
+    def _hand_in_again(self, item: HandIn, known: Owed) -> None:
+        """An id that is open: the same message, its connection closed under it, or a stranger's."""
+        if not same_message(item.taken, known.taken):
+            self.log.say("conflict", f"{item.taken.ref} is open with another content, answered 409")
+            item.ticket.settle(Answer(Verdict.CONFLICT))
+        elif known.ticket is not None:  # not decided yet: to be told what the first is told would be a guess
+            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+        else:
+            known.confirmed = True
+            item.ticket.settle(Answer(Verdict.TAKEN))
+
     def _message(self, taken: Taken, now: datetime, past: tuple[face.PastAttempt, ...] = ()) -> face.Message:
         return face.Message(
             taken.ref, taken.destination, self.classes[taken.message_class], seconds(taken.ends_at - now),
@@ -362,7 +383,7 @@
                     owed.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
                     owed.ticket = None
                 owed.unwritten = True
-                self.post(Withdraw(owed.taken.ref))
+                self.post(Withdraw(owed.taken.ref, owed.by))
 
     def _settle(self, fresh: list[Owed], ends: dict[str, Ended]) -> None:
         """Answer the clients of this round."""
