Forget hosts that are gone, and keep connections by host, not by address

Seen in the code: Hosts._numbers, South.waits and empty lines of South._idle grew with every host ever listed; kept connections were found by address, so that a new id at an old address got the old one's; hosts that drained kept theirs; and a host whose address another had taken was still called there until the list said it was gone. Changed: a gone name keeps its number for 60 s, connections belong to a number and are closed when their host leaves, drains or moves, a new name at a listed address takes the old one's place, waits that have run out go.

--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -1,6 +1,7 @@
 """Tables of cases for everything that reads bytes or text: HTTP, the journal, the configuration, the list."""
 import json
 import re
+import socket
 import tempfile
 import threading
 import unittest
@@ -18,8 +19,8 @@
 from willownotch.net.log import MOST, Log
 from willownotch.net.north import RefusedError, read_message
 from willownotch.net.owner import Answer, Owner, Ticket, Verdict
-from willownotch.net.registry import Lines
-from willownotch.net.south import read_load, read_outcome, read_wait
+from willownotch.net.registry import Host, Hosts, Lines
+from willownotch.net.south import Relay, South, read_load, read_outcome, read_wait
 
 ENDS = datetime(2026, 12, 1, 12, 0, tzinfo=UTC)
 
@@ -303,6 +304,61 @@
         self.assertEqual(list(self.open(20_000).live), ["a"])
 
 
+class Hand:
+    """A clock that is set by hand."""
+
+    at = ENDS
+
+    def now(self):
+        return self.at
+
+
+class Growth(unittest.TestCase):
+    """A sender runs for good: nothing may grow with the hosts that ever were."""
+
+    def test_numbers_of_hosts_that_are_gone(self):
+        clock = Hand()
+        hosts, numbers = Hosts(("haulier",), ("here",), clock, None), set()
+        for n in range(300):
+            clock.at += timedelta(seconds=1)
+            for index, status in ((n, "Ready"), (n - 5, "Gone")):
+                address = f"127.0.0.1:{1000 + index}"
+                entry = configs.ListedEndpoint(f"s-{index}", address, 7, status, "haulier")
+                news, _ = hosts.read(configs.ListNews(n, False, [entry]))
+                numbers.add(news.entries[0].number)
+        self.assertLess(len(hosts._numbers), 80)
+        self.assertEqual((len(numbers), sorted(hosts.by_number)), (305, sorted(hosts.by_number)))
+        self.assertEqual(len(hosts.by_number), 5)
+        hosts.read(configs.ListNews(1, True, []))
+        clock.at += timedelta(seconds=61)
+        hosts.read(configs.ListNews(2, True, []))
+        self.assertEqual((hosts._numbers, hosts._gone), ({}, {}))
+
+    def test_waits_and_lines_of_kept_connections(self):
+        clock = Hand()
+        config = configs.read_config(json.dumps({"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s",
+                                                 "discovery": "127.0.0.1:1"}).encode(), {})
+        hosts = {n: Host(n, f"s-{n}", ("127.0.0.1", n), n, True) for n in range(1, 60)}
+        south = South(config, clock, None, None, hosts, None, None)
+        for n, host in hosts.items():
+            clock.at += timedelta(seconds=1)
+            south._wait(n, timedelta(seconds=2))
+            relay = Relay(None, 0, n, host, clock.at, clock.at)
+            ours, theirs = socket.socketpair()
+            self.addCleanup(theirs.close)
+            south._keep(relay, ours)
+        self.assertLessEqual((len(south.waits), len(south._idle)), (3, 5))
+        south.close_idle(59)
+        self.assertNotIn(59, south._idle)
+        hosts.pop(58)
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        south._keep(Relay(None, 0, 58, Host(58, "s-58", ("127.0.0.1", 58), 58, True), ENDS, ENDS), ours)
+        self.assertEqual(ours.fileno(), -1)  # its host is gone: closed, not kept
+        for number in list(south._idle):
+            south.close_idle(number)
+
+
 class Rounds(unittest.TestCase):
     def test_what_comes_within_a_period_shares_a_round(self):
         """One round for each event took the CPU that the sockets wanted, and clients waited in vain."""
@@ -327,12 +383,6 @@
         self.assertEqual([sort for sort in sorts if f"| `{sort}` |" not in page], [])
 
     def test_the_log_keeps_to_its_rate_and_says_what_it_kept_back(self):
-        class Hand:
-            at = ENDS
-
-            def now(self):
-                return self.at
-
         class Sink(list):
             def write(self, text):
                 self.append(text)
--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -152,6 +152,20 @@
         until(lambda: len(other.calls) >= 5)
         self.assertEqual(len(self.host.calls), count)
 
+    def test_a_new_id_at_an_old_address_is_another_host(self):
+        """Connections were kept by address: a call for one host could reach the one that took its place."""
+        sender = self.sender()
+        sender.hand_in()
+        sender.settled()
+        self.discovery.change(0, self.host, "Gone")
+        self.discovery.change(1, self.host, "Ready")
+        until(lambda: any(h.status == 202 for h in [sender.hand_in()[1]]) and len(self.host.calls) > 1)
+        sender.settled()
+        self.assertEqual(self.host.connections, 2)
+        self.discovery.change(2, self.host, "Ready", group=8)  # before the list says that the old one went
+        until(lambda: sender.hand_in(dest=8)[1].status == 202)
+        self.assertEqual(sender.hand_in(dest=7)[1].status, 503)
+
     def test_a_host_that_closes_idle_connections_costs_no_message(self):
         sender = self.sender()
         for n in range(3):
--- a/tests/toys.py
+++ b/tests/toys.py
@@ -139,10 +139,10 @@
         data = (text + "\n").encode()
         sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
 
-    def change(self, number, host, status):
+    def change(self, number, host, status, group=7):
         self.index += 1
         self.news.put(json.dumps({"index": self.index, "snapshot": False,
-                                  "endpoints": [self.entry(number, host, status)]}))
+                                  "endpoints": [self.entry(number, host, status, group)]}))
 
 
 class Sender:
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -78,7 +78,7 @@
     try:
         journal.open()
         threads = Threads(log)
-        hosts = Hosts(tuple(kind.name for kind in config.settings.kinds), config.zones, log)
+        hosts = Hosts(tuple(kind.name for kind in config.settings.kinds), config.zones, clock, log)
         owner = Owner(config, clock, log, journal, hosts)
         north = North(config, clock, log, owner, threads.start)
     except OSError as fault:
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -129,6 +129,7 @@
     type: str = ""
     zone: str = ""
     weight: float = 0.0
+    since_ms: int = 0
 
 
 class ListNews(msgspec.Struct):
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -28,7 +28,7 @@
 BACK_OFF = timedelta(milliseconds=500)  # told with a back-off answer where the module has no better figure
 FIRST_NEWS = timedelta(milliseconds=300)  # recovered messages wait so long for the watch's first word
 KILL_AFTER = timedelta(milliseconds=3500)  # SIGKILL comes no sooner after SIGTERM, with some margin
-REMEMBERED = timedelta(seconds=60)  # ended messages whose id is still known, should it be handed in again
+REMEMBERED = timedelta(seconds=15)  # ended messages whose id is still known, should it be handed in again
 BATCH_MOST = 256
 
 
@@ -254,9 +254,11 @@
         elif isinstance(item, RelayEnded):
             self._relay_ended(item, now, events, records)
         elif isinstance(item, ListNews):
-            news = self.hosts.read(item)
+            news, left = self.hosts.read(item)
             self._listed = self._listed or bool(news.entries)
             events.append(news)
+            for number in left:
+                self.close_idle(number)
         elif isinstance(item, Noticed):
             for ref in item.refs:
                 self._noticed(ref, records)
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -6,13 +6,13 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import msgspec
 
 from willownotch import interface as face
 from willownotch.net import http
-from willownotch.net.clock import seconds
+from willownotch.net.clock import Clock, seconds
 from willownotch.net.config import Config, ConfigError, ListedEndpoint, ListNews, read_address
 from willownotch.net.log import Log
 
@@ -22,6 +22,7 @@
 AGAIN_FIRST, AGAIN_MOST = timedelta(milliseconds=100), timedelta(seconds=1)  # between tries, doubling
 NOTICE_TIME = timedelta(seconds=1)  # a notice is answered at once: what takes longer is lost
 NOTICES_MOST = 64  # notices in one call
+GONE_KEPT = timedelta(seconds=60)  # how long a host that left the list keeps its number
 LINE_MOST = 4 << 20  # bytes of one line of a watch
 READINESS = {
     "Ready": face.Readiness.SERVING, "Terminating": face.Readiness.DRAINING, "Gone": face.Readiness.GONE,
@@ -37,23 +38,39 @@
     address: tuple[str, int]
     destination: int
     serving: bool
+    kind: int = 0
+    zone: int = 0
+    since_ms: int = 0
 
 
 class Hosts:
-    """Names of the list to the module's numbers. The owner writes, relays read; an entry is never changed."""
+    """Names of the list to the module's numbers. The owner writes, relays read; an entry is never changed.
 
-    def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...], log: Log) -> None:
-        self.kinds, self.zones, self.log = kinds, zones, log
+    Hosts come and go for as long as the sender runs: a name that is gone keeps its number for a while only,
+    and no number is given twice.
+    """
+
+    def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...], clock: Clock, log: Log) -> None:
+        self.kinds, self.zones, self.clock, self.log = kinds, zones, clock, log
         self.by_number: dict[int, Host] = {}
         self._numbers: dict[str, int] = {}
+        self._last = 0  # number given
+        self._gone: dict[str, datetime] = {}  # since when a name with a number is not in the list
 
     def number(self, name: str) -> int:
-        """The module's number for a host; the same for as long as this process runs."""
-        return self._numbers.setdefault(name, len(self._numbers) + 1)
-
-    def read(self, news: ListNews) -> face.EndpointList:
-        """Discovery's news for the module. An entry that makes no sense is named and left as it was."""
-        entries = []
+        """The module's number for a host; the same until it has been gone for long."""
+        if name not in self._numbers:
+            self._last += 1
+            self._numbers[name] = self._last
+            self._gone[name] = self.clock.now()  # until the list has it
+        return self._numbers[name]
+
+    def read(self, news: ListNews) -> tuple[face.EndpointList, list[int]]:
+        """Discovery's news for the module, and hosts to which no kept connection is of use any more.
+
+        An entry that makes no sense is named and left as it was.
+        """
+        entries, before = [], dict(self.by_number)
         for listed in news.endpoints:
             try:
                 entries.append(self._entry(listed))
@@ -63,7 +80,35 @@
             named = {entry.number for entry in entries}
             for number in [n for n in self.by_number if n not in named]:
                 del self.by_number[number]
-        return face.EndpointList(tuple(entries), news.snapshot)
+        entries += self._displaced()
+        self._forget(before)
+        left = [number for number, host in before.items() if self.by_number.get(number) != host]
+        return face.EndpointList(tuple(entries), news.snapshot), left
+
+    def _displaced(self) -> list[face.Endpoint]:
+        """A new host at another's address is another: what was meant for the old one must not reach it."""
+        newest: dict[tuple[str, int], Host] = {}
+        for host in self.by_number.values():
+            rival = newest.setdefault(host.address, host)
+            if (host.serving, host.since_ms, host.number) > (rival.serving, rival.since_ms, rival.number):
+                newest[host.address] = host
+        older = [host for host in self.by_number.values() if newest[host.address] is not host]
+        for host in older:
+            del self.by_number[host.number]
+        return [face.Endpoint(h.number, h.destination, h.kind, h.zone, face.Readiness.GONE) for h in older]
+
+    def _forget(self, before: dict[int, Host]) -> None:
+        """Names that have been gone for longer than any relay, wait or cold start may last."""
+        now = self.clock.now()
+        listed = {host.name for host in self.by_number.values()}
+        for host in before.values():
+            if host.name not in listed:
+                self._gone.setdefault(host.name, now)
+        for name, since in list(self._gone.items()):
+            if name in listed:
+                del self._gone[name]
+            elif now - since > GONE_KEPT:
+                del self._gone[name], self._numbers[name]
 
     def _entry(self, listed: ListedEndpoint) -> face.Endpoint:
         if listed.type not in self.kinds:
@@ -77,7 +122,8 @@
             self.by_number.pop(number, None)
             return face.Endpoint(number, listed.group, self.kinds.index(listed.type), zone, readiness)
         self.by_number[number] = Host(
-            number, listed.name, address, listed.group, readiness is face.Readiness.SERVING
+            number, listed.name, address, listed.group, readiness is face.Readiness.SERVING,
+            self.kinds.index(listed.type), zone, listed.since_ms,
         )
         return face.Endpoint(
             number, listed.group, self.kinds.index(listed.type), zone, readiness, listed.weight
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -120,7 +120,7 @@
         self._lock = threading.Lock()
         self._done = threading.Condition(self._lock)  # a relay has ended
         self._closing = False
-        self._idle: dict[tuple[str, int], list[Idle]] = {}
+        self._idle: dict[int, list[Idle]] = {}  # by host: a new one at an old address is another
         self._workers = 0
         self._busy = 0
         self.connects = 0
@@ -144,10 +144,9 @@
                 self._shut(relay.sock)
 
     def close_idle(self, number: int) -> None:
-        """Close the kept connections to a host."""
-        host = self.hosts.get(number)
+        """Close the kept connections to a host, listed or not."""
         with self._lock:
-            closing = self._idle.pop(host.address, []) if host else []
+            closing = self._idle.pop(number, [])
         for kept in closing:
             kept.sock.close()
 
@@ -162,13 +161,20 @@
             ended.took = self.clock.now() - relay.begun_at
             if ended.wait:
                 # Told to the other workers now: a relay may already have left the owner's hands.
-                until = self.clock.now() + ended.wait
-                self.waits[relay.host.destination] = max(until, self.waits.get(relay.host.destination, until))
+                self._wait(relay.host.destination, ended.wait)
             self.ended(ended)
             with self._lock:
                 self._busy -= 1
                 self._done.notify_all()
 
+    def _wait(self, destination: int, wait: timedelta) -> None:
+        """Keep a wait until it has run out, and forget those that have."""
+        now = self.clock.now()
+        with self._lock:
+            for number in [n for n, until in self.waits.items() if until <= now]:
+                del self.waits[number]
+            self.waits[destination] = max(now + wait, self.waits.get(destination, now))
+
     def finish(self, patience: timedelta) -> None:
         """Begin no more relays, and wait for those that are out."""
         ends = self.clock.now() + patience
@@ -210,7 +216,7 @@
 
     def _connection(self, relay: Relay) -> socket.socket | None:
         """A kept connection that is still good, or a new one; None if called off meanwhile."""
-        sock = self._kept(relay.host.address)
+        sock = self._kept(relay.host.number)
         if sock is not None:
             with relay.lock:
                 relay.sock = sock
@@ -236,18 +242,20 @@
             raise
         return sock
 
-    def _kept(self, address: tuple[str, int]) -> socket.socket | None:
+    def _kept(self, number: int) -> socket.socket | None:
         """The kept connection used last, unless its host may be about to close it or already has."""
         closing, found = [], None
         oldest = self.clock.now() - (self.config.keepalive - IDLE_MARGIN)
         with self._lock:
-            line = self._idle.get(address, [])
+            line = self._idle.pop(number, [])
             while line and found is None:
                 kept = line.pop()
                 if kept.since > oldest and self._quiet(kept.sock):
                     found = kept.sock
                 else:
                     closing.append(kept.sock)
+            if line:
+                self._idle[number] = line
         for sock in closing:
             sock.close()
         return found
@@ -270,13 +278,16 @@
         with relay.lock:
             relay.sock = None
         with self._lock:
-            for line in self._idle.values():
+            for number, line in list(self._idle.items()):
                 while line and line[0].since <= now - (self.config.keepalive - IDLE_MARGIN):
                     closing.append(line.pop(0).sock)
+                if not line:
+                    del self._idle[number]
             host = self.hosts.get(relay.host.number)
-            wanted = host is not None and host.address == relay.host.address and not relay.called_off
+            wanted = host is not None and host.serving and host.address == relay.host.address
+            wanted = wanted and not relay.called_off
             if wanted and sum(map(len, self._idle.values())) < self.idle_most:
-                self._idle.setdefault(relay.host.address, []).append(Idle(sock, now))
+                self._idle.setdefault(relay.host.number, []).append(Idle(sock, now))
             else:
                 closing.append(sock)
         for old in closing:
