--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -15,7 +15,7 @@
 from willownotch.net import config as configs
 from willownotch.net import http, journal
 from willownotch.net.clock import Clock, millis
-from willownotch.net.journal import Closed, Ended, Journal, JournalFullError, Noticed, Opened, Taken
+from willownotch.net.journal import Closed, Counted, Ended, Journal, JournalFullError, Noticed, Opened, Taken
 from willownotch.net.log import MOST, Log
 from willownotch.net.north import RefusedError, read_message
 from willownotch.net.owner import Answer, Owner, Ticket, Verdict
@@ -278,11 +278,36 @@
         """Room promised to a message must hold its whole story, or its end could not be written."""
         for length in (1, 16, 128):
             message = Taken("r" * length, 7, "fee", "acme", ENDS, "k" * 200, "i" * 100)
-            story = [message, Ended(message.ref, "handed_back", 2000), Noticed(message.ref)]
-            for n in range(journal.ATTEMPTS):
-                opened = Opened(message.ref, n, datetime.now(UTC), "s-5be2a07c")
-                story += [opened, Closed(message.ref, n, True)]
-            self.assertLessEqual(sum(len(journal.frame(r)) for r in story), journal.reserve(message), length)
+            ref = message.ref
+            end = [Ended(ref, "handed_back", 2000), Noticed(ref), Counted(ref, 12)]
+            room, size = journal.reserve(message), sum(len(journal.frame(r)) for r in [message, *end])
+            for n in range(12):
+                relay = [Opened(ref, n, datetime.now(UTC), "s-5be2a07c"), Closed(ref, n, True)]
+                size += sum(map(len, map(journal.frame, relay)))
+                self.assertLessEqual(size, room + n * journal.relay_room(ref), (length, n))
+
+    def test_as_many_messages_fit_as_a_sender_holds_on_its_busiest_day(self):
+        """Room kept for twelve relays of each turned usual clients away at half of the holding room."""
+        made = self.open(3_000_000)
+        for n in range(980):
+            message = Taken(f"{n:016x}", 7, "slot-order", "erongo-haulage", ENDS, "k" * 16, "i" * 32,
+                            body=b"z" * 500)
+            self.assertTrue(made.fits([message]), n)
+            made.append([message, Opened(message.ref, 0, ENDS, "s-5be2a07c"), Closed(message.ref, 0, False)])
+        self.assertEqual(self.open(3_000_000).live[f"{0:016x}"].count(), 1)
+
+    def test_relays_leave_room_for_the_ends_of_messages(self):
+        """A disk filled up by relays could not record what they came to."""
+        made, count = self.open(20_000), 0
+        while made.fits([taken(f"m{count}")]):
+            made.append([taken(f"m{count}")])
+            count += 1
+        with self.assertRaises(JournalFullError):
+            for n in range(count * 12):
+                made.append([Opened(f"m{n % count}", n // count, ENDS, "s-5be2a07c")])
+        made.append([Ended(f"m{n}", "handed_back", 2000) for n in range(count)])
+        made.append([Noticed(f"m{n}") for n in range(count)])
+        self.assertEqual((count > 5, self.open(20_000).live), (True, {}))
 
     def test_messages_of_one_round_are_counted_together(self):
         """Each of many in one round fitted alone, and together they would have overrun the disk."""
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -21,7 +21,7 @@
 MAGIC = b"wnJ1"
 BLOCK = 512  # bytes in which files are counted
 MOST_RECORD = 1 << 20
-ATTEMPTS = 12  # for which room is kept with each message; more only have the file written anew sooner
+AHEAD = 1  # attempts for which room is kept beyond those on record
 INLINE = 2048  # bytes of the largest body that stands in the journal itself
 SPARE_SHARE = 0.1  # of the disk, left free of live records: it keeps rewriting from being constant
 
@@ -77,24 +77,31 @@
     ref: str
 
 
-def reserve(taken: Taken) -> int:
-    """Bytes to keep for a message's records, all but the body: two for each attempt, its own and its end."""
-    names = len(taken.message_class) + len(taken.tenant) + len(taken.key or "") * 4
-    return 256 + names + len(taken.idempotency_key or "") + (2 * ATTEMPTS + 3) * (len(taken.ref) + 48)
+class Counted(msgspec.Struct, tag="counted", frozen=True, array_like=True):
+    """So many relays there were by then; those that no other record names never ran."""
+
+    ref: str
+    count: int
 
 
-Record = Taken | Opened | Closed | Ended | Noticed
+Record = Taken | Opened | Closed | Ended | Noticed | Counted
 
 
 class Entry(msgspec.Struct):
     """What the journal knows of one message."""
 
     taken: Taken
-    size: int
+    own_size: int  # of the first record
     opened: dict[int, Opened] = {}
     closed: dict[int, Closed] = {}
+    counted: int = 0  # relays, those that never ran among them: nothing else is kept of these
     ended: Ended | None = None
 
+    def size(self) -> int:
+        """Bytes to keep for its records, those that may follow among them."""
+        ref = self.taken.ref
+        return self.own_size + end_room(ref) + (AHEAD + len(self.opened)) * relay_room(ref)
+
     def body_size(self) -> int:
         """What a file for the body takes on the disk."""
         return blocks(len(self.taken.body)) if self.taken.apart else 0
@@ -104,12 +111,14 @@
         yield self.taken
         yield from self.opened.values()
         yield from self.closed.values()
+        if self.counted > max(self.opened, default=-1) + 1:
+            yield Counted(self.taken.ref, self.counted)
         if self.ended is not None:
             yield self.ended
 
     def count(self) -> int:
         """How many relays there were, as far as any left a trace."""
-        return max([*self.opened, *self.closed], default=-1) + 1
+        return max(self.counted, max(self.opened, default=-1) + 1)
 
     def may_have_run(self, number: int) -> bool:
         """A relay that was open at the end of the process may have run."""
@@ -138,6 +147,22 @@
     return FRAME.pack(MAGIC, len(body), zlib.crc32(body)) + body
 
 
+def relay_room(ref: str) -> int:
+    """Bytes that one relay may take: its beginning, with its host's name, and its end."""
+    return 2 * len(ref) + 160
+
+
+def end_room(ref: str) -> int:
+    """Bytes that a message's end may take, the answer to its notice and the count of its relays included."""
+    return 3 * (len(ref) + 48)
+
+
+def reserve(taken: Taken) -> int:
+    """Bytes to keep for a message not taken on yet; a large body stands apart and is not among them."""
+    inline = taken if len(taken.body) <= INLINE else msgspec.structs.replace(taken, body=b"", apart=" " * 32)
+    return Entry(taken, len(_encode(inline)) + FRAME.size).size()
+
+
 def read_frames(data: bytes) -> Iterator[Record | int]:
     """The records of a file; a whole number stands for so many bytes that are none, passed over."""
     at, lost = 0, 0
@@ -179,26 +204,31 @@
 
 def apply(live: dict[str, Entry], record: Record) -> int:
     """Let one record change what is live; how many bytes of room that takes."""
-    if isinstance(record, Taken):
-        size = reserve(record) + (0 if record.apart else len(record.body))
-        live[record.ref] = Entry(record, size)
-        return size
     entry = live.get(record.ref)
+    if isinstance(record, Taken):
+        entry = live[record.ref] = Entry(record, len(frame(record)))
+        return entry.size()
     if entry is None:
         return 0
+    before = entry.size()
     if isinstance(record, Opened):
         entry.opened[record.number] = record
-    elif isinstance(record, Closed):
+    elif isinstance(record, Closed) and record.ran:
         entry.closed[record.number] = record
+    elif isinstance(record, Closed):
+        # Most relays that are tried again were turned away: kept whole, they filled the disk.
+        entry.opened.pop(record.number, None)
+        entry.counted = max(entry.counted, record.number + 1)
+    elif isinstance(record, Counted):
+        entry.counted = max(entry.counted, record.count)
     elif isinstance(record, Ended) and record.owes_notice():
         # What ends by a notice keeps its place, for its key's sake, but needs its body no more.
         entry.ended, entry.taken = record, msgspec.structs.replace(entry.taken, body=b"", apart=None)
-        before, entry.size = entry.size, reserve(entry.taken)
-        return entry.size - before
+        entry.own_size = len(frame(entry.taken))
     else:
         del live[record.ref]
-        return -entry.size
-    return 0
+        return -before
+    return entry.size() - before
 
 
 class Journal:
@@ -229,7 +259,7 @@
             data = b""
             self.faults.append(f"the journal cannot be read ({fault}): starting with nothing owed")
         self.live, damaged = replay(data)
-        self.live_size = sum(entry.size for entry in self.live.values())
+        self.live_size = sum(entry.size() for entry in self.live.values())
         if damaged:
             self.faults.append(f"{damaged} bytes of the journal are torn or damaged and were passed over")
         self._read_bodies()
@@ -241,7 +271,7 @@
         records, bodies = self.live_size, self.bodies_size
         for taken in wanted:
             apart = len(taken.body) > INLINE
-            records += reserve(taken) + (0 if apart else len(taken.body))
+            records += reserve(taken)
             bodies += blocks(len(taken.body)) if apart else 0
         return 2 * records + bodies <= (1 - SPARE_SHARE) * self.room
 
@@ -260,6 +290,8 @@
         with self._lock:
             # The file may only grow so far that a new one still fits beside it.
             most = self.room - self.bodies_size - self.live_size
+            if isinstance(records[0], Opened) and most < self.live_size + relay_room(records[0].ref):
+                raise JournalFullError("what is left is kept for the ends of messages")
             if self.size + len(data) > most:
                 self._rewrite()
                 if self.size + len(data) > most:
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -288,14 +288,19 @@
             return
         # What was handed back may come again under its id, but not while a relay or its notice is still out.
         lasting = known is not None or taken.ref in self._unanswered
-        full = self._open >= self.settings.holding_room or lasting or not self.journal.fits(
-            [*(owed.taken for owed in fresh), taken]
-        )
-        if full or not self.hosts.listed(taken.destination) or not self.ready.is_set():
-            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
-            sort = "full" if full else "unlisted" if self.ready.is_set() else "early"
-            self.log.say(sort, f"back-off answer to {taken.ref} for destination {taken.destination}")
-            return
+        faults = [
+            (not self.ready.is_set(), "early", "not ready yet"),
+            (not self.hosts.listed(taken.destination), "unlisted", "it has no host"),
+            (lasting, "full", "its id is not free yet"),
+            (self._open >= self.settings.holding_room, "full", "the holding room is used up"),
+            (not self.journal.fits([*(owed.taken for owed in fresh), taken]), "full", "the disk is used up"),
+        ]
+        for wrong, sort, why in faults:
+            if wrong:
+                item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+                text = f"back-off answer to {taken.ref} for destination {taken.destination}"
+                self.log.say(sort, f"{text}: {why}, {self._open} of {self.settings.holding_room} held")
+                return
         owed = self._owed[taken.ref] = Owed(taken, ticket=item.ticket, by=item.ticket)
         self._open += 1
         fresh.append(owed)
