Count a 200 that is read after its message's time as no delivery

At fault: South._exchange took any 200 for a delivery, also one read after relay.ends_at by a thread that woke late; the message's time is counted from its first byte read, later than the client's. Changed: a 200 read within 0.1 s of the message's end or later counts as a time-out and ends by a notice, which does no harm to one that is over; relays end 0.1 s early.

--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -125,6 +125,19 @@
             found = (ended.outcome, ended.over, ended.no_slot, ended.wait.total_seconds())
             self.assertEqual(found, (outcome, over, no_slot, wait), status)
 
+    def test_a_200_that_is_read_after_the_messages_time_is_no_delivery(self):
+        """A sender short of CPU read one late, ended nothing, and sent the next of the key."""
+        clock = Hand()
+        config = configs.read_config(json.dumps({"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s",
+                                                 "discovery": "127.0.0.1:1"}).encode(), {})
+        south = South(config, clock, None, None, {}, None, None)
+        relay = Relay(taken("a"), 0, 1, None, ENDS, ENDS)
+        for early, status, outcome in [(0.2, 200, Outcome.DELIVERED), (0.0, 200, Outcome.TIMED_OUT),
+                                       (-0.2, 200, Outcome.TIMED_OUT), (-0.2, 500, Outcome.ERROR)]:
+            clock.at = ENDS - timedelta(seconds=early)
+            ended = south._in_time(read_outcome(relay, status, {}))
+            self.assertEqual((ended.outcome, ended.over), (outcome, outcome is Outcome.DELIVERED), early)
+
     def test_reports_and_waits(self):
         for text, found in [("x0=0.4,x1=25", (0.4, 25.0)), ("x1=3", (None, 3.0)), (None, (None, None)),
                             ("x0=much, x1 = 2", (None, None)), ("x0=nan,x1=-1", (None, None)),
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -22,7 +22,7 @@
 from willownotch.net.journal import Closed, Ended, Entry, Journal, JournalFullError, Record, Taken
 from willownotch.net.log import Log
 from willownotch.net.registry import Hosts, Notice
-from willownotch.net.south import Relay, RelayEnded
+from willownotch.net.south import END_MARGIN, Relay, RelayEnded
 from willownotch.state import Ran
 
 BACK_OFF = timedelta(milliseconds=500)  # told with a back-off answer where the module has no better figure
@@ -466,7 +466,7 @@
 
     def _send(self, action: face.Send, now: datetime) -> None:
         owed, host = self._owed[action.ref], self.hosts.by_number.get(action.endpoint)
-        ends_at = min(now + span(action.time_out_s), owed.taken.ends_at)
+        ends_at = min(now + span(action.time_out_s), owed.taken.ends_at - END_MARGIN)
         relay = Relay(owed.taken, owed.count, action.endpoint, host, now, ends_at)
         owed.count += 1
         owed.out[relay.number] = relay
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -22,6 +22,7 @@
 IDLE_MARGIN = timedelta(milliseconds=300)  # a host counts idle time from earlier than is known here
 IDLE_MOST, IDLE_SHARE = 128, 0.25  # connections kept open without a relay; share of the descriptors
 LEAST_TIME = timedelta(milliseconds=1)
+END_MARGIN = timedelta(milliseconds=100)  # a message's time began before its first byte was read here
 REST_TIME = timedelta(milliseconds=500)  # an answer comes in one go: what stays unfinished is spoilt
 
 
@@ -341,7 +342,18 @@
             self._keep(relay, sock)
         else:
             self._drop(relay, sock)
-        return read_outcome(relay, head.status, head.headers)
+        return self._in_time(read_outcome(relay, head.status, head.headers))
+
+    def _in_time(self, ended: RelayEnded) -> RelayEnded:
+        """What is read after the message's time may have been written after it: that delivers nothing.
+
+        A process short of CPU wakes late and finds an answer that was not there when its time ran out. Taken
+        for a delivery, it would leave the message without an end; a notice for one that is over does no harm.
+        """
+        late = self.clock.now() >= ended.relay.taken.ends_at - END_MARGIN
+        if late and ended.outcome is Outcome.DELIVERED:
+            return RelayEnded(ended.relay, Outcome.TIMED_OUT)
+        return ended
 
     def _broken(self, relay: Relay, fault: Exception, whole: bool, parser: http.Parser) -> RelayEnded:
         """No sound answer, and the connection is not used again.
@@ -352,7 +364,7 @@
         if not whole:
             return RelayEnded(relay, Outcome.NOT_SENT if relay.called_off else Outcome.UNREACHABLE)
         if parser.status == 200:
-            return read_outcome(relay, 200, parser.head.headers if parser.head else {})
+            return self._in_time(read_outcome(relay, 200, parser.head.headers if parser.head else {}))
         if relay.called_off:
             return RelayEnded(relay, Outcome.CALLED_OFF)
         if isinstance(fault, http.BadMessageError) or (isinstance(fault, TimeoutError) and parser.begun):
