Call off calls that others have overtaken when no slot is free

The hosts answered all others. At fault: control._free_slot called off only calls on hosts that had answered nothing since (route.last_ok < call.sent_at), and Controller._overdue counts from the host's last answer. Ruled out: CPU, disk, pace (inf throughout), drains of the release. Changed: with no slot free and work held, a call that a later one has overtaken, older than twice the longest of the last 30 and than patience, is called off too; unrepeatable ones only past their wanted time, as before.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,7 +5,7 @@
 from helpers import CLASSES, SAFE, UNSAFE, Sender, sends
 
 from willownotch import control
-from willownotch.interface import Decay, Message, MessageClass, Outcome
+from willownotch.interface import CallOff, Decay, Message, MessageClass, Outcome
 from willownotch.state import Unit, follow, job_of
 
 
@@ -182,3 +182,18 @@
     monkeypatch.setattr(control, "window", lambda unit, now: asked.append(unit) or 1.0)
     out = sender.step(*[sender.message() for _ in range(40)], after=0.1)
     assert (len(sends(out)), len(asked)) == (1, 1)
+
+
+def test_a_call_that_others_overtook_is_called_off_when_no_slot_is_free():
+    """Single calls whose connections died held slots for seconds each, until they held them all."""
+    sender = Sender(rows=((1, 1, 0, 0), (2, 2, 0, 0)), slots=4, may_cancel=True)
+    sender.serve(30)
+    out = sender.step(*[sender.message() for _ in range(60)], sender.message(dest=2), after=0.1)
+    stuck, began = next(s for s in sends(out) if s.endpoint == 1), sender.now
+    off = []
+    while not off and sender.now < began + 2.0:
+        answered = [s for s in sender.waiting() if s.endpoint == 1 and s.ref != stuck.ref]
+        sender.step(*[sender.ended(s, Outcome.DELIVERED) for s in answered], after=0.1)
+        off = [a.ref for a in sender.tick() if isinstance(a, CallOff)]
+    assert off == [stuck.ref]
+    assert sender.now - began < 1.5
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -34,6 +34,7 @@
 ROOM_FULL, DEST_ROOM = 0.9, 0.5  # share of the holding room: all held work; what waits for one destination
 TIGHT_CALLS, SPARSE = 100, 1.0  # calls closing theirs after a refused connection, at units under so many a s
 TENANT_BURST_S, ARRIVALS_S = 2.0, 10.0  # s of a quota that may come at once; s that traffic is averaged over
+STUCK = 2.0  # x the longest of the last calls: so old a call, overtaken by others, is answered no more
 LONG_S, NEW_COSTS = 1.0, 0.02  # s without connection: no full table; least cost of a new one, x a message
 LIST_AGAIN_S, TICK_LABEL, LIST_LABEL = 1.0, 1, 2  # s until a failed list call is tried again; timers
 
@@ -385,7 +386,12 @@
                 # A slow route still answers others; one that hangs has answered nothing since.
                 silent = ran is Ran.OUTSTANDING and call.judged and not call.heard
                 hangs = silent and call.route.failing and call.route.last_ok < call.sent_at
-                if hangs and self.now > call.sent_at + least:
+                # Others are answered there: the call's own connection is dead, and would hold its slot.
+                usual = max(call.route.unit.last, default=inf)
+                stuck = ran is Ran.OUTSTANDING and not call.heard and call.route.last_ok > call.sent_at and (
+                    self.now - call.sent_at > max(STUCK * usual, self._patience(call.route.unit))
+                )
+                if (hangs or stuck) and self.now > call.sent_at + least:
                     self.out.append(face.CallOff(job.ref, number))
 
     def _patience(self, unit: Unit) -> float:
