--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# `make demo` and `make test` do everything on a fresh machine, environment included.
+PYTHON ?= python3
+VENV ?= .venv
+
+.PHONY: demo test long
+
+$(VENV)/built: requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip -q install --disable-pip-version-check -r requirements.txt
+	touch $@
+
+demo: $(VENV)/built
+	$(VENV)/bin/python examples/demo.py
+
+test: $(VENV)/built
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/python -m pytest
+
+# The exhaustive sweeps that CI takes a sample of.
+long: $(VENV)/built
+	WILLOWNOTCH_LONG=1 $(VENV)/bin/python -m pytest
