Keep bodies in segments read back for each relay, by a file layer that can fail, with settings

Need: every owed body stayed in memory until its message was over; a silent partner's large messages used up the disk, and from then on every message was turned away.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -55,6 +55,7 @@
             print("the sender")
             sender, sender_lines = start(
                 "-m", "willownotch", "serve", "--config", str(file),
+                "--settings", "examples/willownotch.conf",
                 pipe="stderr")
             processes.append(sender)
             port = int(line(sender_lines, r"listening on [\d.]+:(\d+)")[1])
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -12,13 +12,17 @@
 from pathlib import Path
 
 from willownotch import __version__
+from willownotch.blocks import Blocks
+from willownotch.bodies.store import Bodies
+from willownotch.files.layer import REAL, Files
+from willownotch.files.space import Space
 from willownotch.net import config as configs
 from willownotch.net import journal as journals
 from willownotch.net.clock import Clock, seconds
-from willownotch.net.journal import Journal
+from willownotch.net.journal import Journal, Moved
 from willownotch.net.log import Log
 from willownotch.net.north import North
-from willownotch.net.owner import Owner, Stop
+from willownotch.net.owner import BodyLost, Owner, Stop
 from willownotch.net.registry import Hosts, Notices, Platform, Registry
 from willownotch.net.south import South
 
@@ -26,6 +30,7 @@
 STOP_AFTER = timedelta(seconds=5)  # from SIGTERM to an end of its own, where no SIGKILL has come
 LAST_ANSWERS, LAST_RELAYS = timedelta(seconds=1), timedelta(seconds=20)  # to finish what runs, after that
 MEGABYTE = 1_000_000
+SETTINGS_VARIABLE = "WILLOWNOTCH_SETTINGS"
 FAULTY, DEAD = 2, 70  # exit codes: bad configuration or command line; a thread has died
 
 
@@ -66,7 +71,34 @@
             + (f"; {', '.join(later)} as changed will hold from the next start" if later else ""))
 
 
-def serve(config: configs.Config, path: str | None) -> int:
+def load_blocks(path: str | None) -> Blocks:
+    """The settings file, if one is named; the parser is loaded only then. `SettingsError` has all
+    mistakes."""
+    if not path:
+        return Blocks()
+    from willownotch.settings.reader import load
+
+    return load(path, Blocks)
+
+
+def reload_settings(path: str | None, bodies: Bodies, log: Log) -> None:
+    """Take a replaced settings file, whole or not at all."""
+    if not path:
+        return
+    try:
+        fresh = load_blocks(path)
+    except ValueError as fault:
+        log.say("reload", f"the old settings stay: {fault}")
+        return
+    later = "; journal-share as changed will hold from the next start" * (
+        fresh.bodies.journal_share != bodies.settings.journal_share)
+    if fresh.bodies != bodies.settings:
+        bodies.configure(fresh.bodies)
+        log.say("reload", f"the settings of {path} hold now{later}")
+
+
+def serve(config: configs.Config, path: str | None, blocks: Blocks, settings_path: str | None = None,
+          files: Files = REAL) -> int:
     """Run the sender until it is told to stop."""
     signals = {signal.SIGTERM, signal.SIGINT}
     # Before any thread: this one takes them, and the reloading one SIGHUP, which must never end the sender.
@@ -74,19 +106,27 @@
     threading.stack_size(STACK)
     clock = Clock()
     log = Log(clock, config.name)
-    journal = Journal(config.state, int(config.limits.disk_mb * MEGABYTE))
+    space = Space(int(config.limits.disk_mb * MEGABYTE), blocks.bodies.journal_share)
+    journal = Journal(config.state, space, files)
+    bodies = Bodies(config.state, files, space, clock, log, config.settings.classes, blocks.bodies,
+                    config.limits.memory_mb)
     try:
         journal.open()
+        lost = bodies.open([entry.taken for entry in journal.live.values() if entry.ended is None])
         threads = Threads(log)
         hosts = Hosts(tuple(kind.name for kind in config.settings.kinds), config.zones, clock, log)
-        owner = Owner(config, clock, log, journal, hosts)
-        north = North(config, clock, log, owner, threads.start)
+        owner = Owner(config, clock, log, journal, hosts, bodies)
+        owner.lost_bodies = lost
+        north = North(config, clock, log, owner, bodies, threads.start)
     except OSError as fault:
         print(f"willownotch: cannot start: {fault}", file=sys.stderr)
         return FAULTY
     for fault in journal.faults:
         log.say("journal", fault)
-    south = South(config, clock, log, journal, hosts.by_number, owner.post, threads.start)
+    journal.bodies, bodies.place_of, bodies.compact_journal = bodies, journal.place_of, journal.compact
+    bodies.moved = lambda ref, place: journal.append([Moved(ref, place)])
+    bodies.lost = lambda ref: owner.post(BodyLost(ref))
+    south = South(config, clock, log, journal, bodies, hosts.by_number, owner.post, threads.start)
     platform = Platform(config.discovery)
     notices = Notices(platform, log, owner.noticed)
     owner.submit, owner.call_off, owner.close_idle = south.submit, south.call_off, south.close_idle
@@ -96,8 +136,10 @@
         while True:  # also while the sender ends: its notices follow the platform to the last
             signal.sigwait({signal.SIGHUP})
             reload(path, config, platform, log)
+            reload_settings(settings_path, bodies, log)
 
     threads.start("reload", take_reloads, forever=True)
+    threads.start("bodies", bodies.run, forever=True)
     threads.start("owner", owner.run, forever=True)
     threads.start("watch", Registry(config, platform, log, owner.post).run, forever=True)
     threads.start("notices", notices.run, forever=True)
@@ -129,7 +171,7 @@
         state = f"notice unanswered ({entry.ended.outcome})" if entry.ended else "owed"
         print(f"{taken.ref} dest={taken.destination} {taken.message_class} until {taken.ends_at:%H:%M:%S.%f} "
               f"key={taken.key or '-'} relays={len(runs)} may_have_run={sum(runs)} "
-              f"body={len(taken.body)} {state}")
+              f"body={taken.place.size if taken.place else len(taken.body)} {state}")
     print(f"{len(live)} messages, {len(data)} bytes, {damaged} of them damaged")
     return 0
 
@@ -141,12 +183,15 @@
     for name, text in (("serve", "run the sender (the default)"), ("check", "check a configuration")):
         command = commands.add_parser(name, help=text, description=text)
         command.add_argument("--config", metavar="FILE", help="the configuration (else $LB_CONFIG)")
+        command.add_argument("--settings", metavar="FILE", default=os.environ.get(SETTINGS_VARIABLE),
+                             help=f"the settings file, if any (else ${SETTINGS_VARIABLE})")
     command = commands.add_parser("journal", help="show what a journal holds")
     command.add_argument("folder", nargs="?", default=os.environ.get("LB_STATE", "."), type=Path)
     commands.add_parser("version", help="print the version")
     parsed = parser.parse_args(arguments)
     if parsed.command is None:
         parsed.command, parsed.config = "serve", None
+        parsed.settings = os.environ.get(SETTINGS_VARIABLE)
     return parsed
 
 
@@ -158,14 +203,27 @@
         return 0
     if parsed.command == "journal":
         return show_journal(parsed.folder)
+    mistakes, config, blocks = [], None, Blocks()
     try:
         config = configs.load(parsed.config)
     except configs.ConfigError as fault:
-        print(f"willownotch: {fault}".replace("\n", " "), file=sys.stderr)
+        mistakes.append(f"willownotch: {fault}".replace("\n", " "))
+    try:
+        blocks = load_blocks(parsed.settings)
+    except ValueError as fault:
+        mistakes += str(fault).splitlines()
+    if mistakes:
+        print("\n".join(mistakes), file=sys.stderr)
+        return FAULTY
+    unknown = sorted(set(blocks.bodies.class_) - {c.name for c in config.settings.classes})
+    if unknown:
+        print(f"{parsed.settings}: block bodies names classes that the configuration does not have: "
+              f"{', '.join(unknown)}, allowed: {', '.join(c.name for c in config.settings.classes)}",
+              file=sys.stderr)
         return FAULTY
     if parsed.command == "check":
         print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
               f"{len(config.settings.classes)} classes, {config.settings.slots} slots, "
               f"room for {config.settings.holding_room} messages")
         return 0
-    return serve(config, parsed.config)
+    return serve(config, parsed.config, blocks, parsed.settings)
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -1,29 +1,30 @@
 """The journal in the folder that lasts: what is owed, what may have run, which notices are unanswered.
 
 Records are framed as magic, length, checksum, body and appended by one write each round. The file is written
-anew, live records only, while old and new still fit the disk side by side. A large message body stands in a
-file of its own, written before the record that names it: it goes at once when its message is over.
+anew, live records only, while old and new still fit the disk side by side. A large message body stands in the
+body store (`willownotch.bodies`), and its record says where.
 """
 from __future__ import annotations
 
-import os
 import threading
 import zlib
 from collections.abc import Iterable, Iterator
 from datetime import datetime
 from pathlib import Path
 from struct import Struct
+from typing import Protocol
 
 import msgspec
 
-NAME, NEW_NAME, BODY_PREFIX = "journal", "journal.new", "body-"
+from willownotch.bodies.plan import Place
+from willownotch.files.layer import REAL, Files
+from willownotch.files.space import Space
+
+NAME, NEW_NAME = "journal", "journal.new"
 FRAME = Struct("<4sII")
 MAGIC = b"wnJ1"
-BLOCK = 512  # bytes in which files are counted
 MOST_RECORD = 1 << 20
 AHEAD = 1  # attempts for which room is kept beyond those on record
-INLINE = 2048  # bytes of the largest body that stands in the journal itself
-SPARE_SHARE = 0.1  # of the disk, left free of live records: it keeps rewriting from being constant
 
 
 class Taken(msgspec.Struct, tag="taken", frozen=True, array_like=True):
@@ -38,8 +39,10 @@
     idempotency_key: str | None = None
     again: bool = False
     body: bytes = b""
-    apart: str | None = None  # the file that holds the body
-    checksum: int = 0  # of a body that stands apart
+    apart: str | None = None  # the file that holds the body, where an earlier version wrote it
+    checksum: int = 0  # of a body that stands apart so
+    place: Place | None = None  # of a body in the store
+    unkept: bool = False  # its body is in memory for one relay, and nowhere else
 
 
 class Opened(msgspec.Struct, tag="opened", frozen=True, array_like=True):
@@ -84,7 +87,14 @@
     count: int
 
 
-Record = Taken | Opened | Closed | Ended | Noticed | Counted
+class Moved(msgspec.Struct, tag="moved", frozen=True, array_like=True):
+    """A message's body stands elsewhere in the store from now on."""
+
+    ref: str
+    place: Place
+
+
+Record = Taken | Opened | Closed | Ended | Noticed | Counted | Moved
 
 
 class Entry(msgspec.Struct):
@@ -102,10 +112,6 @@
         ref = self.taken.ref
         return self.own_size + end_room(ref) + (AHEAD + len(self.opened)) * relay_room(ref)
 
-    def body_size(self) -> int:
-        """What a file for the body takes on the disk."""
-        return blocks(len(self.taken.body)) if self.taken.apart else 0
-
     def records(self) -> Iterator[Record]:
         """The fewest records that say the same."""
         yield self.taken
@@ -126,22 +132,43 @@
         return closed.ran if closed is not None else number in self.opened
 
 
-class JournalFullError(Exception):
+class JournalFullError(RuntimeError):
     """The folder's limit does not allow this record."""
 
 
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Record).decode
+class BodyWatch(Protocol):
+    """Who is told, under the journal's lock, which bodies are owed."""
+
+    def entered(self, taken: Taken) -> None:
+        """A message is on record."""
 
+    def left(self, taken: Taken) -> None:
+        """It needs its body no more."""
 
-def blocks(size: int) -> int:
-    """A file's size as the limit counts it."""
-    return -(-size // BLOCK) * BLOCK
+    def relocated(self, taken: Taken, place: Place) -> None:
+        """Its body stands elsewhere now."""
+
+
+class NoBodies:
+    """Nobody is told."""
+
+    def entered(self, taken: Taken) -> None:
+        """Nothing."""
+
+    def left(self, taken: Taken) -> None:
+        """Nothing."""
+
+    def relocated(self, taken: Taken, place: Place) -> None:
+        """Nothing."""
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Record).decode
 
 
 def frame(record: Record) -> bytes:
     """A record as it stands in the file."""
-    if isinstance(record, Taken) and record.apart:
+    if isinstance(record, Taken) and (record.apart or record.unkept):
         record = msgspec.structs.replace(record, body=b"")
     body = _encode(record)
     return FRAME.pack(MAGIC, len(body), zlib.crc32(body)) + body
@@ -158,9 +185,8 @@
 
 
 def reserve(taken: Taken) -> int:
-    """Bytes to keep for a message not taken on yet; a large body stands apart and is not among them."""
-    inline = taken if len(taken.body) <= INLINE else msgspec.structs.replace(taken, body=b"", apart=" " * 32)
-    return Entry(taken, len(_encode(inline)) + FRAME.size).size()
+    """Bytes to keep for a message not taken on yet; a body in the store is not among them."""
+    return Entry(taken, len(frame(taken))).size()
 
 
 def read_frames(data: bytes) -> Iterator[Record | int]:
@@ -221,9 +247,14 @@
         entry.counted = max(entry.counted, record.number + 1)
     elif isinstance(record, Counted):
         entry.counted = max(entry.counted, record.count)
+    elif isinstance(record, Moved):
+        if entry.taken.place is not None:  # else it is over, and its notice is all that is owed
+            entry.taken = msgspec.structs.replace(entry.taken, place=record.place)
+            entry.own_size = len(frame(entry.taken))
     elif isinstance(record, Ended) and record.owes_notice():
         # What ends by a notice keeps its place, for its key's sake, but needs its body no more.
-        entry.ended, entry.taken = record, msgspec.structs.replace(entry.taken, body=b"", apart=None)
+        entry.ended = record
+        entry.taken = msgspec.structs.replace(entry.taken, body=b"", apart=None, place=None, unkept=False)
         entry.own_size = len(frame(entry.taken))
     else:
         del live[record.ref]
@@ -234,24 +265,23 @@
 class Journal:
     """The live entries, in order, and the file that holds them. Any thread may append."""
 
-    def __init__(self, folder: Path, disk_bytes: int) -> None:
-        self.folder, self.path = folder, folder / NAME
-        self.room = disk_bytes // BLOCK * BLOCK - 2 * BLOCK
+    def __init__(self, folder: Path, space: Space, files: Files = REAL) -> None:
+        self.folder, self.path, self.space, self.files = folder, folder / NAME, space, files
+        self.bodies: BodyWatch = NoBodies()
         self.live: dict[str, Entry] = {}
         self.live_size = 0  # of the records, with all that may still follow
-        self.bodies_size = 0  # of the files with bodies
         self.size = 0  # of the file
         self.faults: list[str] = []  # what replay found wrong, in plain words
         self._lock = threading.Lock()
         self._file = -1
-        self._made = 0  # body files of this process
+        self._torn = False  # a failed write may have left something behind the last whole record
 
     def open(self) -> None:
         """Replay what is there, then write it anew: a torn tail never stays before new records."""
-        self.folder.mkdir(parents=True, exist_ok=True)
-        (self.folder / NEW_NAME).unlink(missing_ok=True)
+        self.files.make_folder(self.folder)
+        self.files.remove(self.folder / NEW_NAME)
         try:
-            data = self.path.read_bytes()
+            data = self.files.read_whole(self.path)
         except FileNotFoundError:
             data = b""
             self.faults.append("no journal found: starting with nothing owed")
@@ -262,112 +292,98 @@
         self.live_size = sum(entry.size() for entry in self.live.values())
         if damaged:
             self.faults.append(f"{damaged} bytes of the journal are torn or damaged and were passed over")
-        self._read_bodies()
         self.size = len(data)
+        del data
         self._rewrite()
 
+    def place_of(self, ref: str) -> Place | None:
+        """Where a live message's body stands in the store."""
+        entry = self.live.get(ref)
+        return entry.taken.place if entry is not None else None
+
     def fits(self, wanted: Iterable[Taken]) -> bool:
         """Whether these messages may be owed, too, without the folder ever outgrowing its limit."""
-        records, bodies = self.live_size, self.bodies_size
-        for taken in wanted:
-            apart = len(taken.body) > INLINE
-            records += reserve(taken)
-            bodies += blocks(len(taken.body)) if apart else 0
-        return 2 * records + bodies <= (1 - SPARE_SHARE) * self.room
+        return self.space.records_fit(self.live_size + sum(map(reserve, wanted)))
 
     def append(self, records: Iterable[Record]) -> None:
         """Write these records, in this order, by one write."""
-        records = [self._apart(r) if isinstance(r, Taken) else r for r in records]
-        try:
-            self._write(records, b"".join(map(frame, records)))
-        except (OSError, JournalFullError):
-            for record in records:
-                if isinstance(record, Taken) and record.apart:
-                    (self.folder / record.apart).unlink(missing_ok=True)
-            raise
+        records = list(records)
+        self._write(records, b"".join(map(frame, records)))
+
+    def compact(self) -> None:
+        """Write the file anew now: others need the room."""
+        with self._lock:
+            self._rewrite()
 
     def _write(self, records: list[Record], data: bytes) -> None:
         with self._lock:
             # The file may only grow so far that a new one still fits beside it.
-            most = self.room - self.bodies_size - self.live_size
+            most = self.space.journal_most(self.live_size)
             if isinstance(records[0], Opened) and most < self.live_size + relay_room(records[0].ref):
                 raise JournalFullError("what is left is kept for the ends of messages")
-            if self.size + len(data) > most:
+            if self._torn or self.size + len(data) > most:
                 self._rewrite()
                 if self.size + len(data) > most:
                     raise JournalFullError(f"{self.size} bytes are live, {len(data)} more do not fit")
-            written = os.write(self._file, data)
-            self.size += written
-            if written < len(data):
-                raise OSError(f"only {written} of {len(data)} bytes were written")
+            self._append(data)
             for record in records:
                 before = self.live.get(record.ref)
-                apart, size = (before.taken.apart, before.body_size()) if before else (None, 0)
+                old = before.taken if before else None
                 self.live_size += apply(self.live, record)
                 after = self.live.get(record.ref)
-                self.bodies_size += (after.body_size() if after else 0) - size
-                if apart and (after is None or not after.taken.apart):
-                    (self.folder / apart).unlink(missing_ok=True)
-
-    def _apart(self, taken: Taken) -> Taken:
-        """Write a large body to its own file, before any record names it; a file no record names is void."""
-        if len(taken.body) <= INLINE:
-            return taken
-        self._made += 1
-        name = f"{BODY_PREFIX}{os.getpid()}-{self._made}"
-        file = os.open(self.folder / name, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+                self._tell(record, old, after.taken if after else None)
+            self.space.journal_is(self.size, self.live_size)
+
+    def _append(self, data: bytes) -> None:
+        """One write. Of one that failed nothing stays: what follows it could not be told from damage."""
+        written = 0
         try:
-            view = memoryview(taken.body)
-            while view:
-                view = view[os.write(file, view):]
-        finally:
-            os.close(file)
-        return msgspec.structs.replace(taken, apart=name, checksum=zlib.crc32(taken.body))
-
-    def _read_bodies(self) -> None:
-        """Bodies back into their entries, and away with files that belong to none."""
-        named = set()
-        for entry in list(self.live.values()):
-            taken = entry.taken
-            if not taken.apart:
-                continue
-            named.add(taken.apart)
+            written = self.files.append(self._file, data)
+            if written < len(data):
+                raise OSError(f"only {written} of {len(data)} bytes were written")
+            self.size += written
+        except OSError:
             try:
-                body = (self.folder / taken.apart).read_bytes()
+                self.files.truncate(self._file, self.size)
             except OSError:
-                body = None
-            if body is None or zlib.crc32(body) != taken.checksum:
-                # Its end is still owed, but what to deliver is lost.
-                self.faults.append(f"the body of {taken.ref} is missing or damaged: given up")
-                self.live_size += apply(self.live, Ended(taken.ref, "given_up"))
-                continue
-            entry.taken = msgspec.structs.replace(taken, body=body)
-            self.bodies_size += entry.body_size()
-        for file in self.folder.glob(BODY_PREFIX + "*"):
-            if file.name not in named:
-                file.unlink(missing_ok=True)
+                self._torn = True
+            raise
+
+    def _tell(self, record: Record, old: Taken | None, new: Taken | None) -> None:
+        """Tell the body store what became of a body."""
+        if old is new:
+            return
+        if isinstance(record, Moved) and old is not None and new is not None:
+            self.bodies.relocated(old, record.place)
+            return
+        if old is not None:
+            self.bodies.left(old)
+        if isinstance(record, Taken):
+            self.bodies.entered(record)
 
     def _rewrite(self) -> None:
         """Put the live records into a new file and let it take the old one's place in one step."""
         new = self.folder / NEW_NAME
         data = b"".join(frame(r) for entry in self.live.values() for r in entry.records())
-        file = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        file = self.files.create(new)
         try:
-            view = memoryview(data)
-            while view:
-                view = view[os.write(file, view):]
-            os.replace(new, self.path)
+            self.files.append_all(file, data)
+            self.files.replace(new, self.path)
         except OSError:
-            os.close(file)
-            new.unlink(missing_ok=True)
+            self.files.close(file)
+            try:
+                self.files.remove(new)
+            except OSError:
+                pass  # the next one empties it
             raise
         if self._file >= 0:
-            os.close(self._file)
-        self._file, self.size = file, len(data)
+            self.files.close(self._file)
+        self._file, self.size, self._torn = file, len(data), False
+        self.space.journal_is(self.size, self.live_size)
 
     def close(self) -> None:
         """Close the file."""
         with self._lock:
             if self._file >= 0:
-                os.close(self._file)
+                self.files.close(self._file)
             self._file = -1
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -10,13 +10,19 @@
 from enum import Enum
 from urllib.parse import parse_qs, urlsplit
 
+import msgspec
+
+from willownotch.bodies.plan import Admission
+from willownotch.bodies.plan import Verdict as BodyVerdict
+from willownotch.bodies.store import Bodies
 from willownotch.net import http
 from willownotch.net.clock import NONE, Clock, millis, seconds
 from willownotch.net.config import Config
 from willownotch.net.journal import Taken
 from willownotch.net.log import Log
-from willownotch.net.owner import Answer, HandIn, Owner, Ticket, Verdict, Withdraw
+from willownotch.net.owner import Answer, HandIn, MakeRoom, Owner, Verdict, Withdraw
 from willownotch.net.south import idle_most
+from willownotch.net.ticket import Ticket
 
 PATIENCE = timedelta(milliseconds=250)  # a client waits 400 ms: what is not taken up by then is turned away
 CLAIMED_PATIENCE = timedelta(seconds=5)  # for what is being decided then: it may be owed already
@@ -114,8 +120,9 @@
 class North:
     """The listener and the connections it has taken."""
 
-    def __init__(self, config: Config, clock: Clock, log: Log, owner: Owner,
+    def __init__(self, config: Config, clock: Clock, log: Log, owner: Owner, bodies: Bodies,
                  start: Callable[[str, Callable[[], None]], None]) -> None:
+        self.bodies = bodies
         self.config, self.clock, self.log, self.owner, self.start = config, clock, log, owner, start
         south = config.settings.slots + idle_most(config)
         memory = int((config.limits.memory_mb - BASE_MB) / CLIENT_MB)
@@ -306,11 +313,17 @@
         return Reply(200, b"ok\n") if up else Reply(503, b"not ready\n")
 
     def _hand_in(self, taken: Taken) -> Reply:
-        """Into the owner's queue, and its verdict as HTTP has it."""
-        ticket = Ticket()
-        self.owner.post(HandIn(taken, ticket))
+        """Its body into the store, itself into the owner's queue, and the verdict as HTTP has it."""
         # Counted from the last byte: a large body may have been on its way for longer than all this.
-        answer = ticket.wait(PATIENCE, CLAIMED_PATIENCE)
+        due = self.clock.now() + PATIENCE
+        found = self._keep(taken, due)
+        if isinstance(found, Admission):
+            self.log.say("full", f"back-off answer to {taken.ref} for destination {taken.destination}: "
+                         f"{found.reason}")
+            return self._back_off(RETRY)
+        taken, ticket = found, Ticket()
+        self.owner.post(HandIn(taken, ticket))
+        answer = ticket.wait(due - self.clock.now(), CLAIMED_PATIENCE)
         if answer is None and ticket.claimed:
             raise RuntimeError(f"{taken.ref} was taken up and never decided")
         if answer is None:
@@ -321,5 +334,19 @@
         if answer.verdict is Verdict.CONFLICT:
             raise RefusedError(409, f"{taken.ref} is the id of another message")
         if answer.verdict is Verdict.BACK_OFF:
-            return Reply(503, headers=[("Retry-After", f"{millis(answer.retry) / 1000:.3f}")])
+            return self._back_off(answer.retry)
         return Reply(500, b"given up\n")
+
+    @staticmethod
+    def _back_off(retry: timedelta) -> Reply:
+        return Reply(503, headers=[("Retry-After", f"{millis(retry) / 1000:.3f}")])
+
+    def _keep(self, taken: Taken, due: datetime) -> Taken | Admission:
+        """The message with its body where it stands until it is over, others making room if they must."""
+        found = self.bodies.keep(taken, due - self.clock.now())
+        if isinstance(found, Admission) and found.verdict is BodyVerdict.DROP_FIRST:
+            ticket: Ticket[bool] = Ticket()
+            self.owner.post(MakeRoom(msgspec.structs.replace(taken, body=b""), found, ticket))
+            if ticket.wait(due - self.clock.now(), CLAIMED_PATIENCE):
+                found = self.bodies.keep(taken, due - self.clock.now())
+        return found
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -11,10 +11,13 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 from enum import Enum
+from itertools import islice
 
 from willownotch import interface as face
+from willownotch.bodies.plan import Admission, Candidate, ending
+from willownotch.bodies.store import Bodies, content
 from willownotch.control import RAN, Controller
 from willownotch.net import journal as kept
 from willownotch.net.clock import NONE, Clock, millis, seconds, span
@@ -23,6 +26,7 @@
 from willownotch.net.log import Log
 from willownotch.net.registry import Hosts, Notice
 from willownotch.net.south import END_MARGIN, Relay, RelayEnded
+from willownotch.net.ticket import Ticket
 from willownotch.state import Ran
 
 BACK_OFF = timedelta(milliseconds=500)  # told with a back-off answer where the module has no better figure
@@ -30,6 +34,8 @@
 KILL_AFTER = timedelta(milliseconds=3500)  # SIGKILL comes no sooner after SIGTERM, with some margin
 REMEMBERED = timedelta(seconds=15)  # ended messages whose id is still known, should it be handed in again
 BATCH_MOST = 256
+LOOKED_AT = 2000  # owed messages that are looked at for room in one go
+WRITE_AGAIN = timedelta(milliseconds=500)  # records that could not be written are tried again so often
 ROUND_SHARE, GAP_MOST = 3, timedelta(milliseconds=40)  # x the last round's time from its start to the next's
 
 
@@ -50,45 +56,28 @@
     retry: timedelta = NONE
 
 
-class Ticket:
-    """One client's wait. Either the owner claims it in time or the client's side abandons it, never both."""
+@dataclass(slots=True)
+class HandIn:
+    """A message from a client, read whole and found valid."""
 
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._box: queue.SimpleQueue[Answer] = queue.SimpleQueue()
-        self.claimed = self._abandoned = False
+    taken: Taken
+    ticket: Ticket[Answer]
 
-    def claim(self) -> bool:
-        """The owner takes the message up; False if nobody waits any more."""
-        with self._lock:
-            self.claimed = not self._abandoned
-            return self.claimed
 
-    def settle(self, answer: Answer) -> None:
-        """Give the answer."""
-        self._box.put(answer)
+@dataclass(slots=True)
+class MakeRoom:
+    """A hand-in's body finds room only if others end. Answered with whether they did."""
 
-    def wait(self, patience: timedelta, claimed_patience: timedelta) -> Answer | None:
-        """The answer; None if the owner did not get to it in time and now never will."""
-        try:
-            return self._box.get(timeout=seconds(max(NONE, patience)))
-        except queue.Empty:
-            with self._lock:
-                self._abandoned = not self.claimed
-                if self._abandoned:
-                    return None
-        try:  # being decided this moment
-            return self._box.get(timeout=seconds(claimed_patience))
-        except queue.Empty:
-            return None
+    taken: Taken
+    admission: Admission
+    ticket: Ticket[bool]
 
 
 @dataclass(slots=True)
-class HandIn:
-    """A message from a client, read whole and found valid."""
+class BodyLost:
+    """The body of a message was found missing or damaged."""
 
-    taken: Taken
-    ticket: Ticket
+    ref: str
 
 
 @dataclass(slots=True)
@@ -127,18 +116,22 @@
 
 def same_message(one: Taken, other: Taken) -> bool:
     """Whether two hand-ins under one id are of the same message; its time left differs each time."""
-    fields = ("destination", "message_class", "tenant", "key", "idempotency_key", "body")
-    return all(getattr(one, name) == getattr(other, name) for name in fields)
+    fields = ("destination", "message_class", "tenant", "key", "idempotency_key")
+    return all(getattr(one, name) == getattr(other, name) for name in fields) and (
+        one.body == other.body if one.place is None is other.place else content(one) == content(other)
+    )
 
 
-Item = HandIn | Withdraw | RelayEnded | ListNews | Noticed | Stop
+Item = HandIn | MakeRoom | BodyLost | Withdraw | RelayEnded | ListNews | Noticed | Stop
 
 
 class Owner:
     """Owns the module. All that sockets have to say reaches it through `post`."""
 
-    def __init__(self, config: Config, clock: Clock, log: Log, journal: Journal, hosts: Hosts) -> None:
+    def __init__(self, config: Config, clock: Clock, log: Log, journal: Journal, hosts: Hosts,
+                 bodies: Bodies) -> None:
         self.config, self.clock, self.log, self.journal, self.hosts = config, clock, log, journal, hosts
+        self.bodies = bodies
         self.settings = config.settings
         self.controller = Controller(config.settings, config.seed)
         self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
@@ -158,12 +151,15 @@
         self._gated: dict[str, list[Relay]] = {}
         self._ended: dict[str, datetime] = {}  # ids that are over, until when they are remembered
         self._recovered: list[Entry] | None = []
+        self.lost_bodies: list[str] = []  # messages whose body the start did not find
         self._listed = False
         self._began = clock.now()
         self._round_at = self._began  # when the last round began
         self._took = NONE  # by it
         self._pause = threading.Event()  # never set: a wait of a moment
         self._open = 0  # messages that are not over
+        self._unwritten: list[Record] = []  # records that the disk did not take
+        self._dropped: list[tuple[Owed, Ended]] = []  # ended in this round for the sake of others
 
     def post(self, item: Item) -> None:
         """Put something in the owner's queue; any thread may."""
@@ -185,6 +181,8 @@
         news_due = self._began + FIRST_NEWS
         if self._recovered is not None and self.clock.now() < news_due:
             due = news_due if due is None else min(due, news_due)
+        if self._unwritten:
+            due = min(due or datetime.max.replace(tzinfo=UTC), self._round_at + WRITE_AGAIN)
         try:
             left = None if due is None else max(0.0, seconds(due - self.clock.now()))
             items = [self._inbox.get(timeout=left)]
@@ -201,7 +199,7 @@
 
     def _recover(self) -> None:
         """Notices that are unanswered go out at once; owed messages wait a moment for the list."""
-        self._recovered = []
+        self._recovered, lost = [], set(self.lost_bodies)
         for entry in list(self.journal.live.values()):
             if entry.ended is not None:
                 self._owe_notice(entry.taken, entry.ended)
@@ -210,6 +208,14 @@
                 ended = Ended(entry.taken.ref, "given_up")
                 self._write([ended])
                 self._owe_notice(entry.taken, ended)
+            elif entry.taken.unkept or entry.taken.ref in lost:
+                # Its end is still owed, but what to deliver is lost.
+                ran = any(entry.may_have_run(n) for n in range(entry.count()))
+                ended = self._body_ended(entry.taken, ran)
+                why = "was never kept" if entry.taken.unkept else "is missing or cut off"
+                self.log.say("recover", f"{entry.taken.ref} {ended.outcome}: its body {why}")
+                self._write([ended])
+                self._owe_notice(entry.taken, ended)
             else:
                 self._recovered.append(entry)
         owed, open_notices = len(self._recovered), len(self._unanswered)
@@ -238,6 +244,12 @@
         ends = self._endings(actions, records, fresh)
         self._write(records)
         self._settle(fresh, ends)
+        for owed, ended in self._dropped:
+            self._owe_notice(owed.taken, ended)
+        self._dropped.clear()
+        for item in items:
+            if isinstance(item, MakeRoom):
+                item.ticket.settle(True)
         for ref, ended in ends.items():
             owed = self._owed[ref]
             if owed.ticket is None:
@@ -267,6 +279,12 @@
         elif isinstance(item, Noticed):
             for ref in item.refs:
                 self._noticed(ref, records)
+        elif isinstance(item, MakeRoom):
+            self._make_room(item, now, events)
+        elif isinstance(item, BodyLost):
+            owed = self._owed.get(item.ref)
+            if owed is not None and not owed.over:
+                self._end_without_body(owed, "is missing or damaged", now, events)
         elif isinstance(item, Withdraw):
             owed = self._owed.get(item.ref)
             # Only who handed it in may: the id alone is known to anybody.
@@ -283,12 +301,15 @@
                  fresh: list[Owed]) -> None:
         taken = item.taken
         if not item.ticket.claim():
+            self.bodies.discard(taken)
             return
         known = self._owed.get(taken.ref)
         if known is not None and not known.over:
             self._hand_in_again(item, known)
+            self.bodies.discard(taken)
             return
         if self._ended.get(taken.ref, now) > now:
+            self.bodies.discard(taken)
             item.ticket.settle(Answer(Verdict.TAKEN))
             return
         # What was handed back may come again under its id, but not while a relay or its notice is still out.
@@ -298,20 +319,92 @@
             (not self.hosts.listed(taken.destination), "unlisted", "it has no host"),
             (lasting, "full", "its id is not free yet"),
             (self._open >= self.settings.holding_room, "full", "the holding room is used up"),
-            (not self.journal.fits([*(owed.taken for owed in fresh), taken]), "full", "the disk is used up"),
         ]
-        for wrong, sort, why in faults:
-            if wrong:
-                item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
-                text = f"back-off answer to {taken.ref} for destination {taken.destination}"
-                self.log.say(sort, f"{text}: {why}, {self._open} of {self.settings.holding_room} held")
-                return
+        refusal = next(((sort, why) for wrong, sort, why in faults if wrong), None)
+        if refusal is None and not self._record_fits(taken, fresh, now, events):
+            refusal = "full", "the disk is used up"
+        if refusal is not None:
+            sort, why = refusal
+            self.bodies.discard(taken)
+            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+            text = f"back-off answer to {taken.ref} for destination {taken.destination}"
+            self.log.say(sort, f"{text}: {why}, {self._open} of {self.settings.holding_room} held")
+            return
         owed = self._owed[taken.ref] = Owed(taken, ticket=item.ticket, by=item.ticket)
         self._open += 1
         fresh.append(owed)
         records.append(taken)
         events.append(self._message(taken, now))
 
+    def _record_fits(self, taken: Taken, fresh: list[Owed], now: datetime, events: list[face.Event]) -> bool:
+        """Whether a message's record has room, if need be at the cost of what may be dropped."""
+        wanted = [*(owed.taken for owed in fresh), taken]
+        if self.journal.fits(wanted):
+            return True
+        candidates = [c for c in self._candidates() if self._owed[c.ref].taken.body]
+        need = kept.reserve(taken)
+        for candidate in self.bodies.victims(taken.message_class, need, candidates, inline=True):
+            self._drop(candidate, taken, now, events)
+        return self.journal.fits(wanted)
+
+    def _candidates(self) -> list[Candidate]:
+        """Owed messages that may have to make room: answered, with no relay out, of a class that is
+        dropped."""
+        plans, found, next_s = self.bodies.plans, [], {}
+        for owed in islice(self._owed.values(), LOOKED_AT):
+            taken = owed.taken
+            plan = plans.get(taken.message_class)
+            if plan is None or not plan.own.drop or owed.over or owed.out or owed.ticket is not None:
+                continue
+            dest = taken.destination
+            if dest not in next_s:
+                next_s[dest] = self.bodies.next_s(dest)
+            size = taken.place.size if taken.place else len(taken.body)
+            found.append(Candidate(taken.ref, taken.message_class, dest, size, next_s[dest]))
+        return found
+
+    def _make_room(self, item: MakeRoom, now: datetime, events: list[face.Event]) -> None:
+        """End what may be dropped, so that a body worth more finds room."""
+        if not item.ticket.claim():
+            return
+        admission, taken = item.admission, item.taken
+        chosen = self.bodies.victims(
+            taken.message_class, admission.need,
+            [c for c in self._candidates() if self._owed[c.ref].taken.place], admission.destination,
+        )
+        for candidate in chosen:
+            self._drop(candidate, taken, now, events)
+
+    def _drop(self, candidate: Candidate, taken: Taken, now: datetime, events: list[face.Event]) -> None:
+        self._end_without_body(
+            self._owed[candidate.ref], f"of {candidate.size} bytes makes room for {taken.message_class} "
+            f"{taken.ref}", now, events)
+
+    def _end_without_body(self, owed: Owed, why: str, now: datetime, events: list[face.Event],
+                          last: RelayEnded | None = None) -> None:
+        """A message that has no body any more ends here: at once, by a notice, and never as a guess.
+
+        Its record is written by itself: what is taken on in this round may need the room.
+        """
+        ref, entry = owed.taken.ref, self.journal.live.get(owed.taken.ref)
+        number = last.relay.number if last is not None else -1
+        ran = bool(owed.out) or entry is None or any(
+            entry.may_have_run(n) for n in range(entry.count()) if n != number)
+        ran = ran or (last is not None and RAN[last.outcome] is not Ran.NEVER)
+        ended = self._body_ended(owed.taken, ran)
+        self.log.say("bodies", f"{ref} {ended.outcome}: its body {why}")
+        self._write([ended])
+        events.append(face.Withdrawn(ref))
+        self._dropped.append((owed, ended))
+        self._forget(owed, now, remember=ended.outcome == "given_up")
+
+    def _body_ended(self, taken: Taken, ran: bool) -> Ended:
+        cls = self.settings.classes[self.classes[taken.message_class]]
+        outcome = ending(cls.effect, ran)
+        most = span(self.settings.max_come_back_s)
+        retry = millis(min(most, self.bodies.settings.come_back)) if outcome == "handed_back" else 0
+        return Ended(taken.ref, outcome, retry or None)
+
     def _hand_in_again(self, item: HandIn, known: Owed) -> None:
         """An id that is open: the same message, its connection closed under it, or a stranger's."""
         if not same_message(item.taken, known.taken):
@@ -353,6 +446,13 @@
                 records.append(Ended(ref, "delivered" if delivered else "withdrawn"))
             else:
                 records.append(Closed(ref, relay.number, RAN[ended.outcome] is not Ran.NEVER))
+        self.bodies.observe(owed.taken.destination, ended.outcome, ended.wait)
+        if not owed.over and not ended.over:
+            # Before the outcome: told of it alone, the module could want the next relay.
+            if ended.lost:
+                self._end_without_body(owed, "is missing or damaged", now, events, ended)
+            elif owed.taken.unkept and relay.opened:
+                self._end_without_body(owed, "was kept for one relay only", now, events, ended)
         final = owed.over or ended.over
         events.append(face.AttemptEnded(
             ref, relay.number, relay.endpoint, ended.outcome, seconds(ended.took), final,
@@ -384,11 +484,15 @@
             elif isinstance(action, face.Fail):
                 ends[action.ref] = Ended(action.ref, "given_up")
         refused = {owed.taken.ref for owed in fresh if owed.taken.ref in ends}
+        for owed in fresh:
+            if owed.taken.ref in refused:
+                self.bodies.discard(owed.taken)
         records[:] = [r for r in records if not (isinstance(r, Taken) and r.ref in refused)]
         records += [ended for ref, ended in ends.items() if ref not in refused]
         return ends
 
     def _write(self, records: list[Record]) -> None:
+        records, self._unwritten = [*self._unwritten, *records], []
         if not records:
             return
         try:
@@ -397,11 +501,14 @@
             # Nothing new may be promised on a record that is not there; endings are still told.
             self.log.say("journal", f"{len(records)} records could not be written: {fault}")
             unwritten = {r.ref for r in records if isinstance(r, Taken)}
+            # What was owed before is told as it ends; that it ended is written as soon as there is room.
+            self._unwritten = [r for r in records if r.ref not in unwritten]
             for owed in [self._owed[ref] for ref in unwritten if ref in self._owed]:
                 if owed.ticket is not None:
                     owed.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
                     owed.ticket = None
                 owed.unwritten = True
+                self.bodies.discard(owed.taken)
                 self.post(Withdraw(owed.taken.ref, owed.by))
 
     def _settle(self, fresh: list[Owed], ends: dict[str, Ended]) -> None:
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
+from willownotch.bodies.store import Bodies, LostError
 from willownotch.interface import Outcome
 from willownotch.net import http
 from willownotch.net.clock import NONE, Clock, millis, seconds
@@ -55,6 +56,7 @@
     room_left: float | None = None
     limit_per_s: float | None = None
     unread: bool = False  # an answer came, and nothing can be made of it
+    lost: bool = False  # there is no body to send any more
 
 
 @dataclass(slots=True)
@@ -112,9 +114,11 @@
 class South:
     """The workers and the connections that they keep."""
 
-    def __init__(self, config: Config, clock: Clock, log: Log, journal: Journal, hosts: dict[int, Host],
-                 ended: Callable[[RelayEnded], None], start: Callable[[str, Callable[[], None]], None]):
+    def __init__(self, config: Config, clock: Clock, log: Log, journal: Journal, bodies: Bodies,
+                 hosts: dict[int, Host], ended: Callable[[RelayEnded], None],
+                 start: Callable[[str, Callable[[], None]], None]):
         self.config, self.clock, self.log, self.journal, self.hosts = config, clock, log, journal, hosts
+        self.bodies = bodies
         self.ended, self.start = ended, start
         self.waits: dict[int, datetime] = {}  # of a destination, until when it told to wait
         self._queue: queue.SimpleQueue[Relay] = queue.SimpleQueue()
@@ -185,7 +189,15 @@
                 self._done.wait(seconds(left))
 
     def _relay(self, relay: Relay) -> RelayEnded:
-        """One attempt from connection to outcome."""
+        """One attempt from its body to its outcome."""
+        try:
+            body = [self.bodies.read(relay.taken)]  # a box: whoever writes it takes it out, and lets it go
+        except LostError as fault:
+            self.log.say("bodies", f"{fault}: a relay was not made")
+            return RelayEnded(relay, Outcome.NOT_SENT, lost=True)
+        except OSError as fault:
+            self.log.say("bodies", f"a relay was not made, since its body could not be read: {fault}")
+            return RelayEnded(relay, Outcome.NOT_SENT)
         try:
             sock = self._connection(relay)
         except OSError:
@@ -203,7 +215,7 @@
             self._keep(relay, sock)
             return RelayEnded(relay, Outcome.NOT_SENT)
         relay.opened = True
-        return self._exchange(relay, sock)
+        return self._exchange(relay, sock, body)
 
     def _barred(self, relay: Relay) -> bool:
         """Drains, waits and time are looked at again right here: the queue may have aged."""
@@ -307,7 +319,7 @@
         except OSError:
             pass  # not connected yet, or no longer
 
-    def _exchange(self, relay: Relay, sock: socket.socket) -> RelayEnded:
+    def _exchange(self, relay: Relay, sock: socket.socket, body: list[bytes]) -> RelayEnded:
         """Write the call and read its answer. A break before the last byte is written proves it never ran."""
         taken, whole, begun = relay.taken, False, False
         parser = http.Parser(answer=True, optional=(b"server-load",))
@@ -317,9 +329,10 @@
             if taken.idempotency_key is not None:
                 headers.append(("Idempotency-Key", taken.idempotency_key))
             host, port = relay.host.address
-            data = http.write_request("POST", "/inbox", f"{host}:{port}", headers, taken.body)
+            data = http.write_request("POST", "/inbox", f"{host}:{port}", headers, body.pop())
             sock.settimeout(seconds(max(LEAST_TIME, left)))
             sock.sendall(data)
+            del data  # a host may be silent for long
             whole, ends_at = True, relay.ends_at
             while (found := parser.next()) is None:
                 if parser.eof:
