--- /dev/null
+++ b/tests/keeping.py
@@ -0,0 +1,122 @@
+"""For tests of the body store without sockets: a folder, a clock set by hand, hand-ins as in the sender."""
+import queue
+import tempfile
+from datetime import timedelta
+from pathlib import Path
+
+from test_net_parsers import Hand
+
+from willownotch.bodies.settings import BodiesSettings
+from willownotch.files.layer import REAL
+from willownotch.interface import Effect, MessageClass
+from willownotch.net.folder import open_folder
+from willownotch.net.journal import Ended, Opened, Taken
+
+CLASSES = (
+    MessageClass("status", 1.0, 2.5, 28.0, 0.4, Effect.SAFE),
+    MessageClass("order", 1.0, 2.5, 16.0, 0.3, Effect.KEYED),
+    MessageClass("fee", 3.0, 2.0, 20.0, 0.3, Effect.UNSAFE, in_order=True),
+)
+PATIENCE = timedelta(milliseconds=200)
+
+
+class Direct:
+    """The store's queue with no thread: who hands a body in writes it, the rest is done when asked for."""
+
+    def __init__(self):
+        self.items, self.work = [], None
+
+    def put(self, item):
+        self.items.append(item)
+        if self.work is not None and hasattr(item, "ticket"):
+            while any(hasattr(i, "ticket") for i in self.items):
+                self.work()
+
+    def get(self, block=True, timeout=None):
+        if not self.items:
+            raise queue.Empty
+        return self.items.pop(0)
+
+
+class Clock(Hand):
+    """Set by hand, in the module's seconds too."""
+
+    def __init__(self):
+        self.began = self.at
+
+    def module_s(self, when):
+        return (when - self.began).total_seconds()
+
+
+class Lines:
+    """A log that only remembers."""
+
+    def __init__(self):
+        self.lines = []
+
+    def say(self, sort, text):
+        self.lines.append(f"{sort}: {text}")
+
+
+def body_of(ref, size):
+    """Bytes that tell whose they are."""
+    return (f"{ref}." * (size // len(ref) + 1))[:size].encode()
+
+
+class Rig:
+    """Journal and store over a folder; `hand_in`, `end`, `read` as the sender would."""
+
+    def __init__(self, files=REAL, disk=400_000, folder=None, thread=None, **settings):
+        self.folder = folder or Path(tempfile.mkdtemp(prefix="kept-"))
+        self.files, self.disk, self.thread = files, disk, thread
+        self.settings = BodiesSettings(**{"memory": 50_000, "segment": 16_384, **settings})
+        self.clock, self.log = Clock(), Lines()
+        self.start()
+
+    def start(self):
+        self.journal, self.bodies, self.lost = open_folder(
+            self.folder, self.disk, self.files, self.clock, self.log, CLASSES, self.settings)
+        if self.thread is None:
+            self.bodies._queue = Direct()
+            self.bodies._queue.work = self.bodies.work
+        else:
+            self.thread(self.bodies.run)
+        return self
+
+    def restart(self):
+        self.journal.close()
+        return self.start()
+
+    def hand_in(self, ref, size, cls="status", destination=7):
+        """The message if it was taken on, else the admission that says why not."""
+        taken = Taken(ref, destination, cls, "acme", self.clock.now() + timedelta(seconds=20), ref,
+                      body=body_of(ref, size))
+        found = self.bodies.keep(taken, PATIENCE)
+        if isinstance(found, Taken):
+            try:
+                self.journal.append([found])
+            except (OSError, RuntimeError):
+                self.bodies.discard(found)
+                raise
+        return found
+
+    def relay(self, ref, number=0):
+        self.journal.append([Opened(ref, number, self.clock.now(), "s-1")])
+
+    def end(self, ref, outcome="delivered"):
+        self.journal.append([Ended(ref, outcome)])
+
+    def read(self, ref):
+        return self.bodies.read(self.journal.live[ref].taken)
+
+    def work(self):
+        """All that the store's thread has to do."""
+        while self.bodies.work():
+            pass
+
+    def on_disk(self):
+        """Bytes as the platform counts them."""
+        return sum(-(-file.stat().st_size // 512) * 512 for file in self.folder.iterdir())
+
+    def segments(self):
+        return sorted(file.name for file in self.folder.glob("bodies-*"))
--- /dev/null
+++ b/tests/test_bodies_plan.py
@@ -0,0 +1,204 @@
+"""The body store's decisions: tables for each rule, and what must hold whatever comes."""
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from willownotch.bodies import plan
+from willownotch.bodies.plan import (
+    Candidate,
+    Limits,
+    Line,
+    Outlook,
+    SegmentView,
+    Step,
+    Steps,
+    Usage,
+    Verdict,
+)
+from willownotch.bodies.settings import BodiesSettings, for_class
+from willownotch.interface import Effect
+
+LIMITS = Limits(
+    memory=1000, memory_low=750, room=1000, room_low=850, destination=500, inline=100, inline_low=10,
+)
+EFFECTS = {"status": Effect.SAFE, "order": Effect.KEYED, "fee": Effect.UNSAFE}
+WORTH = {"status": 1.0, "order": 1.0, "fee": 3.0}
+PLANS = {  # shares: none for status, a fifth for each of the others
+    name: plan.ClassPlan(name, WORTH[name], effect, for_class(BodiesSettings(), name, effect))
+    for name, effect in EFFECTS.items()
+}
+KEEP, DROP, TRY, REFUSE = Verdict.KEEP, Verdict.DROP_FIRST, Verdict.ONE_TRY, Verdict.REFUSE
+
+
+def usage(**held):
+    """Bytes by class, each for a destination of its own."""
+    made = Usage()
+    for number, (cls, size) in enumerate(held.items()):
+        made.add(cls, 100 + number, size)
+    return made
+
+
+@pytest.mark.parametrize(("held", "full", "cls", "destination", "size", "verdict"), [
+    ({}, False, "status", 1, 100, KEEP),
+    ({"status": 900}, False, "status", 1, 100, KEEP),  # what is dropped may borrow all of it
+    ({"status": 900}, False, "status", 1, 101, TRY),
+    ({"status": 900}, False, "order", 1, 101, DROP),  # within its share
+    ({"status": 900}, False, "fee", 1, 200, DROP),
+    ({"status": 900}, False, "fee", 1, 201, REFUSE),  # beyond it
+    ({"order": 700}, False, "order", 1, 100, KEEP),
+    ({"order": 700}, False, "order", 1, 101, REFUSE),  # a fifth is left for fees: nothing could win it back
+    ({"order": 700}, False, "fee", 1, 200, KEEP),
+    ({"order": 700, "fee": 200}, False, "fee", 1, 100, KEEP),
+    ({"order": 700, "fee": 200}, False, "status", 1, 101, TRY),
+    ({"status": 860}, True, "status", 1, 10, TRY),  # the last step has not been left yet
+    ({"status": 860}, True, "fee", 1, 10, KEEP),  # but shares hold
+    ({"status": 450}, False, "status", 100, 51, TRY),  # one destination's limit
+    ({"status": 450}, False, "fee", 100, 51, DROP),
+    ({"status": 450}, False, "status", 1, 51, KEEP),
+    ({}, False, "fee", 1, 501, REFUSE),
+])
+def test_admission(held, full, cls, destination, size, verdict):
+    assert plan.admit(PLANS, LIMITS, usage(**held), full, cls, destination, size).verdict is verdict
+
+
+def test_what_is_asked_of_others_is_no_more_than_lacks():
+    found = plan.admit(PLANS, LIMITS, usage(status=950), False, "fee", 1, 120)
+    assert (found.need, found.destination) == (70, None)
+    found = plan.admit(PLANS, LIMITS, usage(status=450), False, "fee", 100, 120)
+    assert (found.need, found.destination) == (70, 100)
+
+
+@pytest.mark.parametrize(("step", "most"), [(Step.MEMORY, 100), (Step.FILES, 10), (Step.UNKEPT, 10)])
+def test_small_bodies_stand_in_their_records(step, most):
+    assert plan.inline_most(step, LIMITS) == most
+
+
+CANDIDATES = [Candidate("near", "status", 1, 100, 1.0), Candidate("far", "status", 2, 60, 9.0),
+              Candidate("large", "status", 2, 90, 9.0), Candidate("fee", "fee", 2, 500, 99.0)]
+
+
+@pytest.mark.parametrize(("cls", "need", "destination", "chosen"), [
+    ("fee", 50, None, ["large"]), ("fee", 91, None, ["large", "far"]),
+    ("fee", 151, None, ["large", "far", "near"]),
+    ("fee", 251, None, []),  # in vain: then nobody ends
+    ("fee", 50, 1, ["near"]), ("fee", 101, 1, []), ("status", 50, None, []), ("order", 50, None, ["large"]),
+])
+def test_who_makes_room(cls, need, destination, chosen):
+    found = plan.victims(PLANS, 1000, usage(status=250, fee=500), cls, need, CANDIDATES, destination)
+    assert [candidate.ref for candidate in found] == chosen
+
+
+def test_a_class_keeps_its_own_share_when_others_want_room():
+    settings = BodiesSettings()
+    own = {**PLANS, "news": plan.ClassPlan("news", 1.0, Effect.SAFE, plan.ClassBodies(
+        share=0.2, at_limit=for_class(settings, "x", Effect.SAFE).at_limit, drop=for_class(
+            settings, "x", Effect.SAFE).drop))}
+    candidates = [Candidate(f"n{n}", "news", 1, 100, 1.0) for n in range(3)]
+    assert len(plan.victims(own, 1000, usage(news=300), "fee", 100, candidates)) == 1
+    assert plan.victims(own, 1000, usage(news=300), "fee", 101, candidates) == []
+
+
+sizes = st.integers(1, 300)
+moves = st.lists(
+    st.tuples(st.sampled_from(list(EFFECTS)), st.integers(1, 3), sizes, st.booleans()), max_size=60,
+)
+
+
+@given(moves)
+def test_whatever_comes_nothing_outgrows_its_limit_and_shares_are_to_be_had(steps):
+    """A body within its class's share is refused only if nothing that may be dropped could make the room."""
+    held, bodies = Usage(), {}
+    for number, (cls, destination, size, leaves) in enumerate(steps):
+        if leaves and bodies:
+            gone = bodies.pop(next(iter(bodies)))
+            held.add(gone.cls, gone.destination, -gone.size)
+            continue
+        body = Candidate(str(number), cls, destination, size, float(number % 5))
+        found = plan.admit(PLANS, LIMITS, held, False, cls, destination, size)
+        if found.verdict is DROP:
+            others = [b for b in bodies.values() if b.cls == "status"]
+            chosen = plan.victims(PLANS, LIMITS.room, held, cls, found.need, others, found.destination)
+            for victim in chosen:
+                del bodies[victim.ref]
+                held.add(victim.cls, victim.destination, -victim.size)
+            if chosen:
+                found = plan.admit(PLANS, LIMITS, held, False, cls, destination, size)
+                assert found.verdict in (KEEP, DROP)
+            else:
+                there = [b.size for b in others if found.destination in (None, b.destination)]
+                assert sum(sorted(there, reverse=True)[:plan.VICTIMS_MOST]) < found.need
+        if found.verdict is KEEP:
+            bodies[body.ref] = body
+            held.add(cls, destination, size)
+        assert held.total == sum(b.size for b in bodies.values()) <= LIMITS.room
+        assert all(size <= LIMITS.destination for size in held.destinations.values())
+    # Those that are not dropped have left every share free or in use by what is dropped.
+    for name in ("order", "fee"):
+        share = PLANS[name].share(LIMITS.room)
+        fixed = held.total - held.classes.get("status", 0)
+        assert LIMITS.room - fixed >= share - held.classes.get(name, 0)
+
+
+@given(st.lists(st.integers(0, 1100), max_size=200))
+def test_a_swinging_load_changes_no_step_without_crossing_the_gap(levels):
+    steps, held, last = Steps(), Usage(), None
+    for level in levels:
+        held.memory = min(level, LIMITS.memory)
+        held.total = held.memory
+        if level > LIMITS.memory:
+            if steps.memory_ran_out():
+                assert last != "in"
+                last = "in"
+            steps.room_ran_out()
+        elif steps.look(LIMITS, held):
+            assert held.memory <= LIMITS.room_low
+        if not steps.memory_out:
+            last = "out"
+        assert (steps.now is Step.MEMORY) == (not steps.memory_out and not steps.full)
+        if LIMITS.memory_low < level <= LIMITS.memory:
+            assert not steps.look(LIMITS, held) or level <= LIMITS.room_low
+
+
+def test_where_a_body_leaves_memory_first():
+    lines = [Line(1, 2.0), Line(2, 9.0), Line(3, 9.0)]
+    assert plan.spill_from(lines, 5.0) == 2
+    assert plan.spill_from(lines, 9.0) is None  # the new one is wanted last: it goes to its file at once
+    assert plan.spill_from([], 0.0) is None
+
+
+def test_when_a_destination_wants_its_next_body():
+    """What is silent is wanted later than what delivers; the last in line later than the first."""
+    quick, slow, silent, told = Outlook(), Outlook(), Outlook(), Outlook()
+    for n in range(50):
+        quick.delivered(n * 0.1)
+        slow.delivered(n * 1.0)
+    silent.delivered(0.0)
+    silent.failed(1.0)
+    silent.failed(3.0)
+    told.failed(5.0, wait_s=4.5)
+    now = 5.0
+    assert quick.next_s(now, 0) < slow.next_s(now, 0) < silent.next_s(now, 0) < told.next_s(now, 0)
+    assert quick.next_s(now, 9) == pytest.approx(10 * quick.next_s(now, 0))
+    silent.delivered(6.0)
+    assert silent.next_s(6.0, 0) < 2.0  # what answers again is near again
+
+
+@pytest.mark.parametrize(("segments", "pressed", "chosen"), [
+    ([], True, None),
+    ([SegmentView(1, 10_240, 10_240, 3)], True, None),  # nothing to win
+    ([SegmentView(1, 10_240, 9_000, 3), SegmentView(2, 10_240, 100, 1)], True, 2),
+    ([SegmentView(1, 10_240, 9_000, 3), SegmentView(2, 10_240, 1_300, 1)], False, None),  # half lives
+    ([SegmentView(1, 10_240, 4_000, 3), SegmentView(2, 10_240, 100, 1)], False, 2),
+    ([SegmentView(1, 102_400, 70_000, 3)], True, None),  # its live bodies find no room at once
+])
+def test_which_segment_is_written_anew(segments, pressed, chosen):
+    assert plan.choose_segment(segments, 0.5, pressed, 65_536) == chosen
+
+
+@pytest.mark.parametrize(("effect", "ran", "word"), [
+    (Effect.SAFE, False, "handed_back"), (Effect.SAFE, True, "handed_back"),
+    (Effect.KEYED, False, "handed_back"), (Effect.KEYED, True, "given_up"),
+    (Effect.UNSAFE, False, "given_up"), (Effect.UNSAFE, True, "given_up"),
+])
+def test_how_a_message_without_a_body_ends(effect, ran, word):
+    assert plan.ending(effect, ran) == word
--- /dev/null
+++ b/tests/test_bodies_store.py
@@ -0,0 +1,420 @@
+"""The body store on its files: places, moves, recovery, a disk that fails, a process that dies."""
+import json
+import os
+import shutil
+import subprocess
+import sys
+import threading
+import unittest
+import zlib
+from datetime import timedelta
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from keeping import Rig, body_of
+from toys import ROOT, until
+
+from willownotch.bodies.plan import Admission, Step, Verdict
+from willownotch.bodies.store import LostError
+from willownotch.files.faulty import Fault, Faulty, Kind
+from willownotch.interface import Outcome
+from willownotch.net.journal import Ended, Noticed, Taken
+
+LONG = bool(os.environ.get("WILLOWNOTCH_LONG"))
+NO_SPACE = Fault(Kind.NO_SPACE, "append", "bodies-*")
+
+
+class Case(unittest.TestCase):
+    def rig(self, **more):
+        self.faults = []
+        self.files = Faulty(lambda: self.faults)
+        rig = Rig(self.files, **more)
+        self.addCleanup(shutil.rmtree, rig.folder)
+        self.addCleanup(rig.journal.close)
+        return rig
+
+    def ledger_is_true(self, rig):
+        """What the ledger has is what the folder holds."""
+        space = rig.bodies.space
+        self.assertEqual(space.bodies, sum(
+            -(-file.stat().st_size // 512) * 512 for file in rig.folder.glob("bod*")))
+        self.assertLessEqual(rig.on_disk(), rig.disk)
+        live = [e.taken.place for e in rig.journal.live.values() if e.taken.place]
+        self.assertEqual(rig.bodies.usage.total, sum(place.size for place in live))
+
+
+class Steps(Case):
+    def test_memory_then_files_then_one_try_and_back(self):
+        rig = self.rig(disk=300_000)
+        steps = set()
+        for n in range(40):
+            found = rig.hand_in(f"s{n}", 9000, destination=n)
+            steps.add(rig.bodies.steps.now)
+            if isinstance(found, Admission):
+                break
+            self.assertLessEqual(rig.bodies.usage.memory, 50_000)
+        self.assertEqual(steps, {Step.MEMORY, Step.FILES, Step.UNKEPT})
+        unkept = [e.taken.ref for e in rig.journal.live.values() if e.taken.unkept]
+        self.assertIn("no memory for one try", found.reason)
+        for ref, entry in rig.journal.live.items():  # wherever it stands, its bytes are its own
+            self.assertEqual(rig.read(ref), body_of(ref, 9000), entry)
+        for ref in list(rig.journal.live):
+            rig.end(ref)
+        self.assertEqual((rig.bodies.steps.now, rig.bodies.usage.memory), (Step.MEMORY, 0))
+        self.assertEqual([line.split(":")[1].strip() for line in rig.log.lines if "step" in line],
+                         ["step files", "step unkept", "step files", "step memory"])
+        rig.work()
+        self.ledger_is_true(rig)
+        self.assertEqual((rig.segments(), bool(unkept)), ([], True))
+
+    def test_small_bodies_stand_in_their_records_until_memory_is_used_up(self):
+        rig = self.rig()
+        self.assertIsNone(rig.hand_in("a", 2000).place)
+        rig.hand_in("b", 49_000)
+        self.assertIsNotNone(rig.hand_in("c", 2000).place)
+        self.assertIsNone(rig.hand_in("d", 200).place)
+
+    def test_what_is_wanted_last_leaves_memory_first(self):
+        rig = self.rig()
+        for n in range(5):
+            rig.hand_in(f"silent{n}", 10_000, destination=1)
+        rig.bodies.observe(1, Outcome.TIMED_OUT)
+        rig.clock.at += timedelta(seconds=3)
+        for n in range(2):
+            rig.hand_in(f"quick{n}", 10_000, destination=2)
+        held = {place for place in rig.bodies._cache}
+        inside = [ref for ref, e in rig.journal.live.items() if e.taken.place in held]
+        self.assertEqual(inside, ["silent0", "silent1", "silent2", "quick0", "quick1"])
+
+    def test_what_is_worth_more_asks_for_room_where_others_have_it(self):
+        rig = self.rig(destination_share=1.0)
+        n = 0
+        while not rig.bodies.steps.full:
+            rig.hand_in(f"s{n}", 9000, destination=n % 3)
+            n += 1
+        found = rig.hand_in("fee", 9000, "fee", destination=9)
+        self.assertEqual(found.verdict, Verdict.DROP_FIRST)
+        rig.end("s0", "handed_back")
+        taken = Taken("fee", 9, "fee", "acme", rig.clock.now(), body=body_of("fee", 9000))
+        self.assertIsNotNone(rig.bodies.keep(taken, timedelta(seconds=1), last=True).place)
+
+    def test_an_open_id_with_another_body_never_gets_it(self):
+        """Were bytes in memory found by id, the first's relay would send the second hand-in's."""
+        rig = self.rig()
+        rig.hand_in("a", 9000)
+        second = Taken("a", 7, "status", "acme", rig.clock.now(), body=b"x" * 8000)
+        kept = rig.bodies.keep(second, timedelta(seconds=1))
+        self.assertEqual(rig.read("a"), body_of("a", 9000))
+        rig.bodies.discard(kept)
+        self.assertEqual(rig.read("a"), body_of("a", 9000))
+        self.ledger_is_true(rig)
+
+
+class Reclaim(Case):
+    def test_segments_that_are_mostly_dead_are_written_anew(self):
+        rig = self.rig()
+        for n in range(20):
+            rig.hand_in(f"m{n}", 4000, destination=n)
+        before = rig.bodies.space.bodies
+        for n in range(20):
+            if n % 4:
+                rig.end(f"m{n}")
+        rig.work()
+        self.ledger_is_true(rig)
+        self.assertGreater(rig.bodies.moves, 0)
+        self.assertLess(rig.bodies.space.bodies, before / 2)
+        live = [f"m{n}" for n in range(0, 20, 4)]
+        self.assertEqual([rig.read(ref) for ref in live], [body_of(ref, 4000) for ref in live])
+        rig.restart()
+        self.assertEqual([rig.read(ref) for ref in live], [body_of(ref, 4000) for ref in live])
+
+    def test_dead_bytes_give_way_when_room_is_wanted(self):
+        """One live body in each file held up all the room that the dead ones around it took."""
+        rig = self.rig(reclaim=1.0, destination_share=1.0)
+        taken = []
+        while isinstance(found := rig.hand_in(f"m{len(taken)}", 4000, "order"), Taken):
+            taken.append(found.ref)
+        for n, ref in enumerate(taken):
+            if n % 4:
+                rig.end(ref)
+        for n in range(len(taken) // 2):
+            self.assertIsInstance(rig.hand_in(f"n{n}", 4000, "order"), Taken, n)
+        self.assertGreater(rig.bodies.moves, 0)
+        self.ledger_is_true(rig)
+
+    def test_a_body_that_moves_while_it_is_read_is_found(self):
+        rig = self.rig()
+        rig.hand_in("a", 4000)
+        old = rig.journal.live["a"].taken
+        rig.bodies._uncache(old.place, 7)
+        for n in range(3):
+            rig.hand_in(f"m{n}", 4000)
+        rig.hand_in("next", 4000)
+        for n in range(3):
+            rig.end(f"m{n}")
+        rig.work()
+        self.assertNotEqual(rig.journal.live["a"].taken.place, old.place)
+        self.assertEqual(rig.bodies.read(old), body_of("a", 4000))  # as a relay has it from before
+
+    def test_a_damaged_body_is_told_and_not_copied(self):
+        rig = self.rig()
+        lost = []
+        rig.bodies.lost = lost.append
+        for n in range(4):
+            rig.hand_in(f"m{n}", 4000)
+        rig.hand_in("next", 4000)
+        spoil(rig, "m0")
+        for n in range(1, 4):
+            rig.end(f"m{n}")
+        rig.work()
+        self.assertEqual(lost, ["m0"])
+
+
+def spoil(rig, ref):
+    """Change one byte of a body on the disk."""
+    place = rig.journal.live[ref].taken.place
+    rig.bodies._uncache(place, 7)
+    with (rig.folder / f"bodies-{place.segment}").open("r+b") as file:
+        file.seek(place.offset + place.size // 2)
+        file.write(b"\x00")
+
+
+class Recovery(Case):
+    def test_a_start_reads_the_index_and_no_body(self):
+        rig = self.rig()
+        for n in range(10):
+            rig.hand_in(f"m{n}", 6000)
+        self.files.trail.clear()
+        rig.restart()
+        touched = {op for _, op, name in self.files.trail if name.startswith("bodies-")}
+        self.assertEqual(touched, {"size"})
+        self.assertEqual((rig.lost, len(rig.journal.live)), ([], 10))
+        self.assertEqual(rig.read("m3"), body_of("m3", 6000))
+
+    def test_half_a_segment_a_missing_file_and_a_damaged_body(self):
+        rig = self.rig()
+        for n in range(8):
+            rig.hand_in(f"m{n}", 5000)  # three in each file
+        spoil(rig, "m7")
+        first, second, _ = rig.segments()
+        (rig.folder / first).unlink()
+        with (rig.folder / second).open("r+b") as file:
+            file.truncate(7000)
+        rig.restart()
+        self.assertEqual(rig.lost, ["m0", "m1", "m2", "m4", "m5"])
+        self.assertEqual(rig.read("m3"), body_of("m3", 5000))
+        with self.assertRaises(LostError):
+            rig.read("m7")
+        for ref in [*rig.lost, "m7"]:
+            rig.end(ref, "given_up")
+            rig.journal.append([Noticed(ref)])
+        rig.work()
+        self.ledger_is_true(rig)
+
+    def test_what_no_record_names_goes(self):
+        rig = self.rig()
+        (rig.folder / "bodies-77").write_bytes(b"x" * 5000)
+        (rig.folder / "body-1-1").write_bytes(b"x")
+        rig.restart()
+        self.assertEqual([f.name for f in rig.folder.iterdir()], ["journal"])
+        self.ledger_is_true(rig)
+        self.assertEqual(rig.hand_in("a", 5000).place.segment, 78)  # no number is given twice
+
+    def test_bodies_of_earlier_versions_are_delivered_and_go(self):
+        rig = self.rig()
+        body = body_of("old", 5000)
+        (rig.folder / "body-9-1").write_bytes(body)
+        rig.journal.append([Taken("old", 7, "fee", "acme", rig.clock.now(), apart="body-9-1",
+                                  checksum=zlib.crc32(body))])
+        rig.restart()
+        self.assertEqual(rig.read("old"), body)
+        rig.end("old")
+        self.assertEqual([f.name for f in rig.folder.iterdir()], ["journal"])
+        self.ledger_is_true(rig)
+
+    def test_what_was_never_kept_is_known_to_be_so(self):
+        rig = self.rig()
+        body = b"x" * 9000
+        rig.journal.append([Taken("u", 7, "status", "acme", rig.clock.now(), body=body, unkept=True)])
+        rig.restart()
+        self.assertEqual((rig.journal.live["u"].taken.unkept, rig.journal.live["u"].taken.body), (True, b""))
+
+
+class Failures(Case):
+    def test_a_full_disk_in_the_middle_of_a_clump_and_room_again(self):
+        rig = self.rig()
+        rig.hand_in("before", 9000)
+        self.faults = [NO_SPACE]
+        found = [rig.hand_in("fee", 9000, "fee"), rig.hand_in("order", 9000, "order")]
+        self.assertEqual([f.verdict for f in found], [Verdict.REFUSE] * 2)
+        self.assertTrue(rig.hand_in("status", 9000).unkept)
+        tried = [name for _, op, name in self.files.trail if op == "append" and name.startswith("bod")]
+        self.assertEqual(len(tried), 2)  # the disk is not asked again at once
+        self.ledger_is_true(rig)
+        self.faults = []
+        rig.clock.at += timedelta(seconds=1)
+        self.assertIsNotNone(rig.hand_in("after", 9000, "fee").place)
+        self.assertEqual((rig.bodies.steps.now, rig.read("before")), (Step.MEMORY, body_of("before", 9000)))
+        self.ledger_is_true(rig)
+
+    def test_a_short_write_goes_on_and_a_torn_one_leaves_nothing(self):
+        rig = self.rig()
+        self.faults = [Fault(Kind.SHORT, "append", "bodies-*")]
+        rig.hand_in("a", 9000)
+        self.assertEqual(rig.bodies._read_at(rig.journal.live["a"].taken.place), body_of("a", 9000))
+        self.faults = [Fault(Kind.SHORT, "append", "bodies-*", self.files.count + 1),
+                       Fault(Kind.IO_ERROR, "append", "bodies-*", self.files.count + 2)]
+        self.assertIsInstance(rig.hand_in("b", 5000, "fee"), Admission)
+        self.ledger_is_true(rig)
+
+    def test_a_file_that_cannot_be_cut_off_takes_nothing_more(self):
+        rig = self.rig()
+        rig.hand_in("a", 5000)
+        self.faults = [Fault(Kind.SHORT, "append", "bodies-*", self.files.count + 1),
+                       Fault(Kind.IO_ERROR, "append", "bodies-*", self.files.count + 2),
+                       Fault(Kind.IO_ERROR, "truncate")]
+        self.assertIsInstance(rig.hand_in("b", 5000, "fee"), Admission)
+        self.faults = []
+        rig.clock.at += timedelta(seconds=1)
+        place = rig.hand_in("c", 5000, "fee").place
+        self.assertNotEqual(place.segment, rig.journal.live["a"].taken.place.segment)
+        self.ledger_is_true(rig)
+        for ref in ("a", "c"):
+            rig.end(ref)
+        rig.work()
+        self.ledger_is_true(rig)
+
+    def test_a_disk_that_cannot_be_read_for_a_while_loses_nothing(self):
+        rig = self.rig(memory=0)
+        rig.hand_in("a", 9000)
+        self.faults = [Fault(Kind.IO_ERROR, "read_at")]
+        with self.assertRaises(OSError):
+            rig.read("a")
+        self.faults = []
+        self.assertEqual(rig.read("a"), body_of("a", 9000))
+
+    def test_a_failed_journal_write_leaves_whole_records_only(self):
+        rig = self.rig()
+        rig.hand_in("a", 100)
+        for kind in (Kind.SHORT, Kind.NO_SPACE, Kind.IO_ERROR):
+            for truncate in ([], [Fault(Kind.IO_ERROR, "truncate")]):
+                self.faults = [Fault(kind, "append", "journal"), *truncate]
+                with self.assertRaises(OSError):
+                    rig.hand_in("b", 100)
+                self.faults = []
+                rig.hand_in("c", 100)
+                rig.end("c")
+                rig.restart()
+                self.assertEqual((list(rig.journal.live), rig.journal.faults), (["a"], []))
+
+    def test_a_stalled_disk_keeps_nobody_waiting_but_the_stores_thread(self):
+        """Clients are answered in time, and what the owner calls returns at once."""
+        self.faults = []
+        files = Faulty(lambda: self.faults)
+        rig = Rig(files, thread=lambda run: threading.Thread(target=run, daemon=True).start())
+        self.addCleanup(shutil.rmtree, rig.folder, True)
+        rig.hand_in("a", 9000)
+        self.faults = [Fault(Kind.STALL, "append", "bodies-*"), Fault(Kind.STALL, "remove", "bodies-*")]
+        found = rig.hand_in("b", 9000, "fee")  # returns although the write never does
+        self.assertIn("in time", found.reason)
+        rig.end("a")
+        rig.hand_in("small", 100)
+        rig.bodies.next_s(7)
+        self.assertEqual(list(rig.journal.live), ["small"])
+        self.faults = []
+        until(lambda: rig.bodies.usage.total == 0)
+        until(lambda: not rig.segments())
+        self.ledger_is_true(rig)
+
+
+class Machine(RuleBasedStateMachine):
+    """Any order of hand-ins, ends, reads, faults and restarts: no body is lost or mixed up."""
+
+    def __init__(self):
+        super().__init__()
+        self.faults = []
+        self.rig = Rig(Faulty(lambda: self.faults), disk=150_000, memory=20_000, destination_share=1.0)
+        self.owed, self.count = {}, 0
+
+    def teardown(self):
+        self.rig.journal.close()
+        shutil.rmtree(self.rig.folder)
+
+    @rule(size=st.integers(0, 9000), cls=st.sampled_from(["status", "order", "fee"]), dest=st.integers(1, 3))
+    def hand_in(self, size, cls, dest):
+        self.count += 1
+        ref = f"m{self.count}"
+        try:
+            found = self.rig.hand_in(ref, size, cls, dest)
+        except (OSError, RuntimeError):
+            return  # no 202
+        if isinstance(found, Taken):
+            self.owed[ref] = (body_of(ref, size), found.unkept)
+
+    @precondition(lambda self: self.owed)
+    @rule(pick=st.integers(0, 99), outcome=st.sampled_from(["delivered", "given_up"]))
+    def end(self, pick, outcome):
+        ref = list(self.owed)[pick % len(self.owed)]
+        try:
+            self.rig.journal.append([Ended(ref, outcome), Noticed(ref)])
+        except (OSError, RuntimeError):
+            return  # tried again by the owner
+        del self.owed[ref]
+
+    @rule()
+    def work(self):
+        self.rig.work()
+        self.rig.clock.at += timedelta(seconds=1)
+
+    @rule(fault=st.sampled_from([
+        NO_SPACE, Fault(Kind.NO_SPACE, "append"), Fault(Kind.SHORT, "append", "journal"),
+        Fault(Kind.IO_ERROR, "remove"), Fault(Kind.NO_SPACE, "create"),
+        Fault(Kind.SHORT, "append", "bodies-*"),
+    ]))
+    def fail(self, fault):
+        self.faults = [fault]
+
+    @rule()
+    def mend(self):
+        self.faults = []
+
+    @rule()
+    def restart(self):
+        self.faults = []
+        self.rig.restart()
+        assert self.rig.lost == []
+        for ref in [r for r, (_, unkept) in self.owed.items() if unkept]:
+            assert self.rig.journal.live[ref].taken.unkept
+            self.rig.journal.append([Ended(ref, "handed_back"), Noticed(ref)])
+            del self.owed[ref]
+
+    @invariant()
+    def all_is_kept(self):
+        faults, self.faults = self.faults, []
+        assert list(self.rig.journal.live) == list(self.owed)
+        for ref, (body, _) in self.owed.items():
+            assert self.rig.read(ref) == body
+        assert self.rig.on_disk() <= self.rig.disk
+        assert self.rig.bodies.usage.memory <= 20_000 + sum(
+            len(e.taken.body) for e in self.rig.journal.live.values() if not e.taken.unkept)
+        self.faults = faults
+
+
+Machine.TestCase.settings = settings(
+    max_examples=600 if LONG else 60, stateful_step_count=50, deadline=None, derandomize=not LONG,
+    suppress_health_check=list(HealthCheck),
+)
+TestMachine = Machine.TestCase
+
+
+@pytest.mark.parametrize("mode", ["die", "die-torn"])
+def test_death_at_any_file_operation_loses_no_promise(mode):
+    """Of a spill, a read-back, a reclaim and a recovery: the next process opens the folder."""
+    done = subprocess.run([sys.executable, "tests/dying.py", mode, "1"], cwd=ROOT, text=True,
+                          capture_output=True, timeout=500)
+    assert done.returncode == 0, done.stdout + done.stderr
+    report = json.loads(done.stdout)
+    assert report["broken"] == []
+    assert report["deaths"] == report["operations"] > 100
--- a/willownotch/bodies/plan.py
+++ b/willownotch/bodies/plan.py
@@ -50,8 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Admission:
-    """A verdict and its reason; with DROP_FIRST how many bytes, and of which destination if only its own
-    count."""
+    """A verdict and its reason; with DROP_FIRST how many bytes. `destination`: it is the one at its limit."""
 
     verdict: Verdict
     reason: str = ""
@@ -125,7 +124,7 @@
         reason = f"destination {destination} holds {held} of the {limits.destination} bytes it may"
         if within and size <= limits.destination:
             return Admission(Verdict.DROP_FIRST, reason, over, destination)
-        return _at_limit(plan, reason)
+        return _at_limit(plan, reason, destination)
     free = limits.room - usage.total
     reserved = 0 if plan.own.drop else sum(
         max(0, p.share(limits.room) - usage.classes.get(p.name, 0)) for p in plans.values() if p.name != cls
@@ -142,13 +141,22 @@
     return _at_limit(plan, f"{usage.total} of {limits.room} bytes are taken{kept}")
 
 
-def _at_limit(plan: ClassPlan, reason: str) -> Admission:
+def _at_limit(plan: ClassPlan, reason: str, destination: int | None = None) -> Admission:
     one_try = plan.own.at_limit is AtLimit.ONE_TRY
-    return Admission(Verdict.ONE_TRY if one_try else Verdict.REFUSE, reason)
+    return Admission(Verdict.ONE_TRY if one_try else Verdict.REFUSE, reason, destination=destination)
 
 
 def after_failure(plan: ClassPlan, reason: str) -> Admission:
-    """The disk itself has no room, or failed: as at the limit."""
+    """The disk failed, or others could not make room: as at the limit."""
+    return _at_limit(plan, reason)
+
+
+def without_room(plans: dict[str, ClassPlan], limits: Limits, usage: Usage, cls: str, size: int,
+                 reason: str) -> Admission:
+    """The files have no room though the bodies would: they hold whole blocks, and dead bytes for a while."""
+    plan = plans[cls]
+    if usage.classes.get(cls, 0) + size <= plan.share(limits.room):
+        return Admission(Verdict.DROP_FIRST, reason, size)
     return _at_limit(plan, reason)
 
 
--- a/willownotch/bodies/store.py
+++ b/willownotch/bodies/store.py
@@ -12,7 +12,8 @@
 import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import timedelta
+from math import inf
 from pathlib import Path
 from typing import Protocol
 
@@ -35,6 +36,7 @@
 COPY_MOST, COPY_SHARE = 64 * 1024, 1 / 8  # of the room, left to reclaiming: else nothing could be won back
 IDLE = timedelta(seconds=1)  # a file in which nothing lives goes after so long without work
 PAUSE = timedelta(milliseconds=500)  # after the disk refused a write, until it is tried again
+NO_ROOM = "the disk's part for bodies is used up"
 CLAIMED_PATIENCE = timedelta(seconds=2)
 READS = 3  # tries, should a body be moved while it is read
 
@@ -144,7 +146,8 @@
         self._last = 0  # segment number given
         self._cache: dict[Place, bytes] = {}  # an id may be handed in twice, with different bodies
         self._lines: dict[int, dict[Place, None]] = {}  # of a destination, those in the cache, oldest first
-        self._blocked_until: datetime | None = None
+        self._refused = False  # the disk did not take the last body, whatever the ledger says
+        self._blocked_until = clock.now()  # then: until when none is tried
         self._stuck: set[int] = set()  # segments that could not be written anew
         self.configure(settings)
 
@@ -218,21 +221,18 @@
 
     # A hand-in
 
-    def keep(self, taken: TakenBody, patience: timedelta) -> TakenBody | Admission:
+    def keep(self, taken: TakenBody, patience: timedelta, last: bool = False) -> TakenBody | Admission:
         """The message with its body where it is to stand, or why it cannot be taken on as things are.
 
-        DROP_FIRST asks for room from others and another call. `patience` ends the wait for the disk.
+        DROP_FIRST asks for room from others and one `last` call. `patience` ends the wait for the disk.
         """
         size = len(taken.body)
         with self._lock:
             if size <= plan.inline_most(self.steps.now, self.limits):
                 return taken  # counted once it is taken on
-            admission = plan.admit(self.plans, self.limits, self.usage, self.steps.full, taken.message_class,
-                                   taken.destination, size)
-            blocked = self._blocked_until is not None and self.clock.now() < self._blocked_until
-            if admission.verdict is Verdict.KEEP and blocked:
-                admission = plan.after_failure(self.plans[taken.message_class],
-                                               "the disk refused the last write")
+            admission = self._admit(taken, size)
+            if admission.verdict is Verdict.DROP_FIRST and last:
+                admission = plan.after_failure(self.plans[taken.message_class], admission.reason)
             if admission.verdict is Verdict.KEEP:
                 self.usage.add(taken.message_class, taken.destination, size)
             elif admission.destination is None and admission.verdict is not Verdict.DROP_FIRST:
@@ -249,15 +249,35 @@
             if not put.ticket.abandoned:
                 self._unused(taken, size)
             admission = plan.after_failure(self.plans[taken.message_class], reason)
+            if found == NO_ROOM and not last:
+                with self._lock:
+                    admission = plan.without_room(
+                        self.plans, self.limits, self.usage, taken.message_class, size, reason)
         if admission.verdict is Verdict.ONE_TRY:
             return self._one_try(taken, admission.reason)
         return admission
 
+    def _admit(self, taken: TakenBody, size: int) -> Admission:
+        """The plan's word; after a failure of the disk, one body in a while tries it again."""
+        full = self.steps.full and not self._refused
+        admission = plan.admit(self.plans, self.limits, self.usage, full, taken.message_class,
+                               taken.destination, size)
+        if self._refused and admission.verdict is Verdict.KEEP:
+            now = self.clock.now()
+            if now < self._blocked_until:
+                return plan.after_failure(self.plans[taken.message_class], "the disk refused the last write")
+            self._blocked_until = now + PAUSE
+        return admission
+
     def _one_try(self, taken: TakenBody, reason: str) -> TakenBody | Admission:
         with self._lock:
+            # What stands in a file, too, gives way to what stands nowhere else.
+            while self._cache and self.usage.memory + len(taken.body) > self.limits.memory:
+                self._spill_one(inf)
             if self.usage.memory + len(taken.body) > self.limits.memory:
                 return Admission(Verdict.REFUSE, f"{reason}, and no memory for one try")
             self.usage.memory += len(taken.body)
+        self.log.say("bodies", f"{taken.ref} is taken for one try, its body kept nowhere: {reason}")
         return msgspec.structs.replace(taken, unkept=True)
 
     def _unused(self, taken: TakenBody, size: int) -> None:
@@ -343,6 +363,8 @@
             self.log.say("bodies", f"step unkept: {reason}; bodies are not kept beyond the classes' shares")
 
     def _look(self) -> None:
+        if self._refused:
+            return
         for text in self.steps.look(self.limits, self.usage):
             self.log.say("bodies", f"step {self.steps.now.name.lower()}: {text}")
 
@@ -351,19 +373,28 @@
         size, now = place.size, self.clock.module_s(self.clock.now())
         if size > self.limits.memory:
             return
+        new_s = self._outlook(destination).next_s(now, len(self._lines.get(destination, ())))
         while self.usage.memory + size > self.limits.memory:
             self._memory_ran_out()
-            lines = [plan.Line(d, self._outlook(d).next_s(now, len(line) - 1))
-                     for d, line in self._lines.items()]
-            new_s = self._outlook(destination).next_s(now, len(self._lines.get(destination, ())))
-            victim = plan.spill_from(lines, new_s)
-            if victim is None:
+            if not self._spill_one(new_s):
                 return
-            self._uncache(next(reversed(self._lines[victim])), victim)
         self._cache[place] = body
         self._lines.setdefault(destination, {})[place] = None
         self.usage.memory += size
 
+    def _spill_one(self, new_s: float) -> bool:
+        """The body that is wanted last leaves memory for one wanted in `new_s`; False if that is the last.
+
+        `inf` stands for one that has nowhere else to be, whenever it is wanted.
+        """
+        now = self.clock.module_s(self.clock.now())
+        lines = [plan.Line(d, self._outlook(d).next_s(now, len(line) - 1)) for d, line in self._lines.items()]
+        victim = plan.spill_from(lines, -inf if new_s == inf else new_s)
+        if victim is None:
+            return False
+        self._uncache(next(reversed(self._lines[victim])), victim)
+        return True
+
     def _uncache(self, place: Place, destination: int) -> None:
         body = self._cache.pop(place, None)
         if body is not None:
@@ -494,10 +525,13 @@
         try:
             found = self._write(taken.ref, body, put.checksum, lambda: not put.ticket.abandoned)
         except OSError as fault:
-            self._blocked_until = self.clock.now() + PAUSE
+            self._refused, self._blocked_until = True, self.clock.now() + PAUSE
             found = f"the disk refused its body ({fault.strerror or fault})"
-        if isinstance(found, str) and not put.ticket.abandoned:
-            with self._lock:
+        with self._lock:
+            if isinstance(found, Place):
+                self._refused = False
+                self._look()
+            elif not put.ticket.abandoned:
                 self._room_ran_out(found)
         if not put.ticket.claim():
             self._unused(taken, put.size)
@@ -526,7 +560,7 @@
                 if self.space.claim(grown, reserve):
                     break
             if not reserve or not wanted() or not self._make_room():
-                return "the disk's part for bodies is used up"
+                return NO_ROOM
         written = 0
         try:
             if active is None:
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -15,11 +15,10 @@
 from willownotch.blocks import Blocks
 from willownotch.bodies.store import Bodies
 from willownotch.files.layer import REAL, Files
-from willownotch.files.space import Space
 from willownotch.net import config as configs
 from willownotch.net import journal as journals
 from willownotch.net.clock import Clock, seconds
-from willownotch.net.journal import Journal, Moved
+from willownotch.net.folder import open_folder
 from willownotch.net.log import Log
 from willownotch.net.north import North
 from willownotch.net.owner import BodyLost, Owner, Stop
@@ -106,13 +105,11 @@
     threading.stack_size(STACK)
     clock = Clock()
     log = Log(clock, config.name)
-    space = Space(int(config.limits.disk_mb * MEGABYTE), blocks.bodies.journal_share)
-    journal = Journal(config.state, space, files)
-    bodies = Bodies(config.state, files, space, clock, log, config.settings.classes, blocks.bodies,
-                    config.limits.memory_mb)
     try:
-        journal.open()
-        lost = bodies.open([entry.taken for entry in journal.live.values() if entry.ended is None])
+        journal, bodies, lost = open_folder(
+            config.state, int(config.limits.disk_mb * MEGABYTE), files, clock, log, config.settings.classes,
+            blocks.bodies, config.limits.memory_mb,
+        )
         threads = Threads(log)
         hosts = Hosts(tuple(kind.name for kind in config.settings.kinds), config.zones, clock, log)
         owner = Owner(config, clock, log, journal, hosts, bodies)
@@ -123,8 +120,6 @@
         return FAULTY
     for fault in journal.faults:
         log.say("journal", fault)
-    journal.bodies, bodies.place_of, bodies.compact_journal = bodies, journal.place_of, journal.compact
-    bodies.moved = lambda ref, place: journal.append([Moved(ref, place)])
     bodies.lost = lambda ref: owner.post(BodyLost(ref))
     south = South(config, clock, log, journal, bodies, hosts.by_number, owner.post, threads.start)
     platform = Platform(config.discovery)
--- /dev/null
+++ b/willownotch/net/folder.py
@@ -0,0 +1,28 @@
+"""The folder that lasts, opened whole: the journal, the body store, and the one limit that they share."""
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+
+from willownotch.bodies.settings import BodiesSettings
+from willownotch.bodies.store import Bodies
+from willownotch.files.layer import Files
+from willownotch.files.space import Space
+from willownotch.interface import MessageClass
+from willownotch.net.clock import Clock
+from willownotch.net.journal import Journal, Moved
+from willownotch.net.log import Log
+
+
+def open_folder(folder: Path, disk_bytes: int, files: Files, clock: Clock, log: Log,
+                classes: Iterable[MessageClass], settings: BodiesSettings,
+                memory_mb: float = 192.0) -> tuple[Journal, Bodies, list[str]]:
+    """Journal and store, wired to each other, and the messages whose body was not found; or `OSError`."""
+    space = Space(disk_bytes, settings.journal_share)
+    journal = Journal(folder, space, files)
+    journal.open()
+    bodies = Bodies(folder, files, space, clock, log, classes, settings, memory_mb)
+    lost = bodies.open([entry.taken for entry in journal.live.values() if entry.ended is None])
+    journal.bodies, bodies.place_of, bodies.compact_journal = bodies, journal.place_of, journal.compact
+    bodies.moved = lambda ref, place: journal.append([Moved(ref, place)])
+    return journal, bodies, lost
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -348,5 +348,5 @@
             ticket: Ticket[bool] = Ticket()
             self.owner.post(MakeRoom(msgspec.structs.replace(taken, body=b""), found, ticket))
             if ticket.wait(due - self.clock.now(), CLAIMED_PATIENCE):
-                found = self.bodies.keep(taken, due - self.clock.now())
+                found = self.bodies.keep(taken, due - self.clock.now(), last=True)
         return found
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -283,7 +283,7 @@
             self._make_room(item, now, events)
         elif isinstance(item, BodyLost):
             owed = self._owed.get(item.ref)
-            if owed is not None and not owed.over:
+            if owed is not None and not owed.over and not owed.out:  # else its next relay finds it so
                 self._end_without_body(owed, "is missing or damaged", now, events)
         elif isinstance(item, Withdraw):
             owed = self._owed.get(item.ref)
@@ -447,7 +447,7 @@
             else:
                 records.append(Closed(ref, relay.number, RAN[ended.outcome] is not Ran.NEVER))
         self.bodies.observe(owed.taken.destination, ended.outcome, ended.wait)
-        if not owed.over and not ended.over:
+        if not owed.over and not ended.over and not owed.out:
             # Before the outcome: told of it alone, the module could want the next relay.
             if ended.lost:
                 self._end_without_body(owed, "is missing or damaged", now, events, ended)
