Show what bodies a folder keeps, and test the store with real senders on failing disks

Need: the hard cases of keeping bodies had to be shown from outside, by what the stand-ins receive. Changed: willownotch bodies FOLDER [--json] [--verify]; a message's record has the time of its hand-in; one destination gets only its share of the memory for one try; dropped and unkept are sorts of log lines of their own, since five lines a second of one sort hid the ones that matter (seen: 44 one-try lines hid two drops). The tests' sender can run on a disk that fails as a file says, read anew at each operation.

--- a/tests/toys.py
+++ b/tests/toys.py
@@ -148,7 +148,8 @@
 class Sender:
     """The program itself, in a process of its own, with a folder that lasts."""
 
-    def __init__(self, discovery=None, known=None, limits=None, text=None, keepalive=5.0, env=None):
+    def __init__(self, discovery=None, known=None, limits=None, text=None, keepalive=5.0, env=None,
+                 settings=None, faults=None):
         self.folder = tempfile.TemporaryDirectory()
         self.config = Path(self.folder.name) / "config.json"
         self.state = Path(self.folder.name) / "state"
@@ -159,12 +160,21 @@
         }
         self.config.write_text(json.dumps(self.text), encoding="utf-8")
         self.count, self.env = 0, env or {}
+        self.settings, self.faults = Path(self.folder.name) / "w.conf", Path(self.folder.name) / "faults"
+        if faults is not None:  # a sender whose disk fails as this text has it; `fail` changes it
+            self.faults.write_text(faults, encoding="utf-8")
+        if settings is not None:
+            self.settings.write_text(settings, encoding="utf-8")
+            self.env = {**self.env, "WILLOWNOTCH_SETTINGS": str(self.settings)}
         self.start()
 
     def start(self):
         env = {"PATH": os.environ["PATH"], "LB_CONFIG": str(self.config), "LB_STATE": str(self.state),
                **self.env}
-        self.process = subprocess.Popen([sys.executable, "-m", "willownotch"], cwd=ROOT, env=env,
+        program = ["-m", "willownotch"]
+        if self.faults.exists():
+            program = ["tests/faulty_sender.py", str(self.faults)]
+        self.process = subprocess.Popen([sys.executable, *program], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True)
         self.lines, self.port = [], None
         threading.Thread(target=self._read, daemon=True).start()
@@ -176,6 +186,12 @@
             found = re.search(r"start: listening on [\d.]+:(\d+)", line)
             self.port = int(found[1]) if found else self.port
 
+    def fail(self, text):
+        """From now on the disk fails like this; in one step, since the sender reads it at each operation."""
+        new = self.faults.with_suffix(".new")
+        new.write_text(text, encoding="utf-8")
+        new.replace(self.faults)
+
     def settled(self):
         """Wait until nothing is owed: each relay's connection is free again, or gone."""
         until(lambda: not journal.replay((self.state / journal.NAME).read_bytes())[0])
--- a/willownotch/bodies/plan.py
+++ b/willownotch/bodies/plan.py
@@ -160,6 +160,13 @@
     return _at_limit(plan, reason)
 
 
+def one_try_fits(limits: Limits, usage: Usage, unkept: Usage, destination: int, size: int) -> bool:
+    """Whether memory has room for a body that is kept nowhere; one destination gets its share only."""
+    most = limits.memory * limits.destination // limits.room if limits.room else 0
+    held = unkept.destinations.get(destination, 0)
+    return usage.memory + size <= limits.memory and held + size <= most
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """An owed message that may have to make room. `next_s`: until its next relay, as far as can be told."""
--- /dev/null
+++ b/willownotch/bodies/show.py
@@ -0,0 +1,102 @@
+"""`willownotch bodies FOLDER`: what is kept there, by class, destination, step and age. It only reads."""
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from pathlib import Path
+
+import msgspec
+
+from willownotch.bodies.store import PREFIX, checksum
+from willownotch.files.space import blocks
+from willownotch.net.journal import Taken
+
+
+class Row(msgspec.Struct):
+    """Bodies that share class, destination and where they stand; ages in seconds."""
+
+    message_class: str
+    destination: int
+    step: str
+    bodies: int = 0
+    bytes: int = 0
+    youngest_s: float | None = None
+    oldest_s: float | None = None
+
+
+class Kept(msgspec.Struct):
+    """A folder's bodies. `damaged`: messages whose body is missing, cut off or, if read, not as written."""
+
+    rows: list[Row]
+    files: int
+    files_bytes: int
+    live_bytes: int
+    damaged: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """One owed message's body."""
+
+    taken: Taken
+    step: str
+    size: int
+
+
+def step_of(taken: Taken) -> str:
+    """Where a body stands, as far as the folder tells: what is in memory beside its file is not seen."""
+    if taken.unkept:
+        return "unkept"
+    if taken.place is not None or taken.apart:
+        return "file"
+    return "record"
+
+
+def collect(owed: Iterable[Taken], now: datetime) -> list[Row]:
+    """The table, largest first."""
+    rows: dict[tuple[str, int, str], Row] = {}
+    for taken in owed:
+        step = step_of(taken)
+        row = rows.setdefault((taken.message_class, taken.destination, step),
+                              Row(taken.message_class, taken.destination, step))
+        row.bodies += 1
+        row.bytes += taken.place.size if taken.place else len(taken.body)
+        if taken.at is not None:
+            age = max(timedelta(0), now - taken.at).total_seconds()
+            row.youngest_s = min(age, row.youngest_s if row.youngest_s is not None else age)
+            row.oldest_s = max(age, row.oldest_s or 0.0)
+    return sorted(rows.values(), key=lambda r: (-r.bytes, r.message_class, r.destination, r.step))
+
+
+def look(folder: Path, owed: list[Taken], now: datetime, verify: bool = False) -> Kept:
+    """Read a folder; with `verify` every body is read and its checksum compared."""
+    found = ((f.name[len(PREFIX):], f) for f in folder.glob(f"{PREFIX}*"))
+    files = {int(number): file for number, file in found if number.isdigit()}
+    sizes = {number: file.stat().st_size for number, file in files.items()}
+    damaged = []
+    for taken in owed:
+        place = taken.place
+        missing = taken.apart and not (folder / taken.apart).exists()
+        if missing or (place is not None and sizes.get(place.segment, -1) < place.offset + place.size):
+            damaged.append(taken.ref)
+        elif place is not None and verify:
+            with files[place.segment].open("rb") as file:
+                file.seek(place.offset)
+                if checksum(file.read(place.size)) != place.checksum:
+                    damaged.append(taken.ref)
+    live = sum(taken.place.size for taken in owed if taken.place is not None)
+    return Kept(collect(owed, now), len(files), sum(map(blocks, sizes.values())), live, damaged)
+
+
+def table(kept: Kept) -> str:
+    """The same for people."""
+    lines = [f"{'class':<16} {'dest':>6} {'step':<7} {'bodies':>7} {'bytes':>12} {'age':>17}"]
+    for row in kept.rows:
+        age = "-" if row.oldest_s is None else f"{row.youngest_s:.1f} to {row.oldest_s:.1f} s"
+        lines.append(f"{row.message_class:<16} {row.destination:>6} {row.step:<7} {row.bodies:>7} "
+                     f"{row.bytes:>12} {age:>17}")
+    lines.append(f"{kept.files} files of {kept.files_bytes} bytes, {kept.live_bytes} of them live; "
+                 f"{len(kept.damaged)} bodies missing or damaged{': ' * bool(kept.damaged)}"
+                 f"{', '.join(kept.damaged[:20])}")
+    return "\n".join(lines)
--- a/willownotch/bodies/store.py
+++ b/willownotch/bodies/store.py
@@ -136,6 +136,7 @@
         self.lost: Callable[[str], None] = lambda ref: None
         self.usage, self.steps = plan.Usage(), plan.Steps()
         self.inline = plan.Usage()  # of bodies that stand in journal records
+        self.unkept = plan.Usage()  # of bodies that are in memory for one try
         self.outlooks: dict[int, Outlook] = {}
         self.segments: dict[int, Segment] = {}
         self.copy_room = copy_room(space)
@@ -274,10 +275,11 @@
             # What stands in a file, too, gives way to what stands nowhere else.
             while self._cache and self.usage.memory + len(taken.body) > self.limits.memory:
                 self._spill_one(inf)
-            if self.usage.memory + len(taken.body) > self.limits.memory:
+            size = len(taken.body)
+            if not plan.one_try_fits(self.limits, self.usage, self.unkept, taken.destination, size):
                 return Admission(Verdict.REFUSE, f"{reason}, and no memory for one try")
-            self.usage.memory += len(taken.body)
-        self.log.say("bodies", f"{taken.ref} is taken for one try, its body kept nowhere: {reason}")
+            self._count_unkept(taken, len(taken.body))
+        self.log.say("unkept", f"{taken.ref} is taken for one try, its body kept nowhere: {reason}")
         return msgspec.structs.replace(taken, unkept=True)
 
     def _unused(self, taken: TakenBody, size: int) -> None:
@@ -288,7 +290,7 @@
         """A message that was not taken on after all: its body goes."""
         if taken.unkept:
             with self._lock:
-                self.usage.memory -= len(taken.body)
+                self._count_unkept(taken, -len(taken.body))
         elif taken.place is not None:
             self._release(taken)
 
@@ -311,7 +313,7 @@
         elif taken.body:
             with self._lock:
                 if taken.unkept:
-                    self.usage.memory -= len(taken.body)
+                    self._count_unkept(taken, -len(taken.body))
                 else:
                     self._count_inline(taken, -len(taken.body))
                 self._look()
@@ -326,6 +328,10 @@
             self._uncache(taken.place, taken.destination)
             self._drop_place(taken.ref, taken.place)
 
+    def _count_unkept(self, taken: TakenBody, size: int) -> None:
+        self.usage.memory += size
+        self.unkept.add(taken.message_class, taken.destination, size)
+
     def _old_size(self, name: str) -> int:
         try:
             return self.files.size(self.folder / name)
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `serve` (the default), `check`, `journal`, `version`."""
+"""The command line: `serve` (the default), `check`, `journal`, `bodies`, `version`."""
 from __future__ import annotations
 
 import argparse
@@ -11,6 +11,8 @@
 from datetime import timedelta
 from pathlib import Path
 
+import msgspec
+
 from willownotch import __version__
 from willownotch.blocks import Blocks
 from willownotch.bodies.store import Bodies
@@ -171,6 +173,21 @@
     return 0
 
 
+def show_bodies(folder: Path, as_json: bool, verify: bool) -> int:
+    """Print what bodies a folder keeps; 1 if any is missing or damaged."""
+    from willownotch.bodies import show
+
+    try:
+        live, _ = journals.replay((folder / journals.NAME).read_bytes())
+        owed = [entry.taken for entry in live.values() if entry.ended is None]
+        kept = show.look(folder, owed, Clock().now(), verify)
+    except OSError as fault:
+        print(f"willownotch: the folder cannot be read: {fault}", file=sys.stderr)
+        return FAULTY
+    print(msgspec.json.encode(kept).decode() if as_json else show.table(kept))
+    return 1 if kept.damaged else 0
+
+
 def parse(arguments: list[str] | None) -> argparse.Namespace:
     """The command line."""
     parser = argparse.ArgumentParser("willownotch", description="Delivers messages to partner systems.")
@@ -182,6 +199,10 @@
                              help=f"the settings file, if any (else ${SETTINGS_VARIABLE})")
     command = commands.add_parser("journal", help="show what a journal holds")
     command.add_argument("folder", nargs="?", default=os.environ.get("LB_STATE", "."), type=Path)
+    command = commands.add_parser("bodies", help="show what bodies a folder keeps, by class and destination")
+    command.add_argument("folder", nargs="?", default=os.environ.get("LB_STATE", "."), type=Path)
+    command.add_argument("--json", action="store_true", help="as one JSON object")
+    command.add_argument("--verify", action="store_true", help="read every body and compare its checksum")
     commands.add_parser("version", help="print the version")
     parsed = parser.parse_args(arguments)
     if parsed.command is None:
@@ -190,14 +211,16 @@
     return parsed
 
 
-def main(arguments: list[str] | None = None) -> int:
-    """Carry out one command and return the exit code."""
+def main(arguments: list[str] | None = None, files: Files = REAL) -> int:
+    """Carry out one command and return the exit code. A sender keeps its folder by `files`."""
     parsed = parse(arguments)
     if parsed.command == "version":
         print(f"willownotch {__version__}")
         return 0
     if parsed.command == "journal":
         return show_journal(parsed.folder)
+    if parsed.command == "bodies":
+        return show_bodies(parsed.folder, parsed.json, parsed.verify)
     mistakes, config, blocks = [], None, Blocks()
     try:
         config = configs.load(parsed.config)
@@ -221,4 +244,4 @@
               f"{len(config.settings.classes)} classes, {config.settings.slots} slots, "
               f"room for {config.settings.holding_room} messages")
         return 0
-    return serve(config, parsed.config, blocks, parsed.settings)
+    return serve(config, parsed.config, blocks, parsed.settings, files)
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -43,6 +43,7 @@
     checksum: int = 0  # of a body that stands apart so
     place: Place | None = None  # of a body in the store
     unkept: bool = False  # its body is in memory for one relay, and nowhere else
+    at: datetime | None = None  # when it was handed in
 
 
 class Opened(msgspec.Struct, tag="opened", frozen=True, array_like=True):
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -75,7 +75,7 @@
     return Taken(
         ref=ref, destination=int(dest[1]), message_class=name, tenant=tenant,
         ends_at=arrived + timedelta(milliseconds=int(left)), key=keys[0] if keys and cls.in_order else None,
-        idempotency_key=idempotency, again="client-retry" in headers, body=body,
+        idempotency_key=idempotency, again="client-retry" in headers, body=body, at=arrived,
     )
 
 
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -392,7 +392,7 @@
             entry.may_have_run(n) for n in range(entry.count()) if n != number)
         ran = ran or (last is not None and RAN[last.outcome] is not Ran.NEVER)
         ended = self._body_ended(owed.taken, ran)
-        self.log.say("bodies", f"{ref} {ended.outcome}: its body {why}")
+        self.log.say("dropped", f"{ref} {ended.outcome}: its body {why}")
         self._write([ended])
         events.append(face.Withdrawn(ref))
         self._dropped.append((owed, ended))
