--- a/tests/test_bodies_sockets.py
+++ b/tests/test_bodies_sockets.py
@@ -74,8 +74,10 @@
         clump += [sender.hand_in("order", body=b"c" * 9000) for _ in range(4)]
         clump += [sender.hand_in("order", body=b"c" * 90) for _ in range(4)]
         self.assertEqual([head.status for _, head in clump], [202] * 4 + [503] * 8)
+        said = lambda: sum("could not be written" in line for line in sender.lines)  # noqa: E731
+        before = said()
         self.host.held.set()  # `out` ends while nothing can be written
-        until(lambda: any("could not be written" in line for line in sender.lines))
+        until(lambda: said() > before)
         sender.fail("")
         taken = [ref for ref, head in clump if head.status == 202]
         until(lambda: set(taken) <= set(self.host.refs()))
--- a/tests/test_bodies_store.py
+++ b/tests/test_bodies_store.py
@@ -8,6 +8,7 @@
 import unittest
 import zlib
 from datetime import timedelta
+from unittest import mock
 
 import pytest
 from hypothesis import HealthCheck, settings
@@ -21,6 +22,7 @@
 from willownotch.files.faulty import Fault, Faulty, Kind
 from willownotch.interface import Outcome
 from willownotch.net.journal import Ended, Noticed, Taken
+from willownotch.net.ticket import Ticket
 
 LONG = bool(os.environ.get("WILLOWNOTCH_LONG"))
 NO_SPACE = Fault(Kind.NO_SPACE, "append", "bodies-*")
@@ -312,6 +314,14 @@
                 rig.restart()
                 self.assertEqual((list(rig.journal.live), rig.journal.faults), (["a"], []))
 
+    def test_no_hand_in_waits_for_the_disk_longer_than_its_client_would(self):
+        rig = self.rig(write_patience=timedelta(milliseconds=90))
+        for patience, most in [(200, 90), (40, 40)]:
+            with mock.patch.object(Ticket, "wait", autospec=True, return_value=None) as wait:
+                taken = Taken("a", 7, "fee", "acme", rig.clock.now(), body=b"x" * 9000)
+                rig.bodies.keep(taken, timedelta(milliseconds=patience))
+            self.assertEqual(wait.call_args[0][1], timedelta(milliseconds=most))
+
     def test_a_stalled_disk_keeps_nobody_waiting_but_the_stores_thread(self):
         """Clients are answered in time, and what the owner calls returns at once."""
         self.faults = []
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -24,6 +24,7 @@
 IDLE_MOST, IDLE_SHARE = 128, 0.25  # connections kept open without a relay; share of the descriptors
 LEAST_TIME = timedelta(milliseconds=1)
 END_MARGIN = timedelta(milliseconds=100)  # a message's time began before its first byte was read here
+DISK_REST = timedelta(seconds=1)  # between two relays of a message that the disk did not let be made
 REST_TIME = timedelta(milliseconds=500)  # an answer comes in one go: what stays unfinished is spoilt
 
 
@@ -129,6 +130,7 @@
         self._workers = 0
         self._busy = 0
         self.connects = 0
+        self._pause = threading.Event()  # never set: a wait of a moment
         self.idle_most = idle_most(config)
 
     def submit(self, relay: Relay) -> None:
@@ -197,6 +199,7 @@
             return RelayEnded(relay, Outcome.NOT_SENT, lost=True)
         except OSError as fault:
             self.log.say("bodies", f"a relay was not made, since its body could not be read: {fault}")
+            self._rest(relay)
             return RelayEnded(relay, Outcome.NOT_SENT)
         try:
             sock = self._connection(relay)
@@ -213,10 +216,15 @@
         except (OSError, JournalFullError) as fault:
             self.log.say("journal", f"a relay was not made, since it could not be recorded: {fault}")
             self._keep(relay, sock)
+            self._rest(relay)
             return RelayEnded(relay, Outcome.NOT_SENT)
         relay.opened = True
         return self._exchange(relay, sock, body)
 
+    def _rest(self, relay: Relay) -> None:
+        """Wait before a fault of the disk is told: told at once, it uses up a message's attempts."""
+        self._pause.wait(seconds(max(NONE, min(DISK_REST, relay.ends_at - self.clock.now()))))
+
     def _barred(self, relay: Relay) -> bool:
         """Drains, waits and time are looked at again right here: the queue may have aged."""
         host, now = self.hosts.get(relay.host.number), self.clock.now()
