--- /dev/null
+++ b/willownotch/peers/settings.py
@@ -0,0 +1,35 @@
+"""The `peers` block of the settings file. Off unless it names a listener."""
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Annotated
+
+import msgspec
+
+from willownotch.settings.types import CountWord, SpanWord
+
+TENTH, HOUR = timedelta(milliseconds=100), timedelta(hours=1)
+
+
+class PeersSettings(msgspec.Struct, frozen=True):
+    """How members look after each other. Spans are those of a healthy member; a slow one stretches its
+    own."""
+
+    period: Annotated[timedelta, SpanWord(TENTH, HOUR)] = timedelta(seconds=1)  # between two probes
+    patience: Annotated[timedelta, SpanWord(timedelta(milliseconds=10), HOUR)] = timedelta(milliseconds=500)
+    indirect: Annotated[int, CountWord(0, 10)] = 3  # members asked to probe for us
+    suspicion: Annotated[int, CountWord(1, 20)] = 4  # x period x log10(members): until a suspect is dead
+    suspicion_most: Annotated[int, CountWord(1, 20)] = 6  # x that, while no other member suspects it too
+    health_most: Annotated[int, CountWord(0, 20)] = 8  # by how much a slow member may stretch its own spans
+    gossip: Annotated[timedelta, SpanWord(timedelta(milliseconds=10), HOUR)] = timedelta(milliseconds=200)
+    fanout: Annotated[int, CountWord(0, 10)] = 3  # members that fresh rumours are sent to, beside the probes
+    retransmit: Annotated[int, CountWord(1, 20)] = 4  # x log10(members): times that a rumour is passed on
+    sync: Annotated[timedelta, SpanWord(TENTH, HOUR)] = timedelta(seconds=30)  # between two whole states
+    rejoin: Annotated[timedelta, SpanWord(TENTH, HOUR)] = timedelta(seconds=10)  # of the dead
+    remember: Annotated[timedelta, SpanWord(TENTH, timedelta(days=30))] = timedelta(hours=24)  # the dead
+
+    def faults(self) -> list[tuple[str, str]]:
+        """What does not go together."""
+        if self.patience >= self.period:
+            return [("patience", "'patience' is not below 'period', allowed: less than 'period'")]
+        return []
