Say a message's body size in one place, and drop what the body store no longer needs

Need: on reading the whole change again: the size of a body was worked out in three places, show.py had a class that nothing used, and a spill for a body that is kept nowhere passed inf only to have it turned into -inf. Changed: Taken.body_size; the class is gone; -inf is passed as it is meant. Behaviour stays as it was.

--- a/willownotch/bodies/show.py
+++ b/willownotch/bodies/show.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from pathlib import Path
 
@@ -35,15 +34,6 @@
     damaged: list[str]
 
 
-@dataclass(frozen=True, slots=True)
-class Found:
-    """One owed message's body."""
-
-    taken: Taken
-    step: str
-    size: int
-
-
 def step_of(taken: Taken) -> str:
     """Where a body stands, as far as the folder tells: what is in memory beside its file is not seen."""
     if taken.unkept:
@@ -61,7 +51,7 @@
         row = rows.setdefault((taken.message_class, taken.destination, step),
                               Row(taken.message_class, taken.destination, step))
         row.bodies += 1
-        row.bytes += taken.place.size if taken.place else len(taken.body)
+        row.bytes += taken.body_size()
         if taken.at is not None:
             age = max(timedelta(0), now - taken.at).total_seconds()
             row.youngest_s = min(age, row.youngest_s if row.youngest_s is not None else age)
--- a/willownotch/bodies/store.py
+++ b/willownotch/bodies/store.py
@@ -274,14 +274,14 @@
         return admission
 
     def _one_try(self, taken: TakenBody, reason: str) -> TakenBody | Admission:
+        size = len(taken.body)
         with self._lock:
-            # What stands in a file, too, gives way to what stands nowhere else.
-            while self._cache and self.usage.memory + len(taken.body) > self.limits.memory:
-                self._spill_one(inf)
-            size = len(taken.body)
+            # What stands in a file, too, gives way to what stands nowhere else, whenever that is wanted.
+            while self._cache and self.usage.memory + size > self.limits.memory:
+                self._spill_one(-inf)
             if not plan.one_try_fits(self.limits, self.usage, self.unkept, taken.destination, size):
                 return Admission(Verdict.REFUSE, f"{reason}, and no memory for one try")
-            self._count_unkept(taken, len(taken.body))
+            self._count_unkept(taken, size)
         self.log.say("unkept", f"{taken.ref} is taken for one try, its body kept nowhere: {reason}")
         return msgspec.structs.replace(taken, unkept=True)
 
@@ -392,13 +392,10 @@
         self.usage.memory += size
 
     def _spill_one(self, new_s: float) -> bool:
-        """The body that is wanted last leaves memory for one wanted in `new_s`; False if that is the last.
-
-        `inf` stands for one that has nowhere else to be, whenever it is wanted.
-        """
+        """The body that is wanted last leaves memory for one wanted in `new_s`; False if that is the last."""
         now = self.clock.module_s(self.clock.now())
         lines = [plan.Line(d, self._outlook(d).next_s(now, len(line) - 1)) for d, line in self._lines.items()]
-        victim = plan.spill_from(lines, -inf if new_s == inf else new_s)
+        victim = plan.spill_from(lines, new_s)
         if victim is None:
             return False
         self._uncache(next(reversed(self._lines[victim])), victim)
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -171,7 +171,7 @@
         state = f"notice unanswered ({entry.ended.outcome})" if entry.ended else "owed"
         print(f"{taken.ref} dest={taken.destination} {taken.message_class} until {taken.ends_at:%H:%M:%S.%f} "
               f"key={taken.key or '-'} relays={len(runs)} may_have_run={sum(runs)} "
-              f"body={taken.place.size if taken.place else len(taken.body)} {state}")
+              f"body={taken.body_size()} {state}")
     print(f"{len(live)} messages, {len(data)} bytes, {damaged} of them damaged")
     return 0
 
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -45,6 +45,10 @@
     unkept: bool = False  # its body is in memory for one relay, and nowhere else
     at: datetime | None = None  # when it was handed in
 
+    def body_size(self) -> int:
+        """Bytes of its body, in its record or in the store; 0 where it is not kept."""
+        return self.place.size if self.place is not None else len(self.body)
+
 
 class Opened(msgspec.Struct, tag="opened", frozen=True, array_like=True):
     """A relay is about to write its first byte: from now on it may have run."""
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -367,8 +367,7 @@
             dest = taken.destination
             if dest not in next_s:
                 next_s[dest] = self.bodies.next_s(dest)
-            size = taken.place.size if taken.place else len(taken.body)
-            found.append(Candidate(taken.ref, taken.message_class, dest, size, next_s[dest]))
+            found.append(Candidate(taken.ref, taken.message_class, dest, taken.body_size(), next_s[dest]))
         return found
 
     def _make_room(self, item: MakeRoom, now: datetime, events: list[face.Event]) -> None:
