--- a/willownotch/blocks.py
+++ b/willownotch/blocks.py
@@ -6,10 +6,22 @@
 import msgspec
 
 from willownotch.bodies.settings import BodiesSettings
+from willownotch.channel.settings import ChannelSettings
+from willownotch.peers.settings import PeersSettings
 from willownotch.settings.types import Inner
+from willownotch.usage.settings import UsageSettings
 
 
 class Blocks(msgspec.Struct, frozen=True):
     """All that a settings file may hold."""
 
     bodies: Annotated[BodiesSettings, Inner(BodiesSettings)] = BodiesSettings()
+    control: Annotated[ChannelSettings, Inner(ChannelSettings)] = ChannelSettings()
+    peers: Annotated[PeersSettings, Inner(PeersSettings)] = PeersSettings()
+    usage: Annotated[UsageSettings, Inner(UsageSettings)] = UsageSettings()
+
+    def faults(self) -> list[tuple[str, str]]:
+        """What does not go together over blocks."""
+        if self.usage.count and self.peers.listen is None:
+            return [("usage", "'count yes' without peers, wanted: a block peers with 'listen' and 'keys'")]
+        return []
--- /dev/null
+++ b/willownotch/channel/tables.py
@@ -0,0 +1,64 @@
+"""Answers as tables for people."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+ENDS = ("delivered", "handed_back", "given_up", "withdrawn")
+
+
+def table(heads: list[str], rows: list[list[str]]) -> str:
+    """Columns as wide as they need to be; what looks like a number stands to the right."""
+    widths = [max(len(row[n]) for row in [heads, *rows]) for n in range(len(heads))]
+    right = [all(row[n][:1] in "0123456789-" for row in rows) for n in range(len(heads))]
+    lines = []
+    for row in [heads, *rows]:
+        cells = zip(row, widths, right, strict=True)
+        lines.append("  ".join(cell.rjust(w) if r else cell.ljust(w) for cell, w, r in cells).rstrip())
+    return "\n".join(lines)
+
+
+def span(seconds: float | None) -> str:
+    """A time that has passed."""
+    if seconds is None:
+        return "-"
+    for most, unit, size in ((120, "s", 1), (7200, "min", 60), (172_800, "h", 3600)):
+        if seconds < most:
+            return f"{seconds / size:.3g} {unit}"
+    return f"{seconds / 86400:.3g} d"
+
+
+def peers(found: dict[str, Any]) -> str:
+    """What a sender knows of its peers."""
+    rows = [[m["name"], m["address"], m["state"], span(m["since_s"]), span(m["heard_s"]), m["why"]]
+            for m in found["members"]]
+    head = (f"{found['name']} at {found['address']}, health {found['health']} (0 is well), "
+            f"{sum(m['state'] in ('alive', 'suspect') for m in found['members'])} others there")
+    counted = [f"{count} {what}" for part in ("traffic", "refused") for what, count in found[part].items()]
+    return "\n".join([head, table(["NAME", "ADDRESS", "STATE", "FOR", "HEARD", "WHY"], rows) if rows else "",
+                      "datagrams: " + (", ".join(counted) or "none")]).replace("\n\n", "\n")
+
+
+def usage(found: dict[str, Any]) -> str:
+    """What a sender knows of the fleet's usage."""
+    rows = []
+    for line in found["lines"]:
+        taken = line["counts"]["taken"]
+        high = "unknown" if taken["high"] is None else f"{taken['high']:.0f}"
+        ends = [str(line["counts"][what]["count"]) for what in ENDS]
+        rows.append([line["tenant"] or "(others)", line["cls"], str(taken["count"]), str(taken["low"]), high,
+                     *ends, f"{line['short_rate']:.1f}", f"{line['long_rate']:.1f}"])
+    heads = ["TENANT", "CLASS", "TAKEN", "AT LEAST", "AT MOST", "DELIVERED", "BACK", "GIVEN UP", "WITHDRAWN",
+             "PER S", "PER S, LONG"]
+    told = [f"{found['name']}: {found['lives']} processes and {found['settled']} settled ones; the oldest "
+            f"part is {found['oldest'] or '-'}'s, {span(found['oldest_s'])} old"]
+    if found["unheard"]:
+        told.append(f"not heard of yet, in no interval: {', '.join(found['unheard'])}")
+    if found["broken"]:
+        told.append(f"own counts are in memory only: {found['broken']}")
+    if found["left_out"]:
+        told.append(f"{found['left_out']} more lines with lower counts")
+    return "\n".join([*told[:1], table(heads, rows), *told[1:]] if rows else told)
+
+
+TABLES: dict[str, Callable[[dict[str, Any]], str]] = {"peers": peers, "usage": usage}
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `serve` (the default), `check`, `journal`, `bodies`, `version`."""
+"""The command line: `serve` (the default), `check`, `journal`, `bodies`, `peers`, `usage`, `version`."""
 from __future__ import annotations
 
 import argparse
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -28,6 +29,10 @@
 from willownotch.net.registry import Hosts, Notices, Platform, Registry
 from willownotch.net.south import South
 
+if TYPE_CHECKING:
+    from willownotch.channel.server import Server
+    from willownotch.mesh import Mesh
+
 STACK = 256 * 1024  # bytes for each thread: nothing here recurses
 STOP_AFTER = timedelta(seconds=5)  # from SIGTERM to an end of its own, where no SIGKILL has come
 LAST_ANSWERS, LAST_RELAYS = timedelta(seconds=1), timedelta(seconds=20)  # to finish what runs, after that
@@ -83,20 +88,47 @@
     return load(path, Blocks)
 
 
-def reload_settings(path: str | None, bodies: Bodies, log: Log) -> None:
-    """Take a replaced settings file, whole or not at all."""
+def reload_settings(path: str | None, blocks: Blocks, bodies: Bodies, mesh: Mesh | None, log: Log) -> Blocks:
+    """Take a replaced settings file, whole or not at all; the blocks that hold now."""
     if not path:
-        return
+        return blocks
+    later = []
     try:
         fresh = load_blocks(path)
-    except ValueError as fault:
+        if mesh is not None:  # also where the file is as before: its keys may not be
+            later += [mesh.reload(fresh)]
+        elif fresh.peers.listen != blocks.peers.listen:
+            later += ["peers listen"]
+    except (ValueError, OSError) as fault:
         log.say("reload", f"the old settings stay: {fault}")
-        return
-    later = "; journal-share as changed will hold from the next start" * (
-        fresh.bodies.journal_share != bodies.settings.journal_share)
-    if fresh.bodies != bodies.settings:
+        return blocks
+    later += ["journal-share"] * (fresh.bodies.journal_share != blocks.bodies.journal_share)
+    later += ["control socket"] * (fresh.control != blocks.control)
+    if fresh != blocks:
         bodies.configure(fresh.bodies)
-        log.say("reload", f"the settings of {path} hold now{later}")
+        waiting = ", ".join(filter(None, later))
+        log.say("reload", f"the settings of {path} hold now"
+                + f"; {waiting} as changed will hold from the next start" * bool(waiting))
+    return fresh
+
+
+def open_mesh(config: configs.Config, blocks: Blocks, files: Files, journal: journals.Journal,
+              log: Log) -> tuple[Mesh | None, Server | None]:
+    """Peers and the control socket where the settings have them; nothing is loaded where they do not."""
+    mesh = channel = None
+    if blocks.peers.listen is not None:
+        from willownotch.mesh import Mesh
+
+        mesh = Mesh(blocks, config.name, config.state, files, journal.space, log.say)
+        if mesh.counting is not None:
+            journal.counting = mesh.counting.counted
+    if blocks.control.socket is not None:
+        from willownotch.channel.server import Server
+
+        channel = Server(blocks.control.socket)
+        if mesh is not None:
+            mesh.answer_on(channel)
+    return mesh, channel
 
 
 def serve(config: configs.Config, path: str | None, blocks: Blocks, settings_path: str | None = None,
@@ -119,7 +151,8 @@
         owner = Owner(config, clock, log, journal, hosts, bodies)
         owner.lost_bodies = lost
         north = North(config, clock, log, owner, bodies, threads.start)
-    except OSError as fault:
+        mesh, channel = open_mesh(config, blocks, files, journal, log)
+    except (OSError, ValueError) as fault:
         print(f"willownotch: cannot start: {fault}", file=sys.stderr)
         return FAULTY
     for fault in journal.faults:
@@ -133,11 +166,16 @@
     owner.notify = notices.post
 
     def take_reloads() -> None:
+        held = blocks
         while True:  # also while the sender ends: its notices follow the platform to the last
             signal.sigwait({signal.SIGHUP})
             reload(path, config, platform, log)
-            reload_settings(settings_path, bodies, log)
+            held = reload_settings(settings_path, held, bodies, mesh, log)
 
+    if mesh is not None:
+        mesh.start(lambda name, work: threads.start(name, work))
+    if channel is not None:
+        threads.start("control", channel.run)
     threads.start("reload", take_reloads, forever=True)
     threads.start("bodies", bodies.run, forever=True)
     threads.start("owner", owner.run, forever=True)
@@ -153,6 +191,10 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, signals)
         north.stop(LAST_ANSWERS)
         south.finish(LAST_RELAYS)
+    if mesh is not None:
+        mesh.stop()
+    if channel is not None:
+        channel.close()
     log.say("end", "ended; what is still owed stands in the journal")
     sys.stderr.flush()
     os._exit(0)
@@ -191,6 +233,28 @@
     return 1 if kept.damaged else 0
 
 
+def ask(parsed: argparse.Namespace) -> int:
+    """Ask a running sender, and print its answer as a table or as JSON."""
+    from willownotch.channel import client, tables
+
+    path = parsed.socket
+    try:
+        if path is None:
+            path = load_blocks(parsed.settings).control.socket
+        if path is None:
+            print("willownotch: which sender? wanted: --socket PATH, or --settings FILE whose block control "
+                  "names a socket", file=sys.stderr)
+            return FAULTY
+        about = {word: str(value) for word in ("tenant", "lines")
+                 if (value := getattr(parsed, word, None)) is not None}
+        found = client.ask(path, parsed.command, about)
+    except (client.AskError, ValueError) as fault:
+        print(f"willownotch: {fault}", file=sys.stderr)
+        return FAULTY
+    print(msgspec.json.encode(found).decode() if parsed.json else tables.TABLES[parsed.command](found))
+    return 0
+
+
 def parse(arguments: list[str] | None) -> argparse.Namespace:
     """The command line."""
     parser = argparse.ArgumentParser("willownotch", description="Delivers messages to partner systems.")
@@ -206,6 +270,16 @@
     command.add_argument("folder", nargs="?", default=os.environ.get("LB_STATE", "."), type=Path)
     command.add_argument("--json", action="store_true", help="as one JSON object")
     command.add_argument("--verify", action="store_true", help="read every body and compare its checksum")
+    for name, text in (("peers", "show what a running sender knows of its peers"),
+                       ("usage", "show the usage of all instances as a running sender knows it")):
+        command = commands.add_parser(name, help=text, description=text)
+        command.add_argument("--socket", metavar="PATH", help="the sender's control socket")
+        command.add_argument("--settings", metavar="FILE", default=os.environ.get(SETTINGS_VARIABLE),
+                             help=f"else the settings file that names it (else ${SETTINGS_VARIABLE})")
+        command.add_argument("--json", action="store_true", help="as one JSON object")
+        if name == "usage":
+            command.add_argument("--tenant", help="of this tenant only")
+            command.add_argument("--lines", type=int, help="lines at the most, the highest counts first")
     commands.add_parser("version", help="print the version")
     parsed = parser.parse_args(arguments)
     if parsed.command is None:
@@ -222,6 +296,8 @@
         return 0
     if parsed.command == "journal":
         return show_journal(parsed.folder)
+    if parsed.command in ("peers", "usage"):
+        return ask(parsed)
     if parsed.command == "bodies":
         return show_bodies(parsed.folder, parsed.json, parsed.verify)
     mistakes, config, blocks = [], None, Blocks()
@@ -233,6 +309,13 @@
         blocks = load_blocks(parsed.settings)
     except ValueError as fault:
         mistakes += str(fault).splitlines()
+    if blocks.peers.keys is not None:
+        from willownotch.mesh import load_keys
+
+        try:
+            load_keys(blocks.peers.keys)
+        except ValueError as fault:
+            mistakes.append(str(fault))
     if mistakes:
         print("\n".join(mistakes), file=sys.stderr)
         return FAULTY
--- /dev/null
+++ b/willownotch/mesh.py
@@ -0,0 +1,114 @@
+"""Peers and what travels on them, put together for a running sender. Loaded only where the settings ask for
+it."""
+from __future__ import annotations
+
+import secrets
+import socket
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+from willownotch.blocks import Blocks
+from willownotch.channel.server import Server
+from willownotch.files.layer import Files
+from willownotch.files.space import Space
+from willownotch.peers.core import Membership
+from willownotch.peers.edge import Budget, Edge
+from willownotch.peers.node import Node
+from willownotch.peers.seal import KeysError, Seal, read_keys
+from willownotch.usage.service import Counting
+
+LINGER_S = 0.6  # that a leaving instance still answers for, so that the others have its last counts
+UID_BITS = 48
+
+Start = Callable[[str, Callable[[], None]], None]
+
+
+def load_keys(path: str) -> list[tuple[int, bytes]]:
+    """The keys file, or `KeysError` with the place of what is wrong."""
+    try:
+        return read_keys(Path(path).read_text(encoding="utf-8"))
+    except OSError as fault:
+        what = f"cannot be read ({fault.strerror}), wanted: a readable file of keys"
+        raise KeysError(f"{path}:1:1: {what}") from None
+    except ValueError as fault:
+        raise KeysError(f"{path}:{fault}" if isinstance(fault, KeysError) else
+                        f"{path}:1:1: is not UTF-8, wanted: text") from None
+
+
+class Mesh:
+    """The peers of one sender: the socket, the node on it, its layers, and the questions it answers."""
+
+    def __init__(self, blocks: Blocks, name: str, folder: Path, files: Files, space: Space,
+                 say: Callable[[str, str], None]) -> None:
+        settings = blocks.peers
+        self.blocks, self.say = blocks, say
+        name = settings.name or name
+        keys = load_keys(settings.keys)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self.sock.bind(settings.listen)
+            uid = secrets.randbits(UID_BITS)
+            address = settings.advertise or self.sock.getsockname()
+            membership = Membership(name, address, uid, settings, Random(secrets.randbits(64)))
+            self.counting: Counting | None = None
+            layers = ()
+            if blocks.usage.count:
+                self.counting = Counting(blocks.usage, name, not settings.seeds, folder, files, space,
+                                         lambda text: say("usage", text))
+                layers = (self.counting.layer,)
+        except OSError:
+            self.sock.close()
+            raise
+        node = Node(membership, layers)
+        self.edge = Edge(self.sock, node, Seal(uid, keys, node.decode), settings.budget,
+                         lambda text: say("peers", text))
+        if self.counting is not None:
+            self.edge.before, self.counting.lock = self.counting.before, self.edge.lock
+
+    def start(self, start: Start) -> None:
+        """Start its threads; `start` makes one that must not end."""
+        start("peers", lambda: self.edge.run(self.blocks.peers.seeds))
+        if self.counting is not None:
+            start("usage", self.counting.keep)
+        host, port = self.sock.getsockname()
+        self.say("peers", f"{self.edge.node.membership.name} listens for peers on {host}:{port}")
+
+    def answer_on(self, server: Server) -> None:
+        """Register the questions that it answers."""
+        server.answers["peers"] = lambda about: self.edge.view()
+        if self.counting is not None:
+            server.answers["usage"] = self.counting.answer
+
+    def reload(self, blocks: Blocks) -> str:
+        """Take other settings, keys among them; which of them hold only from the next start.
+
+        `KeysError`, and nothing changed, if the keys cannot be read.
+        """
+        old, fresh = self.blocks, blocks
+        keys = load_keys(fresh.peers.keys) if fresh.peers.keys else None
+        with self.edge.lock:
+            if keys is not None:
+                self.edge.seal.roll(keys)
+            if fresh.peers != old.peers:
+                self.edge.node.membership.settings = fresh.peers
+                self.edge.budget = Budget(fresh.peers.budget, time.monotonic())
+            if self.counting is not None:
+                self.counting.usage.settings = fresh.usage
+                self.counting.book.tally.most = fresh.usage.rows
+        self.blocks = fresh
+        later = [f"peers {word}" for word in ("listen", "advertise", "name", "seeds")
+                 if getattr(old.peers, word) != getattr(fresh.peers, word)]
+        later += ["usage count"] * (bool(old.usage.count) != bool(fresh.usage.count))
+        return ", ".join(later)
+
+    def stop(self) -> None:
+        """Leave: the last counts are still told, then the others hear that this instance goes."""
+        if self.counting is not None:
+            self.counting.close()
+            if self.edge.node.membership.size() > 1:
+                threading.Event().wait(LINGER_S)
+        self.edge.stop()
+
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -8,7 +8,7 @@
 
 import threading
 import zlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from datetime import datetime
 from pathlib import Path
 from struct import Struct
@@ -273,6 +273,7 @@
     def __init__(self, folder: Path, space: Space, files: Files = REAL) -> None:
         self.folder, self.path, self.space, self.files = folder, folder / NAME, space, files
         self.bodies: BodyWatch = NoBodies()
+        self.counting: Callable[[list[tuple[str, str, str]]], None] | None = None  # tenant, class, what of it
         self.live: dict[str, Entry] = {}
         self.live_size = 0  # of the records, with all that may still follow
         self.size = 0  # of the file
@@ -321,6 +322,7 @@
             self._rewrite()
 
     def _write(self, records: list[Record], data: bytes) -> None:
+        counted: list[tuple[str, str, str]] = []
         with self._lock:
             # The file may only grow so far that a new one still fits beside it.
             most = self.space.journal_most(self.live_size)
@@ -337,7 +339,14 @@
                 self.live_size += apply(self.live, record)
                 after = self.live.get(record.ref)
                 self._tell(record, old, after.taken if after else None)
+                if self.counting is not None and isinstance(record, Taken | Ended):
+                    what = "taken" if isinstance(record, Taken) else record.outcome
+                    of = record if isinstance(record, Taken) else old
+                    if of is not None:
+                        counted.append((of.tenant, of.message_class, what))
             self.space.journal_is(self.size, self.live_size)
+        if counted:
+            self.counting(counted)
 
     def _append(self, data: bytes) -> None:
         """One write. Of one that failed nothing stays: what follows it could not be told from damage."""
--- a/willownotch/peers/settings.py
+++ b/willownotch/peers/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from willownotch.settings.types import CountWord, SpanWord
+from willownotch.settings.types import AddressWord, CountWord, ListWord, SizeWord, SpanWord, TextWord
 
 TENTH, HOUR = timedelta(milliseconds=100), timedelta(hours=1)
 
@@ -15,6 +15,12 @@
     """How members look after each other. Spans are those of a healthy member; a slow one stretches its
     own."""
 
+    listen: Annotated[tuple[str, int], AddressWord()] | None = None  # off where it is not set
+    advertise: Annotated[tuple[str, int], AddressWord()] | None = None  # where others reach it, if elsewhere
+    name: Annotated[str, TextWord("a name that no other has")] | None = None  # else the configuration's
+    keys: Annotated[str, TextWord("the path of a file with keys")] | None = None
+    seeds: Annotated[tuple[tuple[str, int], ...], ListWord(AddressWord())] = ()
+    budget: Annotated[int, SizeWord(4096, 10**9)] = 128_000  # bytes sent a second at the most
     period: Annotated[timedelta, SpanWord(TENTH, HOUR)] = timedelta(seconds=1)  # between two probes
     patience: Annotated[timedelta, SpanWord(timedelta(milliseconds=10), HOUR)] = timedelta(milliseconds=500)
     indirect: Annotated[int, CountWord(0, 10)] = 3  # members asked to probe for us
@@ -30,6 +36,9 @@
 
     def faults(self) -> list[tuple[str, str]]:
         """What does not go together."""
+        found = []
         if self.patience >= self.period:
-            return [("patience", "'patience' is not below 'period', allowed: less than 'period'")]
-        return []
+            found.append(("patience", "'patience' is not below 'period', allowed: less than 'period'"))
+        if self.listen is not None and self.keys is None:
+            found.append(("listen", "'listen' without 'keys', wanted: the path of a file with keys"))
+        return found
--- a/willownotch/settings/reader.py
+++ b/willownotch/settings/reader.py
@@ -13,7 +13,7 @@
 import lark
 import msgspec
 
-from willownotch.settings.types import Inner, Named, WordError, words
+from willownotch.settings.types import Inner, ListWord, Named, WordError, words
 
 GRAMMAR = r"""
 start: (opening | closing | setting)?
@@ -127,25 +127,32 @@
             if isinstance(reader, Inner | Named):
                 self.fault(setting.line, setting.column,
                            f"'{setting.word}' is a block, wanted: '{{' after it")
+            elif isinstance(reader, ListWord) and setting.values:
+                given[name] = tuple(self._value(setting, reader.of, place) for place in setting.values)
             elif len(setting.values) != 1:
                 self.fault(setting.line, setting.column,
                            f"'{setting.word}' has {len(setting.values)} values, allowed: {reader.allowed()}")
             else:
-                column, text = setting.values[0]
-                try:
-                    given[name] = reader.read(text)
-                except WordError:
-                    self.fault(setting.line, column,
-                               f"'{setting.word}' cannot be {text!r}, allowed: {reader.allowed()}")
+                given[name] = self._value(setting, reader, setting.values[0])
         for inner in block.blocks:
             self._inner(inner, allowed, places, given)
-        made = kind(**given)
+        made = kind(**{name: value for name, value in given.items() if value is not None})
         # Checks across values are the block's own; they name a field, the mistake stands at its line.
         for name, text in getattr(made, "faults", list)():
             line, column = places.get(name, (block.head.line, block.head.column))
             self.fault(line, column, text)
         return made
 
+    def _value(self, setting: Setting, reader: Any, place: tuple[int, str]) -> Any:
+        """One value, typed; None, and a mistake noted, where it cannot be read."""
+        column, text = place
+        try:
+            return reader.read(text)
+        except WordError:
+            self.fault(setting.line, column,
+                       f"'{setting.word}' cannot be {text!r}, allowed: {reader.allowed()}")
+            return None
+
     def _inner(self, inner: Block, allowed: dict, places: dict, given: dict[str, Any]) -> None:
         head = inner.head
         named = allowed.get(head.word, (None, None))[1]
--- a/willownotch/settings/types.py
+++ b/willownotch/settings/types.py
@@ -137,6 +137,53 @@
             raise WordError from None
 
 
+@dataclass(frozen=True)
+class TextWord:
+    """Any text, in quotes if it has blanks."""
+
+    what: str = "a text"
+
+    def allowed(self) -> str:
+        """In words."""
+        return self.what
+
+    def read(self, text: str) -> str:
+        """As it stands."""
+        if not text:
+            raise WordError
+        return text
+
+
+@dataclass(frozen=True)
+class AddressWord:
+    """Where a socket is: `127.0.0.1:7946`."""
+
+    def allowed(self) -> str:
+        """In words."""
+        return "an IPv4 address and a port from 0 to 65535, such as 127.0.0.1:7946"
+
+    def read(self, text: str) -> tuple[str, int]:
+        """Address and port."""
+        host, _, port = text.rpartition(":")
+        parts = host.split(".")
+        if len(parts) != 4 or not all(re.fullmatch(r"[0-9]{1,3}", p) and int(p) < 256 for p in parts):
+            raise WordError
+        if not re.fullmatch(r"[0-9]{1,5}", port) or int(port) > 65535:
+            raise WordError
+        return host, int(port)
+
+
+@dataclass(frozen=True)
+class ListWord:
+    """One or more values of one kind in a line."""
+
+    of: Any
+
+    def allowed(self) -> str:
+        """In words."""
+        return f"one or more of: {self.of.allowed()}"
+
+
 class Flag(Enum):
     """Yes or no."""
 
--- a/willownotch/usage/core.py
+++ b/willownotch/usage/core.py
@@ -103,6 +103,7 @@
 
     lines: tuple[Line, ...]
     lives: int
+    left_out: int  # lines that were not asked for: those with the lowest counts
     settled: int  # lives in the settled part
     oldest_s: float  # age of the oldest part
     oldest: str  # whose it is
@@ -437,9 +438,12 @@
         told = {life.name for life in self.lives.values() if not life.stale and life.as_of is not None}
         return tuple(sorted(self._members - told))
 
-    def answer(self, now: float, tenant: bytes | None = None) -> Answer:
-        """All that is known, or what is known of one tenant."""
-        keys = sorted(k for k in self._totals if tenant is None or k[0] == tenant)
+    def answer(self, now: float, tenant: bytes | None = None, most: int = 10**9) -> Answer:
+        """All that is known, or what is known of one tenant, so many lines at the most, the highest counts
+        first."""
+        keys = [k for k in self._totals if tenant is None or k[0] == tenant]
+        keys.sort(key=lambda k: (-self._totals[k][Sort.TAKEN], k))
+        left_out, keys = max(0, len(keys) - most), keys[:most]
         lines = []
         for key in keys:
             taken = self._totals[key][Sort.TAKEN]
@@ -447,7 +451,8 @@
             lines.append(Line(*key, tuple(self._interval(now, key, sort) for sort in Sort), *rates))
         ages = [(life.age(now), life.name) for life in self.lives.values() if life is not self.own]
         oldest = max(ages, default=(0.0, self.name))
-        return Answer(tuple(lines), len(self.lives), len(self.settled.lives), *oldest, self.unheard())
+        return Answer(tuple(lines), len(self.lives), left_out, len(self.settled.lives), *oldest,
+                      self.unheard())
 
     def rates(self, key: Key) -> tuple[float, list[float]]:
         """Peak rates of a tenant and class, messages a second: the own one, and one for each other life that
--- /dev/null
+++ b/willownotch/usage/service.py
@@ -0,0 +1,160 @@
+"""Counting in a running sender: its own counts in the folder, the replicated state, and answers to
+questions."""
+from __future__ import annotations
+
+import secrets
+import threading
+import time
+from collections.abc import Callable, Iterable
+from math import inf
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from willownotch.channel.server import BadQuestionError
+from willownotch.files.layer import Files
+from willownotch.files.space import Space
+from willownotch.usage.book import Book
+from willownotch.usage.core import Life, Usage
+from willownotch.usage.estimate import Interval
+from willownotch.usage.layer import Exchanges
+from willownotch.usage.settings import UsageSettings
+from willownotch.usage.settled import Settled
+from willownotch.usage.tally import Tally
+from willownotch.usage.wire import LIFE_BITS, Sort
+
+LOOK_S = 1.0  # between two looks at whether the files want to be written anew
+LINES = 1000  # of an answer, unless more are asked for
+SORTS = {sort.name.lower(): sort for sort in Sort}
+
+
+class IntervalView(msgspec.Struct, frozen=True):
+    """A count and its bounds; `high` is null where nothing bounds it."""
+
+    count: int
+    low: int
+    high: float | None
+
+
+class LineView(msgspec.Struct, frozen=True):
+    """One tenant and class."""
+
+    tenant: str
+    cls: str
+    counts: dict[str, IntervalView]
+    short_rate: float
+    long_rate: float
+
+
+class UsageView(msgspec.Struct, frozen=True):
+    """What an instance knows of the fleet's usage."""
+
+    name: str
+    lines: list[LineView]
+    left_out: int  # lines beyond those asked for
+    lives: int
+    settled: int
+    oldest_s: float | None
+    oldest: str
+    unheard: list[str]
+    counters: dict[str, int]
+    broken: str  # why counts are in memory only, if they are
+
+
+class Counting:
+    """The counts of one sender. The edge's thread runs the state; any thread may count and ask."""
+
+    def __init__(self, settings: UsageSettings, name: str, lone: bool, folder: Path, files: Files,
+                 space: Space, say: Callable[[str], None]) -> None:
+        now = time.monotonic()
+        self.say = say
+        self.book = Book(folder, files, space, say)
+        lives, settled = self.book.read()
+        self.usage = Usage(name, secrets.randbits(LIFE_BITS) or 1, settings, Random(secrets.randbits(64)),
+                           now)
+        self.usage.lone = lone
+        self.usage.load([life for life in lives if life.name == name], settled)
+        former = max(lives, key=lambda life: life.upto, default=None)
+        self.book.begin(Life(self.usage.own.id, name),
+                        Tally(settings.rows, former=former.rows if former else None, now=now))
+        self.layer = Exchanges(self.usage, now)
+        self.lock = threading.Lock()  # the edge's, once there is one
+        self.book.write_anew(self._former(), settled)
+
+    def _former(self) -> list[Life]:
+        """Copies of the former lives of this name."""
+        own = self.usage.own
+        return [Life(life.id, life.name, life.closed, life.upto, dict(life.rows))
+                for life in self.usage.lives.values() if life.name == own.name and life is not own]
+
+    def counted(self, messages: Iterable[tuple[str, str, str]]) -> None:
+        """Messages by tenant, class and what became of them, just written to the journal; any thread."""
+        self.book.count(time.monotonic(), [(tenant, cls, SORTS[what]) for tenant, cls, what in messages])
+
+    def before(self, now: float) -> None:
+        """What the edge does first in each round: let the state know of what was counted meanwhile."""
+        if self.usage.overdue:
+            with self.book.lock:
+                self._drain(now)
+                self.usage.renew(now)
+                self.book.renew(self.usage.own)
+        self._drain(now)
+        while self.usage.log:
+            self.say(self.usage.log.pop(0))
+
+    def _drain(self, now: float) -> None:
+        while not self.book.rows.empty():
+            self.usage.count(now, self.book.rows.get())
+
+    def keep(self) -> None:
+        """Write the files anew where that is wanted; a thread of its own, as a disk may be slow."""
+        pause = threading.Event()
+        while True:
+            pause.wait(LOOK_S)
+            self.look()
+
+    def look(self) -> None:
+        """One look at whether the files want to be written anew."""
+        if not (self.usage.unsaved or self.book.wants_anew()):
+            return
+        with self.lock:
+            former = self._former()
+            settled = Settled(dict(self.usage.settled.lives), dict(self.usage.settled.rows))
+            self.usage.unsaved = False
+        if not self.book.write_anew(former, settled):
+            self.usage.unsaved = True
+
+    def close(self) -> None:
+        """The process ends; what it counted is told as final from now on."""
+        self.book.close()
+        with self.lock:
+            self._drain(time.monotonic())
+            self.usage.close()
+
+    def answer(self, about: dict[str, str]) -> UsageView:
+        """The fleet's usage; `tenant` and `lines` narrow it."""
+        unknown = set(about) - {"tenant", "lines"}
+        if unknown:
+            raise BadQuestionError(f"unknown word {min(unknown)!r}, allowed: lines, tenant")
+        try:
+            most = int(about.get("lines", LINES))
+        except ValueError:
+            raise BadQuestionError("'lines' is no whole number") from None
+        tenant = about["tenant"].encode("utf-8", "surrogateescape") if "tenant" in about else None
+        with self.lock:
+            now = time.monotonic()
+            self._drain(now)
+            found = self.usage.answer(now, tenant, most)
+            counters = dict(self.usage.counters)
+        lines = [LineView(line.tenant.decode("utf-8", "backslashreplace"), line.cls,
+                          {sort.name.lower(): _view(line.counts[sort]) for sort in Sort},
+                          round(line.short_rate, 3), round(line.long_rate, 3)) for line in found.lines]
+        return UsageView(self.usage.name, lines, found.left_out, found.lives, found.settled,
+                         None if found.oldest_s == inf else round(found.oldest_s, 3), found.oldest,
+                         list(found.unheard), counters, self.book.broken)
+
+
+def _view(interval: Interval) -> IntervalView:
+    high = None if interval.high == inf else round(interval.high, 1)
+    return IntervalView(interval.count, interval.low, high)
