--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -6,18 +6,21 @@
 from math import inf
 from random import Random
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from willownotch.peers.lossy import Weather
+from willownotch.peers.node import decoder
 from willownotch.usage.core import Usage
 from willownotch.usage.estimate import Interval, interval
+from willownotch.usage.layer import Exchanges
 from willownotch.usage.limits import allowance, share
 from willownotch.usage.settings import UsageSettings
 from willownotch.usage.simulated import Fleet
 from willownotch.usage.tally import Tally
-from willownotch.usage.wire import Ask, Part, Row, Sort
+from willownotch.usage.wire import Ask, Chunk, Part, Row, Sort, Tell, decode, encode
 
 KEY = b"acme", "status"
 NAMES = [f"i{n}" for n in range(8)]
@@ -421,3 +424,60 @@
                 made.count(name, KEY)
         made.run(made.now + 0.05)
     assert limit - 1000 < made.truth[KEY] <= limit
+
+
+# Whatever comes, authentic as it may be
+
+
+amounts = st.integers(0, 3) | st.integers(0, 2**63 - 1)
+counts = st.tuples(*[amounts] * len(Sort))
+names = st.sampled_from(["", "here", "other"])
+rows = st.builds(Row, st.sampled_from([b"acme", b"b"]), st.just("status"), amounts, counts, amounts)
+parts = st.builds(Part, amounts, names, st.booleans(), amounts, amounts, st.none() | amounts,
+                  st.lists(rows, max_size=3).map(tuple))
+pairs = st.lists(st.tuples(amounts, amounts), max_size=3).map(tuple)
+chunks = st.builds(Chunk, amounts, amounts, amounts, pairs,
+                   st.lists(st.tuples(st.just(b"acme"), st.just("status"), counts), max_size=2).map(tuple))
+messages = st.one_of(
+    st.builds(Ask, names, amounts, amounts, amounts, amounts, pairs, amounts, st.tuples(amounts, amounts)),
+    st.builds(Tell, names, amounts, amounts, st.lists(parts, max_size=3).map(tuple), st.none() | chunks),
+)
+
+
+@given(st.lists(messages, max_size=8))
+def test_no_message_can_stop_the_counts(found):
+    made, tally = usage(), Tally(10)
+    made.count(0.0, tally.count(0.0, *KEY, Sort.TAKEN, 5))
+    for message in found:
+        assert decode(encode(message)) == message
+        if isinstance(message, Tell):
+            message = msgspec.structs.replace(message, life=made.own.id, stamp=0)
+        made.receive(1.0, ("127.0.0.1", 1), message)
+        made.exchange(1.0, [("other", ("127.0.0.1", 1))])
+        made.answer(1.0)
+        if made.overdue:
+            made.renew(1.0)
+    assert made.lives[made.own.id] is made.own
+    assert all(count >= 0 for sort in Sort for count in made.totals(sort).values())
+
+
+@pytest.mark.parametrize("part", [
+    Part(99, "other", False, 0, 2, 0,
+         (Row(*KEY, 2, (6, 0, 0, 0, 0)), Row(b"b", "status", 1, (1, 0, 0, 0, 0)))),
+    Part(99, "other", False, 0, 1, 0, (Row(*KEY, 2, (1, 0, 0, 0, 0)),)),
+    Part(99, "other", False, 1, 2, 0, (Row(*KEY, 2, (1, 0, 0, 0, 0)),)),
+], ids=["out of order", "beyond its end", "counting down"])
+def test_a_part_that_no_counting_can_have_made_changes_nothing(part):
+    made = usage()
+    made._merge(1.0, Part(99, "other", False, 0, 1, 0, (Row(*KEY, 1, (5, 0, 0, 0, 0)),)), 0.5)
+    made._merge(1.0, part, 0.5)
+    assert made.totals() == {KEY: 5}
+    assert made.counters["strange"] == 1
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_can_stop_the_decoder(data):
+    try:
+        decoder([Exchanges(usage(), 0.0)])(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        pass
--- a/willownotch/usage/core.py
+++ b/willownotch/usage/core.py
@@ -173,7 +173,7 @@
         if self.overdue:
             return []
         self._fold_all(now)
-        if not peers:
+        if not peers or self.own.closed:  # an ask would show that this life goes on
             return []
         held = sorted((life.id, life.upto) for life in self.lives.values() if not life.stale)
         parts = [held[at:at + LIVES] for at in range(0, len(held), LIVES)]
@@ -194,7 +194,7 @@
             return []
         if isinstance(message, Ask):
             return [Send(address, tell) for tell in self._asked(now, message)]
-        if message.life != self.own.id or not 0 <= message.stamp <= now * 1e6 + 1:
+        if message.life != self.own.id or message.stamp > now * 1e6 + 1:
             self.counters["strange"] += 1  # an answer to a former process or life
             return []
         self._answered(now)
@@ -267,6 +267,9 @@
             if len(life.early) < EARLY:
                 life.early[part.after] = part, asked_at
             return
+        if not _plausible(part, life):
+            self.counters["strange"] += 1
+            return
         if part.upto > life.upto and life.closed and not part.closed:
             life.closed, life.over_since = False, None  # it had gone on
         for row in part.rows:
@@ -468,6 +471,21 @@
         return own, others
 
 
+def _plausible(part: Part, life: Life) -> bool:
+    """Whether a part could have come of counting: versions in order, and no count below the one that is
+    held."""
+    version = part.after
+    for row in part.rows:
+        if not version < row.version <= part.upto:
+            return False
+        version = row.version
+        held = life.rows.get(row.key)
+        if held is not None and row.version > held.version and any(
+                new < old for new, old in zip(row.counts, held.counts, strict=True)):
+            return False
+    return True
+
+
 class Packer:
     """Packs parts into the datagrams of one answer."""
 
--- a/willownotch/usage/wire.py
+++ b/willownotch/usage/wire.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
@@ -20,7 +21,8 @@
 
 
 Key = tuple[bytes, str]  # tenant, class
-Counts = tuple[int, ...]  # one for each sort
+Amount = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MOST)]
+Counts = tuple[Amount, Amount, Amount, Amount, Amount]  # one for each sort
 NOTHING: Counts = (0,) * len(Sort)
 
 
@@ -30,9 +32,9 @@
 
     tenant: bytes
     cls: str
-    version: int
+    version: Amount
     counts: Counts
-    peak: int = 0
+    peak: Amount = 0
 
     @property
     def key(self) -> Key:
@@ -46,22 +48,22 @@
     `age_ms` is how long ago, at the most, the life stood at `upto`; None if more of it is to follow.
     """
 
-    life: int
+    life: Amount
     name: str
     closed: bool  # its process is over: it counts nothing more
-    after: int
-    upto: int
-    age_ms: int | None
+    after: Amount
+    upto: Amount
+    age_ms: Amount | None
     rows: tuple[Row, ...] = ()
 
 
 class Chunk(msgspec.Struct, frozen=True, array_like=True):
     """A piece of a settled part: lives folded into it with the version each was folded at, and rows."""
 
-    digest: int
-    at: int  # place of the first item
-    total: int  # items in all
-    lives: tuple[tuple[int, int], ...] = ()
+    digest: Amount
+    at: Amount  # place of the first item
+    total: Amount  # items in all
+    lives: tuple[tuple[Amount, Amount], ...] = ()
     rows: tuple[tuple[bytes, str, Counts], ...] = ()
 
 
@@ -72,20 +74,20 @@
     """
 
     source: str
-    life: int
+    life: Amount
     stamp: int
-    low: int
-    high: int
-    held: tuple[tuple[int, int], ...] = ()
-    settled: int = 0  # digest of its settled part
-    candidate: tuple[int, int] = (0, 0)  # another settled part, and how many items of it are there
+    low: Amount
+    high: Amount
+    held: tuple[tuple[Amount, Amount], ...] = ()
+    settled: Amount = 0  # digest of its settled part
+    candidate: tuple[Amount, Amount] = (0, 0)  # another settled part, and how many items of it are there
 
 
 class Tell(msgspec.Struct, tag=34, frozen=True, array_like=True):
     """An answer to an ask, or a part of it."""
 
     source: str
-    life: int  # of the asker
+    life: Amount  # of the asker
     stamp: int  # of its ask
     parts: tuple[Part, ...] = ()
     chunk: Chunk | None = None
