--- a/willownotch/peers/core.py
+++ b/willownotch/peers/core.py
@@ -119,6 +119,7 @@
         self._order: list[str] = []  # those still to be probed in this round
         self._probes: dict[int, Probe] = {}
         self._relayed: dict[int, Relayed] = {}
+        self._size: int | None = None  # until a member's state changes
         self.now = 0.0
 
     # What is asked of it
@@ -129,7 +130,9 @@
 
     def size(self) -> int:
         """Members that are there, this one counted."""
-        return 1 + sum(m.state <= State.SUSPECT for m in self.members.values())
+        if self._size is None:
+            self._size = 1 + sum(m.state <= State.SUSPECT for m in self.members.values())
+        return self._size
 
     # What is fed to it
 
@@ -344,6 +347,7 @@
         member = Member(rumour.name, rumour.address, rumour.uid, rumour.incarnation, rumour.state, self.now,
                         why)
         self.members[rumour.name] = member
+        self._size = None
         self._rumours.add(rumour)
         if rumour.state <= State.SUSPECT:
             self._tell(member, Change.JOINED, why)
@@ -353,6 +357,7 @@
 
     def _change(self, member: Member, rumour: Rumour, why: str) -> None:
         was, moved = member.state, rumour.address != member.address
+        self._size = None
         member.incarnation, member.state, member.address = rumour.incarnation, rumour.state, rumour.address
         self._rumours.add(rumour)
         if moved:
@@ -406,6 +411,14 @@
         # Said again, too, where an older suspicion shows that the last refutation was lost on its way.
         self._say(self._own())
 
+    def own_rumour(self) -> Rumour:
+        """What this member says of itself."""
+        return self._own()
+
+    def forget_rumours(self) -> None:
+        """Pass nothing on of what has been heard so far."""
+        self._rumours = Rumours()
+
     def _own(self) -> Rumour:
         return Rumour(self.name, State.ALIVE, self.incarnation, self.uid, *self.address, self.name)
 
@@ -460,6 +473,7 @@
         for member in [m for m in self.members.values() if m.state > State.SUSPECT]:
             if self.now - member.since > kept:
                 del self.members[member.name]
+                self._size = None
 
     def _tell_all(self, address: Address, wanted: bool) -> None:
         """All that is known, in pieces of one datagram each; only the first asks for the other's."""
--- a/willownotch/peers/lossy.py
+++ b/willownotch/peers/lossy.py
@@ -16,7 +16,7 @@
 from willownotch.peers.core import Action, Change, Membership, News
 from willownotch.peers.node import Layer, Node
 from willownotch.peers.settings import PeersSettings
-from willownotch.peers.wire import Address, encode
+from willownotch.peers.wire import Address, Message, Sync, encode
 
 
 @dataclass(slots=True)
@@ -32,10 +32,11 @@
 
 @dataclass(slots=True)
 class Traffic:
-    """What one member has sent."""
+    """What one member has sent; `layers` is the part that was not the membership's own."""
 
     datagrams: int = 0
     bytes: int = 0
+    layers: int = 0  # bytes
 
 
 @dataclass(order=True, slots=True)
@@ -64,6 +65,7 @@
         self.paused: set[str] = set()
         self.news: list[tuple[float, str, News]] = []  # when, who noticed, what
         self.traffic: dict[str, Traffic] = {}
+        self.addresses: dict[str, Address] = {}
         self._at: dict[Address, str] = {}
         self._queue: list[Due] = []
         self._ticks: dict[str, tuple[float, float]] = {}  # when, and by the member's own clock
@@ -82,13 +84,36 @@
         member = Membership(claims or name, address, self.random.getrandbits(48) if uid is None else uid,
                             self.settings, Random(self.random.getrandbits(64)), incarnation)
         self.members[name], self._at[address], self.offsets[name] = member, name, offset
+        self.addresses[name] = address
         self.traffic.setdefault(name, Traffic())
         self.paused.discard(name)
-        node = self.nodes[name] = Node(member, layers)
         known = [self.members[seed].address for seed in seeds]
-        self._carry(name, node.start(self.now + offset, known))
+        self.put(name, Node(member, layers), known)
         return member
 
+    def put(self, name: str, node: Node, seeds: list[Address]) -> None:
+        """Start any node under a name whose address and clock are known."""
+        self.nodes[name] = node
+        self._carry(name, node.start(self.now + self.offsets[name], seeds))
+
+    def place(self, name: str, node: Node) -> Address:
+        """Start a node of another kind, for comparison: an address of its own, and no offset."""
+        address = ("10.0.0.1", 1000 + len(self._at))
+        self._at[address], self.offsets[name] = name, 0.0
+        self.addresses[name] = address
+        self.traffic[name] = Traffic()
+        self.put(name, node, [])
+        return address
+
+    def acquaint(self) -> None:
+        """Let all know of all, as if they had been together for long."""
+        for name, member in self.members.items():
+            for other in self.members.values():
+                if other is not member:
+                    member.receive(self.now + self.offsets[name], other.address, Sync(other.name, False, (
+                        other.own_rumour(),)))
+            member.forget_rumours()
+
     def kill(self, name: str) -> None:
         """It says and hears nothing more."""
         self.paused.add(name)
@@ -145,15 +170,17 @@
 
     def _post(self, name: str, address: Address, message: msgspec.Struct) -> None:
         weather, data = self.weather, encode(message)
-        self.traffic[name].datagrams += 1
-        self.traffic[name].bytes += len(data)
+        traffic = self.traffic[name]
+        traffic.datagrams += 1
+        traffic.bytes += len(data)
+        traffic.layers += len(data) * (not isinstance(message, Message))
         target = self._at.get(address)
         if target is None or weather.cut(name, target):
             return
         for _ in range(1 + (self.random.random() < weather.repeat)):
             if self.random.random() >= weather.loss:
                 at = self.now + weather.delay + self.random.random() * weather.jitter
-                self._push(Due(at, self._next(), target, self.members[name].address, data))
+                self._push(Due(at, self._next(), target, self.addresses[name], data))
 
     def _push(self, due: Due) -> None:
         heapq.heappush(self._queue, due)
--- a/willownotch/peers/rumours.py
+++ b/willownotch/peers/rumours.py
@@ -10,6 +10,8 @@
 
 from willownotch.peers.wire import Rumour, encode
 
+SMALLEST = 20  # bytes of a rumour
+
 
 def times(members: int, retransmit: int) -> int:
     """How often a rumour is passed on among so many members."""
@@ -17,34 +19,47 @@
 
 
 class Rumours:
-    """One rumour for each member: a newer one of the same member takes the older one's place."""
+    """One rumour for each member: a newer one of the same member takes the older one's place.
+
+    They stand by how often they were told, the latest last, so that a message looks only at as many as it can
+    carry, however many there are.
+    """
 
     def __init__(self) -> None:
-        self._told: dict[str, tuple[int, int, Rumour]] = {}  # by member: times told, order, rumour
-        self._order = 0
+        self._levels: list[dict[str, tuple[int, Rumour]]] = []  # told so often: size and rumour by member
+        self._told: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._told)
 
     def add(self, rumour: Rumour) -> None:
         """From now on it is passed on."""
-        self._order += 1
-        self._told[rumour.name] = (0, -self._order, rumour)
+        self._put(0, len(encode(rumour)), rumour)
+
+    def _put(self, told: int, size: int, rumour: Rumour) -> None:
+        known = self._told.get(rumour.name)
+        if known is not None:
+            del self._levels[known][rumour.name]
+        while len(self._levels) <= told:
+            self._levels.append({})
+        self._told[rumour.name] = told
+        self._levels[told][rumour.name] = size, rumour
 
     def take(self, room: int, most: int, first: Rumour | None = None) -> tuple[Rumour, ...]:
         """Those that ride on the next message: `room` bytes of them. `first` rides in any case."""
-        chosen = [first] if first is not None else []
-        room -= sum(len(encode(r)) for r in chosen)
-        for told, order, rumour in sorted(self._told.values(), key=lambda entry: entry[:2]):
-            if first is not None and rumour.name == first.name:
-                continue
-            size = len(encode(rumour))
-            if size > room:
-                continue
-            room -= size
-            chosen.append(rumour)
+        chosen: list[tuple[int, int, Rumour]] = []
+        if first is not None:
+            room -= len(encode(first))
+        for told, level in enumerate(self._levels):
+            for size, rumour in reversed(level.values()):
+                if room < SMALLEST:
+                    break
+                if size <= room and (first is None or rumour.name != first.name):
+                    room -= size
+                    chosen.append((told, size, rumour))
+        for told, size, rumour in chosen:
             if told + 1 >= most:
-                del self._told[rumour.name]
+                del self._levels[told][rumour.name], self._told[rumour.name]
             else:
-                self._told[rumour.name] = (told + 1, order, rumour)
-        return tuple(chosen)
+                self._put(told + 1, size, rumour)
+        return (*([first] if first is not None else []), *(rumour for _, _, rumour in chosen))
