--- a/benchmarks/bodies_silence.py
+++ b/benchmarks/bodies_silence.py
@@ -5,7 +5,7 @@
 A real sender, three classes, bodies of 64 KiB and 2 KiB, five other partners beside it. Three settings in
 turn: the store as set (`memory 4MB`), memory for all (`memory 1GB`: bodies stay in memory, as before), files
 only. Counts outcomes by class from what the stand-ins received, and the peak of the resident
-memory over that of the idle sender.
+memory over that of the idle sender: of one that has served before, and of one just started.
 """
 import argparse
 import statistics
@@ -23,6 +23,21 @@
 }
 CLASSES = ["order"] * 46 + ["status"] * 43 + ["fee"] * 11  # shares of the traffic
 LARGE, SMALL = 64 * 1024, 2 * 1024
+SERVED = 30  # messages on each connection before the silence
+
+
+def serve(sender):
+    """A second of ordinary service over all connections and relays, so that what any load takes is there."""
+    def client(part):
+        with sender.connect() as sock:
+            for n in range(SERVED):
+                message = sender.message("status", dest=7 + n % 6, body=b"w" * SMALL, ref=f"w{part}-{n:08x}")
+                sender.exchange(message, sock)
+    clients = [threading.Thread(target=client, args=(part,)) for part in range(8)]
+    for thread in clients:
+        thread.start()
+    for thread in clients:
+        thread.join()
 
 
 def play(setting, size, rate, silence):
@@ -39,6 +54,9 @@
         for _ in range(20):
             sender.hand_in("status", dest=8, body=b"w" * 100)
         time.sleep(1.0)
+        fresh = rss_kb(sender.process.pid)
+        serve(sender)
+        time.sleep(1.0)
         idle = rss_kb(sender.process.pid)
         reset_peak(sender.process.pid)
         hosts[0].held.clear()
@@ -81,7 +99,8 @@
             if cls == "fee" and seen.get(ref, 0) > 1:
                 row["sent twice"] = row.get("sent twice", 0) + 1
         steps = [line.split("bodies: ")[1][:60] for line in sender.lines if "bodies: step" in line]
-        return {"idle_kb": idle, "growth_kb": peak - idle, "outcomes": table, "steps": steps[:6]}
+        return {"idle_kb": idle, "growth_kb": peak - idle, "growth_fresh_kb": peak - fresh,
+                "outcomes": table, "steps": steps[:6]}
     finally:
         sender.close()
         for host in hosts:
@@ -96,7 +115,8 @@
     parser.add_argument("--rate", type=float, default=30.0)
     parser.add_argument("--silence", type=float, default=15.0)
     chosen = parser.parse_args()
-    data, lines = [], ["| bodies | setting | growth over idle, KB: median (range) |", "| --- | --- | --- |"]
+    data, lines = [], ["| bodies | setting | growth over an idle sender, KB: median (range) | "
+                       "over a fresh one |", "| --- | --- | --- | --- |"]
     for _ in range(chosen.runs):
         for size in (LARGE, SMALL):
             for name, setting in STEPS.items():
@@ -107,7 +127,8 @@
     for size in (LARGE, SMALL):
         for name in STEPS:
             runs = [run for run in data if (run["size"], run["setting"]) == (size, name)]
-            lines.append(f"| {size} | {name} | {spread([run['growth_kb'] for run in runs])} |")
+            lines.append(f"| {size} | {name} | {spread([run['growth_kb'] for run in runs])} | "
+                         f"{spread([run['growth_fresh_kb'] for run in runs])} |")
             for cls in sorted({cls for run in runs for cls in run["outcomes"]}):
                 ends = sorted({end for run in runs for end in run["outcomes"].get(cls, {})})
                 middle = {end: statistics.median(r["outcomes"].get(cls, {}).get(end, 0) for r in runs)
--- /dev/null
+++ b/tests/meshed.py
@@ -0,0 +1,87 @@
+"""Real senders with peers and counts, behind a relay that plays a bad network."""
+from __future__ import annotations
+
+import signal
+
+import toys
+from toys import Discovery, Host, Sender, until
+
+from willownotch.channel.client import ask
+from willownotch.peers.relay import Relay
+
+KEYS = f"1 {'ab' * 32}\n"
+FAST = """ period 200ms
+ patience 100ms
+ suspicion 2
+ gossip 50ms
+ sync 1s
+ rejoin 500ms
+"""
+
+
+class Meshed:
+    """Senders with peers behind a relay."""
+
+    def __init__(self, number, tmp_path, weather=None, seed=1, peers=FAST, usage=" exchange 50ms\n"):
+        self.relay = Relay(seed, weather)
+        self.host = Host()
+        self.discovery = Discovery([self.host])
+        self.path = tmp_path
+        self.keys = tmp_path / "keys"
+        self.keys.write_text(KEYS)
+        self.doors = [self.relay.door(f"i{n}") for n in range(number)]
+        self.peers, self.usage = peers, usage
+        self.senders = [None] * number
+        for n in range(number):
+            self.begin(n)
+
+    def settings(self, n):
+        doors = [f"{host}:{port}" for host, port in self.doors]
+        seeds = "" if n == 0 else f" seeds {doors[0]}\n"
+        return (f"peers {{\n listen 127.0.0.1:0\n advertise {doors[n]}\n name i{n}\n keys {self.keys}\n"
+                f"{seeds}{self.peers}}}\nusage {{\n count yes\n{self.usage}}}\n"
+                f"control {{\n socket {self.socket(n)}\n}}\n")
+
+    def socket(self, n):
+        return self.path / f"s{n}"
+
+    def begin(self, n):
+        self.senders[n] = Sender(self.discovery, settings=self.settings(n))
+        self.found(n)
+
+    def found(self, n):
+        """The relay has to know the new socket."""
+        sender = self.senders[n]
+        said = f"i{n} listens for peers on "
+        until(lambda: any(said in line for line in sender.lines))
+        port = next(line.rsplit(":", 1)[1] for line in sender.lines if said in line)
+        self.relay.behind(f"i{n}", ("127.0.0.1", int(port)))
+        sender.ready()
+
+    def restart(self, n, with_signal=signal.SIGKILL):
+        sender = self.senders[n]
+        sender.process.send_signal(with_signal)
+        sender.process.wait(toys.PATIENCE)
+        sender.start()
+        self.found(n)
+
+    def taken(self, n, what="taken"):
+        """What an instance holds to be taken on."""
+        return sum(line["counts"][what]["count"] for line in ask(self.socket(n), "usage")["lines"])
+
+    def all_hold(self, number):
+        until(lambda: all(self.taken(n) == number for n in range(len(self.senders))))
+
+    def joined(self):
+        until(lambda: all(self.alive(n) == len(self.senders) - 1 for n in range(len(self.senders))))
+        return self
+
+    def alive(self, n):
+        return sum(m["state"] == "alive" for m in ask(self.socket(n), "peers")["members"])
+
+    def close(self):
+        for sender in self.senders:
+            sender.close()
+        self.relay.close()
+        self.host.close()
+        self.discovery.close()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -16,6 +16,7 @@
     Subscribe,
     Tell,
     Tenant,
+    TenantPart,
     Timer,
     Wake,
 )
@@ -132,6 +133,13 @@
     assert worths == [1.0, 1.0, 0.1, 0.1, 1.0]
 
 
+def test_a_part_of_a_quota_counted_over_all_senders_takes_the_guess_s_place():
+    sender = Sender(senders=1, slots=1, tenants=(Tenant("a", 4.0), Tenant("b", 4.0)), over_share_worth=0.1)
+    sender.step(TenantPart(0, 0.25))
+    sender.step(*[sender.message(tenant=t) for t in (0, 0, 0, 1, 1, 1)])
+    assert [job.worth for job in sender.control.book.jobs.values()] == [1.0, 1.0, 0.1, 1.0, 1.0, 1.0]
+
+
 def test_sheds_never_break_a_promise():
     sender = Sender(slots=4, holding_room=4)
     out = sends(sender.step(*[sender.message(UNSAFE) for _ in range(3)]))
--- a/tests/test_mesh_sockets.py
+++ b/tests/test_mesh_sockets.py
@@ -11,88 +11,11 @@
 
 import pytest
 import toys
-from toys import ROOT, Discovery, Host, Sender, until
+from meshed import KEYS, Meshed
+from toys import ROOT, Sender, until
 
 from willownotch.channel.client import AskError, ask
 from willownotch.peers.lossy import Weather
-from willownotch.peers.relay import Relay
-
-KEYS = f"1 {'ab' * 32}\n"
-FAST = """ period 200ms
- patience 100ms
- suspicion 2
- gossip 50ms
- sync 1s
- rejoin 500ms
-"""
-
-
-class Meshed:
-    """Senders with peers behind a relay."""
-
-    def __init__(self, number, tmp_path, weather=None, seed=1, peers=FAST, usage=" exchange 50ms\n"):
-        self.relay = Relay(seed, weather)
-        self.host = Host()
-        self.discovery = Discovery([self.host])
-        self.path = tmp_path
-        self.keys = tmp_path / "keys"
-        self.keys.write_text(KEYS)
-        self.doors = [self.relay.door(f"i{n}") for n in range(number)]
-        self.peers, self.usage = peers, usage
-        self.senders = [None] * number
-        for n in range(number):
-            self.begin(n)
-
-    def settings(self, n):
-        doors = [f"{host}:{port}" for host, port in self.doors]
-        seeds = "" if n == 0 else f" seeds {doors[0]}\n"
-        return (f"peers {{\n listen 127.0.0.1:0\n advertise {doors[n]}\n name i{n}\n keys {self.keys}\n"
-                f"{seeds}{self.peers}}}\nusage {{\n count yes\n{self.usage}}}\n"
-                f"control {{\n socket {self.socket(n)}\n}}\n")
-
-    def socket(self, n):
-        return self.path / f"s{n}"
-
-    def begin(self, n):
-        self.senders[n] = Sender(self.discovery, settings=self.settings(n))
-        self.found(n)
-
-    def found(self, n):
-        """The relay has to know the new socket."""
-        sender = self.senders[n]
-        said = f"i{n} listens for peers on "
-        until(lambda: any(said in line for line in sender.lines))
-        port = next(line.rsplit(":", 1)[1] for line in sender.lines if said in line)
-        self.relay.behind(f"i{n}", ("127.0.0.1", int(port)))
-        sender.ready()
-
-    def restart(self, n, with_signal=signal.SIGKILL):
-        sender = self.senders[n]
-        sender.process.send_signal(with_signal)
-        sender.process.wait(toys.PATIENCE)
-        sender.start()
-        self.found(n)
-
-    def taken(self, n, what="taken"):
-        """What an instance holds to be taken on."""
-        return sum(line["counts"][what]["count"] for line in ask(self.socket(n), "usage")["lines"])
-
-    def all_hold(self, number):
-        until(lambda: all(self.taken(n) == number for n in range(len(self.senders))))
-
-    def joined(self):
-        until(lambda: all(self.alive(n) == len(self.senders) - 1 for n in range(len(self.senders))))
-        return self
-
-    def alive(self, n):
-        return sum(m["state"] == "alive" for m in ask(self.socket(n), "peers")["members"])
-
-    def close(self):
-        for sender in self.senders:
-            sender.close()
-        self.relay.close()
-        self.host.close()
-        self.discovery.close()
 
 
 @pytest.fixture
@@ -266,3 +189,20 @@
     found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
                            timeout=toys.PATIENCE)
     assert found.stdout.strip() == "[]"
+
+
+def test_the_decisions_are_told_this_sender_s_part_of_a_quota_where_that_is_set(meshed):
+    fleet = meshed(2, usage=" exchange 50ms\n share-quotas yes\n")
+    for _ in range(20):
+        fleet.senders[0].hand_in("status")
+    fleet.all_hold(20)
+    parts = {}
+
+    def told():
+        for n, sender in enumerate(fleet.senders):
+            found = [line for line in sender.lines if "part of acme's quota here is" in line]
+            if found:
+                parts[n] = float(found[-1].rsplit(" ", 1)[1])
+        return parts.get(0, 0.0) > 0.6 > 0.4 > parts.get(1, 1.0)
+    until(told)
+    assert sum(parts.values()) <= 1.001
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -418,7 +418,7 @@
     while made.now < 60:
         for name in NAMES[:4]:
             instance = made.running[name]
-            rate, others = instance.usage.rates(KEY)
+            rate, others = instance.usage.rates([KEY])
             counted = instance.usage.one(made.own_time(name), *KEY)
             if allowance(limit, counted, rate, others).messages:
                 made.count(name, KEY)
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -25,7 +25,7 @@
 from willownotch.net.folder import open_folder
 from willownotch.net.log import Log
 from willownotch.net.north import North
-from willownotch.net.owner import BodyLost, Owner, Stop
+from willownotch.net.owner import BodyLost, Owner, Stop, TenantParts
 from willownotch.net.registry import Hosts, Notices, Platform, Registry
 from willownotch.net.south import South
 
@@ -122,6 +122,8 @@
         mesh = Mesh(blocks, config.name, config.state, files, journal.space, log.say)
         if mesh.counting is not None:
             journal.counting = mesh.counting.counted
+            mesh.counting.tenants = tuple(t.name for t in config.settings.tenants)
+            mesh.counting.classes = tuple(c.name for c in config.settings.classes)
     if blocks.control.socket is not None:
         from willownotch.channel.server import Server
 
@@ -173,6 +175,8 @@
             held = reload_settings(settings_path, held, bodies, mesh, log)
 
     if mesh is not None:
+        if mesh.counting is not None:
+            mesh.counting.tell = lambda parts: owner.post(TenantParts(parts))
         mesh.start(lambda name, work: threads.start(name, work))
     if channel is not None:
         threads.start("control", channel.run)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -174,18 +174,16 @@
 
     def __init__(self, settings: face.Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
-        self.book = Book(settings)
-        self.strange = min(cls.wanted_s for cls in settings.classes)  # patience where nothing is known
+        self.book, self.strange = Book(settings), min(c.wanted_s for c in settings.classes)  # patience
         self.at: dict[int, float] = {}  # of a route, its `_ready_at` until something is sent
         self.windows: dict[Unit, float] = {}  # as of this dispatch
         self.quiet: dict[str, float] = {}  # when a key may be used again
         self.turned: dict[int, float] = {}  # of a kind, the share of calls turned away lately
         self.tight: dict[int, int] = {}  # of a kind, calls after which idle connections are still closed
-        self.now, self.out, self.sick_calls, self.free_at = 0.0, [], 0, -inf
+        self.now, self.out, self.sick_calls, self.free_at, self.stops_at = 0.0, [], 0, -inf, inf
         self.due, self.wake_at = inf, -inf  # when there is something to look at; the timer that is set
-        self.shares = [Bucket(t.quota_per_s * TENANT_BURST_S, 0.0) for t in settings.tenants]
+        self.shares, self.parts = [Bucket(t.quota_per_s * TENANT_BURST_S, 0.0) for t in settings.tenants], {}
         self.arrivals, self.reuses, self.drops = Fading(ARRIVALS_S), Fading(ARRIVALS_S), Fading(ARRIVALS_S)
-        self.stops_at = inf  # when this sender may be killed
         self.list_at, self.list_fails = -inf, 0  # when to ask for the list again; failures in a row
 
     def handle(self, now: float, events: list[face.Event]) -> list[face.Action]:
@@ -228,6 +226,8 @@
             self._heard(event)
         elif isinstance(event, face.Withdrawn) and event.ref in self.book.jobs:
             self.book.finish(self.book.jobs[event.ref])
+        elif isinstance(event, face.TenantPart):
+            self.parts[event.tenant] = event.part
         elif isinstance(event, face.Stopping):
             self.stops_at = self.now + event.after_s
 
@@ -235,12 +235,11 @@
         # Short patience at a first hand-in is no lost time: only what comes again has been on its way.
         back = message.again or not self.settings.again_is_marked
         job = job_of(message, self.settings.classes[message.message_class], self.now, back)
-        job.worth = job.cls.worth
         self.arrivals.add(1.0, self.now)
         quotas = ARRIVALS_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
         part = max(1 / self.settings.senders, min(1.0, self.arrivals.at(self.now) / quotas))
         for share in self.shares[message.tenant:message.tenant + 1]:  # a quota is shared by all senders
-            fresh = self.settings.tenants[message.tenant].quota_per_s * part
+            fresh = self.parts.get(message.tenant, part) * self.settings.tenants[message.tenant].quota_per_s
             # One message at the least, or a sender with hardly any traffic would find all of it over.
             within = share.fill(fresh, self.now, max(1.0, fresh * TENANT_BURST_S))
             share.left -= within
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -256,6 +256,14 @@
     works: bool
 
 
+@dataclass(slots=True, frozen=True)
+class TenantPart:
+    """This sender's part of a tenant's quota, over 0 to 1, as it was found by counting over all senders."""
+
+    tenant: int
+    part: float
+
+
 @dataclass(slots=True, frozen=True)
 class Stopping:
     """This sender may be killed any time from `after_s` on; what it holds outlives it."""
@@ -354,6 +362,6 @@
 
 Event = (
     EndpointList | ListFailed | Message | Withdrawn | AttemptEnded | AnswerStarted | ProbeEnded | Note
-    | Stopping | Timer
+    | TenantPart | Stopping | Timer
 )
 Action = Send | Refuse | Fail | CallOff | Probe | CloseIdle | Tell | Wake | Subscribe | FetchList | Log
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -96,6 +96,13 @@
     refs: list[str]
 
 
+@dataclass(slots=True)
+class TenantParts:
+    """This sender's parts of tenants' quotas, by name, as counted over all senders."""
+
+    parts: dict[str, float]
+
+
 @dataclass(slots=True)
 class Stop:
     """SIGTERM has come."""
@@ -123,7 +130,7 @@
     )
 
 
-Item = HandIn | MakeRoom | BodyLost | Withdraw | RelayEnded | ListNews | Noticed | Stop
+Item = HandIn | MakeRoom | BodyLost | Withdraw | RelayEnded | ListNews | Noticed | TenantParts | Stop
 
 
 class Owner:
@@ -289,6 +296,9 @@
                 self._noticed(ref, records)
         elif isinstance(item, MakeRoom):
             self._make_room(item, now, events)
+        elif isinstance(item, TenantParts):
+            events += [face.TenantPart(self.tenants[name], part) for name, part in item.parts.items()
+                       if name in self.tenants]
         elif isinstance(item, BodyLost):
             owed = self._owed.get(item.ref)
             if owed is not None and not owed.over and not owed.out:  # else its next relay finds it so
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -184,7 +184,8 @@
     began_at = ends_at - cls.deadline_s if dated_back else now
     wanted_at = began_at + cls.wanted_s + cls.stretch * message.cost_hint_s
     key = message.key if cls.in_order else None
-    return Job(message.ref, message.destination, cls, key, now, ends_at, min(wanted_at, ends_at))
+    return Job(message.ref, message.destination, cls, key, now, ends_at, min(wanted_at, ends_at),
+               worth=cls.worth)
 
 
 class Book:
--- a/willownotch/usage/core.py
+++ b/willownotch/usage/core.py
@@ -457,13 +457,12 @@
         return Answer(tuple(lines), len(self.lives), left_out, len(self.settled.lives), *oldest,
                       self.unheard())
 
-    def rates(self, key: Key) -> tuple[float, list[float]]:
-        """Peak rates of a tenant and class, messages a second: the own one, and one for each other life that
-        may still count."""
-        own, others = 0.0, []
+    def rates(self, keys: Iterable[Key]) -> tuple[float, list[float]]:
+        """Peak rates over some tenants and classes, messages a second: the own one, and one for each other
+        instance that may still count. Of one that is there and has told nothing it is 0."""
+        keys, own, others = list(keys), 0.0, [0.0] * len(self.unheard())
         for life in self.lives.values():
-            row = life.rows.get(key)
-            rate = row.peak / 1000 if row else 0.0
+            rate = sum(row.peak for key in keys if (row := life.rows.get(key))) / 1000
             if life is self.own:
                 own = rate
             elif not life.closed:
--- a/willownotch/usage/service.py
+++ b/willownotch/usage/service.py
@@ -19,12 +19,15 @@
 from willownotch.usage.core import Life, Usage
 from willownotch.usage.estimate import Interval
 from willownotch.usage.layer import Exchanges
+from willownotch.usage.limits import share
 from willownotch.usage.settings import UsageSettings
 from willownotch.usage.settled import Settled
 from willownotch.usage.tally import Tally
 from willownotch.usage.wire import LIFE_BITS, Sort
 
 LOOK_S = 1.0  # between two looks at whether the files want to be written anew
+TELL_S = 1.0  # between two words on parts of quotas
+NEWS = 0.02  # by which a part has to change to be told
 LINES = 1000  # of an answer, unless more are asked for
 SORTS = {sort.name.lower(): sort for sort in Sort}
 
@@ -80,6 +83,11 @@
                         Tally(settings.rows, former=former.rows if former else None, now=now))
         self.layer = Exchanges(self.usage, now)
         self.lock = threading.Lock()  # the edge's, once there is one
+        self.tell: Callable[[dict[str, float]], None] | None = None  # the decisions, of parts of quotas
+        self.tenants: tuple[str, ...] = ()  # that have a quota
+        self.classes: tuple[str, ...] = ()
+        self._told: dict[str, float] = {}
+        self._tell_at = now
         self.book.write_anew(self._former(), settled)
 
     def _former(self) -> list[Life]:
@@ -100,9 +108,24 @@
                 self.usage.renew(now)
                 self.book.renew(self.usage.own)
         self._drain(now)
+        if self.usage.settings.share_quotas and self.tell is not None and now >= self._tell_at:
+            self._tell_at = now + TELL_S
+            self._tell_parts()
         while self.usage.log:
             self.say(self.usage.log.pop(0))
 
+    def _tell_parts(self) -> None:
+        """What part of each quota is this instance's, where that has changed."""
+        by_load, parts = self.usage.settings.own_share, {}
+        for tenant in self.tenants:
+            keys = [(tenant.encode("utf-8", "surrogateescape"), cls) for cls in self.classes]
+            part = round(share(*self.usage.rates(keys), by_load), 3)
+            if abs(part - self._told.get(tenant, inf)) >= NEWS:
+                parts[tenant] = self._told[tenant] = part
+                self.say(f"the part of {tenant}'s quota here is {part:g}")
+        if parts:
+            self.tell(parts)
+
     def _drain(self, now: float) -> None:
         while not self.book.rows.empty():
             self.usage.count(now, self.book.rows.get())
