--- a/benchmarks/usage_loopback.py
+++ b/benchmarks/usage_loopback.py
@@ -186,7 +186,8 @@
     write("usage-loopback", f"benchmarks/usage_loopback.py --senders {chosen.senders} --rate {chosen.rate:g} "
           f"--steady {chosen.steady:g}", [
               f"{chosen.senders} senders, {chosen.rate:g} messages a second each, two tenants, default "
-              "settings, one machine; every phase but the first has the 20% loss and the 300 ms, too.", "", *lines, "",
+              "settings, one machine; every phase but the first has the 20% loss and the 300 ms, too.", "",
+              *lines, "",
               f"In the end all hold {agreed} messages; clients had {answered} answers 202 to {begun} "
               f"hand-ins. Each sender sent {sent / 1000:.0f} KB to its peers."],
           {"phases": results, "agreed": agreed, "answered": answered, "begun": begun, "traffic": traffic})
--- a/willownotch/usage/settings.py
+++ b/willownotch/usage/settings.py
@@ -22,7 +22,7 @@
     short_window: Annotated[timedelta, SpanWord(timedelta(seconds=1), HOUR)] = timedelta(seconds=10)
     long_window: Annotated[timedelta, SpanWord(timedelta(seconds=1), DAY)] = timedelta(seconds=60)
     growth: Annotated[float, ShareWord(1.0, 10.0)] = 1.5  # x the peak rate: what an unseen stretch may have
-    settle: Annotated[timedelta, SpanWord(timedelta(seconds=1), DAY)] = timedelta(minutes=1)  # closed lives
+    settle: Annotated[timedelta, SpanWord(timedelta(seconds=1), DAY)] = HOUR  # closed lives
     gone: Annotated[timedelta, SpanWord(timedelta(seconds=2), 30 * DAY)] = DAY  # lives that nobody hears of
     share_quotas: YesNo = Flag.NO  # whether the decisions are told this instance's part of each quota
     own_share: Annotated[float, ShareWord()] = 0.5  # of a tenant's rest that is shared by load, not evenly
