--- a/tests/test_mesh_sockets.py
+++ b/tests/test_mesh_sockets.py
@@ -85,6 +85,9 @@
         assert before is not None
         count = fleet.taken(0)
         until(lambda count=count: fleet.taken(1) == count)
+    fleet.keys.write_text(KEYS)  # the old one again, for one of them: it is not taken any more
+    fleet.senders[0].process.send_signal(signal.SIGHUP)
+    until(lambda: all(ask(fleet.socket(n), "peers")["refused"].get("unknown key", 0) > 3 for n in range(2)))
 
 
 def test_bad_keys_at_a_reload_change_nothing(meshed):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Membership in simulated time under loss, partitions and returns; datagrams, and what is refused."""
 import secrets
+import socket
 from random import Random
 
 import pytest
@@ -8,7 +9,9 @@
 
 from willownotch.peers import seal
 from willownotch.peers.core import DATAGRAM, Change, Membership, News, Send
+from willownotch.peers.edge import Budget, Edge
 from willownotch.peers.lossy import Network, Weather
+from willownotch.peers.node import Node
 from willownotch.peers.rumours import Rumours, times
 from willownotch.peers.seal import KeysError, Seal, Seen, read_keys
 from willownotch.peers.settings import PeersSettings
@@ -124,6 +127,15 @@
     assert net.count(Change.CONFLICT) > 0
 
 
+def test_two_halves_find_each_other_though_their_only_seed_is_gone_for_good():
+    net = joined(names=NAMES[:3])
+    net.kill("m0")
+    net.weather.cut = lambda a, b: {a, b} == {"m1", "m2"}
+    net.until(lambda: all(not net.members[n].alive() for n in ("m1", "m2")), 600)
+    net.weather.cut = lambda a, b: False
+    net.until(lambda: net.all_know({"m1", "m2"}), 60)
+
+
 @pytest.mark.parametrize("offset", [-5.0, 5.0, 1e6])
 def test_clocks_need_not_agree(offset):
     net = Network(2)
@@ -295,3 +307,30 @@
 def test_messages_pass_the_wire_unchanged():
     for message in [PING, Sync("a", True, (rumour("b", 3, State.LEFT),))]:
         assert decode(encode(message)) == message
+
+
+# The bound on bytes
+
+
+def test_no_more_bytes_a_second_are_sent_than_allowed():
+    budget, sent = Budget(1000, 0.0), 0
+    for n in range(1000):
+        sent += 100 * budget.spend(n * 0.01, 100)
+    assert 10_000 <= sent <= 11_000  # ten seconds, and the bucket that was full at first
+
+
+def test_what_travels_on_top_leaves_a_reserve_for_the_membership():
+    budget = Budget(1000, 0.0)
+    assert sum(budget.spend(0.0, 100, 0.25) for _ in range(20)) == 7
+    assert sum(budget.spend(0.0, 100) for _ in range(20)) == 3
+
+
+def test_what_is_over_the_budget_is_dropped_and_counted():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        member = Membership("m0", sock.getsockname(), 1, PeersSettings(), Random(1))
+        edge = Edge(sock, Node(member), Seal(1, [(1, bytes(32))]), 100, lambda text: None)
+        edge._carry([Send(sock.getsockname(), Ping(1, "m1", "m0"))] * 10)
+        assert edge.traffic["sent"] + edge.traffic["over budget"] == 10
+        assert edge.traffic["sent bytes"] <= 100
+        assert edge.traffic["sent"] > 0
--- a/tests/test_usage_book.py
+++ b/tests/test_usage_book.py
@@ -93,6 +93,18 @@
     assert any("cannot be read" in line for line in said)
 
 
+def test_a_flipped_bit_is_never_a_count(tmp_path):
+    book, _, _ = opened(tmp_path)
+    count(book, 3)
+    log = next((tmp_path / "usage").glob("log.*"))
+    whole = log.read_bytes()
+    for place in range(len(whole)):
+        log.write_bytes(whole[:place] + bytes([whole[place] ^ 4]) + whole[place + 1:])
+        said = []
+        assert held(reread(tmp_path, said)[0]) in (0, 1, 2)
+        assert any("cannot be read" in line for line in said)
+
+
 def test_what_follows_a_gap_is_left_out_and_said(tmp_path):
     book, _, _ = opened(tmp_path)
     count(book, 2)
--- a/willownotch/channel/tables.py
+++ b/willownotch/channel/tables.py
@@ -53,7 +53,7 @@
     told = [f"{found['name']}: {found['lives']} processes and {found['settled']} settled ones; the oldest "
             f"part is {found['oldest'] or '-'}'s, {span(found['oldest_s'])} old"]
     if found["unheard"]:
-        told.append(f"not heard of yet, in no interval: {', '.join(found['unheard'])}")
+        told.append(f"not heard of yet, so nothing is bounded above: {', '.join(found['unheard'])}")
     if found["broken"]:
         told.append(f"own counts are in memory only: {found['broken']}")
     if found["left_out"]:
--- a/willownotch/usage/core.py
+++ b/willownotch/usage/core.py
@@ -107,7 +107,7 @@
     settled: int  # lives in the settled part
     oldest_s: float  # age of the oldest part
     oldest: str  # whose it is
-    unheard: tuple[str, ...]  # members that have told nothing yet: what they count is in no interval
+    unheard: tuple[str, ...]  # members that have told nothing yet: until they do, nothing is bounded above
 
 
 class Usage:
@@ -418,11 +418,15 @@
 
     def one(self, now: float, tenant: bytes, cls: str, sort: Sort = Sort.TAKEN) -> Interval:
         """One count of the whole fleet."""
-        return self._interval(now, (tenant, cls), sort)
+        return self._interval(now, (tenant, cls), sort, self.complete())
 
-    def _interval(self, now: float, key: Key, sort: Sort) -> Interval:
+    def complete(self) -> bool:
+        """Whether all that may count have told something: else there is no upper bound to be had."""
+        return (self.lone or self._answered_at is not None) and not self.unheard()
+
+    def _interval(self, now: float, key: Key, sort: Sort, complete: bool) -> Interval:
         settled = self.settled.rows.get(key, NOTHING)[sort]
-        found = Interval(settled, settled, settled)
+        found = Interval(settled, settled, settled if complete else inf)
         for life in self.lives.values():
             row = life.rows.get(key)
             held = row.counts[sort] if row else 0
@@ -437,7 +441,7 @@
         return {key: counts[sort] for key, counts in self._totals.items()}
 
     def unheard(self) -> tuple[str, ...]:
-        """Members that are there and have told nothing yet."""
+        """Members that may count, and of which nothing has been told yet."""
         told = {life.name for life in self.lives.values() if not life.stale and life.as_of is not None}
         return tuple(sorted(self._members - told))
 
@@ -447,11 +451,11 @@
         keys = [k for k in self._totals if tenant is None or k[0] == tenant]
         keys.sort(key=lambda k: (-self._totals[k][Sort.TAKEN], k))
         left_out, keys = max(0, len(keys) - most), keys[:most]
-        lines = []
+        lines, complete = [], self.complete()
         for key in keys:
             taken = self._totals[key][Sort.TAKEN]
             rates = [s.rate(now, taken) for s in self._series[key]] if key in self._series else [0.0, 0.0]
-            lines.append(Line(*key, tuple(self._interval(now, key, sort) for sort in Sort), *rates))
+            lines.append(Line(*key, tuple(self._interval(now, key, sort, complete) for sort in Sort), *rates))
         ages = [(life.age(now), life.name) for life in self.lives.values() if life is not self.own]
         oldest = max(ages, default=(0.0, self.name))
         return Answer(tuple(lines), len(self.lives), left_out, len(self.settled.lives), *oldest,
