Add an open-loop load generator: shapes, traces, HDR histograms that merge, its own lateness told

Load tests that wait for answers hide the worst latency. 'willownotch load' draws all arrivals ahead (constant or Poisson, jumps, ramps, clumps, hot keys, shares of classes, destinations and tenants), or reads a trace, and sends on time whatever the answers do; latency runs from the intended time, and a generator that could not keep its own schedule says so and exits 3.

--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -284,6 +284,17 @@
         if name == "usage":
             command.add_argument("--tenant", help="of this tenant only")
             command.add_argument("--lines", type=int, help="lines at the most, the highest counts first")
+    command = commands.add_parser("load", help="send messages at a sender on an open loop, and measure")
+    command.add_argument("target", help="the sender's north side, ADDRESS:PORT")
+    command.add_argument("--settings", metavar="FILE", help="the file with the block load")
+    command.add_argument("--trace", metavar="FILE", help="send this trace, not what the block describes")
+    command.add_argument("--speed", type=float, default=1.0, help="times as fast as planned")
+    command.add_argument("--workers", type=int, default=1, help="processes that send")
+    command.add_argument("--json", action="store_true", help="as one JSON object")
+    command.add_argument("--write-trace", metavar="FILE", help="send nothing, write the plan as a trace")
+    command = commands.add_parser("trace", help="write what a journal says was handed in as a trace")
+    command.add_argument("folder", type=Path)
+    command.add_argument("to", type=Path)
     commands.add_parser("version", help="print the version")
     parsed = parser.parse_args(arguments)
     if parsed.command is None:
@@ -300,6 +311,15 @@
         return 0
     if parsed.command == "journal":
         return show_journal(parsed.folder)
+    if parsed.command == "load":
+        from willownotch.lab.load import command
+
+        return command.main(parsed.target, parsed.settings, parsed.trace, parsed.speed, parsed.workers,
+                            parsed.json, parsed.write_trace)
+    if parsed.command == "trace":
+        from willownotch.lab.load import command
+
+        return command.export(parsed.folder, parsed.to)
     if parsed.command in ("peers", "usage"):
         return ask(parsed)
     if parsed.command == "bodies":
--- a/willownotch/settings/types.py
+++ b/willownotch/settings/types.py
@@ -119,6 +119,25 @@
         return int(text)
 
 
+@dataclass(frozen=True)
+class NumberWord:
+    """Any number that is not below zero: `2.3`."""
+
+    least: float = 0.0
+    most: float = inf
+
+    def allowed(self) -> str:
+        """In words."""
+        return f"a number from {self.least:g} to {self.most:g}"
+
+    def read(self, text: str) -> float:
+        """The number."""
+        number, unit = split(text)
+        if unit or not self.least <= number <= self.most:
+            raise WordError
+        return number
+
+
 @dataclass(frozen=True)
 class ChoiceWord:
     """One of the values of an enumeration."""
