--- a/benchmarks/usage_cost.py
+++ b/benchmarks/usage_cost.py
@@ -57,7 +57,7 @@
     with tempfile.TemporaryDirectory() as folder:
         fleet = Meshed(number, Path(folder), peers="", usage="")
         try:
-            fleet.joined()
+            fleet.joined(90)
             return idle(fleet.senders[0].process.pid, seconds)
         finally:
             fleet.close()
--- a/benchmarks/usage_loopback.py
+++ b/benchmarks/usage_loopback.py
@@ -139,7 +139,7 @@
     toys.SETTINGS["orgs"].append({"name": "bolt", "quotaPerS": 50.0})
     with tempfile.TemporaryDirectory() as folder:
         fleet = Meshed(chosen.senders, Path(folder), Weather(**BAD), peers=PEERS, usage="")
-        fleet.joined()
+        fleet.joined(90)
         truth = Truth()
         loads = [Load(fleet, n, chosen.rate, truth) for n in range(chosen.senders)]
         time.sleep(10.0)
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -295,6 +295,16 @@
     command = commands.add_parser("trace", help="write what a journal says was handed in as a trace")
     command.add_argument("folder", type=Path)
     command.add_argument("to", type=Path)
+    command = commands.add_parser("play", help="play a scenario in simulated time")
+    command.add_argument("scenario", nargs="?", help="the file with the block scenario; else a busy day")
+    command.add_argument("--policy", default="module")
+    command.add_argument("--seed", type=int, default=1)
+    command.add_argument("--json", action="store_true", help="as one JSON object")
+    command = commands.add_parser("experiment", help="play what an experiment lacks, write its report")
+    command.add_argument("file", help="the file with the block experiment")
+    command.add_argument("--database", metavar="FILE", help="where results are kept (else beside the file)")
+    command.add_argument("--report", metavar="FILE", help="where the report goes (else beside the file)")
+    command.add_argument("--workers", type=int, help="processes (else one a core)")
     commands.add_parser("version", help="print the version")
     parsed = parser.parse_args(arguments)
     if parsed.command is None:
@@ -316,6 +326,12 @@
 
         return command.main(parsed.target, parsed.settings, parsed.trace, parsed.speed, parsed.workers,
                             parsed.json, parsed.write_trace)
+    if parsed.command in ("experiment", "play"):
+        from willownotch.lab.experiment import command
+
+        if parsed.command == "play":
+            return command.one(parsed.scenario, parsed.policy, parsed.seed, parsed.json)
+        return command.experiment(parsed.file, parsed.database, parsed.workers, parsed.report)
     if parsed.command == "trace":
         from willownotch.lab.load import command
 
--- a/willownotch/lab/model/node.py
+++ b/willownotch/lab/model/node.py
@@ -83,7 +83,7 @@
         self._idle: dict[int, Idle] = {}
         self._order = 0
         self._by_key: dict[str, list[Held]] = {}
-        self.open = 0  # messages that are not over
+        self.open = self.out = 0  # messages that are not over; calls out
 
     # What comes in
 
@@ -182,6 +182,7 @@
         life = self.life
         call.hear = lambda answer: self.world.after(self.way_s, self._ended, held, attempt, answer, life)
         self.ledger.attempts += 1
+        self.out += 1
         self.world.note("send", self.number, item.ref, action.endpoint)
         if fresh:
             self.ledger.connections += 1
@@ -196,6 +197,7 @@
         if attempt.outcome is not None or life != self.life:
             return
         now, dest = self.world.now, held.item.dest
+        self.out -= 1
         attempt.outcome = answer.outcome
         attempt.call.hear = None
         if answer.outcome in (Outcome.DELIVERED, Outcome.ERROR, Outcome.TURNED_AWAY):
@@ -270,6 +272,7 @@
         """SIGKILL: nobody hears the outcomes of what is out."""
         self.up = False
         self.life += 1
+        self.out = 0
         self._events.clear()
         self._due = False
         self._idle.clear()
--- a/willownotch/lab/model/story.py
+++ b/willownotch/lab/model/story.py
@@ -11,7 +11,7 @@
 from willownotch.interface import Readiness
 from willownotch.lab.load.plan import Plan, draw
 from willownotch.lab.model.baselines import POLICIES
-from willownotch.lab.model.ledger import Item, Ledger, Result
+from willownotch.lab.model.ledger import SAMPLE_S, Item, Ledger, Result
 from willownotch.lab.model.node import Node, Policy
 from willownotch.lab.model.partners import Call, Endpoint, Partner, State
 from willownotch.lab.model.scenario import Scenario, Trouble, TroubleBlock
@@ -54,6 +54,8 @@
         self.nodes = [self._node(n, make) for n in range(scenario.senders)]
         self.plan = self._plan()
         self.tries: dict[str, int] = {}
+        self.series: list[tuple[float, int, int, int, int]] = []
+        self.delivered = 0
         self._clients = self.world.draws("clients")
         weights = np.array([self.draws.uniform(0.5, 2.0) for _ in self.nodes])
         self._edges = (np.cumsum(weights) / weights.sum()).tolist()
@@ -159,13 +161,23 @@
             world.at(seconds(block.at), self._strike, name, block)
         for n, at_us in enumerate(self.plan.at_us.tolist()):
             world.at(0.05 + at_us / 1e6, self._arrive, n)
+        world.at(SAMPLE_S, self._sample)
         longest = max(c.deadline_s for c in self.classes)
         until = seconds(scenario.duration) + longest + AFTER_S
         world.run(until)
         result = self.ledger.result(until)
+        result.series = self.series
         result.events, result.digest = world.events, world.digest()
         return result
 
+    def _sample(self) -> None:
+        """Where things stand, now and then."""
+        self.series.append((
+            round(self.world.now, 3), sum(n.open for n in self.nodes if n.up), sum(n.out for n in self.nodes),
+            self.delivered, len(self.ledger.items)))
+        if self.world.now < seconds(self.scenario.duration):
+            self.world.after(SAMPLE_S, self._sample)
+
     def _arrive(self, n: int) -> None:
         plan, now = self.plan, self.world.now
         tenant, cls = int(plan.tenant[n]), int(plan.cls[n])
@@ -202,7 +214,9 @@
         now = self.world.now
         item.ended = what
         if what == "delivered":
-            item.delivered_at = now if item.delivered_at is None else item.delivered_at
+            if item.delivered_at is None:
+                item.delivered_at = now
+                self.delivered += 1
             return
         tries = self.tries.get(item.ref, 0)
         if what != "refused" or tries >= self.scenario.retries:
