--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -1,7 +1,10 @@
-"""The command line: `serve` (the default), `check`, `journal`, `bodies`, `peers`, `usage`, `version`."""
+"""The sender put together, and the way into the command line.
+
+Without any argument the sender is served, and nothing of the command line's library is loaded: `commands` has
+the sub-commands.
+"""
 from __future__ import annotations
 
-import argparse
 import os
 import signal
 import sys
@@ -9,12 +12,8 @@
 import traceback
 from collections.abc import Callable
 from datetime import timedelta
-from pathlib import Path
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from willownotch import __version__
 from willownotch.blocks import Blocks
 from willownotch.bodies.store import Bodies
 from willownotch.files.layer import REAL, Files
@@ -204,149 +203,16 @@
     os._exit(0)
 
 
-def show_journal(folder: Path) -> int:
-    """Print what a journal holds, a line for each message that is not over."""
-    try:
-        data = (folder / journals.NAME).read_bytes()
-    except OSError as fault:
-        print(f"willownotch: the journal cannot be read: {fault}", file=sys.stderr)
-        return FAULTY
-    live, damaged = journals.replay(data)
-    for entry in live.values():
-        taken, runs = entry.taken, [entry.may_have_run(n) for n in range(entry.count())]
-        state = f"notice unanswered ({entry.ended.outcome})" if entry.ended else "owed"
-        print(f"{taken.ref} dest={taken.destination} {taken.message_class} until {taken.ends_at:%H:%M:%S.%f} "
-              f"key={taken.key or '-'} relays={len(runs)} may_have_run={sum(runs)} "
-              f"body={taken.body_size()} {state}")
-    print(f"{len(live)} messages, {len(data)} bytes, {damaged} of them damaged")
-    return 0
-
-
-def show_bodies(folder: Path, as_json: bool, verify: bool) -> int:
-    """Print what bodies a folder keeps; 1 if any is missing or damaged."""
-    from willownotch.bodies import show
-
-    try:
-        live, _ = journals.replay((folder / journals.NAME).read_bytes())
-        owed = [entry.taken for entry in live.values() if entry.ended is None]
-        kept = show.look(folder, owed, Clock().now(), verify)
-    except OSError as fault:
-        print(f"willownotch: the folder cannot be read: {fault}", file=sys.stderr)
-        return FAULTY
-    print(msgspec.json.encode(kept).decode() if as_json else show.table(kept))
-    return 1 if kept.damaged else 0
-
-
-def ask(parsed: argparse.Namespace) -> int:
-    """Ask a running sender, and print its answer as a table or as JSON."""
-    from willownotch.channel import client, tables
-
-    path = parsed.socket
-    try:
-        if path is None:
-            path = load_blocks(parsed.settings).control.socket
-        if path is None:
-            print("willownotch: which sender? wanted: --socket PATH, or --settings FILE whose block control "
-                  "names a socket", file=sys.stderr)
-            return FAULTY
-        about = {word: str(value) for word in ("tenant", "lines")
-                 if (value := getattr(parsed, word, None)) is not None}
-        found = client.ask(path, parsed.command, about)
-    except (client.AskError, ValueError) as fault:
-        print(f"willownotch: {fault}", file=sys.stderr)
-        return FAULTY
-    print(msgspec.json.encode(found).decode() if parsed.json else tables.TABLES[parsed.command](found))
-    return 0
-
-
-def parse(arguments: list[str] | None) -> argparse.Namespace:
-    """The command line."""
-    parser = argparse.ArgumentParser("willownotch", description="Delivers messages to partner systems.")
-    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
-    for name, text in (("serve", "run the sender (the default)"), ("check", "check a configuration")):
-        command = commands.add_parser(name, help=text, description=text)
-        command.add_argument("--config", metavar="FILE", help="the configuration (else $LB_CONFIG)")
-        command.add_argument("--settings", metavar="FILE", default=os.environ.get(SETTINGS_VARIABLE),
-                             help=f"the settings file, if any (else ${SETTINGS_VARIABLE})")
-    command = commands.add_parser("journal", help="show what a journal holds")
-    command.add_argument("folder", nargs="?", default=os.environ.get("LB_STATE", "."), type=Path)
-    command = commands.add_parser("bodies", help="show what bodies a folder keeps, by class and destination")
-    command.add_argument("folder", nargs="?", default=os.environ.get("LB_STATE", "."), type=Path)
-    command.add_argument("--json", action="store_true", help="as one JSON object")
-    command.add_argument("--verify", action="store_true", help="read every body and compare its checksum")
-    for name, text in (("peers", "show what a running sender knows of its peers"),
-                       ("usage", "show the usage of all instances as a running sender knows it")):
-        command = commands.add_parser(name, help=text, description=text)
-        command.add_argument("--socket", metavar="PATH", help="the sender's control socket")
-        command.add_argument("--settings", metavar="FILE", default=os.environ.get(SETTINGS_VARIABLE),
-                             help=f"else the settings file that names it (else ${SETTINGS_VARIABLE})")
-        command.add_argument("--json", action="store_true", help="as one JSON object")
-        if name == "usage":
-            command.add_argument("--tenant", help="of this tenant only")
-            command.add_argument("--lines", type=int, help="lines at the most, the highest counts first")
-    command = commands.add_parser("load", help="send messages at a sender on an open loop, and measure")
-    command.add_argument("target", help="the sender's north side, ADDRESS:PORT")
-    command.add_argument("--settings", metavar="FILE", help="the file with the block load")
-    command.add_argument("--trace", metavar="FILE", help="send this trace, not what the block describes")
-    command.add_argument("--speed", type=float, default=1.0, help="times as fast as planned")
-    command.add_argument("--workers", type=int, default=1, help="processes that send")
-    command.add_argument("--json", action="store_true", help="as one JSON object")
-    command.add_argument("--write-trace", metavar="FILE", help="send nothing, write the plan as a trace")
-    command = commands.add_parser("trace", help="write what a journal says was handed in as a trace")
-    command.add_argument("folder", type=Path)
-    command.add_argument("to", type=Path)
-    command = commands.add_parser("play", help="play a scenario in simulated time")
-    command.add_argument("scenario", nargs="?", help="the file with the block scenario; else a busy day")
-    command.add_argument("--policy", default="module")
-    command.add_argument("--seed", type=int, default=1)
-    command.add_argument("--json", action="store_true", help="as one JSON object")
-    command = commands.add_parser("experiment", help="play what an experiment lacks, write its report")
-    command.add_argument("file", help="the file with the block experiment")
-    command.add_argument("--database", metavar="FILE", help="where results are kept (else beside the file)")
-    command.add_argument("--report", metavar="FILE", help="where the report goes (else beside the file)")
-    command.add_argument("--workers", type=int, help="processes (else one a core)")
-    commands.add_parser("version", help="print the version")
-    parsed = parser.parse_args(arguments)
-    if parsed.command is None:
-        parsed.command, parsed.config = "serve", None
-        parsed.settings = os.environ.get(SETTINGS_VARIABLE)
-    return parsed
-
-
-def main(arguments: list[str] | None = None, files: Files = REAL) -> int:
-    """Carry out one command and return the exit code. A sender keeps its folder by `files`."""
-    parsed = parse(arguments)
-    if parsed.command == "version":
-        print(f"willownotch {__version__}")
-        return 0
-    if parsed.command == "journal":
-        return show_journal(parsed.folder)
-    if parsed.command == "load":
-        from willownotch.lab.load import command
-
-        return command.main(parsed.target, parsed.settings, parsed.trace, parsed.speed, parsed.workers,
-                            parsed.json, parsed.write_trace)
-    if parsed.command in ("experiment", "play"):
-        from willownotch.lab.experiment import command
-
-        if parsed.command == "play":
-            return command.one(parsed.scenario, parsed.policy, parsed.seed, parsed.json)
-        return command.experiment(parsed.file, parsed.database, parsed.workers, parsed.report)
-    if parsed.command == "trace":
-        from willownotch.lab.load import command
-
-        return command.export(parsed.folder, parsed.to)
-    if parsed.command in ("peers", "usage"):
-        return ask(parsed)
-    if parsed.command == "bodies":
-        return show_bodies(parsed.folder, parsed.json, parsed.verify)
+def read_files(config_path: str | None, settings_path: str | None) -> tuple[configs.Config | None, Blocks,
+                                                                             list[str]]:
+    """Both files, and all that is wrong with them, a line each; with a mistake nothing may be started."""
     mistakes, config, blocks = [], None, Blocks()
     try:
-        config = configs.load(parsed.config)
+        config = configs.load(config_path)
     except configs.ConfigError as fault:
         mistakes.append(f"willownotch: {fault}".replace("\n", " "))
     try:
-        blocks = load_blocks(parsed.settings)
+        blocks = load_blocks(settings_path)
     except ValueError as fault:
         mistakes += str(fault).splitlines()
     if blocks.peers.keys is not None:
@@ -356,18 +222,29 @@
             load_keys(blocks.peers.keys)
         except ValueError as fault:
             mistakes.append(str(fault))
-    if mistakes:
+    if config is not None:
+        known = [c.name for c in config.settings.classes]
+        unknown = sorted(set(blocks.bodies.class_) - set(known))
+        if unknown:
+            mistakes.append(f"{settings_path}: block bodies names classes that the configuration does not "
+                            f"have: {', '.join(unknown)}, allowed: {', '.join(known)}")
+    return config, blocks, mistakes
+
+
+def start(config_path: str | None, settings_path: str | None, files: Files = REAL) -> int:
+    """Serve, if both files are sound; the exit code."""
+    config, blocks, mistakes = read_files(config_path, settings_path)
+    if mistakes or config is None:
         print("\n".join(mistakes), file=sys.stderr)
         return FAULTY
-    unknown = sorted(set(blocks.bodies.class_) - {c.name for c in config.settings.classes})
-    if unknown:
-        print(f"{parsed.settings}: block bodies names classes that the configuration does not have: "
-              f"{', '.join(unknown)}, allowed: {', '.join(c.name for c in config.settings.classes)}",
-              file=sys.stderr)
-        return FAULTY
-    if parsed.command == "check":
-        print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
-              f"{len(config.settings.classes)} classes, {config.settings.slots} slots, "
-              f"room for {config.settings.holding_room} messages")
-        return 0
-    return serve(config, parsed.config, blocks, parsed.settings, files)
+    return serve(config, config_path, blocks, settings_path, files)
+
+
+def main(arguments: list[str] | None = None, files: Files = REAL) -> int:
+    """Carry out one command and return the exit code. A sender keeps its folder by `files`."""
+    arguments = sys.argv[1:] if arguments is None else arguments
+    if not arguments:
+        return start(None, os.environ.get(SETTINGS_VARIABLE), files)
+    from willownotch import commands
+
+    return commands.run(arguments)
--- /dev/null
+++ b/willownotch/commands.py
@@ -0,0 +1,242 @@
+"""The sub-commands, on click. Each is thin: its subsystem does the work, and is loaded when asked for."""
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from willownotch import __version__
+from willownotch.cli import FAULTY, SETTINGS_VARIABLE, load_blocks, read_files, start
+
+CONFIG = click.option("--config", metavar="FILE", help="The configuration (else $LB_CONFIG).")
+SETTINGS = click.option("--settings", metavar="FILE", envvar=SETTINGS_VARIABLE,
+                        help=f"The settings file, if any (else ${SETTINGS_VARIABLE}).")
+JSON = click.option("--json", "as_json", is_flag=True, help="As one JSON object.")
+FOLDER = click.argument("folder", type=click.Path(path_type=Path), envvar="LB_STATE", default=".")
+
+
+def told(found: Any, as_json: bool, table) -> None:
+    """Print an answer as JSON or as a table."""
+    click.echo(msgspec.json.encode(found).decode() if as_json else table(found))
+
+
+def faulty(text: object) -> int:
+    """A mistake of who asked: one line, exit 2."""
+    click.echo(f"willownotch: {text}", err=True)
+    return FAULTY
+
+
+@click.group("willownotch", context_settings={"help_option_names": ["-h", "--help"]})
+def group() -> None:
+    """Delivers messages to partner systems; without a command it serves."""
+
+
+@group.command()
+@CONFIG
+@SETTINGS
+def serve(config: str | None, settings: str | None) -> int:
+    """Run the sender (the default)."""
+    return start(config, settings)
+
+
+@group.command()
+@CONFIG
+@SETTINGS
+@JSON
+def check(config: str | None, settings: str | None, as_json: bool) -> int:
+    """Say whether the sender would start, or all that is wrong with its files."""
+    found, _, mistakes = read_files(config, settings)
+    if mistakes or found is None:
+        click.echo("\n".join(mistakes), err=True)
+        return FAULTY
+    view = {"name": found.name, "listen": f"{found.listen[0]}:{found.listen[1]}",
+            "classes": len(found.settings.classes), "slots": found.settings.slots,
+            "holding_room": found.settings.holding_room}
+    told(view, as_json, lambda v: f"{v['name']}: listens on {v['listen']}, {v['classes']} classes, "
+         f"{v['slots']} slots, room for {v['holding_room']} messages")
+    return 0
+
+
+@group.command()
+@FOLDER
+@JSON
+def journal(folder: Path, as_json: bool) -> int:
+    """Show what a journal holds, a line for each message that is not over."""
+    from willownotch.net import journal as journals
+
+    try:
+        data = (folder / journals.NAME).read_bytes()
+    except OSError as fault:
+        return faulty(f"the journal cannot be read: {fault}")
+    live, damaged = journals.replay(data)
+    rows = []
+    for entry in live.values():
+        taken, runs = entry.taken, [entry.may_have_run(n) for n in range(entry.count())]
+        rows.append({
+            "ref": taken.ref, "destination": taken.destination, "class": taken.message_class,
+            "until": taken.ends_at, "key": taken.key, "relays": len(runs), "may_have_run": sum(runs),
+            "body": taken.body_size(), "ended": entry.ended.outcome if entry.ended else None})
+
+    def line(row: dict[str, Any]) -> str:
+        state = f"notice unanswered ({row['ended']})" if row["ended"] else "owed"
+        return (f"{row['ref']} dest={row['destination']} {row['class']} until {row['until']:%H:%M:%S.%f} "
+                f"key={row['key'] or '-'} relays={row['relays']} may_have_run={row['may_have_run']} "
+                f"body={row['body']} {state}")
+    found = {"messages": rows, "bytes": len(data), "damaged": damaged}
+    told(found, as_json, lambda f: "\n".join([*map(line, rows), (
+        f"{len(rows)} messages, {len(data)} bytes, {damaged} of them damaged")]))
+    return 0
+
+
+@group.command()
+@FOLDER
+@JSON
+@click.option("--verify", is_flag=True, help="Read every body and compare its checksum.")
+def bodies(folder: Path, as_json: bool, verify: bool) -> int:
+    """Show what bodies a folder keeps, by class and destination; exit 1 if any is missing or damaged."""
+    from willownotch.bodies import show
+    from willownotch.net import journal as journals
+    from willownotch.net.clock import Clock
+
+    try:
+        live, _ = journals.replay((folder / journals.NAME).read_bytes())
+        owed = [entry.taken for entry in live.values() if entry.ended is None]
+        kept = show.look(folder, owed, Clock().now(), verify)
+    except OSError as fault:
+        return faulty(f"the folder cannot be read: {fault}")
+    told(kept, as_json, show.table)
+    return 1 if kept.damaged else 0
+
+
+def ask(question: str, socket: str | None, settings: str | None, as_json: bool, **about: object) -> int:
+    """Ask a running sender, and print its answer as a table or as JSON."""
+    from willownotch.channel import client, tables
+
+    try:
+        path = socket or load_blocks(settings).control.socket
+        if path is None:
+            return faulty("which sender? wanted: --socket PATH, or --settings FILE whose block control "
+                          "names a socket")
+        words = {word: str(value) for word, value in about.items() if value is not None}
+        found = client.ask(path, question, words)
+    except (client.AskError, ValueError) as fault:
+        return faulty(fault)
+    told(found, as_json, tables.TABLES[question])
+    return 0
+
+
+SOCKET = click.option("--socket", metavar="PATH", help="The sender's control socket.")
+
+
+@group.command()
+@SOCKET
+@SETTINGS
+@JSON
+def peers(socket: str | None, settings: str | None, as_json: bool) -> int:
+    """Show what a running sender knows of its peers."""
+    return ask("peers", socket, settings, as_json)
+
+
+@group.command()
+@SOCKET
+@SETTINGS
+@JSON
+@click.option("--tenant", help="Of this tenant only.")
+@click.option("--lines", type=click.IntRange(0), help="Lines at the most, the highest counts first.")
+def usage(socket: str | None, settings: str | None, as_json: bool, tenant: str | None,
+          lines: int | None) -> int:
+    """Show the usage of all instances as a running sender knows it."""
+    return ask("usage", socket, settings, as_json, tenant=tenant, lines=lines)
+
+
+@group.command()
+@click.argument("target")
+@click.option("--settings", metavar="FILE", help="The file with the block load.")
+@click.option("--trace", metavar="FILE", help="Send this trace, not what the block describes.")
+@click.option("--speed", type=click.FloatRange(0, min_open=True), default=1.0, show_default=True,
+              help="Times as fast as planned.")
+@click.option("--workers", type=click.IntRange(1, 255), default=1, show_default=True,
+              help="Processes that send.")
+@click.option("--write-trace", metavar="FILE", help="Send nothing, write the plan as a trace.")
+@JSON
+def load(target: str, settings: str | None, trace: str | None, speed: float, workers: int,
+         write_trace: str | None, as_json: bool) -> int:
+    """Send messages at the sender at TARGET (ADDRESS:PORT) on an open loop, and measure."""
+    from willownotch.lab.load import command
+
+    return command.main(target, settings, trace, speed, workers, as_json, write_trace)
+
+
+@group.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.argument("to", type=click.Path(path_type=Path))
+def trace(folder: Path, to: Path) -> int:
+    """Write what a journal says was handed in as a trace."""
+    from willownotch.lab.load import command
+
+    return command.export(folder, to)
+
+
+@group.command()
+@click.argument("scenario", required=False)
+@click.option("--policy", default="module", show_default=True, help="Who decides.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@JSON
+def play(scenario: str | None, policy: str, seed: int, as_json: bool) -> int:
+    """Play a SCENARIO file in simulated time, a busy day without one; exit 4 if a rule was broken."""
+    from willownotch.lab.experiment import command
+
+    return command.one(scenario, policy, seed, as_json)
+
+
+@group.command()
+@click.argument("file")
+@click.option("--database", metavar="FILE", help="Where results are kept (else beside the file).")
+@click.option("--report", metavar="FILE", help="Where the report goes (else beside the file).")
+@click.option("--workers", type=click.IntRange(1), help="Processes (else one a core).")
+def experiment(file: str, database: str | None, report: str | None, workers: int | None) -> int:
+    """Play what the experiment in FILE lacks, and write its report."""
+    from willownotch.lab.experiment import command
+
+    return command.experiment(file, database, workers, report)
+
+
+@group.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> int:
+    """Print a script that completes commands and options in a shell."""
+    from click.shell_completion import get_completion_class
+
+    kind = get_completion_class(shell)
+    click.echo(kind(group, {}, "willownotch", "_WILLOWNOTCH_COMPLETE").source())
+    return 0
+
+
+@group.command()
+@JSON
+def version(as_json: bool) -> int:
+    """Print the version."""
+    told({"willownotch": __version__}, as_json, lambda v: f"willownotch {__version__}")
+    return 0
+
+
+def run(arguments: list[str]) -> int:
+    """Carry out one command; its exit code. A mistake on the command line is one line, and exit 2."""
+    if os.environ.get("_WILLOWNOTCH_COMPLETE"):
+        group.main(arguments, prog_name="willownotch", complete_var="_WILLOWNOTCH_COMPLETE")
+    try:
+        return group.main(arguments, prog_name="willownotch", standalone_mode=False) or 0
+    except click.exceptions.NoArgsIsHelpError as fault:
+        fault.show()
+        return FAULTY
+    except click.ClickException as fault:
+        context = fault.ctx if isinstance(fault, click.UsageError) else None
+        command = f" {context.info_name}" if context is not None and context.parent is not None else ""
+        print(f"willownotch{command}: {fault.format_message()}", file=sys.stderr)
+        return FAULTY
+    except click.Abort:
+        return 130
