Answer a completing shell, which gives no arguments, instead of serving

A shell that completes runs the program with a variable and no arguments, for which it would have started the sender.

--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -36,7 +36,7 @@
 STOP_AFTER = timedelta(seconds=5)  # from SIGTERM to an end of its own, where no SIGKILL has come
 LAST_ANSWERS, LAST_RELAYS = timedelta(seconds=1), timedelta(seconds=20)  # to finish what runs, after that
 MEGABYTE = 1_000_000
-SETTINGS_VARIABLE = "WILLOWNOTCH_SETTINGS"
+SETTINGS_VARIABLE, COMPLETE_VARIABLE = "WILLOWNOTCH_SETTINGS", "_WILLOWNOTCH_COMPLETE"
 FAULTY, DEAD = 2, 70  # exit codes: bad configuration or command line; a thread has died
 
 
@@ -243,7 +243,7 @@
 def main(arguments: list[str] | None = None, files: Files = REAL) -> int:
     """Carry out one command and return the exit code. A sender keeps its folder by `files`."""
     arguments = sys.argv[1:] if arguments is None else arguments
-    if not arguments:
+    if not arguments and COMPLETE_VARIABLE not in os.environ:  # a shell that completes gives none either
         return start(None, os.environ.get(SETTINGS_VARIABLE), files)
     from willownotch import commands
 
--- a/willownotch/commands.py
+++ b/willownotch/commands.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from willownotch import __version__
-from willownotch.cli import FAULTY, SETTINGS_VARIABLE, load_blocks, read_files, start
+from willownotch.cli import COMPLETE_VARIABLE, FAULTY, SETTINGS_VARIABLE, load_blocks, read_files, start
 
 CONFIG = click.option("--config", metavar="FILE", help="The configuration (else $LB_CONFIG).")
 SETTINGS = click.option("--settings", metavar="FILE", envvar=SETTINGS_VARIABLE,
@@ -212,7 +212,7 @@
     from click.shell_completion import get_completion_class
 
     kind = get_completion_class(shell)
-    click.echo(kind(group, {}, "willownotch", "_WILLOWNOTCH_COMPLETE").source())
+    click.echo(kind(group, {}, "willownotch", COMPLETE_VARIABLE).source())
     return 0
 
 
@@ -226,8 +226,8 @@
 
 def run(arguments: list[str]) -> int:
     """Carry out one command; its exit code. A mistake on the command line is one line, and exit 2."""
-    if os.environ.get("_WILLOWNOTCH_COMPLETE"):
-        group.main(arguments, prog_name="willownotch", complete_var="_WILLOWNOTCH_COMPLETE")
+    if COMPLETE_VARIABLE in os.environ:
+        group.main(arguments, prog_name="willownotch", complete_var=COMPLETE_VARIABLE)  # and exits
     try:
         return group.main(arguments, prog_name="willownotch", standalone_mode=False) or 0
     except click.exceptions.NoArgsIsHelpError as fault:
