Play a scenario on sockets, too: real senders, stand-ins and clients on one loop

The model's word has to be checked against senders. The load generator reads a decimal Retry-After, as senders tell.

--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -3,6 +3,7 @@
 
 import heapq
 import json
+import socket
 import subprocess
 import sys
 from datetime import timedelta
@@ -325,9 +326,9 @@
 
 
 def test_a_target_that_refuses_connections_ends_the_run():
-    target = Answering(b"")
-    target.close()
-    record = run(even([0, 1000, 2000]), Target("127.0.0.1", int(target.address.rsplit(":", 1)[1]), 4, 10**7))
+    with socket.socket() as sock:  # bound, so that nobody else has the port, and not listening
+        sock.bind(("127.0.0.1", 0))
+        record = run(even([0, 1000, 2000]), Target("127.0.0.1", sock.getsockname()[1], 4, 10**7))
     assert record.count("no connection") == 3
     assert not report(record, 1.0, 1e9).schedule.kept
 
--- a/willownotch/commands.py
+++ b/willownotch/commands.py
@@ -185,12 +185,13 @@
 @click.argument("scenario", required=False)
 @click.option("--policy", default="module", show_default=True, help="Who decides.")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--sockets", is_flag=True, help="In real time, with real senders and stand-ins on loopback.")
 @JSON
-def play(scenario: str | None, policy: str, seed: int, as_json: bool) -> int:
+def play(scenario: str | None, policy: str, seed: int, sockets: bool, as_json: bool) -> int:
     """Play a SCENARIO file in simulated time, a busy day without one; exit 4 if a rule was broken."""
     from willownotch.lab.experiment import command
 
-    return command.one(scenario, policy, seed, as_json)
+    return command.one(scenario, policy, seed, as_json, sockets)
 
 
 @group.command()
--- a/willownotch/lab/experiment/command.py
+++ b/willownotch/lab/experiment/command.py
@@ -42,8 +42,8 @@
     return FINE
 
 
-def one(path: str | None, policy: str, seed: int, as_json: bool) -> int:
-    """Play one scenario once."""
+def one(path: str | None, policy: str, seed: int, as_json: bool, sockets: bool = False) -> int:
+    """Play one scenario once, in simulated time or on sockets."""
     try:
         scenario = load(path, ScenarioFile).scenario if path else ScenarioFile().scenario
     except SettingsError as fault:
@@ -52,7 +52,15 @@
     if policy not in POLICIES:
         print(f"willownotch: unknown policy {policy!r}, allowed: {', '.join(POLICIES)}", file=sys.stderr)
         return FAULTY
-    result = play(scenario, policy, seed)
+    if sockets and policy != "module":
+        print("willownotch: on sockets real senders decide, allowed: --policy module", file=sys.stderr)
+        return FAULTY
+    if sockets:
+        from willownotch.lab.twin.play import play as play_on_sockets
+
+        result = play_on_sockets(scenario, seed)
+    else:
+        result = play(scenario, policy, seed)
     if as_json:
         print(msgspec.json.encode(asdict(result)).decode())
     else:
--- a/willownotch/lab/load/edge.py
+++ b/willownotch/lab/load/edge.py
@@ -6,6 +6,7 @@
 
 import errno
 import multiprocessing
+import re
 import selectors
 import socket
 import time
@@ -22,6 +23,7 @@
 
 SPIN_US = 1200  # before a message is due: epoll waits in whole milliseconds
 LEAD_S = 0.5  # from the workers' start to the first arrival
+WAIT = re.compile(r"[0-9]{1,5}(?:\.[0-9]{1,6})?\Z")  # seconds, whole or decimal
 ROUND_MOST = 256  # events taken before the plan is looked at again
 
 
@@ -133,8 +135,8 @@
         found = connection.parser.next()
         if found is not None and found[0].status >= 200:
             head = found[0]
-            told = head.headers.get("retry-after", "")
-            wait = int(told) * 1_000_000 if told.isdigit() and len(told) < 6 else None
+            found_wait = WAIT.match(head.headers.get("retry-after", ""))
+            wait = round(1e6 * float(found_wait[0])) if found_wait else None
             self._act(self.generator.answered(self.now(), connection.number, head.status,
                                               head.keeps_alive() and not ended, wait))
         elif ended:
--- a/willownotch/lab/model/story.py
+++ b/willownotch/lab/model/story.py
@@ -33,7 +33,7 @@
     def __init__(self, scenario: Scenario, policy: str | Callable[[face.Settings, int], Policy] = "module",
                  seed: int = 1) -> None:
         self.scenario, self.seed = scenario, seed
-        self.world = World(seed)
+        self.world = self.make_world()
         self.draws = self.world.draws("layout")
         blocks = scenario.classes()
         self.classes = tuple(
@@ -51,7 +51,7 @@
         self.partners = self._lay_out()
         self.settings = self._settings()
         make = POLICIES[policy] if isinstance(policy, str) else policy
-        self.nodes = [self._node(n, make) for n in range(scenario.senders)]
+        self.nodes = self.make_nodes(make)
         self.plan = self._plan()
         self.tries: dict[str, int] = {}
         self.series: list[tuple[float, int, int, int, int]] = []
@@ -61,6 +61,14 @@
         self._edges = (np.cumsum(weights) / weights.sum()).tolist()
         self._buckets = [[0.0, 0.0] for _ in self.tenants]  # what is left of a share, as of when
 
+    def make_world(self) -> World:
+        """Simulated time; the socket twin has another."""
+        return World(self.seed)
+
+    def make_nodes(self, make: Callable[[face.Settings, int], Policy]) -> list[Node]:
+        """Senders around policies; the socket twin has processes."""
+        return [self._node(n, make) for n in range(self.scenario.senders)]
+
     # Laying out
 
     def _lay_out(self) -> list[Partner]:
