End a process whose counts never had a log without a fault of its own

With no log at all, since the folder could not be written from the start, closing the counts wrote to no file and ended the thread that stops the sender. Seen on reading; a test with a disk that refuses every new file fails without the change.

--- a/tests/test_usage_book.py
+++ b/tests/test_usage_book.py
@@ -152,6 +152,13 @@
     assert held(reread(tmp_path)[0]) == 7
 
 
+def test_a_folder_that_never_could_be_written_stops_neither_counts_nor_the_end(tmp_path):
+    book, _, _ = opened(tmp_path, Faulty(lambda: [Fault(Kind.NO_SPACE, "create")]))
+    count(book, 2)
+    book.close()
+    assert book.rows.qsize() == 2 and book.broken
+
+
 def test_the_folder_s_limit_holds_for_counts_too(tmp_path):
     space = Space(40_000)
     book, _, _ = opened(tmp_path, space=space)
--- a/willownotch/usage/book.py
+++ b/willownotch/usage/book.py
@@ -264,6 +264,8 @@
         """This life counts nothing more."""
         with self.lock:
             self.life.closed = True
+            if self.broken:
+                return  # there may be no log at all
             try:
                 self._append(frame(LifeRecord(self.life.id, self.life.name, True)))
             except OSError as fault:
