Make one hand-in, one listed endpoint and one tenant key serve all who need them

Found on reading the whole change: the generator and the socket twin wrote a hand-in's bytes each, the story built a list entry in two places and worked a tenant's rate out anew for each arrival though its settings have it, three places encoded a tenant's name, a literal stood for FALL_S, and a lambda wrapped threads.start. Behaviour is as it was: the golden story, the golden plan and the tests of load, model and counts are unchanged and pass.

--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -176,7 +176,7 @@
     if mesh is not None:
         if mesh.counting is not None:
             mesh.counting.tell = lambda parts: owner.post(TenantParts(parts))
-        mesh.start(lambda name, work: threads.start(name, work))
+        mesh.start(threads.start)
     if channel is not None:
         threads.start("control", channel.run)
     threads.start("reload", take_reloads, forever=True)
--- a/willownotch/lab/load/edge.py
+++ b/willownotch/lab/load/edge.py
@@ -17,6 +17,7 @@
 import numpy as np
 
 from willownotch.lab.load.core import UNREADABLE, Close, Generator, Open, Send
+from willownotch.lab.load.hand_in import request
 from willownotch.lab.load.plan import Plan
 from willownotch.lab.load.record import Record
 from willownotch.net import http
@@ -163,17 +164,11 @@
 
     def _bytes(self, action: Send) -> bytes:
         plan, n = self.plan, action.number
-        ref = f"{self.mark}{n:08x}"
-        key = plan.key_name(int(plan.key[n]))
-        headers = [("Request-Id", ref), ("Request-Class", plan.classes[plan.cls[n]]),
-                   ("Tenant", plan.tenants[plan.tenant[n]]), ("Request-Timeout-Ms", str(plan.time_ms[n])),
-                   ("X-Consignee", f"dest={plan.dest[n]}"), ("Idempotency-Key", f"i{ref}")]
-        if action.attempt:
-            headers.append(("Client-Retry", str(action.attempt)))
         size = int(plan.size[n])
-        body = self._bodies.setdefault(size, b"w" * size)
-        path = self.target.path if key is None else f"{self.target.path}?thread={key}"
-        return http.write_request("POST", path, self.target.host, headers, body)
+        return request(
+            self.target.host, self.target.path, f"{self.mark}{n:08x}", plan.classes[plan.cls[n]],
+            plan.tenants[plan.tenant[n]], int(plan.time_ms[n]), int(plan.dest[n]),
+            plan.key_name(int(plan.key[n])), action.attempt, self._bodies.setdefault(size, b"w" * size))
 
     def _lose(self, connection: Connection, why: str | None = None) -> None:
         self._drop(connection)
--- a/willownotch/lab/model/story.py
+++ b/willownotch/lab/model/story.py
@@ -13,7 +13,7 @@
 from willownotch.lab.model.baselines import POLICIES
 from willownotch.lab.model.ledger import SAMPLE_S, Item, Ledger, Result
 from willownotch.lab.model.node import Node, Policy
-from willownotch.lab.model.partners import Call, Endpoint, Partner, State
+from willownotch.lab.model.partners import FALL_S, Call, Endpoint, Partner, State
 from willownotch.lab.model.scenario import Scenario, Trouble, TroubleBlock
 from willownotch.lab.model.world import World
 
@@ -125,11 +125,12 @@
 
     def entries(self) -> tuple[face.Endpoint, ...]:
         """The list as it is: each partner's endpoints, with a rough rate."""
-        kinds = list(self.scenario.kinds())
-        return tuple(
-            face.Endpoint(e.number, e.partner.number, kinds.index(e.partner.kind), 0, e.readiness,
-                          round(e.partner.share * self.full * 1.2, 3))
-            for e in self.endpoints.values() if e.readiness is not Readiness.GONE)
+        return tuple(self._listed(e) for e in self.endpoints.values() if e.readiness is not Readiness.GONE)
+
+    def _listed(self, endpoint: Endpoint) -> face.Endpoint:
+        partner = endpoint.partner
+        return face.Endpoint(endpoint.number, partner.number, list(self.scenario.kinds()).index(partner.kind),
+                             0, endpoint.readiness, round(partner.share * self.full * 1.2, 3))
 
     def _plan(self) -> Plan:
         plan = draw(self.scenario.traffic(self.seed, [p.share for p in self.partners]))
@@ -203,7 +204,7 @@
         self._hand_in(item, node)
 
     def _within(self, tenant: int, now: float) -> bool:
-        rate = list(self.tenants.values())[tenant].share * self.full
+        rate = self.settings.tenants[tenant].quota_per_s
         bucket = self._buckets[tenant]
         most = max(1.0, 2.0 * rate)
         left = min(most, bucket[0] + (now - bucket[1]) * rate) if bucket[1] else most
@@ -241,7 +242,7 @@
         knew = sum(self.nodes[n].seen_failing.get(partner.number, -1.0) >= partner.out_at for n in senders)
         if knew >= 2 / 3 * len(senders):
             self.ledger.breach("pushed over", self.world.now, f"partner {partner.number}",
-                               f"{len(senders)} calls in {2.0:g} s")
+                               f"{len(senders)} calls in {FALL_S:g} s")
 
     # Troubles
 
@@ -254,10 +255,7 @@
 
     def _entry(self, endpoint: Endpoint, readiness: Readiness) -> face.Endpoint:
         endpoint.readiness = readiness
-        kinds = list(self.scenario.kinds())
-        partner = endpoint.partner
-        return face.Endpoint(endpoint.number, partner.number, kinds.index(partner.kind), 0, readiness,
-                             round(partner.share * self.full * 1.2, 3))
+        return self._listed(endpoint)
 
     def _strike(self, name: str, block: TroubleBlock) -> None:
         kind, span = block.kind, seconds(block.for_)
--- a/willownotch/lab/twin/play.py
+++ b/willownotch/lab/twin/play.py
@@ -12,13 +12,13 @@
 
 from willownotch import interface as face
 from willownotch.interface import Readiness
+from willownotch.lab.load.hand_in import request
 from willownotch.lab.model.ledger import DRAIN_S, Item, Result
 from willownotch.lab.model.partners import Endpoint, State
 from willownotch.lab.model.scenario import Scenario
 from willownotch.lab.model.story import Story
 from willownotch.lab.twin.loop import RealWorld
 from willownotch.lab.twin.servers import STATUS, Client, Discovery, Door
-from willownotch.net import http
 
 READY_S = 10.0  # that a sender may take to start
 DRAIN_SLACK_S = 0.25  # what was written before the second was over may be read after it
@@ -181,13 +181,8 @@
     def request(self, item: Item, again: bool) -> bytes:
         """A hand-in's bytes."""
         left = max(1, round(1000 * (item.ends_at - self.world.now)))
-        headers = [("Request-Id", item.ref), ("Request-Class", self.classes[item.cls].name),
-                   ("Tenant", list(self.tenants)[item.tenant]), ("Request-Timeout-Ms", str(left)),
-                   ("X-Consignee", f"dest={item.dest}"), ("Idempotency-Key", f"i{item.ref}")]
-        if again:
-            headers.append(("Client-Retry", "1"))
-        target = "/api" if item.key is None else f"/api?thread={item.key}"
-        return http.write_request("POST", target, "lab", headers, BODY)
+        return request("lab", "/api", item.ref, self.classes[item.cls].name, list(self.tenants)[item.tenant],
+                       left, item.dest, item.key, int(again), BODY)
 
     def run(self) -> Result:
         """Start the senders, then play as the model does."""
--- a/willownotch/usage/book.py
+++ b/willownotch/usage/book.py
@@ -26,7 +26,7 @@
 from willownotch.usage.core import Life
 from willownotch.usage.settled import Settled, digest_of
 from willownotch.usage.tally import Tally
-from willownotch.usage.wire import Row, Sort
+from willownotch.usage.wire import Row, Sort, tenant_key
 
 HEAD = Struct("<IQ")
 FRAME_MOST = 1 << 20  # bytes
@@ -177,7 +177,7 @@
         """Count messages by tenant, class and sort, and write it down by one write. An error is said and
         kept: counts go on in memory."""
         with self.lock:
-            rows = tuple(self.tally.count(now, tenant.encode("utf-8", "surrogateescape"), cls, sort)
+            rows = tuple(self.tally.count(now, tenant_key(tenant), cls, sort)
                          for tenant, cls, sort in counted)
             for row in rows:
                 self.rows.put(row)
--- a/willownotch/usage/service.py
+++ b/willownotch/usage/service.py
@@ -23,7 +23,7 @@
 from willownotch.usage.settings import UsageSettings
 from willownotch.usage.settled import Settled
 from willownotch.usage.tally import Tally
-from willownotch.usage.wire import LIFE_BITS, Sort
+from willownotch.usage.wire import LIFE_BITS, Sort, tenant_key
 
 LOOK_S = 1.0  # between two looks at whether the files want to be written anew
 TELL_S = 1.0  # between two words on parts of quotas
@@ -118,7 +118,7 @@
         """What part of each quota is this instance's, where that has changed."""
         by_load, parts = self.usage.settings.own_share, {}
         for tenant in self.tenants:
-            keys = [(tenant.encode("utf-8", "surrogateescape"), cls) for cls in self.classes]
+            keys = [(tenant_key(tenant), cls) for cls in self.classes]
             part = round(share(*self.usage.rates(keys), by_load), 3)
             if abs(part - self._told.get(tenant, inf)) >= NEWS:
                 parts[tenant] = self._told[tenant] = part
@@ -164,7 +164,7 @@
             most = int(about.get("lines", LINES))
         except ValueError:
             raise BadQuestionError("'lines' is no whole number") from None
-        tenant = about["tenant"].encode("utf-8", "surrogateescape") if "tenant" in about else None
+        tenant = tenant_key(about["tenant"]) if "tenant" in about else None
         with self.lock:
             now = time.monotonic()
             self._drain(now)
--- a/willownotch/usage/wire.py
+++ b/willownotch/usage/wire.py
@@ -26,6 +26,11 @@
 NOTHING: Counts = (0,) * len(Sort)
 
 
+def tenant_key(name: str) -> bytes:
+    """A tenant as rows have it, whatever bytes its name came as."""
+    return name.encode("utf-8", "surrogateescape")
+
+
 class Row(msgspec.Struct, frozen=True, array_like=True):
     """One tenant and class of one life. `version` is the life's when it last changed; `peak` the most that
     any of its counts grew in a second of late, in thousandths."""
