Ramp a cold return from the fair part of the told limit, not from its own low rate

At fault: `_space` took what is usual at a destination from `mean_rate`, read anew at each call. With 1.5 calls a second and less a sender it is noise (0.26 where 1.5 was the traffic), and while the ramp lasts it follows the few calls that the ramp itself lets through, so that the ramp went down where it should rise.

Now the fair part of the limit that answers (or the list, at two thirds) tell is the least that counts as usual.

The new test fails without the change.

--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,54 @@
+"""What is fine for one sender and hurts when forty do it: several controllers beside one destination."""
+import random
+
+import pytest
+from helpers import SAFE, Sender, sends
+
+from willownotch.interface import Outcome, Rules
+
+SENDERS, LIMIT = 40, 80.0
+RULES = Rules(cold_share=0.2, cold_s=10.0)
+
+
+class Fleet:
+    """Senders with even, thin traffic for one destination, whose answers tell its limit."""
+
+    def __init__(self, each_s, seed=1, **changes):
+        changes = {"slots": 5, "rules": RULES, "handshake_price": 0.04, **changes}
+        self.random, self.now, self.each_s = random.Random(seed), 0.0, each_s
+        self.senders = [Sender(seed=seed + n, senders=SENDERS, **changes) for n in range(SENDERS)]
+
+    def play(self, seconds, answer):
+        """The times of all calls; `answer(now)` is the outcome of a call made then, with what it tells."""
+        called, ends, step = [], self.now + seconds, 0.05
+        while self.now < ends:
+            self.now += step
+            for sender in self.senders:
+                fresh = self.random.random() < self.each_s * step
+                out = sender.step(*[sender.message(SAFE)] * fresh, at=self.now)
+                while out := sends(out):  # answered at once
+                    called += [self.now] * len(out)
+                    outcome, told = answer(self.now)
+                    out = sender.step(*[sender.ended(s, outcome, 0.05, **told) for s in out])
+        return called
+
+
+def delivered(now):
+    """A delivery whose answer tells the limit."""
+    return Outcome.DELIVERED, {"limit_per_s": LIMIT, "room_left": 1.0}
+
+
+def test_the_ramps_of_forty_senders_add_up_to_the_share_that_a_cold_destination_takes():
+    """zone+vast: each sender's ramp followed the few calls that the ramp itself let through, and 160 calls a
+    second came back as 15 for all of the ramp's time."""
+    fleet = Fleet(each_s=1.0)
+    fleet.play(8, delivered)
+    fleet.play(5, lambda now: (Outcome.UNREACHABLE, {}))
+    back = fleet.now
+    called = fleet.play(10, delivered)
+    for begin in range(8):
+        count = sum(back + begin <= at < back + begin + 2 for at in called)
+        present = LIMIT * (RULES.cold_share + (1 - RULES.cold_share) * (begin + 1) / RULES.cold_s)
+        assert count < RULES.fall_multiple * present * 2, begin
+    share = sum(back + 4 <= at < back + 8 for at in called) / 4 / LIMIT
+    assert share == pytest.approx(0.5, abs=0.2)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -30,6 +30,7 @@
 ROOM_LEFT = 0.5  # share of a limit: with less left, others would be refused what is sent faster
 JITTER = (0.5, 1.5)  # x a gap between calls, so that senders refused together do not come back together
 TOGETHER_LEAST = 1.0  # calls a second that all senders together send at the least, paced or as trials
+ROUGH = 2 / 3  # x a listed rate, which may be half too high, until an answer tells the limit
 AWARE, TRIAL_MOST = 3.0, 4.0  # senders a second that learn of a small one's outage; trials a second at most
 ROOM_FULL, DEST_ROOM = 0.9, 0.5  # share of the holding room: all held work; what waits for one destination
 TIGHT_CALLS, SPARSE = 100, 1.0  # calls closing theirs after a refused connection, at units under so many a s
@@ -406,7 +407,11 @@
         if not route.failing and route.back_at is None:
             return
         peers = max(1, sum(r.unit is unit and r.serving() for r in self.book.routes.values()))
-        usual = (unit.mean_rate or unit.told_limit / self.settings.senders) / peers
+        # The fair part of a limit at the least: what a ramp lets through says nothing of what is usual, and few
+        # calls say little. All senders together stay under twice the limit's share, which pushes none over.
+        rough = ROUGH if unit.told_limit == route.entry.rate else 1.0
+        part = rough * unit.told_limit / self.settings.senders
+        usual = max(unit.mean_rate or 0.0, part) / peers
         ended = now if route.failing else route.back_at
         start, slope = max(now, ended), (1 - rules.cold_share) / rules.cold_s
         share = rules.cold_share + slope * (start - ended)
