--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -407,8 +407,8 @@
         if not route.failing and route.back_at is None:
             return
         peers = max(1, sum(r.unit is unit and r.serving() for r in self.book.routes.values()))
-        # The fair part of a limit at the least: what a ramp lets through says nothing of what is usual, and few
-        # calls say little. All senders together stay under twice the limit's share, which pushes none over.
+        # The fair part of a limit at the least: what a ramp lets through tells nothing of what is usual,
+        # nor do few calls. All senders together stay under twice the limit's share, which pushes none over.
         rough = ROUGH if unit.told_limit == route.entry.rate else 1.0
         part = rough * unit.told_limit / self.settings.senders
         usual = max(unit.mean_rate or 0.0, part) / peers
