Spread new watches of the list by the number of senders, so that each is answered

Measured: a probe with the time of each answer shows one call after the other, 0.135 s each, and 503 for what has waited 2 s. 40 callers that come back in step after 0.1 to 1 s are four times what that takes. Ruled out: a longer wait for the first word (10 s: none answered), jitter alone (40 calls a second, none answered), an outage of discovery (with few calls each one is answered from 5 s on).

At fault: `Backoff` in net/registry.py, 0.1 s doubling to 1 s, with no draw and the same for any number of senders. Now the first wait is drawn from 0.2 s for each other sender, then twice that, 30 s at most; with up to 5 senders the bound stays 1 s or a little over.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,10 +1,14 @@
 """What is fine for one sender and hurts when forty do it: several controllers beside one destination."""
+import heapq
 import random
+from datetime import timedelta
 
 import pytest
 from helpers import SAFE, Sender, sends
 
 from willownotch.interface import Outcome, Rules
+from willownotch.net.clock import seconds
+from willownotch.net.registry import AGAIN_LONG, Backoff
 
 SENDERS, LIMIT = 40, 80.0
 RULES = Rules(cold_share=0.2, cold_s=10.0)
@@ -52,3 +56,37 @@
         assert count < RULES.fall_multiple * present * 2, begin
     share = sum(back + 4 <= at < back + 8 for at in called) / 4 / LIMIT
     assert share == pytest.approx(0.5, abs=0.2)
+
+
+def watches_again(senders, seed, each=0.135, patience=2.0):
+    """When each sender has its watch again, all lost at once. The platform answers one call after the other
+    and with 503 what it would answer too late."""
+    draw = random.Random(seed).random
+    waits = [Backoff(senders, draw) for _ in range(senders)]
+    calls = [(seconds(wait.next()), n) for n, wait in enumerate(waits)]
+    heapq.heapify(calls)
+    free_at, again = 0.0, {}
+    while calls and calls[0][0] < 60.0:
+        at, n = heapq.heappop(calls)
+        free_at = max(at, free_at) + each  # what is answered too late has cost its time all the same
+        if free_at - at < patience:
+            again[n] = free_at
+        else:
+            heapq.heappush(calls, (at + patience + seconds(waits[n].next()), n))
+    return again
+
+
+@pytest.mark.parametrize("senders", [3, 10, 40, 120])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_watches_that_end_together_are_not_asked_for_together(senders, seed):
+    """herd+vast: 24 watches ended at 2.3 s; asked for in step and once a second, they never came back."""
+    again = watches_again(senders, seed)
+    assert len(again) == senders
+    assert max(again.values()) < 1.0 + 0.4 * senders
+
+
+def test_the_wait_for_a_watch_has_a_bound_however_many_senders_there_are():
+    backoff = Backoff(10_000, lambda: 0.0)
+    assert [backoff.next() for _ in range(3)] == [AGAIN_LONG] * 3
+    backoff.reset()
+    assert Backoff(1, lambda: 0.0).next() == timedelta(milliseconds=100)
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import queue
+import random
 import socket
 import threading
 from collections.abc import Callable
@@ -17,9 +18,11 @@
 from willownotch.net.log import Log
 
 SILENCE = timedelta(seconds=5)  # a watch says something every 2 s: two lines missed and it is made anew
-FIRST_WORD = timedelta(seconds=2)  # a watch is answered at once
+FIRST_WORD = timedelta(seconds=3)  # a watch is answered at once, or within 2 s by a busy platform
 CONNECT = timedelta(seconds=1)
 AGAIN_FIRST, AGAIN_MOST = timedelta(milliseconds=100), timedelta(seconds=1)  # between tries, doubling
+CALL_EACH = timedelta(milliseconds=200)  # x other senders: a platform short of time answers each within that
+AGAIN_LONG = timedelta(seconds=30)  # the most, however many senders there are
 NOTICE_TIME = timedelta(seconds=1)  # a notice is answered at once: what takes longer is lost
 NOTICES_MOST = 64  # notices in one call
 GONE_KEPT = timedelta(seconds=60)  # how long a host that left the list keeps its number
@@ -151,15 +154,26 @@
 
 
 class Backoff:
-    """Waits between tries: they double up to a second, and begin anew after a success."""
+    """Waits between tries: they double up to a bound, and begin anew after a success.
 
-    def __init__(self) -> None:
-        self.span = AGAIN_FIRST
+    Each is drawn from its whole span, which is wide enough for all senders to be answered one by one: their
+    watches end together, and calls that come together are answered with 503 and only keep the platform busy.
+    """
+
+    def __init__(self, senders: int = 1, draw: Callable[[], float] = random.random) -> None:
+        all_once = (senders - 1) * CALL_EACH
+        self.first = min(AGAIN_LONG, max(AGAIN_FIRST, all_once))
+        self.most = min(AGAIN_LONG, max(AGAIN_MOST, 2 * all_once))
+        self.span, self.draw = self.first, draw
 
     def next(self) -> timedelta:
         """How long to wait now."""
-        span, self.span = self.span, min(AGAIN_MOST, 2 * self.span)
-        return span
+        span, self.span = self.span, min(self.most, 2 * self.span)
+        return span * (1.0 - self.draw())
+
+    def reset(self) -> None:
+        """After a success."""
+        self.span = self.first
 
 
 class Platform:
@@ -222,7 +236,7 @@
                  tell: Callable[[ListNews], None]) -> None:
         self.platform, self.log, self.tell = platform, log, tell
         self.index, self._index_moves = config.known.index if config.known else 0, platform.moves
-        self._backoff = Backoff()
+        self._backoff = Backoff(config.settings.senders)
 
     def run(self) -> None:
         """Watch until the process ends."""
@@ -240,7 +254,8 @@
         sock, name, moves = self.platform.connect()
         if moves != self._index_moves:
             # One agent's versions say nothing to another: asked from there, changes could be left out.
-            self.index, self._index_moves, self._backoff = 0, moves, Backoff()
+            self.index, self._index_moves = 0, moves
+            self._backoff.reset()
         try:
             sock.settimeout(seconds(FIRST_WORD))
             target = f"/registry/instances?watch=1&from={self.index}"
@@ -265,7 +280,7 @@
         """One line of news. Nonsense breaks the watch off: what it would have said is asked for again."""
         news = msgspec.json.decode(line, type=ListNews)
         self.index = news.index
-        self._backoff = Backoff()
+        self._backoff.reset()
         self.tell(news)
 
 
