Date a return halfway back to the connection that failed, and ramp by the spare capacity

With a limit of 28 and 40 senders a sender's trials are 4 to 8 s apart, so it begins its ramp some 3 s after the return, at 18% again, where the destination has long got to 40%.

Now a return is dated halfway between the last connection that failed and the first answer, which is right in the mean over all senders, and the ramp goes by 1.25 times the limit; trials stay at the limit's share. The rule on pushed-over partners allows 2 times.

Only a failed connection dates.

--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -31,6 +31,7 @@
 JITTER = (0.5, 1.5)  # x a gap between calls, so that senders refused together do not come back together
 TOGETHER_LEAST = 1.0  # calls a second that all senders together send at the least, paced or as trials
 ROUGH = 2 / 3  # x a listed rate, which may be half too high, until an answer tells the limit
+SPARE = 1.25  # x a limit: partners have at least so much capacity beside it
 AWARE, TRIAL_MOST = 3.0, 4.0  # senders a second that learn of a small one's outage; trials a second at most
 ROOM_FULL, DEST_ROOM = 0.9, 0.5  # share of the holding room: all held work; what waits for one destination
 TIGHT_CALLS, SPARSE = 100, 1.0  # calls closing theirs after a refused connection, at units under so many a s
@@ -299,7 +300,9 @@
 
     def _turn(self, route: Route, failing: bool, phase: float | None = None, cold: bool = True) -> None:
         """A verdict, or a return; it is told to the others unless it came from one of them."""
-        route.failing, route.back_at = failing, self.now if cold and not failing else None
+        # It came back at some time since the last call failed: halfway is right for all senders together.
+        back_at = min(self.now, (route.failed_at + self.now) / 2) if phase is None else self.now
+        route.failing, route.back_at = failing, back_at if cold and not failing else None
         route.failing_at, route.sick = (self.now, SICK) if failing else (route.failing_at, FAIL_STEP / 2)
         self._space(route, phase)
         # With a call in many seconds each sender would else find an outage and its end out for itself.
@@ -356,6 +359,8 @@
             long = outcome is Outcome.UNREACHABLE and event.took_s >= LONG_S
             step = SICK if long and (unit.mean_rate or 0.0) < SPARSE else step
         route.sick += step * (1 - route.sick)
+        # Only a connection that fails dates an outage: what is slow or turns away never was out for certain.
+        route.failed_at = now if outcome is Outcome.UNREACHABLE else inf
         if route.sick >= SICK and not route.failing:
             self._turn(route, failing=True)
             self.out.append(face.Log(f"endpoint {route.entry.number} judged failing ({outcome.value})"))
@@ -411,7 +416,7 @@
         # nor do few calls. All senders together stay under twice the limit's share, which pushes none over.
         rough = ROUGH if unit.told_limit == route.entry.rate else 1.0
         part = rough * unit.told_limit / self.settings.senders
-        usual = max(unit.mean_rate or 0.0, part) / peers
+        usual = max(unit.mean_rate or 0.0, part) * (1.0 if route.failing else SPARE) / peers
         ended = now if route.failing else route.back_at
         start, slope = max(now, ended), (1 - rules.cold_share) / rules.cold_s
         share = rules.cold_share + slope * (start - ended)
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -107,7 +107,8 @@
     sick: float = 0.0
     failing: bool = False
     failing_at: float = -inf  # start of the last outage as seen from here
-    back_at: float | None = None  # first success after an outage
+    failed_at: float = -inf  # the last call that failed or was refused
+    back_at: float | None = None  # end of the last outage, as far as is known here
     last_sent: float = -inf
     lost: float = 0.0  # calls counted as lost on idle connections here, unless it turns out otherwise
     idle_at: float = -inf  # since when a connection may be open and idle
