Pace by the even part of a told limit: at once when it falls, and back to it fast

A destination of 93 calls a second delivers 34, 27, 27, 10 a second where 47 are allowed, since refused calls use the limit up (40 to 57 refusals a second); one of 68 delivers none for 2 s. After 15 s it takes 93 again, and still gets 55 to 75 until the end with 80 a second refused for lack of time.

In one sender's log: the answer of 6.28 s already tells 48 where it was 93, and the next call goes at 0.15 s. A pace starts from 2.9 a second (the mean rate under the old limit), is cut to 0.68 where the even part is 1.2, and grows by 8% at a success, which comes once in 1.5 s. Ruled out: waits (81 ms where told), slots (1 to 3 of 5 used), the window (infinite).

At fault: `refused`, which knows the mean rate but not under which limit it was, and has a floor of one call a second for all senders; `success`, whose growth takes a call a step, though a step takes a second here.

Now: `told` starts a pace as soon as an answer tells less than two thirds of the mean of the told limits; a sender's part is what it used of the limit, or the even part if more; a refusal by a told limit cuts no deeper than 0.6 of the even part; a success with half of the limit left brings a pace that is under the even part back by half more.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -111,3 +111,42 @@
     assert [backoff.next() for _ in range(3)] == [AGAIN_LONG] * 3
     backoff.reset()
     assert Backoff(1, lambda: 0.0).next() == timedelta(milliseconds=100)
+
+
+class Limited:
+    """A partner with a limit that refused calls use up too, told by each answer with what is left of it."""
+
+    def __init__(self, limit):
+        self.limit, self.left, self.at, self.delivered, self.refused = limit, limit, 0.0, 0, 0
+
+    def answer(self, now):
+        self.left = min(self.limit, self.left + self.limit * (now - self.at))
+        self.at, took = now, self.left >= 1.0
+        self.left = max(0.0, self.left - 1.0)
+        self.delivered, self.refused = self.delivered + took, self.refused + (not took)
+        told = {"limit_per_s": self.limit, "room_left": self.left / self.limit}
+        return (Outcome.DELIVERED if took else Outcome.TURNED_AWAY), told
+
+    def counted(self):
+        counts = self.delivered, self.refused
+        self.delivered = self.refused = 0
+        return counts
+
+
+def test_forty_senders_follow_a_limit_that_falls_and_comes_back():
+    """join+vast: limits fell by half for 9 s. Refusals cut every pace below the sender's part, and it took
+    most senders longer than the low limit itself to come back."""
+    fleet, partner = Fleet(each_s=1.5), Limited(LIMIT)
+    fleet.play(10, partner.answer)
+    partner.limit = LIMIT / 2
+    fleet.play(3, partner.answer)
+    partner.counted()
+    fleet.play(6, partner.answer)
+    delivered, refused = partner.counted()
+    assert delivered > 0.7 * 6 * LIMIT / 2
+    assert refused < 0.25 * delivered
+    partner.limit = LIMIT
+    fleet.play(3, partner.answer)
+    partner.counted()
+    fleet.play(4, partner.answer)
+    assert partner.counted()[0] > 0.85 * 4 * LIMIT
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -26,6 +26,8 @@
 RECENT_S, OVERDUE = 2.0, 1.5  # s that an outcome is news; x expected: so old an unanswered call has failed
 PACE_CUT, PACE_GROW = 0.6, 1.08  # x pace at a refusal, at a success: balances at one refusal in eight
 PACE_GAP_S, PACE_DONE = 0.5, 3.0  # s: refusals this near are one burst; x max rate: such a pace says nothing
+PACE_BACK, PACE_EVEN = 1.5, 0.6  # x pace at a success with room left, up to the even part; x that: its least
+FELL = 0.67  # x the mean of a told limit: more than its noise, so that calls meet a lower limit
 PACE_OVER, PACE_TRIES = 2.0, 4.0  # a pace starts at so much x mean rate, or calls in the shortest deadline
 ROOM_LEFT = 0.5  # share of a limit: with less left, others would be refused what is sent faster
 JITTER = (0.5, 1.5)  # x a gap between calls, so that senders refused together do not come back together
@@ -67,7 +69,26 @@
     return route in (None, first.route) or job.cls.group is Group.ALL or near
 
 
-def success(unit: Unit, took: float, now: float, room: float | None = None) -> None:
+def even_part(unit: Unit, settings: face.Settings) -> float:
+    """What each sender gets of a told limit if all get the same."""
+    return unit.told_limit / settings.senders
+
+
+def own_part(unit: Unit, settings: face.Settings) -> float:
+    """Of the limit as told now, the even part, or what this sender used of it before if that is more."""
+    used = (unit.mean_rate or 0.0) * min(1.0, unit.told_limit / (unit.mean_limit or inf) or 1.0)
+    return max(even_part(unit, settings), used)
+
+
+def told(unit: Unit, limit: float, settings: face.Settings) -> None:
+    """Take a limit from an answer. One that fell paces at once: refused calls would only use it up."""
+    unit.told_limit = limit
+    unit.mean_limit = follow(unit.mean_limit, limit, FAST_STEP, FAST_STEP)
+    if unit.pace == inf and limit < FELL * unit.mean_limit:
+        unit.pace = PACE_OVER * PACE_CUT * own_part(unit, settings)
+
+
+def success(unit: Unit, took: float, now: float, room: float | None = None, even: float = 0.0) -> None:
     """Feed the design's cost, rate and M with one call."""
     if now - unit.period_at >= PERIOD_S:
         close_period(unit, now)
@@ -75,6 +96,8 @@
     # A slow pace has few successes to grow by: seconds without refusal count too, while room is left if told.
     idle = (now - max(unit.refused_at, unit.grown_at)) / PERIOD_S
     unit.pace *= PACE_GROW ** (1.0 if room is not None and room < ROOM_LEFT else max(1.0, idle))
+    if room is not None and room >= ROOM_LEFT and unit.pace < even:
+        unit.pace = min(even, PACE_BACK * unit.pace)  # no sender takes from others by that
     unit.grown_at = now
     unit.last.append(took)
     del unit.last[:-M_LAST]
@@ -147,17 +170,17 @@
     unit.seen = unit.top = unit.passed = unit.missed = 0
 
 
-def refused(unit: Unit, now: float, settings: face.Settings) -> None:
-    """Fast refusals leave F infinite: pace the unit from its mean rate."""
+def refused(unit: Unit, now: float, settings: face.Settings, bound: bool = False) -> None:
+    """Fast refusals leave F infinite: pace the unit from its mean rate. `bound`: by a limit that is told."""
     unit.refused_at = now
     if now - unit.cut_at >= PACE_GAP_S:
         unit.cut_at = now
         if unit.pace == inf:
             # Where the limit is told, its fair part; else tries while the held message is worth something.
-            part = PACE_OVER * unit.told_limit / settings.senders
             least = PACE_TRIES / min(cls.deadline_s for cls in settings.classes)
-            unit.pace = max(part or least, PACE_OVER * (unit.mean_rate or 0.0))
-        unit.pace = max(TOGETHER_LEAST / settings.senders, PACE_CUT * unit.pace)
+            unit.pace = max(0.0 if unit.told_limit else least, PACE_OVER * own_part(unit, settings))
+        floor = max(TOGETHER_LEAST / settings.senders, PACE_EVEN * bound * even_part(unit, settings))
+        unit.pace = max(floor, PACE_CUT * unit.pace)
 
 
 def sick(dest: Destination) -> bool:
@@ -330,7 +353,8 @@
     def _evidence(self, route: Route, event: face.AttemptEnded | face.ProbeEnded) -> None:
         """What one call or probe tells of its route and unit."""
         unit, now, outcome, step = route.unit, self.now, event.outcome, FAIL_STEP
-        unit.told_limit = event.limit_per_s or unit.told_limit
+        if event.limit_per_s:
+            told(unit, event.limit_per_s, self.settings)
         kind, away = route.entry.kind, float(outcome is Outcome.TURNED_AWAY)
         self.turned[kind] = follow(self.turned.get(kind, 0.0), away, FAST_STEP, FAST_STEP)
         if outcome is Outcome.DELIVERED:
@@ -342,16 +366,17 @@
                 self._turn(route, failing=False, cold=cold)
                 self.out.append(face.Log(f"endpoint {route.entry.number} answers again, ramp: {cold}"))
             route.last_ok = now
-            success(unit, event.took_s, now, event.room_left)
+            success(unit, event.took_s, now, event.room_left, even_part(unit, self.settings))
         if outcome in (Outcome.DELIVERED, Outcome.CALLED_OFF, Outcome.NOT_SENT):
             return
         if outcome is Outcome.TURNED_AWAY:
             # At a limit some calls get through; where none of many does, or of a sparse one's few, it's shut.
             bare = route.last_ok < unit.refused_at and (unit.mean_rate or 0.0) < SPARSE
             step = FAIL_STEP if bare else FULL_STEP
-            if event.limit_per_s and event.room_left is not None and event.room_left < ROOM_LEFT:
+            bound = bool(event.limit_per_s) and event.room_left is not None and event.room_left < ROOM_LEFT
+            if bound:
                 step = 0.0  # the answer itself says that a limit is used up: that is no outage
-            refused(unit, now, self.settings)
+            refused(unit, now, self.settings, bound)
             self._space(route)
         else:
             unit.failed_at = now
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -92,6 +92,7 @@
     refused_at: float = -inf
     wait_until: float = -inf
     told_limit: float = 0.0
+    mean_limit: float | None = None  # of those that answers told
 
 
 @dataclass(slots=True, eq=False)
