Pace where an answer tells a used-up limit, and end a ramp's spare at the limit itself

Refused calls use the limit up, each sender sends little, and only its own refusal tells it.

Ruled out: the ramp's line (no refusal below it), a slower destination (limit and report unchanged).

At fault: `_space` went to 1.25 times the limit at a ramp's end; paces on told limits started at 1.2 of the even part, more than all may send together; none started before a refusal.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -150,3 +150,14 @@
     partner.counted()
     fleet.play(4, partner.answer)
     assert partner.counted()[0] > 0.85 * 4 * LIMIT
+
+
+def test_forty_senders_pace_themselves_where_a_limit_is_used_up_before_many_are_refused():
+    """zone+vast: at the ramps' end forty senders met a limit at once; refused calls held it for seconds."""
+    fleet, partner = Fleet(each_s=3.0), Limited(LIMIT)  # half more than the partner takes
+    fleet.play(2, partner.answer)
+    partner.counted()
+    fleet.play(8, partner.answer)
+    delivered, refused = partner.counted()
+    assert delivered > 0.9 * 8 * LIMIT
+    assert refused < 0.16 * delivered
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -27,8 +27,10 @@
 PACE_CUT, PACE_GROW = 0.6, 1.08  # x pace at a refusal, at a success: balances at one refusal in eight
 PACE_GAP_S, PACE_DONE = 0.5, 3.0  # s: refusals this near are one burst; x max rate: such a pace says nothing
 PACE_BACK, PACE_EVEN = 1.5, 0.6  # x pace at a success with room left, up to the even part; x that: its least
+PACE_TOLD = 0.9  # x the part of a told limit that a pace starts at: refused calls may use it up too
 FELL = 0.67  # x the mean of a told limit: more than its noise, so that calls meet a lower limit
 PACE_OVER, PACE_TRIES = 2.0, 4.0  # a pace starts at so much x mean rate, or calls in the shortest deadline
+USED_UP = 0.05  # share of a limit: all of it goes as it is
 ROOM_LEFT = 0.5  # share of a limit: with less left, others would be refused what is sent faster
 JITTER = (0.5, 1.5)  # x a gap between calls, so that senders refused together do not come back together
 TOGETHER_LEAST = 1.0  # calls a second that all senders together send at the least, paced or as trials
@@ -80,12 +82,17 @@
     return max(even_part(unit, settings), used)
 
 
-def told(unit: Unit, limit: float, settings: face.Settings) -> None:
-    """Take a limit from an answer. One that fell paces at once: refused calls would only use it up."""
+def told_start(settings: face.Settings) -> float:
+    """What a pace on a told limit starts at, x the own part: of few senders one may have far more to send."""
+    return PACE_TOLD * (1 + 1 / settings.senders)
+
+
+def told(unit: Unit, limit: float, room: float | None, settings: face.Settings) -> None:
+    """Take a limit from an answer. One that fell or is used up paces: refused calls would only hold it so."""
     unit.told_limit = limit
     unit.mean_limit = follow(unit.mean_limit, limit, FAST_STEP, FAST_STEP)
-    if unit.pace == inf and limit < FELL * unit.mean_limit:
-        unit.pace = PACE_OVER * PACE_CUT * own_part(unit, settings)
+    if unit.pace == inf and (limit < FELL * unit.mean_limit or (room is not None and room < USED_UP)):
+        unit.pace = told_start(settings) * own_part(unit, settings)
 
 
 def success(unit: Unit, took: float, now: float, room: float | None = None, even: float = 0.0) -> None:
@@ -178,7 +185,8 @@
         if unit.pace == inf:
             # Where the limit is told, its fair part; else tries while the held message is worth something.
             least = PACE_TRIES / min(cls.deadline_s for cls in settings.classes)
-            unit.pace = max(0.0 if unit.told_limit else least, PACE_OVER * own_part(unit, settings))
+            over = told_start(settings) / PACE_CUT if unit.told_limit else PACE_OVER
+            unit.pace = max(0.0 if unit.told_limit else least, over * own_part(unit, settings))
         floor = max(TOGETHER_LEAST / settings.senders, PACE_EVEN * bound * even_part(unit, settings))
         unit.pace = max(floor, PACE_CUT * unit.pace)
 
@@ -354,7 +362,7 @@
         """What one call or probe tells of its route and unit."""
         unit, now, outcome, step = route.unit, self.now, event.outcome, FAIL_STEP
         if event.limit_per_s:
-            told(unit, event.limit_per_s, self.settings)
+            told(unit, event.limit_per_s, event.room_left, self.settings)
         kind, away = route.entry.kind, float(outcome is Outcome.TURNED_AWAY)
         self.turned[kind] = follow(self.turned.get(kind, 0.0), away, FAST_STEP, FAST_STEP)
         if outcome is Outcome.DELIVERED:
@@ -441,10 +449,11 @@
         # nor do few calls. All senders together stay under twice the limit's share, which pushes none over.
         rough = ROUGH if unit.told_limit == route.entry.rate else 1.0
         part = rough * unit.told_limit / self.settings.senders
-        usual = max(unit.mean_rate or 0.0, part) * (1.0 if route.failing else SPARE) / peers
+        usual = max(unit.mean_rate or 0.0, part) / peers
         ended = now if route.failing else route.back_at
         start, slope = max(now, ended), (1 - rules.cold_share) / rules.cold_s
         share = rules.cold_share + slope * (start - ended)
+        share = share if route.failing else min(1.0, SPARE * share)  # beyond its limit calls are refused
         # By notes all know of a return; without, as many as called there since.
         known_s = ended - route.failing_at if route.failing or not self.settings.may_tell else inf
         least = TOGETHER_LEAST / min(self.settings.senders, 1.0 + AWARE * known_s) * share / rules.cold_share
