Ramp and try a return at twice the cold share of a limit that answers tell

The limit of a partner that tells one is not its capacity: the rule on pushed-over partners counts by that.

Ruled out: 1.5 or 2 for all returns. So it holds only for a limit that answers tell, after an outage that was dated by a connection that failed, and never beyond the limit itself.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -54,6 +54,9 @@
         count = sum(back + begin <= at < back + begin + 2 for at in called)
         present = LIMIT * (RULES.cold_share + (1 - RULES.cold_share) * (begin + 1) / RULES.cold_s)
         assert count < RULES.fall_multiple * present * 2, begin
+    # A limit that answers tell is less than the capacity: twice its cold share, as long as it is not reached.
+    assert sum(at < back + 4 for at in called) > 1.5 * 4 * LIMIT * (
+        RULES.cold_share + (1 - RULES.cold_share) * 2 / RULES.cold_s)
     share = sum(back + 4 <= at < back + 8 for at in called) / 4 / LIMIT
     present = RULES.cold_share + (1 - RULES.cold_share) * 6 / RULES.cold_s
     assert 0.9 * present < share < 1.4 * present
