Date no return by a failure that is older than its outage

Found on reading the change again: `failed_at` began at minus infinity, so an outage that was only heard of by a note was dated at the beginning of time when the sender's own call found it over, and had no ramp at all. And a failure of an earlier outage gave the ramp after a told wait the pace of a partner that was gone.

Now it begins undated, counts only from the outage's own start, and a told wait clears it. `own_part` says plainly what it does where no answer has told a limit; its result is the same.

The new test fails without the change.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,7 @@
 import pytest
 from helpers import SAFE, Sender, sends
 
-from willownotch.interface import Outcome, Rules, Timer
+from willownotch.interface import Note, Outcome, Rules, Timer
 from willownotch.net.clock import seconds
 from willownotch.net.registry import AGAIN_LONG, Backoff
 
@@ -82,6 +82,18 @@
     assert route.back_at == pytest.approx(tried + part * (answered - tried))
 
 
+def test_an_outage_that_was_only_heard_of_is_not_dated_back():
+    """Without a failure of its own a sender dated the return at the beginning of time, and had no ramp."""
+    sender = Sender(senders=SENDERS, rules=RULES, may_tell=True)
+    sender.serve(30)
+    sender.step(Note(1, works=False), after=3.0)
+    out = []
+    while not out:
+        out = sends(sender.step(Timer(1), sender.message(), after=0.05))
+    sender.step(sender.ended(out[0], Outcome.DELIVERED))
+    assert sender.control.book.routes[1].back_at == sender.now
+
+
 def watches_again(senders, seed, each=0.135, patience=2.0):
     """When each sender has its watch again, all lost at once. The platform answers one call after the other
     and with 503 what it would answer too late."""
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -78,8 +78,8 @@
 
 def own_part(unit: Unit, settings: face.Settings) -> float:
     """Of the limit as told now, the even part, or what this sender used of it before if that is more."""
-    used = (unit.mean_rate or 0.0) * min(1.0, unit.told_limit / (unit.mean_limit or inf) or 1.0)
-    return max(even_part(unit, settings), used)
+    left = min(1.0, unit.told_limit / unit.mean_limit) if unit.mean_limit else 1.0
+    return max(even_part(unit, settings), left * (unit.mean_rate or 0.0))
 
 
 def told_start(settings: face.Settings) -> float:
@@ -297,7 +297,7 @@
         # A long wait is an outage, no limit's span: it ends for all at once, where all is cold then.
         for route in self.book.routes.values() if event.wait_s > RECENT_S else ():
             if route.unit is call.route.unit:
-                route.failing, route.back_at = False, route.unit.wait_until
+                route.failing, route.back_at, route.failed_at = False, route.unit.wait_until, inf
                 self._space(route, self.random.random())
         if not call.heard and (not call.judged or event.outcome is Outcome.DELIVERED):
             if call.judged and call.idle_s is not None:
@@ -331,8 +331,9 @@
 
     def _turn(self, route: Route, failing: bool, phase: float | None = None, cold: bool = True) -> None:
         """A verdict, or a return; it is told to the others unless it came from one of them."""
-        # It came back at some time since the last call failed: halfway is right for all senders together.
-        back_at = min(self.now, (route.failed_at + self.now) / 2) if phase is None else self.now
+        # It came back at some time since the last connection failed: halfway is right for all together.
+        since = max(route.failed_at, route.failing_at)  # an older failure says nothing of this outage
+        back_at = min(self.now, (since + self.now) / 2) if phase is None else self.now
         route.failing, route.back_at = failing, back_at if cold and not failing else None
         route.failing_at, route.sick = (self.now, SICK) if failing else (route.failing_at, FAIL_STEP / 2)
         self._space(route, phase)
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -108,7 +108,7 @@
     sick: float = 0.0
     failing: bool = False
     failing_at: float = -inf  # start of the last outage as seen from here
-    failed_at: float = -inf  # the last call that failed or was refused
+    failed_at: float = inf  # the last failed connection; inf where what failed last was none, or nothing did
     back_at: float | None = None  # end of the last outage, as far as is known here
     last_sent: float = -inf
     lost: float = 0.0  # calls counted as lost on idle connections here, unless it turns out otherwise
