Answer operators at a management address, and drain and resume a sender there

Change: willownotch/life.py, one I/O-free state machine for readiness, connections and messages; willownotch/management/, a line codec and one polling thread that never waits for a caller; a drain that takes what still comes for 1.5 s, ends each connection with its answer, and idle ones once nothing can be under way to them.

--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -15,6 +15,7 @@
 from willownotch.adapter import read_settings
 from willownotch.files.space import Space, blocks
 from willownotch.interface import Outcome
+from willownotch.life import Standing
 from willownotch.net import config as configs
 from willownotch.net import http, journal
 from willownotch.net.clock import Clock, millis
@@ -400,7 +401,7 @@
         config = configs.read_config(json.dumps({"settings": settings, "listen": "127.0.0.1:0", "state": "s",
                                                  "discovery": "127.0.0.1:1"}).encode(), {})
         clock = Clock()
-        owner = Owner(config, clock, Log(clock), None, None, None)
+        owner = Owner(config, clock, Log(clock), None, None, None, Standing())
         owner._recovered = None
         owner._round_at = clock.now()
         owner.post(1)
--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -250,7 +250,7 @@
         for memory in (32, 192):
             limits = {"sockets": 1024, "disk_mb": 3, "memory_mb": memory}
             config = read_config(json.dumps({**text, "limits": limits}).encode(), {})
-            north = North(config, None, None, None, None, None)
+            north = North(config, None, None, None, None, None, None)
             north.listener.close()
             found.append(north.most)
         self.assertEqual(found, [200, 384])
--- a/tests/toys.py
+++ b/tests/toys.py
@@ -176,7 +176,7 @@
             program = ["tests/faulty_sender.py", str(self.faults)]
         self.process = subprocess.Popen([sys.executable, *program], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True)
-        self.lines, self.port = [], None
+        self.lines, self.port, self.managed = [], None, None
         threading.Thread(target=self._read, daemon=True).start()
         until(lambda: self.port or self.process.poll() is not None)
 
@@ -185,6 +185,8 @@
             self.lines.append(line)
             found = re.search(r"start: listening on [\d.]+:(\d+)", line)
             self.port = int(found[1]) if found else self.port
+            found = re.search(r"start: operators are answered at [\d.]+:(\d+)", line)
+            self.managed = int(found[1]) if found else self.managed
 
     def fail(self, text):
         """From now on the disk fails like this; in one step, since the sender reads it at each operation."""
@@ -229,6 +231,12 @@
         sock.settimeout(PATIENCE)
         return sock
 
+    def operator(self):
+        """A connection to the management address."""
+        sock = socket.create_connection(("127.0.0.1", self.managed), PATIENCE)
+        sock.settimeout(PATIENCE)
+        return sock
+
     def exchange(self, data, sock=None):
         """Send bytes, and return the head of what is answered."""
         own = sock or self.connect()
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -17,6 +17,9 @@
 from willownotch.blocks import Blocks
 from willownotch.bodies.store import Bodies
 from willownotch.files.layer import REAL, Files
+from willownotch.life import Standing
+from willownotch.management import edge as management
+from willownotch.management.calls import Calls
 from willownotch.net import config as configs
 from willownotch.net import journal as journals
 from willownotch.net import memory
@@ -142,20 +145,28 @@
     memory.settle()
     clock = Clock()
     log = Log(clock, config.name)
+    standing, threads = Standing(), Threads(log)
+    calls = Calls(standing, clock, log)
     try:
+        if config.management is not None:
+            # First of all: it answers while the journal is read, too.
+            operators = management.Server(management.listen(config.management), clock, log, calls.table)
+            threads.start("management", operators.run, forever=True)
+            log.say("start", f"operators are answered at {config.management[0]}:{operators.port}")
         journal, bodies, lost = open_folder(
             config.state, int(config.limits.disk_mb * MEGABYTE), files, clock, log, config.settings.classes,
             blocks.bodies, config.limits.memory_mb,
         )
-        threads = Threads(log)
         hosts = Hosts(tuple(kind.name for kind in config.settings.kinds), config.zones, clock, log)
-        owner = Owner(config, clock, log, journal, hosts, bodies)
+        owner = Owner(config, clock, log, journal, hosts, bodies, standing)
         owner.lost_bodies = lost
-        north = North(config, clock, log, owner, bodies, threads.start)
+        north = North(config, clock, log, owner, bodies, threads.start, standing)
         mesh, channel = open_mesh(config, blocks, files, journal, log)
-    except (OSError, ValueError) as fault:
+    except (OSError, ValueError, OverflowError) as fault:
         print(f"willownotch: cannot start: {fault}", file=sys.stderr)
-        return FAULTY
+        sys.stderr.flush()
+        os._exit(FAULTY)  # operators may be answered already, and a thread of theirs is no reason to stay
+    calls.empty = lambda: threads.start("drain", north.empty)
     for fault in journal.faults:
         log.say("journal", fault)
     bodies.turned_away = owner.turned_away
--- /dev/null
+++ b/willownotch/life.py
@@ -0,0 +1,104 @@
+"""What state this sender is in, and what that means for clients, readiness and relays. No I/O, no clock.
+
+Signals, operators' calls, the owner and a hand-over tell it what happened, in any order. `Life` is
+immutable, and `happened` gives the next one. Every question about a state is answered here and nowhere else.
+"""
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass, replace
+from datetime import datetime, timedelta
+from enum import Enum
+
+COMING = timedelta(milliseconds=1500)  # after `quiesce`, clients that have not heard of it may still come
+UNDER_WAY = timedelta(milliseconds=400)  # a request may be on its way to a connection that was idle so long
+
+
+class State(Enum):
+    """As operators are told it."""
+
+    STARTING = "starting"
+    READY = "ready"
+    QUIESCING = "quiescing"
+    QUIESCED = "quiesced"
+    HANDING_OVER = "handing over"
+    RETIRED = "retired"
+    STOPPING = "stopping"
+
+
+class Event(Enum):
+    """What can happen to a sender."""
+
+    LISTED = "listed"  # the journal is replayed and there is a usable list
+    QUIESCE = "quiesce"
+    RESUME = "resume"
+    HAND_OVER = "hand over"  # another process asks for everything: nothing is decided here for a moment
+    KEPT = "kept"  # it went wrong: all goes on here
+    GIVEN = "given"  # the other process has it all
+    STOP = "stop"  # SIGTERM
+
+
+@dataclass(frozen=True, slots=True)
+class Life:
+    """One moment of it."""
+
+    listed: bool = False
+    drained_at: datetime | None = None  # since when an operator wants it empty
+    handing: bool = False
+    given: bool = False
+    stopping: bool = False
+
+    def happened(self, event: Event, now: datetime) -> Life:
+        """The next moment. What changes nothing gives the same one: every order may come twice."""
+        if event is Event.LISTED:
+            return replace(self, listed=True)
+        if event is Event.QUIESCE:
+            return self if self.drained_at is not None else replace(self, drained_at=now)
+        if event is Event.RESUME:
+            return replace(self, drained_at=None)
+        if event is Event.STOP:
+            return replace(self, stopping=True)
+        if self.given:  # a hand-over is never taken back
+            return self
+        return replace(self, handing=event is Event.HAND_OVER, given=event is Event.GIVEN)
+
+    def state(self, now: datetime) -> State:
+        """The one word for it; what stands further up hides what stands below."""
+        coming = self.drained_at is not None and now < self.drained_at + COMING
+        table = [
+            (self.given, State.RETIRED), (self.handing, State.HANDING_OVER), (self.stopping, State.STOPPING),
+            (coming, State.QUIESCING), (self.drained_at is not None, State.QUIESCED),
+            (not self.listed, State.STARTING),
+        ]
+        return next((state for holds, state in table if holds), State.READY)
+
+    def ready(self) -> bool:
+        """What readiness answers. A stopping sender serves until it is killed; one that hands over, too."""
+        return self.listed and self.drained_at is None and not self.given
+
+    def takes_messages(self, now: datetime) -> bool:
+        """Whether a message is decided on here, rather than handed back at once."""
+        return self.given or self.drained_at is None or now < self.drained_at + COMING
+
+    def last_answer(self) -> bool:
+        """Whether a connection ends with the answer that is written now."""
+        return self.drained_at is not None
+
+    def ends_idle(self, idle_since: datetime, now: datetime) -> bool:
+        """Whether a connection that has been idle since then is ended."""
+        began = self.drained_at
+        return began is not None and now - max(idle_since, began) >= UNDER_WAY
+
+
+class Standing:
+    """The present moment, for all threads: one value that is replaced whole."""
+
+    def __init__(self) -> None:
+        self.life = Life()
+        self._lock = threading.Lock()
+
+    def tell(self, event: Event, now: datetime) -> Life:
+        """Something happened; the moment after it."""
+        with self._lock:
+            self.life = self.life.happened(event, now)
+            return self.life
--- /dev/null
+++ b/willownotch/management/calls.py
@@ -0,0 +1,44 @@
+"""What operators can call on this sender."""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from willownotch.life import Event, Standing
+from willownotch.management.core import Call, CallError
+from willownotch.net.clock import Clock
+from willownotch.net.log import Log
+
+
+class Calls:
+    """The table of calls. Each only reads or sets the wanted state; whoever it concerns follows it."""
+
+    def __init__(self, standing: Standing, clock: Clock, log: Log) -> None:
+        self.standing, self.clock, self.log = standing, clock, log
+        self.empty: Callable[[], None] = lambda: None  # has idle connections ended, once there can be any
+        self.table: dict[str, Call] = {"health": self.health, "quiesce": self.quiesce, "resume": self.resume}
+
+    def _state(self) -> str:
+        return self.standing.life.state(self.clock.now()).value
+
+    def health(self) -> str:
+        """Whether this process is ready to serve."""
+        if not self.standing.life.ready():
+            raise CallError(self._state())
+        return self._state()
+
+    def quiesce(self) -> str:
+        """Empty the sender."""
+        if self._told(Event.QUIESCE):
+            self.log.say("drain", "an operator wants this sender empty: readiness says no from now on")
+            self.empty()
+        return self._state()
+
+    def resume(self) -> str:
+        """Take clients again."""
+        if self._told(Event.RESUME):
+            self.log.say("drain", "an operator wants this sender back: it takes clients again")
+        return self._state()
+
+    def _told(self, event: Event) -> bool:
+        before = self.standing.life
+        return self.standing.tell(event, self.clock.now()) != before
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -147,6 +147,7 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    management: str = ""
     seed: str = "0"
     state: str = ""
     limits: Limits = msgspec.field(default_factory=Limits)
@@ -168,6 +169,7 @@
     connect_time: timedelta
     keepalive: timedelta
     period: timedelta
+    management: tuple[str, int] | None = None  # where operators call; nowhere without it
 
 
 def read_address(text: str, what: str) -> tuple[str, int]:
@@ -231,6 +233,7 @@
     except ValueError as fault:
         raise ConfigError(str(fault)) from None
     policy = file.settings.policy_limits
+    called_at = env.get("LB_MANAGEMENT") or file.management
     return Config(
         name=env.get("LB_NAME") or file.name or "sender",
         listen=read_address(env.get("LB_LISTEN") or file.listen, "the address to listen on"),
@@ -239,6 +242,7 @@
         zones=tuple(file.settings.zones), connect_time=timedelta(seconds=policy.connect_timeout_s),
         keepalive=timedelta(seconds=policy.keepalive_s or 60.0),
         period=timedelta(seconds=min(MOST_PERIOD_S, max(0.0, file.settings.period_s))),
+        management=read_address(called_at, "the management address") if called_at else None,
     )
 
 
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -15,6 +15,7 @@
 from willownotch.bodies.plan import Admission
 from willownotch.bodies.plan import Verdict as BodyVerdict
 from willownotch.bodies.store import Bodies
+from willownotch.life import Standing
 from willownotch.net import http
 from willownotch.net.clock import NONE, Clock, millis, seconds
 from willownotch.net.config import Config
@@ -32,6 +33,7 @@
 SLOW_TIME = timedelta(seconds=1)  # and so does a request that takes longer than this
 ANSWER_TIME = timedelta(seconds=2)
 LINGER_TIME, LINGER_MOST = timedelta(milliseconds=300), 256 * 1024  # read on after a refusal; bytes
+DRAIN_LOOK, SILENT_DRAIN = timedelta(milliseconds=100), timedelta(milliseconds=800)  # while it is emptied
 BAD_PAUSE, BAD_PAUSE_MOST = timedelta(milliseconds=10), timedelta(milliseconds=500)  # doubles with each
 RETRY = timedelta(milliseconds=500)  # told where nothing better is known
 OTHERS = 32  # descriptors for files, discovery and the listener
@@ -121,8 +123,8 @@
     """The listener and the connections it has taken."""
 
     def __init__(self, config: Config, clock: Clock, log: Log, owner: Owner, bodies: Bodies,
-                 start: Callable[[str, Callable[[], None]], None]) -> None:
-        self.bodies = bodies
+                 start: Callable[[str, Callable[[], None]], None], standing: Standing) -> None:
+        self.bodies, self.standing = bodies, standing
         self.config, self.clock, self.log, self.owner, self.start = config, clock, log, owner, start
         south = config.settings.slots + idle_most(config)
         memory = int((config.limits.memory_mb - BASE_MB) / CLIENT_MB)
@@ -179,6 +181,21 @@
                 self.log.say("accept", f"no thread for a connection: {fault}")
                 self._leave(client)
 
+    def empty(self) -> None:
+        """While a drain lasts, end the connections that stay idle; until it is over or all are gone."""
+        while self.standing.life.drained_at is not None:
+            with self._room:
+                now, life = self.clock.now(), self.standing.life
+                for client in self._clients:
+                    waits = client.stage in (Stage.IDLE, Stage.SILENT) and not client.ending
+                    # Who has just connected is about to ask: it has the time that a first request has.
+                    span = SILENT_DRAIN if client.stage is Stage.SILENT else NONE
+                    if waits and life.ends_idle(client.since + span, now):
+                        self._end(client)
+                if not self._clients and not life.takes_messages(now):
+                    return
+                self._room.wait(seconds(DRAIN_LOOK))
+
     def _make_room(self) -> None:
         """At the bound, end the connection least likely to be a usual client's, else wait until one ends.
 
@@ -236,7 +253,8 @@
         except Exception as fault:  # a request must not go unanswered, nor end the sender
             self.log.say("error", f"a request was answered 500: {type(fault).__name__}: {fault}")
             reply = Reply(500)
-        last = [] if head.keeps_alive() and not client.ending else [("Connection", "close")]
+        ends = client.ending or self.standing.life.last_answer()
+        last = [] if head.keeps_alive() and not ends else [("Connection", "close")]
         data = http.write_answer(reply.status, [*reply.headers, *last], reply.body)
         client.sock.settimeout(seconds(ANSWER_TIME))
         try:
@@ -309,11 +327,14 @@
             return Reply(405, headers=[("Allow", ", ".join(routes[path]))])
         if path == "/api":
             return self._hand_in(read_message(head, body, arrived, self.config))
-        up = path == "/health/live" or self.owner.ready.is_set()
+        up = path == "/health/live" or self.standing.life.ready()
         return Reply(200, b"ok\n") if up else Reply(503, b"not ready\n")
 
     def _hand_in(self, taken: Taken) -> Reply:
         """Its body into the store, itself into the owner's queue, and the verdict as HTTP has it."""
+        if not self.standing.life.takes_messages(self.clock.now()):
+            self.log.say("drained", f"back-off answer to {taken.ref}: this sender is being kept empty")
+            return self._back_off(RETRY)
         # Counted from the last byte: a large body may have been on its way for longer than all this.
         due = self.clock.now() + PATIENCE
         found = self._keep(taken, due)
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -19,6 +19,7 @@
 from willownotch.bodies.plan import Admission, Candidate, ending
 from willownotch.bodies.store import Bodies, content
 from willownotch.control import RAN, Controller
+from willownotch.life import Event, Standing
 from willownotch.net import journal as kept
 from willownotch.net.clock import NONE, Clock, millis, seconds, span
 from willownotch.net.config import Config, ListNews
@@ -137,14 +138,14 @@
     """Owns the module. All that sockets have to say reaches it through `post`."""
 
     def __init__(self, config: Config, clock: Clock, log: Log, journal: Journal, hosts: Hosts,
-                 bodies: Bodies) -> None:
+                 bodies: Bodies, standing: Standing) -> None:
+        self.standing = standing
         self.config, self.clock, self.log, self.journal, self.hosts = config, clock, log, journal, hosts
         self.bodies = bodies
         self.settings = config.settings
         self.controller = Controller(config.settings, config.seed)
         self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(config.settings.tenants)}
-        self.ready = threading.Event()
         self.submit: Callable[[Relay], None] = lambda relay: None
         self.call_off: Callable[[Relay], None] = lambda relay: None
         self.close_idle: Callable[[int], None] = lambda number: None
@@ -179,7 +180,7 @@
 
     def turned_away(self, taken: Taken) -> bool:
         """Whether a hand-in would be turned away as things are, whatever its body; any thread may ask."""
-        return (not self.ready.is_set() or self._open >= self.settings.holding_room
+        return (not self.standing.life.listed or self._open >= self.settings.holding_room
                 or not self.hosts.listed(taken.destination))
 
     def run(self) -> None:
@@ -250,8 +251,8 @@
             for entry in self._recovered:
                 events.append(self._recall(entry, now))
             self._recovered = None
-        if self._recovered is None and self._listed:
-            self.ready.set()
+        if self._recovered is None and self._listed and not self.standing.life.listed:
+            self.standing.tell(Event.LISTED, now)
         self._ring(now, events)
         actions = self.controller.handle(self.clock.module_s(now), events) if events else []
         ends = self._endings(actions, records, fresh)
@@ -333,7 +334,7 @@
         # What was handed back may come again under its id, but not while a relay or its notice is still out.
         lasting = known is not None or taken.ref in self._unanswered
         faults = [
-            (not self.ready.is_set(), "early", "not ready yet"),
+            (not self.standing.life.listed, "early", "not ready yet"),
             (not self.hosts.listed(taken.destination), "unlisted", "it has no host"),
             (lasting, "full", "its id is not free yet"),
             (self._open >= self.settings.holding_room, "full", "the holding room is used up"),
