Call off calls on dead connections by what the partner usually takes, and free their slots

Ruled out: CPU (0.32 of 0.85 cores), pieces (one read a request in the north, answers 2.5 ms from first to last byte), holding room.

At fault: _patience waits the least wanted time (2 s) as long as no calm p99 is known, and with a call in a hundred lost none comes about; _free_slot asks that the dead call's own host answered since, but idle hosts are chosen first, so that a host with a dead call on it is not tried while the partner's other host takes all (one call held its slot for 9.2 s).

Now: without a calm p99, twice the longest of the last calls stands in for it; an answer of any host of the partner counts.

The test fails without either half.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -197,3 +197,19 @@
         off = [a.ref for a in sender.tick() if isinstance(a, CallOff)]
     assert off == [stuck.ref]
     assert sender.now - began < 1.5
+
+
+def test_a_dead_connection_at_one_host_is_called_off_once_the_partners_other_host_answers():
+    """Idle ones come first: with a dead call on it a host was never tried again, and its slot was held until
+    the message's time ran out."""
+    sender = Sender(rows=((1, 1, 0, 0), (2, 1, 0, 0), (3, 2, 0, 0)), slots=4, may_cancel=True)
+    sender.serve(14, took=0.1)  # too few for the calm p99: what the last calls took is all that is known
+    more = [1, 2, 2]  # the host with the dead call on it is not tried again while the other one is idle
+    dead, *_ = sends(sender.step(*[sender.message(dest=dest) for dest in [*more, *[2] * 30]], after=0.1))
+    began, off = sender.now, []
+    while not off and sender.now < began + 5.0:
+        answered = [s for s in sender.waiting() if s.endpoint != dead.endpoint]
+        news = [sender.ended(s, Outcome.DELIVERED) for s in answered]
+        sender.step(*news, *[sender.message(dest=dest) for dest in more], after=0.1)
+        off = [a.ref for a in sender.tick() if isinstance(a, CallOff)]
+    assert off[0] == dead.ref and sender.now - began < 1.5 < sender.control.strange
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -425,9 +425,10 @@
                 # A slow route still answers others; one that hangs has answered nothing since.
                 silent = ran is Ran.OUTSTANDING and call.judged and not call.heard
                 hangs = silent and call.route.failing and call.route.last_ok < call.sent_at
-                # Others are answered there: the call's own connection is dead, and would hold its slot.
+                # The partner answers others: the call's own connection is dead, and would hold its slot.
                 usual = max(call.route.unit.last, default=inf)
-                stuck = ran is Ran.OUTSTANDING and not call.heard and call.route.last_ok > call.sent_at and (
+                answered = max(r.last_ok for r in self.book.destinations[job.dest].routes.values())
+                stuck = ran is Ran.OUTSTANDING and not call.heard and answered > call.sent_at and (
                     self.now - call.sent_at > max(STUCK * usual, self._patience(call.route.unit))
                 )
                 if (hangs or stuck) and self.now > call.sent_at + least:
@@ -435,6 +436,8 @@
 
     def _patience(self, unit: Unit) -> float:
         """How long an unanswered call is nothing strange."""
+        if unit.expected == inf and len(unit.last) >= M_EVERY:
+            return min(self.strange, OVERDUE * EXPECTED_FACTOR * max(unit.last))
         return OVERDUE * unit.expected if unit.expected < inf else self.strange
 
     def _space(self, route: Route, phase: float | None = None) -> None:
