--- a/willownotch/bodies/store.py
+++ b/willownotch/bodies/store.py
@@ -167,6 +167,15 @@
             }
         self._queue.put(None)
 
+    def retune(self, classes: Iterable[MessageClass]) -> None:
+        """Other classes are taken from now on. Of the last ones, bodies may be on their way in; of any, be
+        owed."""
+        before, last, self.classes = self.plans, {c.name for c in self.classes}, tuple(classes)
+        self.configure(self.settings)
+        with self._lock:
+            kept = {name for name in before if name in last or self.usage.classes.get(name)}
+            self.plans = {**{name: before[name] for name in kept}, **self.plans}
+
     # The start
 
     def open(self, live: Iterable[TakenBody]) -> list[str]:
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -27,7 +27,7 @@
 from willownotch.net.folder import open_folder
 from willownotch.net.log import Log
 from willownotch.net.north import North
-from willownotch.net.owner import BodyLost, Owner, Stop, TenantParts
+from willownotch.net.owner import BodyLost, Owner, Retune, Stop, TenantParts
 from willownotch.net.registry import Hosts, Notices, Platform, Registry
 from willownotch.net.south import South
 
@@ -65,19 +65,23 @@
         os._exit(DEAD)
 
 
-def reload(path: str | None, config: configs.Config, platform: Platform, log: Log) -> None:
-    """Take a replaced file, whole or not at all. Only where the platform is can change in service."""
+def reload(path: str | None, config: configs.Config, platform: Platform, log: Log,
+           retune: Callable[[configs.Config], None]) -> configs.Config:
+    """Take a replaced file, whole or not at all; the configuration that holds now."""
     try:
-        fresh = configs.load(path)
+        fresh, later = configs.retuned(config, configs.load(path, old=config))
     except configs.ConfigError as fault:
         log.say("reload", f"the old settings stay: {fault}")
-        return
+        return config
     moved = platform.move(fresh.discovery)
-    names = ("name", "listen", "state", "limits", "settings", "zones")
-    later = [name for name in names if getattr(fresh, name) != getattr(config, name)]
     host, port = fresh.discovery
+    differs = (fresh.settings, fresh.rules, fresh.limits) != (config.settings, config.rules, config.limits)
     log.say("reload", f"discovery {'is now' if moved else 'stays'} at {host}:{port}"
+            + "; the settings differ" * differs
             + (f"; {', '.join(later)} as changed will hold from the next start" if later else ""))
+    if differs:
+        retune(fresh)
+    return fresh
 
 
 def load_blocks(path: str | None) -> Blocks:
@@ -177,11 +181,19 @@
     owner.submit, owner.call_off, owner.close_idle = south.submit, south.call_off, south.close_idle
     owner.notify = notices.post
 
+    def retuned(fresh: configs.Config) -> None:
+        """By the owner, in the round from which the settings hold."""
+        bodies.retune(fresh.settings.classes)
+        north.retune(fresh)
+        south.retune(fresh)
+
+    owner.retuned = retuned
+
     def take_reloads() -> None:
-        held = blocks
+        held, now = blocks, config
         while True:  # also while the sender ends: its notices follow the platform to the last
             signal.sigwait({signal.SIGHUP})
-            reload(path, config, platform, log)
+            now = reload(path, now, platform, log, lambda fresh: owner.post(Retune(fresh)))
             held = reload_settings(settings_path, held, bodies, mesh, log)
 
     if mesh is not None:
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -59,7 +59,8 @@
     """Whether one more attempt, or a second copy, is allowed at this route (at any, for None)."""
     if not job.attempts:
         return True
-    if len(job.attempts) >= settings.max_attempts or job.outstanding() > settings.second_copies:
+    spent = len(job.attempts) >= (job.cls.attempts or settings.max_attempts)
+    if spent or job.outstanding() > settings.second_copies:
         return False
     risky = job.tainted()
     if not risky or job.cls.effect is Effect.SAFE:
@@ -206,8 +207,8 @@
     """One sender's decisions. `handle` takes a whole round of events, then dispatches once."""
 
     def __init__(self, settings: face.Settings, seed: int) -> None:
-        self.settings, self.random = settings, random.Random(seed)
-        self.book, self.strange = Book(settings), min(c.wanted_s for c in settings.classes)  # patience
+        self.random, self.book, self.shares = random.Random(seed), Book(settings), {}
+        self._tune(settings)
         self.at: dict[int, float] = {}  # of a route, its `_ready_at` until something is sent
         self.windows: dict[Unit, float] = {}  # as of this dispatch
         self.quiet: dict[str, float] = {}  # when a key may be used again
@@ -215,10 +216,16 @@
         self.tight: dict[int, int] = {}  # of a kind, calls after which idle connections are still closed
         self.now, self.out, self.sick_calls, self.free_at, self.stops_at = 0.0, [], 0, -inf, inf
         self.due, self.wake_at = inf, -inf  # when there is something to look at; the timer that is set
-        self.shares, self.parts = [Bucket(t.quota_per_s * TENANT_BURST_S, 0.0) for t in settings.tenants], {}
         self.arrivals, self.reuses, self.drops = Fading(ARRIVALS_S), Fading(ARRIVALS_S), Fading(ARRIVALS_S)
         self.list_at, self.list_fails = -inf, 0  # when to ask for the list again; failures in a row
 
+    def _tune(self, settings: face.Settings) -> None:
+        """Go by these settings from now on; what is in hand keeps its class, a tenant what is left to it."""
+        self.settings = self.book.settings = settings
+        self.strange, self.parts = min(c.wanted_s for c in settings.classes), {}  # patience; counted parts
+        self.shares = {t.name: self.shares.get(t.name, Bucket(t.quota_per_s * TENANT_BURST_S, 0.0))
+                       for t in settings.tenants}
+
     def handle(self, now: float, events: list[face.Event]) -> list[face.Action]:
         """Take one round and answer with the actions, in order."""
         self.now, self.out, self.due = now, [], now + PERIOD_S
@@ -261,18 +268,21 @@
             self.book.finish(self.book.jobs[event.ref])
         elif isinstance(event, face.TenantPart):
             self.parts[event.tenant] = event.part
+        elif isinstance(event, face.Retuned):
+            self._tune(event.settings)
         elif isinstance(event, face.Stopping):
             self.stops_at = self.now + event.after_s
 
     def _message(self, message: face.Message) -> None:
         # Short patience at a first hand-in is no lost time: only what comes again has been on its way.
         back = message.again or not self.settings.again_is_marked
-        job = job_of(message, self.settings.classes[message.message_class], self.now, back)
+        cls = message.rules or self.settings.classes[message.message_class]
+        job = job_of(message, cls, self.now, back)
         self.arrivals.add(1.0, self.now)
         quotas = ARRIVALS_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
         part = max(1 / self.settings.senders, min(1.0, self.arrivals.at(self.now) / quotas))
-        for share in self.shares[message.tenant:message.tenant + 1]:  # a quota is shared by all senders
-            fresh = self.parts.get(message.tenant, part) * self.settings.tenants[message.tenant].quota_per_s
+        for tenant in self.settings.tenants[message.tenant:message.tenant + 1]:
+            share, fresh = self.shares[tenant.name], self.parts.get(message.tenant, part) * tenant.quota_per_s
             # One message at the least, or a sender with hardly any traffic would find all of it over.
             within = share.fill(fresh, self.now, max(1.0, fresh * TENANT_BURST_S))
             share.left -= within
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -68,6 +68,7 @@
     memory_s: float = 0.0
     in_order: bool = False
     stretch: float = 0.0
+    attempts: int = 0  # for a message at most; 0: as the settings have it
 
 
 @dataclass(slots=True, frozen=True)
@@ -188,7 +189,8 @@
 class Message:
     """A new message, owed one final answer within `time_left_s`. `again`: not its first hand-in.
 
-    `past` has its attempts from before a restart, numbered from 0 like all others.
+    `past` has its attempts from before a restart, numbered from 0 like all others. `rules` go before the
+    class of that number: the message was taken under them.
     """
 
     ref: str
@@ -200,6 +202,7 @@
     cost_hint_s: float = 0.0
     again: bool = False
     past: tuple[PastAttempt, ...] = ()
+    rules: MessageClass | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -264,6 +267,13 @@
     part: float
 
 
+@dataclass(slots=True, frozen=True)
+class Retuned:
+    """Other settings hold from now on; kinds and zones are the same. Messages in hand keep their class."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class Stopping:
     """This sender may be killed any time from `after_s` on; what it holds outlives it."""
@@ -362,6 +372,6 @@
 
 Event = (
     EndpointList | ListFailed | Message | Withdrawn | AttemptEnded | AnswerStarted | ProbeEnded | Note
-    | TenantPart | Stopping | Timer
+    | TenantPart | Retuned | Stopping | Timer
 )
 Action = Send | Refuse | Fail | CallOff | Probe | CloseIdle | Tell | Wake | Subscribe | FetchList | Log
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -3,14 +3,17 @@
 
 import os
 import re
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from dataclasses import replace
 from datetime import timedelta
 from math import inf
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
 from willownotch import interface as face
+from willownotch.net.rules import Rules, rules_of
 
 MOST_PERIOD_S = 0.05  # s between two rounds: a client's answer waits for one
 
@@ -170,6 +173,8 @@
     keepalive: timedelta
     period: timedelta
     management: tuple[str, int] | None = None  # where operators call; nowhere without it
+    rules: dict[str, Rules] = {}  # of each class, for the messages that are taken from now on
+    keys: frozenset[str] = frozenset()  # that the file has: one that replaces it may not be short of any
 
 
 def read_address(text: str, what: str) -> tuple[str, int]:
@@ -212,15 +217,33 @@
     )
 
 
-def read_config(text: bytes, env: Mapping[str, str]) -> Config:
+def keys_of(value: Any, depth: int = 3) -> Iterator[str]:
+    """The keys of a file, of its objects and, of objects in a list, those that all have."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield key
+            if depth > 1 and key != "known":
+                yield from (f"{key}.{name}" for name in keys_of(inner, depth - 1))
+    elif isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        yield from sorted(set.intersection(*(set(item) for item in value)))
+
+
+def read_config(text: bytes, env: Mapping[str, str], old: Config | None = None) -> Config:
     """The file's text. The environment's own variables go first, but not before the file's `discovery`.
 
-    A file can be replaced while the process runs; what the start's environment said is the older news.
+    A file can be replaced while the process runs; what the start's environment said is the older news. One
+    that replaces `old` has to have every key of that: one with a default would change a rule unasked.
     """
     try:
         file = msgspec.json.decode(text, type=ConfigFile)
+        keys = frozenset(keys_of(msgspec.json.decode(text)))
     except (msgspec.DecodeError, UnicodeDecodeError) as fault:
         raise ConfigError(f"the configuration cannot be read: {fault}") from None
+    if old is not None and (missing := sorted(old.keys - keys)):
+        raise ConfigError(f"the configuration is short of {missing[0]!r}, which it had before")
+    if doubled := sorted({c.name for c in file.settings.services
+                          if [d.name for d in file.settings.services].count(c.name) > 1}):
+        raise ConfigError(f"the configuration has the class {doubled[0]!r} twice")
     state = env.get("LB_STATE") or file.state
     if not state:
         raise ConfigError("no folder that lasts: set LB_STATE or 'state'")
@@ -243,10 +266,27 @@
         keepalive=timedelta(seconds=policy.keepalive_s or 60.0),
         period=timedelta(seconds=min(MOST_PERIOD_S, max(0.0, file.settings.period_s))),
         management=read_address(called_at, "the management address") if called_at else None,
+        keys=keys, rules={c.name: rules_of(c, settings.max_attempts) for c in settings.classes},
     )
 
 
-def load(path: str | None = None, env: Mapping[str, str] = os.environ) -> Config:
+def retuned(old: Config, fresh: Config) -> tuple[Config, list[str]]:
+    """What holds in service of a configuration that replaces another, and what waits for the next start.
+
+    Endpoints keep the kind and the zone that they were listed with, and files their limits.
+    """
+    fixed = ("name", "listen", "state", "zones", "management")
+    later = [name for name in fixed if getattr(fresh, name) != getattr(old, name)]
+    later += ["kinds"] * (fresh.settings.kinds != old.settings.kinds)
+    for name in ("disk_mb", "memory_mb"):
+        later += [name] * (getattr(fresh.limits, name) != getattr(old.limits, name))
+    limits = msgspec.structs.replace(old.limits, sockets=fresh.limits.sockets)
+    settings = replace(fresh.settings, kinds=old.settings.kinds)
+    keep = {name: getattr(old, name) for name in (*fixed, "seed", "known")}
+    return msgspec.structs.replace(fresh, limits=limits, settings=settings, **keep), later
+
+
+def load(path: str | None = None, env: Mapping[str, str] = os.environ, old: Config | None = None) -> Config:
     """The configuration at a path, or where $LB_CONFIG says."""
     named = path or env.get("LB_CONFIG")
     if not named:
@@ -255,4 +295,4 @@
         text = Path(named).read_bytes()
     except OSError as fault:
         raise ConfigError(f"the configuration cannot be read: {fault}") from None
-    return read_config(text, env)
+    return read_config(text, env, old)
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -19,6 +19,7 @@
 from willownotch.bodies.plan import Place
 from willownotch.files.layer import REAL, Files
 from willownotch.files.space import Space
+from willownotch.net.rules import Rules
 
 NAME, NEW_NAME = "journal", "journal.new"
 FRAME = Struct("<4sII")
@@ -44,6 +45,7 @@
     place: Place | None = None  # of a body in the store
     unkept: bool = False  # its body is in memory for one relay, and nowhere else
     at: datetime | None = None  # when it was handed in
+    rules: Rules | None = None  # that it was taken under; none in the records of an earlier version
 
     def body_size(self) -> int:
         """Bytes of its body, in its record or in the store; 0 where it is not kept."""
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -6,7 +6,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 from enum import Enum
 from urllib.parse import parse_qs, urlsplit
 
@@ -22,6 +22,7 @@
 from willownotch.net.journal import Taken
 from willownotch.net.log import Log
 from willownotch.net.owner import Answer, HandIn, MakeRoom, Owner, Verdict, Withdraw
+from willownotch.net.rules import Rules
 from willownotch.net.south import idle_most
 from willownotch.net.ticket import Ticket
 
@@ -35,6 +36,7 @@
 LINGER_TIME, LINGER_MOST = timedelta(milliseconds=300), 256 * 1024  # read on after a refusal; bytes
 DRAIN_LOOK, SILENT_DRAIN = timedelta(milliseconds=100), timedelta(milliseconds=800)  # while it is emptied
 BAD_PAUSE, BAD_PAUSE_MOST = timedelta(milliseconds=10), timedelta(milliseconds=500)  # doubles with each
+DROPPED_TIME = timedelta(seconds=1)  # messages of a class that is dropped may be on their way for so long
 RETRY = timedelta(milliseconds=500)  # told where nothing better is known
 OTHERS = 32  # descriptors for files, discovery and the listener
 MOST = 384  # client connections, whatever the descriptors allow: each has a thread
@@ -57,7 +59,7 @@
     """A hand-in as the core knows it. Its time runs from the client's sending, its first byte here."""
     headers, settings = head.headers, config.settings
     ref, name, tenant = (headers.get(h, "") for h in ("request-id", "request-class", "tenant"))
-    cls = next((c for c in settings.classes if c.name == name), None)
+    cls = config.rules.get(name)
     left, idempotency = headers.get("request-timeout-ms", ""), headers.get("idempotency-key")
     dest = DEST.search(headers.get("x-consignee", ""))
     keys = parse_qs(urlsplit(head.target).query).get("thread", [])
@@ -77,7 +79,7 @@
     return Taken(
         ref=ref, destination=int(dest[1]), message_class=name, tenant=tenant,
         ends_at=arrived + timedelta(milliseconds=int(left)), key=keys[0] if keys and cls.in_order else None,
-        idempotency_key=idempotency, again="client-retry" in headers, body=body, at=arrived,
+        idempotency_key=idempotency, again="client-retry" in headers, body=body, at=arrived, rules=cls,
     )
 
 
@@ -119,6 +121,13 @@
         return {Stage.SILENT: SILENT_TIME, Stage.READING: SLOW_TIME}.get(stage, NONE)
 
 
+def clients_most(config: Config) -> int:
+    """How many client connections descriptors and memory allow."""
+    south = config.settings.slots + idle_most(config)
+    memory = int((config.limits.memory_mb - BASE_MB) / CLIENT_MB)
+    return max(8, min(MOST, config.limits.sockets - south - OTHERS, memory))
+
+
 class North:
     """The listener and the connections it has taken."""
 
@@ -126,9 +135,8 @@
                  start: Callable[[str, Callable[[], None]], None], standing: Standing) -> None:
         self.bodies, self.standing = bodies, standing
         self.config, self.clock, self.log, self.owner, self.start = config, clock, log, owner, start
-        south = config.settings.slots + idle_most(config)
-        memory = int((config.limits.memory_mb - BASE_MB) / CLIENT_MB)
-        self.most = max(8, min(MOST, config.limits.sockets - south - OTHERS, memory))
+        self.most = clients_most(config)
+        self._dropped: tuple[dict[str, Rules], datetime] = ({}, datetime.max.replace(tzinfo=UTC))
         self._clients: set[Client] = set()
         self._room = threading.Condition()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -139,6 +147,13 @@
         self._stopping = False
         self._pause = threading.Event()  # never set: a wait of a moment
 
+    def retune(self, config: Config) -> None:
+        """Read messages by these settings from now on; a class that they drop is taken for a moment more."""
+        dropped = {name: rules for name, rules in self.config.rules.items() if name not in config.rules}
+        if dropped:
+            self._dropped = dropped, self.clock.now() + DROPPED_TIME
+        self.config, self.most = config, clients_most(config)
+
     def stop(self, patience: timedelta) -> None:
         """Take no more connections, and let each that is open finish the request it has."""
         self._stopping = True
@@ -326,10 +341,17 @@
         if head.method not in routes[path]:
             return Reply(405, headers=[("Allow", ", ".join(routes[path]))])
         if path == "/api":
-            return self._hand_in(read_message(head, body, arrived, self.config))
+            return self._hand_in(read_message(head, body, arrived, self._rules_now()))
         up = path == "/health/live" or self.standing.life.ready()
         return Reply(200, b"ok\n") if up else Reply(503, b"not ready\n")
 
+    def _rules_now(self) -> Config:
+        """The configuration to read a message by."""
+        dropped, until = self._dropped
+        if not dropped or self.clock.now() >= until:
+            return self.config
+        return msgspec.structs.replace(self.config, rules={**dropped, **self.config.rules})
+
     def _hand_in(self, taken: Taken) -> Reply:
         """Its body into the store, itself into the owner's queue, and the verdict as HTTP has it."""
         if not self.standing.life.takes_messages(self.clock.now()):
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -26,6 +26,7 @@
 from willownotch.net.journal import Closed, Ended, Entry, Journal, JournalFullError, Record, Taken
 from willownotch.net.log import Log
 from willownotch.net.registry import Hosts, Notice
+from willownotch.net.rules import class_of
 from willownotch.net.south import END_MARGIN, Relay, RelayEnded
 from willownotch.net.ticket import Ticket
 from willownotch.state import Ran
@@ -104,6 +105,13 @@
     parts: dict[str, float]
 
 
+@dataclass(slots=True)
+class Retune:
+    """A new configuration, read whole and found sound."""
+
+    config: Config
+
+
 @dataclass(slots=True)
 class Stop:
     """SIGTERM has come."""
@@ -131,7 +139,7 @@
     )
 
 
-Item = HandIn | MakeRoom | BodyLost | Withdraw | RelayEnded | ListNews | Noticed | TenantParts | Stop
+Item = HandIn | MakeRoom | BodyLost | Withdraw | RelayEnded | ListNews | Noticed | TenantParts | Retune | Stop
 
 
 class Owner:
@@ -144,12 +152,12 @@
         self.bodies = bodies
         self.settings = config.settings
         self.controller = Controller(config.settings, config.seed)
-        self.classes = {c.name: n for n, c in enumerate(config.settings.classes)}
-        self.tenants = {t.name: n for n, t in enumerate(config.settings.tenants)}
+        self._index()
         self.submit: Callable[[Relay], None] = lambda relay: None
         self.call_off: Callable[[Relay], None] = lambda relay: None
         self.close_idle: Callable[[int], None] = lambda number: None
         self.notify: Callable[[Notice], None] = lambda notice: None
+        self.retuned: Callable[[Config], None] = lambda config: None  # has the sockets' sides follow
         self.stopped_at: datetime | None = None
         self._inbox: queue.SimpleQueue[Item] = queue.SimpleQueue()
         self._timers: list[tuple[datetime, int, int | Relay]] = []
@@ -170,6 +178,10 @@
         self._unwritten: list[Record] = []  # records that the disk did not take
         self._dropped: list[tuple[Owed, Ended]] = []  # ended in this round for the sake of others
 
+    def _index(self) -> None:
+        self.classes = {c.name: n for n, c in enumerate(self.settings.classes)}
+        self.tenants = {t.name: n for n, t in enumerate(self.settings.tenants)}
+
     def post(self, item: Item) -> None:
         """Put something in the owner's queue; any thread may."""
         self._inbox.put(item)
@@ -217,7 +229,7 @@
         for entry in list(self.journal.live.values()):
             if entry.ended is not None:
                 self._owe_notice(entry.taken, entry.ended)
-            elif entry.taken.message_class not in self.classes:
+            elif entry.taken.rules is None and entry.taken.message_class not in self.classes:
                 self.log.say("recover", f"{entry.taken.ref} given up: class no longer configured")
                 ended = Ended(entry.taken.ref, "given_up")
                 self._write([ended])
@@ -300,6 +312,8 @@
         elif isinstance(item, TenantParts):
             events += [face.TenantPart(self.tenants[name], part) for name, part in item.parts.items()
                        if name in self.tenants]
+        elif isinstance(item, Retune):
+            self._retune(item.config, events)
         elif isinstance(item, BodyLost):
             owed = self._owed.get(item.ref)
             if owed is not None and not owed.over and not owed.out:  # else its next relay finds it so
@@ -316,6 +330,22 @@
             self.log.say("stop", "SIGTERM: taking and delivering on until killed")
             events.append(face.Stopping(seconds(KILL_AFTER)))
 
+    def _retune(self, config: Config, events: list[face.Event]) -> None:
+        """Other settings hold from this round on. Messages in hand keep the rules they were taken under."""
+        self.config, self.settings = config, config.settings
+        self._index()
+        self.retuned(config)
+        events.append(face.Retuned(config.settings))
+        self.log.say("retune", f"new settings hold: classes {', '.join(self.classes)}, "
+                     f"{self.settings.max_attempts} attempts, {self.settings.slots} slots, room for "
+                     f"{self.settings.holding_room}; {self._open} messages in hand keep the rules they have")
+
+    def _class(self, taken: Taken) -> face.MessageClass:
+        """The rules that a message was taken under."""
+        if taken.rules is not None:
+            return class_of(taken.message_class, taken.rules)
+        return self.settings.classes[self.classes[taken.message_class]]
+
     def _hand_in(self, item: HandIn, now: datetime, events: list[face.Event], records: list[Record],
                  fresh: list[Owed]) -> None:
         taken = item.taken
@@ -417,8 +447,7 @@
         self._forget(owed, now, remember=ended.outcome == "given_up")
 
     def _body_ended(self, taken: Taken, ran: bool) -> Ended:
-        cls = self.settings.classes[self.classes[taken.message_class]]
-        outcome = ending(cls.effect, ran)
+        outcome = ending(self._class(taken).effect, ran)
         most = span(self.settings.max_come_back_s)
         retry = millis(min(most, self.bodies.settings.come_back)) if outcome == "handed_back" else 0
         return Ended(taken.ref, outcome, retry or None)
@@ -436,8 +465,9 @@
 
     def _message(self, taken: Taken, now: datetime, past: tuple[face.PastAttempt, ...] = ()) -> face.Message:
         return face.Message(
-            taken.ref, taken.destination, self.classes[taken.message_class], seconds(taken.ends_at - now),
-            self.tenants.get(taken.tenant, 0), taken.key, again=taken.again or bool(past), past=past,
+            taken.ref, taken.destination, self.classes.get(taken.message_class, 0),
+            seconds(taken.ends_at - now), self.tenants.get(taken.tenant, 0), taken.key,
+            again=taken.again or bool(past), past=past, rules=self._class(taken),
         )
 
     def _recall(self, entry: Entry, now: datetime) -> face.Message:
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -133,6 +133,10 @@
         self._pause = threading.Event()  # never set: a wait of a moment
         self.idle_most = idle_most(config)
 
+    def retune(self, config: Config) -> None:
+        """Go by these settings from now on."""
+        self.config, self.idle_most = config, idle_most(config)
+
     def submit(self, relay: Relay) -> None:
         """Have a relay made; there is a worker for each one that is out."""
         with self._lock:
