Pass over held messages of destinations that take no more in a round

The gap between rounds is three rounds long, up to 40 ms: each free slot waited some 20 ms for the next round while hundreds of messages were held, beside calls of 80 ms.

Now a destination that takes no more is passed over (where nothing joins an open call), and _give_up asks only those that were tried before or are out of time.

--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -501,10 +501,9 @@
         dests = [d for d in self.book.active.values() if d.held]
         for dest in dests:
             least = usual(dest) + 2 * TICK_S
-            for job in list(dest.held.values()):
-                self.due = min(self.due, job.ends_at - least)
-                spent = job.attempts and not may_send(job, None, self.now, self.settings)
-                if spent or job.ends_at - self.now < least:
+            self.due = min(self.due, min(job.ends_at for job in dest.held.values()) - least)
+            for job in [j for j in dest.held.values() if j.attempts or j.ends_at - self.now < least]:
+                if job.ends_at - self.now < least or not may_send(job, None, self.now, self.settings):
                     self._end(job)
             self._shed([dest], len(dest.held) - DEST_ROOM * self.settings.holding_room)
         self._shed(dests, len(self.book.jobs) - ROOM_FULL * self.settings.holding_room)
@@ -526,7 +525,10 @@
         self.sick_calls = sum(d.calls for d in busy if d.sick)
         ready = [d for d in busy if d.held and any(self._ready_at(r) <= self.now for r in d.routes.values())]
         shut: set[int] = set()  # destinations that take no more in this round: most held work waits for these
+        single = all(kind.batch == 1 for kind in self.settings.kinds)  # nothing joins a call that is open
         for job in self._ranked(ready):
+            if single and job.dest in shut:
+                continue
             first = job.key is None or self.book.lines[job.key][0] is job
             # Order by key: only the first of a line, and not before the key is quiet.
             if first and (job.attempts or self.now >= self.quiet.get(job.key, -inf)):
