Send what goes to one host in one round as one call, where its kind takes several

What the answer leaves out may have run; a break leaves all as perhaps run; a 200 counts only whole.

--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -16,8 +16,8 @@
 from willownotch.files.space import Space, blocks
 from willownotch.interface import Outcome
 from willownotch.life import Standing
+from willownotch.net import bulk, http, journal
 from willownotch.net import config as configs
-from willownotch.net import http, journal
 from willownotch.net.clock import Clock, millis
 from willownotch.net.journal import Closed, Counted, Ended, Journal, JournalFullError, Noticed, Opened, Taken
 from willownotch.net.log import MOST, Log
@@ -450,3 +450,27 @@
         self.assertLess(abs(first - datetime.now(UTC)), timedelta(seconds=1))
         self.assertGreaterEqual(clock.now(), first)
         self.assertEqual((millis(timedelta(microseconds=2900)), millis(timedelta(seconds=-1))), (2, 0))
+
+
+class Together(unittest.TestCase):
+    """Several messages in one call."""
+
+    def test_the_body_has_a_line_and_the_bytes_of_each(self):
+        self.assertEqual(bulk.write_body([("a1", None, b"hello"), ("a2", "k", b"\r\n")]),
+                         b"a1 - 5\r\nhello\r\na2 k 2\r\n\r\n\r\n")
+        for ref, key, body in [("a1", None, b"x" * 65536), ("r" * 128, "k" * 128, b"")]:
+            most = len(body) + bulk.line_room(ref, key)
+            self.assertLessEqual(len(bulk.write_body([(ref, key, body)])), most)
+
+    def test_what_the_answer_says_of_each_and_what_it_does_not_say(self):
+        table = [
+            (b"a1 delivered\r\n", (Outcome.DELIVERED, True)), (b"a1 failed\n", (Outcome.ERROR, False)),
+            (b"a1 refused\r\n", (Outcome.TURNED_AWAY, False)), (b"a1 over\r\n", (Outcome.NOT_SENT, True)),
+            (b"a1 spent\r\n", (Outcome.NOT_SENT, False)), (b"", (Outcome.ERROR, False)),
+            (b"a1 fine\r\n", (Outcome.ERROR, False)), (b"a1\r\n", (Outcome.ERROR, False)),
+            (b"a1 refused\r\na1 delivered\r\n", (Outcome.ERROR, False)),
+            (b"\xff\xfe", (Outcome.ERROR, False)),
+        ]
+        for body, found in table:
+            self.assertEqual(bulk.read_answer(b"a2 delivered\r\n" + body, ["a1", "a2"]),
+                             {"a1": found, "a2": (Outcome.DELIVERED, True)}, body)
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -54,6 +54,7 @@
     slots: int
     decay: str = "even"
     separate_routes: list[bool] = []
+    kind_batch: list[int] = []
     fee_by_zone: list[float] = []
     refusal_cost: float = 0.0
 
@@ -188,7 +189,7 @@
 def module_settings(entry: SettingsEntry) -> face.Settings:
     """The module's settings. What no socket can carry (probes, notes between senders) stays off."""
     family, policy, rules = entry.family_info, entry.policy_limits, entry.rules
-    apart = family.separate_routes
+    apart, batch = family.separate_routes, family.kind_batch
     return face.Settings(
         classes=tuple(
             face.MessageClass(
@@ -196,9 +197,8 @@
                 face.Group(c.group or "all"), c.memory_span_s, c.one_at_a_time, c.aim_stretch,
             ) for c in entry.services
         ),
-        # A call on a socket carries one message, whatever the simulator would put into one.
         kinds=tuple(
-            face.Kind(name, routes_apart=n < len(apart) and apart[n])
+            face.Kind(name, batch[n] if n < len(batch) else 1, n < len(apart) and apart[n])
             for n, name in enumerate(entry.models)
         ),
         slots=family.slots, holding_room=policy.max_open,
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -21,6 +21,7 @@
 from willownotch.control import RAN, Controller
 from willownotch.handover.estate import Estate, Out, OwedMessage
 from willownotch.life import Event, Standing
+from willownotch.net import bulk, http
 from willownotch.net import journal as kept
 from willownotch.net.clock import NONE, Clock, millis, seconds, span
 from willownotch.net.config import Config, ListNews
@@ -38,6 +39,7 @@
 REMEMBERED = timedelta(seconds=15)  # ended messages whose id is still known, should it be handed in again
 BATCH_MOST = 256
 OUTLOOKS_SPARE = 64  # destinations remembered beyond the listed ones before they are forgotten
+BULK_MOST = http.BODY_MOST  # bytes of one call, whatever a kind takes
 LOOKED_AT = 2000  # owed messages that are looked at for room in one go
 WRITE_AGAIN = timedelta(milliseconds=500)  # records that could not be written are tried again so often
 ROUND_SHARE, GAP_MOST = 3, timedelta(milliseconds=40)  # x the last round's time from its start to the next's
@@ -181,7 +183,7 @@
         self.settings = config.settings
         self.controller = Controller(config.settings, config.seed)
         self._index()
-        self.submit: Callable[[Relay], None] = lambda relay: None
+        self.submit: Callable[..., None] = lambda *relays: None  # in one call
         self.call_off: Callable[[Relay], None] = lambda relay: None
         self.close_idle: Callable[[int], None] = lambda number: None
         self.notify: Callable[[Notice], None] = lambda notice: None
@@ -205,6 +207,7 @@
         self._took = NONE  # by it
         self._pause = threading.Event()  # never set: a wait of a moment
         self._open = 0  # messages that are not over
+        self._leaving: list[Relay] = []  # begun in this round
         self._unwritten: list[Record] = []  # records that the disk did not take
         self._dropped: list[tuple[Owed, Ended]] = []  # ended in this round for the sake of others
 
@@ -391,6 +394,8 @@
             self._forget(owed, now, remember=ended.outcome == "given_up" and owed.ticket is None)
         for action in actions:
             self._act(action, now)
+        for relays in self._calls():
+            self.submit(*relays)
         self._took = self.clock.now() - now
 
     def _heard_news(self, items: list[Item]) -> bool:
@@ -763,7 +768,23 @@
         elif owed.taken.key is not None and self._gates.get(owed.taken.key):
             self._gate(relay)
         else:
-            self.submit(relay)
+            self._leaving.append(relay)
+
+    def _calls(self) -> list[list[Relay]]:
+        """This round's relays, those to one host together as far as its kind takes them."""
+        calls: list[list[Relay]] = []
+        open_calls: dict[int, tuple[list[Relay], int]] = {}  # by host: the last one, and its bytes
+        for relay in self._leaving:
+            most = self.settings.kinds[relay.host.kind].batch
+            size = relay.taken.body_size() + bulk.line_room(relay.taken.ref, relay.taken.idempotency_key)
+            line, bytes_before = open_calls.get(relay.host.number, ([], 0))
+            if not line or len(line) >= most or bytes_before + size > BULK_MOST:
+                line, bytes_before = [], 0
+                calls.append(line)
+            line.append(relay)
+            open_calls[relay.host.number] = line, bytes_before + size
+        self._leaving = []
+        return calls
 
     def _gate(self, relay: Relay) -> None:
         """Have a relay wait until the notice of the message before it, of the same key, is answered."""
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -8,12 +8,12 @@
 import socket
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 
 from willownotch.bodies.store import Bodies, LostError
 from willownotch.interface import Outcome
-from willownotch.net import http
+from willownotch.net import bulk, http
 from willownotch.net.clock import NONE, Clock, millis, seconds
 from willownotch.net.config import Config
 from willownotch.net.journal import Journal, JournalFullError, JournalGivenError, Opened, Taken
@@ -43,6 +43,8 @@
     sock: socket.socket | None = None
     lock: threading.Lock = field(default_factory=threading.Lock)
     remote: bool = False  # made by the process before this one, which tells its end
+    told: bool = False  # its end was told
+    together: tuple[Relay, ...] = ()  # all of its call, where it is not alone in one
 
 
 @dataclass(slots=True)
@@ -123,11 +125,11 @@
         self.bodies = bodies
         self.ended, self.start = ended, start
         self.waits: dict[int, datetime] = {}  # of a destination, until when it told to wait
-        self._queue: queue.SimpleQueue[Relay] = queue.SimpleQueue()
+        self._queue: queue.SimpleQueue[list[Relay]] = queue.SimpleQueue()  # each of one call
         self._lock = threading.Lock()
         self._done = threading.Condition(self._lock)  # a relay has ended
         self._closing = False
-        self._parked: list[Relay] = []  # that were not begun for it
+        self._parked: list[list[Relay]] = []  # that were not begun for it
         self._idle: dict[int, list[Idle]] = {}  # by host: a new one at an old address is another
         self._workers = 0
         self._busy = 0
@@ -140,16 +142,17 @@
         """Go by these settings from now on."""
         self.config, self.idle_most = config, idle_most(config)
 
-    def submit(self, relay: Relay) -> None:
-        """Have a relay made; there is a worker for each one that is out."""
+    def submit(self, *relays: Relay) -> None:
+        """Have relays made in one call; there is a worker for each call that is out."""
         with self._lock:
             self._busy += 1
-            self._out[relay.taken.ref, relay.number] = relay
+            for relay in relays:
+                self._out[relay.taken.ref, relay.number] = relay
             fresh = self._busy > self._workers
             self._workers += fresh
         if fresh:
             self.start(f"relay-{self._workers}", self._work)
-        self._queue.put(relay)
+        self._queue.put(list(relays))
 
     def call_off_by(self, ref: str, number: int) -> None:
         """The same, for who knows only what it is called."""
@@ -162,8 +165,11 @@
         """Stop waiting for a relay: its connection is closed."""
         with relay.lock:
             relay.called_off = True
-            if relay.sock is not None:
+            others = [other for other in relay.together if not other.called_off and not other.told]
+            if relay.sock is not None and not others:
                 self._shut(relay.sock)
+        if others:  # their call goes on without it
+            self._tell(RelayEnded(relay, Outcome.CALLED_OFF if relay.opened else Outcome.NOT_SENT))
 
     def close_idle(self, number: int) -> None:
         """Close the kept connections to a host, listed or not."""
@@ -174,24 +180,34 @@
 
     def _work(self) -> None:
         while True:
-            relay = self._queue.get()
+            relays = self._queue.get()
             with self._lock:
                 if self._closing:  # stays owed in the journal: an outcome would only have it sent again
                     self._busy -= 1
-                    self._out.pop((relay.taken.ref, relay.number), None)
-                    self._parked.append(relay)
+                    for relay in relays:
+                        self._out.pop((relay.taken.ref, relay.number), None)
+                    self._parked.append(relays)
                     continue
-            ended = self._relay(relay)
-            ended.took = self.clock.now() - relay.begun_at
-            if ended.wait:
-                # Told to the other workers now: a relay may already have left the owner's hands.
-                self.wait(relay.host.destination, ended.wait)
-            self.ended(ended)
+            for ended in [self._relay(*relays)] if len(relays) == 1 else self._together(relays):
+                self._tell(ended)
             with self._lock:
                 self._busy -= 1
-                self._out.pop((relay.taken.ref, relay.number), None)
                 self._done.notify_all()
 
+    def _tell(self, ended: RelayEnded) -> None:
+        """Tell a relay's end, once."""
+        relay = ended.relay
+        with self._lock:
+            if relay.told:
+                return
+            relay.told = True
+            self._out.pop((relay.taken.ref, relay.number), None)
+        ended.took = self.clock.now() - relay.begun_at
+        if ended.wait:
+            # Told to the other workers now: a relay may already have left the owner's hands.
+            self.wait(relay.host.destination, ended.wait)
+        self.ended(ended)
+
     def wait(self, destination: int, wait: timedelta) -> None:
         """Keep a wait until it has run out, and forget those that have."""
         now = self.clock.now()
@@ -212,8 +228,8 @@
         """Begin relays again, those first that were not begun."""
         with self._lock:
             self._closing, parked, self._parked = False, self._parked, []
-        for relay in parked:
-            self.submit(relay)
+        for relays in parked:
+            self.submit(*relays)
 
     def outside(self) -> int:
         """Relays in hand."""
@@ -239,10 +255,10 @@
             for number, idle in kept:
                 self._idle.setdefault(number, []).append(idle)
 
-    def _relay(self, relay: Relay) -> RelayEnded:
-        """One attempt from its body to its outcome."""
+    def _body(self, relay: Relay) -> bytes | RelayEnded:
+        """What is to be sent, or the end of a relay whose body is not to be had."""
         try:
-            body = [self.bodies.read(relay.taken)]  # a box: whoever writes it takes it out, and lets it go
+            return self.bodies.read(relay.taken)
         except LostError as fault:
             self.log.say("bodies", f"{fault}: a relay was not made")
             return RelayEnded(relay, Outcome.NOT_SENT, lost=True)
@@ -250,6 +266,12 @@
             self.log.say("bodies", f"a relay was not made, since its body could not be read: {fault}")
             self._rest(relay)
             return RelayEnded(relay, Outcome.NOT_SENT)
+
+    def _relay(self, relay: Relay) -> RelayEnded:
+        """One attempt from its body to its outcome."""
+        body = [self._body(relay)]  # a box: whoever writes it takes it out, and lets it go
+        if isinstance(body[0], RelayEnded):
+            return body[0]
         try:
             sock = self._connection(relay)
         except OSError:
@@ -259,19 +281,106 @@
             if sock is not None:
                 self._keep(relay, sock)
             return RelayEnded(relay, Outcome.NOT_SENT)
-        opened = Opened(relay.taken.ref, relay.number, self.clock.now(), relay.host.name)
+        if not self._opened(sock, relay):
+            return RelayEnded(relay, Outcome.NOT_SENT)
+        return self._exchange(relay, sock, body)
+
+    def _opened(self, sock: socket.socket, *relays: Relay) -> bool:
+        """Put on record that they may run, before the first byte: a kill right after it finds it."""
+        now, first = self.clock.now(), relays[0]
         try:
-            self.journal.append([opened])  # before the first byte: a kill right after it finds it
+            self.journal.append([Opened(r.taken.ref, r.number, now, r.host.name) for r in relays])
         except JournalGivenError:  # it was never begun: the process that has it now may do so at once
-            self._drop(relay, sock)
-            return RelayEnded(relay, Outcome.NOT_SENT)
+            self._drop(first, sock)
+            return False
         except (OSError, JournalFullError) as fault:
             self.log.say("journal", f"a relay was not made, since it could not be recorded: {fault}")
-            self._keep(relay, sock)
-            self._rest(relay)
-            return RelayEnded(relay, Outcome.NOT_SENT)
-        relay.opened = True
-        return self._exchange(relay, sock, body)
+            self._keep(first, sock)
+            self._rest(first)
+            return False
+        for relay in relays:
+            relay.opened = True
+        return True
+
+    def _together(self, relays: list[Relay]) -> list[RelayEnded]:
+        """Several messages in one call. Some end on the way; the rest as the answer says, or all alike."""
+        bodies = {relay: self._body(relay) for relay in relays}
+        for body in bodies.values():
+            if isinstance(body, RelayEnded):
+                self._tell(body)
+        left = [relay for relay in relays if not relay.told]
+        if not left:
+            return []
+        try:
+            sock = self._connection(left[0])
+        except OSError:
+            return [RelayEnded(relay, Outcome.NOT_SENT if relay.called_off else Outcome.UNREACHABLE)
+                    for relay in left]
+        going = [relay for relay in left if sock is not None and not relay.told and not self._barred(relay)]
+        for relay in left:
+            if relay not in going:
+                self._tell(RelayEnded(relay, Outcome.NOT_SENT))
+        if not going or not self._opened(sock, *going):
+            if not going and sock is not None:
+                self._keep(left[0], sock)
+            return [RelayEnded(relay, Outcome.NOT_SENT) for relay in going]
+        for relay in going:
+            with relay.lock:
+                relay.sock, relay.together = sock, tuple(going)
+        try:
+            return self._exchange_together(going, sock, [bodies[relay] for relay in going])
+        finally:
+            for relay in left:
+                with relay.lock:
+                    relay.sock = None
+
+    def _exchange_together(self, relays: list[Relay], sock: socket.socket,
+                           bodies: list[bytes]) -> list[RelayEnded]:
+        first, whole = relays[0], False
+        parser = http.Parser(answer=True, optional=(b"server-load",))
+        body = bulk.write_body((relay.taken.ref, relay.taken.idempotency_key, data)
+                               for relay, data in zip(relays, bodies, strict=True))
+        bodies.clear()
+        ends_at = max(relay.ends_at for relay in relays)
+        try:
+            left = ends_at - self.clock.now()
+            headers = [("Request-Timeout-Ms", str(max(1, millis(left))))]
+            host, port = first.host.address
+            sock.settimeout(seconds(max(LEAST_TIME, left)))
+            sock.sendall(http.write_request("POST", bulk.TARGET, f"{host}:{port}", headers, body))
+            whole = True
+            while (found := parser.next()) is None:
+                if parser.eof:
+                    raise ConnectionResetError
+                waiting = [relay for relay in relays if not relay.told]
+                now = self.clock.now()
+                for relay in waiting:
+                    if relay.ends_at <= now:  # its time is over, whatever becomes of the others
+                        self._tell(RelayEnded(relay, Outcome.TIMED_OUT))
+                if all(relay.told for relay in waiting):
+                    raise TimeoutError
+                soonest = min(relay.ends_at for relay in waiting if not relay.told)
+                sock.settimeout(seconds(max(LEAST_TIME, soonest - now)))
+                try:
+                    parser.feed(sock.recv(http.READ))
+                except TimeoutError:
+                    continue
+        except (OSError, http.BadMessageError) as fault:
+            self._drop(first, sock)
+            return [self._broken(relay, fault, whole, parser, many=True) for relay in relays]
+        head, answer = found
+        if head.keeps_alive() and not parser.begun and not parser.eof:
+            self._keep(first, sock)
+        else:
+            self._drop(first, sock)
+        ends = [self._in_time(read_outcome(relay, head.status, head.headers)) for relay in relays]
+        if head.status == 200:
+            said = bulk.read_answer(answer, [relay.taken.ref for relay in relays])
+            for n, ended in enumerate(ends):
+                outcome, over = said[ended.relay.taken.ref]
+                wait = read_wait(head.headers.get("retry-after"))
+                ends[n] = self._in_time(replace(ended, outcome=outcome, over=over, wait=wait))
+        return ends
 
     def _rest(self, relay: Relay) -> None:
         """Wait before a fault of the disk is told: told at once, it uses up a message's attempts."""
@@ -428,7 +537,8 @@
             return RelayEnded(ended.relay, Outcome.TIMED_OUT)
         return ended
 
-    def _broken(self, relay: Relay, fault: Exception, whole: bool, parser: http.Parser) -> RelayEnded:
+    def _broken(self, relay: Relay, fault: Exception, whole: bool, parser: http.Parser,
+                many: bool = False) -> RelayEnded:
         """No sound answer, and the connection is not used again.
 
         A first line with 200 is true in any case. All else that is spoilt proves nothing, a refusal no less:
@@ -436,7 +546,7 @@
         """
         if not whole:
             return RelayEnded(relay, Outcome.NOT_SENT if relay.called_off else Outcome.UNREACHABLE)
-        if parser.status == 200:
+        if parser.status == 200 and not many:  # of many it takes the whole answer to know
             return self._in_time(read_outcome(relay, 200, parser.head.headers if parser.head else {}))
         if relay.called_off:
             return RelayEnded(relay, Outcome.CALLED_OFF)
