Cut no pace by an outage's refusals, and lift it at the outage's end

At fault: _evidence called refused() for trials of a route judged failing, and _turn left the pace of the lead-up standing when the outage ended, under the ramp. Now an outage's refusals tell nothing of a limit, and its end lifts the pace: the ramp says how fast, and refusals after it pace anew.

The test fails without either half's line.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,5 +1,6 @@
 """One test for each failure that a simulated day or an incident has shown."""
 from dataclasses import replace
+from math import inf
 
 import pytest
 from helpers import KEYED, SAFE, UNSAFE, Sender, answers, sends
@@ -312,3 +313,27 @@
         times.append(round(wakes[0].after_s, 3))
         assert asked == 1
     assert len(set(times)) > 5
+
+
+def test_refusals_of_an_outage_do_not_cut_the_pace_and_its_end_lifts_it():
+    """A partner that was shut was called once in two seconds for long after it was back."""
+    sender = Sender(listed_rates=True)
+    sender.serve(30)
+    route = sender.control.book.routes[1]
+
+    def go(outcome):
+        for sent in sends(sender.step(sender.message(), Timer(1), after=0.1)):
+            sender.step(sender.ended(sent, outcome))
+
+    for _ in range(200):
+        if not route.failing:
+            go(Outcome.TURNED_AWAY)
+    cut = route.unit.pace
+    assert route.failing and cut < inf
+    for _ in range(100):
+        go(Outcome.TURNED_AWAY)
+    assert route.failing and route.unit.pace == cut
+    for _ in range(200):
+        if route.failing:
+            go(Outcome.DELIVERED)
+    assert route.back_at is not None and route.unit.pace == inf  # the ramp says how fast
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -178,10 +178,10 @@
     unit.seen = unit.top = unit.passed = unit.missed = 0
 
 
-def refused(unit: Unit, now: float, settings: face.Settings, bound: bool = False) -> None:
-    """Fast refusals leave F infinite: pace the unit from its mean rate. `bound`: by a limit that is told."""
+def refused(unit: Unit, now: float, settings: face.Settings, bound: bool = False, out: bool = False) -> None:
+    """Fast refusals leave F infinite: pace the unit by its mean rate. `bound`: by a told limit; `out`: no."""
     unit.refused_at = now
-    if now - unit.cut_at >= PACE_GAP_S:
+    if now - unit.cut_at >= PACE_GAP_S and not out:
         unit.cut_at = now
         if unit.pace == inf:
             # Where the limit is told, its fair part; else tries while the held message is worth something.
@@ -194,8 +194,8 @@
 
 def sick(dest: Destination) -> bool:
     """Slow, failing or silent anywhere; M itself never rises while nothing is answered."""
-    silent = [call for r in dest.routes.values() for call in r.calls if call.judged and not call.heard]
-    return bool(silent) or any(r.failing or slow(r.unit) for r in dest.routes.values())
+    silent = any(call.judged and not call.heard for r in dest.routes.values() for call in r.calls)
+    return silent or any(r.failing or slow(r.unit) for r in dest.routes.values())
 
 
 def usual(dest: Destination) -> float:
@@ -276,8 +276,7 @@
     def _message(self, message: face.Message) -> None:
         # Short patience at a first hand-in is no lost time: only what comes again has been on its way.
         back = message.again or not self.settings.again_is_marked
-        cls = message.rules or self.settings.classes[message.message_class]
-        job = job_of(message, cls, self.now, back)
+        job = job_of(message, message.rules or self.settings.classes[message.message_class], self.now, back)
         self.arrivals.add(1.0, self.now)
         quotas = ARRIVALS_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
         part = max(1 / self.settings.senders, min(1.0, self.arrivals.at(self.now) / quotas))
@@ -345,6 +344,8 @@
         since = max(route.failed_at, route.failing_at)  # an older failure says nothing of this outage
         back_at = min(self.now, (since + self.now) / 2) if phase is None else self.now
         route.failing, route.back_at = failing, back_at if cold and not failing else None
+        if route.back_at is not None and phase is None:
+            route.unit.pace = inf  # it was cut as the outage began: now its ramp says how fast
         route.failing_at, route.sick = (self.now, SICK) if failing else (route.failing_at, FAIL_STEP / 2)
         self._space(route, phase)
         # With a call in many seconds each sender would else find an outage and its end out for itself.
@@ -395,7 +396,7 @@
             bound = bool(event.limit_per_s) and event.room_left is not None and event.room_left < ROOM_LEFT
             if bound:
                 step = 0.0  # the answer itself says that a limit is used up: that is no outage
-            refused(unit, now, self.settings, bound)
+            refused(unit, now, self.settings, bound, out=route.failing)
             self._space(route)
         else:
             unit.failed_at = now
@@ -517,8 +518,7 @@
     def _dispatch(self) -> None:
         """Send what may go, the most worthy first over all destinations."""
         opened: dict[int, Call] = {}
-        self.at.clear()
-        self.windows.clear()
+        self.at, self.windows = {}, {}
         busy = list(self.book.active.values())
         for dest in busy:
             dest.sick = sick(dest)
