--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -30,8 +30,9 @@
 from willownotch.net import memory
 from willownotch.net.clock import Clock, seconds
 from willownotch.net.folder import open_folder
+from willownotch.net.listening import listen
 from willownotch.net.log import Log
-from willownotch.net.north import North, listen
+from willownotch.net.north import BACKLOG, North
 from willownotch.net.owner import BodyLost, Owner, Retune, Stop, TenantParts
 from willownotch.net.registry import Hosts, Notices, Platform, Registry
 from willownotch.net.south import South
@@ -159,7 +160,7 @@
     try:
         if config.management is not None:
             # First of all: it answers while the journal is read, too.
-            operators = management.Server(management.listen(config.management), clock, log, calls.table)
+            operators = management.Server(listen(config.management, management.BACKLOG), clock, log, calls.table)
             threads.start("management", operators.run, forever=True)
             log.say("start", f"operators are answered at {config.management[0]}:{operators.port}")
         lock = FolderLock(config.state)
@@ -171,7 +172,7 @@
             fresh, (config, _) = config, configs.retuned(estate.config, config)
             config = msgspec.structs.replace(config, management=fresh.management, limits=fresh.limits)
         # Bound before the folder is touched: a process of a version without the lock may still serve there.
-        listener = legacy.listener if legacy else listen(config.listen)
+        listener = legacy.listener if legacy else listen(config.listen, BACKLOG)
         journal, bodies, lost = open_folder(
             config.state, int(config.limits.disk_mb * MEGABYTE), files, clock, log, config.settings.classes,
             blocks.bodies, config.limits.memory_mb, estate.live if estate else None,
--- a/willownotch/management/edge.py
+++ b/willownotch/management/edge.py
@@ -28,20 +28,6 @@
     answered: bool = False
 
 
-def listen(address: tuple[str, int]) -> socket.socket:
-    """The listening socket; `OSError` where the address cannot be used."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
-        sock.listen(BACKLOG)
-        sock.setblocking(False)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
 class Server:
     """Answers calls until the process ends."""
 
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -21,6 +21,7 @@
 from willownotch.net.clock import NONE, Clock, millis, seconds
 from willownotch.net.config import Config
 from willownotch.net.journal import Taken
+from willownotch.net.listening import listen
 from willownotch.net.log import Log
 from willownotch.net.owner import Answer, HandIn, MakeRoom, Owner, Verdict, Withdraw
 from willownotch.net.rules import Rules
@@ -153,20 +154,6 @@
     return max(8, min(MOST, config.limits.sockets - south - OTHERS, memory))
 
 
-def listen(address: tuple[str, int]) -> socket.socket:
-    """The listening socket; `OSError` where the address cannot be used. It can go from process to process."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
-        sock.listen(BACKLOG)
-        sock.setblocking(False)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
 class North:
     """The listener and the connections it has taken."""
 
@@ -179,7 +166,7 @@
         self._dropped: tuple[dict[str, Rules], datetime] = ({}, datetime.max.replace(tzinfo=UTC))
         self._clients: set[Client] = set()
         self._room = threading.Condition()
-        self.listener = listener or listen(config.listen)
+        self.listener = listener or listen(config.listen, BACKLOG)
         self.port = self.listener.getsockname()[1]
         self._stopping = False
         self._elsewhere: Callable[[socket.socket, bytes, datetime | None, int], None] | None = None
