Let the old process end only once each connection is with the new one

Seen in the whole suite on three busy cores: of clients that never pause, two lost their connections in an upgrade (reset, and an end without an answer). The old process counted a connection as gone as soon as it was marked as moved, before its descriptor was sent, and one just accepted not at all: it could end in between. Ruled out: frames and descriptors out of step (one lock, one frame each), the new process's idle times, a full socket.

Now it counts until it is sent, and a connection is accepted and known in one step. The new test blocks the sending and fails with the old count.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -260,6 +260,42 @@
         assert two.next()[0].target == "/more"
 
 
+def test_a_connection_counts_as_present_until_the_other_process_has_it():
+    """The old process ended between marking a connection as passed on and passing it."""
+    import json
+
+    from toys import SETTINGS
+
+    from willownotch.life import Standing
+    from willownotch.net.clock import Clock
+    from willownotch.net.config import read_config
+    from willownotch.net.log import Log
+    from willownotch.net.north import North, Stage
+
+    config = read_config(json.dumps({"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s",
+                                     "discovery": "127.0.0.1:1"}).encode(), {})
+    clock = Clock()
+    begun, allowed = threading.Event(), threading.Event()
+
+    def elsewhere(*_):
+        begun.set()
+        allowed.wait(PATIENCE)
+
+    north = North(config, clock, Log(clock), None, None,
+                  lambda name, work: threading.Thread(target=work, daemon=True).start(), Standing())
+    ours, theirs = socket.socketpair()
+    north.adopt(ours, b"", None, 1)
+    until(lambda: any(client.stage is Stage.IDLE for client in north._clients))
+    giving = threading.Thread(target=north.give, args=(elsewhere,))
+    giving.start()
+    assert begun.wait(PATIENCE) and north.present() == 1
+    allowed.set()
+    giving.join(PATIENCE)
+    assert north.present() == 0
+    theirs.close()
+    north.listener.close()
+
+
 def test_time_is_counted_as_in_the_process_before():
     from willownotch.net.clock import Clock
 
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -160,7 +160,8 @@
     try:
         if config.management is not None:
             # First of all: it answers while the journal is read, too.
-            operators = management.Server(listen(config.management, management.BACKLOG), clock, log, calls.table)
+            address = listen(config.management, management.BACKLOG)
+            operators = management.Server(address, clock, log, calls.table)
             threads.start("management", operators.run, forever=True)
             log.say("start", f"operators are answered at {config.management[0]}:{operators.port}")
         lock = FolderLock(config.state)
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -128,6 +128,7 @@
         self.ending = False  # it makes room, or the sender stops: the request that it has is its last
         self.lock = threading.Lock()  # held while bytes are taken off it, and while it goes elsewhere
         self.moved = False  # another process reads it from now on
+        self.passed = False  # and has got it
         self.shared = False  # the process before this one may still have it open, too
         self.arrived: datetime | None = None  # of a request that came with it, when its first byte came
         self.poll = select.poll()
@@ -166,6 +167,7 @@
         self._dropped: tuple[dict[str, Rules], datetime] = ({}, datetime.max.replace(tzinfo=UTC))
         self._clients: set[Client] = set()
         self._room = threading.Condition()
+        self._accepting = threading.Lock()
         self.listener = listener or listen(config.listen, BACKLOG)
         self.port = self.listener.getsockname()[1]
         self._stopping = False
@@ -211,15 +213,17 @@
             if self._stopping or self._elsewhere is not None:
                 threading.Event().wait()  # the process ends in a moment, or another one takes them
             try:
-                sock, _ = self.listener.accept()
+                with self._accepting:  # what is accepted here is known here, before clients are counted
+                    if self._elsewhere is not None:
+                        continue
+                    sock, _ = self.listener.accept()
+                    self._welcome(Client(sock, self.clock.now()))
             except BlockingIOError:
                 continue
             except OSError as fault:
                 self.log.say("accept", f"no connection could be taken: {fault}")
                 with self._room:  # descriptors are short: until one is free, or a moment has passed
                     self._room.wait(0.1)
-                continue
-            self._welcome(Client(sock, self.clock.now()))
 
     def _welcome(self, client: Client, data: bytes = b"") -> None:
         """Serve a connection, on which so much has come already."""
@@ -239,7 +243,7 @@
 
     def give(self, elsewhere: Callable[[socket.socket, bytes, datetime | None, int], None]) -> None:
         """Another process takes clients from now on: idle ones at once, others with the request they make."""
-        with self._room:
+        with self._accepting, self._room:
             self._elsewhere, clients = elsewhere, list(self._clients)
         for client in clients:
             with client.lock:
@@ -249,7 +253,7 @@
     def present(self) -> int:
         """Client connections that are served here."""
         with self._room:
-            return sum(not client.moved for client in self._clients)
+            return sum(not client.passed for client in self._clients)
 
     def _move(self, client: Client, request: bytes = b"", arrived: datetime | None = None) -> None:
         """Let another process go on with a connection, and with what it has asked."""
@@ -259,6 +263,7 @@
                 self._elsewhere(client.sock, request, arrived, client.asked)
             except OSError as fault:  # nobody is there any more
                 self.log.say("upgrade", f"a connection could not be passed on: {fault}")
+            client.passed = True  # only now: this process ends once all are
 
     def empty(self) -> None:
         """While a drain lasts, end the connections that stay idle; until it is over or all are gone."""
