--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -283,7 +283,9 @@
 
     north = North(config, clock, Log(clock), None, None,
                   lambda name, work: threading.Thread(target=work, daemon=True).start(), Standing())
-    ours, theirs = socket.socketpair()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        theirs = socket.create_connection(server.getsockname())
+        ours, _ = server.accept()
     north.adopt(ours, b"", None, 1)
     until(lambda: any(client.stage is Stage.IDLE for client in north._clients))
     giving = threading.Thread(target=north.give, args=(elsewhere,))
