Tell the sender's state of SIGTERM, and test orders and signals in each other's way

Found by the test: nobody told the life cycle of SIGTERM, so health went on saying ready, and a stopping process would have handed over. At fault: serve() posted Stop to the owner alone. Now both are told; readiness stays as it was (a stopping sender serves). Also a test with all places of 64 descriptors taken by silent and half-written connections: messages and operators are answered.

--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -1,4 +1,5 @@
 """Operators' calls: the lines as a table, and a real sender that is drained while clients go on."""
+import signal
 import socket
 import time
 import unittest
@@ -82,6 +83,32 @@
         self.assertEqual((self.readiness(), self.sender.hand_in()[1].status), (200, 202))
         self.assertEqual([self.call(b"resume\n"), self.discovery.notices], ["+OK ready\r\n", []])
 
+    def test_orders_and_signals_in_each_others_way(self):
+        self.call(b"quiesce\n")
+        self.sender.reload({}, "discovery stays")
+        self.assertEqual(self.readiness(), 503)  # a reload ends no drain
+        self.sender.process.send_signal(signal.SIGTERM)
+        until(lambda: any("stop: SIGTERM" in line for line in self.sender.lines))
+        self.assertEqual((self.call(b"health\n"), self.readiness()), ("-ERR stopping\r\n", 503))
+        self.sender.reload({}, "discovery stays")
+        self.assertEqual(self.call(b"resume\n"), "+OK stopping\r\n")
+        self.assertEqual((self.readiness(), self.sender.hand_in()[1].status), (200, 202))
+
+    def test_with_all_places_taken_messages_and_operators_are_answered(self):
+        sender = Sender(self.discovery, env={"LB_MANAGEMENT": "127.0.0.1:0"},
+                        limits={"sockets": 64, "disk_mb": 3})
+        self.addCleanup(sender.close)
+        sender.ready()
+        crowd = [sender.connect() for _ in range(120)]
+        for sock in crowd[::2]:
+            sock.sendall(b"POST /api HT")
+        self.assertEqual(sender.hand_in()[1].status, 202)
+        with sender.operator() as sock:
+            sock.sendall(b"health\n")
+            self.assertEqual(sock.recv(100), b"+OK ready\r\n")
+        for sock in crowd:
+            sock.close()
+
     def test_callers_that_say_nothing_keep_nobody_out(self):
         silent = [self.sender.operator() for _ in range(60)]
         for sock in silent[::2]:
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -22,7 +22,7 @@
 from willownotch.handover.giver import Giver
 from willownotch.handover.lock import FolderLock
 from willownotch.handover.taker import Heir, Taker
-from willownotch.life import Standing
+from willownotch.life import Event, Standing
 from willownotch.management import edge as management
 from willownotch.management.calls import Calls
 from willownotch.net import config as configs
@@ -248,6 +248,7 @@
     while standing.life.given:  # it ends by itself, once its calls have
         threading.Event().wait()
     if told == signal.SIGTERM:
+        standing.tell(Event.STOP, clock.now())
         owner.post(Stop())
         signal.sigtimedwait(signals, seconds(STOP_AFTER))
         for number in signals:  # whoever asks a third time does not want to wait
