Close the descriptors of a hand-over that was taken back only once

Found on reading the change again: Taker._ask closed the frame's descriptors although _read had wrapped them in sockets, which close them too; between the two a number could be another file's. Now the frame lets go of them once they are sockets. The upgrade's tests pass; the path is the one where the old process takes its word back.

--- a/willownotch/handover/taker.py
+++ b/willownotch/handover/taker.py
@@ -70,7 +70,7 @@
             frame = link.receive(ANSWER_TIME)
             if frame is None or frame.kind is Kind.NOT_NOW:
                 return None
-            legacy = self._read(link, frame)
+            legacy, frame = self._read(link, frame), None  # its sockets close themselves from here on
             link.send(Kind.TOOK)
             word = link.receive(ANSWER_TIME)
             if word is None or word.kind is not Kind.GIVEN:
@@ -80,7 +80,7 @@
                 if time.monotonic() > ends:
                     raise TimeoutError("the lock was not let go")
                 time.sleep(0.002)
-            link, frame = None, None
+            link = None
             return legacy
         finally:
             os.close(folder)
