Fill a new set of replicas before promises wait for it, and trace custody's flaky test

Cause of the failure: the test waited for a book with five witnesses while two of five members did not answer, and a sender rightly owns one with three then. It passed only when the ten seconds for which they were not chosen ran out within its patience.

Read with it: a proposed set could be changed after a minority of witnesses had recorded it, at the same version, and versions of two owners could be equal; a later owner could then read the wrong one of two sets. Once offered a set stays until it is on record, and versions begin at the owner's term.

--- a/tests/custodial.py
+++ b/tests/custodial.py
@@ -42,15 +42,16 @@
     def custody(self, n):
         return ask(self.socket(n), "replica")
 
-    def able(self, among=None):
-        """Wait until messages can be taken on, by all or by some."""
+    def able(self, among=None, witnesses=None):
+        """Wait until messages can be taken on, by all or by some, in a book with as many witnesses as can be:
+        one with fewer is rolled soon."""
+        witnesses = witnesses or len(self.running()) - (len(self.running()) % 2 == 0)
         for n in among if among is not None else self.running():
-            until(lambda n=n: self.owns(n), PATIENCE)
+            until(lambda n=n: self.owns(n, witnesses), PATIENCE)
         return self
 
-    def owns(self, n):
+    def owns(self, n, most):
         found = self.custody(n)
-        most = len(self.running()) - (len(self.running()) % 2 == 0)  # witnesses: else it is rolled soon
         return any(b["book"] == found["current"] and b["stage"] == "owned" and not b["below"]
                    and len(b["witnesses"]) >= most for b in found["books"])
 
--- a/tests/test_replica_parts.py
+++ b/tests/test_replica_parts.py
@@ -106,8 +106,22 @@
     book = Owned("book", 1, ABOUT, stage=Stage.OWNED, last=5)
     book.followers = {n: Follower(n, acked) for n, acked in (("b", 5), ("c", 2), ("d", 3))}
     assert (book.reached(1), book.reached(2)) == (5, 2)
-    book.proposed = ("c", "d")
+    book.propose(("c", "d"))
+    assert (book.reached(1), book.reached(2)) == (5, 2)  # it is still being filled
+    assert not book.ripe()  # and lacks what may have been promised without it
     assert (book.reached(1), book.reached(2)) == (3, 2)
+    book.last = 9  # of these, nothing is promised without it
+    for name in "cd":
+        book.followers[name].acked = 5
+    assert book.ripe()
+
+
+def test_a_set_put_on_record_is_above_all_of_the_owners_before():
+    first = Owned("book", 3, ABOUT)
+    later = Owned("book", 4, msgspec.structs.replace(ABOUT, version=first.next_version() + 7))
+    assert first.next_version() > ABOUT.version
+    assert later.next_version() > later.about.version
+    assert Owned("book", 4, ABOUT).next_version() > later.about.version  # who never heard of that one, too
 
 
 def test_frames_of_another_kind_a_repeat_and_noise_are_refused():
--- a/tests/test_replica_sockets.py
+++ b/tests/test_replica_sockets.py
@@ -1,7 +1,6 @@
 """Custody with real senders and faults between them: lost machines, stalls, cuts, old folders."""
 from __future__ import annotations
 
-import os
 import shutil
 import signal
 import subprocess
@@ -14,9 +13,6 @@
 
 from willownotch.peers.lossy import Weather
 
-# One run in several still waits in vain somewhere here, seen in its last rounds and not traced yet.
-pytestmark = pytest.mark.skipif(not os.environ.get("WILLOWNOTCH_LONG"), reason="played by `make long`")
-
 
 @pytest.fixture
 def custodial(tmp_path):
@@ -108,7 +104,7 @@
     replicas = {r["name"] for b in fleet.custody(0)["books"] for r in b["replicas"]}
     fleet.relay.weather = Weather(cut=lambda a, b: a in replicas and b == "i0")
     assert fleet.senders[0].hand_in(ref="unheard")[1].status == 503
-    fleet.able([0])  # it has found others
+    fleet.able([0], witnesses=3)  # it has found others
     refs = fleet.take(0, 3)
     fleet.lose(0)
     fleet.relay.weather = Weather()
--- a/tests/test_replica_story.py
+++ b/tests/test_replica_story.py
@@ -150,6 +150,21 @@
     copies, wanted = 3, 2
 
 
+def test_replicas_that_hear_and_are_not_heard_keep_no_promise_waiting():
+    fleet = Fleet(1, NAMES[:5], ReplicaSettings(copies=2, acks=2, witnesses=5, lease=timedelta(seconds=1)))
+    fleet.until(lambda: fleet.ready(2))
+    core = fleet.senders["m0"].core
+    deaf = set(core.owned[core.current].about.replicas)
+    fleet.around = lambda observer, name: True  # the membership knows them by way of others
+    fleet.cut = lambda a, b: a in deaf and b == "m0"
+    fleet.run(3.0)  # until it has found others
+    for _ in range(1200):  # they are tried again several times
+        fleet.run(0.05)
+        assert core.usable(2, fleet.now)
+    fleet.cut = lambda a, b: False
+    fleet.until(lambda: len(core.owned[core.current].about.witnesses) == 5, most=60.0)
+
+
 @pytest.mark.parametrize("story", [Story, Wider])
 def test_custody_under_any_story(story):
     run_state_machine_as_test(story, settings=settings(
--- a/willownotch/replica/books.py
+++ b/willownotch/replica/books.py
@@ -18,6 +18,7 @@
 WINDOW = 512 * 1024  # bytes on their way to a replica, unacknowledged
 BATCH = 64 * 1024  # bytes of records in one frame
 LOG_MOST = 2 * 1024 * 1024  # bytes kept for replicas that lag; who is further behind is filled
+TERM_SHIFT = 20  # a term's versions of the set of replicas begin at the term, shifted by so much
 ROUNDS = 32  # rounds of claims whose grants still count
 
 
@@ -90,6 +91,8 @@
     number: int = 0  # of the last round
     claim_at: float = 0.0  # when the next one is due
     proposed: tuple[str, ...] | None = None  # another set of replicas, being filled
+    joint_from: int | None = None  # behind this record a promise needs copies in the proposed set, too
+    offered: bool = False  # witnesses were asked to record the proposed set: some may have, so it stays
     followers: dict[str, Follower] = field(default_factory=dict)
     log: dict[int, tuple[bytes, int]] = field(default_factory=dict)  # records, and bytes up to their ends
     written: int = 0  # bytes of all records so far
@@ -109,18 +112,39 @@
         return self.stage is Stage.OWNED and now < self.lease_until
 
     def sets(self) -> list[tuple[str, ...]]:
-        """The sets of replicas that each have to hold W copies."""
-        return [self.about.replicas] + ([self.proposed] if self.proposed is not None else [])
+        """The sets of replicas that each have to hold W copies.
 
-    def filled(self) -> bool:
-        """Whether all replicas of a proposed set hold what there is, so that it may be put on record."""
-        found = [self.followers.get(name) for name in self.proposed or () if name != self.about.owner]
-        return self.proposed is not None and all(
-            f is not None and f.acked is not None and not f.fill for f in found)
+        A set that is still being filled is none of them: who does not answer there holds up no promise.
+        """
+        return [self.about.replicas] + ([self.proposed] if self.joint_from is not None else [])
+
+    def propose(self, names: tuple[str, ...] | None) -> None:
+        """Begin to fill another set of replicas, or (None) leave it at the one there is."""
+        self.proposed, self.joint_from, self.offered = names, None, False
+
+    def ripe(self) -> bool:
+        """Whether the proposed set may be put on record: it holds all that was promised, and always will.
+
+        Once all of it is filled, promises wait for both sets; once it holds what there was by then, nothing
+        that was promised is missing in it.
+        """
+        if self.proposed is None:
+            return False
+        found = [self.followers.get(name) for name in self.proposed if name != self.about.owner]
+        if self.joint_from is None and all(
+                f is not None and f.acked is not None and not f.fill for f in found):
+            self.joint_from = self.last
+        return self.joint_from is not None and all(f.acked is not None and f.acked >= self.joint_from
+                                                   for f in found)
+
+    def next_version(self) -> int:
+        """Of a set that is put on record: above all of this owner's before, and of all owners before it."""
+        return max(self.about.version + 1, self.term << TERM_SHIFT)
 
     def names(self) -> list[str]:
         """All replicas, those that are being filled among them, the owner itself not."""
-        return list(dict.fromkeys(n for line in self.sets() for n in line if n != self.about.owner))
+        line = (*self.about.replicas, *(self.proposed or ()))
+        return list(dict.fromkeys(name for name in line if name != self.about.owner))
 
     def reached(self, wanted: int) -> int:
         """Up to which record there are so many copies, in each set; the owner's own counts in a set that it
--- a/willownotch/replica/core.py
+++ b/willownotch/replica/core.py
@@ -25,7 +25,7 @@
 
 RESEND = 0.1  # s without a word before records are sent again; doubles up to the lease
 RESEND_MOST = 1.0
-UNFIT_S = 10.0  # a replica that did not answer is not chosen again for so long
+UNFIT_SPANS, UNFIT_MOST = 2, 30.0  # leases (s at the most) that who did not answer is not chosen for; doubles
 FILL_AGAIN = 1.0  # s after the last part, before a fill that nobody acknowledged begins anew
 KEEP_AFTER = 60.0  # s behind the last deadline in it that a copy nobody owns is kept
 REFS_EVERY = 5.0  # s between two whole lists for the witnesses
@@ -145,6 +145,7 @@
         self._actions: list[Action] = []
         self._count = 0  # of the books opened here
         self._unfit: dict[str, float] = {}  # members, until when they are not chosen
+        self._silences: dict[str, int] = {}  # members, how often in a row that was so
         self._try_at: dict[str, float] = {}  # of a book without an owner: when to claim it
         self._terms: dict[str, int] = {}  # the highest term heard of, of books that are claimed
         self._former: dict[str, tuple[About, int]] = {}  # books of this sender's former processes
@@ -560,6 +561,9 @@
                 acked.position[1] > max(owned.last, follower.fill_at)):
             return  # elsewhere: it will say that it is behind
         follower.heard_at, follower.tries = self.now, 0
+        self._silences.pop(follower.name, None)
+        if self._unfit.pop(follower.name, None) is not None:
+            self._place()
         follower.acked = max(follower.acked or 0, acked.position[1])
         if follower.fill and follower.acked >= follower.fill_at:
             follower.fill.clear()
@@ -672,7 +676,8 @@
                     self._probe(owned, name)
             silent = self.now - follower.heard_at > max(1.0, self._span())
             if silent and name in self.there and name not in self._unfit:
-                self._unfit[name] = self.now + UNFIT_S
+                times = self._silences[name] = min(self._silences.get(name, 0) + 1, 8)
+                self._unfit[name] = self.now + min(UNFIT_MOST, UNFIT_SPANS * self._span() * 2 ** (times - 1))
                 self._place()
         self._change_set(owned)
         if not owned.open and not owned.fresh and owned.proposed is None:
@@ -708,27 +713,20 @@
 
     def _change_set(self, owned: Owned) -> None:
         wanted, at = self._desired.get(owned.book, (owned.about.replicas, 0.0))
-        if owned.proposed is None:
-            if wanted and set(wanted) != set(owned.about.replicas) and at <= self.now:
-                owned.proposed = wanted
-                for name in wanted:
-                    self._probe(owned, name)
-            return
-        if set(owned.proposed) != set(wanted) and wanted and at <= self.now:
-            owned.proposed = wanted if set(wanted) != set(owned.about.replicas) else None
-            if owned.proposed is None:
-                return
-            for name in owned.proposed:
+        if wanted and at <= self.now and not owned.offered and set(wanted) != set(
+                owned.proposed or owned.about.replicas):
+            owned.propose(wanted if set(wanted) != set(owned.about.replicas) else None)
+            for name in owned.proposed or ():
                 self._probe(owned, name)
-        if owned.filled() and self.now - owned.set_at >= RESEND:
-            owned.set_at = self.now
+        if (owned.offered or owned.ripe()) and self.now - owned.set_at >= RESEND:
+            owned.set_at, owned.offered = self.now, True
             self._claim(owned)
 
     def _commit_set(self, owned: Owned, version: int) -> None:
         """The witnesses have the new set on record."""
         old = owned.about.replicas
         owned.about = msgspec.structs.replace(owned.about, version=version, replicas=owned.proposed)
-        owned.proposed = None
+        owned.propose(None)
         for name in old:
             if name not in owned.about.replicas and name != self.name:
                 owned.followers.pop(name, None)
@@ -744,14 +742,17 @@
             return
         current = self.owned.get(self.current or "")
         pending = next((o for o in self.owned.values() if o.fresh and o is not current), None)
-        if pending is not None and pending.stage is Stage.OWNED:
+        if pending is not None and pending.stage is Stage.OWNED and not self._worse(pending, current):
             if current is not None:
                 current.fresh = False
             self.current, current, pending = pending.book, pending, None
         if pending is not None:
             if self.now - pending.born < 2 * self._span():
                 return
-            del self.owned[pending.book]  # its claims came to nothing
+            if pending.stage is Stage.OWNED:
+                pending.fresh = False  # its replicas do not answer; it is empty, and will be closed
+            else:
+                del self.owned[pending.book]  # its claims came to nothing
         if current is not None:
             here = sum(name in names or name == self.name for name in current.about.witnesses)
             could = len(witnesses("", self.name, names, self.settings.witnesses))
@@ -760,6 +761,12 @@
                 return
         self._open(names)
 
+    def _worse(self, pending: Owned, current: Owned | None) -> bool:
+        """Whether a new book cannot yet have the copies that the current one can."""
+        return current is not None and any(
+            current.able(self.now, wanted, self._span()) and not pending.able(self.now, wanted, self._span())
+            for wanted in self.settings.asked())
+
     def _open(self, names: list[str]) -> None:
         self._count += 1
         book = f"{self.name}/{self.life:012x}.{self._count}"
@@ -778,8 +785,8 @@
         held = self.now < owned.lease_until
         owned.claim_at = self.now + (self._span() / 3 if held else min(0.2, self._span() / 3))
         about = owned.about
-        if owned.stage is Stage.OWNED and owned.filled():
-            about = msgspec.structs.replace(about, version=about.version + 1, replicas=owned.proposed)
+        if owned.stage is Stage.OWNED and owned.offered:
+            about = msgspec.structs.replace(about, version=owned.next_version(), replicas=owned.proposed)
         elif owned.stage is not Stage.OWNED and not owned.fresh:
             about = msgspec.structs.replace(about, version=0, replicas=())
         number = owned.begin_round(self.now, about.version)
--- a/willownotch/replica/service.py
+++ b/willownotch/replica/service.py
@@ -365,7 +365,7 @@
     def _publish(self) -> None:
         """Let the others see how things are, and tell those who wait."""
         now, done = time.monotonic(), []
-        asked = {self.settings.acks, *(own.acks or 0 for own in self.settings.class_.values())} - {0}
+        asked = self.settings.asked()
         with self._changed:
             self._leases = {book: o.lease_until for book, o in self.core.owned.items()
                             if o.stage is Stage.OWNED}
@@ -439,7 +439,7 @@
         return box.get(timeout=5.0)
 
     def _view(self, now: float) -> ReplicaView:
-        most = max([self.settings.acks, *(own.acks or 0 for own in self.settings.class_.values())])
+        most = max(self.settings.asked(), default=0)
         books = []
         for book, owned in self.core.owned.items():
             followers = [owned.followers[n] for n in owned.names() if n in owned.followers]
--- a/willownotch/replica/settings.py
+++ b/willownotch/replica/settings.py
@@ -36,14 +36,18 @@
         own = self.class_.get(name)
         return self.acks if own is None or own.acks is None else own.acks
 
+    def asked(self) -> set[int]:
+        """Every W that some class asks for, 0 left out."""
+        return {self.acks, *(own.acks or 0 for own in self.class_.values())} - {0}
+
     def on(self) -> bool:
         """Whether anything is to be copied, or held for others."""
-        return self.acks > 0 or any(own.acks for own in self.class_.values())
+        return bool(self.asked())
 
     def faults(self) -> list[tuple[str, str]]:
         """What does not go together."""
         found = []
-        most = max([self.acks, *(own.acks or 0 for own in self.class_.values())])
+        most = max(self.asked(), default=0)
         if most > self.copies:
             found.append(("copies", f"'copies' is below 'acks', wanted: {most} at least"))
         if self.witnesses % 2 == 0:
--- a/willownotch/replica/simulated.py
+++ b/willownotch/replica/simulated.py
@@ -221,6 +221,7 @@
         self.now, self._count, self._lives = 0.0, 0, 0
         self.delay, self.loss = 0.002, 0.0
         self.cut: Callable[[str, str], bool] = lambda source, target: False
+        self.around: Callable[[str, str], bool] = lambda observer, name: False  # known by way of others
         self.senders: dict[str, Sender] = {}
         self.disks: dict[str, Disk] = {}
         self.skew: dict[str, float] = {}  # s that a member's time of day is off
@@ -276,7 +277,8 @@
         for name, sender in self.senders.items():
             if name == observer:
                 continue
-            heard = not sender.stalled and not self.cut(name, observer) and not self.cut(observer, name)
+            heard = not sender.stalled and (self.around(observer, name) or not (
+                self.cut(name, observer) or self.cut(observer, name)))
             if heard:
                 self._gone_at.pop((observer, name), None)
             gone_at = self._gone_at.setdefault((observer, name), self.now) if not heard else self.now
