--- a/willownotch/usage/core.py
+++ b/willownotch/usage/core.py
@@ -369,11 +369,13 @@
         """Fold the lives that are over and that every instance holds as it is held here."""
         if not (self.lone or self._answered_at is not None):
             return  # others may hold more
+        over = [life for life in self.lives.values()
+                if life is not self.own and not life.stale and self._over(now, life)]
+        if not over:
+            return
         askers = {name: self._current.get(name) for name in self._members}
         folded = False
-        for life in list(self.lives.values()):
-            if life is self.own or life.stale or not self._over(now, life):
-                continue
+        for life in over:
             claims = self._claims.get(life.id, {})
             if all(asker is not None and claims.get(asker) == life.upto for asker in askers.values()):
                 self._fold(life)
