--- a/tests/test_peers_story.py
+++ b/tests/test_peers_story.py
@@ -84,6 +84,11 @@
         if name in self.fleet.running:
             self.fleet.count(name, (b"acme", "status"), number)
 
+    @invariant()
+    def its_size_is_what_it_holds_to_be_there(self):
+        for member in self.net.members.values():
+            assert member.size() == 1 + len(member.alive())
+
     @invariant()
     def no_incarnation_goes_down(self):
         for name in self.fleet.running:
--- a/willownotch/peers/core.py
+++ b/willownotch/peers/core.py
@@ -119,7 +119,7 @@
         self._order: list[str] = []  # those still to be probed in this round
         self._probes: dict[int, Probe] = {}
         self._relayed: dict[int, Relayed] = {}
-        self._size: int | None = None  # until a member's state changes
+        self._size = 1  # members that are there, this one counted
         self.now = 0.0
 
     # What is asked of it
@@ -130,8 +130,6 @@
 
     def size(self) -> int:
         """Members that are there, this one counted."""
-        if self._size is None:
-            self._size = 1 + sum(m.state <= State.SUSPECT for m in self.members.values())
         return self._size
 
     # What is fed to it
@@ -346,8 +344,9 @@
     def _meet(self, rumour: Rumour, why: str) -> None:
         member = Member(rumour.name, rumour.address, rumour.uid, rumour.incarnation, rumour.state, self.now,
                         why)
+        former = self.members.get(rumour.name)
+        self._size += (member.state <= State.SUSPECT) - (former is not None and former.state <= State.SUSPECT)
         self.members[rumour.name] = member
-        self._size = None
         self._rumours.add(rumour)
         if rumour.state <= State.SUSPECT:
             self._tell(member, Change.JOINED, why)
@@ -357,7 +356,7 @@
 
     def _change(self, member: Member, rumour: Rumour, why: str) -> None:
         was, moved = member.state, rumour.address != member.address
-        self._size = None
+        self._size += (rumour.state <= State.SUSPECT) - (was <= State.SUSPECT)
         member.incarnation, member.state, member.address = rumour.incarnation, rumour.state, rumour.address
         self._rumours.add(rumour)
         if moved:
@@ -473,7 +472,6 @@
         for member in [m for m in self.members.values() if m.state > State.SUSPECT]:
             if self.now - member.since > kept:
                 del self.members[member.name]
-                self._size = None
 
     def _tell_all(self, address: Address, wanted: bool) -> None:
         """All that is known, in pieces of one datagram each; only the first asks for the other's."""
