Tell the end of a message in a call of several only once the call is closed, lest it be out twice

Ruled out: attempts counted wrongly in the module (a trace of all sends and ends shows each attempt ended before the next). At fault: net/south.py, call_off() and _exchange_together(). A message of a call of several that was called off, or whose own time-out came, was told as ended while the call went on for the others, so it was sent again beside a call that still had it. It needs two messages of unlike patience in one call, such as one that may not run twice, and a partner that hangs; with the module as it is it was luck.

Now such a message's end is told when its connection is closed, or at its own deadline, after which nobody sends it again. Test: two messages in one call, a host that is silent; before, the safe one came a second time after 1.0 s of the call's 6, now after it.

--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -42,11 +42,13 @@
 
 
 class Together(unittest.TestCase):
+    settings = MANY
+
     def setUp(self):
         self.host = Partner()
         self.discovery = Discovery([self.host])
         self.sender = Sender(self.discovery)
-        text = {**self.sender.text, "settings": MANY}
+        text = {**self.sender.text, "settings": self.settings}
         self.sender.close()
         self.sender = Sender(text={**text, "discovery": self.discovery.address})
         for thing in (self.host, self.discovery, self.sender):
@@ -114,3 +116,28 @@
         self.host.script.put(None)
         self.together(refs)
         until(lambda: self.ends() == dict.fromkeys(refs, "given_up"))
+
+
+class Waiting(unittest.TestCase):
+    setUp, ends = Together.setUp, Together.ends
+    settings = {**MANY, "services": [{**entry, "promiseS": 0.5} for entry in MANY["services"]],
+                "familyInfo": {**MANY["familyInfo"], "slots": 4},
+                "policyLimits": {**MANY["policyLimits"], "secondCopies": False}}
+
+    def test_one_that_is_not_waited_for_is_sent_again_only_once_its_call_is_closed(self):
+        self.host.held.clear()
+        first = [self.sender.hand_in("order")[0] for _ in range(3)]  # all that one partner may have
+        until(lambda: sorted(self.host.refs()) == sorted(first))
+        safe, _ = self.sender.hand_in("status")  # waited for for a second
+        fee, _ = self.sender.hand_in("fee", left=6000)  # until its end: it may not run twice
+        for _ in first:
+            self.host.script.put((200, ()))
+        self.host.pass_one()
+        until(lambda: sorted(self.host.groups[-1]) == sorted([safe, fee]))
+        until(lambda: self.host.refs().count(safe) == 2)
+        (at, _, _), (again, _, _) = self.host.calls[3:]
+        self.assertGreater(again - at, 4.0)  # with the fee's time, which closed the call, not with its own
+        self.host.held.set()
+        self.sender.settled()
+        self.assertEqual((self.host.refs().count(safe), self.host.refs().count(fee)), (2, 1))
+        self.assertEqual(self.ends(), {fee: "given_up"})
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -51,6 +51,15 @@
     remote: bool = False  # made by the process before this one, which tells its end
     told: bool = False  # its end was told
     together: tuple[Relay, ...] = ()  # all of its call, where it is not alone in one
+    late: bool = False  # it is not waited for any more, but its call goes on for others
+
+    def waited_for(self) -> bool:
+        """Whether its call is kept open for it."""
+        return not (self.told or self.late or self.called_off)
+
+    def next_at(self) -> datetime:
+        """When there is something to do about it while its call goes on."""
+        return self.ends_at if self.waited_for() else self.taken.ends_at - END_MARGIN
 
 
 @dataclass(slots=True)
@@ -169,14 +178,14 @@
             self.call_off(relay)
 
     def call_off(self, relay: Relay) -> None:
-        """Stop waiting for a relay: its connection is closed."""
+        """Stop waiting for a relay: its connection is closed, unless its call goes on for others.
+
+        Then its end is told with the call's: until the connection is closed it would be out twice if it were
+        sent again. """
         with relay.lock:
             relay.called_off = True
-            others = [other for other in relay.together if not other.called_off and not other.told]
-            if relay.sock is not None and not others:
+            if relay.sock is not None and not any(other.waited_for() for other in relay.together):
                 self._shut(relay.sock)
-        if others:  # their call goes on without it
-            self._tell(RelayEnded(relay, Outcome.CALLED_OFF if relay.opened else Outcome.NOT_SENT))
 
     def close_idle(self, number: int) -> None:
         """Close the kept connections to a host, listed or not."""
@@ -379,14 +388,14 @@
             while (found := parser.next()) is None:
                 if parser.eof:
                     raise ConnectionResetError
-                waiting = [relay for relay in relays if not relay.told]
                 now = self.clock.now()
-                for relay in waiting:
-                    if relay.ends_at <= now:  # its time is over, whatever becomes of the others
+                for relay in relays:
+                    relay.late = relay.late or relay.ends_at <= now
+                    if relay.next_at() <= now:  # nobody sends it again: its end need not wait for the others
                         self._tell(RelayEnded(relay, Outcome.TIMED_OUT))
-                if all(relay.told for relay in waiting):
+                if not any(relay.waited_for() for relay in relays):
                     raise TimeoutError
-                soonest = min(relay.ends_at for relay in waiting if not relay.told)
+                soonest = min(relay.next_at() for relay in relays if not relay.told)
                 sock.settimeout(seconds(max(LEAST_TIME, soonest - now)))
                 try:
                     parser.feed(sock.recv(http.READ))
