--- a/benchmarks/peers_scale.py
+++ b/benchmarks/peers_scale.py
@@ -304,6 +304,11 @@
         runs = [run.result() for run in [workers.submit(
             story, *case, SHORT_S if case[0] == "all to all" and case[1] > MOST_ALL else chosen.seconds, 1)
             for case in cases]]
+    report(runs, chosen.seconds)
+
+
+def report(runs, seconds):
+    """The table of all stories, also of those that a run printed before it was ended."""
     runs.sort(key=lambda run: (run["size"], run["way"] != "ours", run["way"], run["loss"]))
     lines = ["| members | way | loss | datagrams/s | bytes/s | of it counts | living suspected | held for "
              "dead | death known, s | return known, s | of counts 2 s old, missing: median (worst) | "
@@ -319,7 +324,7 @@
                  f"{run['now']:.2%} ({run['now_worst']:.2%})", inside,
                  f"{run['age']:.1f} ({run['age_worst']:.1f})" if "age" in run else ""]
         lines.append(f"| {' | '.join(map(str, cells))} |")
-    write("peers-scale", f"benchmarks/peers_scale.py --seconds {chosen.seconds:g}", [
+    write("peers-scale", f"benchmarks/peers_scale.py --seconds {seconds:g}", [
         "Simulated time, one seed, 5 to 10 ms on the way. Datagrams and bytes are those that a member sends.",
         "'Living suspected' counts each time that a member came to suspect a living one; of the plain ways, "
         "each time that one was silent for 5 s.", "", *lines], {"runs": runs})
