Test counts with processes whose folders are old copies or empty

At 20% loss, three senders: killed and begun again with a copy that knows three of seven messages, then with nothing, all hold eight and nine. Fails where a sender does not take what others hold of its own former lives.

--- a/tests/test_mesh_sockets.py
+++ b/tests/test_mesh_sockets.py
@@ -3,6 +3,7 @@
 
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -50,6 +51,34 @@
     fleet.all_hold(6)
 
 
+def test_an_old_folder_and_an_empty_one_under_an_old_name_lose_no_count(meshed, tmp_path):
+    fleet = meshed(3, weather=Weather(loss=0.2))
+    one = fleet.senders[1]
+
+    def back(folder=None):
+        """It is killed, and begins with another folder."""
+        one.process.kill()
+        one.process.wait(toys.PATIENCE)
+        shutil.rmtree(one.state)
+        if folder is not None:
+            shutil.copytree(folder, one.state)
+        one.start()
+        fleet.found(1)
+    for _ in range(3):
+        one.hand_in("status")
+    fleet.all_hold(3)
+    shutil.copytree(one.state, tmp_path / "old", ignore=shutil.ignore_patterns("handover"))  # a socket
+    for _ in range(4):
+        one.hand_in("status")
+    fleet.all_hold(7)
+    back(tmp_path / "old")  # which knows of three
+    one.hand_in("status")
+    fleet.all_hold(8)
+    back()
+    one.hand_in("status")
+    fleet.all_hold(9)
+
+
 def test_who_ends_tells_its_last_counts_and_leaves(meshed):
     fleet = meshed(2)
     fleet.senders[1].hand_in("status")
