--- a/benchmarks/peers_scale.py
+++ b/benchmarks/peers_scale.py
@@ -16,7 +16,7 @@
 
 import msgspec
 import numpy as np
-from rig import write
+from rig import RESULTS, write
 
 from willownotch.peers.core import Change, Send
 from willownotch.peers.lossy import Network, Weather
@@ -327,7 +327,28 @@
     write("peers-scale", f"benchmarks/peers_scale.py --seconds {seconds:g}", [
         "Simulated time, one seed, 5 to 10 ms on the way. Datagrams and bytes are those that a member sends.",
         "'Living suspected' counts each time that a member came to suspect a living one; of the plain ways, "
-        "each time that one was silent for 5 s.", "", *lines], {"runs": runs})
+        "each time that one was silent for 5 s.", "", *lines, "", "![](peers-scale.png)"], {"runs": runs})
+    chart(runs)
+
+
+def chart(runs):
+    """Bytes a second by the number of members, and what counts 2 s old lack."""
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(10, 4))
+    for way in ("ours", "all to all", "plain gossip"):
+        for loss, style in ((0.0, "-"), (0.3, "--")):
+            some = [run for run in runs if (run["way"], run["loss"]) == (way, loss)]
+            sizes, label = [run["size"] for run in some], f"{way}, {loss:.0%} lost"
+            left.plot(sizes, [run["bytes"] / 1000 for run in some], style, marker="o", label=label)
+            right.plot(sizes, [100 * run["error"] for run in some], style, marker="o", label=label)
+    left.set(xscale="log", yscale="log", xlabel="members", ylabel="KB a second sent by a member")
+    right.set(xscale="log", xlabel="members", ylabel="% of counts 2 s old that are missing")
+    left.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(RESULTS / "peers-scale.png", dpi=100)
 
 
 if __name__ == "__main__":
