--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -194,7 +194,8 @@
 class Configuration(unittest.TestCase):
     def test_both_readers_of_settings_agree(self):
         """The simulator's and the real sender's settings are one object: they must be read alike."""
-        for settings in (SETTINGS, json.loads((ROOT / "examples/config.json").read_text())["settings"]):
+        files = [json.loads((ROOT / "examples" / name).read_text()) for name in ("config.json", "rooms.json")]
+        for settings in (SETTINGS, *(file["settings"] for file in files)):
             text = json.dumps(settings).encode()
             entry = configs.msgspec.json.decode(text, type=configs.SettingsEntry)
             self.assertEqual(configs.module_settings(entry), read_settings(settings))
--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -520,7 +520,8 @@
 
     def test_version_and_check(self):
         self.assertRegex(self.run_it("version").stdout, r"^willownotch \d")
-        self.assertEqual(self.run_it("check", "--config", "examples/config.json").returncode, 0)
+        for name in ("config", "rooms"):
+            self.assertEqual(self.run_it("check", "--config", f"examples/{name}.json").returncode, 0)
 
     def test_the_example_delivers_as_written(self):
         toy = subprocess.Popen([sys.executable, "examples/toy.py", "--port", "0"], cwd=ROOT, text=True,
