--- a/willownotch/replica/ids.py
+++ b/willownotch/replica/ids.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from datetime import datetime
 
+from willownotch.replica.wire import About
+
 STEPS_MOST = 512  # that are kept for keepers that lag; who is further behind is told all
 RESEND, RESEND_MOST = 0.1, 1.0  # s without a word before a step is sent again; doubles
 BEAT = 5.0  # s between two words to a keeper that has everything
@@ -20,7 +22,7 @@
 class Index:
     """What a keeper knows. `at` is the step up to which it does; -1: it has not been told all of it."""
 
-    about: object  # wire.About
+    about: About
     term: int
     heard_at: float
     refs: dict[str, float]  # ids, and when their deadlines are by this clock
