Forget a book in one place, and tell keepers a whole list of ids without reading bodies

Read again: core.py let go of a book in five places, of which two also dropped what is known of it only while it is owned; the other three left that behind. _disown() does it for all.

The wait before another try was written twice (books.resend_after now), and lease_raft.py kept times that nothing read.

No behaviour meant to change.

--- a/benchmarks/lease_raft.py
+++ b/benchmarks/lease_raft.py
@@ -63,7 +63,7 @@
         addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in socks]
         for sock in socks:
             sock.close()
-        self.holds, self.times = [False] * MEMBERS, [[] for _ in range(MEMBERS)]
+        self.holds = [False] * MEMBERS
         self.processes = []
         for n, own in enumerate(addresses):
             others = [a for a in addresses if a != own]
@@ -75,7 +75,6 @@
     def _read(self, n: int) -> None:
         for line in self.processes[n].stdout:
             self.holds[n] = line.strip() == "held"
-            self.times[n].append((time.monotonic(), self.holds[n]))
 
     def holders(self, among) -> list[int]:
         """Who says that it holds it, of these."""
--- a/willownotch/replica/books.py
+++ b/willownotch/replica/books.py
@@ -19,9 +19,15 @@
 BATCH = 64 * 1024  # bytes of records in one frame
 LOG_MOST = 2 * 1024 * 1024  # bytes kept for replicas that lag; who is further behind is filled
 TERM_SHIFT = 20  # a term's versions of the set of replicas begin at the term, shifted by so much
+RESEND, RESEND_MOST = 0.1, 1.0  # s without a word before something is sent again; doubles
 ROUNDS = 32  # rounds of claims whose grants still count
 
 
+def resend_after(tries: int) -> float:
+    """Seconds to wait for an answer before the next try."""
+    return min(RESEND_MOST, RESEND * 2 ** tries)
+
+
 @dataclass(slots=True)
 class Follower:
     """A replica as its owner knows it. `acked` is the number of a record; None until it has told where it
--- a/willownotch/replica/core.py
+++ b/willownotch/replica/core.py
@@ -16,7 +16,7 @@
 
 from willownotch.journal.records import Entry
 from willownotch.replica import copies, wire
-from willownotch.replica.books import Answer, Follower, Owned, Stage
+from willownotch.replica.books import RESEND, Answer, Follower, Owned, Stage, resend_after
 from willownotch.replica.copies import Copy, Ordered
 from willownotch.replica.ids import Ids, Index
 from willownotch.replica.placement import ranked, witness_count, witnesses
@@ -24,8 +24,6 @@
 from willownotch.replica.terms import Register, Term
 from willownotch.replica.wire import START, About
 
-RESEND = 0.1  # s without a word before records are sent again; doubles up to the lease
-RESEND_MOST = 1.0
 UNFIT_SPANS, UNFIT_MOST = 2, 30.0  # leases (s at the most) that who did not answer is not chosen for; doubles
 FILL_AGAIN = 1.0  # s after the last part, before a fill that nobody acknowledged begins anew
 KEEP_AFTER = 60.0  # s behind the last deadline in it that a copy nobody owns is kept
@@ -239,8 +237,9 @@
     def declined(self, now: float, book: str) -> list[Action]:
         """There is no room for a book that was won: somebody else is to have it."""
         self.now = max(self.now, now)
-        owned = self.owned.pop(book, None)
+        owned = self.owned.get(book)
         if owned is not None:
+            self._disown(book)
             self._claim(owned, release=True)
             self._try_at[book] = self.now + 4 * self._span()
         return self._done()
@@ -517,7 +516,7 @@
     def _stand_back(self, owned: Owned, wait: float) -> None:
         """Claims came to nothing: let others have what was granted, and try again later."""
         self._claim(owned, release=True)
-        self.owned.pop(owned.book, None)
+        self._disown(owned.book)
         self._try_at[owned.book] = self.now + wait + self._pause()
 
     def _believe(self, book: str, refused: wire.Refused) -> None:
@@ -538,9 +537,8 @@
             copy.about = msgspec.structs.replace(copy.about, owner="", life=0)
 
     def _lose(self, owned: Owned, term: int, owner: str) -> None:
-        del self.owned[owned.book]
+        self._disown(owned.book)
         self._terms[owned.book] = max(self._terms.get(owned.book, 0), term)
-        self._drop_tables(owned.book)
         if self.current == owned.book:
             self.current = None
         if self._former.pop(owned.book, None) is not None:
@@ -662,7 +660,7 @@
                 self._pour(owned, follower)
                 continue
             lags = follower.acked is None or follower.acked < owned.last
-            wait = min(RESEND_MOST, RESEND * 2 ** follower.tries) if lags else self._span() / 3
+            wait = resend_after(follower.tries) if lags else self._span() / 3
             if self.now - max(follower.sent_at, follower.heard_at if lags else 0.0) >= wait:
                 follower.tries = min(follower.tries + 1, 8) if lags else 0
                 if follower.acked is not None:
@@ -685,8 +683,7 @@
         for name in owned.names():
             self._send(name, wire.Close(self.name, owned.book, owned.term))
         self._let_keepers_go(owned, self._ids.get(owned.book, Ids()).keepers)
-        del self.owned[owned.book]
-        self._drop_tables(owned.book)
+        self._disown(owned.book)
         self._over[owned.book] = None
         while len(self._over) > OVER_MOST:
             del self._over[next(iter(self._over))]
@@ -748,7 +745,7 @@
             if pending.stage is Stage.OWNED:
                 pending.fresh = False  # its replicas do not answer; it is empty, and will be closed
             else:
-                del self.owned[pending.book]  # its claims came to nothing
+                self._disown(pending.book)  # its claims came to nothing
         if current is not None:
             here = sum(name in names or name == self.name for name in current.about.witnesses)
             could = witness_count(len(names) + 1, self.settings.witnesses)
@@ -974,9 +971,8 @@
             if not ids.wants(self.now, name):
                 continue
             found, about = ids.next(self.now, name), None
-            if found is None:  # what is owed by now, as the journal may be ahead of what was told here
-                after, over, about = -1, (), owned.about
-                owed = {e.taken.ref: e.taken.ends_at for _, e in self.snapshot(owned.book)[1]}
+            if found is None:
+                after, owed, over, about = -1, owned.open, (), owned.about
             else:
                 after, (owed, over) = found
             left = tuple((ref, max(0, round((at - self._wall).total_seconds() * 1000)))
@@ -992,9 +988,9 @@
 
     # Small things
 
-    def _drop_tables(self, book: str) -> None:
-        """What is known of a book only for as long as it is owned."""
-        for table in (self._ids, self._desired):
+    def _disown(self, book: str) -> None:
+        """Forget a book as one that is owned or claimed, and what is known of it only for as long."""
+        for table in (self.owned, self._ids, self._desired):
             table.pop(book, None)
 
     def _act(self, action: Action) -> None:
--- a/willownotch/replica/ids.py
+++ b/willownotch/replica/ids.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass, field
 from datetime import datetime
 
+from willownotch.replica.books import resend_after
 from willownotch.replica.wire import About
 
 STEPS_MOST = 512  # that are kept for keepers that lag; who is further behind is told all
-RESEND, RESEND_MOST = 0.1, 1.0  # s without a word before a step is sent again; doubles
 BEAT = 5.0  # s between two words to a keeper that has everything
 
 Change = tuple[dict[str, datetime], tuple[str, ...]]  # ids with their deadlines, ids that are over
@@ -105,7 +105,7 @@
         keeper = self.keepers[name]
         if 0 <= keeper.sent < self.step:
             return True
-        wait = min(RESEND_MOST, RESEND * 2 ** keeper.tries) if keeper.at < self.step else BEAT
+        wait = resend_after(keeper.tries) if keeper.at < self.step else BEAT
         return now - keeper.sent_at >= wait
 
     def next(self, now: float, name: str) -> tuple[int, Change] | None:
