Hear a silent list again before it counts as told, and notices by a new connection

Seen by reading, for the term that a change counts as told 6 s after discovery had it: a watch that fell silent was noticed after 5 s and made anew after a draw from 0.2 s for each other sender, 30 s at 151 of them, also where the list comes from an agent on the sender's own machine that answers at once and for nothing (registry.py, SILENCE and Backoff). Now the parts have one budget: silence 3 s (a line comes every 2 s), connecting 0.5 s, first word and wait within the rest. An agent is asked again within 0.3 s.

Mended with it: silence is counted from whole lines, so that a trickle is silent; a list may be indented over lines (each line alone was nonsense); a move of discovery between the making of a connection and its connect left the watch at the old address for good; a notice on a kept connection that fell silent waited 1 s, twice what an end may be late, and now goes by a new one after 150 ms.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,17 @@
 
 from willownotch.interface import Note, Outcome, Rules, Timer
 from willownotch.net.clock import seconds
-from willownotch.net.registry import AGAIN_LONG, Backoff
+from willownotch.net.registry import (
+    AGAIN_BUSY,
+    AGAIN_PUSHED,
+    AGAIN_SILENT,
+    CONNECT,
+    FIRST_WORD_ASKED,
+    FIRST_WORD_PUSHED,
+    SILENCE,
+    TOLD_AFTER,
+    Backoff,
+)
 
 SENDERS, LIMIT = 40, 80.0
 RULES = Rules(cold_share=0.2, cold_s=10.0)
@@ -108,7 +118,7 @@
         if free_at - at < patience:
             again[n] = free_at
         else:
-            heapq.heappush(calls, (at + patience + seconds(waits[n].next()), n))
+            heapq.heappush(calls, (at + patience + seconds(waits[n].next(AGAIN_BUSY)), n))
     return again
 
 
@@ -123,11 +133,23 @@
 
 def test_the_wait_for_a_watch_has_a_bound_however_many_senders_there_are():
     backoff = Backoff(10_000, lambda: 0.0)
-    assert [backoff.next() for _ in range(3)] == [AGAIN_LONG] * 3
+    assert [backoff.next() for _ in range(3)] == [AGAIN_BUSY] * 3
     backoff.reset()
     assert Backoff(1, lambda: 0.0).next() == timedelta(milliseconds=100)
 
 
+@pytest.mark.parametrize(("senders", "each_ms"), [(1, 200), (3, 200), (30, 200), (200, 20), (1400, 1)])
+def test_what_discovery_tells_is_heard_before_it_counts_as_told(senders, each_ms):
+    """A new watch was waited for up to 30 s with 200 senders, after 5 s of silence."""
+    asked, pushed = Backoff(senders, lambda: 0.0), Backoff(draw=lambda: 0.0)
+    asked.reset(timedelta(milliseconds=each_ms))
+    for _ in range(6):  # however often it was tried
+        assert SILENCE + asked.next(AGAIN_SILENT) + CONNECT + FIRST_WORD_ASKED <= TOLD_AFTER
+        assert asked.next() + CONNECT + FIRST_WORD_ASKED <= TOLD_AFTER
+        # An agent can fall silent and come back between two tries: both fit.
+        assert SILENCE + 2 * (pushed.next(AGAIN_PUSHED) + CONNECT) + FIRST_WORD_PUSHED < TOLD_AFTER
+
+
 class Limited:
     """A partner with a limit that refused calls use up too, told by each answer with what is left of it."""
 
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -25,7 +25,7 @@
 from willownotch.net.log import MOST, Log
 from willownotch.net.north import RefusedError, read_message
 from willownotch.net.owner import Answer, Owner, Verdict
-from willownotch.net.registry import Host, Hosts, Lines
+from willownotch.net.registry import Host, Hosts, News
 from willownotch.net.south import Relay, South, read_load, read_outcome, read_wait
 from willownotch.net.ticket import Ticket
 
@@ -206,12 +206,25 @@
             with self.assertRaises(configs.ConfigError, msg=text):
                 configs.read_address(text, "x")
 
-    def test_lines_of_a_watch(self):
-        for size in (1, 3, 50):
-            lines, out, data = Lines(), [], b'{"a":1}\n\n{"b":\xc3\xa4}\r\nrest'
+    def test_lists_of_a_watch_however_they_are_cut_and_indented(self):
+        """A list over several lines was nonsense line by line: no watch ever gave one."""
+        entry = {"name": "s-\u00e4", "address": "127.0.0.1:1", "group": 1, "status": "Ready"}
+        lists = [{"index": n, "snapshot": True, "endpoints": [entry] * n} for n in range(4)]
+        texts = [json.dumps(each, indent=n) for each, n in zip(lists, (None, 2, 4, None), strict=True)]
+        data = ("\r\n\n".join(texts) + "\n{").encode()
+        for size in (1, 3, 50, 5000):
+            news, out = News(), []
             for at in range(0, len(data), size):
-                out += lines.feed(data[at:at + size])
-            self.assertEqual(out, [b'{"a":1}', b"", b'{"b":\xc3\xa4}'])
+                out += news.feed(data[at:at + size])[0]
+            self.assertEqual([(each.index, len(each.endpoints)) for each in out], [(n, n) for n in range(4)])
+
+    def test_what_is_no_list_breaks_a_watch_off_at_once(self):
+        for data in (b"{nonsense\n", b"[1]\n", b"}\n", b'{"index":1,\n\n', b'{"index":1,\n"x":}\n'):
+            with self.assertRaises((msgspec.DecodeError, http.BadMessageError), msg=data):
+                News().feed(data)
+        news = News()
+        self.assertEqual(news.feed(b"\n"), ([], True))
+        self.assertEqual(news.feed(b'{"index"'), ([], False))  # a part of a line is no sign of life
 
 
 def taken(ref, body=b"b", key="k"):
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -228,7 +228,7 @@
             sys.stderr.flush()
             os._exit(FAULTY)
 
-    registry = Registry(config, platform, log, owner.post)
+    registry = Registry(config, platform, log, clock, owner.post)
     if estate is not None:
         south.adopt(estate.waits, legacy.idle)
         if estate.discovery == config.discovery:  # else its versions say nothing
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -110,6 +110,7 @@
     costs: Costs = Costs()
     callers: Callers = Callers()
     period_s: float = 0.005
+    discovery: str = "automatic"
     over_share_worth: float = 1.0
     weight_kind: str = "none"
     zones: list[str] = []
@@ -175,6 +176,7 @@
     period: timedelta
     management: tuple[str, int] | None = None  # where operators call; nowhere without it
     rules: dict[str, Rules] = {}  # of each class, for the messages that are taken from now on
+    asked: bool = False  # discovery is one service for all senders, not an agent on this machine
     keys: frozenset[str] = frozenset()  # that the file has: one that replaces it may not be short of any
 
 
@@ -266,6 +268,7 @@
         keepalive=timedelta(seconds=policy.keepalive_s or 60.0),
         period=timedelta(seconds=min(MOST_PERIOD_S, max(0.0, file.settings.period_s))),
         management=read_address(called_at, "the management address") if called_at else None,
+        asked=file.settings.discovery == "subscribe",
         keys=keys, rules={c.name: rules_of(c, settings.max_attempts) for c in settings.classes},
     )
 
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -17,16 +17,27 @@
 from willownotch.net.config import Config, ConfigError, ListedEndpoint, ListNews, read_address
 from willownotch.net.log import Log
 
-SILENCE = timedelta(seconds=5)  # a watch says something every 2 s: two lines missed and it is made anew
-FIRST_WORD = timedelta(seconds=3)  # a watch is answered at once, or within 2 s by a busy platform
-CONNECT = timedelta(seconds=1)
+# What discovery has to tell counts as told 6 s later, if it could be reached, and a little after that nothing
+# more may go to an endpoint that it says is gone. Within that a silent watch is noticed, made anew and heard.
+TOLD_AFTER = timedelta(seconds=6)
+SILENCE = timedelta(seconds=3)  # a watch ends a line every 2 s: half as late again, and it is made anew
+CONNECT = timedelta(milliseconds=500)
+# An agent on this machine answers at once and for nothing, and what it has counts as told: it is asked often.
+# A service for all senders answers one after the other, for a price, and with 503 what waits for too long.
+FIRST_WORD_PUSHED, FIRST_WORD_ASKED = timedelta(milliseconds=500), timedelta(seconds=2)
 AGAIN_FIRST, AGAIN_MOST = timedelta(milliseconds=100), timedelta(seconds=1)  # between tries, doubling
-CALL_EACH = timedelta(milliseconds=200)  # x other senders: a platform short of time answers each within that
-AGAIN_LONG = timedelta(seconds=30)  # the most, however many senders there are
-NOTICE_TIME = timedelta(seconds=1)  # a notice is answered at once: what takes longer is lost
+AGAIN_PUSHED = timedelta(milliseconds=300)  # the most, where an agent is asked
+CALL_EACH = timedelta(milliseconds=200)  # x other senders: a service short of time answers each within that
+CALL_LEAST = timedelta(milliseconds=5)  # however soon the last one was answered
+AGAIN_LONG = TOLD_AFTER - CONNECT - FIRST_WORD_ASKED  # the most, if all can be answered
+AGAIN_SILENT = AGAIN_LONG - SILENCE  # and after a silence, which has taken its time
+# A service that is down refuses at once. One that is asked by too many lets them wait, and wants them apart.
+AGAIN_BUSY, BUSY_AFTER = timedelta(seconds=30), timedelta(milliseconds=300)
+# A notice is answered at once: what takes longer is lost, with its connection. Each try waits for longer.
+NOTICE_FIRST, NOTICE_MOST = timedelta(milliseconds=150), timedelta(seconds=1)
 NOTICES_MOST = 64  # notices in one call
 GONE_KEPT = timedelta(seconds=60)  # how long a host that left the list keeps its number
-LINE_MOST = 4 << 20  # bytes of one line of a watch
+NEWS_MOST = 4 << 20  # bytes of one list of a watch
 READINESS = {
     "Ready": face.Readiness.SERVING, "Terminating": face.Readiness.DRAINING, "Gone": face.Readiness.GONE,
 }
@@ -146,20 +157,38 @@
         return any(host.destination == destination for host in list(self.by_number.values()))
 
 
-class Lines:
-    """Cuts bytes into lines as they come."""
+class News:
+    """Cuts bytes into lines as they come, and the lines into lists: one may be indented over many lines."""
 
     def __init__(self) -> None:
         self._rest = bytearray()
+        self._begun = bytearray()  # whole lines of a list that is not whole yet
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """The lines that are whole now."""
+    def feed(self, data: bytes) -> tuple[list[ListNews], bool]:
+        """The lists that are whole now, and whether any line was. What can be no list is `DecodeError`."""
         self._rest += data
         *lines, rest = self._rest.split(b"\n")
         self._rest = bytearray(rest)
-        if len(self._rest) > LINE_MOST:
-            raise http.BadMessageError(413, "a line of the watch is too long")
-        return [bytes(line).strip() for line in lines]
+        if len(self._rest) + len(self._begun) > NEWS_MOST:
+            raise http.BadMessageError(413, "a list of the watch is too long")
+        return [news for line in lines if (news := self._line(bytes(line).strip())) is not None], bool(lines)
+
+    def _line(self, line: bytes) -> ListNews | None:
+        if not line:
+            if self._begun:
+                raise http.BadMessageError(400, "a list of the watch breaks off")
+            return None
+        first, self._begun = not self._begun, self._begun + line
+        if not first and not line.endswith(b"}"):  # only there a list can end
+            return None
+        try:
+            news = msgspec.json.decode(self._begun, type=ListNews)
+        except msgspec.DecodeError as fault:
+            if "truncated" in str(fault):  # indented: more is to come
+                return None
+            raise
+        self._begun = bytearray()
+        return news
 
 
 class Backoff:
@@ -170,19 +199,21 @@
     """
 
     def __init__(self, senders: int = 1, draw: Callable[[], float] = random.random) -> None:
-        all_once = (senders - 1) * CALL_EACH
-        self.first = min(AGAIN_LONG, max(AGAIN_FIRST, all_once))
-        self.most = min(AGAIN_LONG, max(AGAIN_MOST, 2 * all_once))
-        self.span, self.draw = self.first, draw
+        self.others, self.draw, self.each, self.tries = senders - 1, draw, CALL_EACH, 0
 
-    def next(self) -> timedelta:
-        """How long to wait now."""
-        span, self.span = self.span, min(self.most, 2 * self.span)
-        return span * (1.0 - self.draw())
+    def next(self, most: timedelta = AGAIN_LONG) -> timedelta:
+        """How long to wait now: `most` at the most, unless all senders could not be answered so soon.
 
-    def reset(self) -> None:
-        """After a success."""
-        self.span = self.first
+        To ask for what cannot be had in time would only have it come later still.
+        """
+        all_once = self.others * self.each
+        span = min(max(AGAIN_MOST, 2 * all_once), 2 ** self.tries * max(AGAIN_FIRST, all_once))
+        self.tries = min(10, self.tries + 1)
+        return min(span, most if all_once <= 2 * AGAIN_LONG else AGAIN_BUSY) * (1.0 - self.draw())
+
+    def reset(self, took: timedelta = CALL_EACH) -> None:
+        """After a success, that took so long: what is answered sooner lets more ask at once."""
+        self.tries, self.each = 0, min(CALL_EACH, max(CALL_LEAST, took))
 
 
 class Platform:
@@ -221,6 +252,9 @@
             sock.settimeout(seconds(CONNECT))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.connect(address)
+            with self._changed:  # a move that came before the connection was there could not end it
+                if self.moves != moves:
+                    raise ConnectionAbortedError("the platform has moved")
         except OSError:
             self.close(sock)
             raise
@@ -238,26 +272,40 @@
             self._changed.wait_for(lambda: self.moves != moves, seconds(span))
 
 
+class SilentError(TimeoutError):
+    """A watch that had spoken says nothing any more."""
+
+
+class BusyError(OSError):
+    """A watch was turned away by a service that has more to do than it can."""
+
+
 class Registry:
     """Watches the list for good: a watch that breaks, is silent or talks nonsense is made anew."""
 
-    def __init__(self, config: Config, platform: Platform, log: Log,
+    def __init__(self, config: Config, platform: Platform, log: Log, clock: Clock,
                  tell: Callable[[ListNews], None]) -> None:
-        self.platform, self.log, self.tell = platform, log, tell
+        self.platform, self.log, self.clock, self.tell = platform, log, clock, tell
         self.index, self._index_moves = config.known.index if config.known else 0, platform.moves
-        self._backoff = Backoff(config.settings.senders)
+        self.first_word = FIRST_WORD_ASKED if config.asked else FIRST_WORD_PUSHED
+        self._backoff = Backoff(config.settings.senders if config.asked else 1)
+        self._again = AGAIN_LONG if config.asked else AGAIN_PUSHED
 
     def run(self) -> None:
         """Watch until the process ends."""
         while True:
-            moves = self.platform.moves
+            moves, most = self.platform.moves, self._again
             try:
                 self._watch()
                 why = "it was ended"
+            except SilentError as fault:
+                why, most = str(fault), min(most, AGAIN_SILENT)
+            except BusyError as fault:
+                why, most = str(fault), AGAIN_BUSY
             except (OSError, http.BadMessageError, msgspec.DecodeError, UnicodeDecodeError) as fault:
                 why = str(fault) or type(fault).__name__
             self.log.say("watch", f"broken off, the last list is kept: {why}")
-            self.platform.pause(self._backoff.next(), moves)
+            self.platform.pause(self._backoff.next(most), moves)
 
     def _watch(self) -> None:
         sock, name, moves = self.platform.connect()
@@ -266,30 +314,40 @@
             self.index, self._index_moves = 0, moves
             self._backoff.reset()
         try:
-            sock.settimeout(seconds(FIRST_WORD))
+            # Counted from whole lines: what trickles is as silent as what says nothing.
+            asked, heard = self.clock.now(), False
+            due = asked + self.first_word
+            sock.settimeout(seconds(self.first_word))
             target = f"/registry/instances?watch=1&from={self.index}"
             sock.sendall(http.write_request("GET", target, name, ()))
-            parser, lines = http.Parser(answer=True, stream=True), Lines()
+            parser, news = http.Parser(answer=True, stream=True), News()
             while not parser.eof:
-                parser.feed(sock.recv(http.READ))
+                try:
+                    sock.settimeout(max(0.001, seconds(due - self.clock.now())))
+                    parser.feed(sock.recv(http.READ))
+                except TimeoutError:
+                    raise SilentError("it is silent") if heard else TimeoutError("no first word") from None
                 if not parser.read_head():
                     continue
-                sock.settimeout(seconds(SILENCE))
+                if parser.head.status == 503 and self.clock.now() - asked >= BUSY_AFTER:
+                    raise BusyError("answered with 503 after a wait")
                 if parser.head.status != 200:
                     raise http.BadMessageError(400, f"answered with {parser.head.status}")
-                for line in lines.feed(parser.body_part()):
-                    if line:
-                        self._take(line)
+                lists, whole = news.feed(parser.body_part())
+                if whole:
+                    now = self.clock.now()
+                    if not heard:
+                        self._backoff.reset(now - asked)
+                    due, heard = now + SILENCE, True
+                for each in lists:
+                    self._take(each)
                 if parser.body_done():
                     return
         finally:
             self.platform.close(sock)
 
-    def _take(self, line: bytes) -> None:
-        """One line of news. Nonsense breaks the watch off: what it would have said is asked for again."""
-        news = msgspec.json.decode(line, type=ListNews)
+    def _take(self, news: ListNews) -> None:
         self.index = news.index
-        self._backoff.reset()
         self.tell(news)
 
 
@@ -323,13 +381,14 @@
             self._send(notices)
 
     def _send(self, notices: list[Notice]) -> None:
-        backoff = Backoff()
+        backoff, patience = Backoff(), NOTICE_FIRST
         while True:
             kept, moves = self._sock is not None, self.platform.moves
             try:
-                status = self._exchange(notices)
+                status = self._exchange(notices, patience)
             except (OSError, http.BadMessageError) as fault:
-                if kept:  # it may have been closed while idle: that is no reason to wait
+                patience = min(NOTICE_MOST, 2 * patience)
+                if kept:  # it may have been closed while idle, unseen: that is no reason to wait
                     self._close()
                     continue
                 self.log.say("notice", f"not answered, tried again: {fault or type(fault).__name__}")
@@ -351,11 +410,11 @@
         self.log.say("notice", f"the platform cannot read the notice of {notices[0].message}: given up")
         self.told([notices[0].message])
 
-    def _exchange(self, notices: list[Notice]) -> int:
+    def _exchange(self, notices: list[Notice], patience: timedelta) -> int:
         """One call on the kept connection, or on a new one. Told twice does no harm."""
         if self._sock is None:
             self._sock, self._name, _ = self.platform.connect()
-        self._sock.settimeout(seconds(NOTICE_TIME))
+        self._sock.settimeout(seconds(patience))
         body = b"".join(msgspec.json.encode(notice) + b"\n" for notice in notices)
         headers = [("Content-Type", "application/x-ndjson")]
         self._sock.sendall(http.write_request("POST", "/v1/outcomes", self._name, headers, body))
