Let clients go before the kill, close in one way, and ask all again at the first byte

Log of n5: SIGTERM at 1.25 s, no further line, started again at 5.88 s: killed 3.7 s on, as the protocol lets it be, while it still read requests. At fault: cli.serve waited 5 s before north.stop, so clients were read up to SIGKILL. Now clients are let go 2.8 s after SIGTERM; what is being read has 0.3 s more, then is answered 503; attempts go on as before.

--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,387 @@
+"""Where two events cross, in the order that goes wrong: forced by a stand-in or at a seam, never waited for.
+
+docs/crossings.md has a row for each. Connections are real; each test fails with its mend taken out.
+"""
+import json
+import socket
+import threading
+from datetime import timedelta
+from types import SimpleNamespace
+
+import pytest
+from toys import PATIENCE, SETTINGS, Discovery, Host, Sender, until
+
+from willownotch.interface import Outcome
+from willownotch.journal.records import Taken
+from willownotch.life import Standing
+from willownotch.net import config as configs
+from willownotch.net import http, north, registry
+from willownotch.net.clock import Clock
+from willownotch.net.log import Log
+from willownotch.net.north import Client, North, Stage
+from willownotch.net.owner import Answer, HandIn, Verdict
+from willownotch.net.registry import Notice, Notices, Platform, Registry
+from willownotch.net.south import BEGIN_LATE, Idle, Relay, South
+
+REQUEST = http.write_request("POST", "/api", "a", [
+    ("Request-Id", "a1"), ("Request-Class", "status"), ("Tenant", "acme"), ("Request-Timeout-Ms", "900"),
+    ("X-Consignee", "dest=7")], b"hello")
+SPAN = timedelta(seconds=PATIENCE)
+
+
+def config(**more):
+    text = {"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s", "discovery": "127.0.0.1:1", **more}
+    return configs.read_config(json.dumps(text).encode(), {})
+
+
+def start(name, work, forever=False):
+    threading.Thread(target=work, daemon=True, name=name).start()
+
+
+def waiting(sock, size=1):
+    """Wait until so many bytes have come on a connection and nobody has taken them off."""
+    until(lambda: len(sock.recv(size, socket.MSG_PEEK | socket.MSG_DONTWAIT)) == size)
+
+
+def rest(sock):
+    """All that comes until the end; a reset is an error."""
+    data = b""
+    while more := sock.recv(65536):
+        data += more
+    return data
+
+
+class Clients:
+    """The client side alone. What it hands in is kept, and answered once a test says so."""
+
+    def __init__(self):
+        clock = Clock()
+        self.handed, self.answer = [], threading.Event()
+        self.answer.set()
+        bodies = SimpleNamespace(keep=lambda taken, left, last=False: taken)
+        self.north = North(config(), clock, Log(clock), self, bodies, start, Standing())
+        start("listener", self.north.run)
+
+    def post(self, item):
+        if isinstance(item, HandIn):
+            assert item.ticket.claim()
+            self.handed.append(item)
+            start("owner", lambda: (self.answer.wait(PATIENCE), item.ticket.settle(Answer(Verdict.TAKEN))))
+
+    def connect(self):
+        """A connection, and what is known of it on the other side."""
+        before = set(self.north._clients)
+        sock = socket.create_connection(("127.0.0.1", self.north.port), PATIENCE)
+        return sock, until(lambda: self.north._clients - before).pop()
+
+    def resting(self):
+        """One on which a request has been answered."""
+        sock, client = self.connect()
+        sock.sendall(REQUEST)
+        assert b"202 Accepted" in sock.recv(65536)
+        until(lambda: client.stage is Stage.IDLE)
+        return sock, client
+
+
+@pytest.fixture
+def clients():
+    found = Clients()
+    yield found
+    found.north.listener.close()
+
+
+@pytest.mark.parametrize("cut", [False, True])
+def test_a_request_that_crosses_the_end_of_a_resting_connection_is_not_taken(clients, monkeypatch, cut):
+    """It was read after the end had been told, and sent on; its client had handed it in elsewhere by then."""
+    sock, client = clients.resting()
+    real = Client.waits
+
+    def crossed(self):
+        found = real(self)
+        sock.sendall(REQUEST.replace(b"a1", b"a2"))  # after the last look, before the end
+        return found
+
+    monkeypatch.setattr(Client, "waits", crossed)
+    North._end(client, cut=cut)
+    until(lambda: client not in clients.north._clients)
+    assert [item.taken.ref for item in clients.handed] == ["a1"]
+    sock.close()
+
+
+def test_a_request_that_came_before_the_end_is_answered(clients, monkeypatch):
+    """Ended over it, its client would have to hand it in once more."""
+    sock, client = clients.resting()
+    with client.lock:  # its thread cannot take it off yet
+        sock.sendall(REQUEST.replace(b"a1", b"a2"))
+        until(lambda: not client.waits())
+        monkeypatch.setattr(client, "lock", threading.Lock())
+        North._end(client)
+    assert client.ending and not client.shut
+    answer = rest(sock)
+    assert b"202 Accepted" in answer and b"Connection: close" in answer
+    assert [item.taken.ref for item in clients.handed] == ["a1", "a2"]
+
+
+def test_bytes_behind_the_last_request_do_not_eat_its_answer(clients):
+    """The connection was closed over them, and the reset took the 202 along."""
+    clients.answer.clear()
+    sock, client = clients.connect()
+    sock.sendall(REQUEST.replace(b"Host: a\r\n", b"Host: a\r\nConnection: close\r\n"))
+    until(lambda: clients.handed)
+    sock.sendall(b"x" * 100_000)
+    waiting(client.sock)
+    clients.answer.set()
+    assert b"202 Accepted" in rest(sock)
+
+
+def test_requests_read_together_are_all_answered_before_an_end(clients):
+    """The first answer said `Connection: close`; the second request was dropped, though it had been read."""
+    clients.answer.clear()
+    sock, client = clients.connect()
+    sock.sendall(REQUEST + REQUEST.replace(b"a1", b"a2"))
+    until(lambda: clients.handed)
+    North._end(client)
+    clients.answer.set()
+    assert rest(sock).count(b"202 Accepted") == 2
+
+
+def test_a_stop_answers_what_is_read_turns_away_what_is_not_whole_and_reads_nothing_more(clients):
+    """Killed 3.73 s after SIGTERM, a sender had just read a request: it was lost."""
+    clients.answer.clear()
+    asking, _ = clients.connect()
+    asking.sendall(REQUEST)
+    until(lambda: clients.handed)
+    half, reading = clients.connect()
+    half.sendall(REQUEST[:-3])
+    until(lambda: reading.stage is Stage.READING)
+    resting, _ = clients.connect()
+    stopping = threading.Thread(target=clients.north.stop, args=(timedelta(milliseconds=150),))
+    stopping.start()
+    assert rest(resting) == b""  # seen before anything else is over
+    assert b"503 Service Unavailable" in rest(half)
+    clients.answer.set()
+    assert b"202 Accepted" in rest(asking)
+    for sock in (asking, half, resting):
+        sock.close()
+    stopping.join(PATIENCE)
+    until(lambda: not clients.north._clients)
+    assert len(clients.handed) == 1
+
+
+def test_clients_are_let_go_before_the_kill_while_calls_go_on():
+    """Clients were served up to SIGKILL, which leaves no time for the last answers."""
+    host = Host()
+    discovery = Discovery([host])
+    sender = Sender(discovery).ready()
+    host.held.clear()
+    try:
+        with sender.connect() as sock:
+            sender.exchange(sender.message("status"), sock)
+            until(lambda: host.calls)
+            sender.process.terminate()
+            until(lambda: any("stop: SIGTERM" in line for line in sender.lines))
+            assert sender.exchange(sender.message("status"), sock).status == 202
+            assert rest(sock) == b""
+        until(lambda: any("stop: clients are let go" in line for line in sender.lines))
+        assert sender.process.poll() is None
+        host.held.set()
+        sender.settled()
+    finally:
+        host.held.set()
+        sender.close()
+        host.close()
+        discovery.close()
+
+
+class Gate(socket.socket):
+    """A socket that has something happen right before it connects."""
+
+    before = staticmethod(lambda: None)
+
+    def connect(self, address):
+        Gate.before()
+        super().connect(address)
+
+
+def test_a_move_of_discovery_right_before_a_connection_to_the_old_one_ends_that(monkeypatch):
+    """It had no connection to end yet: the watch went on at the old address for good."""
+    old, new = Discovery(), Discovery()
+    addresses = [("127.0.0.1", each.listener.getsockname()[1]) for each in (old, new)]
+    platform, moved = Platform(addresses[0]), []
+    monkeypatch.setattr(registry.socket, "socket", Gate)
+    monkeypatch.setattr(Gate, "before", lambda: moved.append(platform.move(addresses[1])))
+    with pytest.raises(ConnectionAbortedError):
+        platform.connect()
+    sock, name, moves = platform.connect()
+    assert (sock.getpeername(), moves, moved) == (addresses[1], 1, [True, False])
+    platform.close(sock)
+    old.close()
+    new.close()
+
+
+class Trickle(Discovery):
+    """Its first watch says one list, then half a line, byte by byte for as long as anybody reads."""
+
+    def answer(self, head, body, sock):
+        if self.watched:
+            return super().answer(head, body, sock)
+        self.watched.append(head.target)
+        sock.sendall(http.write_head("HTTP/1.1 200 OK", [("Transfer-Encoding", "chunked")]))
+        self.chunk(sock, json.dumps(self.known()))
+        while True:
+            sock.sendall(b"1\r\n \r\n")
+            threading.Event().wait(0.005)
+
+
+def test_a_watch_that_trickles_half_a_line_is_silent(monkeypatch):
+    """Each byte counted as a word: what the list had to tell was waited for without end."""
+    monkeypatch.setattr(registry, "SILENCE", timedelta(milliseconds=100))
+    discovery, clock, heard = Trickle(), Clock(), []
+    where = Platform(("127.0.0.1", discovery.listener.getsockname()[1]))
+    watch = Registry(config(), where, Log(clock), clock, heard.append)
+    start("watch", watch.run)
+    until(lambda: len(heard) >= 2)
+    assert discovery.watched[1].endswith("from=1")
+    where.move(("127.0.0.1", 1))
+    discovery.close()
+
+
+class Deaf(Discovery):
+    """Answers one notice on its first connection, and nothing there afterwards."""
+
+    def answer(self, head, body, sock):
+        if self.notices and sock is self.socks[0]:
+            threading.Event().wait(PATIENCE)
+        return super().answer(head, body, sock)
+
+
+def test_a_notice_on_a_connection_that_fell_silent_goes_by_another_one_at_once(monkeypatch):
+    """It waited a second for the answer, twice what a message may be late, before it was told again."""
+    monkeypatch.setattr(registry, "NOTICE_MOST", 10 * SPAN)
+    discovery, clock, told = Deaf(), Clock(), []
+    where = Platform(("127.0.0.1", discovery.listener.getsockname()[1]))
+    notices = Notices(where, Log(clock), told.extend)
+    start("notices", notices.run)
+    for ref in ("a", "b"):
+        notices.post(Notice(ref, "given_up"))
+        until(lambda ref=ref: ref in told)
+    assert discovery.connections == 2
+    discovery.close()
+
+
+class Calls:
+    """The endpoint side alone, with a record that has something happen while it is written."""
+
+    def __init__(self):
+        self.host, self.ended, clock = Host(), [], Clock()
+        self.listed = registry.Host(1, "s-1", ("127.0.0.1", self.host.listener.getsockname()[1]), 7, True)
+        self.hosts, self.meanwhile = {1: self.listed}, lambda: None
+        bodies = SimpleNamespace(read=lambda taken: b"hello")
+        journal = SimpleNamespace(append=lambda records: self.meanwhile())
+        self.south = South(config(), clock, Log(clock), journal, bodies, self.hosts, self.ended.append, start)
+        self.now = clock.now
+
+    def kept(self):
+        """Put a connection by; its other end."""
+        ours = socket.create_connection(self.listed.address)
+        until(lambda: self.host.socks)
+        self.south.adopt({}, [(1, Idle(ours, self.now()))])
+        return self.host.socks[-1], ours
+
+    def make(self, **more):
+        now = self.now()
+        taken = Taken("a1", 7, "fee", "acme", now + SPAN)
+        begun_at = more.pop("begun_at", now)
+        relay = Relay(taken, 0, 1, self.listed, begun_at, now + SPAN, **more)
+        self.south.submit(relay)
+        return relay, until(lambda: self.ended)[0].outcome
+
+
+@pytest.fixture
+def calls():
+    found = Calls()
+    yield found
+    found.host.close()
+
+
+MEANWHILE = {
+    "drained": lambda calls: calls.hosts.clear(),
+    "told to wait": lambda calls: calls.south.wait(7, SPAN),
+    "stopped": lambda calls: setattr(calls.south, "stopping", True),
+    "called off": lambda calls: calls.south.call_off_by("a1", 0),
+}
+
+
+@pytest.mark.parametrize("what", MEANWHILE)
+def test_what_comes_while_an_attempt_is_put_on_record_holds_at_its_first_byte(calls, what):
+    """It was looked at before the record, whose write may take long."""
+    calls.meanwhile = lambda: MEANWHILE[what](calls)
+    _, outcome = calls.make(repeatable=False)
+    assert outcome is Outcome.NOT_SENT and not calls.host.calls
+
+
+def test_after_sigterm_an_unrepeatable_attempt_begins_only_as_decided(calls):
+    """Decided on before the stop was known, or begun much later, it would straddle the kill and be lost."""
+    calls.south.stopping = True
+    table = [
+        ({"repeatable": True}, Outcome.DELIVERED),
+        ({"repeatable": False}, Outcome.NOT_SENT),
+        ({"repeatable": False, "stopping": True}, Outcome.DELIVERED),
+        ({"repeatable": False, "stopping": True, "begun_at": calls.now() - 2 * BEGIN_LATE}, Outcome.NOT_SENT),
+    ]
+    for more, outcome in table:
+        assert calls.make(**more)[1] is outcome, more
+        calls.ended.clear()
+
+
+def test_half_a_line_on_a_kept_connection_is_no_part_of_the_next_answer(calls):
+    """It came after the last look at the connection, and made the answer behind it garbled, or a 200."""
+    theirs, ours = calls.kept()
+
+    def half():
+        theirs.sendall(b"HTTP/1.1 200 O")
+        waiting(ours)
+
+    calls.meanwhile = half
+    _, outcome = calls.make(repeatable=False)
+    assert outcome is Outcome.NOT_SENT and not calls.host.calls
+    calls.ended.clear()
+    calls.meanwhile = lambda: None
+    assert calls.make()[1] is Outcome.DELIVERED
+
+
+def test_a_new_connection_that_ends_before_the_first_byte_could_not_be_made(calls):
+    """Written to it, the call read as broken, and an unrepeatable message was lost by what never ran."""
+
+    def ended():
+        sock = next(iter(calls.south._out.values())).sock
+        try:
+            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+
+    def meanwhile():
+        until(lambda: calls.host.socks)[-1].shutdown(socket.SHUT_RDWR)
+        until(ended)
+
+    calls.meanwhile = meanwhile
+    assert calls.make()[1] is Outcome.UNREACHABLE and not calls.host.calls
+
+
+def test_two_status_lines_run_into_one_are_no_answer():
+    """Half a line of before and the answer behind it read as one line with 200."""
+    lines = (b"HTTP/1.1 200 OHTTP/1.1 503 Busy", b"HTTP/1.1 200 HTTP/1.1 500 x", b"HTTP/1.1 2HTTP/1.1 200 OK")
+    for line in lines:
+        parser = http.Parser(answer=True)
+        parser.feed(line + b"\r\nContent-Length: 0\r\n\r\n")
+        with pytest.raises(http.BadMessageError):
+            parser.next()
+        assert parser.status == 0
+
+
+def test_the_last_answers_are_given_before_a_sender_may_be_killed():
+    """What is read of a client last has the time to be decided on and answered."""
+    from willownotch import cli
+    from willownotch.net.owner import KILL_AFTER
+
+    assert cli.LAST_REQUESTS + cli.LAST_READS + north.PATIENCE < KILL_AFTER
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -34,6 +34,7 @@
 from willownotch.net.log import Log
 from willownotch.net.north import BACKLOG, North
 from willownotch.net.owner import (
+    KILL_AFTER,
     BodyLost,
     ExpiredBook,
     LostBook,
@@ -53,7 +54,10 @@
 
 STACK = 256 * 1024  # bytes for each thread: nothing here recurses
 STOP_AFTER = timedelta(seconds=5)  # from SIGTERM to an end of its own, where no SIGKILL has come
-LAST_ANSWERS, LAST_RELAYS = timedelta(seconds=1), timedelta(seconds=20)  # to finish what runs, after that
+# From SIGTERM, and for what is being read then: SIGKILL may come `KILL_AFTER` on, and what has been read by
+# then is to have its answer, which takes `north.PATIENCE` at the most.
+LAST_REQUESTS, LAST_READS = KILL_AFTER - timedelta(milliseconds=700), timedelta(milliseconds=300)
+LAST_RELAYS = timedelta(seconds=20)  # to finish what runs, at the end
 MEGABYTE = 1_000_000
 SETTINGS_VARIABLE, COMPLETE_VARIABLE = "WILLOWNOTCH_SETTINGS", "_WILLOWNOTCH_COMPLETE"
 FAULTY, DEAD = 2, 70  # exit codes: bad configuration or command line; a thread has died
@@ -277,12 +281,16 @@
         threading.Event().wait()
     if told == signal.SIGTERM:
         standing.tell(Event.STOP, clock.now())
+        south.stopping = True
         owner.post(Stop())
-        signal.sigtimedwait(signals, seconds(STOP_AFTER))
+        told = signal.sigtimedwait(signals, seconds(LAST_REQUESTS))
+        log.say("stop", "clients are let go, before a kill leaves their requests without an answer")
+        north.stop(LAST_READS)
+        if told is None:  # what is held goes on: the longer, the less is left for the next process
+            signal.sigtimedwait(signals, seconds(STOP_AFTER - LAST_REQUESTS))
         for number in signals:  # whoever asks a third time does not want to wait
             signal.signal(number, signal.SIG_DFL)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, signals)
-        north.stop(LAST_ANSWERS)
         south.finish(LAST_RELAYS)
     if mesh is not None:
         mesh.stop()
--- a/willownotch/net/http.py
+++ b/willownotch/net/http.py
@@ -22,7 +22,8 @@
 }
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/(\d)\.(\d)\Z")
-STATUS_LINE = re.compile(rb"HTTP/1\.(\d) (\d{3})(?: [^\r\n]*)?\Z")
+# No second status line in its text: part of one may have come before the call, and garbles what comes after.
+STATUS_LINE = re.compile(rb"HTTP/1\.(\d) (\d{3})(?: (?![^\r\n]*HTTP/1\.)[^\r\n]*)?\Z")
 BAD_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -35,7 +35,8 @@
 SILENT_TIME = timedelta(milliseconds=100)  # at the bound, who connects and says nothing so long makes room
 SLOW_TIME = timedelta(seconds=1)  # and so does a request that takes longer than this
 ANSWER_TIME = timedelta(seconds=2)
-LINGER_TIME, LINGER_MOST = timedelta(milliseconds=300), 256 * 1024  # read on after a refusal; bytes
+LINGER_TIME, LINGER_MOST = timedelta(milliseconds=300), 256 * 1024  # read on before a close; bytes
+STOP_LOOK = timedelta(milliseconds=25)
 DRAIN_LOOK, SILENT_DRAIN = timedelta(milliseconds=100), timedelta(milliseconds=800)  # while it is emptied
 BAD_PAUSE, BAD_PAUSE_MOST = timedelta(milliseconds=10), timedelta(milliseconds=500)  # doubles with each
 DROPPED_TIME = timedelta(seconds=1)  # messages of a class that is dropped may be on their way for so long
@@ -112,7 +113,7 @@
 class Stage(Enum):
     """What a client connection is at. At the bound, the earlier ones here make room first."""
 
-    LEAVING = 0  # refused and answered: only read on lest a reset eat the answer
+    LEAVING = 0  # our side is ended: only read on lest a reset eat the last answer
     SILENT = 1  # connected, and no byte has come yet
     IDLE = 2  # between two requests
     READING = 3  # part of a request has come
@@ -126,7 +127,9 @@
         self.sock, self.opened, self.since = sock, now, now  # since when it is at its stage
         self.stage, self.asked, self.bad = Stage.SILENT, 0, 0  # requests read whole; bad ones in a row
         self.ending = False  # it makes room, or the sender stops: the request that it has is its last
-        self.lock = threading.Lock()  # held while bytes are taken off it, and while it goes elsewhere
+        self.shut = False  # nothing that comes from now on is read as a request: the client sees the end
+        self.told = False  # something was written on it, which a reset could eat
+        self.lock = threading.Lock()  # held while bytes are taken off it, it is ended, or it goes elsewhere
         self.moved = False  # another process reads it from now on
         self.passed = False  # and has got it
         self.shared = False  # the process before this one may still have it open, too
@@ -139,6 +142,17 @@
         """Wait until something has come, or the connection has ended."""
         return bool(self.poll.poll(max(1, millis(patience))))
 
+    def waits(self) -> bool:
+        """Whether it rests and nothing has come that could be a request. Any thread may ask."""
+        poll = select.poll()  # one object serves one thread at a time
+        poll.register(self.sock, select.POLLIN)
+        return self.stage in (Stage.SILENT, Stage.IDLE) and not poll.poll(0)
+
+    def write(self, data: bytes) -> None:
+        """Write an answer."""
+        self.told = True
+        self.sock.sendall(data)
+
     def at(self, stage: Stage, now: datetime) -> None:
         """It has come to a stage."""
         self.stage, self.since = stage, now
@@ -182,26 +196,48 @@
         self.config, self.most = config, clients_most(config)
 
     def stop(self, patience: timedelta) -> None:
-        """Take no more connections, and let each that is open finish the request it has."""
+        """Take no more connections, and let each that is open finish the request it has.
+
+        What is still not whole after `patience` is turned away. Nothing is read after that: the process may
+        be killed before it could be answered.
+        """
         self._stopping = True
-        self.listener.close()
-        ends = self.clock.now() + patience
+        with self._accepting:
+            try:
+                while len(self._clients) < self.most:  # in the backlog they would be reset
+                    self._welcome(Client(self.listener.accept()[0], self.clock.now()))
+            except OSError:
+                pass  # there is no more
+            self.listener.close()
+        cut = self.clock.now() + patience
+        ends = cut + PATIENCE
         with self._room:
-            for client in self._clients:
-                self._end(client)
-            while self._clients and (left := ends - self.clock.now()) > NONE:
-                self._room.wait(seconds(left))
+            while self._clients and (now := self.clock.now()) < ends:
+                for client in self._clients:
+                    # Who has just connected is about to ask.
+                    if now >= cut or client.stage is not Stage.SILENT or now - client.opened >= SILENT_TIME:
+                        self._end(client, cut=now >= cut)
+                self._room.wait(seconds(STOP_LOOK))
 
     @staticmethod
-    def _end(client: Client) -> None:
-        """End only our reading side: a request that crosses this is still read and answered."""
-        if client.moved:  # it is not ours to end
-            return
-        client.ending = True
-        try:
-            client.sock.shutdown(socket.SHUT_RD)
-        except OSError:
-            pass  # it is gone already
+    def _end(client: Client, cut: bool = False) -> None:
+        """Take no request after the one that it has. One that rests is shut; `cut`: also one that reads.
+
+        Whoever shuts a connection does so here, where no byte can be taken off it meanwhile. What crosses
+        this is never read as a request: its client sees the end, and hands it in again elsewhere. Our sending
+        side is ended, so that the client goes; for a cut only the other one, which wakes its thread at once.
+        """
+        with client.lock:
+            if client.moved or client.shut:  # it is not ours to end, or ended
+                return
+            client.ending = True
+            if not client.waits() and (not cut or client.stage is Stage.ANSWERING):
+                return
+            client.shut = True
+            try:
+                client.sock.shutdown(socket.SHUT_RD if cut else socket.SHUT_WR)
+            except OSError:
+                pass  # it is gone already
 
     def run(self) -> None:
         """Take connections until the process ends."""
@@ -293,7 +329,7 @@
                     and now - c.since >= c.patience(c.stage)
                 ]
                 if ready:
-                    self._end(min(ready, key=lambda client: (client.stage.value, client.since)))
+                    self._end(min(ready, key=lambda client: (client.stage.value, client.since)), cut=True)
                     self.log.say("crowded", f"{self.most} client connections: the idlest ends")
                 self._room.wait(seconds(SILENT_TIME) / 4)
 
@@ -315,6 +351,9 @@
             self._leave(client)
 
     def _leave(self, client: Client) -> None:
+        """The one way in which a connection is closed."""
+        if client.told and not client.moved:
+            self._part(client)
         if client.shared:  # closing alone would not end it while another process has it open
             try:
                 client.sock.shutdown(socket.SHUT_RDWR)
@@ -325,13 +364,32 @@
             self._clients.discard(client)
             self._room.notify_all()
 
+    def _part(self, client: Client) -> None:
+        """End our sending side and read on a little: a close over unread bytes resets, and eats the answer.
+
+        What is read here was not asked of this sender any more, and is never taken on.
+        """
+        client.at(Stage.LEAVING, self.clock.now())
+        ends, read = client.since + LINGER_TIME, 0
+        try:
+            client.sock.shutdown(socket.SHUT_WR)
+            while (left := ends - self.clock.now()) > NONE and read < LINGER_MOST:
+                client.sock.settimeout(max(0.001, seconds(left)))
+                if not (data := client.sock.recv(http.READ)):
+                    break
+                read += len(data)
+        except OSError:
+            pass  # it is gone, or says nothing
+
     def _exchange(self, client: Client, parser: http.Parser) -> bool:
         """One request and its answer; whether the connection goes on."""
         try:
             found, arrived = self._read(client, parser)
         except http.BadMessageError as fault:
             self.log.say("bad", f"{fault}, answered {fault.status}")
-            return self._refuse_unread(client, fault)
+            # Framing is lost: this is the last answer.
+            client.write(http.write_answer(fault.status, [("Connection", "close")], f"{fault}\n".encode()))
+            return False
         if found is None:
             return False
         head, body = found
@@ -351,11 +409,12 @@
             self.log.say("error", f"a request was answered 500: {type(fault).__name__}: {fault}")
             reply = Reply(500)
             client.asked += 1
-        ends = client.ending or self.standing.life.last_answer()
+        # What has been read of a further request is owed its answer, too.
+        ends = (client.ending or self.standing.life.last_answer()) and not parser.begun
         last = [] if head.keeps_alive() and not ends else [("Connection", "close")]
         data = http.write_answer(reply.status, [*reply.headers, *last], reply.body)
         try:
-            client.sock.sendall(data[:-len(reply.body)] if head.method == "HEAD" and reply.body else data)
+            client.write(data[:-len(reply.body)] if head.method == "HEAD" and reply.body else data)
         except OSError:
             if reply.taken is not None:
                 self.owner.post(Withdraw(reply.taken, reply.ticket))
@@ -365,7 +424,7 @@
             pause = min(BAD_PAUSE_MOST, BAD_PAUSE * 2 ** min(client.bad - 1, 10))
             client.at(Stage.LEAVING, self.clock.now())
             self._pause.wait(seconds(pause))
-        return not last and not client.ending
+        return not last
 
     def _read(self, client: Client, parser: http.Parser) -> tuple[tuple[http.Head, bytes] | None, datetime]:
         """The next request and when its first byte came; None at the connection's end."""
@@ -374,7 +433,9 @@
         with client.lock:
             if self._elsewhere is not None and not parser.begun:
                 self._move(client)
-        client.at(Stage.READING if parser.begun else Stage.SILENT if first else Stage.IDLE, arrived)
+            if client.ending and not client.moved and not parser.begun:
+                return None, arrived
+            client.at(Stage.READING if parser.begun else Stage.SILENT if first else Stage.IDLE, arrived)
         while (found := parser.next()) is None:
             if parser.eof:
                 if parser.begun:
@@ -384,7 +445,7 @@
                 expected = True
                 if parser.head.headers["expect"].lower() != "100-continue":
                     raise http.BadMessageError(417, "unknown expectation")
-                client.sock.sendall(http.write_answer(100))
+                client.write(http.write_answer(100))
             # An answer or an end is due 3 s after connecting, whatever has come until then.
             began, most = (client.opened, REQUEST_TIME) if first else (arrived, IDLE_TIME)
             ends = arrived + REQUEST_TIME if parser.begun and not first else began + most
@@ -395,6 +456,10 @@
             with client.lock:  # what another process is to read must not be read here
                 if client.moved:
                     raise MovedError
+                if client.shut and parser.begun:
+                    raise http.BadMessageError(503 if self._stopping else 408, "a request came too slowly")
+                if client.shut:
+                    return None, arrived
                 data = client.sock.recv(http.READ)
                 if not parser.begun and data:
                     arrived = self.clock.now()
@@ -403,20 +468,6 @@
         client.at(Stage.ANSWERING, self.clock.now())
         return found, arrived
 
-    def _refuse_unread(self, client: Client, fault: http.BadMessageError) -> bool:
-        """Framing is lost: answer, end our sending side, read on a little lest a reset eat the answer."""
-        answer = http.write_answer(fault.status, [("Connection", "close")], f"{fault}\n".encode())
-        client.sock.sendall(answer)
-        client.sock.shutdown(socket.SHUT_WR)
-        client.at(Stage.LEAVING, self.clock.now())
-        ends, read = client.since + LINGER_TIME, 0
-        while (left := ends - self.clock.now()) > NONE and read < LINGER_MOST and not client.ending:
-            client.sock.settimeout(max(0.001, seconds(left)))
-            if not (data := client.sock.recv(http.READ)):
-                break
-            read += len(data)
-        return False
-
     def _answer(self, head: http.Head, body: bytes, arrived: datetime) -> Reply:
         """The answer to a whole request."""
         if self._elsewhere is not None:
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -365,7 +365,7 @@
             self._open += not owed.over
             for out in known.out:
                 relay = Relay(known.taken, out.number, out.endpoint, out.host, out.begun_at, out.ends_at,
-                              remote=not out.gated)
+                              remote=not out.gated, repeatable=self._repeatable(known.taken))
                 owed.out[out.number] = relay
                 if out.gated:
                     self._gate(relay)
@@ -586,6 +586,9 @@
             return class_of(taken.message_class, taken.rules)
         return self.settings.classes[self.classes[taken.message_class]]
 
+    def _repeatable(self, taken: Taken) -> bool:
+        return self._class(taken).effect is not face.Effect.UNSAFE
+
     def _hand_in(self, item: HandIn, now: datetime, events: list[face.Event], records: list[Record],
                  fresh: list[Owed]) -> None:
         taken = item.taken
@@ -1031,7 +1034,8 @@
     def _send(self, action: face.Send, now: datetime) -> None:
         owed, host = self._owed[action.ref], self.hosts.by_number.get(action.endpoint)
         ends_at = min(now + span(action.time_out_s), owed.taken.ends_at - END_MARGIN)
-        relay = Relay(owed.taken, owed.count, action.endpoint, host, now, ends_at)
+        relay = Relay(owed.taken, owed.count, action.endpoint, host, now, ends_at,
+                      repeatable=self._repeatable(owed.taken), stopping=self.stopped_at is not None)
         owed.count += 1
         owed.out[relay.number] = relay
         if host is None or owed.unwritten:  # it left the list in this very round
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -31,6 +31,7 @@
 END_MARGIN = timedelta(milliseconds=100)  # a message's time began before its first byte was read here
 COPY_TIME = timedelta(seconds=1)  # that a relay waits for copies of its mark
 DISK_REST = timedelta(seconds=1)  # between two relays of a message that the disk did not let be made
+BEGIN_LATE = timedelta(milliseconds=200)  # what the kill of a stop comes later than the module counts on
 REST_TIME = timedelta(milliseconds=500)  # an answer comes in one go: what stays unfinished is spoilt
 
 
@@ -52,6 +53,9 @@
     told: bool = False  # its end was told
     together: tuple[Relay, ...] = ()  # all of its call, where it is not alone in one
     late: bool = False  # it is not waited for any more, but its call goes on for others
+    repeatable: bool = True
+    stopping: bool = False  # it was decided on with the end of the process in sight
+    reused: bool = False  # its connection is a kept one
 
     def waited_for(self) -> bool:
         """Whether its call is kept open for it."""
@@ -143,6 +147,7 @@
         self._queue: queue.SimpleQueue[list[Relay]] = queue.SimpleQueue()  # each of one call
         self._lock = threading.Lock()
         self._done = threading.Condition(self._lock)  # a relay has ended
+        self.stopping = False  # SIGTERM has come
         self._closing = False
         self._parked: list[list[Relay]] = []  # that were not begun for it
         self._idle: dict[int, list[Idle]] = {}  # by host: a new one at an old address is another
@@ -299,9 +304,12 @@
             return RelayEnded(relay, Outcome.NOT_SENT)
         if not self._opened(sock, relay):
             return RelayEnded(relay, Outcome.NOT_SENT)
-        if self.custody is not None and self._barred(relay):  # copies took a moment
+        if self._barred(relay):  # the record, and copies, took a moment
             self._keep(relay, sock)
             return RelayEnded(relay, Outcome.NOT_SENT)
+        if not self._quiet(sock):  # what came before a call is no answer to it, and would garble the answer
+            self._drop(relay, sock)
+            return RelayEnded(relay, Outcome.NOT_SENT if relay.reused else Outcome.UNREACHABLE)
         return self._exchange(relay, sock, body)
 
     def _opened(self, sock: socket.socket, *relays: Relay) -> bool:
@@ -353,13 +361,17 @@
             if not going and sock is not None:
                 self._keep(left[0], sock)
             return [RelayEnded(relay, Outcome.NOT_SENT) for relay in going]
-        if self.custody is not None and (barred := [r for r in going if self._barred(r)]):
-            for relay in barred:  # copies took a moment
+        if barred := [r for r in going if self._barred(r)]:
+            for relay in barred:  # the record, and copies, took a moment
                 self._tell(RelayEnded(relay, Outcome.NOT_SENT))
             going = [relay for relay in going if relay not in barred]
             if not going:
                 self._keep(left[0], sock)
                 return []
+        if not self._quiet(sock):
+            self._drop(left[0], sock)
+            return [RelayEnded(relay, Outcome.NOT_SENT if left[0].reused else Outcome.UNREACHABLE)
+                    for relay in going]
         for relay in going:
             with relay.lock:
                 relay.sock, relay.together = sock, tuple(going)
@@ -423,18 +435,26 @@
         self._pause.wait(seconds(max(NONE, min(DISK_REST, relay.ends_at - self.clock.now()))))
 
     def _barred(self, relay: Relay) -> bool:
-        """Drains, waits and time are looked at again right here: the queue may have aged."""
+        """Drains, waits, time and a stop are looked at again right here: the queue may have aged.
+
+        Asked once before the record, which then need not be written, and again before the first byte.
+        """
         host, now = self.hosts.get(relay.host.number), self.clock.now()
         waits = self.waits.get(relay.host.destination)
         return (
             relay.called_off
             or host is None or not host.serving or host.address != relay.host.address
             or (waits is not None and now < waits) or now >= relay.ends_at
+            # The module counts on its decision being carried out at once: begun later, or decided on before
+            # the stop was known, it could straddle the kill and would be lost by it.
+            or (self.stopping and not relay.repeatable
+                and (not relay.stopping or now - relay.begun_at > BEGIN_LATE))
         )
 
     def _connection(self, relay: Relay) -> socket.socket | None:
         """A kept connection that is still good, or a new one; None if called off meanwhile."""
         sock = self._kept(relay.host.number)
+        relay.reused = sock is not None
         if sock is not None:
             with relay.lock:
                 relay.sock = sock
