--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -602,6 +602,11 @@
             self._hand_in_again(item, known)
             self.bodies.discard(taken)
             return
+        found = next((e.taken for e in self._recovered or () if e.taken.ref == taken.ref), None)
+        if found is not None and same_message(taken, found):  # turned away, it would come under another id
+            self.bodies.discard(taken)
+            item.ticket.settle(Answer(Verdict.TAKEN))
+            return
         if self._ended.get(taken.ref, now) > now:
             self.bodies.discard(taken)
             item.ticket.settle(Answer(Verdict.TAKEN))
