--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -147,6 +147,25 @@
     assert rest(sock).count(b"202 Accepted") == 2
 
 
+def test_who_ends_connections_never_sees_a_closed_one(clients, monkeypatch):
+    """Closed before it was forgotten, it had no descriptor to ask: listener and sender died of that."""
+    sock, client = clients.resting()
+    closed, seen = socket.socket.close, []
+
+    def looked(self):
+        known = client in clients.north._clients
+        closed(self)
+        seen.append(known)
+
+    monkeypatch.setattr(socket.socket, "close", looked)
+    with clients.north._room:
+        North._end(client)
+    sock.shutdown(socket.SHUT_RDWR)
+    until(lambda: seen)
+    assert seen == [False]
+    closed(sock)
+
+
 def test_a_stop_answers_what_is_read_turns_away_what_is_not_whole_and_reads_nothing_more(clients):
     """Killed 3.73 s after SIGTERM, a sender had just read a request: it was lost."""
     clients.answer.clear()
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -222,6 +222,7 @@
     @staticmethod
     def _end(client: Client, cut: bool = False) -> None:
         """Take no request after the one that it has. One that rests is shut; `cut`: also one that reads.
+        For who holds the lock of all clients.
 
         Whoever shuts a connection does so here, where no byte can be taken off it meanwhile. What crosses
         this is never read as a request: its client sees the end, and hands it in again elsewhere. Our sending
@@ -359,9 +360,9 @@
                 client.sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass  # the client has ended it
-        client.sock.close()
-        with self._room:
+        with self._room:  # who ends connections looks at them under this lock: never at a closed one
             self._clients.discard(client)
+            client.sock.close()
             self._room.notify_all()
 
     def _part(self, client: Client) -> None:
