--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -11,7 +11,7 @@
 import numpy as np
 import pytest
 import toys
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from toys import ROOT, Server
 
@@ -133,6 +133,7 @@
 
 
 @given(st.integers(0, 1000), st.text(min_size=1, max_size=9), st.text(min_size=1, max_size=9))
+@example(0, "-", "-")
 def test_a_plan_survives_its_trace(seed, tenant, key):
     drawn = draw(LoadSettings(duration=1 * S, rate=20.0, seed=seed, class_={"a": LoadClass(keys=3)}))
     columns = [getattr(drawn, name) for name in COLUMNS]
--- a/willownotch/lab/load/trace.py
+++ b/willownotch/lab/load/trace.py
@@ -68,6 +68,11 @@
     return of_rows(rows)
 
 
+def _quoted(name: str) -> str:
+    """A tenant or a key as a field; one that is named as none is written is told from it."""
+    return {"": "-", "-": "%2D"}.get(name) or quote(name, safe="")
+
+
 def of_rows(rows: list[tuple]) -> Plan:
     """A plan of (offset_us, class, destination, tenant, key, size, time_ms); `-` for no tenant or key, both
     percent-encoded."""
@@ -97,8 +102,8 @@
         key = plan.key_name(int(plan.key[n]))
         lines.append(" ".join([
             str(plan.at_us[n]), plan.classes[plan.cls[n]], str(plan.dest[n]),
-            quote(plan.tenants[plan.tenant[n]], safe="") or "-",
-            quote(key, safe="") if key is not None else "-", str(plan.size[n]), str(plan.time_ms[n])]))
+            _quoted(plan.tenants[plan.tenant[n]]), _quoted(key or ""),
+            str(plan.size[n]), str(plan.time_ms[n])]))
     return "\n".join(lines) + "\n"
 
 
@@ -112,6 +117,6 @@
     for record in taken:
         rows.append((
             round((record.at - taken[0].at).total_seconds() * 1e6), record.message_class, record.destination,
-            quote(record.tenant, safe="") or "-", quote(record.key, safe="") if record.key else "-",
+            _quoted(record.tenant), _quoted(record.key or ""),
             record.body_size(), max(1, round((record.ends_at - record.at).total_seconds() * 1000))))
     return of_rows(rows)
