--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -13,7 +13,7 @@
 
 from willownotch import interface as face
 from willownotch.net import http
-from willownotch.net.clock import NONE, Clock, seconds
+from willownotch.net.clock import Clock, seconds
 from willownotch.net.config import Config, ConfigError, ListedEndpoint, ListNews, read_address
 from willownotch.net.log import Log
 
@@ -33,8 +33,7 @@
 AGAIN_SILENT = AGAIN_LONG - SILENCE  # and after a silence, which has taken its time
 # A service that is down refuses at once. One that is asked by too many lets them wait, and wants them apart.
 AGAIN_BUSY, BUSY_AFTER = timedelta(seconds=30), timedelta(milliseconds=300)
-# A notice is answered at once: what takes longer than that and twice as long as the last one is lost with its
-# connection. Each try waits for longer.
+# A notice is answered at once: what takes longer is lost, with its connection. Each try waits for longer.
 NOTICE_FIRST, NOTICE_MOST = timedelta(milliseconds=150), timedelta(seconds=1)
 NOTICES_MOST = 64  # notices in one call
 GONE_KEPT = timedelta(seconds=60)  # how long a host that left the list keeps its number
@@ -368,7 +367,6 @@
         self._queue: queue.SimpleQueue[Notice] = queue.SimpleQueue()
         self._sock: socket.socket | None = None
         self._name = ""
-        self._took = NONE  # by the last one that was answered
 
     def post(self, notice: Notice) -> None:
         """Have a notice sent."""
@@ -383,12 +381,11 @@
             self._send(notices)
 
     def _send(self, notices: list[Notice]) -> None:
-        backoff, patience = Backoff(), max(NOTICE_FIRST, min(NOTICE_MOST, 2 * self._took))
+        backoff, patience = Backoff(), NOTICE_FIRST
         while True:
-            kept, moves, began = self._sock is not None, self.platform.moves, self.log.clock.now()
+            kept, moves = self._sock is not None, self.platform.moves
             try:
                 status = self._exchange(notices, patience)
-                self._took = self.log.clock.now() - began
             except (OSError, http.BadMessageError) as fault:
                 patience = min(NOTICE_MOST, 2 * patience)
                 if kept:  # it may have been closed while idle, unseen: that is no reason to wait
