Cap ramps on told limits by the fall multiple, and leave all other ramps as they were

No answer tells a limit there, so the multiple of 1.5 only slowed ramps at 1.25, which is within it (control.py, SPARE). What went beyond it was twice the share of a limit that answers tell (SPARE_TOLD), and that alone is capped now; the test still fails without it (tried).

--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -35,7 +35,7 @@
 JITTER = (0.5, 1.5)  # x a gap between calls, so that senders refused together do not come back together
 TOGETHER_LEAST = 1.0  # calls a second that all senders together send at the least, paced or as trials
 ROUGH = 2 / 3  # x a listed rate, which may be half too high, until an answer tells the limit
-SPARE, SPARE_TOLD = 0.625, 1.0  # x fall multiple x cold share of what is usual; of a limit that answers tell
+SPARE, SPARE_TOLD = 1.25, 2.0  # x the cold share of what is usual; of a limit that answers tell
 AWARE, TRIAL_MOST = 3.0, 4.0  # senders a second that learn of a small one's outage; trials a second at most
 ROOM_FULL, DEST_ROOM = 0.9, 0.5  # share of the holding room: all held work; what waits for one destination
 TIGHT_CALLS, SPARSE = 100, 1.0  # calls closing theirs after a refused connection, at units under so many a s
@@ -466,18 +466,18 @@
         if unit.mean_limit is None:
             part *= ROUGH
         elif route.failed_at < inf:  # it was gone, and is not merely slow or full
-            spare = SPARE_TOLD
+            spare = min(SPARE_TOLD, rules.fall_multiple)  # more brings down what a limit says nothing of
         ended = now if route.failing else route.back_at
         start, slope = max(now, ended), (1 - rules.cold_share) / rules.cold_s
-        over = rules.fall_multiple * (share := rules.cold_share + slope * (start - ended))
+        share = rules.cold_share + slope * (start - ended)
         # By notes all know of a return; without, as many as called there since.
         known_s = ended - route.failing_at if route.failing or not self.settings.may_tell else inf
         least = TOGETHER_LEAST / min(self.settings.senders, 1.0 + AWARE * known_s) * share / rules.cold_share
         if route.failing:
-            route.next_at = now + gap / max(least, min(TRIAL_MOST, max(share * mean, spare * over * part)))
+            route.next_at = now + gap / max(least, min(TRIAL_MOST, share * max(mean, spare * part)))
             return
         # The share grows while a sender with few calls waits for its next: solved for one call's worth.
-        rate = max(least, min(1.0, SPARE * over) * mean, min(1.0, spare * over) * part)  # within its limit
+        rate = max(least, min(1.0, SPARE * share) * mean, min(1.0, spare * share) * part)  # within its limit
         rise, calls = slope / share, (gap if phase is None else phase) / rate
         route.next_at = start + (sqrt(1 + 2 * rise * calls) - 1) / rise
 
