--- a/tests/test_restarted.py
+++ b/tests/test_restarted.py
@@ -1,9 +1,12 @@
 """What the module is told of the time before a restart, and of its own coming end."""
 import unittest
+from datetime import UTC, datetime, timedelta
 
 from helpers import KEYED, ORDERED, SAFE, UNSAFE, Sender, answers, sends
 
 from willownotch.interface import Endpoint, EndpointList, Fail, Outcome, PastAttempt, Refuse, Stopping, Timer
+from willownotch.journal.records import Entry, Taken
+from willownotch.net.owner import soonest_first
 
 
 class Restarted(unittest.TestCase):
@@ -30,14 +33,20 @@
 
     def test_what_a_restart_finds_goes_soonest_deadline_first_among_equals(self):
         """All of it comes in one round: in the journal's order, what had least time left ran out of it."""
+        ends = datetime(2026, 12, 2, tzinfo=UTC)
+        rows = [("a", None, 9), ("b", "k", 8), ("c", None, 7), ("d", "k", 5), ("e", None, 8)]
+        found = [Entry(Taken(ref, 1, "x", "", ends + timedelta(seconds=left), key), 0)
+                 for ref, key, left in rows]
+        told = [entry.taken.ref for entry in soonest_first(found)]
+        self.assertEqual(told, ["b", "d", "c", "e", "a"])  # of a key as handed in
         sender = Sender(slots=1)
-        found = [sender.message(SAFE, left=left) for left in (19.9, 19.5, 19.7)]
-        out, order = sender.step(*found), []
-        while len(order) < 3:
+        messages = {ref: sender.message(SAFE) for ref in told}
+        out, order = sender.step(*messages.values()), []
+        while len(order) < len(told):
             for sent in sends(out):
                 order.append(sent.ref)
                 out = sender.step(sender.ended(sent, Outcome.DELIVERED), after=0.1)
-        self.assertEqual(order, [found[n].ref for n in (1, 2, 0)])
+        self.assertEqual(order, [message.ref for message in messages.values()])
 
     def test_attempts_go_on_being_numbered(self):
         sender, message = self.recovered(SAFE, (PastAttempt(1, 1.0, False),) * 2)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -482,12 +482,12 @@
         route.next_at = start + (sqrt(1 + 2 * rise * calls) - 1) / rise
 
     def _ranked(self, dests: list[Destination]) -> list[Job]:
-        """Held jobs, most worth still to be won first, then the oldest; of a restart's, what ends soonest."""
+        """Held jobs, most worth still to be won first, oldest first among equals."""
         ranked = []
         for dest in dests:
             at, decay = self.now + usual(dest), self.settings.decay
-            ranked += [(-j.worth_at(at, decay), j.came_at, j.ends_at, j) for j in dest.held.values()]
-        return [row[3] for row in sorted(ranked, key=lambda row: row[:3])]
+            ranked += [(-job.worth_at(at, decay), job.came_at, job) for job in dest.held.values()]
+        return [row[2] for row in sorted(ranked, key=lambda row: row[:2])]
 
     def _end(self, job: Job) -> None:
         """Final answer, at once: refused where that is harmless, with the time room may be expected."""
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -226,6 +226,13 @@
     )
 
 
+def soonest_first(entries: list[Entry]) -> list[Entry]:
+    """Recovered messages as the module is told of them: all come in one round, and among equals it goes by
+    their order. What has a key keeps the journal's, which is its key's."""
+    keyed = [entry for entry in entries if entry.taken.key is not None]
+    return keyed + sorted((e for e in entries if e.taken.key is None), key=lambda e: e.taken.ends_at)
+
+
 Item = (HandIn | MakeRoom | BodyLost | Withdraw | RelayEnded | RemoteEnded | ListNews | Noticed | TenantParts
         | HandOver | SharedNews | Copied | MayTell | TookOver | LostBook | ExpiredBook | Flush | Retune
         | Stop)
@@ -451,7 +458,7 @@
         waited = now - self._began >= FIRST_NEWS
         if self._recovered is not None and (waited or (self._listed and self._heard_news(items))):
             # Also without any list: their time runs on, and their ends are owed.
-            for entry in self._recovered:
+            for entry in soonest_first(self._recovered):
                 events.append(self._recall(entry, now))
             self._recovered = None
         if self._recovered is None and self._listed and not self.standing.life.listed:
