Give the capacity scripts one fit, one held-out size and one result file for each role

Every role's cost is to be told at the target, which is larger than what can be measured. slopes.py fits a power law and a line to at least four sizes over two decades, predicts one larger size that is held out, keeps the miss, and claims nothing beyond ten times the largest measured size. Growth is called linear only for exponents of 0.9 to 1.1; a cap, a step and a fixed part are named.

--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,79 @@
+"""Slopes: the fit finds a known growth, the held-out size is predicted, nothing is claimed far beyond it."""
+import math
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+sys.path[:0] = [str(Path(__file__).parent.parent / "benchmarks" / "capacity")]
+
+import slopes  # noqa: E402
+
+SIZES = (10, 30, 100, 300, 1000, 3000)
+FACTORS = st.floats(1e-6, 1e6)
+
+
+def made(growth, sizes=SIZES, **more):
+    return slopes.slope("role", "driver", "measure", "s", {at: [growth(at)] for at in sizes}, **more)
+
+
+@given(FACTORS, st.floats(0.2, 3.0))
+def test_a_power_law_is_found_and_predicted(factor, exponent):
+    one = made(lambda at: factor * at ** exponent)
+    assert one.fit.exponent == pytest.approx(exponent, abs=1e-6)
+    assert one.miss == pytest.approx(0.0, abs=0.01)
+    assert slopes.predict(one, 9000).value == pytest.approx(factor * 9000 ** exponent, rel=1e-4)
+    assert ("linear" in one.fit.growth) <= (0.9 <= exponent <= 1.1)
+
+
+@given(FACTORS, st.floats(0.01, 100.0))
+def test_a_fixed_part_and_a_line_are_found_and_called_linear_by_the_exponent_alone(each, share):
+    one = made(lambda at: each * (100 * share + at))
+    assert one.miss == pytest.approx(0.0, abs=0.01)
+    assert (one.fit.growth == "linear") <= (0.9 <= one.fit.exponent <= 1.1)
+
+
+@given(FACTORS, st.floats(0.3, 3.0), st.floats(0.2, 5.0))
+def test_the_miss_is_what_the_held_out_size_differs_by(factor, exponent, off):
+    def growth(at):
+        return factor * at ** exponent * (off if at == SIZES[-1] else 1.0)
+    one = made(growth)
+    assert one.miss == pytest.approx(100 * (1 / off - 1), abs=0.01)
+    beyond = slopes.predict(one, 2 * SIZES[-1]).value
+    assert beyond == pytest.approx(factor * (2 * SIZES[-1]) ** exponent * max(off, 1.0), rel=1e-4)
+
+
+@given(st.floats(1.0, 100.0))
+def test_the_limit_of_what_is_claimed(times):
+    told = slopes.predict(made(lambda at: 2.0 * at), SIZES[-1] * times)
+    assert told.beyond == pytest.approx(times)
+    assert told.claimed == (told.beyond <= slopes.LIMIT)
+
+
+def test_a_measured_size_is_told_as_measured():
+    one = made(lambda at: math.sin(at) + 2.0 * at)
+    for at in SIZES:
+        assert slopes.predict(one, at).value == pytest.approx(math.sin(at) + 2.0 * at)
+        assert slopes.predict(one, at).beyond == 1.0
+
+
+def test_a_cap_and_a_step_are_named():
+    assert made(lambda at: min(at, 150)).fit.kind == "capped"
+    assert slopes.predict(made(lambda at: min(at, 150)), 6000).value == 150
+    assert "step between 100 and 300" in made(lambda at: at * (20 if at > 100 else 1)).fit.growth
+    assert made(lambda at: 7.0).fit.growth == "no growth"
+
+
+@pytest.mark.parametrize("sizes", [(10, 100, 1000), (10, 20, 30, 40, 50), (10, 100, 900, 950, 5000)])
+def test_too_few_sizes_or_decades_make_no_slope(sizes):
+    with pytest.raises(ValueError, match="decades"):
+        made(float, sizes)
+
+
+def test_a_result_file_reads_as_written(tmp_path, monkeypatch):
+    monkeypatch.setattr(slopes, "RESULTS", tmp_path)
+    one = made(lambda at: 3.0 * at, loss=0.05, target=910.0, budget="wire")
+    path = slopes.write("role", "command", [one], "gossip", [1, 2], ["cut"])
+    assert slopes.read(path).slopes == [one]
