Add the control plane's document: keyed entries, additive digests, differences

Need: configuration has no mechanism that carries it over the fleet; it is a file on each machine and a signal. This is the first part of one: the document that members will agree on and senders follow, free of I/O, with the settings of both sides. Nothing loads it yet but the settings' types.

--- a/willownotch/blocks.py
+++ b/willownotch/blocks.py
@@ -7,6 +7,7 @@
 
 from willownotch.bodies.settings import BodiesSettings
 from willownotch.channel.settings import ChannelSettings
+from willownotch.controlplane.settings import FollowSettings, MemberSettings
 from willownotch.lease.settings import LeaseSettings
 from willownotch.peers.settings import PeersSettings
 from willownotch.replica.settings import ReplicaSettings
@@ -20,7 +21,9 @@
 
     bodies: Annotated[BodiesSettings, Inner(BodiesSettings)] = BodiesSettings()
     control: Annotated[ChannelSettings, Inner(ChannelSettings)] = ChannelSettings()
+    follow: Annotated[FollowSettings, Inner(FollowSettings)] = FollowSettings()
     lease: Annotated[LeaseSettings, Inner(LeaseSettings)] = LeaseSettings()
+    member: Annotated[MemberSettings, Inner(MemberSettings)] = MemberSettings()
     peers: Annotated[PeersSettings, Inner(PeersSettings)] = PeersSettings()
     replica: Annotated[ReplicaSettings, Inner(ReplicaSettings)] = ReplicaSettings()
     shared: Annotated[SharedSettings, Inner(SharedSettings)] = SharedSettings()
@@ -38,6 +41,8 @@
             found.append(("lease", f"duties without peers, {wanted}"))
         if self.shared.on() and self.peers.listen is None:
             found.append(("shared", f"'budgets' or 'judgements' without peers, {wanted}"))
+        if self.member.on() and self.peers.listen is None:
+            found.append(("member", f"'folder' without peers, {wanted}"))
         if self.shared.budgets and self.usage.share_quotas:
             found.append(("shared", "'budgets' and 'share-quotas' of usage both, allowed: one of them"))
         return found
