--- a/willownotch/controlplane/document.py
+++ b/willownotch/controlplane/document.py
@@ -39,8 +39,8 @@
     sets: dict[str, bytes]
     removes: tuple[str, ...] = ()
 
-    def keys(self) -> set[str]:
-        """All that it touches."""
+    def touched(self) -> set[str]:
+        """The keys of all that it sets or removes."""
         return {*self.sets, *self.removes}
 
 
@@ -94,8 +94,7 @@
     if len(set(change.removes)) != len(change.removes):
         raise DocumentError("a key is removed twice, allowed: once")
     size = 0
-    touched = change.keys()
-    for key in touched:
+    for key in change.touched():
         value = change.sets.get(key, b"")
         size += len(key.encode()) + len(value)
         if not key or len(key.encode()) > KEY_MOST:
@@ -191,11 +190,11 @@
         if change.base < self.oldest():
             raise DocumentError(f"the change is based on revision {change.base}, older than is "
                                 f"remembered ({self.oldest()}): look again")
-        keys = change.keys()
+        keys = change.touched()
         for past in reversed(self.history):
             if past.commit.revision <= change.base:
                 break
-            if keys & past.commit.change.keys():
+            if keys & past.commit.change.touched():
                 return past.commit
         return None
 
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -3,7 +3,7 @@
 
 import os
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import replace
 from datetime import timedelta
 from math import inf
@@ -230,16 +230,20 @@
         yield from sorted(set.intersection(*(set(item) for item in value)))
 
 
-def read_config(text: bytes, env: Mapping[str, str], old: Config | None = None) -> Config:
+def read_config(text: bytes, env: Mapping[str, str], old: Config | None = None,
+                overlay: Callable[[Any], Any] | None = None) -> Config:
     """The file's text. The environment's own variables go first, but not before the file's `discovery`.
 
     A file can be replaced while the process runs; what the start's environment said is the older news. One
     that replaces `old` has to have every key of that: one with a default would change a rule unasked.
+    `overlay` makes of the file's decoded text what holds, where a revision of the fleet's lies over it.
     """
     try:
         file = msgspec.json.decode(text, type=ConfigFile)
         keys = frozenset(keys_of(msgspec.json.decode(text)))
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        if overlay is not None:
+            file = msgspec.convert(overlay(msgspec.json.decode(text)), ConfigFile)
+    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError) as fault:
         raise ConfigError(f"the configuration cannot be read: {fault}") from None
     if old is not None and (missing := sorted(old.keys - keys)):
         raise ConfigError(f"the configuration is short of {missing[0]!r}, which it had before")
@@ -289,7 +293,8 @@
     return msgspec.structs.replace(fresh, limits=limits, settings=settings, **keep), later
 
 
-def load(path: str | None = None, env: Mapping[str, str] = os.environ, old: Config | None = None) -> Config:
+def load(path: str | None = None, env: Mapping[str, str] = os.environ, old: Config | None = None,
+         overlay: Callable[[Any], Any] | None = None) -> Config:
     """The configuration at a path, or where $LB_CONFIG says."""
     named = path or env.get("LB_CONFIG")
     if not named:
@@ -298,4 +303,4 @@
         text = Path(named).read_bytes()
     except OSError as fault:
         raise ConfigError(f"the configuration cannot be read: {fault}") from None
-    return read_config(text, env, old)
+    return read_config(text, env, old, overlay)
