--- /dev/null
+++ b/willownotch/lab/prices/trace.py
@@ -0,0 +1,117 @@
+"""A sender that writes what happens to its messages: the program itself, with its parts listened to.
+
+Run it in the place of `willownotch serve`, by a deploy file of its own. Nothing is decided otherwise; each
+line costs some 10 us of processor time.
+"""
+from __future__ import annotations
+
+import os
+import socket
+import sys
+import threading
+import time
+from pathlib import Path
+
+import msgspec
+
+from willownotch import cli
+from willownotch import interface as face
+from willownotch.journal.records import Taken
+from willownotch.lab.prices import lines
+from willownotch.net.north import North, Reply
+from willownotch.net.owner import Owner
+from willownotch.net.registry import Platform
+from willownotch.net.south import Relay, South
+
+
+def say(line: lines.Traced) -> None:
+    """Write it at once: the process may be killed at any moment."""
+    os.write(2, lines.write(line).encode() + b"\n")
+
+
+class TracedNorth(North):
+    """Tells what comes, and what it is answered."""
+
+    def _hand_in(self, taken: Taken) -> Reply:
+        self.owner.handed.add(taken.ref)
+        now, left = time.time(), (taken.ends_at - self.clock.now()).total_seconds()
+        say(lines.Came(now, taken.ref, taken.message_class, taken.tenant, taken.destination, taken.again,
+                       left))
+        reply = super()._hand_in(taken)
+        say(lines.Answered(time.time(), taken.ref, reply.status))
+        return reply
+
+
+class TracedOwner(Owner):
+    """Tells what the module hears and decides."""
+
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self._decide, self.controller.handle = self.controller.handle, self._handle
+        self.handed: set[str] = set()  # messages that clients handed in, until the module hears of them
+        self._begun: dict[str, int] = {}  # of a message, the attempts so far, as the owner counts them
+
+    def _handle(self, now: float, events: list[face.Event]) -> list[face.Action]:
+        at, book = time.time(), self.controller.book
+        held = len(book.jobs) + sum(isinstance(event, face.Message) for event in events)
+        there = {number: len(dest.held) for number, dest in book.active.items()}
+        for event in events:
+            if isinstance(event, face.Message):
+                there[event.destination] = there.get(event.destination, 0) + 1
+            if isinstance(event, face.Message) and event.ref in self.handed:
+                self.handed.discard(event.ref)
+            elif isinstance(event, face.Message):
+                self._begun[event.ref] = len(event.past)
+                ran = any(past.may_have_run for past in event.past)
+                say(lines.Recalled(at, event.ref, len(event.past), ran))
+            elif isinstance(event, face.AttemptEnded):
+                say(lines.CallEnded(at, event.ref, event.attempt, event.outcome.value, event.took_s,
+                                    event.wait_s, event.final))
+        actions = self._decide(now, events)
+        for action in actions:
+            if isinstance(action, face.Send):
+                number = self._begun.get(action.ref, 0)
+                self._begun[action.ref] = number + 1
+                say(lines.Called(at, action.ref, number, action.endpoint))
+            elif isinstance(action, face.Refuse | face.Fail):
+                refused = isinstance(action, face.Refuse)
+                dest = self._owed[action.ref].taken.destination
+                say(lines.Over(at, action.ref, "refused" if refused else "failed",
+                               action.come_back_s if refused else 0.0, held, there.get(dest, 0)))
+                self._begun.pop(action.ref, None)
+        return actions
+
+
+class TracedSouth(South):
+    """Tells of new connections to endpoints."""
+
+    def _connection(self, relay: Relay) -> socket.socket | None:
+        try:
+            return super()._connection(relay)
+        finally:
+            if not relay.reused:
+                say(lines.Connected(time.time(), "endpoint"))
+
+
+class TracedPlatform(Platform):
+    """Tells of new connections to the platform's agent."""
+
+    def connect(self) -> tuple[socket.socket, str, int]:
+        """As `Platform` has it."""
+        say(lines.Connected(time.time(), threading.current_thread().name))
+        return super().connect()
+
+
+def main() -> int:
+    """Serve, traced."""
+    cli.North, cli.Owner, cli.South, cli.Platform = TracedNorth, TracedOwner, TracedSouth, TracedPlatform
+    try:
+        raw = msgspec.json.decode(Path(os.environ["LB_CONFIG"]).read_bytes(), type=dict[str, msgspec.Raw])
+        say(lines.Started(time.time(), raw["settings"]))
+    except (KeyError, OSError, msgspec.DecodeError):
+        pass  # the program itself says what is wrong with its configuration
+    return cli.main([])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
