--- a/willownotch/files/faulty.py
+++ b/willownotch/files/faulty.py
@@ -116,6 +116,13 @@
         self._names[file] = path.name
         return file
 
+    def open_to_append(self, path: Path) -> int:
+        """See `Files`."""
+        self._begin("open_to_append", path.name)
+        file = super().open_to_append(path)
+        self._names[file] = path.name
+        return file
+
     def append(self, file: int, data: bytes | memoryview) -> int:
         """See `Files`."""
         kind = self._begin("append", self._names.get(file, "?"))
@@ -126,6 +133,11 @@
             return written
         return super().append(file, data)
 
+    def sync(self, file: int) -> None:
+        """See `Files`."""
+        self._begin("sync", self._names.get(file, "?"))
+        super().sync(file)
+
     def truncate(self, file: int, size: int) -> None:
         """See `Files`."""
         self._begin("truncate", self._names.get(file, "?"))
--- a/willownotch/files/layer.py
+++ b/willownotch/files/layer.py
@@ -18,6 +18,10 @@
         """A new, empty file to append to and read from; an old one of that name is emptied."""
         return os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, MODE)
 
+    def open_to_append(self, path: Path) -> int:
+        """A file that is there, to append to and read from."""
+        return os.open(path, os.O_RDWR | os.O_APPEND | os.O_CLOEXEC)
+
     def append(self, file: int, data: bytes | memoryview) -> int:
         """Write at the file's end; how many bytes were written, which may be fewer than given."""
         return os.write(file, data)
@@ -28,6 +32,10 @@
         while view:
             view = view[self.append(file, view):]
 
+    def sync(self, file: int) -> None:
+        """Have all that was written to a file, or all names of a folder, outlast a loss of power."""
+        os.fsync(file)
+
     def truncate(self, file: int, size: int) -> None:
         """Cut a file off behind so many bytes."""
         os.ftruncate(file, size)
