--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -314,7 +314,7 @@
     except ValueError as fault:
         mistakes += str(fault).splitlines()
     if blocks.peers.keys is not None:
-        from willownotch.mesh import load_keys
+        from willownotch.peers.keys import load_keys
 
         try:
             load_keys(blocks.peers.keys)
--- a/willownotch/mesh.py
+++ b/willownotch/mesh.py
@@ -18,8 +18,9 @@
 from willownotch.files.space import BLOCK, Space
 from willownotch.peers.core import Membership
 from willownotch.peers.edge import Budget, Edge
+from willownotch.peers.keys import load_keys
 from willownotch.peers.node import Layer, Node
-from willownotch.peers.seal import KeysError, Seal, read_keys
+from willownotch.peers.seal import Seal
 from willownotch.peers.wire import Address
 from willownotch.usage.service import Counting
 
@@ -36,18 +37,6 @@
 Start = Callable[[str, Callable[[], None]], None]
 
 
-def load_keys(path: str) -> list[tuple[int, bytes]]:
-    """The keys file, or `KeysError` with the place of what is wrong."""
-    try:
-        return read_keys(Path(path).read_text(encoding="utf-8"))
-    except OSError as fault:
-        what = f"cannot be read ({fault.strerror}), wanted: a readable file of keys"
-        raise KeysError(f"{path}:1:1: {what}") from None
-    except ValueError as fault:
-        raise KeysError(f"{path}:{fault}" if isinstance(fault, KeysError) else
-                        f"{path}:1:1: is not UTF-8, wanted: text") from None
-
-
 def bind(address: Address, both: bool) -> tuple[socket.socket, socket.socket | None]:
     """A socket for datagrams and, if so, a listener for connections at the same address."""
     for attempt in range(BIND_TRIES):
