Measure what each part for fleets costs a sender, in simulated time with the real cores

One script plays them by the cores themselves: a network that tells apart what layers and membership send and how long each runs, memory as the size of all objects that a member holds. Two drivers are of the edge: a datagram on real sockets, and what a round of the membership's thread looks through for findings.

--- /dev/null
+++ b/benchmarks/capacity/fleet_roles.py
@@ -0,0 +1,633 @@
+"""What each part for fleets costs a sender, in simulated time with the real cores.
+
+    .venv/bin/python benchmarks/capacity/fleet_roles.py findings [--workers 2] [--points FILE]
+
+The part is one of membership, usage, findings, budgets, leases, custody; the result is
+`benchmarks/results/capacity/PART.json`. FILE keeps each run as it ends, and those it has are not played
+again. A run is a process of its own. Bytes are those that a member sends, the seal, UDP and IP counted; a
+budget on the wire is of what is sent and what comes in, so it takes them times 1 + the share that arrives.
+Memory is the size of all objects that a member's cores hold, each counted once. A time that reaches a run's
+patience is told as that patience. What is known is the share of pairs of who did not find it and what there
+is to know.
+"""
+from __future__ import annotations
+
+import slopes  # first: it says where the others are
+
+import argparse
+import gc
+import multiprocessing
+import socket
+import statistics
+import threading
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+import msgspec
+from fleet import Counted, rss_bytes, state_bytes, within
+
+from willownotch.lease.core import Duties
+from willownotch.lease.settings import DutySettings, LeaseSettings
+from willownotch.peers.core import Change, Membership, Send
+from willownotch.peers.edge import Edge
+from willownotch.peers.lossy import Weather
+from willownotch.peers.node import Node
+from willownotch.peers.seal import Seal
+from willownotch.peers.settings import PeersSettings
+from willownotch.peers.wire import Address, State
+from willownotch.replica.settings import ReplicaSettings
+from willownotch.replica.simulated import Fleet as CustodyFleet
+from willownotch.settings.types import Flag
+from willownotch.shared.budgets import WHOLE, Budgets
+from willownotch.shared.judgements import Judgements, Row
+from willownotch.shared.layer import Sharing
+from willownotch.shared.service import Shared
+from willownotch.shared.settings import SharedSettings
+from willownotch.usage.settings import UsageSettings
+from willownotch.usage.simulated import Fleet as UsageFleet
+
+LOSSES = (0.0, 0.05, 0.3)
+SENDERS = (3, 10, 32, 100, 300, 910)
+DOWN = (5, 10, 40, 160, 640, 1260)
+DUTIES = (1, 3, 10, 32, 100, 320)
+HELD = (100, 1000, 3200, 10_000, 32_000)
+EVENTS = (1, 3, 10, 32, 100, 200)
+LISTED = (200, 600, 2000, 6000, 20_000, 60_000)
+EACH_WAY = (3, 10, 32, 100, 320, 1000)
+NO_LOSS = (0.0,)
+MANY, SEEDS = 300, (1, 2, 3)  # from so many senders on, one seed
+KNOWN_S = 6.0  # after which the known share is told
+SAMPLE = 16  # members that are looked into
+Measures = dict[str, float]
+
+
+def weather(loss: float) -> Weather:
+    """20 to 40 ms each way."""
+    return Weather(loss=loss, delay=0.02, jitter=0.02)
+
+
+def sample(names: Iterable[str]) -> list[str]:
+    """Some of them, evenly."""
+    names = list(names)
+    return names[:: -(-len(names) // SAMPLE)]
+
+
+def patient(took: float | None, patience: float) -> float:
+    """A time that was not reached stands as the patience."""
+    return patience if took is None else took
+
+
+# Membership
+
+
+def membership(senders: int, loss: float, seed: int) -> Measures:
+    """At rest, then one is killed: until all others know."""
+    span, patience = (30.0, 60.0) if senders <= MANY else (30.0, 30.0) if not loss else (10.0, 20.0)
+    net = Counted(seed, weather(loss))
+    for n in range(senders):
+        net.add(f"m{n}")
+    net.acquaint()
+    net.run(5.0)
+    net.news.clear()
+    net.begin()
+    net.run(net.now + span)
+    found = net.measured(span)
+    suspected, dead = net.count(Change.SUSPECTED), {n.name for _, _, n in net.news if n.change is Change.DIED}
+    state = statistics.mean(state_bytes(net.members[name]) for name in sample(net.members)[:3])
+    net.kill("m1")
+    others = [net.members[name] for name in net.living()]
+
+    def known() -> bool:
+        return all(other.members["m1"].state > State.SUSPECT for other in others)
+    took = patient(within(net, known, patience, 0.25), patience)
+    return {"messages": found["membership messages"], "bytes": found["membership bytes"],
+            "cpu s": found["membership cpu s"], "state": state, "age": took,
+            "suspected": suspected / senders / span, "dead wrongly": len(dead), "span": span}
+
+
+class Host(NamedTuple):
+    """An endpoint as the owner lists it."""
+
+    name: str
+    destination: int
+
+
+class Payload(msgspec.Struct, tag=90, frozen=True, array_like=True):
+    """Something to carry."""
+
+    data: bytes
+
+
+class Talking:
+    """A layer that says so much a second to one address, evenly."""
+
+    messages = (Payload,)
+
+    def __init__(self, per_s: float, now: float) -> None:
+        self.per_s, self.to, self._due = per_s, None, now
+
+    def due(self) -> float:
+        """When it speaks next."""
+        return self._due
+
+    def tick(self, now: float, membership: Membership) -> list[Send]:
+        """Speak."""
+        self._due = max(self._due + 1 / self.per_s, now - 1.0)
+        return [Send(self.to, Payload(b"x" * 300))]
+
+    def receive(self, now: float, address: Address, message: msgspec.Struct) -> list[Send]:
+        """Listen."""
+        return []
+
+
+def datagrams(per_s: int, loss: float, seed: int) -> Measures:
+    """Two edges on real sockets that send each other so many datagrams of 300 bytes: what one takes."""
+    edges, talking = [], []
+    for n in range(2):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(("127.0.0.1", 0))
+        layer = Talking(per_s, time.monotonic() + n * 0.5 / per_s)
+        member = Membership(f"m{n}", sock.getsockname(), n + 1, PeersSettings(), Random(seed + n))
+        node = Node(member, (layer,))
+        seal = Seal(n + 1, [(1, b"k" * 32)], node.decode)
+        edges.append(Edge(sock, node, seal, 10**9, lambda line: None))
+        talking.append(layer)
+    for n in range(2):
+        talking[n].to = edges[1 - n].sock.getsockname()
+    threads = [threading.Thread(target=edge.run, args=((),), daemon=True) for edge in edges]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    span, before = 6.0, sum(edge.traffic["received"] for edge in edges)
+    cpu, began = time.process_time(), time.monotonic()
+    time.sleep(span)
+    cpu, span = time.process_time() - cpu, time.monotonic() - began
+    came = (sum(edge.traffic["received"] for edge in edges) - before) / 2 / span
+    for edge in edges:
+        edge.stop()
+        edge.sock.close()
+    return {"datagram cpu s": cpu / 2 / span, "came": came / per_s, "span": span}
+
+
+# Usage counts
+
+
+def usage(senders: int, rows: int, loss: float, seed: int) -> Measures:
+    """Each member counts `rows` messages a second, each of another tenant."""
+    warm, span = (20.0, 10.0) if senders < MANY else (20.0, 5.0)
+    fleet = UsageFleet(seed, weather(loss), UsageSettings())
+    fleet.net = net = Counted(seed, weather(loss))
+    names = [f"m{n}" for n in range(senders)]
+    for name in names:
+        fleet.start(name, ("m0",) if name != "m0" else ())
+    net.acquaint()
+
+    def run(until: float) -> None:
+        while net.now < until - 1e-9:
+            began = net.now
+            net.run(min(until, began + 0.1))
+            for row in range(int(began * rows + 0.5), int(net.now * rows + 0.5)):
+                key = f"tenant {row % 1000}".encode(), "status"
+                for name in names:
+                    fleet.count(name, key)
+    run(warm)
+    net.begin()
+    run(warm + span)
+    found = net.measured(span)
+    ages = []
+    for name in sample(names):
+        now = fleet.own_time(name)
+        own = fleet.running[name].usage
+        ages += [own.lives[other].age(now) if other in own.lives else net.now
+                 for other in (fleet.running[n].usage.own.id for n in names if n != name)]
+    ages = [min(age, net.now) for age in ages]
+    state = statistics.mean(state_bytes(fleet.running[n].usage, fleet.running[n].tally) for n in names[:3])
+    return {**found, "state": state, "age": max(ages), "median age": statistics.median(ages),
+            "known": sum(age <= KNOWN_S for age in ages) / len(ages), "span": warm + span}
+
+
+# Findings
+
+
+def findings(senders: int, down: int, loss: float, seed: int) -> Measures:
+    """Two senders find each endpoint failing, all at one moment; from there on 16 s, the last 10 at rest."""
+    rest = 10.0 if senders <= MANY else 5.0
+    net, made = Counted(seed, weather(loss)), {}
+    for n in range(senders):
+        name = f"i{n}"
+        made[name] = Judgements(name, n + 1, 5.0, 2, 0.5, 4096)
+        net.add(name, layers=(Sharing(name, lambda: 0.2, Random(seed * 1000 + n), None, made[name], 0.0),))
+    net.acquaint()
+    net.run(2.0)
+    random, names = Random(seed), sorted(made)
+    listed = {f"10.1.{n >> 8}.{n & 255}:443": n for n in range(down)}
+    found_by: dict[str, set[str]] = {}
+    listed |= {f"{endpoint} again": n for endpoint, n in listed.items()}  # no destination is down as a whole
+    for endpoint in list(listed)[:down]:
+        for name in random.sample(names, 2):
+            made[name].told(net.now, endpoint, works=False)
+            found_by.setdefault(name, set()).add(endpoint)
+    lookers = sample(names)
+
+    def known() -> tuple[float, list[float]]:
+        held, wanted, ages = 0, 0, []
+        for name in lookers:
+            own = found_by.get(name, set())
+            verdicts = made[name].verdicts(net.now, listed)
+            others = [verdict for endpoint, verdict in verdicts.items() if endpoint not in own]
+            held, wanted = held + len(others), wanted + down - len(own)
+            ages += [verdict.age for verdict in others]
+        return (held / wanted if wanted else 1.0), ages
+    began, everybody = net.now, None
+    net.begin()
+    while net.now < began + KNOWN_S - 1e-9:
+        net.run(net.now + 0.25)
+        if everybody is None and known()[0] == 1.0:
+            everybody = net.now - began
+    share = known()[0]
+    net.begin()
+    steady, ages = [], []
+    for _ in range(int(rest)):
+        net.run(net.now + 1.0)
+        now_known, now_ages = known()
+        steady.append(now_known)
+        ages += now_ages
+        if everybody is None and now_known == 1.0:
+            everybody = net.now - began
+    found = net.measured(rest)
+    state = statistics.mean(state_bytes(made[name]) for name in lookers[:3])
+    return {**found, "state": state, "known": share, "known at rest": statistics.mean(steady),
+            "age": patient(everybody, KNOWN_S + rest), "median age": statistics.median(ages or [rest]),
+            "left out": sum(m.left_out for m in made.values()) / senders, "span": 2.0 + KNOWN_S + rest}
+
+
+def round_of(destinations: int, loss: float, seed: int) -> Measures:
+    """What `shared` looks through in each round of the membership's thread: all that are listed, 40 down."""
+    shared = Shared(SharedSettings(judgements=Flag.YES), "i0", 1, 32, 0.0, Random(seed))
+    hosts = {n: Host(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:443", n // 2) for n in range(2 * destinations)}
+    shared.endpoints = lambda: {h.name: h.destination for h in list(hosts.values())}  # as `cli` sets it
+    rows = [Row(life, f"i{life}", hosts[2 * n * destinations // 40].name, 1, True, None, 0)
+            for n in range(40) for life in (2, 3)]
+    shared.judgements.merge(0.0, rows)
+    shared.before(0.0)
+    rounds = max(3, min(100, 60_000 // destinations))
+    began = time.process_time()
+    for _ in range(rounds):
+        shared.before(0.5)
+    return {"round": (time.process_time() - began) / rounds, "span": 0.0}
+
+
+# Budgets
+
+
+def budgets(senders: int, tenants: int, loss: float, seed: int) -> Measures:
+    """A quarter of the senders (one at least) shares 80% of each tenant's quota; the rest asks for none."""
+    rest = 10.0 if senders <= MANY else 4.0
+    quota, random = 1000.0, Random(seed)
+    net, made = Counted(seed, weather(loss)), {}
+    for n in range(senders):
+        name = f"i{n}"
+        made[name] = Budgets(name, senders, 0.0, Random(seed * 1000 + n), 3.0, 0.1)
+        made[name].configure({f"tenant {t}": quota for t in range(tenants)})
+        net.add(name, layers=(Sharing(name, lambda: 0.2, Random(seed * 2000 + n), made[name], None, 0.0),))
+    net.acquaint()
+    hot = {f"tenant {t}": random.sample(sorted(made), max(1, senders // 4)) for t in range(tenants)}
+    demand: dict[str, list[str]] = {}
+    for tenant, names in hot.items():
+        for name in names:
+            demand.setdefault(name, []).append(tenant)
+    each = 0.8 * quota / max(1, senders // 4)
+    lookers = sample(sorted(demand))
+
+    def run(until: float) -> None:
+        while net.now < until - 1e-9:
+            net.run(net.now + 0.2)
+            for name, of in demand.items():
+                made[name].wanted(net.now, ((tenant, each * 0.2) for tenant in of))
+
+    def served() -> float:
+        parts = [min(1.0, made[name].part(tenant, net.now) / WHOLE * quota / each)
+                 for name in lookers for tenant in demand[name]]
+        return statistics.mean(parts)
+    net.run(4.0)  # a process that has begun lends nothing for one span
+    began, whole = net.now, None
+    while net.now < began + KNOWN_S - 1e-9:
+        run(net.now + 0.2)
+        if whole is None and served() >= 0.95:
+            whole = net.now - began
+    share = served()
+    net.begin()
+    steady = []
+    for _ in range(int(rest)):
+        run(net.now + 1.0)
+        steady.append(served())
+        if whole is None and steady[-1] >= 0.95:
+            whole = net.now - began
+    found = net.measured(rest)
+    state = statistics.mean(state_bytes(made[name]) for name in lookers[:3])
+    return {**found, "state": state, "known": share, "known at rest": statistics.mean(steady),
+            "age": patient(whole, KNOWN_S + rest), "span": 4.0 + KNOWN_S + rest}
+
+
+# Leases
+
+
+def leases(senders: int, duties: int, loss: float, seed: int) -> Measures:
+    """Three electors, leases of 3 s; then who holds the first duty is killed: until all of its are held."""
+    span, patience = (20.0, 60.0) if senders <= MANY else (5.0, 20.0)
+    duty = {f"duty {n}": DutySettings() for n in range(duties)}
+    asked = LeaseSettings(electors=("m0", "m1", "m2"), span=timedelta(seconds=3), duty=duty)
+    net, made = Counted(seed, weather(loss)), {}
+    for n in range(senders):
+        name = f"m{n}"
+        made[name] = Duties(name, n + 1, asked, 0.0, Random(seed * 1000 + n))
+        net.add(name, layers=(made[name],))
+    net.acquaint()
+
+    def held() -> bool:
+        return all(any(made[name].token(one, net.now) for name in net.living()) for one in duty)
+    elected = patient(within(net, held, patience, 0.1), patience)
+    net.begin()
+    net.run(net.now + span)
+    found = net.measured(span)
+    state = statistics.mean(state_bytes(made[name]) for name in sample(made)[:3])
+    holder = next((name for name in made if made[name].token("duty 0", net.now)), "m1")
+    net.kill(holder)
+    took = patient(within(net, held, patience, 0.1), patience)
+    return {**found, "state": state, "age": took, "elected": elected, "span": span}
+
+
+# Custody
+
+
+class CountedCustody(CustodyFleet):
+    """Custody in simulated time, its frames counted."""
+
+    frames = 0
+
+    def post(self, source: str, target: str, message: msgspec.Struct) -> None:
+        """Send a frame."""
+        self.frames += 1
+        super().post(source, target, message)
+
+    def spent(self) -> tuple[int, int]:
+        """Frames and bytes so far."""
+        return self.frames, sum(self.bytes.values())
+
+
+def custody_of(senders: int, loss: float, seed: int) -> CountedCustody:
+    """Senders that can all take messages on, two copies and one acknowledgement each."""
+    fleet = CountedCustody(seed, [f"m{n}" for n in range(senders)], ReplicaSettings(acks=1))
+    fleet.delay, fleet.loss = 0.03, loss
+    fleet.until(lambda: fleet.ready(1), 60.0)
+    return fleet
+
+
+def over(fleet: CountedCustody, span: float, step: Callable[[], None] = lambda: None) -> Measures:
+    """A member and second, `step` each 0.1 s."""
+    gc.collect()
+    gc.disable()
+    frames, size = fleet.spent()
+    spent, ends = 0.0, fleet.now + span
+    while fleet.now < ends - 1e-9:
+        step()
+        began = time.process_time()
+        fleet.run(0.1)
+        spent += time.process_time() - began
+    gc.enable()
+    each = span * len(fleet.senders)
+    now_frames, now_size = fleet.spent()
+    return {"messages": (now_frames - frames) / each, "bytes": (now_size - size) / each,
+            "cpu s": spent / each}
+
+
+def custody(senders: int, events: float, loss: float, seed: int) -> Measures:
+    """Each sender takes on so many messages a second and delivers them at once."""
+    span = 10.0 if senders <= MANY and events <= 10 else 5.0
+    fleet = custody_of(senders, loss, seed)
+    random, count, taken_at, late = Random(seed), 0, {}, []
+
+    def step() -> None:
+        nonlocal count
+        for name, sender in fleet.senders.items():
+            for _ in range(int(events * 0.1) + (random.random() < events * 0.1 % 1)):
+                count += 1
+                if sender.take(f"r{count}", 1, 60.0):
+                    taken_at[f"r{count}"] = fleet.now
+                    late.append((name, f"r{count}"))
+        waiting = []
+        for name, ref in late:
+            if ref in fleet.promised:
+                fleet.senders[name].send(ref)
+            else:
+                waiting.append((name, ref))
+        late[:] = waiting
+    found = over(fleet, span, step)
+    state = statistics.mean(state_bytes(fleet.senders[n].core.copies, fleet.senders[n].core.owned,
+                                        fleet.senders[n].core.indexes) for n in ("m0", "m1", "m2"))
+    promised = sum(ref in fleet.promised for ref in taken_at)
+    return {**found, "state": state, "known": promised / max(1, len(taken_at)), "span": span}
+
+
+def repair(held: int, loss: float, seed: int) -> Measures:
+    """Eight senders, one of which holds so many messages; a replica of it is lost, with its disk."""
+    fleet = custody_of(8, loss, seed)
+    holder = fleet.senders["m0"]
+    for n in range(held):
+        holder.take(f"r{n}", 1, 10_000.0)
+        if n % 500 == 499:
+            fleet.run(0.05)
+    patience = 120.0
+    filled = patient(_until(fleet, lambda: len(fleet.promised) == held, patience), patience)
+    fleet.run(2.0)
+    rest = over(fleet, 5.0)
+    owned = next(o for o in holder.core.owned.values() if o.open)
+    lost = owned.about.replicas[0]
+    state = state_bytes(holder.core.owned, holder.core._ids)
+    copy_state = state_bytes(fleet.senders[owned.about.replicas[1]].core.copies)
+    _, before = fleet.spent()
+    fleet.kill(lost, disk=True)
+    cpu = time.process_time()
+
+    def whole() -> bool:
+        names = owned.about.replicas
+        return owned.proposed is None and lost not in names and all(
+            name in fleet.senders and owned.followers[name].acked == owned.last for name in names)
+    took = _until(fleet, whole, patience)
+    cpu = time.process_time() - cpu
+    return {**rest, "state": state, "copy state": copy_state, "age": patient(took, patience),
+            "repair bytes": fleet.spent()[1] - before, "repair cpu s": cpu, "filled": filled,
+            "span": fleet.now}
+
+
+def _until(fleet: CustodyFleet, condition: Callable[[], bool], most: float) -> float | None:
+    try:
+        return fleet.until(condition, most)
+    except AssertionError:
+        return None
+
+
+# What is played, and what becomes of it
+
+
+@dataclass(frozen=True)
+class Axis:
+    """One driver of a role: its sizes (the last is held out), how one is played, what it is at the target."""
+
+    driver: str
+    sizes: tuple[int, ...]
+    play: Callable[[int, float, int], Measures]
+    target: float | None
+    note: str
+    measures: tuple[str, ...]
+    losses: tuple[float, ...] = LOSSES
+
+
+COMMON = ("messages", "bytes", "busiest bytes", "cpu s", "state", "age")
+ROLES: dict[str, tuple[Axis, ...]] = {
+    "findings": (
+        Axis("endpoints down", DOWN, partial(findings, 32), 1260.0, "32 senders",
+             (*COMMON, "median age", "known", "known at rest", "left out")),
+        Axis("senders", SENDERS, lambda at, *more: findings(at, 40, *more), 910.0, "40 endpoints down",
+             (*COMMON, "median age", "known", "known at rest")),
+        Axis("destinations", LISTED, round_of, 60_000.0, "two endpoints each, 40 of them down; 32 senders",
+             ("round",), NO_LOSS)),
+    "usage": (
+        Axis("senders", SENDERS, lambda at, *more: usage(at, 2, *more), 910.0,
+             "2 rows change a second a sender", (*COMMON, "median age", "known")),
+        Axis("rows changed a second", EVENTS, partial(usage, 32), 121.0, "32 senders, 1,000 tenants",
+             (*COMMON, "median age", "known"))),
+    "membership": (
+        Axis("senders", SENDERS, membership, 910.0, "",
+             ("messages", "bytes", "cpu s", "state", "age", "suspected", "dead wrongly")),
+        Axis("datagrams a second", EACH_WAY, datagrams, None, "as many sent and received, real sockets",
+             ("datagram cpu s",), NO_LOSS)),
+    "budgets": (
+        Axis("tenants", DOWN, partial(budgets, 32), None, "32 senders",
+             (*COMMON, "known", "known at rest")),
+        Axis("senders", SENDERS, lambda at, *more: budgets(at, 10, *more), 910.0, "10 tenants",
+             (*COMMON, "known", "known at rest"))),
+    "leases": (
+        Axis("duties", DUTIES, partial(leases, 9), None, "9 senders", (*COMMON, "elected")),
+        Axis("senders", SENDERS, lambda at, *more: leases(at, 1, *more), 910.0, "one duty",
+             (*COMMON, "elected"))),
+    "custody": (
+        Axis("messages held", HELD, repair, None, "8 senders, one holds them; a replica of it is lost",
+             ("messages", "bytes", "cpu s", "state", "copy state", "age", "repair bytes", "repair cpu s")),
+        Axis("events a second", EVENTS, partial(custody, 8), 121.0, "8 senders",
+             ("messages", "bytes", "cpu s", "state", "known")),
+        Axis("senders", SENDERS, lambda at, *more: custody(at, 1, *more), 910.0, "1 event a second a sender",
+             ("messages", "bytes", "cpu s", "state", "known"))),
+}
+UNITS = {"messages": "1/s", "bytes": "B/s", "busiest bytes": "B/s", "cpu s": "s/s", "state": "B",
+         "copy state": "B", "age": "s", "median age": "s", "known": "share", "known at rest": "share",
+         "left out": "rows", "suspected": "1/s", "dead wrongly": "members", "elected": "s",
+         "repair bytes": "B", "repair cpu s": "s", "round": "s", "datagram cpu s": "s/s"}
+WHAT = {"round": "processor time of a round that looks for findings",
+        "datagram cpu s": "processor time of the edge", "messages": "messages sent",
+        "bytes": "bytes sent", "busiest bytes": "bytes sent by the busiest",
+        "cpu s": "processor time", "state": "memory", "median age": "median age", "known": "known after 6 s"}
+AGE = {"membership": "time until all know of a death", "usage": "age of the oldest part",
+       "findings": "time until everybody knows all", "budgets": "time until 95% of the demand is covered",
+       "leases": "time until all duties of a killed holder are held", "custody": "time of a repair"}
+WIRE, CORE, MEMORY, OLD = "wire", "control core", "memory", "age"
+ROUNDS_WHY = "24 rounds a second: 19 datagrams come in, 5 exchanges"
+SCALES = {"round": (24.0, ROUNDS_WHY)}
+BUDGET = {"round": CORE, "datagram cpu s": CORE, "bytes": WIRE, "busiest bytes": WIRE, "cpu s": CORE,
+          "state": MEMORY, "copy state": MEMORY, "age": OLD}
+
+
+class Run(msgspec.Struct):
+    """One run."""
+
+    role: str
+    driver: str
+    at: int
+    loss: float
+    seed: int
+    found: Measures
+    rss: float = 0.0  # bytes a run's process had at its end
+    cpu: float = 0.0  # s that it took
+
+
+def play(role: str, driver: str, at: int, loss: float, seed: int) -> Run:
+    """One run, with the same outcome for the same seed but for processor time."""
+    axis = next(axis for axis in ROLES[role] if axis.driver == driver)
+    return Run(role, driver, at, loss, seed, axis.play(at, loss, seed), rss_bytes(), time.process_time())
+
+
+def cases(role: str) -> list[tuple[str, str, int, float, int]]:
+    """All runs of a role, the small ones first."""
+    found = []
+    for axis in ROLES[role]:
+        many = MANY if axis.driver == "senders" else axis.sizes[-2]
+        for at in axis.sizes:
+            found += [(at / axis.sizes[-1], (role, axis.driver, at, loss, seed)) for loss in axis.losses
+                      for seed in (SEEDS if at < many else SEEDS[:1])]
+    return [case for _, case in sorted(found)]
+
+
+def made_of(role: str, runs: list[Run]) -> list[slopes.Slope]:
+    """The slopes of all runs."""
+    found = []
+    for axis in ROLES[role]:
+        for loss in axis.losses:
+            some = [run for run in runs if (run.driver, run.loss) == (axis.driver, loss)]
+            if {run.at for run in some} < set(axis.sizes):
+                continue
+            for measure in axis.measures:
+                values = {at: [run.found[measure] for run in some if run.at == at] for at in axis.sizes}
+                budget = BUDGET.get(measure, "")
+                scale, why = SCALES.get(measure, (1.0, ""))
+                if measure == "bytes":
+                    scale, why = 2.0 - loss, "sent, and what arrives of as much"
+                found.append(slopes.slope(
+                    role, axis.driver, AGE[role] if measure == "age" else WHAT.get(measure, measure),
+                    UNITS[measure], values, loss=loss, target=axis.target, budget=budget,
+                    scale=scale, scale_why=why, note=axis.note))
+    return found
+
+
+MECHANISM = {"findings": "gossip of rows on `peers` (`shared` judgements)",
+             "usage": "delta counters on `peers` (`usage`)", "membership": "SWIM with Lifeguard (`peers`)",
+             "budgets": "escrow and loans on `peers` (`shared` budgets)",
+             "leases": "majority grants on `peers` (`lease`)",
+             "custody": "copies on other senders over TCP (`replica`)"}
+
+
+def main() -> None:
+    """All runs of one role."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("role", choices=ROLES)
+    parser.add_argument("--workers", type=int, default=2)
+    parser.add_argument("--points", type=Path)
+    chosen = parser.parse_args()
+    runs = []
+    if chosen.points is not None and chosen.points.exists():
+        runs = [run for line in chosen.points.read_bytes().splitlines()
+                if (run := msgspec.json.decode(line, type=Run)).role == chosen.role]
+    there = {(run.role, run.driver, run.at, run.loss, run.seed) for run in runs}
+    left = [case for case in cases(chosen.role) if case not in there]
+    with multiprocessing.get_context("spawn").Pool(chosen.workers, maxtasksperchild=1) as pool:
+        for run in pool.imap_unordered(_play, left, chunksize=1):
+            runs.append(run)
+            print(msgspec.json.encode(run).decode(), flush=True)
+            if chosen.points is not None:
+                with chosen.points.open("ab") as file:
+                    file.write(msgspec.json.encode(run) + b"\n")
+    slopes.write(chosen.role, f"python benchmarks/capacity/fleet_roles.py {chosen.role}",
+                 made_of(chosen.role, runs), MECHANISM[chosen.role], SEEDS)
+
+
+def _play(case: tuple[str, str, int, float, int]) -> Run:
+    return play(*case)
+
+
+if __name__ == "__main__":
+    main()
