--- a/willownotch/controlplane/document.py
+++ b/willownotch/controlplane/document.py
@@ -113,7 +113,7 @@
         self.token = 0  # of the revision's commit
         self.history_most = history_most
         self.history: deque[Past] = deque()
-        self.count = 0
+        self.count = self.size = 0  # entries, and bytes of their keys and values
         self._buckets: list[dict[str, bytes]] = [{} for _ in range(BUCKETS)]
         self._sums = [0] * BUCKETS
         self._total = 0
@@ -149,7 +149,8 @@
     def copy(self) -> Document:
         """The same entries, revision and token without the history: a snapshot to serve or to build on."""
         made = Document(self.history_most)
-        made.revision, made.token, made.count = self.revision, self.token, self.count
+        made.revision, made.token = self.revision, self.token
+        made.count, made.size = self.count, self.size
         made._buckets = [dict(bucket) for bucket in self._buckets]
         made._sums, made._total = list(self._sums), self._total
         return made
@@ -163,10 +164,12 @@
         if old is not None:
             moved -= hash_of(key, old)
             self.count -= 1
+            self.size -= len(key.encode()) + len(old)
             del bucket[key]
         if value is not None:
             moved += hash_of(key, value)
             self.count += 1
+            self.size += len(key.encode()) + len(value)
             bucket[key] = value
         self._sums[number] = (self._sums[number] + moved) % MODULUS
         self._total = (self._total + moved) % MODULUS
--- a/willownotch/controlplane/store.py
+++ b/willownotch/controlplane/store.py
@@ -33,6 +33,10 @@
     """A folder cannot be used; the text has its path and what to do."""
 
 
+class BusyError(StoreError):
+    """Another process has the folder now."""
+
+
 class Head(msgspec.Struct, frozen=True, array_like=True):
     """The first frame."""
 
@@ -95,9 +99,10 @@
         tail; `OSError` if it cannot be read or written.
         """
         self.files.make_folder(self.folder)
-        self._lock = FolderLock(self.folder)
+        if self._lock is None:
+            self._lock = FolderLock(self.folder)
         if not self._lock.take():
-            raise StoreError(f"{self.folder}: another process has this folder, wanted: one of its own")
+            raise BusyError(f"{self.folder}: another process has this folder, wanted: one of its own")
         try:
             return self._read()
         except (OSError, StoreError):
@@ -111,6 +116,26 @@
         except FileNotFoundError:
             self.rewrite([])
             return []
+        payloads, end = self._parse(data)
+        self._file = self.files.open_to_append(self.path)
+        self.size, self.cut = end, len(data) - end
+        if self.cut:
+            self.files.truncate(self._file, end)
+            self.files.sync(self._file)
+        return payloads
+
+    def peek(self) -> list[bytes]:
+        """The payloads as they are now, without opening the folder: another process may write there.
+
+        `StoreError` and `OSError` as `load`, but that nobody else may have it.
+        """
+        try:
+            return self._parse(self.files.read_whole(self.path))[0]
+        except FileNotFoundError:
+            return []
+
+    def _parse(self, data: bytes) -> tuple[list[bytes], int]:
+        """The payloads of a file, and where the last of its frames ends."""
         found, end = bodies(data)
         self._check_head(found)
         if end < len(data) and another_after(data, end):
@@ -121,12 +146,7 @@
                 payloads += _payloads(body)
         except msgspec.DecodeError:
             raise StoreError(f"{self.path}: has frames of another kind; {ANEW}") from None
-        self._file = self.files.open_to_append(self.path)
-        self.size, self.cut = end, len(data) - end
-        if self.cut:
-            self.files.truncate(self._file, end)
-            self.files.sync(self._file)
-        return payloads
+        return payloads, end
 
     def _check_head(self, found: list[bytes]) -> None:
         try:
