Move the links over TCP into a package of their own, told what they carry

No behaviour changes. test_replica_*.py and test_deploy.py pass; in the same run one test of test_mesh_sockets.py waited out its patience on a busy machine, and passed alone afterwards.

--- a/tests/test_mesh_sockets.py
+++ b/tests/test_mesh_sockets.py
@@ -221,7 +221,7 @@
     code = ("import sys, willownotch.cli; "
             "print([m for m in sys.modules if m in ('blake3', 'xxhash', 'lark') or "
             "m.startswith('willownotch.peers.core') or m.startswith('willownotch.usage.core') or "
-            "m in ('willownotch.replica.core', 'willownotch.replica.service', 'willownotch.replica.edge')])")
+            "m in ('willownotch.replica.core', 'willownotch.replica.service', 'willownotch.links.edge')])")
     found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
                            timeout=toys.PATIENCE)
     assert found.stdout.strip() == "[]"
--- a/tests/test_replica_parts.py
+++ b/tests/test_replica_parts.py
@@ -11,11 +11,11 @@
 from willownotch.files.layer import REAL
 from willownotch.files.space import Space
 from willownotch.journal.records import Custody, Ended, Opened, Taken, frame
+from willownotch.links.edge import MOST
 from willownotch.peers.seal import Seal
 from willownotch.replica import copies, core, wire
 from willownotch.replica.books import Follower, Owned, Stage
 from willownotch.replica.copies import Copy
-from willownotch.replica.edge import MOST, VERSION
 from willownotch.replica.placement import ranked, witnesses
 from willownotch.replica.settings import ReplicaSettings
 from willownotch.replica.store import Store
@@ -126,7 +126,7 @@
 
 def test_frames_of_another_kind_a_repeat_and_noise_are_refused():
     keys = [(1, b"k" * 32)]
-    one, other = Seal(1, keys, wire.decode, VERSION, MOST), Seal(2, keys, wire.decode, VERSION, MOST)
+    one, other = (Seal(uid, keys, wire.decode, wire.VERSION, MOST) for uid in (1, 2))
     data = one.close(wire.Close("a", "book", 1))
     assert other.open(data) == wire.Close("a", "book", 1)
     assert other.open(data) is None
--- a/willownotch/replica/edge.py
+++ b/willownotch/links/edge.py
@@ -1,4 +1,4 @@
-"""Frames between senders over TCP: sealed, one connection a direction, each peer's queue bounded.
+"""Frames between members over TCP: sealed, one connection a direction, each peer's queue bounded.
 
 Whoever has something to say connects to the member's address (the port of its datagrams) and writes; answers
 come on a connection of the other's own. A connection that breaks loses what was on its way: the core asks
@@ -13,13 +13,14 @@
 import threading
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from struct import Struct
 
+import msgspec
+
 from willownotch.peers.seal import Seal
 from willownotch.peers.wire import Address
-from willownotch.replica.wire import Message, decode
 
-VERSION = 17  # told apart from datagrams, which the same keys seal
 MOST = 1 << 20  # bytes of a frame
 QUEUE_MOST = 4 << 20  # bytes that wait for one peer; what comes on top is dropped and counted
 CONNECT_S, WRITE_S, PAUSE_S = 1.0, 3.0, 0.1
@@ -28,6 +29,7 @@
 LENGTH = Struct("!I")
 
 Start = Callable[[str, Callable[[], None]], None]
+Message = msgspec.Struct
 
 
 class Link:
@@ -80,13 +82,23 @@
         self.sock = None
 
 
+@dataclass(frozen=True)
+class Kind:
+    """What tells one subsystem's links from another's."""
+
+    name: str  # begins the names of its threads
+    version: int  # of its frames, told apart from datagrams, which the same keys seal
+    decode: Callable[[bytes], Message]
+    size: Callable[[Message], int]  # bytes of a message's frame, about
+
+
 class Edge:
     """The listener, the connections that were taken, and a link for each peer that is spoken to."""
 
-    def __init__(self, listener: socket.socket, host: str, uid: int, keys: list[tuple[int, bytes]],
-                 got: Callable[[Message], None], start: Start) -> None:
-        self.listener, self.host, self.got, self.start = listener, host, got, start
-        self.seal = Seal(uid, keys, decode, VERSION, MOST)
+    def __init__(self, kind: Kind, listener: socket.socket, host: str, uid: int,
+                 keys: list[tuple[int, bytes]], got: Callable[[Message], None], start: Start) -> None:
+        self.kind, self.listener, self.host, self.got, self.start = kind, listener, host, got, start
+        self.seal = Seal(uid, keys, kind.decode, kind.version, MOST)
         self.traffic: Counter[str] = Counter()
         self.lock = threading.Lock()
         self.links: dict[str, Link] = {}
@@ -99,7 +111,7 @@
         return LENGTH.pack(len(data)) + data
 
     def connect(self, address: Address) -> socket.socket:
-        """A connection to a peer, from this sender's own address."""
+        """A connection to a peer, from this member's own address."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.settimeout(CONNECT_S)
@@ -119,7 +131,7 @@
         if address is None:
             self.traffic["unknown peer"] += 1
             return
-        size = sum(map(len, getattr(message, "frames", ()))) + 200
+        size = self.kind.size(message)
         with self.lock:
             link = self.links.get(name)
             fresh = link is None or link.ended or link.address != address
@@ -133,7 +145,7 @@
             link.bytes += size
             link.waiting.put(message)
         if fresh:
-            self.start(f"custody-to-{name}", link.run)
+            self.start(f"{self.kind.name}-to-{name}", link.run)
 
     def roll(self, keys: list[tuple[int, bytes]]) -> None:
         """Use other keys from now on."""
@@ -150,7 +162,7 @@
                     return
                 threading.Event().wait(PAUSE_S)
                 continue
-            self.start("custody-from", lambda sock=sock: self._read(sock))
+            self.start(f"{self.kind.name}-from", lambda sock=sock: self._read(sock))
 
     def _read(self, sock: socket.socket) -> None:
         """Frames of one connection. One that cannot be read ends it: its place in the stream is lost."""
--- a/willownotch/mesh.py
+++ b/willownotch/mesh.py
@@ -98,10 +98,10 @@
             raise
         self.keeper: Keeper | None = None
         if listener is not None:
-            from willownotch.replica import edge as links
-            from willownotch.replica.service import Keeper
+            from willownotch.links.edge import Edge as Links
+            from willownotch.replica.service import LINKS, Keeper
 
-            edge = links.Edge(listener, settings.listen[0], uid, keys,
+            edge = Links(LINKS, listener, settings.listen[0], uid, keys,
                               lambda message: self.keeper.post(message),
                               lambda name, work: self._start(name, work))
             self.keeper = Keeper(blocks.replica, name, uid, edge, folder, files, space, space.room,
--- a/willownotch/replica/service.py
+++ b/willownotch/replica/service.py
@@ -23,10 +23,10 @@
 from willownotch.files.space import Space
 from willownotch.journal.records import Custody as Mark
 from willownotch.journal.records import Ended, Entry, Noticed, Record, Taken, frame
+from willownotch.links.edge import Edge, Kind
 from willownotch.replica import core as cores
 from willownotch.replica import wire
 from willownotch.replica.books import Stage
-from willownotch.replica.edge import Edge
 from willownotch.replica.settings import ReplicaSettings
 from willownotch.replica.store import Store
 
@@ -35,6 +35,9 @@
 LOG_S = 10.0  # between two lines on messages that no copies can be had for
 WITNESS_OF = (wire.Granted, wire.Acked)  # what may be said only once it is in the folder
 
+LINKS = Kind("custody", wire.VERSION, wire.decode,
+             lambda message: sum(map(len, getattr(message, "frames", ()))) + 200)
+
 
 class FollowerView(msgspec.Struct, frozen=True):
     """A replica of a book of this sender's."""
--- a/willownotch/replica/wire.py
+++ b/willownotch/replica/wire.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+VERSION = 17  # of sealed frames with these messages
+
 Position = tuple[int, int]  # of a log: the term and the number of its last record
 START: Position = (0, 0)
 
