--- a/benchmarks/capacity/slopes.py
+++ b/benchmarks/capacity/slopes.py
@@ -30,12 +30,15 @@
 
 BUDGETS = {
     "control core": 0.015,  # of a core, a sender, for control
-    "core": 1.0,  # of a core: one interpreter runs one thread at a time; for messages themselves
+    "core": 0.5,  # of a core: one interpreter runs one thread at a time; decisions and sockets get half each
     "memory": 256e6,  # bytes, a sender, for control
     "wire": 7_000.0,  # bytes a second, a sender, for control, sent and received
     "age": 11.0,  # seconds until in force, or how old what is acted on may be
+    "restart": 10.0,  # seconds of processor time until a restarted sender is ready
     "": math.inf,  # told only
 }
+FAILURES = ("one machine", "300 restarts a day", "a rack", "a zone", "two regions apart for minutes",
+            "all senders at once")
 
 
 class Point(msgspec.Struct, frozen=True):
@@ -94,6 +97,30 @@
     note: str = ""
 
 
+class Cap(msgspec.Struct, frozen=True):
+    """A bound that something refuses at, whatever it costs: so much of the driver, and why."""
+
+    driver: str
+    most: float
+    target: float
+    why: str
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """What one of the target's failures does to a role, as it was measured.
+
+    failure: a name in `FAILURES`. recover: seconds of each run until the role was whole again; lost and
+    stale: what was lost, and what was old meanwhile and how old, in words with their figures.
+    """
+
+    failure: str
+    size: str
+    recover: list[float]
+    lost: str
+    stale: str
+    note: str = ""
+
+
 class Role(msgspec.Struct, frozen=True):
     """A result file. mechanism: what carries the role today, in a phrase, or "none yet"."""
 
@@ -106,6 +133,8 @@
     mechanism: str
     slopes: list[Slope]
     notes: list[str] = []
+    caps: list[Cap] = []
+    failures: list[Failure] = []
 
 
 class Prediction(msgspec.Struct, frozen=True):
@@ -216,10 +245,10 @@
 
 
 def write(role: str, command: str, slopes: Sequence[Slope], mechanism: str, seeds: Sequence[int] = (),
-          notes: Sequence[str] = ()) -> Path:
+          notes: Sequence[str] = (), caps: Sequence[Cap] = (), failures: Sequence[Failure] = ()) -> Path:
     """The role's result file; returns its path."""
     made = Role(role, f"{datetime.now(UTC):%Y-%m-%d}", rig.commit(), rig.machine(), command, list(seeds),
-                mechanism, list(slopes), list(notes))
+                mechanism, list(slopes), list(notes), list(caps), list(failures))
     RESULTS.mkdir(parents=True, exist_ok=True)
     path = RESULTS / f"{role}.json"
     path.write_bytes(msgspec.json.format(msgspec.json.encode(made), indent=1) + b"\n")
