Begin the capacity page: tables from the result files, not measured where there is none

docs/CAPACITY.md says for each role what carries it at the target and which share of the target holds.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,6 +9,7 @@
 
 sys.path[:0] = [str(Path(__file__).parent.parent / "benchmarks" / "capacity")]
 
+import page  # noqa: E402
 import slopes  # noqa: E402
 
 SIZES = (10, 30, 100, 300, 1000, 3000)
@@ -77,3 +78,65 @@
     one = made(lambda at: 3.0 * at, loss=0.05, target=910.0, budget="wire")
     path = slopes.write("role", "command", [one], "gossip", [1, 2], ["cut"])
     assert slopes.read(path).slopes == [one]
+
+
+# The page
+
+
+def role(name, *some, mechanism="gossip", **more):
+    return slopes.Role(name, "2026-12-02", "abc", "1 core", f"python {name}.py", [1], mechanism, list(some),
+                       **more)
+
+
+@given(st.floats(0.01, 3.0), st.floats(0.5, 2.0))
+def test_the_share_is_where_the_budget_ends(part, exponent):
+    target, most = 3000.0, slopes.BUDGETS["wire"]
+    one = made(lambda at: most * (at / (part * target)) ** exponent, target=target, budget="wire")
+    found = page.share_of(one, "wire")
+    assert found.part == pytest.approx(min(1.0, part), rel=0.02)
+    assert not found.open
+
+
+def test_no_share_is_claimed_beyond_the_limit():
+    one = made(lambda at: 1e-9 * at, target=1e6, budget="wire")
+    found = page.share_of(one, "wire")
+    assert found.open
+    assert found.part == pytest.approx(slopes.LIMIT * SIZES[-1] / 1e6, rel=0.02)
+
+
+def test_a_role_is_no_better_than_its_worst_measure_and_nothing_without_a_mechanism():
+    good = made(lambda at: 1e-6 * at, target=910.0, budget="wire", loss=0.0)
+    bad = made(lambda at: 70.0 * at, target=910.0, budget="wire", loss=0.05)
+    worse = made(lambda at: 700.0 * at, target=910.0, budget="wire", loss=0.3)
+    row = page.Row("usage", "usage")
+    assert page.shares(row, role("usage", good, bad, worse))[0].part == pytest.approx(100 / 910, rel=0.02)
+    assert page.shares(row, role("usage", good, mechanism="none yet"))[0].part == 0.0
+    cap = slopes.Cap("senders", 91, 910, "refused above")
+    assert page.shares(row, role("usage", good, caps=[cap]))[0].part == pytest.approx(0.1)
+
+
+def test_bytes_of_messages_are_not_bounded_and_ages_only_of_what_is_brought_into_force():
+    wire, old = made(float, budget="wire", target=910.0), made(float, budget="age", target=910.0)
+    assert page.budget_of(page.Row("custody", "custody", "messages"), wire) == ""
+    assert page.budget_of(page.Row("usage", "usage"), old) == ""
+    assert page.budget_of(page.Row("findings", "findings", aged=True), old) == "age"
+
+
+def test_the_page_says_what_the_results_say():
+    text = page.PAGE.read_text(encoding="utf-8")
+    assert text == page.written(text, page.load(slopes.RESULTS)), "run: python benchmarks/capacity/page.py"
+
+
+def test_another_result_makes_another_page():
+    text = page.PAGE.read_text(encoding="utf-8")
+    found = page.load(slopes.RESULTS)
+    one = made(lambda at: 123.0 * at, target=910.0, budget="wire")
+    assert page.written(text, {**found, "usage": role("usage", one)}) != text
+    assert page.written(text, {**found, "tier-x": role("tier", one)}) != text
+    failure = slopes.Failure("a zone", "182 senders", [1.0, 2.0], "nothing", "2 s")
+    assert "182 senders" in page.written(text, {**found, "tier-x": role("tier", failures=[failure])})
+
+
+def test_a_page_without_results_says_so():
+    text = page.written(page.PAGE.read_text(encoding="utf-8"), {})
+    assert text.count(page.NOT) > len(page.ROWS)
