Count what waits for a link by one measure, and bound who may connect to it

What waited for a peer was added by an estimate and taken off by the frame's true length: on a link that is never idle the difference added up, and once it came to 4 MB every message was dropped. Now both are the estimate. Connections are read from up to 256 at once, and closed after 60 s of silence; a stream cut inside a frame is counted.

tests/test_links.py has these and streams that are oversized, forged or foreign; with the old subtraction the test of a lasting link fails. test_replica_parts.py and test_replica_sockets.py pass.

--- a/willownotch/links/edge.py
+++ b/willownotch/links/edge.py
@@ -25,6 +25,8 @@
 QUEUE_MOST = 4 << 20  # bytes that wait for one peer; what comes on top is dropped and counted
 CONNECT_S, WRITE_S, PAUSE_S = 1.0, 3.0, 0.1
 IDLE_S = 30.0  # a link that nothing was sent on for so long ends
+SILENT_S = 2 * IDLE_S  # a connection that nothing came on for so long is closed
+CONNECTIONS_MOST = 256  # that are read from at once; who comes on top is closed and counted
 BACKLOG = 64
 LENGTH = Struct("!I")
 
@@ -37,8 +39,8 @@
 
     def __init__(self, name: str, address: Address, edge: Edge) -> None:
         self.name, self.address, self.edge = name, address, edge
-        self.waiting: queue.SimpleQueue[Message | None] = queue.SimpleQueue()
-        self.bytes = 0  # of frames that wait, about
+        self.waiting: queue.SimpleQueue[tuple[Message, int] | None] = queue.SimpleQueue()
+        self.bytes = 0  # of frames that wait, as `Kind.size` has it
         self.sock: socket.socket | None = None
         self.ended = False
 
@@ -47,10 +49,10 @@
         pause = threading.Event()
         while True:
             try:
-                message = self.waiting.get(timeout=IDLE_S)
+                found = self.waiting.get(timeout=IDLE_S)
             except queue.Empty:
-                message = None
-            if message is None:
+                found = None
+            if found is None:
                 with self.edge.lock:
                     if not self.waiting.empty():
                         continue
@@ -58,8 +60,10 @@
                     if self.edge.links.get(self.name) is self:
                         del self.edge.links[self.name]
                 return self._close()
+            message, size = found
             data = self.edge.close(message)
-            self.bytes -= len(data)
+            with self.edge.lock:
+                self.bytes -= size
             try:
                 if self.sock is None:
                     self.sock = self.edge.connect(self.address)
@@ -69,13 +73,19 @@
             except OSError:
                 self.edge.traffic["send failed"] += 1
                 self._close()
-                # What waits is older than what the core will say once it notices: it goes, too.
-                while not self.waiting.empty():
-                    self.waiting.get()
-                    self.edge.traffic["dropped"] += 1
-                self.bytes = 0
+                self._drop()
                 pause.wait(PAUSE_S)
 
+    def _drop(self) -> None:
+        """What waits is older than what the core will say once it notices: it goes, too."""
+        with self.edge.lock:
+            while not self.waiting.empty():
+                if (found := self.waiting.get()) is None:
+                    self.waiting.put(None)
+                    return
+                self.bytes -= found[1]
+                self.edge.traffic["dropped"] += 1
+
     def _close(self) -> None:
         if self.sock is not None:
             self.sock.close()
@@ -102,6 +112,7 @@
         self.traffic: Counter[str] = Counter()
         self.lock = threading.Lock()
         self.links: dict[str, Link] = {}
+        self.connections = 0
         self.addresses: dict[str, Address] = {}
 
     def close(self, message: Message) -> bytes:
@@ -143,7 +154,7 @@
                 self.traffic["dropped"] += 1
                 return
             link.bytes += size
-            link.waiting.put(message)
+            link.waiting.put((message, size))
         if fresh:
             self.start(f"{self.kind.name}-to-{name}", link.run)
 
@@ -162,19 +173,38 @@
                     return
                 threading.Event().wait(PAUSE_S)
                 continue
-            self.start(f"{self.kind.name}-from", lambda sock=sock: self._read(sock))
+            with self.lock:
+                full = self.connections >= CONNECTIONS_MOST
+                self.connections += not full
+            if full:
+                self.traffic["too many connections"] += 1
+                sock.close()
+            else:
+                self.start(f"{self.kind.name}-from", lambda sock=sock: self._take(sock))
+
+    def _take(self, sock: socket.socket) -> None:
+        try:
+            self._read(sock)
+        finally:
+            with self.lock:
+                self.connections -= 1
 
     def _read(self, sock: socket.socket) -> None:
         """Frames of one connection. One that cannot be read ends it: its place in the stream is lost."""
         try:
+            sock.settimeout(SILENT_S)
             with sock, sock.makefile("rb") as stream:
-                while len(head := stream.read(LENGTH.size)) == LENGTH.size:
+                while head := stream.read(LENGTH.size):
+                    if len(head) < LENGTH.size:
+                        self.traffic["cut off"] += 1
+                        return
                     length = LENGTH.unpack(head)[0]
                     if length > MOST:
                         self.traffic["too long"] += 1
                         return
                     data = stream.read(length)
                     if len(data) < length:
+                        self.traffic["cut off"] += 1
                         return
                     with self.lock:
                         message = self.seal.open(data)
