Let a control socket answer several at once, and take larger questions where that is wanted

A member of the control plane answers when a change is committed, and a change may have half a megabyte: one client after the other with 64 KB a question does not do. With 'start' a server answers up to 32 at once on threads; a sender's stays as it is.

--- a/willownotch/channel/client.py
+++ b/willownotch/channel/client.py
@@ -14,10 +14,11 @@
     """No answer; the text says why."""
 
 
-def ask(path: str | Path, question: str, about: dict[str, str] | None = None) -> Any:
+def ask(path: str | Path, question: str, about: dict[str, str] | None = None,
+        patience: float = PATIENCE) -> Any:
     """The answer to a question, as plain values."""
     with socket.socket(socket.AF_UNIX) as sock:
-        sock.settimeout(PATIENCE)
+        sock.settimeout(patience)
         try:
             sock.connect(str(path))
             sock.sendall(msgspec.json.encode({"ask": question, "about": about or {}}) + b"\n")
--- a/willownotch/channel/server.py
+++ b/willownotch/channel/server.py
@@ -3,6 +3,7 @@
 
 import os
 import socket
+import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -10,6 +11,7 @@
 import msgspec
 
 LINE_MOST = 64 * 1024  # bytes of a question
+PIECE = 64 * 1024  # bytes read at once
 PATIENCE = 2.0  # s that a client may take for its question, and to read a piece of its answer
 BACKLOG = 16
 
@@ -26,6 +28,7 @@
 
 
 Answerer = Callable[[dict[str, str]], Any]
+Start = Callable[[str, Callable[[], None]], None]
 
 
 def bind(path: Path) -> socket.socket:
@@ -51,32 +54,60 @@
 
 
 class Server:
-    """Answers one client after the other; a slow one costs the next no more than the patience."""
+    """Answers one client after the other; a slow one costs the next no more than the patience.
 
-    def __init__(self, path: str | Path) -> None:
-        self.path = Path(path)
+    With `start` it answers up to `at_once`, each on a thread of its own, so that an answer may take its time;
+    answerers are called by several threads then, and who comes on top waits its turn. `line_most`: bytes of a
+    question.
+    """
+
+    def __init__(self, path: str | Path, line_most: int = LINE_MOST, start: Start | None = None,
+                 at_once: int = 32) -> None:
+        self.path, self.line_most, self.start = Path(path), line_most, start
         self.answers: dict[str, Answerer] = {}
+        self._places = threading.BoundedSemaphore(at_once if start is not None else 1)
         self._sock = bind(self.path)
 
     def run(self) -> None:
         """Answer until the process ends."""
         while True:
+            self._places.acquire()
             try:
                 client, _ = self._sock.accept()
             except OSError:
+                self._places.release()
                 if self._sock.fileno() < 0:
                     return
                 continue
+            if self.start is None:
+                self._serve(client)
+            else:
+                self.start("control-client", lambda client=client: self._serve(client))
+
+    def _serve(self, client: socket.socket) -> None:
+        try:
             with client:
                 client.settimeout(PATIENCE)
-                try:
-                    client.sendall(self.answer(_line(client)) + b"\n")
-                except OSError:
-                    pass  # it went away
+                client.sendall(self.answer(self._line(client)) + b"\n")
+        except OSError:
+            pass  # it went away
+        finally:
+            self._places.release()
+
+    def _line(self, client: socket.socket) -> bytes:
+        data = bytearray()
+        while b"\n" not in data[-PIECE:] and len(data) <= self.line_most:
+            piece = client.recv(PIECE)
+            if not piece:
+                break
+            data += piece
+        return bytes(data.partition(b"\n")[0])
 
     def answer(self, line: bytes) -> bytes:
         """A question's answer; what is wrong with it, if anything is."""
         try:
+            if len(line) > self.line_most:
+                raise BadQuestionError(f"a question of more than {self.line_most} bytes")
             question = msgspec.json.decode(line, type=Question)
             if question.ask not in self.answers:
                 known = ", ".join(sorted(self.answers)) or "nothing"
@@ -90,13 +121,3 @@
         """Answer no more."""
         self._sock.close()
         self.path.unlink(missing_ok=True)
-
-
-def _line(client: socket.socket) -> bytes:
-    data = b""
-    while b"\n" not in data and len(data) <= LINE_MOST:
-        piece = client.recv(4096)
-        if not piece:
-            break
-        data += piece
-    return data.partition(b"\n")[0]
