--- a/willownotch/controlplane/voter.py
+++ b/willownotch/controlplane/voter.py
@@ -119,19 +119,22 @@
     def _kept(self, records: list[Record]) -> bool:
         """Keep these and all that waits to be kept."""
         waiting = [*self.unkept, *records]
-        kept = not waiting or self.keep(waiting)
+        if not waiting:
+            return not self.failing
+        kept = self.keep(waiting)
         if kept:
             self.unkept.clear()
         else:
             self.counts["keep failed"] += 1
-            if not self.failing:
-                self.said.append("the folder cannot be written: no vote until it can")
+        if kept == self.failing:
+            self.said.append("the folder can be written again" if kept
+                             else "the folder cannot be written: no vote until it can")
         self.failing = not kept
         return kept
 
     def flush(self) -> bool:
-        """Keep what waits to be kept."""
-        return self._kept([])
+        """Keep what waits to be kept, and see whether a folder that failed still does."""
+        return self._kept([Promised(self.promised)] if self.failing and not self.unkept else [])
 
     def records(self) -> list[Record]:
         """All that the folder needs, in fewest records; with the history of the document."""
