Undo a wrong difference whole where it names a key twice; property tests of the document

Found by the property tests: a difference that both removes and sets a key, or removes it twice, and whose digest is wrong, was undone to what stood between the two, so the document lost the entry and no later difference fitted it. The first value of a key is now the one that is put back.

tests/test_controlplane_document.py: commits, differences by any path and the whole come to the same entries and digest; what is repeated or wrong is refused and changes nothing; roll-back, conflicts, bounds and the digests of groups and buckets agree with a plain dictionary. 21 tests pass.

--- a/willownotch/controlplane/document.py
+++ b/willownotch/controlplane/document.py
@@ -176,8 +176,12 @@
         return old
 
     def _write(self, sets: Mapping[str, bytes], removes: Iterable[str]) -> dict[str, bytes | None]:
-        before = {key: self._put(key, None) for key in removes}
-        return before | {key: self._put(key, value) for key, value in sets.items()}
+        before: dict[str, bytes | None] = {}
+        for key in removes:
+            before.setdefault(key, self._put(key, None))  # the first counts, where a key comes twice
+        for key, value in sets.items():
+            before.setdefault(key, self._put(key, value))
+        return before
 
     def found(self, change_id: bytes) -> int | None:
         """The revision that a change became, as far back as the history goes."""
