--- /dev/null
+++ b/tests/test_controlplane_sender.py
@@ -0,0 +1,323 @@
+"""A real sender that follows: revisions in force, refused, kept; members that are silent or not so good."""
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from random import Random
+
+import pytest
+import toys
+from toys import ROOT, SETTINGS, Discovery, Host, Sender, until
+
+from willownotch.channel.client import ask
+from willownotch.controlplane import wire
+from willownotch.controlplane.document import Change, Commit, Document
+from willownotch.controlplane.entries import parse
+from willownotch.controlplane.held import Held
+from willownotch.controlplane.serving import Serving
+from willownotch.controlplane.settings import MemberSettings
+from willownotch.controlplane.store import Store
+from willownotch.files.layer import REAL
+from willownotch.peers.seal import Seal, read_keys
+
+KEYS = f"1 {'ab' * 32}\n"
+ATTEMPTS = "config/settings/policyLimits/maxAttempts"
+
+
+class Member:
+    """The real serving core on a socket, with a document that the test moves on."""
+
+    def __init__(self, name="a", token=1):
+        self.name, self.token, self.document = name, token, Document()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.settimeout(0.02)
+        self.seal = Seal(7, read_keys(KEYS), wire.decode, wire.VERSION)
+        self.lock, self.open, self.deaf = threading.Lock(), True, False
+        self.serving = Serving(name, self.document, MemberSettings(folder="x"), time.monotonic(), Random(1))
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while self.open:
+            try:
+                data, address = self.sock.recvfrom(4096)
+            except OSError:
+                data = None
+            with self.lock:
+                sends = self.serving.tick(time.monotonic())
+                if data is not None and not self.deaf and (message := self.seal.open(data)) is not None:
+                    sends += self.serving.receive(time.monotonic(), address, message)
+                self.carry(sends)
+
+    def carry(self, sends):
+        for send in sends:
+            if not self.deaf and self.open:
+                self.sock.sendto(self.seal.close(send.message), send.address)
+
+    def put(self, text, removes=()):
+        """Commit a text of entries; the revision."""
+        with self.lock:
+            document = self.document
+            name = Random(document.revision).randbytes(16)
+            change = Change(name, "me", document.revision, parse(text), removes)
+            commit = Commit(document.revision + 1, self.token, change, document.digest_after(change))
+            document.commit(commit)
+            self.carry(self.serving.committed(time.monotonic(), commit))
+            return document.revision
+
+    def in_force(self):
+        """By revision, as its followers told it."""
+        with self.lock:
+            return self.serving.status(time.monotonic()).in_force
+
+    def status(self):
+        with self.lock:
+            return self.serving.status(time.monotonic())
+
+    def close(self):
+        self.open = False
+        self.sock.close()
+
+
+class Fleet:
+    """A sender, and whom it follows."""
+
+    def __init__(self, path, members=1, token=1, control=True):
+        self.path, self.host, self.control = path, Host(), control
+        self.discovery = Discovery([self.host])
+        (path / "keys").write_text(KEYS)
+        self.members = [Member(chr(ord("a") + n), token) for n in range(members)]
+        self.sender = None
+
+    @property
+    def member(self):
+        return self.members[0]
+
+    def settings(self):
+        members = "".join(f" member {m.name} {{\n  address 127.0.0.1:{m.sock.getsockname()[1]}\n }}\n"
+                          for m in self.members)
+        control = f"control {{\n socket {self.path / 'control'}\n}}\n" if self.control else ""
+        return (f"follow {{\n folder {self.path / 'follow'}\n keys {self.path / 'keys'}\n period 300ms\n"
+                f" patience 150ms\n{members}}}\n{control}")
+
+    def start(self):
+        self.sender = Sender(self.discovery, settings=self.settings())
+        return self.sender.ready()
+
+    def view(self):
+        """None until the folder is open."""
+        return ask(self.path / "control", "follow")
+
+    def said(self, text):
+        return until(lambda: any(text in line for line in self.sender.lines))
+
+    def close(self):
+        for thing in (self.sender, self.host, self.discovery, *self.members):
+            if thing is not None:
+                thing.close()
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = []
+
+    def make(**more):
+        made.append(Fleet(tmp_path, **more))
+        return made[-1]
+    yield make
+    for each in made:
+        each.close()
+
+
+def held(fleet):
+    """What the folder of a sender that has ended holds."""
+    return Held.restored(Store(fleet.path / "follow", REAL, "t0").peek())
+
+
+def not_opened(fleet):
+    """Datagrams that were refused, whatever the reason."""
+    return sum(count for what, count in fleet.view()["counters"].items() if "not opened" in what)
+
+
+def taken(sender, message_class):
+    """Whether a message of a class is taken on."""
+    return sender.hand_in(message_class)[1].status == 202
+
+
+def test_a_revision_holds_in_service_and_its_member_hears_of_it(fleet):
+    fleet = fleet()
+    fleet.start()
+    fleet.member.put("data/first 1\n")
+    until(lambda: fleet.member.in_force().get("1") == 1)  # nothing for the owner in it
+    fleet.member.put(f"{ATTEMPTS} 3\nconfig/settings/orgs/blue {{\"quotaPerS\": 5}}\n")
+    fleet.said("revision 2 is in force")
+    fleet.said("retune: new settings hold")
+    until(lambda: fleet.member.in_force().get("2") == 1)
+    view = fleet.view()
+    assert (view["member"], view["revision"], view["in_force"], view["refused"]) == ("a", 2, 2, 0)
+    lines = [line for line in fleet.sender.lines if "retune: new settings hold" in line
+             or "revision 2 is in force" in line]
+    assert "retune" in lines[0]  # in force is told once the owner has it
+
+
+def test_a_revision_that_cannot_be_applied_is_told_back_and_the_last_stays(fleet):
+    fleet = fleet()
+    fleet.start()
+    fleet.member.put(f"{ATTEMPTS} 3\n")
+    fleet.said("revision 1 is in force")
+    fleet.member.put("config/settings/services/unknown/credit 2\n")
+    fleet.said("revision 2 is refused, 1 stays in force")
+    nacks = until(lambda: fleet.member.status().nacks)
+    assert nacks[0][1:3] == ("t0", 2)
+    assert "promiseS" in nacks[0][3]
+    assert fleet.member.in_force() == {"1": 1}
+    # The next one, which builds on it, is sound again.
+    fleet.member.put("data/x 1\n", ("config/settings/services/unknown/credit",))
+    fleet.said("revision 3 is in force")
+    until(lambda: not fleet.member.status().nacks)
+
+
+def test_a_restarted_sender_begins_with_the_last_revision_and_nobody_to_ask(fleet):
+    fleet = fleet()
+    sender = fleet.start()
+    fleet.member.put("config/settings/services/order null\n")
+    fleet.said("revision 1 is in force")
+    fleet.member.put("config/settings/services/unknown/credit 2\n")  # held, and not in force
+    fleet.said("revision 2 is refused")
+    fleet.member.deaf = True
+    sender.restart()
+    fleet.said("begins with revision 1 in force")
+    assert taken(sender, "status")
+    assert not taken(sender, "order")  # a class that the revision took out
+    view = fleet.view()
+    assert (view["in_force"], view["revision"]) == (1, 2)
+    fleet.member.deaf = False
+    until(lambda: fleet.view()["member"] == "a")
+    fleet.member.put("data/x 1\n", ("config/settings/services/unknown/credit",))
+    fleet.said("revision 3 is in force")
+
+
+def test_sighup_reads_the_file_and_the_revision_stays_over_it(fleet):
+    fleet = fleet()
+    sender = fleet.start()
+    fleet.member.put("config/settings/services/order null\n")
+    fleet.said("revision 1 is in force")
+    policy = {**sender.text["settings"]["policyLimits"], "maxOpen": 20}
+    sender.reload({"settings": {**SETTINGS, "policyLimits": policy}}, "discovery stays")
+    until(lambda: sum("retune: new settings hold" in line for line in sender.lines) == 2)
+    until(lambda: not taken(sender, "order"))  # what drops a class takes it for a moment more
+    # A file that the revision does not fit any more changes nothing.
+    sender.reload({"settings": {**SETTINGS, "services": []}}, "the old settings stay")
+    assert taken(sender, "status")
+
+
+def test_only_forward_whatever_a_member_says(fleet):
+    """The one that is followed dies; the other has an older revision, then a newer one."""
+    fleet = fleet(members=2)
+    fleet.start()
+    followed = until(lambda: (fleet.view() or {}).get("member"))
+    first, other = sorted(fleet.members, key=lambda member: member.name != followed)
+    first.put(f"{ATTEMPTS} 3\n")
+    first.put(f"{ATTEMPTS} 4\n")
+    fleet.said("revision 2 is in force")
+    other.put(f"{ATTEMPTS} 3\n")
+    first.deaf = True
+    fleet.said(f"follows {other.name}")
+    until(lambda: fleet.view()["counters"].get("behind"))
+    assert (fleet.view()["revision"], fleet.view()["in_force"]) == (2, 2)
+    other.put(f"{ATTEMPTS} 4\n")
+    first.put(f"{ATTEMPTS} 5\n")
+    other.put(f"{ATTEMPTS} 5\n")
+    first.deaf = False
+    fleet.said("revision 3 is in force")
+    forces = [int(line.split("revision ")[1].split()[0]) for line in fleet.sender.lines
+              if "is in force" in line]
+    assert forces == sorted(set(forces))
+
+
+def test_datagrams_that_are_cut_forged_or_of_another_version_are_counted_and_change_nothing(fleet):
+    fleet = fleet()
+    fleet.start()
+    fleet.member.put(f"{ATTEMPTS} 3\n")
+    fleet.said("revision 1 is in force")
+    address = next(iter(fleet.member.serving.followers.values())).address
+    good = fleet.member.seal.close(wire.Push("a", 9, 9, b""))
+    forger = Seal(9, read_keys(f"1 {'cd' * 32}\n"), wire.decode, wire.VERSION)
+    changed = good[:30] + bytes([good[30] ^ 1]) + good[31:]
+    for bad in (b"x", good[:20], good[:-1], b"\x01" + good[1:], changed, good + bytes(2000),
+                forger.close(wire.Push("a", 9, 9, b""))):
+        fleet.member.sock.sendto(bad, address)
+    until(lambda: not_opened(fleet) == 7)
+    view = fleet.view()
+    assert (view["revision"], view["in_force"]) == (1, 1)
+    fleet.member.put(f"{ATTEMPTS} 4\n")
+    fleet.said("revision 2 is in force")
+
+
+def test_a_folder_of_another_sender_is_no_folder_to_start_on(fleet, tmp_path):
+    fleet = fleet()
+    store = Store(tmp_path / "follow", REAL, "another")
+    store.load()
+    store.close()
+    config, settings = tmp_path / "c.json", tmp_path / "w.conf"
+    config.write_text(json.dumps({
+        "name": "t0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "5f",
+        "state": str(tmp_path / "s"), "limits": {"sockets": 1024, "disk_mb": 3}, "settings": SETTINGS}))
+    settings.write_text(fleet.settings())
+    found = subprocess.run(
+        [sys.executable, "-m", "willownotch", "serve", "--config", config, "--settings", settings],
+        cwd=ROOT, text=True, capture_output=True, timeout=toys.PATIENCE)
+    assert found.returncode == 2
+    assert "belongs to 'another'" in found.stderr
+    assert found.stderr.count("\n") == 1
+
+
+def test_an_upgrade_hands_the_folder_on_and_nothing_goes_back(fleet):
+    fleet = fleet(control=False)  # its socket is the old process's until that ends
+    sender = fleet.start()
+    fleet.member.put(f"{ATTEMPTS} 3\n")
+    fleet.said("revision 1 is in force")
+    old, _ = sender.upgrade()
+    fleet.said("begins with revision 1 in force")
+    fleet.member.put(f"{ATTEMPTS} 4\n")
+    fleet.said("revision 2 is in force")
+    assert old.wait(toys.PATIENCE) == 0
+
+
+def test_sigterm_leaves_the_member_and_the_folder_whole(fleet):
+    fleet = fleet()
+    sender = fleet.start()
+    fleet.member.put(f"{ATTEMPTS} 3\n")
+    fleet.said("revision 1 is in force")
+    for _ in range(2):  # the second one ends its waiting for a SIGKILL
+        sender.process.send_signal(signal.SIGTERM)
+        until(lambda: any("stop: SIGTERM" in line for line in sender.lines))
+    sender.process.wait(toys.PATIENCE)
+    assert held(fleet).in_force == 1
+    until(lambda: not fleet.member.in_force())
+
+
+def test_the_command_shows_what_is_followed_and_in_force(fleet):
+    fleet = fleet()
+    fleet.start()
+    fleet.member.put(f"{ATTEMPTS} 3\n")
+    fleet.said("revision 1 is in force")
+    fleet.member.put("config/settings/services/unknown/credit 2\n")
+    fleet.said("revision 2 is refused")
+    found = subprocess.run(
+        [sys.executable, "-m", "willownotch", "follow", "--socket", fleet.path / "control"],
+        cwd=ROOT, text=True, capture_output=True, timeout=toys.PATIENCE)
+    assert found.returncode == 0
+    for said in ("t0 follows a", "revision 1 in force", "2 held", "revision 2 was refused", "promiseS"):
+        assert said in found.stdout
+
+
+def test_run_loads_nothing_of_the_control_plane():
+    code = ("import sys, willownotch.cli; print([m for m in sys.modules if 'controlplane.' in m"
+            " and m != 'willownotch.controlplane.settings'])")
+    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
+                           timeout=toys.PATIENCE)
+    assert found.stdout.strip() == "[]"
