--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -311,7 +311,9 @@
                  f"[{name}](../benchmarks/results/capacity/{name}.json)"]
                 for name, role in found.items() for one in role.failures if one.failure == failure]
         some += BEFORE[failure](found) if failure in BEFORE else []
-        rows += some or [[failure, "all roles", "-", NOT, NOT, NOT, "-"]]
+        told = {row[1] for row in some}
+        left = [row.title for row in ROWS if not told & {row.title, row.name, row.title.split()[0]}]
+        rows += [*some, [failure, ", ".join(left) if some else "all roles", "-", NOT, NOT, NOT, "-"]]
     return table(["failure", "role", "measured at", "time to recover", "lost", "old meanwhile", "results"],
                  rows)
 
@@ -361,12 +363,32 @@
             rows.append([what, "custody", f"{held:,} held, 8 senders, simulated", told,
                          "nothing while one copy lives", "messages below their copies until then",
                          source("custody")])
-    if rows:
-        rows.append([what, "client side and journal", "-", "its own return", "without custody and with the "
-                     "folder lost: all that it held", "-", "-"])
+    return rows + lost_with_disks(what, 1)
+
+
+def lost_with_disks(what: str, machines: int) -> list[list[str]]:
+    """Of custody, from the runs with real processes: so many holders of a message lost at one moment."""
+    path, rows = slopes.rig.RESULTS / "custody.json", []
+    if not path.exists():
+        return rows
+    runs = json.loads(path.read_text(encoding="utf-8"))["losses"]
+    for acks, copies in sorted({(run["acks"], run["copies"]) for run in runs}):
+        some = [run for run in runs if (run["acks"], run["copies"], run["k"]) == (acks, copies, machines)]
+        if not some:
+            continue
+        gone, of = sum(run["told as given up"] for run in some), sum(run["messages"] for run in some)
+        silent = sum(run["in silence"] for run in some)
+        rows.append([what, "custody", f"8 processes, {machines} with their folders, {copies} copies, {acks} "
+                     "waited for", recovered([run["taken over after s"] for run in some]),
+                     f"{gone} of {of} told as given up, {silent} in silence", "-", older("custody")])
     return rows
 
 
+def rack(found: dict[str, slopes.Role]) -> list[list[str]]:
+    """Of custody, two and three holders of a message at once."""
+    return lost_with_disks("a rack", 2) + lost_with_disks("a rack", 3)
+
+
 def restarts(found: dict[str, slopes.Role]) -> list[list[str]]:
     """Of what each restart reads."""
     rows, what = [], "300 restarts a day"
@@ -396,7 +418,7 @@
              f"{cut['worst']:.0f} messages over", older("shared-state")]]
 
 
-BEFORE = {"one machine": one_machine, "300 restarts a day": restarts,
+BEFORE = {"one machine": one_machine, "a rack": rack, "300 restarts a day": restarts,
           "two regions apart for minutes": regions}
 
 
