--- a/benchmarks/capacity/client_journal.py
+++ b/benchmarks/capacity/client_journal.py
@@ -184,7 +184,7 @@
             note="the whole sender, four destinations, nothing held: hand-in, journal, decision, call"),
         one(a, "message", "processor time of a message", "CPU s", by_rate, target=RATE),
         one(a, "bytes", "journal, written", "bytes a message", by_rate, target=RATE,
-            note="body of 500 bytes; the file is written anew as it fills, so this is told with that"),
+            note="body of 500 bytes; taken, opened and ended; the file was not written anew meanwhile"),
         one(a, "memory", "memory, resident", "bytes", by_rate, target=RATE),
         one(b, "cpu", "processor time", "CPU s a s", by_number, note=f"{RATE:g} messages a second in all"),
         one(b, "memory", "memory, resident", "bytes", by_number),
