--- a/tests/test_controlplane_sender.py
+++ b/tests/test_controlplane_sender.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+from datetime import timedelta
 from random import Random
 
 import pytest
@@ -17,8 +18,9 @@
 from willownotch.controlplane.document import Change, Commit, Document
 from willownotch.controlplane.entries import parse
 from willownotch.controlplane.held import Held
+from willownotch.controlplane.sender import Following
 from willownotch.controlplane.serving import Serving
-from willownotch.controlplane.settings import MemberSettings
+from willownotch.controlplane.settings import FollowedSettings, FollowSettings, MemberSettings
 from willownotch.controlplane.store import Store
 from willownotch.files.layer import REAL
 from willownotch.peers.seal import Seal, read_keys
@@ -163,6 +165,31 @@
     assert "retune" in lines[0]  # in force is told once the owner has it
 
 
+def test_in_force_is_told_only_once_the_owner_has_taken_it(tmp_path):
+    member, asked, config = Member(), [], object()
+    (tmp_path / "keys").write_text(KEYS)
+    settings = FollowSettings(
+        folder=str(tmp_path / "follow"), keys=str(tmp_path / "keys"), period=timedelta(milliseconds=100),
+        patience=timedelta(milliseconds=50), member={"a": FollowedSettings(member.sock.getsockname())})
+    following = Following(settings, "t0", REAL, lambda text: None,
+                          lambda overlay: asked.append(overlay) or config, lambda: False)
+    threading.Thread(target=following.run, daemon=True).start()
+    try:
+        member.put(f"{ATTEMPTS} 3\n")
+        until(lambda: asked)
+        polls = following.view().counters["polls"]
+        until(lambda: following.view().counters["polls"] > polls + 2)
+        following.holds(object())  # what SIGHUP brought before it
+        until(lambda: following.view().counters["polls"] > polls + 4)
+        assert following.view().in_force == 0
+        assert member.in_force() == {"0": 1}
+        following.holds(config)
+        until(lambda: member.in_force() == {"1": 1})
+    finally:
+        following.stop()
+        member.close()
+
+
 def test_a_revision_that_cannot_be_applied_is_told_back_and_the_last_stays(fleet):
     fleet = fleet()
     fleet.start()
