Run a member of the control plane, and put, show and roll back its configuration

'willownotch config' changes and shows the document at any member: put, set, unset, rollback, show, status, history; exit 0 committed, 1 refused or lost, 2 what the asker got wrong, 3 unknown with the id to ask again by.

--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -28,6 +28,8 @@
 @pytest.mark.parametrize(("words", "wanted"), [
     (["nothing"], "willownotch: No such command 'nothing'."),
     (["usage", "--lines", "x"], "willownotch usage: "),
+    (["config", "set", "data/a"], "willownotch set: Missing argument 'VALUE'."),
+    (["config", "show"], "wanted: --socket PATH"),
     (["load"], "willownotch load: Missing argument 'TARGET'."), (["check", "--colour"], "No such option"),
     (["load", "127.0.0.1:1", "--speed", "0"], "willownotch load: Invalid value for '--speed'"),
 ])
@@ -39,8 +41,12 @@
 
 def test_what_prints_has_json():
     """Commands that print a table or figures; the rest write files, run, or print a script."""
-    silent = {"serve", "trace", "experiment", "completion"}
-    for name, each in commands.group.commands.items():
+    silent = {"serve", "member", "trace", "experiment", "completion"}
+    inner = {f"{name} {word}": part for name, each in commands.group.commands.items()
+             if isinstance(each, click.Group) for word, part in each.commands.items()}
+    assert len(inner) == 7
+    plain = {name: e for name, e in commands.group.commands.items() if not isinstance(e, click.Group)}
+    for name, each in (plain | inner).items():
         options = {option for p in each.params if isinstance(p, click.Option) for option in p.opts}
         assert ("--json" in options) is (name not in silent), name
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -20,7 +20,8 @@
     text: bytes
 
 
-KIND = Kind("note", 200, msgspec.msgpack.Decoder(Note).decode, lambda note: len(note.text) + 400)  # more than it is
+KIND = Kind("note", 200, msgspec.msgpack.Decoder(Note).decode,
+            lambda note: len(note.text) + 400)  # more than it is
 
 
 class End:
--- a/willownotch/channel/client.py
+++ b/willownotch/channel/client.py
@@ -14,6 +14,10 @@
     """No answer; the text says why."""
 
 
+class AnswerError(AskError):
+    """The answer says that the question is none."""
+
+
 def ask(path: str | Path, question: str, about: dict[str, str] | None = None,
         patience: float = PATIENCE) -> Any:
     """The answer to a question, as plain values."""
@@ -32,5 +36,5 @@
     except msgspec.DecodeError:
         raise AskError(f"{path}: an answer that cannot be read") from None
     if isinstance(found, dict) and found.get("error"):
-        raise AskError(f"{path}: {found['error']}")
+        raise AnswerError(f"{path}: {found['error']}")
     return found
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -67,8 +67,8 @@
 class Threads:
     """Starts threads. One that dies takes the process with it: half a sender is worse than none."""
 
-    def __init__(self, log: Log) -> None:
-        self.log = log
+    def __init__(self, log: Log, process: str = "sender") -> None:
+        self.log, self.process = log, process
 
     def start(self, name: str, work: Callable[[], None], forever: bool = False) -> None:
         """Run `work` on a thread; with `forever` even its return counts as a death."""
@@ -82,7 +82,7 @@
             why = "it returned"
         except BaseException:
             why = traceback.format_exc()
-        self.log.say("dead", f"thread {name} has died, so the sender ends: {why}")
+        self.log.say("dead", f"thread {name} has died, so the {self.process} ends: {why}")
         os._exit(DEAD)
 
 
--- a/willownotch/commands.py
+++ b/willownotch/commands.py
@@ -3,8 +3,9 @@
 
 import os
 import sys
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 import msgspec
@@ -12,6 +13,9 @@
 from willownotch import __version__
 from willownotch.cli import COMPLETE_VARIABLE, FAULTY, SETTINGS_VARIABLE, load_blocks, read_files, start
 
+if TYPE_CHECKING:
+    from willownotch.controlplane.asking import Wanted
+
 CONFIG = click.option("--config", metavar="FILE", help="The configuration (else $LB_CONFIG).")
 SETTINGS = click.option("--settings", metavar="FILE", envvar=SETTINGS_VARIABLE,
                         help=f"The settings file, if any (else ${SETTINGS_VARIABLE}).")
@@ -114,15 +118,20 @@
     return 1 if kept.damaged else 0
 
 
+def control_socket(socket: str | None, settings: str | None) -> str:
+    """Where to ask; `ValueError` says what is wanted."""
+    path = socket or load_blocks(settings).control.socket
+    if path is None:
+        raise ValueError("whom? wanted: --socket PATH, or --settings FILE whose block control names a socket")
+    return path
+
+
 def ask(question: str, socket: str | None, settings: str | None, as_json: bool, **about: object) -> int:
     """Ask a running sender, and print its answer as a table or as JSON."""
     from willownotch.channel import client, tables
 
     try:
-        path = socket or load_blocks(settings).control.socket
-        if path is None:
-            return faulty("which sender? wanted: --socket PATH, or --settings FILE whose block control "
-                          "names a socket")
+        path = control_socket(socket, settings)
         words = {word: str(value) for word, value in about.items() if value is not None}
         found = client.ask(path, question, words)
     except (client.AskError, ValueError) as fault:
@@ -191,6 +200,192 @@
     return ask("usage", socket, settings, as_json, tenant=tenant, lines=lines)
 
 
+@group.command()
+@SETTINGS
+@click.option("--bootstrap", is_flag=True,
+              help="The first start of all: an empty folder is a new one, and not one that was lost.")
+def member(settings: str | None, bootstrap: bool) -> int:
+    """Run a member of the control plane."""
+    from willownotch.controlplane import member as members
+
+    return members.main(settings, bootstrap)
+
+
+@group.group()
+def config() -> None:
+    """Look at and change the configuration that the control plane holds, at any member."""
+
+
+EXPECT = click.option("--expect", metavar="REVISION", type=click.IntRange(0),
+                      help="What the change is based on (else the last): who has changed one of its keys "
+                      "since then wins.")
+ID = click.option("--id", "change_id", metavar="ID",
+                  help="Ask again for a change whose outcome is not known.")
+
+
+def looked(socket: str | None, settings: str | None, look: Callable[[str], int]) -> int:
+    """Carry out what is asked of a member. Exit 1 if it refuses, 2 if it cannot be asked."""
+    from willownotch.channel.client import AnswerError, AskError
+
+    try:
+        return look(control_socket(socket, settings))
+    except AnswerError as fault:
+        click.echo(f"willownotch config: {fault}", err=True)
+        return 1
+    except (AskError, ValueError, OSError) as fault:
+        return faulty(fault)
+
+
+def changed(path: str, change_id: str | None, wanted: Wanted, as_json: bool) -> int:
+    """Ask for a change and tell what became of it."""
+    from willownotch.controlplane import asking
+
+    if not wanted:
+        told({"outcome": "nothing to change", "revision": wanted.base}, as_json,
+             lambda found: f"nothing to change: revision {wanted.base} has it so")
+        return asking.DONE
+    found = asking.submit(path, change_id or asking.new_id(), wanted)
+    code = asking.CODES.get(found["outcome"], asking.UNKNOWN)
+    if code == asking.DONE or as_json:
+        told(found, as_json, lambda found: asking.outcome(found, wanted))
+    else:
+        click.echo(f"willownotch config: {asking.outcome(found, wanted)}", err=True)
+    return code
+
+
+@config.command("put")
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--merge", is_flag=True, help="Remove nothing.")
+@EXPECT
+@ID
+@SOCKET
+@SETTINGS
+@JSON
+def config_put(file: Path, merge: bool, expect: int | None, change_id: str | None, socket: str | None,
+               settings: str | None, as_json: bool) -> int:
+    """Make the entries those of FILE: what it does not name is removed."""
+    from willownotch.controlplane import asking, entries
+
+    def look(path: str) -> int:
+        wanted = entries.parse(file.read_text(encoding="utf-8"), str(file))
+        return changed(path, change_id, asking.toward(asking.entries(path, expect), wanted, merge), as_json)
+    return looked(socket, settings, look)
+
+
+@config.command("set")
+@click.argument("key")
+@click.argument("value")
+@EXPECT
+@ID
+@SOCKET
+@SETTINGS
+@JSON
+def config_set(key: str, value: str, expect: int | None, change_id: str | None, socket: str | None,
+               settings: str | None, as_json: bool) -> int:
+    """Set the entry KEY to VALUE, a JSON text."""
+    from willownotch.controlplane import asking, entries
+
+    def look(path: str) -> int:
+        wanted = entries.parse(f"{key} {value}", "KEY VALUE")
+        found = asking.entries(path, expect, key)
+        return changed(path, change_id, asking.toward(found, wanted, merge=True), as_json)
+    return looked(socket, settings, look)
+
+
+@config.command("unset")
+@click.argument("key")
+@EXPECT
+@ID
+@SOCKET
+@SETTINGS
+@JSON
+def config_unset(key: str, expect: int | None, change_id: str | None, socket: str | None,
+                 settings: str | None, as_json: bool) -> int:
+    """Remove the entry KEY."""
+    from willownotch.controlplane import asking
+
+    def look(path: str) -> int:
+        found = asking.entries(path, expect, key)
+        if not found["entries"]:
+            click.echo(f"willownotch config: revision {found['revision']} has no entry {key!r}", err=True)
+            return asking.REFUSED
+        return changed(path, change_id, asking.toward(found, {}), as_json)
+    return looked(socket, settings, look)
+
+
+@config.command("rollback")
+@click.argument("revision", type=click.IntRange(0))
+@EXPECT
+@ID
+@SOCKET
+@SETTINGS
+@JSON
+def config_rollback(revision: int, expect: int | None, change_id: str | None, socket: str | None,
+                    settings: str | None, as_json: bool) -> int:
+    """Make the entries those of an earlier REVISION again, by a new one."""
+    from willownotch.controlplane import asking
+
+    def look(path: str) -> int:
+        found, earlier = asking.entries(path, expect), asking.entries(path, revision)
+        return changed(path, change_id, asking.toward(found, asking.kept(earlier)), as_json)
+    return looked(socket, settings, look)
+
+
+@config.command("show")
+@click.argument("key", required=False)
+@click.option("--revision", type=click.IntRange(0), help="An earlier one.")
+@SOCKET
+@SETTINGS
+@JSON
+def config_show(key: str | None, revision: int | None, socket: str | None, settings: str | None,
+                as_json: bool) -> int:
+    """Print all entries, as `put` reads them, or the value of KEY."""
+    from willownotch.controlplane import asking, entries
+
+    def look(path: str) -> int:
+        found = asking.entries(path, revision, key)
+        if key is not None and key not in found["entries"]:
+            click.echo(f"willownotch config: revision {found['revision']} has no entry {key!r}", err=True)
+            return asking.REFUSED
+        kept = asking.kept(found)
+        told(found, as_json, lambda found: kept[key].decode() if key is not None else (
+            f"# revision {found['revision']}, {len(kept)} entries, digest {found['digest'] or '-'}\n"
+            + entries.unparse(kept.items())).rstrip("\n"))
+        return asking.DONE
+    return looked(socket, settings, look)
+
+
+@config.command("status")
+@SOCKET
+@SETTINGS
+@JSON
+def config_status(socket: str | None, settings: str | None, as_json: bool) -> int:
+    """Show the members, how many senders have which revision in force, and who lags or has refused one."""
+    from willownotch.channel import client
+    from willownotch.controlplane import shown
+
+    def look(path: str) -> int:
+        told(client.ask(path, "status"), as_json, shown.status)
+        return 0
+    return looked(socket, settings, look)
+
+
+@config.command("history")
+@click.option("--last", type=click.IntRange(1), default=20, show_default=True, help="Commits.")
+@SOCKET
+@SETTINGS
+@JSON
+def config_history(last: int, socket: str | None, settings: str | None, as_json: bool) -> int:
+    """Show the last commits: revision, author, keys."""
+    from willownotch.channel import client
+    from willownotch.controlplane import shown
+
+    def look(path: str) -> int:
+        told(client.ask(path, "history", {"last": str(last)}), as_json, shown.history)
+        return 0
+    return looked(socket, settings, look)
+
+
 @group.command()
 @click.argument("target")
 @click.option("--settings", metavar="FILE", help="The file with the block load.")
