Agreement: of what one ballot proposed, a commit goes before nothing when it is committed again

A writer that refuses a change has a majority accept, under its ballot, that there is nothing for the revision, and may propose a change for it after that. One voter that heard only the first and one that heard both tell the next writer the same ballot; it took the first it found, so an accepted change could be lost.

--- a/tests/test_controlplane_commit.py
+++ b/tests/test_controlplane_commit.py
@@ -248,6 +248,7 @@
     ([Accepted(B1, 4, X), None, Accepted(B2, 4, Y)], Accepted(B2, 4, Y)),
     ([Accepted(B2, 4, Y), Accepted(B1, 4, X)], Accepted(B2, 4, Y)),
     ([Accepted(B1, 4, X), Accepted(B2, 4, None)], Accepted(B2, 4, None)),
+    ([Accepted(B2, 4, None), Accepted(B2, 4, Y)], Accepted(B2, 4, Y)),  # one heard less of its writer
     ([Accepted(B2, 3, X), Accepted(B2, 5, X), Accepted(B1, 4, X)], Accepted(B1, 4, X)),
 ])
 def test_what_is_committed_again_is_what_the_highest_ballot_proposed(pendings, wanted):
--- a/willownotch/controlplane/agreement.py
+++ b/willownotch/controlplane/agreement.py
@@ -217,9 +217,10 @@
 
 def again(revision: int, pendings: Iterable[Accepted | None]) -> Accepted | None:
     """What was accepted under the highest ballot for the revision after `revision`: a new writer commits it
-    again before anything else, a voter without a folder takes it over."""
+    again before anything else, a voter without a folder takes it over. A ballot proposes nothing before it
+    proposes a commit, so of one ballot the commit goes first."""
     found = [pending for pending in pendings if pending is not None and pending.revision == revision + 1]
-    return max(found, key=lambda pending: pending.ballot, default=None)
+    return max(found, key=lambda pending: (pending.ballot, pending.commit is not None), default=None)
 
 
 def counted(vectors: Mapping[str, Vector]) -> set[str]:
