Refuse a folder of other voters, and do not listen to members with other ones

Members whose settings name other voters have another majority; a folder under other voters, or a member among others, would have voted all the same. The folder's owner now names the voters, and each frame between members has their digest. Tests: such a start is refused, such a member is told of and unheard.

--- a/tests/test_controlplane_member.py
+++ b/tests/test_controlplane_member.py
@@ -453,7 +453,8 @@
     refused("wanted: an odd number", "voters m0 m1 m2", "voters m0 m1")
     refused("(did you mean 'lease'?)", "lease 600ms", "leese 600ms")
     member.end(signal.SIGKILL)
-    refused("belongs to 'member m0', not to 'member m1'", "name m0", "name m1")
+    refused("belongs to 'member m0 of m0, m1, m2', not to 'member m1 of m0, m1, m2'", "name m0", "name m1")
+    refused("not to 'member m0 of m0, m1, m3'", "voters m0 m1 m2", "voters m0 m1 m3")
     (tmp_path / "file").write_text("x")
     refused("file", f"folder {member.folder}", f"folder {tmp_path / 'file'}")
     records = member.folder / stores.NAME
@@ -490,6 +491,21 @@
     assert Asker(plane, "t1").ask(plane.members[0]).revision == 1
 
 
+def test_a_member_with_other_voters_is_not_listened_to(tier):
+    plane = tier(start=False)
+    for member in plane.members[:2]:
+        member.start(bootstrap=True)
+    stray = plane.members[2]
+    stray.write_settings()
+    stray.settings.write_text(stray.settings.read_text().replace("voters m0 m1 m2", "voters m1 m2 m3"))
+    stray.begin(bootstrap=True)
+    plane.members[1].says("voters:", "m2 has other 'voters' than this member")
+    stray.says("voters:", "m1 has other 'voters' than this member")
+    assert plane.writer(plane.members[:2]).change(0, {"data/a": 1})["outcome"] == "committed"
+    assert stray.status()["agreement"]["revision"] == 0
+    until(lambda: plane.members[1].status()["traffic"].get("frames of other voters"), PATIENCE)
+
+
 def test_a_thread_that_dies_ends_the_member(tier):
     plane = tier(1, start=False)
     member = plane.members[0]
--- a/tests/tiered.py
+++ b/tests/tiered.py
@@ -51,6 +51,10 @@
 
     def start(self, bootstrap=False):
         self.write_settings()
+        self.begin(bootstrap)
+
+    def begin(self, bootstrap=False):
+        """With the settings as they are."""
         words = [sys.executable, ROOT / "tests" / "faulty_member.py", self.faults, self.settings]
         self.process = subprocess.Popen([*words, *["--bootstrap"] * bootstrap], cwd=ROOT, text=True,
                                         stderr=subprocess.PIPE, env={"PATH": os.environ["PATH"]})
--- a/willownotch/controlplane/member.py
+++ b/willownotch/controlplane/member.py
@@ -19,6 +19,7 @@
 from random import Random
 
 import msgspec
+from blake3 import blake3
 
 from willownotch.blocks import Blocks
 from willownotch.channel.server import BadQuestionError, Server
@@ -65,9 +66,11 @@
 
 
 class Said(msgspec.Struct, frozen=True, array_like=True):
-    """A frame between members."""
+    """A frame between members. `voters`: the digest of whom the source takes for the voters; members with
+    other ones than these have another majority, and are not listened to."""
 
     source: str
+    voters: bytes
     message: agreement.Message | wire.Counts
 
 
@@ -84,6 +87,11 @@
         self.done, self.result = threading.Event(), None
 
 
+def digest_of(voters: tuple[str, ...]) -> bytes:
+    """Of the voters' names, in whatever order."""
+    return blake3(" ".join(sorted(voters)).encode()).digest(length=8)
+
+
 def bind_followers(address: Address) -> socket.socket:
     """The socket that followers ask at."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -120,7 +128,8 @@
         self.blocks, self.say, self.name = blocks, say, blocks.peers.name
         keys, self.reference = load_keys(blocks.peers.keys), read_reference(settings)
         folder, uid, now = Path(settings.folder), secrets.randbits(UID_BITS), time.monotonic()
-        self.store = Store(folder, files, f"member {self.name}")
+        self.voters = digest_of(settings.voters)
+        self.store = Store(folder, files, f"member {self.name} of {', '.join(sorted(settings.voters))}")
         self.document = Document(settings.history)
         records = self._load(folder)
         self.lock = threading.Lock()
@@ -281,6 +290,10 @@
             if said.source not in self.blocks.member.voters or said.source == self.name:
                 self.traffic["frames of no voter"] += 1
                 return
+            if said.voters != self.voters:
+                self.traffic["frames of other voters"] += 1
+                self.say("voters", f"{said.source} has other 'voters' than this member: not listened to")
+                return
             self._heard[said.source] = now
             if isinstance(said.message, wire.Counts):
                 self.serving.heard(now, said.source, said.message)
@@ -290,7 +303,7 @@
 
     def _send(self, sends: list[ToMember]) -> None:
         for send in sends:
-            self.links.send(send.name, Said(self.name, send.message))
+            self.links.send(send.name, Said(self.name, self.voters, send.message))
 
     # Followers
 
@@ -340,7 +353,7 @@
                                     if m.name in self.blocks.member.voters}
 
     def _look(self, now: float) -> None:
-        counts = Said(self.name, self.serving.counts(now))
+        counts = Said(self.name, self.voters, self.serving.counts(now))
         for name in self.blocks.member.voters:
             if name != self.name:
                 self.links.send(name, counts)
@@ -370,7 +383,8 @@
             found.update({f"{what} {why}": count for why, count in dict(refused).items()})
         found["frames of members too long"] += self.links.traffic["too long"]
         found["frames of members cut off"] += self.links.traffic["cut off"]
-        found["frames of no voter"] += self.traffic["frames of no voter"]
+        for what in ("frames of no voter", "frames of other voters"):
+            found[what] += self.traffic[what]
         if grown := +(found - self._refused):
             self.say("refused", ", ".join(f"{count} {what}" for what, count in sorted(grown.items())))
         self._refused = found
@@ -403,7 +417,7 @@
             since = self.serving.apart_since
             heard = {name: round(now - self._heard[name], 3) if name in self._heard else None
                      for name in self.blocks.member.voters if name != self.name}
-            traffic = Counter(self.traffic) + self._refused
+            traffic = +(Counter(self.traffic) | self._refused)
             traffic.update({f"member {what}": count for what, count in dict(self.links.traffic).items()})
             apart = None if since is None else round(now - since, 3)
             return operators.MemberStatus(self.name, self._writing, self.commits.leader, apart, heard,
