--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 
-.PHONY: demo test long
+.PHONY: demo demo-control-plane test long
 
 $(VENV)/built: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -12,6 +12,9 @@
 demo: $(VENV)/built
 	$(VENV)/bin/python examples/demo.py
 
+demo-control-plane: $(VENV)/built
+	$(VENV)/bin/python examples/control_plane.py
+
 test: $(VENV)/built
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/python -m pytest
