Let trials of an outage count on all who learn of it: as many a second as a told limit lets call

At fault: _space's least, one call a second over all who know. It took 3 senders a second to learn of any outage (AWARE); here 48 a second do, and each made its first trials as if hardly anybody else knew: the trials were 27 to 31 a second, as much as the whole budget of 29.

Now: where an answer told the limit and the outage is dated by a connection that failed, so many learn a second as the limit lets call, 3 at the least; failed calls are told at once there. Where calls hang or are turned away it stays 3.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -79,9 +79,9 @@
     assert 0.9 * present < share < 1.4 * present
 
 
-def over_budget(count, limit, cold_s=RULES.cold_s):
+def over_budget(count, limit, seed, cold_s=RULES.cold_s):
     """The worst span of a return, in calls over what the operators grant; its capacity is 1.2 x its limit."""
-    fleet = Fleet(each_s=0.8 * limit / count, count=count, slots=8)
+    fleet = Fleet(each_s=0.8 * limit / count, seed=seed, count=count, slots=8)
     fleet.play(10, lambda now: (Outcome.DELIVERED, {"limit_per_s": limit, "room_left": 1.0}))
     fleet.play(6, lambda now: (Outcome.UNREACHABLE, {}))
     back = fleet.now
@@ -95,15 +95,18 @@
     return worst
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
 @pytest.mark.parametrize(("count", "limit"), [(20, 10.0), (20, 60.0), (30, 10.0), (30, 60.0)])
-def test_a_return_stays_within_what_is_granted_to_chance(count, limit):
+def test_a_return_stays_within_what_is_granted_to_chance(count, limit, seed):
     """Trials, ramps, and those who saw no failure of their own, added up."""
-    assert over_budget(count, limit) <= 0
+    assert over_budget(count, limit, seed) <= 0
 
 
-def test_a_return_of_two_hundred_senders_stays_within_what_is_granted_to_chance():
-    """A third of them have judged nothing yet after 6 s, with a call in four seconds each."""
-    assert over_budget(200, 60.0) <= 0
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_return_of_two_hundred_senders_stays_within_what_is_granted_to_chance(seed):
+    """A quarter know nothing yet after 6 s. Each of the others took 3 a second to learn of the outage,
+    where 48 did, and the trials of all added up to 27 to 31 a second."""
+    assert over_budget(200, 60.0, seed) <= 0
 
 
 @pytest.mark.parametrize("outcome, part", [(Outcome.UNREACHABLE, 0.5), (Outcome.TIMED_OUT, 1.0)])
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -36,7 +36,7 @@
 TOGETHER_LEAST = 1.0  # calls a second that all senders together send at the least, paced or as trials
 ROUGH = 2 / 3  # x a listed rate, which may be half too high, until an answer tells the limit
 SPARE, SPARE_TOLD = 1.25, 2.0  # x the cold share of what is usual; of a limit that answers tell
-AWARE, TRIAL_MOST = 3.0, 4.0  # senders a second that learn of a small one's outage; trials a second at most
+AWARE, TRIAL_MOST = 3.0, 4.0  # senders a second that learn of an outage at least; trials a second at most
 ROOM_FULL, DEST_ROOM = 0.9, 0.5  # share of the holding room: all held work; what waits for one destination
 TIGHT_CALLS, SPARSE = 100, 1.0  # calls closing theirs after a refused connection, at units under so many a s
 TENANT_BURST_S, ARRIVALS_S = 2.0, 10.0  # s of a quota that may come at once; s that traffic is averaged over
@@ -395,10 +395,8 @@
         if outcome is Outcome.TURNED_AWAY:
             # At a limit some calls get through; where none of many does, or of a sparse one's few, it's shut.
             bare = route.last_ok < unit.refused_at and (unit.mean_rate or 0.0) < SPARSE
-            step = FAIL_STEP if bare else FULL_STEP
             bound = bool(event.limit_per_s) and event.room_left is not None and event.room_left < ROOM_LEFT
-            if bound:
-                step = 0.0  # the answer itself says that a limit is used up: that is no outage
+            step = 0.0 if bound else FAIL_STEP if bare else FULL_STEP  # a limit told as used up is no outage
             refused(unit, now, self.settings, bound, out=route.failing)
             self._space(route)
         else:
@@ -462,17 +460,19 @@
         peers = max(1, sum(r.unit is unit and r.serving() for r in self.book.routes.values()))
         # The even part of a limit at the least: what a ramp lets through tells nothing of what is usual, few
         # calls tell little. Who tells a limit has more capacity than that; a listed rate may be all of it.
-        mean, part, spare = (unit.mean_rate or 0.0) / peers, even_part(unit, self.settings) / peers, SPARE
+        mean, part = (unit.mean_rate or 0.0) / peers, even_part(unit, self.settings) / peers
+        spare, learn = SPARE, AWARE
         if unit.mean_limit is None:
             part *= ROUGH
         elif route.failed_at < inf:  # it was gone, and is not merely slow or full
             spare = min(SPARE_TOLD, rules.fall_multiple)  # more brings down what a limit says nothing of
+            learn = max(AWARE, unit.told_limit / peers)  # one by each call, which fails at once
         ended = now if route.failing else route.back_at
         start, slope = max(now, ended), (1 - rules.cold_share) / rules.cold_s
         share = rules.cold_share + slope * (start - ended)
         # By notes all know of a return; without, as many as called there since.
         known_s = ended - route.failing_at if route.failing or not self.settings.may_tell else inf
-        least = TOGETHER_LEAST / min(self.settings.senders, 1.0 + AWARE * known_s) * share / rules.cold_share
+        least = TOGETHER_LEAST / min(self.settings.senders, 1.0 + learn * known_s) * share / rules.cold_share
         if route.failing:
             route.next_at = now + gap / max(least, min(TRIAL_MOST, share * max(mean, spare * part)))
             return
