Do not take a folder's new file for the old one where only its name is not synced

A rewrite that had put the new file in place and then failed to sync the folder was told as failed; what had been learnt ahead of the folder would have been appended a second time, and the next start would have refused the folder. Now it has taken place, and the next append syncs the name first. A folder whose records make no document is told with its path.

--- a/tests/test_controlplane_store.py
+++ b/tests/test_controlplane_store.py
@@ -190,6 +190,23 @@
         assert found[len(kept):] in TRIED if files.count < number + 7 else found == kept, number
 
 
+def test_a_new_file_whose_name_is_not_synced_holds_and_is_synced_before_the_next_write(tmp_path):
+    faults = []
+    files = Faulty(lambda: faults)
+    made, _ = opened(tmp_path / "made", files)
+    made.append([b"old"])
+    faults.append(Fault(Kind.IO_ERROR, "sync", "made"))
+    made.rewrite([b"new"])
+    with pytest.raises(OSError, match="Input/output"):
+        made.append([b"refused"])
+    faults.clear()
+    files.trail.clear()
+    made.append([b"next"])
+    assert [name for _, operation, name in files.trail if operation == "sync"] == ["made", stores.NAME]
+    made.close()
+    assert read(tmp_path / "made") == [b"new", b"next"]
+
+
 class KilledError(Exception):
     """Stands for the process that is gone."""
 
--- a/willownotch/controlplane/member.py
+++ b/willownotch/controlplane/member.py
@@ -27,10 +27,10 @@
 from willownotch.controlplane import agreement, entries, operators, wire
 from willownotch.controlplane.commit import CommitPace, Commits, Result, Stage
 from willownotch.controlplane.commit import Send as ToMember
-from willownotch.controlplane.document import Change, Document
+from willownotch.controlplane.document import Change, Document, DocumentError
 from willownotch.controlplane.serving import Serving
 from willownotch.controlplane.settings import MemberSettings
-from willownotch.controlplane.store import Store, StoreError
+from willownotch.controlplane.store import ANEW, Store, StoreError
 from willownotch.files.layer import REAL, Files
 from willownotch.lease.service import Leases
 from willownotch.lease.settings import DutySettings, LeaseSettings
@@ -134,8 +134,11 @@
         records = self._load(folder)
         self.lock = threading.Lock()
         self.woken = threading.Condition(self.lock)
-        self.commits = Commits(self.name, uid, settings.voters, self.document, self._keep, now,
-                               Random(secrets.randbits(64)), CommitPace(), self._check, records, bootstrap)
+        try:
+            self.commits = Commits(self.name, uid, settings.voters, self.document, self._keep, now,
+                                   Random(secrets.randbits(64)), CommitPace(), self._check, records, bootstrap)
+        except DocumentError as fault:
+            raise StoreError(f"{folder}: its records make no document ({fault}); {ANEW}") from None
         self.serving = Serving(self.name, self.document, settings, now, Random(secrets.randbits(64)))
         self._live = self.store.size
         self.sock = bind_followers(settings.followers)
@@ -287,6 +290,8 @@
     def _take_frame(self, said: msgspec.Struct) -> None:
         now = time.monotonic()
         with self.lock:
+            if self._ending:
+                return
             if said.source not in self.blocks.member.voters or said.source == self.name:
                 self.traffic["frames of no voter"] += 1
                 return
--- a/willownotch/controlplane/store.py
+++ b/willownotch/controlplane/store.py
@@ -201,8 +201,8 @@
     def rewrite(self, payloads: Iterable[bytes]) -> None:
         """Let a new file of these payloads take the place of the old one in one step.
 
-        `OSError` if it could not be: what holds then is the old file, or the new one where only its name is
-        not yet known to outlast a loss of power.
+        `OSError` if it could not be, and the old one holds. Where the new one holds and only its name is not
+        yet known to outlast a loss of power, the next append sees to that before anything else.
         """
         new = self.folder / NEW_NAME
         file, size = self.files.create(new), 0
@@ -223,7 +223,10 @@
         if self._file >= 0:
             self.files.close(self._file)
         self._file, self.size, self._torn, self._named = file, size, False, False
-        self._sync_folder()
+        try:
+            self._sync_folder()
+        except OSError:
+            pass  # as said above
 
     def _pieces(self, payloads: Iterable[bytes]) -> Iterator[bytes]:
         yield _encode(Head(FORMAT, self.owner))
