--- a/willownotch/controlplane/member.py
+++ b/willownotch/controlplane/member.py
@@ -134,9 +134,10 @@
         records = self._load(folder)
         self.lock = threading.Lock()
         self.woken = threading.Condition(self.lock)
+        random = Random(secrets.randbits(64))
         try:
-            self.commits = Commits(self.name, uid, settings.voters, self.document, self._keep, now,
-                                   Random(secrets.randbits(64)), CommitPace(), self._check, records, bootstrap)
+            self.commits = Commits(self.name, uid, settings.voters, self.document, self._keep, now, random,
+                                   CommitPace(), self._check, records, bootstrap)
         except DocumentError as fault:
             raise StoreError(f"{folder}: its records make no document ({fault}); {ANEW}") from None
         self.serving = Serving(self.name, self.document, settings, now, Random(secrets.randbits(64)))
