Read tier results beside configuration, and say where the smallest size is over already

A capped growth was carried down below its smallest measured size and gave shares of nothing; the smallest size's figure is taken there now, and a budget that it is over is told as holding under that size.

--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
 import place
 
 PAGE = place.ROOT / "docs" / "CAPACITY.md"
@@ -54,11 +55,15 @@
 
 @dataclass(frozen=True)
 class Share:
-    """The largest fraction of a driver's target at which a budget holds; open: measured no further."""
+    """The largest fraction of a driver's target at which a budget holds.
+
+    open: it holds as far as is claimed. under: it holds at none of the sizes; the part is the smallest's.
+    """
 
     part: float
     why: str
     open: bool = False
+    under: bool = False
 
 
 def budget_of(row: Row, made: slopes.Slope) -> str:
@@ -75,15 +80,15 @@
     if made.target is None or not budget:
         return None
     what = f"{made.measure}, by {made.driver}"
-    most, low, steps = slopes.BUDGETS[budget], 1e-6, 2000
+    most, low, steps = slopes.BUDGETS[budget], min(1.0, made.points[0].at / made.target), 2000
     held = 0.0
     for step in range(steps + 1):
-        part = low * (1 / low) ** (step / steps)
+        part = low ** (1 - step / steps)
         told = slopes.predict(made, part * made.target)
         if not told.claimed:
             return Share(held, what, open=True)
         if told.value * made.scale > most:
-            return Share(held, what)
+            return Share(held, what) if held else Share(low, what, under=True)
         held = part
     return Share(1.0, what)
 
@@ -105,11 +110,13 @@
 
 def shown(share: Share) -> str:
     """A share; one that was bounded by what was measured is marked."""
-    return percent(share.part) + (" measured so far" if share.open else "")
+    return "under " * share.under + percent(share.part) + " measured so far" * share.open
 
 
 def quantity(value: float, unit: str) -> str:
     """A figure with its unit, in three digits."""
+    if unit == "of a core":
+        return core(value)
     if unit in ("bytes", "B", "B/s", "bytes/s"):
         for size, word in ((1e9, "GB"), (1e6, "MB"), (1e3, "KB")):
             if abs(value) >= size:
@@ -179,8 +186,17 @@
 
 
 def load(folder: Path) -> dict[str, slopes.Role]:
-    """All result files, by name."""
-    return {path.stem: slopes.read(path) for path in sorted(folder.glob("*.json"))}
+    """All result files of a role, by name. Where tier files are, the control tier carries configuration."""
+    found = {path.stem: slopes.read(path) for path in sorted(folder.glob("*.json"))
+             if "slopes" in json.loads(path.read_bytes())}
+    tier = [role for name, role in found.items() if name.startswith("tier-")]
+    if tier and "configuration" in found:
+        role = found["configuration"]
+        found["configuration"] = msgspec.structs.replace(
+            role, mechanism="the control tier (rows below); each sender takes it as it takes a file",
+            slopes=role.slopes + [made for one in tier for made in one.slopes],
+            notes=[*role.notes, "before the tier, and without it, nothing carries a change over the fleet"])
+    return found
 
 
 def table(heads: list[str], rows: list[list[str]]) -> list[str]:
@@ -213,7 +229,7 @@
         for where in ("sender", "control machine"):
             part = [made for made in quiet(role) if made.where == where]
             if part:
-                narrow = slopes.msgspec.structs.replace(role, slopes=part)
+                narrow = msgspec.structs.replace(role, slopes=part)
                 rows.append([
                     f"{role.role}, a {where}", role.mechanism, first(Row(role.role, name, aged=True), narrow),
                     worst([m for m in part if m.budget == "memory"], True, "bytes"),
@@ -288,12 +304,13 @@
             unit = {"memory": "bytes", "wire": "bytes/s", "age": "s", "restart": "s", "stall": "s"}.get(
                 budget_of(row, made))
             bound = core(limit) + " of a core" if unit is None else quantity(limit, unit)
-            why = f"over {bound}"
+            why = f"over {bound}" + " at the smallest size measured" * share.under
             if share.open:
                 why = f"beyond {slopes.LIMIT:g}x the measured nothing is claimed"
             loss = f", {made.loss:.0%} loss" if made.loss else ""
-            rows.append((share.part, [row.title, f"{driver}: {number(share.part * made.target)} of "
-                                      f"{number(made.target)}", shown(share), f"{what}{loss}: {why}",
+            holds = f"{driver}: {'under ' * share.under}{number(share.part * made.target)}"
+            holds += f" of {number(made.target)}"
+            rows.append((share.part, [row.title, holds, shown(share), f"{what}{loss}: {why}",
                                       at_target(made, True, "CPU s a s" if unit is None else unit)]))
         for cap in role.caps:
             if (part := cap.most / cap.target) < 1.0:
@@ -436,6 +453,8 @@
                   + "".join(f" {note[0].upper()}{note[1:]}." for note in role.notes), ""]
         rows = []
         for made in role.slopes:
+            if made.role.startswith("tier-") > row.name.startswith("tier-"):
+                continue  # it stands with its own file
             share = share_of(made, budget_of(row, made))
             points = ", ".join(f"{number(p.at)}: {quantity(p.median, made.unit)}" for p in made.points)
             told = slopes.predict(made, made.target) if made.target else None
--- a/benchmarks/capacity/slopes.py
+++ b/benchmarks/capacity/slopes.py
@@ -230,15 +230,16 @@
 
 
 def predict(made: Slope, at: float) -> Prediction:
-    """The figure at a size, in the slope's unit: between measured points by logarithms, beyond by the fit."""
+    """The figure at a size, in the slope's unit: between measured points by logarithms, beyond by the fit,
+    below the smallest that one's."""
     points = [*made.points, made.held]
     if at >= made.held.at:
         raised = max(made.held.median / made.predicted, 1.0) if made.predicted > 0 else 1.0
         value = made.held.median if at == made.held.at else fitted(made.fit, at) * raised
         beyond = at / made.held.at
         return Prediction(value, beyond, beyond <= LIMIT)
-    if at < points[0].at:
-        return Prediction(fitted(made.fit, at), 1.0, True)
+    if at <= points[0].at:
+        return Prediction(points[0].median, 1.0, True)
     low, high = next((a, b) for a, b in zip(points, points[1:], strict=False) if a.at <= at <= b.at)
     part = math.log(at / low.at) / math.log(high.at / low.at)
     if low.median <= 0 or high.median <= 0:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -97,6 +97,24 @@
     assert not found.open
 
 
+def test_a_slope_that_is_over_at_its_smallest_size_holds_under_that():
+    found = page.share_of(made(lambda at: 8000.0 + at, target=1000.0, budget="wire"), "wire")
+    assert found.under
+    assert found.part == pytest.approx(SIZES[0] / 1000)
+    assert page.shown(found) == "under 1%"
+
+
+def test_the_tier_carries_configuration_once_it_has_results(tmp_path, monkeypatch):
+    monkeypatch.setattr(slopes, "RESULTS", tmp_path)
+    slopes.write("configuration", "command", [], "none yet")
+    row = next(row for row in page.ROWS if row.name == "configuration")
+    assert page.shares(row, page.load(tmp_path)["configuration"])[0].part == 0.0
+    half = made(lambda at: 7000.0 * at / 455, target=910.0, budget="wire")
+    slopes.write("tier-x", "command", [half], "control tier")
+    (tmp_path / "raw.json").write_text("[]", encoding="utf-8")
+    assert page.shares(row, page.load(tmp_path)["configuration"])[0].part == pytest.approx(0.5, rel=0.02)
+
+
 def test_no_share_is_claimed_beyond_the_limit():
     one = made(lambda at: 1e-9 * at, target=1e6, budget="wire")
     found = page.share_of(one, "wire")
