--- /dev/null
+++ b/tests/test_controlplane_page.py
@@ -0,0 +1,69 @@
+"""The operators' page has every setting with its default, every line and every counter of the code."""
+from __future__ import annotations
+
+import re
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from willownotch.controlplane import settings
+from willownotch.settings.types import show_size, words
+
+ROOT = Path(__file__).parent.parent
+PAGE = (ROOT / "docs" / "control-plane.md").read_text(encoding="utf-8")
+ON_CALL = (ROOT / "docs" / "on-call.md").read_text(encoding="utf-8")
+PACKAGE = ROOT / "willownotch" / "controlplane"
+
+
+def source(*names):
+    return "\n".join((PACKAGE / f"{name}.py").read_text(encoding="utf-8") for name in names)
+
+
+def shown(name, value):
+    if isinstance(value, timedelta):
+        units = {"period": 1, "home": 1, "lease": 1, "patience": 1, "remember": 60}
+        unit = units[name]
+        return f"{value.total_seconds() / unit:g}{'min' if unit == 60 else 's'}"
+    if isinstance(value, tuple):
+        return "{}:{}".format(*value)
+    return show_size(value) if name in ("rate", "budget") else f"{value}"
+
+
+@pytest.mark.parametrize("block", [settings.MemberSettings, settings.FollowSettings])
+def test_every_setting_has_its_row_with_its_default(block):
+    defaults = {field.name: field.default for field in msgspec.structs.fields(block)}
+    for word, (name, _) in words(block).items():
+        rows = [line for line in PAGE.splitlines() if re.match(rf"\| [^|]*`{word}[` ]", line)]
+        default = defaults[name]
+        if default in (None, (), "", {}) or default is msgspec.NODEFAULT:
+            assert rows, word
+        else:
+            assert any(f"| `{shown(name, default)}` |" in row for row in rows), (word, shown(name, default))
+
+
+def test_every_counter_is_told():
+    text = source("commit", "voter", "writer", "catchup", "serving", "follower", "member", "sender")
+    counters = set(re.findall(r"(?:counts|counters|traffic)\[\"([^\"]+)\"\]", text))
+    assert len(counters) > 40
+    for counter in counters:
+        bare = counter.removesuffix(" bytes")
+        assert f"`{bare}`" in PAGE or f"`{bare}," in PAGE, counter
+
+
+def test_every_sort_of_line_is_told():
+    sorts = set(re.findall(r"say\(\"([a-z]+)\"", source("member"))) | {"end", "dead", "reload"}
+    assert {"agreement", "apart", "commit", "folder", "nack", "refused", "voters"} <= sorts
+    for sort in sorts:
+        assert re.search(rf"^\| `{sort}`|^\| `peers`, `{sort}`", PAGE, re.M), sort
+    for sort in sorts | {"follow"}:
+        assert f"`{sort}`" in ON_CALL, sort
+
+
+def test_what_members_and_followers_say_is_told():
+    said = re.findall(r"said\.append\(f?\"([a-z ]+)", source("voter", "commit"))
+    said += re.findall(r"self\.say\(f?\"([a-z ]{8,})", source("sender"))
+    assert len(said) >= 8
+    for text in said:
+        assert text.strip() in PAGE, text
