Test members that are behind, and real senders, among the control plane's faults

A follower whose only member is behind what it has keeps its own (waited for by its counter of such answers, judged by what was in force); two real senders follow beside the hollow ones while the member of one is killed and the other is killed and starts on its last revision, cut off from all. The writer killed between majority and answer now has another author ask for the same key first: without the second phase of the one before, that one would win.

--- a/tests/plane.py
+++ b/tests/plane.py
@@ -15,6 +15,7 @@
 import json
 import os
 import queue
+import re
 import secrets
 import selectors
 import shutil
@@ -28,7 +29,7 @@
 from pathlib import Path
 from random import Random
 
-from toys import ROOT, until
+from toys import ROOT, Discovery, Host, Sender, until
 
 from willownotch.channel.client import AskError, ask
 from willownotch.controlplane.entries import encode
@@ -326,6 +327,51 @@
         return any(wanted in path.read_bytes() for path in self.folder.rglob("records"))
 
 
+class RealSender(Sender):
+    """A sender's process that follows. `revisions` are those in force by its log, over all its processes;
+    some are kept back there where they come fast. A process begins with the one that it had."""
+
+    SAID = re.compile(r"follow: (?:revision (\d+) is in force|begins with revision (\d+) in force)")
+
+    def __init__(self, plane, name, host, region, zone, **more):
+        self.name, self.control = name, plane.path / f"{name}.s"
+        self.earlier, self.lives = [], []  # lines of ended processes; where in the revisions one began
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:  # of an address that is its own
+            free.bind((host, 0))
+            self.address = free.getsockname()
+        members = "".join(f" member {m.name} {{\n  address {shown(m.followers)}\n  zone {m.zone}\n"
+                          f"  region {m.region}\n }}\n" for m in plane.members)
+        super().__init__(more.pop("discovery"), settings=(
+            f"follow {{\n folder {plane.path / name}\n keys {plane.keys}\n name {name}\n zone {zone}\n"
+            f" region {region}\n listen {shown(self.address)}\n period 300ms\n patience 200ms\n home 2s\n"
+            f"{members}}}\ncontrol {{\n socket {self.control}\n}}\n"), **more)
+
+    def launch(self, *more, **named):
+        """Another process, on the folder as it is."""
+        self.earlier += getattr(self, "lines", [])
+        self.lines = []
+        self.lives.append(len(self.revisions))
+        super().launch(*more, **named)
+
+    @property
+    def revisions(self):
+        found = [self.SAID.search(line) for line in [*self.earlier, *self.lines]]
+        return [int(one[1] or one[2]) for one in found if one]
+
+    def following(self):
+        """What it answers: whom it follows, what is in force; empty until it does."""
+        with contextlib.suppress(AskError):
+            return ask(self.control, "follow") or {}
+        return {}
+
+    @property
+    def revision(self):
+        return self.following().get("in_force", 0)
+
+    def follows(self):
+        return self.following().get("member")
+
+
 @dataclass(slots=True)
 class Asked:
     """A change that an author handed in, and what it was told of it."""
@@ -354,7 +400,7 @@
         self.where = {f"m{n}": place for n, place in enumerate(places)}
         self.members = [Member(self, n) for n in range(len(places))]
         self.asked, self.lock = [], threading.Lock()
-        self.hollows, self.followers = Hollows(), []
+        self.hollows, self.followers, self.senders, self.parties = Hollows(), [], [], []
         self.begin()
         for number, (region, zone) in enumerate(followers):
             self.add_follower(number, region, zone, entries)
@@ -421,6 +467,20 @@
         self.hollows.add(hollow)
         return hollow
 
+    def add_sender(self, number, region, zone):
+        """A real sender, which runs."""
+        name = f"r{number}"
+        self.where[name] = region, zone
+        if not self.parties:
+            host = Host()
+            self.parties += [host, Discovery([host])]
+        sender = RealSender(self, name, f"127.0.1.{1 + number}", region, zone, discovery=self.parties[1])
+        if self.doors:
+            self.relay.door(name)
+            self.relay.behind(name, sender.address)
+        self.senders.append(sender)
+        return sender
+
     def start_followers(self):
         for hollow in self.followers:
             self.hollows.do(lambda h=hollow: self.hollows.begin(h))
@@ -539,6 +599,8 @@
         for hollow in self.followers:
             view = hollow.follower.view(time.monotonic()) if hollow.running else "it does not run"
             print(hollow.name, [seen.revision for seen in hollow.history], hollow.lives, view)
+        for sender in self.senders:
+            print(sender.name, sender.revisions, sender.lives, *sender.lines[-20:], sep="\n  ")
         print(*[a for a in self.asked if a.outcome == "unknown"], sep="\n")
 
     def close(self):
@@ -549,6 +611,8 @@
             if member.process is not None:
                 member.process.kill()
                 member.process.wait(PATIENCE)
+        for party in self.parties:
+            party.close()
         if self.relay:
             self.relay.close()
 
--- a/tests/test_controlplane_faults.py
+++ b/tests/test_controlplane_faults.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import itertools
 import shutil
 import signal
 from datetime import timedelta
@@ -99,8 +100,9 @@
         thread.join()
         assert asked.outcome == "unknown"
         made.heal()
-        again = made.again(asked, others[0])
-        assert again.outcome == "committed", again
+        other = made.change(others[0], {"data/key": "late"}, base=asked.base)
+        assert made.again(asked, others[1]).outcome == "committed"
+        assert (other.outcome, other.revision) == ("lost", asked.revision)
         made.restart(first)
     finish(made)
 
@@ -150,6 +152,26 @@
     finish(made, north)
 
 
+def test_a_member_that_is_behind_moves_nobody_back(plane):
+    made = plane()
+    made.change(made.members[0], {"data/before": "0"})
+    made.arrive()
+    late = made.members[8].name
+    made.cut(lambda a, b: a[0] == b[0] == "m" and late in (a, b))  # from the members alone
+    for count in range(3):
+        assert made.change(made.members[0], {"data/late": str(count)}).outcome == "committed"
+
+    def ahead():
+        return [h for h in made.followers if h.revision == made.last()]
+    until(lambda: len(ahead()) >= 9, PATIENCE)
+    earlier = {h: h.follower.counters["behind"] for h in ahead()}
+    made.cut(lambda a, b: late in (a, b) if a[0] == b[0] else late not in (a, b))  # it is all that there is
+    until(lambda: sum(h.follower.counters["behind"] > n for h, n in earlier.items()) >= 3, PATIENCE)
+    made.heal()
+    assert made.change(made.members[0], {"data/after": "0"}).outcome == "committed"
+    finish(made)
+
+
 @pytest.mark.parametrize("weather", [
     Weather(delay=0.03, jitter=0.05, repeat=0.2), Weather(loss=0.05, delay=0.005, jitter=0.02, repeat=0.05)],
     ids=["delayed and doubled", "dropped"])
@@ -161,6 +183,40 @@
     finish(made, authors)
 
 
+def test_real_senders_have_each_change_once_over_kills_of_members_and_of_themselves(plane):
+    made = plane()
+    senders = [made.add_sender(60 + n, *PLACES[place]) for n, place in enumerate((0, 8))]
+    try:
+        assert made.change(made.members[0], {"config/settings/services/status/promiseS": 2.25,
+                                             "data/real": "0"}).outcome == "committed"
+        for sender in senders:
+            until(lambda sender=sender: sender.revision == made.last(), PATIENCE)
+        authors = Authors(made)
+        killed = next(m for m in made.members if m.name == senders[0].follows())
+        killed.kill()
+        made.cut_off({senders[1].name})
+        held, before = senders[1].revision, made.last()
+        senders[1].process.kill()
+        until(lambda: made.last() >= before + 5 and senders[0].follows() != killed.name, PATIENCE)
+        made.restart(killed)
+        senders[1].process.wait(PATIENCE)
+        senders[1].start()
+        until(lambda: senders[1].revision >= held, PATIENCE)  # with nobody to ask
+        made.heal()
+        authors.end()
+        made.settle()
+        for sender in senders:
+            until(lambda sender=sender: sender.revision == made.last(), PATIENCE)
+            revisions = sender.revisions
+            assert all(a < b for a, b in itertools.pairwise(revisions[:sender.lives[-1]]))
+            assert all(a < b for a, b in itertools.pairwise(revisions[sender.lives[-1]:]))
+            assert set(revisions) <= {a.revision for a in made.asked if a.outcome == "committed"}
+        finish(made)
+    finally:
+        for sender in senders:
+            sender.close()
+
+
 def test_a_follower_with_an_old_folder_begins_with_that_and_goes_forward_alone(plane, tmp_path):
     made = plane(member=HISTORY)
     for count in range(3):
