Tests for each rule of followers and of the members that they follow, and what they found

75 tests in simulated time and by hand: what a follower does with a member that is silent, behind, busy, wrong or not what it was; what a member does with a crowd, with a flood, with parts that are not there; copies that outlive loss and their member; what is held beside what is in force; messages that are cut or beyond a bound.

--- a/tests/test_controlplane_follow.py
+++ b/tests/test_controlplane_follow.py
@@ -1,7 +1,120 @@
 """Followers and members in simulated time: what each does when the other is slow, silent, behind or wrong."""
+from collections import Counter
+from datetime import timedelta
+from random import Random
+
+import msgspec
 import pytest
 
-from willownotch.controlplane.simulated import Plane, Weather
+from willownotch.controlplane import wire
+from willownotch.controlplane.document import Change, Commit, Delta, Document
+from willownotch.controlplane.fetching import WINDOW, Fetching
+from willownotch.controlplane.follower import Follower, ranked
+from willownotch.controlplane.held import STEPS_MOST, Held
+from willownotch.controlplane.rate import Rate
+from willownotch.controlplane.serving import ARRIVED_S, REMEMBERED, Serving
+from willownotch.controlplane.settings import FollowedSettings, FollowSettings, MemberSettings
+from willownotch.controlplane.simulated import MEMBERS, ZONES, Plane, Weather
+from willownotch.controlplane.wire import (
+    DATAGRAM,
+    Counts,
+    Fetch,
+    How,
+    Kind,
+    Leave,
+    News,
+    Part,
+    Piece,
+    Poll,
+    Push,
+    Refused,
+    Tree,
+    Why,
+)
+
+SETTINGS = FollowSettings(zone="z1", region="east", member={
+    "near": FollowedSettings(("near", 1), "z1", "east"),
+    "beside": FollowedSettings(("beside", 1), "z2", "east"),
+    "far": FollowedSettings(("far", 1), "z4", "west")})
+
+
+def commit(document, sets, removes=(), token=None):
+    number = document.revision + 1
+    change = Change(number.to_bytes(16, "big"), "a", document.revision, sets, removes)
+    made = Commit(number, document.token if token is None else token, change, document.digest_after(change))
+    document.commit(made)
+    return made
+
+
+def document_of(revisions, token=1):
+    document = Document()
+    for n in range(revisions):
+        commit(document, {f"k{n}": b"%d" % n}, token=token)
+    return document
+
+
+def held_of(document):
+    held = Held()
+    if document.revision:
+        held.lead(document.delta(0))
+        held.applied(document.revision)
+    return held
+
+
+class Alone:
+    """One follower, whose members are played by hand. What it sends in a step is in `sent`."""
+
+    def __init__(self, document=None, settings=SETTINGS, seed=1):
+        self.kept, self.keeps, self.now, self.sent = [], True, 0.0, []
+        held = held_of(document or Document())
+        self.follower = Follower("s1", 7, held, settings, self.now, Random(seed), self.keep)
+
+    def keep(self, records):
+        if self.keeps:
+            self.kept += records
+        return self.keeps
+
+    def run(self, until, answer=lambda send: None):
+        """Let time pass; whatever is sent may be answered by a message at once."""
+        while (due := self.follower.due()) <= until:
+            self.now = max(self.now, due)
+            self.take(self.follower.tick(self.now), answer)
+        self.now = until
+
+    def take(self, sends, answer=lambda send: None):
+        self.sent += sends
+        for send in sends:
+            if (message := answer(send)) is not None:
+                self.take(self.follower.receive(self.now, send.address, message), answer)
+
+    def say(self, message):
+        sends = self.follower.receive(self.now, ("x", 1), message)
+        self.sent += sends
+        return sends
+
+    def asked(self, kind=Poll):
+        return [send.message for send in self.sent if isinstance(send.message, kind)]
+
+
+def truthful(document, **other):
+    """What a member with this document answers to a poll."""
+    def answer(send):
+        poll = send.message
+        if not isinstance(poll, Poll):
+            return None
+        delta = document.delta(poll.revision) if poll.revision < document.revision else None
+        how, data = (How.INLINE, wire.encode(delta)) if delta else (How.NOTHING, b"")
+        news = News(poll.member, poll.number, document.revision, document.token, document.digest, how,
+                    len(data), data)
+        return msgspec.structs.replace(news, **other)
+    return answer
+
+
+def only(member, answer):
+    return lambda send: answer(send) if send.address[0] == member else None
+
+
+# A fleet
 
 
 @pytest.mark.parametrize(("loss", "repeat", "jitter"), [(0.0, 0.0, 0.003), (0.05, 0.1, 0.5), (0.3, 0.3, 0.5)])
@@ -26,3 +139,722 @@
     assert all(node.sent + node.received < 150 * 60 for node in plane.followers())
     counted = [len(node.core.followers) for node in plane.members()]
     assert sum(counted) == 91 and max(counted) <= 2 * 91 / 9
+
+
+def test_the_same_seed_gives_the_same_story():
+    def story():
+        plane = Plane(5, 20, Weather(0.2, repeat=0.1, jitter=0.2), entries=50)
+        plane.start_all()
+        for _ in range(4):
+            plane.run(plane.now + 3.0)
+            plane.change()
+        plane.run(plane.now + 20.0)
+        return [(node.sent, node.received, node.forces) for node in plane.nodes.values()]
+    assert story() == story()
+
+
+def test_a_dead_member_s_followers_move_and_go_home_again():
+    plane = Plane(3, 40, follow=FollowSettings(home=timedelta(seconds=20)))
+    plane.start_all()
+    plane.run(10.0)
+    theirs = set(plane.nodes["c0"].core.followers)
+    assert theirs
+    plane.kill("c0")
+    plane.run(25.0)
+    revision = plane.change()
+    plane.until(lambda: plane.in_force(revision), 11.0)
+    assert all(plane.nodes[name].core.member == "c1" for name in theirs)  # the other one of the zone
+    assert all(node.core.member != "c0" for node in plane.followers())
+    plane.start_member("c0")
+    plane.until(lambda: set(plane.nodes["c0"].core.followers) == theirs, 120.0)
+    plane.run(plane.now + 5.0)
+    view = plane.nodes["c1"].core.status(plane.now)
+    assert view.known == 40 and view.unheard == 0 and not view.missing  # counted once each, wherever they are
+
+
+def test_followers_of_a_region_that_is_cut_off_go_on_and_say_since_when():
+    plane = Plane(4, 30, entries=20)
+    plane.start_all()
+    plane.run(10.0)
+    plane.weather.cut = lambda a, b: ZONES[a] != ZONES[b]
+    revision = plane.change()
+    plane.run(40.0)
+    west = [node for node in plane.followers() if ZONES[node.zone] == "west"]
+    east = [node for node in plane.followers() if ZONES[node.zone] == "east"]
+    assert {node.core.held.in_force for node in east} == {revision}
+    assert {node.core.held.in_force for node in west} == {revision - 1}
+    assert all(ZONES[MEMBERS[node.core.member]] == "west" for node in west)  # served, if by old word
+    assert all(25.0 < node.core.unheard_s(plane.now) < 35.0 for node in west)
+    assert all(node.core.unheard_s(plane.now) < 5.0 for node in east)
+    plane.weather.cut = lambda a, b: False
+    plane.until(lambda: plane.in_force(revision), 11.0)
+    plane.run(plane.now + 5.0)
+    assert all(node.core.unheard_s(plane.now) < 5.0 for node in west)
+
+
+def test_a_follower_looks_for_a_member_that_hears_a_majority():
+    plane = Plane(5, 20, entries=20)
+    plane.start_all()
+    plane.run(10.0)
+    alone, followers = {"z1"}, [node for node in plane.followers() if node.zone == "z1"]
+    real = plane.apart
+    plane.apart = lambda node: node.zone in alone or real(node)  # cut from the members, not from followers
+    plane.run(50.0)
+    revision = plane.change()
+    plane.until(lambda: plane.in_force(revision), 11.0)
+    assert all(MEMBERS[node.core.member] not in alone for node in followers)
+    alone.clear()
+    plane.run(200.0)
+    assert all(MEMBERS[node.core.member] == "z1" for node in followers)
+
+
+@pytest.mark.parametrize("empty", [False, True])
+def test_all_started_at_once_are_taken_by_the_admissions_of_each_member(empty):
+    plane = Plane(6, 200, member=MemberSettings(admissions=10), entries=20)
+    plane.start_all()
+    plane.run(15.0)
+    for node in plane.followers():
+        plane.kill(node.name)
+    for name in MEMBERS:
+        plane.kill(name)
+        plane.start_member(name)
+    began = plane.now
+    plane.start_all(empty)
+    while plane.now < began + 8.0:
+        plane.run(plane.now + 1.0)
+        for node in plane.members():
+            assert node.core.counters["admitted"] <= 10 * (plane.now - began + 1.0)
+    assert sum(node.core.counters["refused: rate"] for node in plane.members()) > 0
+    plane.until(lambda: plane.in_force(plane.truth.revision), 11.0)
+    revision = plane.change()
+    plane.until(lambda: plane.in_force(revision), 11.0)
+
+
+def test_a_member_that_is_full_sends_the_others_on():
+    plane = Plane(7, 40, member=MemberSettings(most_followers=8), spread=lambda n: "z1")
+    plane.start_all()
+    plane.run(60.0)
+    assert all(len(node.core.followers) <= 8 for node in plane.members())
+    assert sum(len(node.core.followers) for node in plane.members()) == 40
+
+
+def test_whole_copies_are_served_a_few_at_once_in_the_order_asked_for():
+    plane = Plane(8, 12, member=MemberSettings(copies=2, rate=200_000), entries=1500, spread=lambda n: "z5")
+    plane.nodes["c8"].core.settings = plane.member
+    plane.start_all(empty=True)
+    most = 0
+    while not plane.in_force(1):
+        plane.run(plane.now + 0.5)
+        most = max(most, len(plane.nodes["c8"].core._copies))
+        assert plane.now < 120.0
+    assert most == 2 and plane.nodes["c8"].core.counters["copies"] == 12
+    assert plane.nodes["c8"].core.counters["refused: copies"] > 0
+    sent = plane.nodes["c8"].sent
+    assert sent / plane.now < 200_000 * 1.1
+    assert {node.core.held.document.digest for node in plane.followers()} == {plane.truth.digest}
+
+
+def test_a_whole_copy_outlives_loss_changes_and_its_member():
+    plane = Plane(9, 1, Weather(0.2, repeat=0.1, jitter=0.1), entries=3000)
+    plane.start_all(empty=True)
+    plane.until(lambda: len(plane.nodes["s0"].core._buckets) > 800, 60)
+    for _ in range(3):
+        plane.change()
+    first = plane.nodes["s0"].core.member
+    had = plane.nodes["s0"].received
+    plane.kill(first)
+    plane.until(lambda: plane.in_force(plane.truth.revision), 90)
+    node = plane.nodes["s0"]
+    assert node.core.member != first and node.core.held.document.digest == plane.truth.digest
+    assert node.received - had < had * 4  # what was there already was not asked for again
+    assert node.core.counters["wrong digest"] == 0
+
+
+def test_only_the_buckets_that_differ_are_fetched_where_the_history_is_gone():
+    plane = Plane(10, 1, entries=3000)
+    plane.start_all(empty=True)
+    plane.until(lambda: plane.in_force(1), 60)
+    node = plane.nodes["s0"]
+    plane.kill("s0")
+    for _ in range(10):
+        plane.change()
+    plane.run(plane.now + 2.0)
+    for member in plane.members():
+        member.document.history.clear()
+    had = node.received
+    plane.start("s0")
+    plane.until(lambda: plane.in_force(11), 20)
+    assert node.core.counters["copied"] == 1 and node.received - had < 60_000
+    assert node.core.held.document.digest == plane.truth.digest
+
+
+def test_a_large_change_is_fetched_in_pieces():
+    plane = Plane(11, 5, Weather(0.1, repeat=0.1, jitter=0.1))
+    plane.start_all()
+    plane.run(5.0)
+    plane.change(size=30_000)
+    plane.until(lambda: plane.in_force(1), 20)
+    assert all(node.core.counters["copied"] == 0 for node in plane.followers())
+
+
+def test_a_restarted_follower_begins_where_it_was_and_never_goes_back():
+    plane = Plane(12, 3, entries=20)
+    plane.start_all()
+    plane.run(5.0)
+    revision = plane.change()
+    plane.until(lambda: plane.in_force(revision), 5)
+    behind = plane.nodes["s0"].core.member
+    for name in MEMBERS:  # nobody is there
+        plane.kill(name)
+    plane.kill("s0")
+    plane.start("s0")
+    plane.run(60.0)
+    follower = plane.nodes["s0"].core
+    assert follower.held.in_force == revision and dict(follower.held.entries_in_force()) == dict(
+        plane.truth.items())
+    for name in MEMBERS:  # all of them with an old folder
+        plane.nodes[name].document = Document()
+        plane.start_member(name)
+    plane._catch_up = lambda node: None
+    plane.run(200.0)
+    assert follower.held.in_force == revision and follower.counters["behind"] >= 3
+    assert behind in MEMBERS
+
+
+def test_what_a_sender_cannot_apply_is_told_and_the_last_one_stays():
+    plane = Plane(13, 10, entries=20)
+    plane.start_all()
+    plane.run(5.0)
+    first = plane.change()
+    plane.until(lambda: plane.in_force(first), 5)
+    bad = "s3", first + 1
+    plane.refuses = lambda name, document: "no such place" if (name, document.revision) == bad else ""
+    plane.change()
+    plane.run(plane.now + 5.0)
+    follower = plane.nodes["s3"].core
+    assert follower.held.in_force == first and follower.held.document.revision == first + 1
+    view = plane.nodes["c0"].core.status(plane.now)
+    assert [(row[1], row[2], row[3]) for row in view.nacks] == [("s3", first + 1, "no such place")]
+    assert view.nacked == 1 and view.in_force == {str(first + 1): 9, str(first): 1} and view.lagging == 1
+    plane.kill("s3")
+    plane.start("s3")  # begins on the last one that was in force
+    assert plane.nodes["s3"].core.held.in_force == first
+    third = plane.change()  # the next one can be applied
+    plane.until(lambda: plane.in_force(third), 8)
+    plane.run(plane.now + 2.0)
+    assert plane.nodes["c0"].core.status(plane.now).nacked == 0
+
+
+# A member that is not what it should be
+
+
+def test_a_member_of_the_own_zone_is_asked_first_then_of_the_own_region():
+    assert ranked("s1", SETTINGS) == ["near", "beside", "far"]
+    names = {f"m{n}": FollowedSettings(("m", n), "z1", "east") for n in range(4)}
+    settings = msgspec.structs.replace(SETTINGS, member=names)
+    firsts = Counter(ranked(f"s{n}", settings)[0] for n in range(400))
+    assert min(firsts.values()) > 60
+    fewer = msgspec.structs.replace(settings, member={n: m for n, m in names.items() if n != "m2"})
+    for n in range(100):  # only those of the one that is gone move
+        assert ranked(f"s{n}", fewer) == [name for name in ranked(f"s{n}", settings) if name != "m2"]
+
+
+def test_three_polls_without_an_answer_and_another_is_followed():
+    alone = Alone()
+    alone.run(2.0, truthful(Document()))
+    assert alone.follower.member == "near"
+    alone.sent.clear()
+    alone.run(20.0, only("beside", truthful(Document())))
+    polls = [poll.member for poll in alone.asked()]
+    assert polls[:4] == ["near", "near", "near", "beside"] and alone.follower.member == "beside"
+
+
+def test_with_nobody_there_it_asks_seldom_and_goes_on():
+    alone = Alone(document_of(3))
+    alone.run(600.0)
+    late = [poll for poll in alone.asked() if poll.number > 40]
+    assert late and len(alone.asked()) < 600 / 3
+    assert alone.follower.held.in_force == 3 and alone.follower.unheard_s(600.0) == 600.0
+
+
+def test_a_refusal_is_heeded_to_the_time_it_tells():
+    alone = Alone()
+    times = []
+
+    def answer(send):
+        times.append((round(alone.now, 6), send.address[0]))
+        if send.address[0] == "near" and len(times) == 1:
+            return Refused("near", send.message.number, Why.RATE, 4000)
+        return truthful(Document())(send) if send.address[0] == "near" else None
+    alone.run(6.0, answer)
+    assert [name for _, name in times[:2]] == ["near", "near"] and times[1][0] - times[0][0] >= 4.0
+    alone = Alone()
+    alone.run(10.0, lambda send: Refused("near", send.message.number, Why.FULL, 25_000)
+              if send.address[0] == "near" else truthful(Document())(send))
+    assert alone.follower.member == "beside" and [p.member for p in alone.asked()].count("near") == 1
+
+
+def test_nothing_older_is_taken_and_its_member_is_left():
+    alone = Alone(document_of(5))
+    old = document_of(3)
+    alone.run(30.0, lambda send: truthful(old if send.address[0] == "near" else document_of(5))(send))
+    assert alone.follower.member == "beside" and alone.follower.held.document.revision == 5
+    assert alone.follower.counters["behind"] == 3 and not alone.follower.offered
+    assert alone.follower.unheard_s(alone.now) < 5.0
+
+
+def test_a_higher_revision_of_a_lower_token_is_not_taken():
+    alone = Alone(document_of(3, token=9))
+    other = document_of(5, token=4)
+    alone.run(8.0, truthful(other))
+    assert alone.follower.held.document.revision == 3 and not alone.follower.offered
+    alone.say(Push(alone.follower.member, 5, 4, wire.encode(other.delta(3))))
+    assert alone.follower.held.document.revision == 3
+
+
+def test_the_same_revision_with_another_digest_is_not_believed():
+    alone = Alone(document_of(3))
+    wrong = truthful(document_of(3), digest=bytes(16))
+    alone.run(10.0, lambda send: (wrong if send.address[0] == "near" else truthful(document_of(3)))(send))
+    assert alone.follower.member == "beside" and alone.follower.counters["disagrees"] == 1
+    assert [poll.member for poll in alone.asked()].count("near") == 1
+
+
+def test_a_wrong_difference_changes_nothing_and_the_tree_is_asked_for():
+    alone, right = Alone(document_of(3)), document_of(4)
+    delta = msgspec.structs.replace(right.delta(3), sets={"k3": b"forged"})
+    before = alone.follower.held.document.digest
+    alone.run(2.0, truthful(right, delta=wire.encode(delta)))
+    assert alone.follower.held.document.digest == before and not alone.follower.offered and not alone.kept
+    assert [fetch.part.kind for fetch in alone.asked(Fetch)][:1] == [Kind.GROUPS]
+    fetch = alone.asked(Fetch)[0]
+    forged = wire.encode(Tree(4, 1, right.digest, b"".join(document_of(5).groups())))
+    alone.say(Piece("near", fetch.number, 0, 1, forged))
+    assert alone.follower.member is None and alone.follower.counters["wrong digest"] == 2
+    alone.run(12.0, truthful(right))
+    assert alone.follower.member == "beside" and alone.follower.held.document.digest == right.digest
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x93\x01\x02\x03",
+                                  wire.encode(document_of(1).delta(0)) + b"x"])
+def test_what_cannot_be_read_is_as_wrong(data):
+    alone = Alone(document_of(3))
+    alone.run(2.0, truthful(document_of(4), delta=data))
+    assert alone.follower.held.document.revision == 3 and alone.follower.counters["wrong digest"] == 1
+
+
+def test_a_revision_that_is_told_and_never_delivered():
+    for how in (How.NOTHING, How.DELTA, How.TREE):
+        alone, right = Alone(document_of(3)), document_of(4)
+        lie = truthful(right, how=how, size=5000, delta=b"", revision=9)
+        alone.run(60.0, lambda send, lie=lie, right=right: (
+            lie if send.address[0] == "near" else truthful(right))(send))
+        assert alone.follower.counters["undelivered"] == 1, how
+        assert alone.follower.member == "beside" and alone.follower.held.document.digest == right.digest
+
+
+def test_a_member_that_says_it_is_busy_is_waited_for_but_not_for_ever():
+    alone, right = Alone(document_of(3)), document_of(4)
+
+    def answer(send):
+        if send.address[0] != "near":
+            return truthful(right)(send)
+        if isinstance(send.message, Fetch):
+            return Refused("near", send.message.number, Why.BUSY, 1500)
+        return truthful(right, how=How.DELTA, size=5000, delta=b"", revision=9)(send) if isinstance(
+            send.message, Poll) else None
+    alone.run(100.0, answer)
+    assert alone.follower.member == "near" and alone.follower.counters["told to wait"] > 10
+    alone.run(150.0, answer)
+    assert alone.follower.member == "beside" and alone.follower.counters["undelivered"] == 1
+
+
+def test_only_the_member_followed_is_listened_to():
+    alone, right = Alone(document_of(3)), document_of(4)
+    alone.run(2.0, truthful(document_of(3)))
+    alone.say(Push("far", 4, 1, wire.encode(right.delta(3))))
+    assert alone.follower.held.document.revision == 3 and alone.follower.counters["not followed"] == 1
+    alone.say(Push("near", 4, 1, wire.encode(right.delta(3))))
+    alone.say(Push("near", 4, 1, wire.encode(right.delta(3))))  # doubled
+    assert alone.follower.held.document.revision == 4 and len(alone.follower.offered) == 1
+
+
+def test_an_answer_that_was_overtaken_says_nothing():
+    alone = Alone(document_of(3))
+    alone.run(8.0, truthful(document_of(3)))
+    number = alone.asked()[0].number
+    alone.say(News("near", number, 9, 9, bytes(16), How.DELTA, 5000))
+    alone.say(News("near", 10_000, 9, 9, bytes(16), How.DELTA, 5000))
+    assert alone.follower.counters["late"] == 2 and not alone.asked(Fetch)
+
+
+def test_a_difference_from_before_what_is_held_still_leads_on():
+    alone, right = Alone(document_of(3)), document_of(6)
+    alone.run(2.0, truthful(document_of(3)))
+    alone.say(Push("near", 6, 1, wire.encode(right.delta(1))))
+    assert alone.follower.held.document.digest == right.digest
+    later = document_of(9)
+    alone.say(Push("near", 9, 1, wire.encode(later.delta(8))))  # and one from after it does not
+    assert alone.follower.held.document.revision == 6 and alone.follower.counters["gap"] == 1
+
+
+def test_nothing_is_offered_before_it_is_kept():
+    alone, right = Alone(document_of(3)), document_of(4)
+    alone.keeps = False
+    alone.run(10.0, truthful(right))
+    assert not alone.follower.offered and {poll.revision for poll in alone.asked()} == {3}
+    assert alone.follower.counters["not kept"] > 1
+    alone.keeps = True
+    alone.run(20.0, truthful(right))
+    assert [offer.revision for offer in alone.follower.offered] == [4] and alone.asked()[-1].revision == 4
+    assert Held.restored([*wire_records(document_of(3)), *alone.kept]).document.digest == right.digest
+
+
+def wire_records(document):
+    return held_of(document).records()
+
+
+def test_it_takes_leave_when_it_ends():
+    alone = Alone()
+    alone.run(2.0, truthful(Document()))
+    assert [send.message for send in alone.follower.stop(alone.now)] == [Leave("s1", 7, "near")]
+
+
+def test_other_settings_move_it_off_a_member_that_is_gone():
+    alone = Alone()
+    alone.run(2.0, truthful(Document()))
+    fewer = {name: member for name, member in SETTINGS.member.items() if name != "near"}
+    alone.follower.configure(msgspec.structs.replace(SETTINGS, member=fewer), alone.now)
+    alone.run(8.0, truthful(Document()))
+    assert alone.follower.member == "beside"
+
+
+# What is held
+
+
+def test_what_is_in_force_is_told_apart_from_what_is_held():
+    source, held, records = Document(), Held(), []
+    states = {0: {}}
+    for n in range(6):
+        commit(source, {"a": b"%d" % n, f"b{n}": b"1"}, (f"b{n - 1}",) if n else ())
+        delta = source.delta(n)
+        held.lead(delta)
+        records += msgspec_records(delta)
+        states[n + 1] = dict(source.items())
+        if n == 2:
+            held.applied(2)
+            records.append(msgspec.msgpack.encode(["x"]))
+            records.pop()
+            records += in_force(2)
+    for one in (held, Held.restored(records), Held.restored(held.records())):
+        assert one.in_force == 2 and dict(one.entries_in_force()) == states[2]
+        assert dict(one.document.items()) == states[6] and one.document.digest == source.digest
+        assert one.get_in_force("a") == b"1" and one.get_in_force("b5") is None
+        assert one.changed() >= {"a", "b1", "b5"}
+    with pytest.raises(ValueError, match="not held"):
+        held.applied(1)
+    with pytest.raises(ValueError, match="not held"):
+        held.applied(7)
+    held.applied(6)
+    again = Held.restored(held.records())
+    assert dict(again.entries_in_force()) == states[6] and again.in_force == 6 and not again.steps
+
+
+def msgspec_records(delta):
+    from willownotch.controlplane.held import records_of
+    return records_of(delta)
+
+
+def in_force(revision):
+    from willownotch.controlplane.held import InForce, encode
+    return [encode(InForce(revision))]
+
+
+def test_a_step_that_is_not_whole_in_the_folder_is_not_there():
+    source = Document()
+    commit(source, {f"k{n}": bytes(100) for n in range(4000)})
+    records = msgspec_records(source.delta(0))
+    assert len(records) > 3 and max(map(len, records)) < 256 * 1024
+    assert Held.restored(records).document.digest == source.digest
+    assert Held.restored(records[:-1]).document.revision == 0
+    with pytest.raises(ValueError):
+        Held.restored(records[1:])
+    with pytest.raises(ValueError, match="cannot be read"):
+        Held.restored([b"\xc1"])
+
+
+def test_steps_that_are_not_in_force_are_bounded():
+    source, held = Document(), Held()
+    for n in range(STEPS_MOST + 20):
+        commit(source, {"a": b"%d" % n, f"k{n}": b"1"})
+        held.lead(source.delta(n))
+        if n == 9:
+            held.applied(10)
+    assert len(held.steps) == STEPS_MOST and held.get_in_force("a") == b"9"
+    assert dict(held.entries_in_force()) == {"a": b"9"} | {f"k{n}": b"1" for n in range(10)}
+
+
+# A member's side
+
+
+class Member:
+    """A serving core whose followers are played by hand."""
+
+    def __init__(self, revisions=3, **settings):
+        self.document = document_of(revisions)
+        self.core = Serving("near", self.document, MemberSettings(**settings), 0.0, Random(1))
+
+    def poll(self, now, name="s1", revision=0, number=None, uid=7, **more):
+        number = int(now * 1000) if number is None else number
+        poll = Poll(name, uid, number, "near", 3000, revision, 1 if revision else 0,
+                    more.pop("in_force", revision), **more)
+        return [send.message for send in self.core.receive(now, (name, 1), poll)]
+
+    def fetch(self, now, part, pieces=(0,), name="s1", number=1):
+        fetch = Fetch(name, "near", number, part, pieces)
+        return [send.message for send in self.core.receive(now, (name, 1), fetch)]
+
+
+def test_a_poll_is_answered_with_what_is_lacking():
+    member = Member()
+    news, = member.poll(0.0, revision=1)
+    delta = wire.read_delta(news.delta)
+    assert (news.how, news.revision, delta.since, delta.revision) == (How.INLINE, 3, 1, 3)
+    assert member.poll(1.0, revision=3)[0].how is How.NOTHING
+    assert member.poll(2.0, revision=9)[0].how is How.NOTHING
+    member.document.history.clear()
+    assert member.poll(3.0, revision=1)[0].how is How.TREE
+    commit(member.document, {"big": bytes(5000)})
+    news, = member.poll(4.0, revision=3)
+    assert news.how is How.DELTA and news.size > 5000
+    pieces = member.fetch(4.0, Part(Kind.DELTA, 4, 3), (0, 1, 2, 3, 4, 9))
+    assert [piece.piece for piece in pieces] == [0, 1, 2, 3, 4] and {p.pieces for p in pieces} == {5}
+    assert isinstance(wire.read_delta(b"".join(piece.data for piece in pieces)), Delta)
+
+
+def test_a_commit_is_pushed_within_the_rate():
+    member = Member(rate=4096)
+    for n in range(40):
+        member.poll(n * 0.1, f"s{n}", revision=3)
+    made = commit(member.document, {"new": bytes(200)})
+    now, times = 10.0, []
+    sends = member.core.committed(now, made)
+    while len(times) < 40:
+        times += [now for send in sends if isinstance(send.message, Push)]
+        now = max(now, member.core.due())
+        sends = member.core.tick(now)
+        assert now < 60.0
+    assert 40 * 300 / 4096 * 0.6 < times[-1] - 10.0 < 40 * 400 / 4096 * 1.5
+    for n in range(40):
+        assert sum(isinstance(m, Push) for m in member.poll(now, f"s{n}", revision=4)) == 0
+
+
+def test_a_follower_that_asks_too_often_is_not_answered():
+    member = Member()
+    answers = [len(member.poll(0.0, number=n)) for n in range(500)]
+    assert sum(answers) <= 101 and member.core.counters["too often"] == 500 - sum(answers)
+    assert member.poll(3.0, "s2")
+
+
+def test_refused_ones_get_slots_one_after_the_other():
+    member = Member(admissions=10)
+    refused = []
+    for n in range(100):
+        answer, = member.poll(0.0, f"s{n}")
+        if isinstance(answer, Refused):
+            refused.append((answer.after_ms, n))
+    assert len(refused) == 90 and [ms for ms, _ in refused] == sorted({ms for ms, _ in refused})
+    assert refused[-1][0] == 9000
+    assert member.poll(0.0, "s99")[0].after_ms == 9000  # asking again changes nothing
+    for ms, n in refused:
+        assert isinstance(member.poll(ms / 1000 + 0.01, f"s{n}")[0], News)
+    crowd = [member.poll(20.0, f"t{n}")[0] for n in range(400)]
+    assert max(answer.after_ms for answer in crowd if isinstance(answer, Refused)) <= 45_000
+    assert len(member.core._slots) < 400
+
+
+def test_a_probe_counts_for_nothing():
+    member = Member()
+    news, = member.poll(0.0, probe=True, revision=1)
+    assert news.how is How.NOTHING and not member.core.followers
+    assert member.core.counts(0.0).followers == 0
+
+
+def test_a_copy_needs_a_place_and_a_place_is_given_back():
+    member = Member(copies=1)
+    for name in ("s1", "s2", "s3"):
+        member.poll(0.0, name)
+    groups = Part(Kind.GROUPS, 0)
+    assert isinstance(member.fetch(0.0, groups, name="s1")[0], Piece)
+    for name in ("s2", "s3"):
+        answer, = member.fetch(0.1, groups, name=name)
+        assert answer.why is Why.COPIES
+    assert member.fetch(0.2, Part(Kind.BUCKETS, 3, 0, 1), name="s2")[0].why is Why.GONE  # no way round it
+    assert member.fetch(0.2, Part(Kind.BUCKETS, 2, 0, 1), name="s1")[0].why is Why.GONE
+    member.poll(5.0, "s1", revision=3)  # has it all
+    assert member.fetch(5.1, groups, name="s3")[0].why is Why.COPIES  # s2 was first
+    assert isinstance(member.fetch(5.2, groups, name="s2")[0], Piece)
+    for at in (9.0, 13.0):
+        member.fetch(at, groups, name="s3")
+    member.core.tick(16.0)  # s2 was silent
+    assert isinstance(member.fetch(16.1, groups, name="s3")[0], Piece)
+
+
+@pytest.mark.parametrize("part", [
+    Part(Kind.DELTA, 3, 99), Part(Kind.DELTA, 1 << 60, 1), Part(Kind.ENTRIES, 3, 64, 1),
+    Part(Kind.ENTRIES, 3, -1, 1), Part(Kind.ENTRIES, 3, 0, 1 << 64), Part(Kind.ENTRIES, 3, 0, -1)])
+def test_a_part_that_is_not_there(part):
+    member = Member()
+    member.poll(0.0)
+    member.fetch(0.0, Part(Kind.GROUPS, 0))
+    answer, = member.fetch(0.1, part)
+    assert answer.why is Why.GONE
+    assert member.fetch(0.1, part, name="stranger") == []
+
+
+def test_pieces_that_wait_are_bounded():
+    member = Member(rate=4096)
+    member.poll(0.0)
+    commit(member.document, {"big": bytes(60_000)})
+    member.poll(0.1, revision=3)
+    part, answers = Part(Kind.DELTA, 4, 3), []
+    for first in range(0, 48, 16):
+        answers += member.fetch(0.2, part, tuple(range(first, first + 16)))
+    assert isinstance(answers[-1], Refused) and answers[-1].why is Why.BUSY
+    assert len(member.core._pieces) <= 64
+    before = len(member.core._pieces)
+    member.fetch(0.3, part, tuple(range(16)))  # the same again: they wait already
+    assert len(member.core._pieces) <= before
+
+
+def test_counts_name_who_lags_who_refused_and_who_is_unheard():
+    member = Member()
+    member.poll(0.0, "s1", revision=3)
+    member.poll(0.0, "s2", revision=3, in_force=2)
+    member.poll(0.0, "s3", revision=3, in_force=2, refused=3, text="no")
+    member.poll(0.0, "s4", revision=3)
+    for name in ("s1", "s2", "s3"):
+        member.poll(15.0, name, revision=3, in_force=3 if name == "s1" else 2,
+                    **({"refused": 3, "text": "no"} if name == "s3" else {}))
+    counts = member.core.counts(20.0)
+    assert (counts.followers, counts.in_force) == (4, ((3, 2), (2, 2)))
+    assert sorted((one.name, one.in_force, one.for_ms) for one in counts.laggards) == [
+        ("s2", 2, 20_000), ("s3", 2, 20_000)]
+    assert [(one.name, one.revision, one.text) for one in counts.nacks] == [("s3", 3, "no")]
+    assert [(one.name, one.for_ms) for one in counts.unheard_names] == [("s4", 20_000)]
+    member.core.tick(700.0)
+    assert member.core.counts(700.0).followers == 0  # forgotten in the end
+
+
+def test_counts_and_what_is_remembered_are_bounded():
+    member = Member(admissions=10_000, most_followers=50)
+    member.core._admits = lambda now, name: None
+    for n in range(400):
+        member.poll(n * 0.1, f"s{n}", revision=2)
+        member.core.tick(n * 0.1)
+        assert len(member.core.followers) <= REMEMBERED * 50 + 10
+    member = Member(admissions=10_000, most_followers=2000)
+    for n in range(2000):
+        member.poll(0.0, f"s{n}", revision=3, in_force=n % 3, refused=3, text="x" * 200)
+    counts = member.core.counts(1.0)
+    assert counts.lagging == 2000 and counts.nacked == 2000 and len(wire.encode(counts)) < 32_000
+
+
+def test_a_follower_that_went_to_another_member_is_counted_once():
+    here, there = Member(), Member()
+    here.poll(0.0, revision=3)
+    there.core.name = "near"
+    there.poll(10.0, revision=3)
+    here.core.heard(11.0, "far", there.core.counts(11.0))
+    assert not here.core.followers
+    here.poll(12.0, revision=3)  # and it came back
+    here.core.heard(12.5, "far", there.core.counts(12.5))
+    assert set(here.core.followers) == {"s1"}
+    assert not there.core.counts(10.0 + ARRIVED_S + 0.1).arrived
+
+
+def test_status_tells_all_members_and_which_are_missing():
+    member = Member(voters=("near", "far", "gone"))
+    member.poll(0.0, revision=3)
+    other = Counts("far", 2, 1, 500, 5, ((2, 3), (1, 2)), 0, 2, (), 0, (), 1, (), ())
+    member.core.heard(0.0, "far", other)
+    view = member.core.status(5.0)
+    assert view.known == 6 and view.in_force == {"3": 1, "2": 3, "1": 2} and view.missing == ["gone"]
+    assert [(row.name, row.followers, row.apart_s) for row in view.members] == [
+        ("far", 5, 0.5), ("near", 1, 0.0)]
+    assert member.core.status(30.0).missing == ["far", "gone"]
+    msgspec.json.encode(view)
+
+
+def test_an_older_poll_that_comes_late_changes_nothing():
+    member = Member()
+    member.poll(1.0, revision=3, number=5)
+    member.poll(2.0, revision=1, number=4)
+    assert member.core.followers["s1"].in_force == 3
+    member.poll(3.0, revision=2, number=1, uid=8)  # another process under the name
+    assert member.core.followers["s1"].in_force == 2
+    gone = Leave("s1", 7, "near")
+    member.core.receive(3.1, ("s1", 1), gone)
+    assert "s1" in member.core.followers  # that was the process before
+    member.core.receive(3.1, ("s1", 1), msgspec.structs.replace(gone, uid=8))
+    assert not member.core.followers
+
+
+def test_what_is_meant_for_another_member_or_is_no_question():
+    member = Member()
+    assert member.core.receive(0.0, ("s1", 1), Poll("s1", 7, 1, "far", 3000, 0, 0, 0)) == []
+    assert member.core.receive(0.0, ("s1", 1), News("s1", 1, 9, 9, bytes(16))) == []
+    assert member.core.counters == {"for another": 1, "unexpected": 1} and not member.core.followers
+
+
+# Messages and pieces
+
+
+@pytest.mark.parametrize("data", [
+    b"", b"\xc1", b"\x90", wire.encode(["x"]), wire.encode([200, "x"]),
+    wire.encode(Poll("", 7, 1, "near", 3000, 0, 0, 0)),
+    wire.encode(Poll("s" * 101, 7, 1, "near", 3000, 0, 0, 0)),
+    wire.encode(Poll("s1", 7, 1, "near", 3000, 0, 0, 0, 1, "x" * 201)),
+    wire.encode(Fetch("s1", "near", 1, Part(Kind.DELTA, 1), ())),
+    wire.encode(Fetch("s1", "near", 1, Part(Kind.DELTA, 1), tuple(range(17)))),
+    wire.encode(Refused("near", 1, Why.FULL, 1))[:-1],
+    wire.encode([83, "near", 1, 99, 1])])
+def test_what_is_no_message(data):
+    with pytest.raises((msgspec.DecodeError, UnicodeDecodeError)):
+        wire.decode(data)
+
+
+def test_all_messages_fit_a_datagram():
+    name, large = "n" * 100, (1 << 63) - 1
+    for message in (Poll(name, large, large, name, large, large, large, large, large, "x" * 200, True),
+                    News(name, large, large, large, bytes(16), How.INLINE, large, bytes(wire.INLINE), large),
+                    Push(name, large, large, bytes(wire.INLINE)),
+                    Piece(name, large, large, large, bytes(wire.PIECE)),
+                    Fetch(name, name, large, Part(Kind.ENTRIES, large, 63, (1 << 64) - 1), (large,) * 16)):
+        data = wire.encode(message)
+        assert wire.decode(data) == message and len(data) + 32 <= DATAGRAM
+
+
+def test_a_window_a_rate_and_repeats_of_what_was_lost():
+    fetching = Fetching("s1", "near", 10_000, 1.0, 0.0, 0)
+    fetching.want(Part(Kind.DELTA, 2, 1), 100)
+    first = [piece for fetch in fetching.asks(0.0) for piece in fetch.pieces]
+    assert first == list(range(WINDOW)) and fetching.asks(0.5) == []
+    for piece in first[5:]:
+        fetching.take(0.6, Piece("near", 1, piece, 100, b"x"))
+    again = [piece for fetch in fetching.asks(1.0) for piece in fetch.pieces]
+    assert again[:5] == first[:5] and len(again) * 1250 <= 10_000 + 1250
+    assert fetching.take(1.0, Piece("near", 1, 3, 99, b"x")) is None  # another size than it was
+    assert fetching.take(1.0, Piece("near", 9, 3, 100, b"x")) is None  # nobody asked
+    assert fetching.take(1.0, Piece("near", 1, 100, 100, b"x")) is None
+    whole = [fetching.take(2.0, Piece("near", 1, piece, 100, b"%d," % piece)) for piece in range(100)]
+    assert whole[-1] is not None and fetching.due() is None and not fetching.asks(9.0)
+
+
+def test_a_rate_is_held_and_its_debt_is_bounded():
+    rate = Rate(10.0, 5.0, 0.0)
+    assert sum(rate.spend(0.0) for _ in range(20)) == 5
+    assert rate.when(0.0, 1.0) == pytest.approx(0.1) and rate.spend(0.1)
+    for _ in range(100):
+        rate.force(0.1, 5.0)
+    assert rate.left(0.1) == -10.0 and not rate.spend(1.0) and rate.spend(1.2)
--- a/willownotch/controlplane/fetching.py
+++ b/willownotch/controlplane/fetching.py
@@ -48,6 +48,7 @@
         self.wait_until = now + after
         for wanted in self.wanted.values():
             wanted.asked.clear()
+            wanted.next = 0
 
     def take(self, now: float, piece: Piece) -> tuple[Part, bytes] | None:
         """A piece came: the part, if it is whole now. What nobody asked for changes nothing."""
@@ -79,15 +80,17 @@
                 wanted.next = min(wanted.next, piece)
             room -= len(wanted.asked)
         found = []
+        room = min(room, int(self._left / WHOLE_PIECE + NEAR))
+        if room < BATCH:
+            return []
         for number, wanted in self.wanted.items():
-            room = min(room, int(self._left / WHOLE_PIECE + NEAR))
-            if room < (BATCH if not found else 1):
-                break
-            if chosen := self._choose(wanted, min(room, PIECES_ASKED)):
+            while chosen := self._choose(wanted, min(room, PIECES_ASKED)):
                 wanted.asked |= dict.fromkeys(chosen, now)
                 room -= len(chosen)
                 self._left -= len(chosen) * WHOLE_PIECE
                 found.append(Fetch(self.source, self.member, number, wanted.part, tuple(chosen)))
+            if room <= 0:
+                break
         return found
 
     @staticmethod
@@ -95,6 +98,8 @@
         """Pieces that are neither there nor on their way; of a part of unknown size, the first."""
         first = 1 if wanted.part.kind is Kind.GROUPS else 4
         pieces = first if wanted.pieces is None else wanted.pieces
+        if most <= 0:
+            return []
         while wanted.next < pieces and (wanted.next in wanted.came or wanted.next in wanted.asked):
             wanted.next += 1
         left = (n for n in range(wanted.next, pieces) if n not in wanted.came and n not in wanted.asked)
--- a/willownotch/controlplane/serving.py
+++ b/willownotch/controlplane/serving.py
@@ -1,10 +1,10 @@
 """A member's side towards its followers: answers, pushes, parts in pieces, who has what in force. No I/O.
 
 What is bounded, by name: `most-followers` that are heard; `admissions` of new ones a second, each of the
-others told a time of its own to come back (the slots follow each other at that rate); `copies` of all entries
-at once, in the order in which they were asked for; `rate` bytes a second, first to answers and pushes, then
-to pieces; `ASKS` questions a second of one follower; `BUILDS` differences a second that are made anew. A
-question beyond a bound costs a look-up and a refusal or nothing.
+others told a time of its own to come back (the slots follow each other at that rate); `copies` of more than
+`WHOLE_FROM` at once, in the order in which they were asked for; `rate` bytes a second, first to answers and
+pushes, then to pieces; `ASKS` questions a second of one follower; `BUILDS` differences a second that are made
+anew. A question beyond a bound costs a look-up and a refusal or nothing.
 
 A whole copy is of a snapshot that is kept for the transfer; followers share it while the difference from it
 to the last revision is small.
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from willownotch.controlplane.document import GROUPS, Commit, Document
+from willownotch.controlplane.document import GROUPS, Commit, Delta, Document
 from willownotch.controlplane.rate import NEAR, Rate
 from willownotch.controlplane.settings import MemberSettings
 from willownotch.controlplane.wire import (
@@ -53,7 +53,8 @@
 SLOT_MOST_S, SLOT_LATE_S = 30.0, 10.0  # for how far ahead slots are given; how late a slot still counts
 FULL_S = 30.0  # to come back after, to who finds the member full; jittered
 WHOLE_FROM = 256 * 1024  # bytes of a difference that is served as a whole copy is
-COPY_SILENT_S, COPY_AGAIN_S = 10.0, 5.0  # a copy not asked for any more; when to ask for a copy again
+COPY_SILENT_S = 10.0  # a copy that is not asked for any more
+COPY_AGAIN_S, COPY_NEXT_S = 5.0, 1.0  # when to ask for a copy again; for those that are next
 SNAPSHOT_BEHIND = 64  # revisions that a shared snapshot may be behind
 PARTS_MOST = 96  # in memory
 QUEUE_S, QUEUE_LEAST = 3.0, 64  # s of the rate that may wait as pieces; pieces at the least
@@ -143,7 +144,7 @@
         self._bytes = Rate(settings.rate, max(settings.rate / 4, DATAGRAM), now)
         self._builds = Rate(BUILDS, BUILDS_AT_ONCE, now)
         self._slots: OrderedDict[str, float] = OrderedDict()  # who was refused, and when it is to come
-        self._slot_at = now
+        self._slot_at = now - 1.0
         self._pushes: dict[str, None] = {}  # followers that are to be told of the last revision
         self._pieces: deque[tuple[str, Address, int, Part, int]] = deque()
         self._queued: set[tuple[str, int, int]] = set()
@@ -185,7 +186,7 @@
 
     def tick(self, now: float) -> list[Send]:
         """Let time pass."""
-        if now - self._swept_at >= 1.0:
+        if now >= self._swept_at + 1.0:
             self._sweep(now)
         return self._send_on(now)
 
@@ -211,7 +212,7 @@
             if slot - now > SLOT_MOST_S:
                 return Why.FULL, FULL_S * self.random.uniform(0.5, 1.5)
             self._slot_at = slot
-        if slot > now:
+        if slot > now + NEAR:
             self._slots[name] = slot
             return Why.RATE, slot - now
         self._slots.pop(name, None)
@@ -219,7 +220,7 @@
 
     def _probed(self, now: float, address: Address, poll: Poll) -> list[Send]:
         heard = sum(now - other.heard_at <= other.silent() for other in self.followers.values())
-        if heard >= self.settings.most_followers or self._slot_at > now:
+        if heard >= self.settings.most_followers or self._slot_at > now + NEAR:
             return [self._refuse(now, address, poll.number, Why.FULL, FULL_S)]
         return [Send(address, News(self.name, poll.number, self.document.revision, self.document.token,
                                    self.document.digest, apart_ms=self._apart(now)))]
@@ -229,8 +230,10 @@
         if follower is None or now - follower.heard_at > follower.silent():
             if refusal := self._admits(now, poll.source):
                 return [self._refuse(now, address, poll.number, *refusal)]
-            follower = Followed(address, poll.uid, now, now, Rate(ASKS, ASKS_AT_ONCE, now))
-            self.followers[poll.source] = follower
+            if follower is None:
+                follower = Followed(address, poll.uid, now, now, Rate(ASKS, ASKS_AT_ONCE, now))
+                self.followers[poll.source] = follower
+            follower.came_at = now
             self.counters["admitted"] += 1
         if not follower.asks.spend(now):
             self.counters["too often"] += 1
@@ -272,7 +275,7 @@
 
     def _way(self, now: float, since: int) -> tuple[How, bytes]:
         """How a follower gets to the last revision, and the difference."""
-        if since < self.document.oldest():
+        if since < self.document.oldest() and (since > 0 or self.document.size > WHOLE_FROM):
             return How.TREE, b""
         data = self._delta(now, since)
         if data is None:
@@ -282,13 +285,15 @@
         return (How.INLINE if len(data) <= INLINE else How.DELTA), data
 
     def _delta(self, now: float, since: int) -> bytes | None:
-        """The difference to the last revision; None: too many were made lately."""
-        part = Part(Kind.DELTA, self.document.revision, since)
+        """The difference to the last revision, from nothing all of it; None: too many were made lately."""
+        document = self.document
+        part = Part(Kind.DELTA, document.revision, since)
         if part not in self._parts:
             if not self._builds.spend(now):
                 self.counters["difference put off"] += 1
                 return None
-            self._keep(part, encode(self.document.delta(since)))
+            self._keep(part, encode(document.delta(since) or Delta(
+                0, document.revision, document.token, dict(document.items()), (), document.digest)))
         self._parts.move_to_end(part)
         return self._parts[part]
 
@@ -354,7 +359,8 @@
                     break
                 ahead += 1
             if ahead >= self.settings.copies - len(self._copies):
-                return Why.COPIES, COPY_AGAIN_S * self.random.uniform(0.8, 1.2)
+                span = COPY_NEXT_S if ahead < 2 * self.settings.copies else COPY_AGAIN_S
+                return Why.COPIES, span * self.random.uniform(0.8, 1.2)
             del self._line[name]
             self._copies[name] = copying = Copying(self._snapshot(), now)
             self.counters["copies"] += 1
