--- a/tests/test_controlplane_commit.py
+++ b/tests/test_controlplane_commit.py
@@ -391,7 +391,43 @@
     assert {message.ballot.token for _, message in held} == {1}
     for source, message in held:
         plane.members["m0"].receive(plane.now, source, message)
-    assert not plane.leading("m0")
+    assert plane.members["m0"].view().stage == "preparing"
+
+
+def test_votes_under_an_earlier_ballot_count_for_nothing():
+    plane, held = Plane(5), []
+    plane.led("m0", 1)
+    plane.watch = lambda source, target, message: held.append((source, message)) if (
+        target == "m0" and isinstance(message, Vote)) else True
+    change = plane.change({"k": b"1"}, "m0")
+    plane.ask("m0", change)
+    plane.run(0.1)
+    plane.watch = lambda source, target, message: not isinstance(message, Accept)
+    plane.give("m0", 2)
+    plane.until(lambda: plane.members["m0"].counts["committed again"])
+    assert len(held) == 4
+    for source, message in held:
+        plane.members["m0"].receive(plane.now, source, message)
+    assert plane.members["m0"].document.revision == 0
+
+
+def test_a_new_writer_catches_up_before_it_looks_at_what_is_pending():
+    plane = Plane(3)
+    plane.led("m0", 1)
+    plane.cut = lambda a, b: "m2" in (a, b)
+    change = plane.change({"k": b"x"}, "m0")
+    assert plane.told("m0", change).outcome is Outcome.COMMITTED
+    plane.run(1)
+    plane.kill("m0")
+    plane.cut = lambda a, b: False
+    plane.watch = lambda source, target, message: not isinstance(message, CommitBatch)
+    plane.give("m2", 2)
+    plane.ask("m2", plane.change({"k": b"y"}, "m2", base=0))
+    plane.run(1)
+    assert plane.members["m2"].view().stage == "preparing"
+    plane.watch = lambda source, target, message: True
+    plane.until(lambda: plane.leading("m2"))
+    assert plane.told("m1", plane.change({"k": b"z"}, base=0)).outcome is Outcome.LOST
 
 
 # Refusals
@@ -456,7 +492,8 @@
     assert plane.told("m1", change).outcome is Outcome.REFUSED
     liked.append(True)
     for asked in (ballot, Ballot(ballot.token, ballot.uid + 1), Ballot(0, 1)):
-        plane.post("m0", plane.members["m0"].receive(plane.now, "m1", Submit(asked, change)))
+        other = change if asked == ballot else plane.change({"k": b"2"}, "m1")
+        plane.post("m0", plane.members["m0"].receive(plane.now, "m1", Submit(asked, other)))
         plane.run(1)
     assert plane.ids() == []
 
@@ -589,14 +626,16 @@
     plane.watch = lambda source, target, message: "m3" not in (source, target)
     plane.until(lambda: plane.members["m4"].voter.voting)  # by m0, m1, m2
     plane.watch = lambda source, target, message: (
-        "m3" not in (source, target) and not (target == "m2" and isinstance(message, Accept | CommitBatch)))
+        "m3" not in (source, target) and not isinstance(message, CommitBatch)
+        and not (target == "m2" and isinstance(message, Accept)))
     result = plane.told("m0", plane.change({"k": b"x"}, "m0"))
     assert result.outcome is Outcome.COMMITTED  # by m0, m1 and the new m4
     plane.post("m3", plane.members["m3"].receive(plane.now, "m4", late[0]))
     plane.watch = lambda source, target, message: {source, target} in ({"m2", "m3"}, {"m3", "m4"}) and not (
-        source == "m4" and isinstance(message, Promise | CommitBatch))
+        source == "m4" and isinstance(message, Promise))
     plane.ask("m3", plane.change({"k": b"y"}, "m3"))
-    plane.run(1)
+    plane.run(1)  # m2 knows that m4 is a new one
+    assert plane.members["m3"].view().stage == "preparing"
     plane.watch = lambda source, target, message: True
     plane.give("m3", 5)
     assert plane.put("m2", {"z": b"1"}) == 2
@@ -636,6 +675,8 @@
         plane.until(lambda: plane.members["m2"].voter.voting)
         assert plane.members["m0"].voter.vector["m2"] == times
         assert plane.members["m2"].voter.vector["m2"] == times
+    assert not any(isinstance(send.message, Recovered) for send in plane.members["m0"].receive(
+        plane.now, "m2", Recover(1, 3)))  # of the one before, late
     plane.kill("m1", emptied=True)  # what it knew of m2 is known to others
     plane.start("m1")
     plane.until(lambda: plane.members["m1"].voter.voting)
