Let a change of the list cost by what it names, in the module and in the owner's table of hosts

Found by reading, then counted: - Book.update (state.py) went through all routes for those that may be forgotten; it keeps the ones that are leaving now. - EndpointList (control.py) gave all routes their listed rate; now those that are named, and all at new settings. - _space and a told wait (control.py) went through all routes for those that share a unit; now through their destination's. - Hosts.read (net/registry.py) copied all, compared all addresses and all names; it keeps the host of each address and the hosts of each destination, and looks at what the news names. What has been gone for a minute is found from the oldest on. - What other senders tell (owner.py) made a table of all names at each word of them.

Found beside it: an endpoint that the list gives to another destination stayed a route of its first one, and its end was a KeyError in the owner's round, which ends the process. It is another route now.

--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -225,6 +225,8 @@
         self.strange, self.parts = min(c.wanted_s for c in settings.classes), {}  # patience; counted parts
         self.shares = {t.name: self.shares.get(t.name, Bucket(t.quota_per_s * TENANT_BURST_S, 0.0))
                        for t in settings.tenants}
+        for route in self.book.routes.values() if settings.listed_rates else ():
+            route.unit.told_limit = route.unit.told_limit or route.entry.rate
 
     def handle(self, now: float, events: list[face.Event]) -> list[face.Action]:
         """Take one round and answer with the actions, in order."""
@@ -250,10 +252,9 @@
         elif isinstance(event, face.Message):
             self._message(event)
         elif isinstance(event, face.EndpointList):
-            self.book.update(event, self.now)
             self.list_fails = 0
-            for route in self.book.routes.values() if self.settings.listed_rates else ():
-                route.unit.told_limit = route.unit.told_limit or route.entry.rate
+            for route in self.book.update(event, self.now):
+                route.unit.told_limit = route.unit.told_limit or route.entry.rate * self.settings.listed_rates
         elif isinstance(event, face.ListFailed) and self.list_at == inf:
             # All senders fail together: they ask again apart, one call each, before they are deemed told.
             wait = min(LIST_AGAIN_S * 2 ** self.list_fails, self.settings.rules.ask_within_s / 2)
@@ -307,10 +308,9 @@
         # Messages of one call can be told different waits, and a call judged silent may still be told one.
         call.route.unit.wait_until = max(call.route.unit.wait_until, self.now + event.wait_s)
         # A long wait is an outage, no limit's span: it ends for all at once, where all is cold then.
-        for route in self.book.routes.values() if event.wait_s > RECENT_S else ():
-            if route.unit is call.route.unit:
-                route.failing, route.back_at, route.failed_at = False, route.unit.wait_until, inf
-                self._space(route, self.random.random())
+        for route in self.book.alike(call.route) if event.wait_s > RECENT_S else ():
+            route.failing, route.back_at, route.failed_at = False, route.unit.wait_until, inf
+            self._space(route, self.random.random())
         if not call.heard and (not call.judged or event.outcome is Outcome.DELIVERED):
             if call.judged and call.idle_s is not None:
                 self.drops.add(-min(1.0, call.route.lost), self.now)  # slow, not lost
@@ -457,7 +457,7 @@
         unit.next_at = now + gap / unit.pace if unit.pace < inf else unit.next_at
         if not route.failing and route.back_at is None:
             return
-        peers = max(1, sum(r.unit is unit and r.serving() for r in self.book.routes.values()))
+        peers = max(1, sum(r.serving() for r in self.book.alike(route)))
         # The even part of a limit at the least: what a ramp lets through tells nothing of what is usual, few
         # calls tell little. Who tells a limit has more capacity than that; a listed rate may be all of it.
         mean, part = (unit.mean_rate or 0.0) / peers, even_part(unit, self.settings) / peers
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -560,13 +560,12 @@
             events += [face.TenantPart(self.tenants[name], part, name in found.hard)
                        for name, part in found.parts.items() if name in self.tenants]
             return
-        numbers = {host.name: host.number for host in self.hosts.by_number.values()}
         for name, works in found.works:
-            if name in numbers:
-                events.append(face.Note(numbers[name], works))
+            if (number := self.hosts.number_listed(name)) is not None:
+                events.append(face.Note(number, works))
                 self.log.say("shared", f"{name} {'works' if works else 'fails'}, by what others say")
-        events += [face.ProbeEnded(numbers[name], face.Outcome.NOT_SENT, 0.0, limit_per_s=limit)
-                   for name, limit in found.limits if name in numbers]
+        events += [face.ProbeEnded(number, face.Outcome.NOT_SENT, 0.0, limit_per_s=limit)
+                   for name, limit in found.limits if (number := self.hosts.number_listed(name)) is not None]
 
     def _unheard(self, events: list[face.Event]) -> None:
         """Nothing was heard of budgets for too long: only what is never lent may be spent."""
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from itertools import takewhile
 
 import msgspec
 
@@ -61,7 +62,7 @@
     """Names of the list to the module's numbers. The owner writes, relays read; an entry is never changed.
 
     Hosts come and go for as long as the sender runs: a name that is gone keeps its number for a while only,
-    and no number is given twice.
+    and no number is given twice. A difference costs by what it names, not by all that is listed.
     """
 
     def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...], clock: Clock, log: Log) -> None:
@@ -69,7 +70,9 @@
         self.by_number: dict[int, Host] = {}
         self._numbers: dict[str, int] = {}
         self._last = 0  # number given
-        self._gone: dict[str, datetime] = {}  # since when a name with a number is not in the list
+        self._gone: dict[str, datetime] = {}  # since when a name with a number is unlisted, oldest first
+        self._at: dict[tuple[str, int], int] = {}  # of an address, the number of the one host there
+        self._listed: dict[int, int] = {}  # of a destination, how many hosts the list has
 
     def state(self) -> dict:
         """All of it, for the process that goes on with these numbers."""
@@ -79,6 +82,9 @@
         """Go on with another process's numbers."""
         self.by_number.update(state["by_number"])
         self._numbers, self._last, self._gone = state["numbers"], state["last"], state["gone"]
+        self._at, self._listed = {}, {}
+        self._displaced(dict.fromkeys(self.by_number))
+        self._count(dict.fromkeys(self.by_number))
 
     def number(self, name: str) -> int:
         """The module's number for a host; the same until it has been gone for long."""
@@ -88,52 +94,78 @@
             self._gone[name] = self.clock.now()  # until the list has it
         return self._numbers[name]
 
+    def number_listed(self, name: str) -> int | None:
+        """The number of a host that the list has; None for any other."""
+        number = self._numbers.get(name)
+        return number if number in self.by_number else None
+
     def read(self, news: ListNews) -> tuple[face.EndpointList, list[int]]:
         """Discovery's news for the module, and hosts to which no kept connection is of use any more.
 
         An entry that makes no sense is named and left as it was.
         """
-        entries, before = [], dict(self.by_number)
+        entries, before = [], {}
         for listed in news.endpoints:
             try:
-                entries.append(self._entry(listed))
+                entries.append(self._entry(listed, before))
             except (ConfigError, ValueError) as fault:
                 self.log.say("list", f"entry {listed.name!r} passed over: {fault}")
         if news.snapshot:
             named = {entry.number for entry in entries}
             for number in [n for n in self.by_number if n not in named]:
-                del self.by_number[number]
-        entries += self._displaced()
+                before.setdefault(number, self.by_number.pop(number))
+        entries += self._displaced(before)
+        self._count(before)
         self._forget(before)
-        left = [number for number, host in before.items() if self.by_number.get(number) != host]
+        left = [number for number, host in before.items() if host and self.by_number.get(number) != host]
         return face.EndpointList(tuple(entries), news.snapshot), left
 
-    def _displaced(self) -> list[face.Endpoint]:
-        """A new host at another's address is another: what was meant for the old one must not reach it."""
-        newest: dict[tuple[str, int], Host] = {}
-        for host in self.by_number.values():
-            rival = newest.setdefault(host.address, host)
-            if (host.serving, host.since_ms, host.number) > (rival.serving, rival.since_ms, rival.number):
-                newest[host.address] = host
-        older = [host for host in self.by_number.values() if newest[host.address] is not host]
+    def _displaced(self, before: dict[int, Host | None]) -> list[face.Endpoint]:
+        """A new host at another's address is another: what was meant for the old one must not reach it.
+
+        `before` has what was there of all numbers that may have changed, and gets what is displaced.
+        """
+        for number, host in before.items():
+            if host is not None and self._at.get(host.address) == number:
+                del self._at[host.address]
+        rivals: dict[tuple[str, int], list[Host]] = {}
+        for number in before:
+            if (host := self.by_number.get(number)) is not None:
+                rivals.setdefault(host.address, []).append(host)
+        older = []
+        for address, hosts in rivals.items():
+            if address in self._at:
+                hosts.append(self.by_number[self._at[address]])
+            newest = max(hosts, key=lambda host: (host.serving, host.since_ms, host.number))
+            self._at[address] = newest.number
+            older += [host for host in hosts if host is not newest]
         for host in older:
-            del self.by_number[host.number]
+            before.setdefault(host.number, self.by_number.pop(host.number))
         return [face.Endpoint(h.number, h.destination, h.kind, h.zone, face.Readiness.GONE) for h in older]
 
-    def _forget(self, before: dict[int, Host]) -> None:
+    def _count(self, before: dict[int, Host | None]) -> None:
+        """How many hosts a destination has: what came first, since others ask while it is counted."""
+        for number in before:
+            if (host := self.by_number.get(number)) is not None:
+                self._listed[host.destination] = self._listed.get(host.destination, 0) + 1
+        for host in before.values():
+            if host is not None:
+                self._listed[host.destination] -= 1
+                if not self._listed[host.destination]:
+                    del self._listed[host.destination]
+
+    def _forget(self, before: dict[int, Host | None]) -> None:
         """Names that have been gone for longer than any relay, wait or cold start may last."""
         now = self.clock.now()
-        listed = {host.name for host in self.by_number.values()}
-        for host in before.values():
-            if host.name not in listed:
+        for number, host in before.items():
+            if number in self.by_number:
+                self._gone.pop(self.by_number[number].name, None)
+            elif host is not None:
                 self._gone.setdefault(host.name, now)
-        for name, since in list(self._gone.items()):
-            if name in listed:
-                del self._gone[name]
-            elif now - since > GONE_KEPT:
-                del self._gone[name], self._numbers[name]
+        for name, _ in list(takewhile(lambda item: now - item[1] > GONE_KEPT, self._gone.items())):
+            del self._gone[name], self._numbers[name]
 
-    def _entry(self, listed: ListedEndpoint) -> face.Endpoint:
+    def _entry(self, listed: ListedEndpoint, before: dict[int, Host | None]) -> face.Endpoint:
         if listed.type not in self.kinds:
             raise ValueError(f"unknown type {listed.type!r}")
         if listed.status not in READINESS:
@@ -141,6 +173,7 @@
         readiness, number = READINESS[listed.status], self.number(listed.name)
         address = read_address(listed.address, "its address")
         zone = self.zones.index(listed.zone) if listed.zone in self.zones else 0
+        before.setdefault(number, self.by_number.get(number))
         if readiness is face.Readiness.GONE:
             self.by_number.pop(number, None)
             return face.Endpoint(number, listed.group, self.kinds.index(listed.type), zone, readiness)
@@ -154,7 +187,7 @@
 
     def listed(self, destination: int) -> bool:
         """Whether the list has anything for a destination."""
-        return any(host.destination == destination for host in list(self.by_number.values()))
+        return destination in self._listed
 
 
 class News:
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -198,28 +198,55 @@
         self.jobs: dict[str, Job] = {}
         self.destinations: dict[int, Destination] = {}
         self.routes: dict[int, Route] = {}
+        self.leaving: dict[int, Route] = {}  # those that are gone from the list and not forgotten yet
         self.lines: dict[str, deque[Job]] = {}  # of a key, its jobs in the order they came
         self.active: dict[int, Destination] = {}  # those with held jobs or calls: a round walks no others
         self.slots_used = 0
 
-    def update(self, news: EndpointList, now: float) -> None:
-        """Take news of the list; what a whole list leaves out is gone, and forgotten once it is idle."""
-        for entry in news.entries:
+    def update(self, news: EndpointList, now: float) -> list[Route]:
+        """Take news of the list: the routes it names. What a whole list leaves out is gone, and forgotten
+        once it is idle. A difference costs by what it names, and by what is gone and not idle yet."""
+        named = [self._take(entry, now) for entry in news.entries]
+        if news.whole:
+            listed = {entry.number for entry in news.entries}
+            for number, route in self.routes.items():
+                if number not in listed:
+                    route.entry = replace(route.entry, readiness=Readiness.GONE)
+                    self.leaving[number] = route
+        for number, route in list(self.leaving.items()):
+            if not route.calls and now >= route.unit.wait_until:
+                self._drop(number)
+        return named
+
+    def _take(self, entry: Endpoint, now: float) -> Route:
+        """The route of an entry, known or new. One that is another destination's now is another route."""
+        route = self.routes.get(entry.number)
+        if route is not None and route.entry.destination != entry.destination:
+            self._drop(entry.number)
+            route = None
+        if route is None:
             dest = self.destinations.setdefault(entry.destination, Destination())
-            if entry.number not in self.routes:
-                apart = self.settings.kinds[entry.kind].routes_apart
-                unit = Unit(now) if apart or dest.unit is None else dest.unit
-                dest.unit = None if apart else unit  # what was told outlives the endpoints that told it
-                route = Route(entry, unit, now)
-                self.routes[entry.number] = dest.routes[entry.number] = route
-            self.routes[entry.number].entry = entry
-        listed = {entry.number for entry in news.entries}
-        for number, route in list(self.routes.items()):
-            if news.whole and number not in listed:
-                route.entry = replace(route.entry, readiness=Readiness.GONE)
-            idle = not route.calls and now >= route.unit.wait_until
-            if route.entry.readiness is Readiness.GONE and idle:
-                del self.routes[number], self.destinations[route.entry.destination].routes[number]
+            apart = self.settings.kinds[entry.kind].routes_apart
+            unit = Unit(now) if apart or dest.unit is None else dest.unit
+            dest.unit = None if apart else unit  # what was told outlives the endpoints that told it
+            route = self.routes[entry.number] = dest.routes[entry.number] = Route(entry, unit, now)
+        route.entry = entry
+        if entry.readiness is Readiness.GONE:
+            self.leaving[entry.number] = route
+        else:
+            self.leaving.pop(entry.number, None)
+        return route
+
+    def _drop(self, number: int) -> None:
+        """Forget a route; calls that are out there still end."""
+        route = self.routes.pop(number)
+        del self.destinations[route.entry.destination].routes[number]
+        self.leaving.pop(number, None)
+
+    def alike(self, route: Route) -> list[Route]:
+        """The routes that share a unit with this one, itself among them while it is listed."""
+        routes = self.destinations[route.entry.destination].routes.values()
+        return [r for r in routes if r.unit is route.unit]
 
     def add(self, job: Job) -> None:
         """Hold a new job."""
