--- a/willownotch/controlplane/member.py
+++ b/willownotch/controlplane/member.py
@@ -1,6 +1,6 @@
 """A member's process: sockets, folder and threads around the cores of agreement and serving.
 
-Peers' membership and the lease `config` share a datagram socket, as in `mesh`; members agree by links over
+Peers' membership and the writer's lease share a datagram socket, as in `mesh`; members agree by links over
 TCP at the same port; followers ask at a datagram socket of their own, operators at a control socket. One lock
 is held around the cores, whoever calls them; the membership's is its own and is taken second, if at all.
 """
@@ -48,7 +48,6 @@
 from willownotch.peers.seal import Seal
 from willownotch.peers.wire import Address
 
-DUTY = "config"  # the lease whose holder writes
 LINK_VERSION = 34  # of frames between members
 STEP_S = 0.05  # between two looks at the lease
 ADDRESSES_S = 0.2  # between two looks at where the other members are
@@ -104,9 +103,15 @@
     return sock
 
 
+def duty_of(voters: tuple[str, ...]) -> str:
+    """The lease whose holder writes: members with other voters ask for another one."""
+    return f"config-{digest_of(voters).hex()[:8]}"
+
+
 def lease_settings(settings: MemberSettings) -> LeaseSettings:
     """The lease that makes one member the writer."""
-    return LeaseSettings(electors=settings.voters, span=settings.lease, duty={DUTY: DutySettings()})
+    return LeaseSettings(electors=settings.voters, span=settings.lease,
+                         duty={duty_of(settings.voters): DutySettings()})
 
 
 def read_reference(settings: MemberSettings) -> bytes | None:
@@ -128,7 +133,7 @@
         self.blocks, self.say, self.name = blocks, say, blocks.peers.name
         keys, self.reference = load_keys(blocks.peers.keys), read_reference(settings)
         folder, uid, now = Path(settings.folder), secrets.randbits(UID_BITS), time.monotonic()
-        self.voters = digest_of(settings.voters)
+        self.voters, self._duty = digest_of(settings.voters), duty_of(settings.voters)
         self.store = Store(folder, files, f"member {self.name} of {', '.join(sorted(settings.voters))}")
         self.document = Document(settings.history)
         records = self._load(folder)
@@ -253,7 +258,7 @@
 
     def _token(self, now: float) -> int | None:
         with self.edge.lock:
-            return None if self._ending else self.leases.layer.token(DUTY, now)
+            return None if self._ending else self.leases.layer.token(self._duty, now)
 
     def _settle(self, now: float) -> None:
         """Take what the agreement has led to."""
