--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -128,12 +128,12 @@
             if abs(value) >= size:
                 return f"{value / size:.3g} {word}{rate}"
         return f"{value * 1e6:.3g} us{rate}"
-    return f"{value:.3g} {unit}"
+    return f"{value:.3g}/s" if unit == "1/s" else f"{value:.3g} {unit}"
 
 
 def number(value: float) -> str:
     """A driver's value."""
-    return f"{value:,.0f}" if value >= 10 or value == int(value) else f"{value:g}"
+    return f"{value:,.0f}" if value >= 10 or value == int(value) else f"{value:.2g}"
 
 
 def at_target(made: slopes.Slope, scaled: bool, unit: str | None = None) -> str:
@@ -163,7 +163,7 @@
 
 def core(value: float) -> str:
     """A share of a core."""
-    return f"{100 * value:.2g}%"
+    return f"{100 * value:.2g}%" if value < 0.995 else f"{100 * value:.0f}%"
 
 
 def cpu_column(row: Row, role: slopes.Role) -> str:
@@ -219,7 +219,7 @@
             row.title, role.mechanism,
             f"**{shown(bounds[0])}**: {bounds[0].why}" if bounds else "no bound measured",
             worst([m for m in quiet(role) if m.budget == "memory"], True, "bytes"),
-            worst(measure(role, "messages sent"), False, "a s"),
+            worst(measure(role, "messages sent"), False, "1/s"),
             worst(wire, True, "bytes/s"), cpu_column(row, role),
             worst([m for m in quiet(role) if m.budget == "age"], False, "s"),
             f"[{row.name}](../benchmarks/results/capacity/{row.name}.json)"])
@@ -233,7 +233,7 @@
                 rows.append([
                     f"{role.role}, a {where}", role.mechanism, first(Row(role.role, name, aged=True), narrow),
                     worst([m for m in part if m.budget == "memory"], True, "bytes"),
-                    worst(measure(narrow, "messages"), False, "a s"),
+                    worst(measure(narrow, "messages"), False, "1/s"),
                     worst([m for m in part if m.budget == "wire"], True, "bytes/s"),
                     cpu_column(Row(role.role, name), narrow),
                     worst([m for m in part if m.budget == "age"], False, "s"),
