Name beside each share what the other drivers stood at, and why findings break

A share by one driver says little without the others: by senders, findings are over their bytes at the smallest size since 40 endpoints are down there.

--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -79,7 +79,7 @@
     """By the slope, from small to large, up to the first size that is over; None without target or budget."""
     if made.target is None or not budget:
         return None
-    what = f"{made.measure}, by {made.driver}"
+    what = f"{made.measure}, by {made.driver}" + f" ({made.note})" * bool(made.note)
     most, low, steps = slopes.BUDGETS[budget], min(1.0, made.points[0].at / made.target), 2000
     held = 0.0
     for step in range(steps + 1):
@@ -307,7 +307,7 @@
             why = f"over {bound}" + " at the smallest size measured" * share.under
             if share.open:
                 why = f"beyond {slopes.LIMIT:g}x the measured nothing is claimed"
-            loss = f", {made.loss:.0%} loss" if made.loss else ""
+            loss = f" ({made.note})" * bool(made.note) + (f", {made.loss:.0%} loss" if made.loss else "")
             holds = f"{driver}: {'under ' * share.under}{number(share.part * made.target)}"
             holds += f" of {number(made.target)}"
             rows.append((share.part, [row.title, holds, shown(share), f"{what}{loss}: {why}",
