--- a/tests/test_prices.py
+++ b/tests/test_prices.py
@@ -120,6 +120,14 @@
     assert table["connections: endpoint"] == ["1", ""]
 
 
+def test_the_report_of_one_day_stands_alone_and_so_do_its_logs(tmp_path):
+    site, report, *_ = files(tmp_path, ("logs", [STARTED, *delivered("a", 1.5)]))
+    (tmp_path / "report.json").write_text(json.dumps(DAY))
+    result = CliRunner().invoke(main, [site, report, "--logs", str(tmp_path / "logs")])
+    assert "| | calm |" in result.output
+    assert "| hand-ins delivered in the wanted time | 1 (1.000) |" in result.output
+
+
 class Traced(Sender):
     """The program with its messages traced."""
 
--- a/willownotch/lab/prices/__main__.py
+++ b/willownotch/lab/prices/__main__.py
@@ -28,20 +28,22 @@
 @click.argument("site", type=click.Path(exists=True, dir_okay=False))
 @click.argument("reports", type=click.Path(exists=True, dir_okay=False), nargs=-1, required=True)
 @click.option("--logs", type=click.Path(exists=True, file_okay=False), multiple=True,
-              help="A report's logs of traced senders: a folder for each day, named as the bench does.")
+              help="A report's logs of traced senders, as the bench's --logs leaves them.")
 @click.option("--day", multiple=True, help="Only days of this name.")
 def main(site: str, reports: tuple[str, ...], logs: tuple[str, ...], day: tuple[str, ...]) -> None:
     """Print what stands between the share served and G on the days of REPORTS, the bench's `--json` files."""
     goal = tomllib.loads(Path(site).read_text()).get("goal", {})
     columns: dict[str, dict[str, str]] = {}
     for number, report in enumerate(reports):
-        for played in json.loads(Path(report).read_text())["days"]:
+        told = json.loads(Path(report).read_text())
+        for played in told.get("days", [told]):  # the report of one day stands alone
             name = played["name"]
             if day and name not in day:
                 continue
             column = {"served": f"{played['whole']:.3f}", "G": f"{played['g']:.3f}"}
             column |= {row: f"{points:.4f}" for row, points in taken(played, goal).items()}
-            folder = Path(logs[number]) / name if number < len(logs) else None
+            folder = Path(logs[number]) / name if number < len(logs) and "days" in told else None
+            folder = Path(logs[number]) if number < len(logs) and "days" not in told else folder
             if folder is not None and folder.is_dir():
                 try:
                     column |= of_messages(account(
