--- a/tests/test_prices.py
+++ b/tests/test_prices.py
@@ -94,6 +94,15 @@
     assert list(found.fates) == [Fate.FAILED_RAN] and not found.early
 
 
+def test_what_clients_hand_in_after_the_day_does_not_count():
+    told = [STARTED, *delivered("a", 1.5), came("b", 2.0), came("c", 3.0),
+            came("d", 3.5, again=True, left=14.0)]
+    logs = [[lines.write(line) for line in told]]
+    assert account(logs, 2).hand_ins == 3  # the last one's client first wanted it at 1.5
+    assert account(logs, 1).hand_ins == 2
+    assert account(logs, 3).hand_ins == account(logs).hand_ins == 4
+
+
 def files(folder, *logged):
     """A site, a report of two days, and logs of those named."""
     (folder / "site.toml").write_text("[goal]\n" + "\n".join(f"{k} = {v}" for k, v in GOAL.items()))
@@ -117,7 +126,7 @@
     assert table[""] == ["calm", "herd"]
     assert table["G"] == ["0.795", "0.795"] and table["price: handshake"] == ["0.0300", "0.0300"]
     assert table["ended early, the holding room was full, order"] == ["1 (0.3000)", ""]
-    assert table["connections: endpoint"] == ["1", ""]
+    assert table["in all of the logs: connections: endpoint"] == ["1", ""]
 
 
 def test_the_report_of_one_day_stands_alone_and_so_do_its_logs(tmp_path):
--- a/willownotch/lab/prices/__main__.py
+++ b/willownotch/lab/prices/__main__.py
@@ -21,7 +21,8 @@
              for (cause, name), (count, points) in causes}
     if found.early:
         rows["ended early after a call"] = str(found.calls_early)
-    return rows | {name: str(count) for name, count in sorted(found.counts.items())}
+    counts = sorted(found.counts.items())
+    return rows | {f"in all of the logs: {name}": str(count) for name, count in counts}
 
 
 @click.command()
@@ -47,7 +48,8 @@
             if folder is not None and folder.is_dir():
                 try:
                     column |= of_messages(account(
-                        log.open(errors="replace") for log in sorted(folder.glob("*.log"))))
+                        (log.open(errors="replace") for log in sorted(folder.glob("*.log"))),
+                        played.get("requests")))
                 except ValueError as fault:
                     sys.exit(f"{folder}: {fault}")
             columns[name if name not in columns else f"{name} ({number + 1})"] = column
--- a/willownotch/lab/prices/account.py
+++ b/willownotch/lab/prices/account.py
@@ -156,11 +156,17 @@
     return services, room, found, counts
 
 
-def account(logs: Iterable[Iterable[str]]) -> Account:
-    """Add a day's messages up; `ValueError` if the logs have no hand-in."""
+def account(logs: Iterable[Iterable[str]], messages: int | None = None) -> Account:
+    """Add a day's messages up; `ValueError` if the logs have no hand-in.
+
+    Clients go on after what counts of a day: `messages` is how many first hand-ins do.
+    """
     services, room, found, counts = read(logs)
     if not found:
         raise ValueError("no traced hand-in in these logs")
+    firsts = sorted(hand_in.began_at for hand_in in found.values() if not hand_in.came.again)
+    if messages is not None and messages < len(firsts):
+        found = {ref: hand_in for ref, hand_in in found.items() if hand_in.began_at < firsts[messages]}
     worth = {ref: services[hand_in.came.message_class].worth for ref, hand_in in found.items()}
     asked = sum(worth[ref] for ref, hand_in in found.items() if not hand_in.came.again) or 1.0
     fates, early = defaultdict(lambda: (0, 0.0)), defaultdict(lambda: (0, 0.0))
