--- a/tests/test_controlplane_follow.py
+++ b/tests/test_controlplane_follow.py
@@ -649,6 +649,19 @@
         assert sum(isinstance(m, Push) for m in member.poll(now, f"s{n}", revision=4)) == 0
 
 
+def test_a_push_that_is_not_acknowledged_is_repeated_a_few_times():
+    member = Member()
+    for name in ("s1", "s2"):
+        member.poll(0.0, name, revision=3)
+    sends = member.core.committed(1.0, commit(member.document, {"new": b"1"}))
+    assert [send.address[0] for send in sends] == ["s1", "s2"]
+    member.poll(1.5, "s1", revision=4)
+    pushed = []
+    for tenth in range(11, 100):
+        pushed += [(tenth / 10, send.address[0]) for send in member.core.tick(tenth / 10)]
+    assert pushed == [(2.0, "s2"), (3.0, "s2")]
+
+
 def test_a_follower_that_asks_too_often_is_not_answered():
     member = Member()
     answers = [len(member.poll(0.0, number=n)) for n in range(500)]
--- a/willownotch/controlplane/follower.py
+++ b/willownotch/controlplane/follower.py
@@ -519,7 +519,8 @@
     # Parts
 
     def _start(self, now: float, part: Part, pieces: int) -> list[Send]:
-        rate = self.settings.budget if part.kind is Kind.DELTA else self.settings.rate
+        whole = part.kind is not Kind.DELTA or part.node == 0
+        rate = self.settings.rate if whole else self.settings.budget
         self._fetching = Fetching(self.name, self.member, rate, self.patience, now, self._part)
         self._fetching.want(part, pieces)
         self._waits = None
--- a/willownotch/controlplane/rate.py
+++ b/willownotch/controlplane/rate.py
@@ -9,12 +9,12 @@
 
     def __init__(self, per_s: float, at_once: float, now: float) -> None:
         self.per_s, self.at_once = per_s, at_once
-        self._left, self._at = at_once, now
+        self._left, self.at = at_once, now
 
     def left(self, now: float) -> float:
         """What may be spent; below zero where it was overdrawn."""
-        self._left = min(self.at_once, self._left + max(0.0, now - self._at) * self.per_s)
-        self._at = max(self._at, now)
+        self._left = min(self.at_once, self._left + max(0.0, now - self.at) * self.per_s)
+        self.at = max(self.at, now)
         return self._left
 
     def spend(self, now: float, amount: float = 1.0) -> bool:
--- a/willownotch/controlplane/serving.py
+++ b/willownotch/controlplane/serving.py
@@ -59,6 +59,7 @@
 PARTS_MOST = 96  # in memory
 QUEUE_S, QUEUE_LEAST = 3.0, 64  # s of the rate that may wait as pieces; pieces at the least
 QUEUE_EACH = 32  # pieces of one follower
+PUSH_AGAIN_S, PUSHES = 1.0, 3  # until what was not acknowledged is pushed again; pushes in all
 OVERHEAD = 120  # bytes of a datagram beside what it carries, near enough for the rate
 REMEMBERED = 3  # times `most-followers`: as many are remembered, those heard longest ago go first
 LISTED, ARRIVED, ARRIVED_S = 32, 1000, 5.0  # names in counts; who came lately, for how long
@@ -145,7 +146,8 @@
         self._builds = Rate(BUILDS, BUILDS_AT_ONCE, now)
         self._slots: OrderedDict[str, float] = OrderedDict()  # who was refused, and when it is to come
         self._slot_at = now - 1.0
-        self._pushes: dict[str, None] = {}  # followers that are to be told of the last revision
+        self._pushes: dict[str, int] = {}  # who is to be told of the last revision, and how often at most
+        self._again: deque[tuple[float, str, int, int]] = deque()  # when to push to whom what, how often yet
         self._pieces: deque[tuple[str, Address, int, Part, int]] = deque()
         self._queued: set[tuple[str, int, int]] = set()
         self._parts: OrderedDict[Part, bytes] = OrderedDict()
@@ -179,7 +181,7 @@
         """The document has moved on, by a commit or (None) as a whole: tell all, as the rate allows."""
         for name, follower in self.followers.items():
             if now - follower.heard_at <= follower.silent():
-                self._pushes[name] = None
+                self._pushes[name] = PUSHES
             if follower.behind_at is None:
                 follower.behind_at = now
         return self._send_on(now)
@@ -192,10 +194,13 @@
 
     def due(self) -> float | None:
         """When the next tick is wanted."""
+        due = self._swept_at + 1.0
+        if self._again:
+            due = min(due, self._again[0][0])
         if self._pushes or self._pieces:
             size = self._push_size() if self._pushes else PIECE + OVERHEAD
-            return min(self._swept_at + 1.0, self._bytes.when(self._bytes._at, size))
-        return self._swept_at + 1.0
+            due = min(due, self._bytes.when(self._bytes.at, size))
+        return due
 
     # Followers
 
@@ -411,9 +416,13 @@
 
     def _send_on(self, now: float) -> list[Send]:
         sends: list[Send] = []
+        while self._again and self._again[0][0] <= now:
+            _, name, revision, left = self._again.popleft()
+            if (follower := self.followers.get(name)) is not None and follower.revision < revision:
+                self._pushes.setdefault(name, left)
         while self._pushes and self._bytes.left(now) >= self._push_size() - NEAR:
             name = next(iter(self._pushes))
-            del self._pushes[name]
+            left = self._pushes.pop(name) - 1
             follower = self.followers.get(name)
             if follower is None or follower.revision >= self.document.revision:
                 continue
@@ -423,6 +432,8 @@
             self._bytes.force(now, OVERHEAD + len(push.delta))
             self.counters["pushes"] += 1
             sends.append(Send(follower.address, push))
+            if left:
+                self._again.append((now + PUSH_AGAIN_S, name, push.revision, left))
         while self._pieces and not self._pushes and self._bytes.spend(now, PIECE + OVERHEAD):
             name, address, number, part, piece = self._pieces.popleft()
             self._queued.discard((name, number, piece))
