--- a/benchmarks/capacity/tier_simulated.py
+++ b/benchmarks/capacity/tier_simulated.py
@@ -6,16 +6,19 @@
 of two regions. A datagram takes 2 to 5 ms, a sender 20 ms to apply a revision; bytes are those on the wire:
 seal, UDP and IP are counted, and not those between members. Processor time is that of the cores and of
 encoding (thread clock): sealing and sockets are not in it. In force: from the commit until the last sender
-that runs has it. The largest size is held out of each fit.
+that runs has it. The largest size is held out of each fit. `--part timed` and then `--part others`, with one
+`--runs FILE` that keeps the runs between them, measure what compares processor time apart from the rest.
 """
 from __future__ import annotations
 
 import place  # noqa: F401, first: it says where the others are
 
 import argparse
+import pickle
 import resource
 from collections import defaultdict
 from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
 
 import slopes
 
@@ -175,6 +178,12 @@
     return runs
 
 
+def is_timed(one) -> bool:
+    """Whether processor time of a job is compared."""
+    kind, job = one
+    return kind == "copied" or (kind == "steady" and job[1] == 0.0)
+
+
 def main() -> None:
     """Measure all, and write the role's file."""
     parser = argparse.ArgumentParser()
@@ -182,6 +191,8 @@
     parser.add_argument("--losses", type=float, nargs="+", default=[0.0, 0.05, 0.3])
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
     parser.add_argument("--workers", type=int, default=2)
+    parser.add_argument("--part", choices=("all", "timed", "others"), default="all")
+    parser.add_argument("--runs", type=Path)
     args = parser.parse_args()
     jobs = [("steady", (senders, loss, seed)) for senders in args.sizes for loss in args.losses
             for seed in args.seeds]
@@ -189,6 +200,8 @@
     jobs += [("crowd", (senders, 1)) for senders in args.sizes if senders < 3000]
     jobs += [("copied", entries) for entries in COPIED]
     call = {"steady": steady, "failures": failures, "crowd": crowd, "copied": copied}
+    if args.part != "all":
+        jobs = [one for one in jobs if is_timed(one) == (args.part == "timed")]
     jobs.sort(key=lambda one: -(one[1][0] if isinstance(one[1], tuple) else one[1] / 60))
     with ProcessPoolExecutor(args.workers, max_tasks_per_child=1) as pool:
         waiting = {one: pool.submit(call[one[0]], one[1]) for one in jobs}
@@ -196,6 +209,11 @@
         for one, future in waiting.items():
             done[one] = future.result()
             print(*one, done[one], flush=True)
+    if args.runs is not None:
+        done |= pickle.loads(args.runs.read_bytes()) if args.runs.exists() else {}
+        args.runs.write_bytes(pickle.dumps(done))
+    if args.part != "all" and {"failures", "copied"} - {kind for kind, _ in done}:
+        return
     copies = {job: found for (kind, job), found in done.items() if kind == "copied"}
     report(by_senders(done), copies, args.seeds)
     print("most memory of a process:", resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss // 1024, "MB")
