--- a/benchmarks/capacity/tier_sender.py
+++ b/benchmarks/capacity/tier_sender.py
@@ -23,7 +23,7 @@
 from following import Fleet
 from toys import until
 
-SIZES = (600, 2_000, 6_000, 20_000, 60_000)
+SIZES = (200, 2_000, 6_000, 20_000, 60_000)
 TARGET = 60_000
 ENTRY = 200  # bytes
 CHANGES, IDLE_S, RUNS = 20, 6.0, 3
