--- a/benchmarks/capacity/tier_sender.py
+++ b/benchmarks/capacity/tier_sender.py
@@ -1,17 +1,20 @@
 """A whole sender that follows the control plane: what the document costs it, against its entries.
 
-    python benchmarks/capacity/tier_sender.py [--quick]
+    python benchmarks/capacity/tier_sender.py [FILE]
 
 Some five minutes on two cores. A real sender process with the platform's stand-ins follows one member (the
 real serving core, in this process); entries have 200 bytes with their keys. Processor time is the sender
 process's own; a whole copy's is what it took from its start to the copy in force, less a start that follows
 nothing; idle is less that of a sender that follows nothing, and so is resident memory. The copy is fetched at
-2 MB/s, ten times the rate that the settings come with, so that the largest size does not take a minute.
+2 MB/s, ten times the rate that the settings come with, so that the largest size does not take a minute; a
+difference of up to 256 KB goes at 7 KB/s, as every difference does. With a FILE each run is kept there as a
+line of JSON, and a later call goes on from it.
 """
 from __future__ import annotations
 
 import slopes  # first: it says where the others are
 
+import json
 import os
 import statistics
 import sys
@@ -23,7 +26,7 @@
 from following import Fleet
 from toys import until
 
-SIZES = (200, 2_000, 6_000, 20_000, 60_000)
+SIZES = (200, 600, 2_000, 6_000, 20_000, 60_000)
 TARGET = 60_000
 ENTRY = 200  # bytes
 CHANGES, IDLE_S, RUNS = 20, 6.0, 3
@@ -102,17 +105,19 @@
 
 def main() -> None:
     """Measure, and keep the results."""
-    sizes = SIZES[:3] if "--quick" in sys.argv else SIZES
+    kept = Path(sys.argv[1]) if len(sys.argv) > 1 else None
+    lines = kept.read_text(encoding="utf-8").splitlines() if kept is not None and kept.exists() else []
+    runs = [json.loads(line) for line in lines]
     bares = [bare() for _ in range(RUNS)]
     nothing = tuple(statistics.median(values) for values in zip(*bares, strict=True))
-    found: dict[str, dict[int, list[float]]] = {}
-    for size in sizes:
-        for _ in range(RUNS):
-            for measure, value in played(size, nothing).items():
-                found.setdefault(measure, {}).setdefault(size, []).append(value)
-            print(size, {measure: by[size][-1] for measure, by in found.items()}, flush=True)
-    if "--quick" in sys.argv:
-        return
+    for size in SIZES:
+        for _ in range(RUNS - sum(run["size"] == size for run in runs)):
+            runs.append({"size": size, **played(size, nothing)})
+            print(runs[-1], flush=True)
+            if kept is not None:
+                kept.write_text("".join(f"{json.dumps(run)}\n" for run in runs), encoding="utf-8")
+    found = {measure: {size: [run[measure] for run in runs if run["size"] == size] for size in SIZES}
+             for measure in runs[0] if measure != "size"}
     told = {
         "copy cpu": ("a whole copy", "s of processor time", {"budget": "restart"}),
         "copy s": ("a whole copy at 2 MB/s", "s", {}),
