--- a/tests/test_controlplane_follow.py
+++ b/tests/test_controlplane_follow.py
@@ -713,6 +713,18 @@
     assert isinstance(member.fetch(16.1, groups, name="s3")[0], Piece)
 
 
+def test_a_snapshot_is_shared_while_it_leads_on():
+    member = Member()
+    tops = []
+    for name, revision in (("s1", 0), ("s2", 1), ("s3", 3)):
+        member.poll(0.0, name, revision=revision)
+        piece, = member.fetch(0.0, Part(Kind.GROUPS, 0), name=name)
+        tops.append(wire.read_tree(piece.data).revision)
+        if name == "s2":
+            commit(member.document, {"new": b"1"})
+    assert tops == [3, 3, 4]  # what s3 holds already would lead it nowhere
+
+
 @pytest.mark.parametrize("part", [
     Part(Kind.DELTA, 3, 99), Part(Kind.DELTA, 1 << 60, 1), Part(Kind.ENTRIES, 3, 64, 1),
     Part(Kind.ENTRIES, 3, -1, 1), Part(Kind.ENTRIES, 3, 0, 1 << 64), Part(Kind.ENTRIES, 3, 0, -1)])
--- a/willownotch/controlplane/serving.py
+++ b/willownotch/controlplane/serving.py
@@ -367,18 +367,18 @@
                 span = COPY_NEXT_S if ahead < 2 * self.settings.copies else COPY_AGAIN_S
                 return Why.COPIES, span * self.random.uniform(0.8, 1.2)
             del self._line[name]
-            self._copies[name] = copying = Copying(self._snapshot(), now)
+            self._copies[name] = copying = Copying(self._snapshot(self.followers[name].revision), now)
             self.counters["copies"] += 1
         copying.at = now
         if part.kind is Kind.GROUPS:
             return None
         return None if part.revision == copying.snapshot.revision else (Why.GONE, 0.0)
 
-    def _snapshot(self) -> Document:
-        """One that is in use and near enough, or a new one."""
+    def _snapshot(self, held: int) -> Document:
+        """One that is in use, near enough and beyond what is held, or a new one."""
         found = max((c.snapshot for c in self._copies.values()), key=lambda s: s.revision, default=None)
-        if found is not None and found.revision >= max(self.document.revision - SNAPSHOT_BEHIND,
-                                                       self.document.oldest()):
+        least = max(self.document.revision - SNAPSHOT_BEHIND, self.document.oldest(), held + 1)
+        if found is not None and found.revision >= least:
             return found
         return self.document.copy()
 
