--- a/benchmarks/capacity/fleet_roles.py
+++ b/benchmarks/capacity/fleet_roles.py
@@ -640,9 +640,11 @@
     ),
     "usage": (
         "limit: an ask names 60 lives and an answer has eight datagrams at most, so above some 100 senders "
-        "the bytes stand still and the age of the oldest part grows",
+        "the bytes grow ever slower and the age of the oldest part instead",
         "memory has a row for each tenant, class and sender: it grows with senders x tenants; 910 senders "
         "count 10 tenants, fewer 2 new ones a second, so it is told a tenant",
+        "against rows memory stands still once all 1,000 tenants are counted, and an age that reaches the "
+        "span that was simulated may be older; the sender's own bound of 128 KB/s is not played",
         "an age at 910 senders is no more than the span that was simulated: it may be older",
     ),
     "membership": (
@@ -683,11 +685,16 @@
     notes.append("growth without loss, and the fit's miss at the held-out size: " + "; ".join(told))
     for axis in ROLES[role]:
         some = [run for run in runs if run.driver == axis.driver]
-        if len({run.found["span"] for run in some}) > 1:
+        if len({round(run.found["span"]) for run in some}) > 1:
             spans = sorted({(run.at, run.loss, run.found["span"]) for run in some
                             if run.at >= axis.sizes[-2]})
             notes.append(f"{axis.driver}: of the largest sizes only so much was simulated: " + ", ".join(
                 f"{at:g} with {loss:.0%} loss {span:.0f} s" for at, loss, span in spans))
+    lacking = [f"{axis.driver} with {loss:.0%} loss at {', '.join(f'{at:,}' for at in sizes)}"
+               for axis in ROLES[role] for loss in axis.losses if (sizes := sorted(set(axis.sizes) - {
+                   run.at for run in runs if (run.driver, run.loss) == (axis.driver, loss)}))]
+    if lacking:
+        notes.append("not run, so there is no such slope: " + "; ".join(lacking))
     patience = {"findings": "16 s", "budgets": "16 s (8 s at the largest sizes)"}.get(role)
     if patience is not None:
         notes.append(f"a time that a run did not reach stands as its patience, {patience}")
@@ -703,6 +710,7 @@
     parser.add_argument("role", choices=ROLES)
     parser.add_argument("--workers", type=int, default=2)
     parser.add_argument("--points", type=Path)
+    parser.add_argument("--driver", help="play this one alone")
     parser.add_argument("--told", action="store_true", help="play nothing: the result from what FILE has")
     chosen = parser.parse_args()
     runs = []
@@ -710,7 +718,8 @@
         runs = [run for line in chosen.points.read_bytes().splitlines()
                 if (run := msgspec.json.decode(line, type=Run)).role == chosen.role]
     there = {(run.role, run.driver, run.at, run.loss, run.seed) for run in runs}
-    left = [case for case in cases(chosen.role) if case not in there and not chosen.told]
+    left = [case for case in cases(chosen.role)
+            if case not in there and not chosen.told and chosen.driver in (None, case[1])]
     with multiprocessing.get_context("spawn").Pool(chosen.workers, maxtasksperchild=1) as pool:
         for run in pool.imap_unordered(_play, left, chunksize=1):
             runs.append(run)
