Tell nothing of configuration over a fleet until the tier's age over senders is measured

One sender that follows costs little at 60,000 entries, which says nothing of 910: the page said 100% from that alone. The tier's files now stand beside the roles, in the sums and in the order of breaking, and carry configuration once one of them has an age against senders.

--- a/benchmarks/capacity/client_journal.py
+++ b/benchmarks/capacity/client_journal.py
@@ -109,7 +109,8 @@
         print(f"  {rate:g}/s on {connections}: {1e3 * used / took:.1f} ms a s, {more} taken, "
               f"{clients.others} not, worst {1e3 * max(clients.took):.0f} ms, {len(cores)} cores", flush=True)
         return {"cpu": used / took, "message": used / max(1, more), "memory": memory,
-                "bytes": grown / max(1, more), "rate": more / took, "worst": max(clients.took), "others": clients.others}
+                "bytes": grown / max(1, more), "rate": more / took, "worst": max(clients.took),
+                "others": clients.others}
     finally:
         sender.close()
         discovery.close()
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -28,6 +28,8 @@
 SENDERS, MACHINES, RESTARTS = 910, 9, 300
 HELD, DESTINATIONS = 2_100_000, 60_000
 NOT, UNCLAIMED = "not measured", "not claimed"
+TIER = "the control tier (its rows are below)"
+TIER_UNMEASURED = "the control tier, not measured over a fleet"
 
 
 @dataclass(frozen=True)
@@ -97,6 +99,8 @@
     """All that bound a role, lowest first; 0 where no mechanism carries it."""
     if role.mechanism == "none yet":
         return [Share(0.0, "no mechanism")]
+    if role.mechanism == TIER_UNMEASURED:
+        return []
     found = [share for made in role.slopes if (made.loss or 0.0) <= ORDINARY
              if (share := share_of(made, budget_of(row, made))) is not None]
     found += [Share(min(1.0, cap.most / cap.target), cap.why) for cap in role.caps]
@@ -186,19 +190,34 @@
 
 
 def load(folder: Path) -> dict[str, slopes.Role]:
-    """All result files of a role, by name. Where tier files are, the control tier carries configuration."""
+    """All result files of a role, by name. Where tier files are, the control tier carries configuration.
+
+    Of how many it carries it the age over the fleet has to say: without that slope nothing is told.
+    """
     found = {path.stem: slopes.read(path) for path in sorted(folder.glob("*.json"))
              if "slopes" in json.loads(path.read_bytes())}
-    tier = [role for name, role in found.items() if name.startswith("tier-")]
-    if tier and "configuration" in found:
-        role = found["configuration"]
+    if (tier := tiers(found)) and "configuration" in found:
+        fleet = any(made.budget == "age" and made.driver == "senders"
+                    for _, role in tier for made in role.slopes)
         found["configuration"] = msgspec.structs.replace(
-            role, mechanism="the control tier (rows below); each sender takes it as it takes a file",
-            slopes=role.slopes + [made for one in tier for made in one.slopes],
-            notes=[*role.notes, "before the tier, and without it, nothing carries a change over the fleet"])
+            found["configuration"], mechanism=TIER if fleet else TIER_UNMEASURED)
     return found
 
 
+def tiers(found: dict[str, slopes.Role]) -> list[tuple[Row, slopes.Role]]:
+    """The control tier's files, as rows."""
+    return [(Row(role.role, name, aged=True), role) for name, role in found.items()
+            if name.startswith("tier-")]
+
+
+def carried(row: Row, found: dict[str, slopes.Role]) -> list[Share]:
+    """All that bound a role, with the tier's own bounds where that carries it, lowest first."""
+    role, bounds = found[row.name], shares(row, found[row.name])
+    if role.mechanism == TIER:
+        bounds += [share for other, tier in tiers(found) for share in shares(other, tier)]
+    return sorted(bounds, key=lambda share: share.part)
+
+
 def table(heads: list[str], rows: list[list[str]]) -> list[str]:
     """A table."""
     return ["| " + " | ".join(heads) + " |", "| " + " | ".join(["---"] * len(heads)) + " |",
@@ -213,31 +232,28 @@
         if role is None:
             rows.append([row.title, NOT, NOT] + ["-"] * 6)
             continue
-        bounds = shares(row, role)
+        bounds = carried(row, found)
         wire = [made for made in quiet(role) if made.budget == "wire"]
         rows.append([
             row.title, role.mechanism,
-            f"**{shown(bounds[0])}**: {bounds[0].why}" if bounds else "no bound measured",
+            f"**{shown(bounds[0])}**: {bounds[0].why}" if bounds else NOT,
             worst([m for m in quiet(role) if m.budget == "memory"], True, "bytes"),
             worst(measure(role, "messages sent"), False, "1/s"),
             worst(wire, True, "bytes/s"), cpu_column(row, role),
             worst([m for m in quiet(role) if m.budget == "age"], False, "s"),
-            f"[{row.name}](../benchmarks/results/capacity/{row.name}.json)"])
-    for name, role in found.items():
-        if not name.startswith("tier-"):
-            continue
+            source(row.name)])
+    for row, role in tiers(found):
         for where in ("sender", "control machine"):
             part = [made for made in quiet(role) if made.where == where]
             if part:
                 narrow = msgspec.structs.replace(role, slopes=part)
                 rows.append([
-                    f"{role.role}, a {where}", role.mechanism, first(Row(role.role, name, aged=True), narrow),
+                    f"{role.role}, a {where}", role.mechanism, first(row, narrow),
                     worst([m for m in part if m.budget == "memory"], True, "bytes"),
                     worst(measure(narrow, "messages"), False, "1/s"),
                     worst([m for m in part if m.budget == "wire"], True, "bytes/s"),
-                    cpu_column(Row(role.role, name), narrow),
-                    worst([m for m in part if m.budget == "age"], False, "s"),
-                    f"[{name}](../benchmarks/results/capacity/{name}.json)"])
+                    cpu_column(row, narrow), worst([m for m in part if m.budget == "age"], False, "s"),
+                    source(row.name)])
     return table(["role", "carried by", "share of the target that holds", "memory", "messages a second",
                   "bytes a second", "of a core", "age", "results"], rows)
 
@@ -251,7 +267,7 @@
 def totals(found: dict[str, slopes.Role]) -> list[str]:
     """What all control of a sender comes to, each role at its dearest driver."""
     sums, missing, open_at = {"wire": 0.0, "control core": 0.0, "memory": 0.0}, [], {}
-    for row in ROWS:
+    for row in [*ROWS, *(row for row, _ in tiers(found))]:
         role = found.get(row.name)
         if row.kind == "copies":
             continue
@@ -285,10 +301,12 @@
 def broken(found: dict[str, slopes.Role]) -> list[str]:
     """What does not reach the target, the first to break first."""
     rows = []
-    for row in ROWS:
+    for row in [*ROWS, *(row for row, _ in tiers(found))]:
         role = found.get(row.name)
         if role is None:
             continue
+        if role.mechanism == TIER_UNMEASURED:
+            rows.append((0.0, [row.title, NOT, NOT, "the control tier's age over a fleet", ""]))
         if role.mechanism == "none yet":
             rows.append((0.0, [row.title, "everything", "0", "no mechanism", ""]))
             continue
@@ -442,7 +460,7 @@
 def details(found: dict[str, slopes.Role]) -> list[str]:
     """Every slope: its points, growth, the held-out size, the target."""
     lines = []
-    for row in [*ROWS, *(Row(found[n].role, n, aged=True) for n in found if n.startswith("tier-"))]:
+    for row in [*ROWS, *(row for row, _ in tiers(found))]:
         role = found.get(row.name)
         if role is None:
             lines += [f"### {row.title}", "", f"{NOT}.", ""]
@@ -453,8 +471,6 @@
                   + "".join(f" {note[0].upper()}{note[1:]}." for note in role.notes), ""]
         rows = []
         for made in role.slopes:
-            if made.role.startswith("tier-") > row.name.startswith("tier-"):
-                continue  # it stands with its own file
             share = share_of(made, budget_of(row, made))
             points = ", ".join(f"{number(p.at)}: {quantity(p.median, made.unit)}" for p in made.points)
             told = slopes.predict(made, made.target) if made.target else None
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -109,10 +109,16 @@
     slopes.write("configuration", "command", [], "none yet")
     row = next(row for row in page.ROWS if row.name == "configuration")
     assert page.shares(row, page.load(tmp_path)["configuration"])[0].part == 0.0
-    half = made(lambda at: 7000.0 * at / 455, target=910.0, budget="wire")
-    slopes.write("tier-x", "command", [half], "control tier")
+    idle = made(lambda at: 7000.0 * at / 455, target=910.0, budget="wire")
+    slopes.write("tier-sender", "command", [idle], "control tier")
     (tmp_path / "raw.json").write_text("[]", encoding="utf-8")
-    assert page.shares(row, page.load(tmp_path)["configuration"])[0].part == pytest.approx(0.5, rel=0.02)
+    found = page.load(tmp_path)
+    assert not page.carried(row, found)
+    assert any(page.NOT in line for line in page.roles(found) if line.startswith("| configuration |"))
+    in_force = slopes.slope("tier", "senders", "in force at the last", "s", {at: [at / 300] for at in SIZES},
+                            target=910.0, budget="age")
+    slopes.write("tier-fleet", "command", [in_force], "control tier")
+    assert page.carried(row, page.load(tmp_path))[0].part == pytest.approx(0.5, rel=0.02)
 
 
 def test_no_share_is_claimed_beyond_the_limit():
