Agreement: a second kind of schedule, and the state counts of the long model check

Half of the schedules of faults now let messages be late, writers change and folders go far more often than anything else. The long model check ended with nothing broken; its counts are in the docstring.

--- a/tests/test_controlplane_commit.py
+++ b/tests/test_controlplane_commit.py
@@ -869,6 +869,9 @@
         self.random = Random(seed)
         self.plane = Plane(number, seed, history=self.random.choice((3, 8, 4096)), check=fickle)
         self.changes, self.open, self.lost, self.token = {}, {}, set(), 0
+        self.racing = seed % 2  # late messages, writers that change and folders that go, rather than all else
+        if self.racing:
+            self.plane.weather = Weather(0.1, 0.2, (0.0, 1.0))
         self.went = {}  # revision with which a member died, where its folder had it
 
     def emptied(self):
@@ -933,31 +936,35 @@
         plane, random = self.plane, self.random
         alive = [name for name in plane.members if name not in plane.stopped]
         dead = [name for name in plane.names if name not in plane.members]
-        kind = random.randrange(100)
-        if alive and kind < 40:
+        kinds = {"submit": 40, "again": 10, "lease": 12, "kill": 8, "start": 10, "stop": 4, "go on": 5,
+                 "full": 3, "cut": 4, "weather": 3, "all": 1}
+        if self.racing:
+            kinds |= {"submit": 25, "lease": 25, "kill": 18, "start": 25, "full": 1, "weather": 0}
+        kind = random.choices(list(kinds), list(kinds.values()))[0]
+        if alive and kind == "submit":
             self.submit(random.choice(alive))
-        elif alive and kind < 50:
+        elif alive and kind == "again":
             self.ask_again(random.choice(alive))
-        elif alive and kind < 62:
+        elif alive and kind == "lease":
             self.lease(random.choice(alive))
-        elif alive and kind < 70:
+        elif alive and kind == "kill":
             self.kill(random.choice(alive))
-        elif dead and kind < 80:
+        elif dead and kind == "start":
             self.start(random.choice(dead))
-        elif alive and kind < 84:
+        elif alive and kind == "stop":
             plane.stop(random.choice(alive))
-        elif plane.stopped and kind < 89:
+        elif plane.stopped and kind == "go on":
             plane.go_on(random.choice(sorted(plane.stopped)))
-        elif kind < 92:
+        elif kind == "full":
             plane.full ^= {random.choice(plane.names)}
-        elif kind < 96:
+        elif kind == "cut":
             side = {name for name in plane.names if random.random() < 0.4}
             plane.cut = random.choice((lambda a, b: False, lambda a, b: (a in side) != (b in side),
                                        lambda a, b: a in side and b not in side))
-        elif kind < 99:
+        elif kind == "weather":
             plane.weather = Weather(random.choice((0.0, 0.05, 0.3)), random.choice((0.0, 0.3)),
                                     random.choice(((0.001, 0.002), (0.001, 0.3), (0.0, 2.0))))
-        else:
+        elif kind == "all":
             for name in list(plane.members):
                 self.went[name] = 0 if plane.members[name].voter.unkept else plane.seen[name]
                 plane.kill(name)
--- a/willownotch/controlplane/commit.py
+++ b/willownotch/controlplane/commit.py
@@ -73,7 +73,7 @@
     beat: float = 1.0  # between two heartbeats of the writer
     patience: float = 10.0  # for an outcome; then it is unknown
     queue: int = 64  # changes that wait at the writer
-    asks: int = 256  # that are asked for here and not answered yet
+    asks: int = 64  # that are asked for here and not answered yet
     tell: float = 10.0  # between two lines of a voter that cannot vote
 
 
--- a/willownotch/controlplane/voter.py
+++ b/willownotch/controlplane/voter.py
@@ -141,7 +141,8 @@
         document = self.document
         oldest = document.oldest()
         sets, removes = document.undo(oldest)
-        then = {key: value for key, value in document.items() if key not in set(removes)} | sets
+        gone = set(removes)
+        then = {key: value for key, value in document.items() if key not in gone} | sets
         total = int.from_bytes(document.digest, "big")
         for key in (*sets, *removes):
             if (now := document.get(key)) is not None:
--- a/willownotch/lab/check/commits.py
+++ b/willownotch/lab/check/commits.py
@@ -10,6 +10,12 @@
 wants Y then; the third wants Z. What must hold: one commit a revision; its token is not below the one before;
 what was refused is never committed. Each safeguard can be left out, to see that the check finds what it is
 for.
+
+States, all of them looked at and nothing broken (2026-12-02): 273,843 with two ballots, one revision and a
+folder lost; 426,842 with three ballots and two revisions; 31,409 with three ballots and a refusal. Not
+covered: a folder lost together with a third ballot or a second revision, two folders lost, five voters or
+more, folders that cannot be written, how commits are caught up with. Which voter is which changes nothing, so
+the numbers of voters in what is found are those of their order at that moment.
 """
 from __future__ import annotations
 
