--- a/tests/plane.py
+++ b/tests/plane.py
@@ -47,7 +47,7 @@
 PATIENCE = 30.0  # s; nine processes start and find each other within it
 LARGEST = 65535
 ROUND_MOST = 64  # datagrams of a socket before the others have their turn
-IDLE_S = 0.1  # s between two looks at what other threads want
+IDLE_S = 1.0  # s between two rounds at the most
 PLACES = (("north", "n1"), ("north", "n1"), ("north", "n2"), ("north", "n2"), ("north", "n3"),
           ("north", "n3"), ("south", "s1"), ("south", "s1"), ("south", "s2"))
 FAST_PEERS = """ period 200ms
@@ -268,6 +268,7 @@
         self.peers = plane.relay.door(self.name) if plane.relay else None
         self.followers = plane.relay.door(f"{self.name}/f") if plane.doors else None
         self.process, self.lines, self.stopped = None, [], False
+        self.port = 0  # for followers; the one that it had, where they know it by that
 
     def start(self, bootstrap=False):
         """Begin, and say where it listens once it does."""
@@ -299,7 +300,7 @@
         if self.plane.doors:
             self.plane.relay.behind(f"{self.name}/f", followers)
         else:
-            self.followers = followers
+            self.followers, self.port = followers, followers[1]
         if self.plane.relay:
             self.plane.relay.behind(self.name, peers)
         else:
@@ -343,7 +344,7 @@
                           f"  region {m.region}\n }}\n" for m in plane.members)
         super().__init__(more.pop("discovery"), settings=(
             f"follow {{\n folder {plane.path / name}\n keys {plane.keys}\n name {name}\n zone {zone}\n"
-            f" region {region}\n listen {shown(self.address)}\n period 300ms\n patience 200ms\n home 2s\n"
+            f" region {region}\n listen {shown(self.address)}\n{plane.pace}"
             f"{members}}}\ncontrol {{\n socket {self.control}\n}}\n"), **more)
 
     def launch(self, *more, **named):
@@ -393,6 +394,7 @@
                  lease="800ms", peers=FAST_PEERS, follow=None, entries=True, doors=True):
         self.path, self.places, self.seed = Path(path), places, seed
         self.member, self.lease, self.peers, self.follow = member, lease, peers, follow or {}
+        self.pace = "".join(f" {word} {span.total_seconds():g}s\n" for word, span in self.follow.items())
         self.relay = Relay(seed, weather) if network else None
         self.doors = network and doors  # before the members' addresses for followers, too
         self.keys = self.path / "keys"
@@ -425,8 +427,9 @@
         seeds = " ".join(shown(m.peers) for m in self.members[:3] if m is not member and m.peers)
         return (f"peers {{\n listen {member.host}:0\n{advertise} name {member.name}\n keys {self.keys}\n"
                 f"{f' seeds {seeds}' if seeds else ''}\n{self.peers}}}\n"
-                f"member {{\n folder {member.folder}\n voters {voters}\n followers {member.host}:0\n"
-                f" lease {self.lease}\n{self.member}}}\ncontrol {{\n socket {member.socket}\n}}\n")
+                f"member {{\n folder {member.folder}\n voters {voters}\n"
+                f" followers {member.host}:{member.port}\n lease {self.lease}\n{self.member}}}\n"
+                f"control {{\n socket {member.socket}\n}}\n")
 
     def running(self):
         return [member for member in self.members if member.running]
@@ -605,6 +608,7 @@
 
     def close(self):
         self.hollows.ending = True
+        self.hollows.later(lambda: None)
         self.thread.join(PATIENCE)
         self.hollows.close()
         for member in self.members:
