--- a/benchmarks/capacity/tier_simulated.py
+++ b/benchmarks/capacity/tier_simulated.py
@@ -30,6 +30,7 @@
 QUIET_S, MEANS, TENS = 30.0, 3, 20  # s; changes at the mean, at ten times
 ENTRIES = 200  # in the document of all runs by senders
 COPIED = (200, 600, 2000, 6000, 20_000, 60_000)  # entries of 200 bytes
+CROWD = (3, 9, 30, 91, 300, 910)  # senders that all take a whole copy
 CUT_S = 120.0
 MEMBER = MemberSettings(most_followers=1000)  # so that 3,000 fit when a zone's members are gone
 
@@ -197,20 +198,21 @@
     jobs = [("steady", (senders, loss, seed)) for senders in args.sizes for loss in args.losses
             for seed in args.seeds]
     jobs += [("failures", (senders, seed)) for senders in args.sizes for seed in args.seeds]
-    jobs += [("crowd", (senders, 1)) for senders in args.sizes if senders < 3000]
+    jobs += [("crowd", (senders, 1)) for senders in CROWD]
     jobs += [("copied", entries) for entries in COPIED]
     call = {"steady": steady, "failures": failures, "crowd": crowd, "copied": copied}
+    kept = pickle.loads(args.runs.read_bytes()) if args.runs is not None and args.runs.exists() else {}
+    jobs = [one for one in jobs if one not in kept]
     if args.part != "all":
         jobs = [one for one in jobs if is_timed(one) == (args.part == "timed")]
     jobs.sort(key=lambda one: -(one[1][0] if isinstance(one[1], tuple) else one[1] / 60))
     with ProcessPoolExecutor(args.workers, max_tasks_per_child=1) as pool:
         waiting = {one: pool.submit(call[one[0]], one[1]) for one in jobs}
-        done = {}
+        done = dict(kept)
         for one, future in waiting.items():
             done[one] = future.result()
             print(*one, done[one], flush=True)
     if args.runs is not None:
-        done |= pickle.loads(args.runs.read_bytes()) if args.runs.exists() else {}
         args.runs.write_bytes(pickle.dumps(done))
     if args.part != "all" and {"failures", "copied"} - {kind for kind, _ in done}:
         return
