--- a/benchmarks/capacity/fleet_roles.py
+++ b/benchmarks/capacity/fleet_roles.py
@@ -696,7 +696,8 @@
     if lacking:
         notes.append("not run, so there is no such slope: " + "; ".join(lacking))
     patience = {"membership": "60 s (15 s at 910 with 30% loss, 30 s with less)", "findings": "16 s",
-                "leases": "60 s (15 s at 910)", "custody": "300 s", "budgets": "16 s (8 s at the largest sizes)"}.get(role)
+                "leases": "60 s (15 s at 910)", "custody": "300 s",
+                "budgets": "16 s (8 s at the largest sizes)"}.get(role)
     if patience is not None:
         notes.append(f"a time that a run did not reach stands as its patience, {patience}")
     if role in ("usage", "budgets", "leases"):
