--- a/benchmarks/capacity/tier_fleet.py
+++ b/benchmarks/capacity/tier_fleet.py
@@ -20,6 +20,7 @@
 import itertools
 import json
 import os
+import signal
 import statistics
 import subprocess
 import sys
@@ -479,6 +480,7 @@
     chosen = parser.parse_args()
     if chosen.serve:
         return serve()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # what was started is ended
     for size in chosen.sizes:
         load = os.getloadavg()[0]
         with tempfile.TemporaryDirectory() as folder:
