--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -4,7 +4,7 @@
     python benchmarks/capacity/page.py --check    # exit 1 if page and results differ
 
 A table stands between `<!-- NAME -->` and `<!-- end -->`; all words around it are written by hand. A role
-without a result file is "not measured". Files `tier-*.json` are the control tier's, of the same form.
+without a result file is "not measured". Files `tier-*.json` are the control plane's, of the same form.
 """
 from __future__ import annotations
 
@@ -28,8 +28,8 @@
 SENDERS, MACHINES, RESTARTS = 910, 9, 300
 HELD, DESTINATIONS = 2_100_000, 60_000
 NOT, UNCLAIMED = "not measured", "not claimed"
-TIER = "the control tier (its rows are below)"
-TIER_UNMEASURED = "the control tier, not measured over a fleet"
+TIER = "the [control plane](control-plane.md) (its rows are below)"
+TIER_UNMEASURED = "the [control plane](control-plane.md), not measured over a fleet"
 
 
 @dataclass(frozen=True)
@@ -190,7 +190,7 @@
 
 
 def load(folder: Path) -> dict[str, slopes.Role]:
-    """All result files of a role, by name. Where tier files are, the control tier carries configuration.
+    """All result files of a role, by name. Where tier files are, the control plane carries configuration.
 
     Of how many it carries it the age over the fleet has to say: without that slope nothing is told.
     """
@@ -205,13 +205,13 @@
 
 
 def tiers(found: dict[str, slopes.Role]) -> list[tuple[Row, slopes.Role]]:
-    """The control tier's files, as rows."""
+    """The control plane's files, as rows."""
     return [(Row(role.role, name, aged=True), role) for name, role in found.items()
             if name.startswith("tier-")]
 
 
 def carried(row: Row, found: dict[str, slopes.Role]) -> list[Share]:
-    """All that bound a role, with the tier's own bounds where that carries it, lowest first."""
+    """All that bound a role, with the control plane's own bounds where that carries it, lowest first."""
     role, bounds = found[row.name], shares(row, found[row.name])
     if role.mechanism == TIER:
         bounds += [share for other, tier in tiers(found) for share in shares(other, tier)]
@@ -306,7 +306,7 @@
         if role is None:
             continue
         if role.mechanism == TIER_UNMEASURED:
-            rows.append((0.0, [row.title, NOT, NOT, "the control tier's age over a fleet", ""]))
+            rows.append((0.0, [row.title, NOT, NOT, "the control plane's age over a fleet", ""]))
         if role.mechanism == "none yet":
             rows.append((0.0, [row.title, "everything", "0", "no mechanism", ""]))
             continue
