Ask again, in the stories of the control plane's faults, where an outcome is not known

On a busy machine a change that has to be accepted may be told as unknown once; the stories went on as if it had not been. Such changes are asked for again by their id until they have one outcome.

--- a/tests/plane.py
+++ b/tests/plane.py
@@ -529,6 +529,13 @@
             self.asked.append(asked)
         return self.again(asked, member, patience)
 
+    def commit(self, member, sets):
+        """Hand a change in that has to be accepted; asked again for as long as its outcome is not known."""
+        asked = until(lambda: (found := self.change(member, sets)).id and found, PATIENCE)
+        until(lambda: asked.outcome != "unknown" or self.again(asked).outcome != "unknown", PATIENCE)
+        assert asked.outcome == "committed", asked
+        return asked
+
     def later(self, member, sets):
         """Hand a change in on a thread of its own; the change, and the thread."""
         asked = Asked(secrets.token_hex(16), member.name, sets, (),
--- a/tests/test_controlplane_faults.py
+++ b/tests/test_controlplane_faults.py
@@ -89,7 +89,7 @@
 def test_a_writer_killed_between_majority_and_answer_has_its_change_accepted_once(plane):
     made = plane()
     for count in range(2):
-        made.change(made.members[0], {"data/before": str(count)})
+        made.commit(made.members[0], {"data/before": str(count)})
         first = made.writer()
         others = [m for m in made.running() if m is not first]
         # What it says goes out, and nothing that is said to it comes back.
@@ -101,7 +101,8 @@
         assert asked.outcome == "unknown"
         made.heal()
         other = made.change(others[0], {"data/key": "late"}, base=asked.base)
-        assert made.again(asked, others[1]).outcome == "committed"
+        made.settle()
+        assert asked.outcome == "committed"
         assert (other.outcome, other.revision) == ("lost", asked.revision)
         made.restart(first)
     finish(made)
@@ -109,14 +110,14 @@
 
 def test_four_members_that_lose_their_folders_take_no_accepted_change_with_them(plane):
     made = plane()
-    made.change(made.members[0], {"data/all": "1"})
+    made.commit(made.members[0], {"data/all": "1"})
     made.arrive()
     first = made.writer()
     rest = [m for m in made.members if m is not first]
     apart, few, last = rest[:4], rest[4:7], rest[7]
     # The change is known to five alone: four of them are lost, the fifth is away when they come back.
     made.cut_off({m.name for m in apart})
-    assert made.change(first, {"data/five": "2"}).outcome == "committed"
+    made.commit(first, {"data/five": "2"})
     for member in (first, *few):
         member.kill()
     made.cut_off({last.name})
@@ -132,7 +133,7 @@
 
 def test_a_region_cut_off_takes_no_change_and_has_the_others_after_it(plane):
     made = plane()
-    assert made.change(made.members[0], {"data/before": "0"}).outcome == "committed"
+    made.commit(made.members[0], {"data/before": "0"})
     made.arrive()
     south = made.in_region("south")
     made.cut_off(south)
@@ -154,12 +155,12 @@
 
 def test_a_member_that_is_behind_moves_nobody_back(plane):
     made = plane()
-    made.change(made.members[0], {"data/before": "0"})
+    made.commit(made.members[0], {"data/before": "0"})
     made.arrive()
     late = made.members[8].name
     made.cut(lambda a, b: a[0] == b[0] == "m" and late in (a, b))  # from the members alone
     for count in range(3):
-        assert made.change(made.members[0], {"data/late": str(count)}).outcome == "committed"
+        made.commit(made.members[0], {"data/late": str(count)})
 
     def ahead():
         return [h for h in made.followers if h.revision == made.last()]
@@ -168,7 +169,7 @@
     made.cut(lambda a, b: late in (a, b) if a[0] == b[0] else late not in (a, b))  # it is all that there is
     until(lambda: sum(h.follower.counters["behind"] > n for h, n in earlier.items()) >= 3, PATIENCE)
     made.heal()
-    assert made.change(made.members[0], {"data/after": "0"}).outcome == "committed"
+    made.commit(made.members[0], {"data/after": "0"})
     finish(made)
 
 
@@ -187,8 +188,7 @@
     made = plane()
     senders = [made.add_sender(60 + n, *PLACES[place]) for n, place in enumerate((0, 8))]
     try:
-        assert made.change(made.members[0], {"config/settings/services/status/promiseS": 2.25,
-                                             "data/real": "0"}).outcome == "committed"
+        made.commit(made.members[0], {"config/settings/services/status/promiseS": 2.25, "data/real": "0"})
         for sender in senders:
             until(lambda sender=sender: sender.revision == made.last(), PATIENCE)
         authors = Authors(made)
@@ -220,7 +220,7 @@
 def test_a_follower_with_an_old_folder_begins_with_that_and_goes_forward_alone(plane, tmp_path):
     made = plane(member=HISTORY)
     for count in range(3):
-        made.change(made.members[0], {f"data/{count}": str(count)})
+        made.commit(made.members[0], {f"data/{count}": str(count)})
     made.arrive()
     one, two = made.followers[:2]
     copies = {}
@@ -229,7 +229,7 @@
         copies[hollow.name] = shutil.copytree(hollow.folder, tmp_path / f"{hollow.name}.old")
         made.begin_follower(hollow)
     for count in range(5):
-        made.change(made.members[0], {"data/few": str(count)})
+        made.commit(made.members[0], {"data/few": str(count)})
     made.arrive()
     made.end_follower(one)
     shutil.rmtree(one.folder)
@@ -237,7 +237,7 @@
     made.begin_follower(one)  # what it lacks is still a difference
     made.arrive()
     for count in range(20):
-        made.change(made.members[0], {"data/many": str(count)})
+        made.commit(made.members[0], {"data/many": str(count)})
     made.arrive()
     made.end_follower(two)
     shutil.rmtree(two.folder)
