--- a/benchmarks/capacity/tier_fleet_page.py
+++ b/benchmarks/capacity/tier_fleet_page.py
@@ -91,8 +91,9 @@
                      f"{found['commit']} | {found['load']:.1f} |")
     for size, found in played.items():
         if (held := found.get("held in the cut")) is not None:
-            lines += ["", f"{size} senders, region cut: {held['senders cut off']} cut off went on with "
-                      f"revision {', '.join(map(str, held['at the cut off']))} (the last before the cut: "
+            span = found["a region cut"]["seconds"]
+            lines += ["", f"{size} senders, region cut for {span:.0f} s: {held['senders cut off']} cut off "
+                      f"went on with revision {', '.join(map(str, held['at the cut off']))} (the last before the cut: "
                       f"{held['last before']}), outside it went up to {held['last outside']}."]
         if (full := found.get("a full sender")) is not None:
             told = [f"{what}: {full[what]['follows, cpu']:.3%} and {full[what]['plain, cpu']:.3%} of a core, "
@@ -124,7 +125,8 @@
     except OSError:
         return ["", "The ways that it replaces: not run."]
     lines = ["", "## Beside the ways that it replaces", "",
-             "Those in simulated time (`config_baselines.py`), where each change sends its document whole; "
+             "Those in simulated time, in runs of their own (`config_baselines.py`), where each change sends its "
+             "document whole; "
              "the tier from above, where a change is one entry of some 200 bytes. Bytes are of all that is "
              "sent for a sender, the tier's both ways.", "",
              "| senders | way | document, bytes | loss | s until the last: median | worst | bytes/s a "
