--- a/benchmarks/capacity/tier_fleet_page.py
+++ b/benchmarks/capacity/tier_fleet_page.py
@@ -93,8 +93,8 @@
         if (held := found.get("held in the cut")) is not None:
             span = found["a region cut"]["seconds"]
             lines += ["", f"{size} senders, region cut for {span:.0f} s: {held['senders cut off']} cut off "
-                      f"went on with revision {', '.join(map(str, held['at the cut off']))} (the last before the cut: "
-                      f"{held['last before']}), outside it went up to {held['last outside']}."]
+                      f"went on with revision {', '.join(map(str, held['at the cut off']))} (the last before "
+                      f"the cut: {held['last before']}), outside it went up to {held['last outside']}."]
         if (full := found.get("a full sender")) is not None:
             told = [f"{what}: {full[what]['follows, cpu']:.3%} and {full[what]['plain, cpu']:.3%} of a core, "
                     f"{full[what]['wire']:.0f} bytes/s" for what in ("quiet", "changes")]
@@ -125,10 +125,9 @@
     except OSError:
         return ["", "The ways that it replaces: not run."]
     lines = ["", "## Beside the ways that it replaces", "",
-             "Those in simulated time, in runs of their own (`config_baselines.py`), where each change sends its "
-             "document whole; "
-             "the tier from above, where a change is one entry of some 200 bytes. Bytes are of all that is "
-             "sent for a sender, the tier's both ways.", "",
+             "Those in simulated time, in runs of their own (`config_baselines.py`), where each change sends "
+             "its document whole; the tier from above, where a change is one entry of some 200 bytes. Bytes "
+             "are of all that is sent for a sender, the tier's both ways.", "",
              "| senders | way | document, bytes | loss | s until the last: median | worst | bytes/s a "
              "sender at rest | bytes a sender for a change | bytes/s at 1,600 changes a day |",
              "| --- " * 9 + "|"]
