--- a/benchmarks/capacity/fleet_roles.py
+++ b/benchmarks/capacity/fleet_roles.py
@@ -713,6 +713,7 @@
     parser.add_argument("--workers", type=int, default=2)
     parser.add_argument("--points", type=Path)
     parser.add_argument("--driver", help="play this one alone")
+    parser.add_argument("--loss", type=float, help="the same")
     parser.add_argument("--told", action="store_true", help="play nothing: the result from what FILE has")
     chosen = parser.parse_args()
     runs = []
@@ -721,7 +722,8 @@
                 if (run := msgspec.json.decode(line, type=Run)).role == chosen.role]
     there = {(run.role, run.driver, run.at, run.loss, run.seed) for run in runs}
     left = [case for case in cases(chosen.role)
-            if case not in there and not chosen.told and chosen.driver in (None, case[1])]
+            if case not in there and not chosen.told and chosen.driver in (None, case[1])
+            and chosen.loss in (None, case[3])]
     with multiprocessing.get_context("spawn").Pool(chosen.workers, maxtasksperchild=1) as pool:
         for run in pool.imap_unordered(_play, left, chunksize=1):
             runs.append(run)
