--- a/benchmarks/capacity/tier_fleet.py
+++ b/benchmarks/capacity/tier_fleet.py
@@ -496,7 +496,7 @@
     played = json.loads(PLAYED.read_text(encoding="utf-8"))
     command = "benchmarks/capacity/tier_fleet.py"
     rig.write("tier-fleet", command, tier_fleet_page.page(played), played)
-    if len(played) > slopes.SIZES:
+    if str(tier_fleet_page.TARGET) in played and len(played) > slopes.SIZES:
         slopes.write("tier-fleet", f"python {command}", tier_fleet_page.fit(played),
                      "control tier: senders follow members", [chosen.seed], tier_fleet_page.NOTES)
 
