--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -197,13 +197,30 @@
     found = {path.stem: slopes.read(path) for path in sorted(folder.glob("*.json"))
              if "slopes" in json.loads(path.read_bytes())}
     if (tier := tiers(found)) and "configuration" in found:
-        fleet = any(made.budget == "age" and made.driver == "senders"
-                    for _, role in tier for made in role.slopes)
+        fleet = played() or any(made.budget == "age" and made.driver == "senders"
+                                for _, role in tier for made in role.slopes)
         found["configuration"] = msgspec.structs.replace(
             found["configuration"], mechanism=TIER if fleet else TIER_UNMEASURED)
     return found
 
 
+def played() -> dict[int, dict]:
+    """The runs of the control plane with real processes, by senders."""
+    path = slopes.rig.RESULTS / "tier-fleet.json"
+    return {int(size): run for size, run in json.loads(path.read_bytes()).items()} if path.exists() else {}
+
+
+def fleet_share() -> list[Share]:
+    """Of the largest fleet that was played, while there is no slope: what was in force in time there."""
+    if not played():
+        return []
+    size, run = max(played().items())
+    worst_s = max(max(run[phase]["lasts"]) for phase in ("changes", "5% loss"))
+    return [Share(size / SENDERS if worst_s <= slopes.BUDGETS["age"] else 0.0,
+                  f"in force at the last of {size} senders after {worst_s:.2g} s at the worst, no slope yet",
+                  open=True)]
+
+
 def tiers(found: dict[str, slopes.Role]) -> list[tuple[Row, slopes.Role]]:
     """The control plane's files, as rows."""
     return [(Row(role.role, name, aged=True), role) for name, role in found.items()
@@ -215,6 +232,8 @@
     role, bounds = found[row.name], shares(row, found[row.name])
     if role.mechanism == TIER:
         bounds += [share for other, tier in tiers(found) for share in shares(other, tier)]
+        if "tier-fleet" not in found:
+            bounds += fleet_share()
     return sorted(bounds, key=lambda share: share.part)
 
 
@@ -307,6 +326,9 @@
             continue
         if role.mechanism == TIER_UNMEASURED:
             rows.append((0.0, [row.title, NOT, NOT, "the control plane's age over a fleet", ""]))
+        if role.mechanism == TIER and "tier-fleet" not in found:
+            rows += [(share.part, [row.title, f"senders: {number(share.part * SENDERS)} of {SENDERS}",
+                                   shown(share), "no larger fleet is measured", "-"]) for share in fleet_share()]
         if role.mechanism == "none yet":
             rows.append((0.0, [row.title, "everything", "0", "no mechanism", ""]))
             continue
@@ -346,6 +368,7 @@
                  f"[{name}](../benchmarks/results/capacity/{name}.json)"]
                 for name, role in found.items() for one in role.failures if one.failure == failure]
         some += BEFORE[failure](found) if failure in BEFORE else []
+        some += configured(failure)
         told = {row[1] for row in some}
         left = [row.title for row in ROWS if not told & {row.title, row.name, row.title.split()[0]}]
         rows += [*some, [failure, ", ".join(left) if some else "all roles", "-", NOT, NOT, NOT, "-"]]
@@ -424,6 +447,49 @@
     return lost_with_disks("a rack", 2) + lost_with_disks("a rack", 3)
 
 
+def configured(failure: str) -> list[list[str]]:
+    """Of configuration, from the largest fleet of the control plane that went through it."""
+    rows = []
+
+    def add(phase: str, what: str, size: int, recover: str, lost: str, old: str) -> None:
+        rows.append([failure, "configuration", f"{size} senders that carry no messages, nine members, {what}",
+                     recover, lost, old, older("tier-fleet")])
+
+    def back(moment: dict) -> str:
+        half, _, last = moment["in force after, s"]
+        return f"in force at half after {half:.2g} s, at the last after {last:.2g} s"
+    for phase, what in PHASES.get(failure, {}).items():
+        some = [(size, run) for size, run in played().items() if phase in run]
+        if not some:
+            continue
+        size, run = max(some)
+        one = run[phase]
+        lost = f"{one['not reached']} not reached"
+        if "changes" in one:
+            lost = (f"{one['not accepted']} of {one['changes']} changes not accepted, "
+                    f"{one['not reached']} not reached")
+            recover = "a change in force at the last after " + recovered(one["lasts"])
+        else:
+            recover = back(one)
+        old = "-"
+        if phase == "a region cut":
+            held = run["held in the cut"]
+            kept = ", ".join(map(str, held["at the cut off"]))
+            old = (f"{held['senders cut off']} cut off for {one['seconds']:.0f} s held revision {kept}, outside "
+                   f"went on to {held['last outside']}")
+        add(phase, what, size, recover, lost, old)
+    return rows
+
+
+PHASES = {"one machine": {"a member killed": "one of them killed"},
+          "a zone": {"a zone killed": "two of them and a zone's senders killed, by those that are left",
+                     "a zone back": "the same back"},
+          "two regions apart for minutes": {"a region cut": "the smaller region cut off, by the larger one",
+                                            "a region back": "by the smaller one, once back"},
+          "all senders at once": {"all started at once": "with their folders",
+                                  "first start of all": "with empty folders, 2,000 entries"}}
+
+
 def restarts(found: dict[str, slopes.Role]) -> list[list[str]]:
     """Of what each restart reads."""
     rows, what = [], "300 restarts a day"
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -106,6 +106,7 @@
 
 def test_the_tier_carries_configuration_once_it_has_results(tmp_path, monkeypatch):
     monkeypatch.setattr(slopes, "RESULTS", tmp_path)
+    monkeypatch.setattr(page, "played", dict)
     slopes.write("configuration", "command", [], "none yet")
     row = next(row for row in page.ROWS if row.name == "configuration")
     assert page.shares(row, page.load(tmp_path)["configuration"])[0].part == 0.0
@@ -121,6 +122,19 @@
     assert page.carried(row, page.load(tmp_path))[0].part == pytest.approx(0.5, rel=0.02)
 
 
+def test_a_fleet_without_a_slope_holds_as_far_as_it_was_played(tmp_path, monkeypatch):
+    monkeypatch.setattr(slopes, "RESULTS", tmp_path)
+    slopes.write("configuration", "command", [], "none yet")
+    slopes.write("tier-sender", "command", [], "control tier")
+    row = next(row for row in page.ROWS if row.name == "configuration")
+    for late, part in ((10.0, 91 / 910), (12.0, 0.0)):
+        runs = {9: {}, 91: {"changes": {"lasts": [1.0]}, "5% loss": {"lasts": [1.0, late]}}}
+        monkeypatch.setattr(page, "played", lambda runs=runs: runs)
+        (share,) = page.carried(row, page.load(tmp_path))
+        assert share.open
+        assert share.part == pytest.approx(part)
+
+
 def test_no_share_is_claimed_beyond_the_limit():
     one = made(lambda at: 1e-9 * at, target=1e6, budget="wire")
     found = page.share_of(one, "wire")
