--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -327,8 +327,10 @@
         if role.mechanism == TIER_UNMEASURED:
             rows.append((0.0, [row.title, NOT, NOT, "the control plane's age over a fleet", ""]))
         if role.mechanism == TIER and "tier-fleet" not in found:
-            rows += [(share.part, [row.title, f"senders: {number(share.part * SENDERS)} of {SENDERS}",
-                                   shown(share), "no larger fleet is measured", "-"]) for share in fleet_share()]
+            for share in fleet_share():
+                holds = f"senders: {number(share.part * SENDERS)} of {SENDERS}"
+                none = "no larger fleet is measured"
+                rows.append((share.part, [row.title, holds, shown(share), none, "-"]))
         if role.mechanism == "none yet":
             rows.append((0.0, [row.title, "everything", "0", "no mechanism", ""]))
             continue
@@ -475,8 +477,8 @@
         if phase == "a region cut":
             held = run["held in the cut"]
             kept = ", ".join(map(str, held["at the cut off"]))
-            old = (f"{held['senders cut off']} cut off for {one['seconds']:.0f} s held revision {kept}, outside "
-                   f"went on to {held['last outside']}")
+            old = (f"{held['senders cut off']} cut off for {one['seconds']:.0f} s held revision {kept}, "
+                   f"outside went on to {held['last outside']}")
         add(phase, what, size, recover, lost, old)
     return rows
 
