--- a/willownotch/lab/faults/net.py
+++ b/willownotch/lab/faults/net.py
@@ -22,8 +22,25 @@
 from willownotch.peers.lossy import Weather
 
 LARGEST = 65535
+BIND_TRIES = 20
 
 
+def both_kinds() -> tuple[socket.socket, socket.socket]:
+    """A listener and a socket for datagrams at one port; one that is free of one kind may be taken of the
+    other."""
+    for attempt in range(BIND_TRIES):
+        listener = socket.create_server(("127.0.0.1", 0))
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind(listener.getsockname())
+            return listener, sock
+        except OSError:
+            listener.close()
+            sock.close()
+            if attempt + 1 == BIND_TRIES:
+                raise
+    raise OSError("no port")
+
 
 class Pipe:
     """One connection through a door: bytes one way, each piece when its time has come."""
@@ -95,9 +112,7 @@
 
     def door(self, name: str) -> tuple[str, int]:
         """A new address for a member, which does not yet stand behind it."""
-        listener = socket.create_server(("127.0.0.1", 0))
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind(listener.getsockname())
+        listener, sock = both_kinds()
         sock.setblocking(False)
         self._listeners.append(listener)
         threading.Thread(target=self._accept, args=(listener, name), daemon=True).start()
