Give the comparison by digests a place of its own beside the follower

follower.py had grown to 640 lines and held the tree's levels beside the choice of members. No behaviour changes but one: a follower that waits for its turn of a whole copy does not look for a nearer member meanwhile, as it would lose its place. The 103 tests of document and followers pass unchanged.

--- a/willownotch/controlplane/follower.py
+++ b/willownotch/controlplane/follower.py
@@ -31,15 +31,8 @@
 import msgspec
 from blake3 import blake3
 
-from willownotch.controlplane.document import (
-    GROUPS,
-    MODULUS,
-    WIDTH,
-    Delta,
-    DocumentError,
-    bucket_of,
-    hash_of,
-)
+from willownotch.controlplane.comparison import FIRST, Buckets, Comparison
+from willownotch.controlplane.document import Delta, DocumentError
 from willownotch.controlplane.fetching import Fetching
 from willownotch.controlplane.held import Held, InForce, encode, records_of
 from willownotch.controlplane.settings import FollowSettings
@@ -56,11 +49,8 @@
     Poll,
     Push,
     Refused,
-    Tree,
     Why,
     read_delta,
-    read_entries,
-    read_tree,
 )
 from willownotch.peers.core import Send
 from willownotch.peers.wire import Address
@@ -107,16 +97,6 @@
     until: float
 
 
-@dataclass(slots=True)
-class Difference:
-    """The tree of a member's snapshot, as far as it is known, and the buckets that differ."""
-
-    top: Tree
-    groups: bool = False  # digests of buckets are awaited
-    entries: int = 0  # parts of entries that are awaited
-    wanted: dict[int, bytes] | None = None  # buckets that differ, and their digests
-
-
 class FollowView(msgspec.Struct, frozen=True):
     """A follower as an operator sees it."""
 
@@ -168,8 +148,8 @@
         self._unkept: list[bytes] = []
         self._keep_at = now
         self._fetching: Fetching | None = None
-        self._difference: Difference | None = None
-        self._buckets: dict[int, tuple[bytes, dict[str, bytes]]] = {}  # fetched, for the next try too
+        self._comparison: Comparison | None = None
+        self._buckets: Buckets = {}  # that were fetched for one
         self._distrust = False  # of differences: the tree is asked for
         self._part = 1 << 32  # number of the last part that was asked for
         self._waits: Why | None = None  # why the member does not send
@@ -220,7 +200,7 @@
         document = self.held.document
         return FollowView(self.name, self.member or "", document.revision, document.token,
                           document.digest.hex(), document.count, self.held.in_force, *self._refusal,
-                          round(self.unheard_s(now), 3), self._difference is not None, dict(self.counters))
+                          round(self.unheard_s(now), 3), self._comparison is not None, dict(self.counters))
 
     # Time and messages
 
@@ -396,7 +376,7 @@
         if now < self._look_at:
             return []
         self._look_at = now + self._home()
-        if self.member is None or self._new or self._difference is not None:
+        if self.member is None or self._new or self._comparison is not None:
             return []
         others = [member for member in self.ranked if member != self.member]
         if self._apart < APART_S:
@@ -457,7 +437,7 @@
         if news.how is How.DELTA and not self._distrust:
             part = Part(Kind.DELTA, news.revision, document.revision)
             return self._start(now, part, -(-news.size // PIECE))
-        return [] if news.how is How.NOTHING else self._start(now, Part(Kind.GROUPS, 0), 1)
+        return [] if news.how is How.NOTHING else self._start(now, FIRST, 1)
 
     def _pushed(self, now: float, push: Push) -> list[Send]:
         if push.revision <= self.held.document.revision or self._new:
@@ -501,7 +481,7 @@
             return self._wrong_member(now)
         self._drop()
         self._distrust = True
-        return self._start(now, Part(Kind.GROUPS, 0), 1)
+        return self._start(now, FIRST, 1)
 
     def _keep_on(self, now: float) -> None:
         if not self.keep(self._unkept):
@@ -523,13 +503,14 @@
         rate = self.settings.rate if whole else self.settings.budget
         self._fetching = Fetching(self.name, self.member, rate, self.patience, now, self._part)
         self._fetching.want(part, pieces)
+        self._comparison = None if part.kind is Kind.DELTA else Comparison(self.held.document, self._buckets)
         self._waits = None
         return self._fetch_on(now)
 
     def _drop(self) -> None:
         if self._fetching is not None:
             self._part = self._fetching.number
-        self._fetching = self._difference = None
+        self._fetching = self._comparison = None
 
     def _stuck_at(self) -> float:
         since, most = self._fetching.progress_at, COPIES_S if self._waits is Why.COPIES else BUSY_S
@@ -554,91 +535,22 @@
             self._drop()
             return self._delta(now, data)
         try:
-            self._grow(part, data)
+            for wanted, pieces in self._comparison.take(part, data):
+                self._fetching.want(wanted, pieces)
         except ValueError:
             self.counters["wrong digest"] += 1
             return self._wrong_member(now)
-        difference = self._difference
-        if difference is not None and not difference.groups and not difference.entries:
-            return self._joined(now, difference)
-        return self._fetch_on(now)
+        return self._joined(now, self._comparison) if self._comparison.whole() else self._fetch_on(now)
 
-    def _grow(self, part: Part, data: bytes) -> None:
-        """One more part of the tree; `ValueError` where it does not fit what is above it."""
-        document, difference = self.held.document, self._difference
-        if part.kind is Kind.GROUPS:
-            top = read_tree(data)
-            sums = _digests(top.groups)
-            if len(sums) != GROUPS or _sum(sums) != top.digest:
-                raise ValueError("a tree that does not add up")
-            self._difference = difference = Difference(top, wanted={})
-            mask = sum((ours != theirs) << number for number, (ours, theirs)
-                       in enumerate(zip(document.groups(), sums, strict=True)))
-            if mask:
-                difference.groups = True
-                self._fetching.want(Part(Kind.BUCKETS, top.revision, 0, mask),
-                                    -(-mask.bit_count() * GROUPS * WIDTH // PIECE))
-            return
-        top = difference.top
-        if part.kind is Kind.BUCKETS:
-            groups = [number for number in range(GROUPS) if part.mask >> number & 1]
-            sums, tops = _digests(data), _digests(top.groups)
-            if len(sums) != len(groups) * GROUPS:
-                raise ValueError("digests of other groups")
-            for place, group in enumerate(groups):
-                self._grow_group(group, sums[place * GROUPS:(place + 1) * GROUPS], tops[group])
-            difference.groups = False
-            return
-        found: dict[int, dict[str, bytes]] = {part.node * GROUPS + at: {} for at in range(GROUPS)
-                                              if part.mask >> at & 1}
-        for key, value in read_entries(data).items():
-            if (number := bucket_of(key)) not in found:
-                raise ValueError("an entry of another bucket")
-            found[number][key] = value
-        for number, entries in found.items():
-            total = sum(hash_of(key, value) for key, value in entries.items()) % MODULUS
-            if total.to_bytes(WIDTH, "big") != difference.wanted[number]:
-                raise ValueError("a bucket with another digest")
-            self._buckets[number] = difference.wanted[number], entries
-        difference.entries -= 1
-
-    def _grow_group(self, group: int, sums: list[bytes], top: bytes) -> None:
-        if _sum(sums) != top:
-            raise ValueError("a group that does not add up")
-        mask = 0
-        for at, (ours, theirs) in enumerate(zip(self.held.document.buckets(group), sums, strict=True)):
-            number = group * GROUPS + at
-            if ours != theirs:
-                self._difference.wanted[number] = theirs
-                mask |= (number not in self._buckets or self._buckets[number][0] != theirs) << at
-        if mask:
-            self._difference.entries += 1
-            self._fetching.want(Part(Kind.ENTRIES, self._difference.top.revision, group, mask))
-
-    def _joined(self, now: float, difference: Difference) -> list[Send]:
-        """All that differs is there: as a difference from what is held."""
-        document, top = self.held.document, difference.top
+    def _joined(self, now: float, comparison: Comparison) -> list[Send]:
+        """All that differs is there."""
+        document, top = self.held.document, comparison.top
         if (top.token, top.revision) <= (document.token, document.revision):
             self.counters["repeat"] += 1
             self._drop()
             return []
-        sets, removes = {}, []
-        for number in difference.wanted:
-            ours, theirs = document.bucket(number), self._buckets[number][1]
-            sets |= {key: value for key, value in theirs.items() if ours.get(key) != value}
-            removes += [key for key in ours if key not in theirs]
-        self._drop()
         self.counters["copied"] += 1
         self._distrust = True  # of this: nothing more can be asked of the member, if it is wrong
-        sends = self._lead(now, Delta(document.revision, top.revision, top.token, sets, tuple(removes),
-                                      top.digest))
+        sends = self._lead(now, comparison.delta())
         self._soon(now)
         return sends
-
-
-def _digests(data: bytes) -> list[bytes]:
-    return [data[at:at + WIDTH] for at in range(0, len(data), WIDTH)]
-
-
-def _sum(digests: list[bytes]) -> bytes:
-    return (sum(int.from_bytes(one, "big") for one in digests) % MODULUS).to_bytes(WIDTH, "big")
