Base the harness's changes on the last revision that an author was told of

A member that is not the writer may tell that a change is committed a moment before it has it itself; a story that changed one key twice in a row there then lost to itself, once in some twenty runs on a busy machine.

--- a/tests/plane.py
+++ b/tests/plane.py
@@ -518,10 +518,11 @@
     # Changes.
 
     def change(self, member, sets, removes=(), base=None, patience=PATIENCE):
-        """Hand a change in at a member, on what it holds now unless a base is given; what was told of it."""
+        """Hand a change in at a member; what was told of it. Unless a base is given, it is made on what the
+        member holds, or on the last that authors were told of: the member may learn of it a little later."""
         if base is None:
             try:
-                base = member.ask("entries", {"key": ""}, patience)["revision"]
+                base = max(member.ask("entries", {"key": ""}, patience)["revision"], self.last())
             except AskError as fault:
                 return Asked("", member.name, sets, removes, text=str(fault))  # nothing was handed in
         asked = Asked(secrets.token_hex(16), member.name, sets, removes, base)
