--- a/benchmarks/capacity/tier_fleet.py
+++ b/benchmarks/capacity/tier_fleet.py
@@ -498,7 +498,10 @@
     rig.write("tier-fleet", command, tier_fleet_page.page(played), played)
     if str(tier_fleet_page.TARGET) in played and len(played) > slopes.SIZES:
         slopes.write("tier-fleet", f"python {command}", tier_fleet_page.fit(played),
-                     "control tier: senders follow members", [chosen.seed], tier_fleet_page.NOTES)
+                     "control tier: senders follow members", [chosen.seed], [
+                         *tier_fleet_page.NOTES, "played: " + ", ".join(
+                             f"{size} at {found['commit']}, load {found['load']:.0f}"
+                             for size, found in played.items())])
 
 
 if __name__ == "__main__":
