Leave no member behind where a plane cannot be put together

Two trials that failed while a plane was made left nine processes each; it now ends what it has started, tried with an add_follower that fails.

--- a/tests/plane.py
+++ b/tests/plane.py
@@ -403,11 +403,15 @@
         self.members = [Member(self, n) for n in range(len(places))]
         self.asked, self.lock = [], threading.Lock()
         self.hollows, self.followers, self.senders, self.parties = Hollows(), [], [], []
-        self.begin()
-        for number, (region, zone) in enumerate(followers):
-            self.add_follower(number, region, zone, entries)
         self.thread = threading.Thread(target=self.hollows.run, daemon=True)
         self.thread.start()
+        try:
+            self.begin()
+            for number, (region, zone) in enumerate(followers):
+                self.add_follower(number, region, zone, entries)
+        except BaseException:
+            self.close()  # no process outlives it
+            raise
 
     # Members.
 
@@ -467,7 +471,7 @@
             self.relay.door(name)
             self.relay.behind(name, hollow.sock.getsockname())
         self.followers.append(hollow)
-        self.hollows.add(hollow)
+        self.hollows.do(lambda: self.hollows.add(hollow))
         return hollow
 
     def add_sender(self, number, region, zone):
