Tell an author that a change is committed only once the member asked has it

Seen by the fault tests: two changes of one key in a row at a member that does not write lost to each other, since the answer came before the commit and the second was based on the revision before. Safe, and not what an author expects. An outcome by a revision that the member has not got waits for it, within the time that an answer has. The new test fails without it; tests/test_controlplane_member.py and tests/test_examples.py pass.

--- a/tests/test_controlplane_member.py
+++ b/tests/test_controlplane_member.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 from struct import pack
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -17,7 +18,9 @@
 from willownotch.channel.client import AskError
 from willownotch.controlplane import store as stores
 from willownotch.controlplane import wire
-from willownotch.controlplane.member import LINK_VERSION
+from willownotch.controlplane.commit import Outcome, Result, Stage
+from willownotch.controlplane.document import Change, Commit, Document
+from willownotch.controlplane.member import LINK_VERSION, Member, Waiter
 from willownotch.links.edge import MOST
 from willownotch.peers.seal import Seal, read_keys
 
@@ -508,6 +511,28 @@
     until(lambda: plane.members[1].status()["traffic"].get("frames of other voters"), PATIENCE)
 
 
+def test_an_author_is_told_only_once_the_member_that_was_asked_has_the_revision():
+    """Else the next change of the same key, asked for there, is based on the revision before and loses
+    to its author's own."""
+    document, change = Document(), Change(b"c" * 16, "me", 0, {"data/a": b"1"})
+    member, waiter = Member.__new__(Member), Waiter()
+    member.document, member._waiting, member._ahead = document, {change.id: [waiter]}, []
+    member._installed, member._writing, member.say = 0, False, lambda *words: None
+    member.serving = SimpleNamespace(committed=lambda now, commit: [])
+    member._serve, member.woken = lambda sends: None, SimpleNamespace(notify=lambda: None)
+    member.commits = SimpleNamespace(
+        committed=[], installed=0, said=[], writer=SimpleNamespace(stage=Stage.IDLE),
+        results=[Result(change.id, Outcome.COMMITTED, 1, "")])
+    member._settle(0.0)
+    assert not waiter.done.is_set()
+    commit = Commit(1, 1, change, document.digest_after(change))
+    document.commit(commit)
+    member.commits.committed.append(commit)
+    member._settle(0.1)
+    assert waiter.done.is_set()
+    assert (waiter.result.outcome, waiter.result.revision) == (Outcome.COMMITTED, 1)
+
+
 def test_a_thread_that_dies_ends_the_member(tier):
     plane = tier(1, start=False)
     member = plane.members[0]
--- a/willownotch/controlplane/member.py
+++ b/willownotch/controlplane/member.py
@@ -154,6 +154,9 @@
             blocks.control.socket, operators.QUESTION_MOST, lambda name, work: self._start(name, work))
         self.traffic: Counter[str] = Counter()
         self._waiting: dict[bytes, list[Waiter]] = {}
+        # Outcomes by revisions that this member has not got yet: who was told and looks here would find an
+        # older one, and its next change would lose to its own.
+        self._ahead: list[Result] = []
         self._began, self._heard = now, {}  # when each other voter was heard last
         self._installed, self._writing, self._apart = self.commits.installed, False, False
         self._look_at = self._addresses_at = now
@@ -277,11 +280,16 @@
             commits.committed.clear()
             self._serve(self.serving.committed(now, last))
             self.woken.notify()
-        for result in commits.results:
-            for waiter in self._waiting.pop(result.id, ()):
+        results, self._ahead = [*self._ahead, *commits.results], []
+        commits.results.clear()
+        for result in results:
+            for waiter in self._waiting.get(result.id, ()):
                 waiter.result = result
+            if result.revision > self.document.revision:
+                self._ahead.append(result)
+                continue
+            for waiter in self._waiting.pop(result.id, ()):
                 waiter.done.set()
-        commits.results.clear()
         for line in commits.said:
             self.say("agreement", line)
         commits.said.clear()
