--- a/examples/control_plane.py
+++ b/examples/control_plane.py
@@ -4,39 +4,20 @@
 force at the sender, rolls it back, and ends everything. Exits with 0 only if both revisions came into force.
 """
 import json
-import queue
-import re
 import secrets
 import subprocess
 import sys
 import tempfile
-import threading
 from pathlib import Path
 
+import demo
+
 ROOT = Path(__file__).parent.parent
 PATIENCE = 40.0  # s; for each step
 MEMBERS = ("anna", "bert", "carl")
 ENTRY = "config/settings/services/slot-order/promiseS", "3.5"
 
 
-def start(*command, pipe="stderr"):
-    """A process and the lines it says, as a queue."""
-    process = subprocess.Popen([sys.executable, *command], cwd=ROOT, text=True, **{pipe: subprocess.PIPE})
-    lines = queue.SimpleQueue()
-    stream = getattr(process, pipe)
-    threading.Thread(target=lambda: [lines.put(line.rstrip()) for line in stream], daemon=True).start()
-    return process, lines
-
-
-def line(lines, pattern):
-    """The next line that a pattern is found in; all lines on the way are shown."""
-    while True:
-        text = lines.get(timeout=PATIENCE)
-        print("   ", text)
-        if found := re.search(pattern, text):
-            return found
-
-
 def ask(socket, *words):
     """What a command of `willownotch config` prints."""
     found = subprocess.run([sys.executable, "-m", "willownotch", "config", *words, "--socket", str(socket)],
@@ -100,31 +81,32 @@
             print("three members agree on the configuration")
             seeds, followers, logs = [], {}, {}
             for name in MEMBERS:
-                process, logs[name] = start("-m", "willownotch", "member", "--settings",
-                                            str(member_settings(folder, name, seeds)), "--bootstrap")
+                process, logs[name] = demo.start(
+                    "-m", "willownotch", "member", "--settings", str(member_settings(folder, name, seeds)),
+                    "--bootstrap", pipe="stderr")
                 processes.append(process)
-                seeds.append(line(logs[name], r"listens for peers on (\S+)")[1])
-                followers[name] = line(logs[name], r"listens for followers on (\S+)")[1]
+                seeds.append(demo.line(logs[name], r"listens for peers on (\S+)", PATIENCE)[1])
+                followers[name] = demo.line(logs[name], r"listens for followers on (\S+)", PATIENCE)[1]
             print("the example platform, and a sender that follows them")
-            toy, toy_lines = start("-u", "examples/toy.py", "--port", "0", pipe="stdout")
+            toy, toy_lines = demo.start("-u", "examples/toy.py", "--port", "0", pipe="stdout")
             processes.append(toy)
-            discovery = line(toy_lines, r"discovery on (\S+)")[1]
+            discovery = demo.line(toy_lines, r"discovery on (\S+)", PATIENCE)[1]
             file, settings = sender_files(folder, discovery, followers)
-            sender, said = start("-m", "willownotch", "serve", "--config", str(file), "--settings",
-                                 str(settings))
+            sender, said = demo.start("-m", "willownotch", "serve", "--config", str(file), "--settings",
+                                      str(settings), pipe="stderr")
             processes.append(sender)
-            line(said, r"follows (anna|bert|carl)")
+            demo.line(said, r"follows (anna|bert|carl)", PATIENCE)
             print("an entry is set at one member, and in force at the sender")
             socket = folder / "bert.socket"
             config(socket, "set", *ENTRY)
-            line(said, r"revision 1 is in force")
+            demo.line(said, r"revision 1 is in force", PATIENCE)
             print("all members know who has it")
             while in_force(folder / "carl.socket") != {"1": 1}:
                 pass
             config(folder / "carl.socket", "status")
             print("it is rolled back, by a new revision")
             config(socket, "rollback", "0")
-            line(said, r"revision 2 is in force")
+            demo.line(said, r"revision 2 is in force", PATIENCE)
             config(socket, "history")
             print("both revisions came into force: done")
         finally:
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -30,10 +30,10 @@
     return process, lines
 
 
-def line(lines, pattern):
+def line(lines, pattern, patience=PATIENCE):
     """The next line that a pattern is found in; all lines on the way are shown."""
     while True:
-        text = lines.get(timeout=PATIENCE)
+        text = lines.get(timeout=patience)
         print("   ", text)
         if found := re.search(pattern, text):
             return found
