Add a soak of whole senders: faults drawn from a seed, verdicts counted from outside

lab/soak plays real processes over loopback: clients that record every request, endpoints behind a proxy that delays and breaks, discovery that goes down, upgrades on upgrades, SIGTERM, SIGKILL, SIGHUP, SIGSTOP and drains in series, system calls that fail and wall clocks that are stepped (shim.c).

--- /dev/null
+++ b/willownotch/lab/soak/plan.py
@@ -0,0 +1,164 @@
+"""What one run plays, drawn from its seed: senders, clients, endpoints, and what goes wrong when."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from willownotch.lab.faults.shim import SHORT, SLOW, CallFault
+
+KILL_AFTER_S = 3.7  # from SIGTERM to SIGKILL: the earliest that the pages allow
+RESTART_AFTER_S = 0.6  # from SIGKILL to the next start
+HOLD_MOST_S = 0.15  # how long a process may be held up
+LARGE_FLEET, LARGE_FLEET_SHARE = 30, 0.04
+IDLE_CROWD = 60
+
+
+class Action(Enum):
+    """What is done to a sender."""
+
+    UPGRADE = "upgrade"
+    UPGRADE_TWICE = "upgrade on an upgrade"
+    RESTART = "SIGTERM, SIGKILL, start"
+    KILL = "SIGKILL, start"
+    RELOAD = "SIGHUP"
+    HOLD = "SIGSTOP, SIGCONT"
+    DRAIN = "quiesce, resume"
+    UPGRADE_IN_DRAIN = "upgrade while drained"
+    STOP_IN_UPGRADE = "SIGTERM right behind the start of an upgrade"
+    RELOAD_IN_UPGRADE = "SIGHUP to both in an upgrade"
+
+
+@dataclass(frozen=True)
+class Step:
+    """An action at a time, in seconds from the beginning."""
+
+    at_s: float
+    sender: int
+    action: Action
+
+
+@dataclass(frozen=True)
+class Weather:
+    """How bad the endpoints and the way to them are in a span of time. Shares, and seconds."""
+
+    from_s: float
+    slow_s: float = 0.02
+    refuse: float = 0.0  # 503, or 429 with a wait
+    error: float = 0.0  # 500
+    reset: float = 0.0  # the connection is reset under a call
+    hang: float = 0.0  # a call that is not answered
+    break_pieces: float = 0.0  # pieces lost by the proxy, and their connections with them
+    discovery_up: bool = True
+
+
+@dataclass(frozen=True)
+class Plan:
+    """One run."""
+
+    seed: int
+    seconds: float
+    senders: int
+    clients: int  # of each sender
+    idle: int
+    endpoints: int
+    steps: tuple[Step, ...]
+    weather: tuple[Weather, ...]
+    call_faults: tuple[CallFault, ...]
+    clock_steps_s: tuple[float, ...]  # of the wall clock, for the processes of a sender in turn
+
+    def describe(self) -> str:
+        """One line."""
+        steps = ", ".join(f"{s.at_s:.1f} s n{s.sender} {s.action.value}" for s in self.steps)
+        faults = " ".join(fault.text() for fault in self.call_faults) or "none"
+        return (f"seed {self.seed}: {self.senders} senders x {self.clients} clients + {self.idle} idle, "
+                f"{self.endpoints} endpoints; {steps}; system calls: {faults}; "
+                f"clock steps: {self.clock_steps_s}")
+
+
+# Error kinds of each group that a run may draw. The rates are small: several strike a second under load.
+SOCKET_FAULTS = (
+    ("accept", ("ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EINTR")),
+    ("connect", ("ENETUNREACH", "EHOSTUNREACH", "EADDRNOTAVAIL", "ETIMEDOUT", "ENOBUFS")),
+    ("socket", ("ENFILE", "EMFILE", "ENOBUFS", "ENOMEM")),
+    ("recv", ("EINTR", "ENOBUFS", "ETIMEDOUT", "EHOSTUNREACH", SHORT, SLOW)),
+    ("send", ("EINTR", "ENOBUFS", "ETIMEDOUT", "EHOSTUNREACH", SHORT, SLOW)),
+    ("setsockopt", ("ENOBUFS", "ENOMEM")),
+    ("poll", ("EINTR", "ENOMEM", SLOW)),
+    ("sendmsg", ("ENOBUFS", "ETOOMANYREFS", "EINTR")),
+)
+FOLDER_FAULTS = (
+    ("write", ("ENOSPC", "EIO", SHORT)), ("read", ("EIO", "EINTR", SHORT)), ("open", ("EMFILE", "EIO")),
+    ("rename", ("EIO",)), ("ftruncate", ("EIO",)), ("flock", ("ENOLCK",)),
+)
+START_FAULTS = (
+    ("bind", ("EADDRNOTAVAIL", "EADDRINUSE")), ("listen", ("EADDRINUSE",)), ("socket", ("ENFILE", "ENOBUFS")),
+    ("open", ("EIO", "ENFILE")), ("read", ("EIO",)), ("write", ("ENOSPC",)),
+)
+
+
+def draw_call_faults(random: Random, seconds: float) -> tuple[CallFault, ...]:
+    """Some runs have none, so that the other faults are seen alone."""
+    if random.random() < 0.35:
+        return ()
+    found = []
+    for call, effects in SOCKET_FAULTS:
+        if random.random() < 0.5:
+            found.append(CallFault(call, random.choice(effects), rate=random.choice((0.002, 0.01, 0.03))))
+    if random.random() < 0.4:
+        call, effects = random.choice(FOLDER_FAULTS)
+        begin = random.uniform(0.0, seconds / 2)
+        found.append(CallFault(call, random.choice(effects), rate=random.choice((0.02, 0.3, 1.0)),
+                               from_s=begin, to_s=begin + random.uniform(0.2, 1.5)))
+    if random.random() < 0.5:
+        call, effects = random.choice(START_FAULTS)
+        found.append(CallFault(call, random.choice(effects), nth=random.randint(1, 4)))
+    return tuple(found)
+
+
+def draw_weather(random: Random, seconds: float) -> tuple[Weather, ...]:
+    """Spans of trouble, some of them right over the steps, and a calm end in which all can be delivered."""
+    found, at = [Weather(0.0)], 1.0
+    while at < seconds - 1.0:
+        kind = random.random()
+        found.append(Weather(
+            at, slow_s=random.choice((0.005, 0.02, 0.1, 0.4)),
+            refuse=random.choice((0.0, 0.0, 0.1, 0.5)), error=random.choice((0.0, 0.0, 0.05)),
+            reset=random.choice((0.0, 0.0, 0.05)), hang=random.choice((0.0, 0.0, 0.1, 0.5)),
+            break_pieces=random.choice((0.0, 0.0, 0.0, 0.02)), discovery_up=kind > 0.15,
+        ))
+        at += random.uniform(0.8, 3.0)
+    return (*found, Weather(seconds))
+
+
+def draw_steps(random: Random, senders: int, seconds: float) -> tuple[Step, ...]:
+    """What is done to each sender: signals come in series, one on another."""
+    found = []
+    weights = {Action.UPGRADE: 6, Action.UPGRADE_TWICE: 3, Action.RESTART: 2, Action.KILL: 2,
+               Action.RELOAD: 2, Action.HOLD: 2, Action.DRAIN: 1, Action.UPGRADE_IN_DRAIN: 1,
+               Action.STOP_IN_UPGRADE: 1,
+               Action.RELOAD_IN_UPGRADE: 1}
+    for sender in range(senders):
+        at = random.uniform(0.8, 2.0)
+        while at < seconds - 1.0:
+            found.append(Step(at, sender, random.choices(list(weights), list(weights.values()))[0]))
+            at += random.choice((0.3, 1.0, 2.0, 4.0)) * random.uniform(0.8, 1.2)
+    return tuple(sorted(found, key=lambda step: step.at_s))
+
+
+def draw(seed: int, seconds: float = 12.0, senders: int | None = None) -> Plan:
+    """The run of a seed."""
+    random = Random(seed)
+    large = random.random() < LARGE_FLEET_SHARE
+    count = LARGE_FLEET if large else random.randint(1, 5)
+    count = senders or count
+    steps = draw_steps(random, count, seconds)
+    if large and senders is None:  # processes are dear: one in five senders is touched
+        steps = tuple(step for step in steps if step.sender % 5 == 0)
+    return Plan(
+        seed, seconds, count, 2 if large else random.choice((4, 8, 16)),
+        0 if large or random.random() < 0.6 else IDLE_CROWD, random.randint(2, 6), steps,
+        draw_weather(random, seconds), draw_call_faults(random, seconds),
+        tuple(random.choice((0.0, 0.0, 3600.0, -3600.0, 7.0)) for _ in range(4))
+        if random.random() < 0.4 else (),
+    )
--- /dev/null
+++ b/willownotch/lab/soak/records.py
@@ -0,0 +1,97 @@
+"""What was seen from outside, with times on the monotonic clock of the harness. Plain values."""
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Ending(Enum):
+    """How a client's request ended."""
+
+    ANSWERED = "answered"
+    REFUSED_CONNECTION = "connection refused"  # nothing was written
+    UNWRITTEN = "ended before it was written whole"
+    ENDED = "connection ended without an answer"
+    SILENT = "no answer"
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request of a client, and its end."""
+
+    sender: int
+    ref: str
+    message_class: str
+    key: str | None
+    began: float
+    written: float  # when its last byte was written
+    ended: float
+    ending: Ending
+    status: int = 0
+    last: bool = False  # the answer said that the connection ends
+    reused: bool = False  # the connection had carried a request before
+    rested_s: float = 0.0  # how long it had been idle
+    left_s: float = 0.0  # the time that the message was given
+
+
+@dataclass(frozen=True, slots=True)
+class Content:
+    """What a client handed in under an id."""
+
+    body: bytes
+    idempotency_key: str
+
+
+@dataclass(slots=True)
+class Call:
+    """One call that an endpoint has read whole."""
+
+    ref: str
+    began: float
+    body: bytes
+    idempotency_key: str
+    status: int = 0  # 0: it was not answered
+    ended: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """One line that the platform was told."""
+
+    ref: str
+    outcome: str
+    at: float
+
+
+@dataclass(slots=True)
+class Lifetime:
+    """One process of a sender."""
+
+    sender: int
+    number: int
+    began: float
+    ready: float | None = None
+    stop_at: float | None = None  # SIGTERM
+    killed_at: float | None = None  # SIGKILL by the harness
+    succeeded_at: float | None = None  # when the process after it was started beside it
+    held: list[tuple[float, float]] = field(default_factory=list)  # SIGSTOP to SIGCONT
+    ended: float | None = None
+    code: int | None = None
+    lines: list[str] = field(default_factory=list)
+    meant_to_end: bool = False
+
+
+@dataclass
+class Records:
+    """All of one run. Any thread may add."""
+
+    began: float = 0.0  # when the load began
+    requests: list[Request] = field(default_factory=list)
+    contents: dict[str, Content] = field(default_factory=dict)
+    calls: list[Call] = field(default_factory=list)
+    notices: list[Notice] = field(default_factory=list)
+    lifetimes: list[Lifetime] = field(default_factory=list)
+    struck: dict[str, int] = field(default_factory=dict)  # system calls that failed
+    actions: list[str] = field(default_factory=list)
+    lock: threading.Lock = field(default_factory=threading.Lock)
--- /dev/null
+++ b/willownotch/lab/soak/run.py
@@ -0,0 +1,158 @@
+"""Plays a plan, and reports."""
+from __future__ import annotations
+
+import tempfile
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from willownotch.lab.faults.proxy import Proxy, Trouble
+from willownotch.lab.soak.clients import Client, IdleCrowd
+from willownotch.lab.soak.endpoints import Endpoint, Platform
+from willownotch.lab.soak.plan import Plan, Step, Weather
+from willownotch.lab.soak.processes import ROOT, SenderProcesses
+from willownotch.lab.soak.records import Ending, Records
+from willownotch.lab.soak.verdict import Broken, judge
+
+SETTLE_S = 12.0  # after the last request, for all endings: longer than any message is given, and a restart
+JITTER_S = 0.002  # of the way to endpoints
+
+
+@dataclass
+class Report:
+    """What one run came to."""
+
+    plan: Plan
+    records: Records
+    broken: list[Broken]
+    seconds: float
+
+    def rules(self) -> dict[str, int]:
+        """How often each rule was broken."""
+        return dict(Counter(b.rule for b in self.broken))
+
+    def counts(self) -> dict[str, int]:
+        """Requests by their end, and what else there was."""
+        requests = self.records.requests
+        answered = [r for r in requests if r.ending is Ending.ANSWERED]
+        found = dict(Counter(r.ending.value for r in requests))
+        found |= {"202": sum(r.status == 202 for r in answered),
+                  "503": sum(r.status == 503 for r in answered),
+                  "answered after 0.4 s": sum(r.ended - r.written > 0.4 for r in answered),
+                  "calls": len(self.records.calls), "notices": len(self.records.notices),
+                  "processes": len(self.records.lifetimes), "failed system calls": sum(
+                      self.records.struck.values())}
+        return found
+
+    def text(self) -> str:
+        """The plan's line, the counts, and what was broken."""
+        lines = [self.plan.describe(), f"  {self.counts()}"]
+        lines += [f"  BROKEN {b.rule}: {b.text}" for b in self.broken[:20]]
+        if len(self.broken) > 20:
+            lines.append(f"  ... {len(self.broken) - 20} more")
+        return "\n".join(lines)
+
+
+class Run:
+    """One plan, played once."""
+
+    def __init__(self, plan: Plan, folder: Path, program: Path = ROOT) -> None:
+        self.plan, self.records, self.began = plan, Records(), time.monotonic()
+        self.endpoints = [Endpoint(self.records, self.weather, plan.seed + n) for n in range(plan.endpoints)]
+        self.proxies = [Proxy(endpoint.address, plan.seed + n) for n, endpoint in enumerate(self.endpoints)]
+        self.platform = Platform(self.records, [proxy.address for proxy in self.proxies],
+                                 lambda: self.weather().discovery_up)
+        discovery = f"127.0.0.1:{self.platform.address[1]}"
+        self.senders = [SenderProcesses(n, plan, self.records, folder, discovery, program)
+                        for n in range(plan.senders)]
+        self.stop = threading.Event()
+
+    def weather(self) -> Weather:
+        """The plan's, as of now."""
+        at = time.monotonic() - self.began
+        return [w for w in self.plan.weather if w.from_s <= at][-1] if at >= 0 else self.plan.weather[0]
+
+    def play(self) -> Report:
+        """Start all, carry the steps out, wait for all endings, and judge."""
+        played = time.monotonic()
+        try:
+            lives = [(sender, sender.start()) for sender in self.senders]
+            for sender, life in lives:
+                sender.wait_ready(life)
+            self.began = self.records.began = time.monotonic()
+            clients = self._clients()
+            for client in clients:
+                client.thread.start()
+            threads = [threading.Thread(target=self._steps, args=(sender,)) for sender in self.senders]
+            threads.append(threading.Thread(target=self._change_proxy))
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            self.stop.wait(max(0.0, self.began + self.plan.seconds - time.monotonic()))
+            self.stop.set()
+            for client in clients:
+                client.thread.join(10.0)
+            self._settle()
+        finally:
+            self.stop.set()
+            now = time.monotonic()
+            for sender in self.senders:
+                sender.close()
+            for server in (*self.proxies, *self.endpoints, self.platform):
+                server.close()
+        broken = judge(self.records, now)
+        return Report(self.plan, self.records, broken, time.monotonic() - played)
+
+    def _clients(self) -> list[Client | IdleCrowd]:
+        found: list[Client | IdleCrowd] = []
+        for sender in self.senders:
+            found += [Client(self.records, sender.number, sender.address, n,
+                             Random(self.plan.seed * 7919 + sender.number * 101 + n), self.stop)
+                      for n in range(self.plan.clients)]
+            if self.plan.idle:
+                found.append(IdleCrowd(sender.address, self.plan.idle, self.stop))
+        return found
+
+    def _steps(self, sender: SenderProcesses) -> None:
+        for step in [s for s in self.plan.steps if s.sender == sender.number]:
+            self._step(sender, step)
+
+    def _step(self, sender: SenderProcesses, step: Step) -> None:
+        late = self.began + step.at_s - time.monotonic()
+        if late > 0:
+            self.stop.wait(late)
+        if time.monotonic() > self.began + self.plan.seconds:
+            return  # what came before took its time
+        with self.records.lock:
+            self.records.actions.append(f"{time.monotonic() - self.began:.2f} n{sender.number} "
+                                        f"{step.action.value}")
+        sender.act(step.action)
+
+    def _change_proxy(self) -> None:
+        for weather in self.plan.weather:
+            if self.stop.wait(max(0.0, self.began + weather.from_s - time.monotonic())):
+                return
+            for proxy in self.proxies:
+                proxy.trouble = Trouble(jitter_s=JITTER_S, reset=weather.break_pieces)
+
+    def _settle(self) -> None:
+        """Until every accepted message has an end, or there has been time for it."""
+        ends = time.monotonic() + SETTLE_S
+        while time.monotonic() < ends:
+            with self.records.lock:
+                accepted = {r.ref for r in self.records.requests if r.status in (200, 202)}
+                ended = {c.ref for c in self.records.calls if c.status == 200}
+                ended |= {n.ref for n in self.records.notices}
+            if accepted <= ended:
+                return
+            time.sleep(0.1)
+
+
+def play(plan: Plan, program: Path = ROOT) -> Report:
+    """Play a plan in a folder of its own, with the program that is in `program`."""
+    with tempfile.TemporaryDirectory() as folder:
+        return Run(plan, Path(folder), program).play()
--- /dev/null
+++ b/willownotch/lab/soak/verdict.py
@@ -0,0 +1,164 @@
+"""The rules, counted from records alone: what was broken, a line each."""
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from willownotch.lab.soak.records import Call, Ending, Lifetime, Records, Request
+
+READY_MOST_S = 10.0  # for a restarted process
+UPGRADE_READY_MOST_S = 6.0
+END_SLACK_S = 0.35  # after a message's time, for its end
+AFTER_READY_S = 1.5  # after a restart no notice is overdue for so long
+LOAD_SLACK_S = 0.5  # of the harness itself, which shares the machine
+LET_GO_S = 2.5  # from SIGTERM on, connections may be ended between two requests
+NEW_UNTIL_S = 0.4  # from SIGTERM on, no front sends new connections any more
+KILL_MARGIN_S = 0.05  # before a kill: what was written then can have met it
+MEMORY_SPAN_S = 15.0  # of the keyed class
+NEVER_RAN = (429, 503)
+BAD_LINES = (" error: ", " dead: ", "Traceback")
+
+
+@dataclass(frozen=True)
+class Broken:
+    """One rule, broken once."""
+
+    rule: str
+    text: str
+
+
+def judge(records: Records, now: float) -> list[Broken]:
+    """Everything that was broken by the time `now`, when the run had ended."""
+    return [*_requests(records), *_endings(records, now), *_calls(records), *_processes(records)]
+
+
+def _windows(records: Records, sender: int) -> list[tuple[float, float]]:
+    """When no answer can be expected: from a kill of the process that serves until the next one is ready."""
+    lives = sorted((life for life in records.lifetimes if life.sender == sender), key=lambda x: x.began)
+    found = []
+    for n, life in enumerate(lives):
+        if life.succeeded_at is not None and n + 1 < len(lives) and lives[n + 1].ready is not None:
+            continue  # the one after it served by then
+        down = min((t for t in (life.killed_at, life.ended) if t is not None), default=None)
+        if down is None:
+            continue
+        up = next((x.ready for x in lives[n + 1:] if x.ready is not None), float("inf"))
+        found.append((down - KILL_MARGIN_S, up))
+    return found
+
+
+def _stops(records: Records, sender: int) -> list[tuple[float, float]]:
+    """When processes were told to end, and when they had ended."""
+    return [(life.stop_at, life.ended or float("inf"))
+            for life in records.lifetimes if life.sender == sender and life.stop_at is not None
+            and life.succeeded_at is None]
+
+
+def _requests(records: Records) -> list[Broken]:
+    found = []
+    windows = {life.sender: _windows(records, life.sender) for life in records.lifetimes}
+    stops = {life.sender: _stops(records, life.sender) for life in records.lifetimes}
+    for request in records.requests:
+        if request.ending not in (Ending.ENDED, Ending.SILENT):
+            if request.ending is Ending.ANSWERED and request.status not in (202, 503):
+                found.append(Broken("answer", f"{request.ref} was answered {request.status}"))
+            continue
+        spans = windows[request.sender]
+        if any(began <= request.ended and request.began <= ended for began, ended in spans):
+            continue
+        crossing = request.ending is Ending.ENDED and any(
+            (stop + LET_GO_S <= request.ended if request.reused else stop + NEW_UNTIL_S <= request.began)
+            and request.ended <= ended for stop, ended in stops[request.sender])
+        if not crossing and not _rested(request):
+            began = records.began
+            found.append(Broken("lost request", f"n{request.sender} {request.ref} written at "
+                                f"{request.written - began:.3f}, {request.ending.value} at "
+                                f"{request.ended - began:.3f}, on a {'kept' if request.reused else 'new'} "
+                                f"connection"))
+    return found
+
+
+def _rested(request: Request) -> bool:
+    """Whether its connection had been idle for so long that the sender may have been about to end it."""
+    return request.reused and request.ending is Ending.ENDED and request.rested_s > 2.0
+
+
+def _endings(records: Records, now: float) -> list[Broken]:
+    """Each accepted message has its end by its deadline; what is refused has none and is not sent."""
+    accepted = {r.ref: r for r in records.requests if r.status in (200, 202)}
+    refused = {r.ref for r in records.requests if r.ending is Ending.ANSWERED and r.status in (429, 503)}
+    ends: dict[str, float] = {}
+    for at, ref in [*((c.ended, c.ref) for c in records.calls if c.status == 200),
+                    *((n.at, n.ref) for n in records.notices)]:
+        ends[ref] = min(at, ends.get(ref, at))
+    found = []
+    for ref, request in accepted.items():
+        due = request.written + request.left_s + END_SLACK_S + LOAD_SLACK_S
+        for began, ended in _windows(records, request.sender):
+            if began <= due:
+                due = max(due, ended + AFTER_READY_S + LOAD_SLACK_S)
+        for life in records.lifetimes:
+            if life.sender == request.sender and life.stop_at is not None and life.stop_at <= due:
+                following = [x.ready for x in records.lifetimes if x.sender == life.sender
+                             and x.began > life.began and x.ready is not None]
+                due = max(due, min(following, default=due) + AFTER_READY_S)
+        if ref not in ends and now > due:
+            found.append(Broken("no ending", f"n{request.sender} {ref} ({request.message_class}) accepted at "
+                                f"{request.ended:.3f}, due at {due:.3f}"))
+        elif ref in ends and ends[ref] > due:
+            found.append(Broken("late ending", f"n{request.sender} {ref} ended {ends[ref] - due:.3f} s late"))
+    found += [Broken("refused and sent", call.ref) for call in records.calls if call.ref in refused]
+    return found
+
+
+def _calls(records: Records) -> list[Broken]:
+    """What endpoints were sent: only what a client handed in, and nothing beyond its class's allowance."""
+    found = []
+    classes = {r.ref: r.message_class for r in records.requests}
+    by_ref: dict[str, list[Call]] = defaultdict(list)
+    for call in records.calls:
+        content = records.contents.get(call.ref)
+        if content is None or (content.body, content.idempotency_key) != (call.body, call.idempotency_key):
+            found.append(Broken("foreign", f"{call.ref!r} with {len(call.body)} bytes was never handed in"))
+        by_ref[call.ref].append(call)
+    for ref, calls in by_ref.items():
+        may_have_run = None
+        for call in sorted(calls, key=lambda x: x.began):
+            if may_have_run is not None:
+                cls = classes.get(ref)
+                late = call.began - may_have_run > MEMORY_SPAN_S
+                if cls == "fee" or (cls == "order" and late):
+                    found.append(Broken("run twice", f"{ref} ({cls}) called again {call.began:.3f}, had been "
+                                        f"at {may_have_run:.3f}"))
+            elif call.status not in NEVER_RAN:
+                may_have_run = call.began
+    return found
+
+
+def _processes(records: Records) -> list[Broken]:
+    found = []
+    for life in records.lifetimes:
+        name = f"n{life.sender} process {life.number}"
+        if life.ended is not None and not life.meant_to_end:
+            found.append(Broken("crash", f"{name} ended by itself with {life.code}: {life.lines[-3:]}"))
+        elif life.code not in (None, 0) and life.killed_at is None:
+            found.append(Broken("crash", f"{name} ended with {life.code}: {life.lines[-3:]}"))
+        found += [Broken("bad line", f"{name}: {line}") for line in life.lines
+                  if any(bad in line for bad in BAD_LINES)]
+        found += _ready(life, name, records)
+    return found
+
+
+def _ready(life: Lifetime, name: str, records: Records) -> list[Broken]:
+    before = [x for x in records.lifetimes if x.sender == life.sender and x.number == life.number - 1]
+    upgrade = any(x.succeeded_at is not None for x in before)
+    most = UPGRADE_READY_MOST_S if upgrade else READY_MOST_S
+    if any(x.stop_at is not None and x.succeeded_at is None and x.ended is not None
+           and life.began < x.ended for x in before):
+        most += max(x.ended for x in before) - life.began  # it had to wait for the folder
+    if life.ready is None:
+        if life.killed_at is None or life.killed_at - life.began > most:
+            return [Broken("not ready", f"{name} was never ready: {life.lines[-4:]}")]
+        return []
+    took = life.ready - life.began
+    return [Broken("late to be ready", f"{name} after {took:.1f} s")] if took > most else []
