Say why a connection was closed, a request rejected, a call made again, and count what the log keeps back

Shown by the management call `counters`, by `willownotch counters [--json]`, and in a process's last line. A crash in serving one connection says its traceback and the connection's number; each change of state is a line with the process id.

A sender with a control socket, or with peers, can be upgraded: the socket was found in use, and the new process ended by exit 2 (seen before, now mended with its test). An accept that fails there no longer spins.

--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,118 @@
+"""The soak of whole senders, short and with fixed seeds; its verdict on records that are made up."""
+
+import pytest
+
+from willownotch.lab.faults.shim import CallFault
+from willownotch.lab.soak.plan import Action, Plan, Step, Weather, draw
+from willownotch.lab.soak.records import Call, Content, Ending, Lifetime, Notice, Records, Request
+from willownotch.lab.soak.run import play
+from willownotch.lab.soak.verdict import judge
+
+SECONDS = 6.0
+CALM = (Weather(0.0),)
+
+
+def fixed(*steps, call_faults=(), clients=6, clock_steps_s=(), idle=0, weather=CALM):
+    return Plan(1, SECONDS, 1, clients, idle, 3, tuple(Step(at, 0, action) for at, action in steps), weather,
+                tuple(call_faults), clock_steps_s)
+
+
+# Each order that a seed has found, or that the incident names, played every time.
+PLANS = {
+    "upgrades on upgrades": fixed((0.5, Action.UPGRADE_TWICE), (1.5, Action.UPGRADE), (2.0, Action.HOLD),
+                                  (2.2, Action.UPGRADE_TWICE), (3.5, Action.UPGRADE), idle=40),
+    "a stop in an upgrade, a reload in one": fixed((0.5, Action.RELOAD_IN_UPGRADE), (1.5, Action.RELOAD),
+                                                   (2.0, Action.STOP_IN_UPGRADE)),
+    "drains and kills": fixed((0.5, Action.UPGRADE_IN_DRAIN), (2.5, Action.KILL), (4.0, Action.DRAIN)),
+    "hung endpoints and failing calls": fixed(
+        (0.5, Action.UPGRADE), (2.0, Action.UPGRADE_TWICE), (3.5, Action.KILL),
+        weather=(Weather(0.0, hang=0.3, refuse=0.2, break_pieces=0.02), Weather(4.0)),
+        call_faults=[CallFault("recv", "short", rate=0.1), CallFault("send", "ENOBUFS", rate=0.02),
+                     CallFault("sendmsg", "ETOOMANYREFS", rate=0.1), CallFault("poll", "ENOMEM", rate=0.01),
+                     CallFault("accept", "ENFILE", rate=0.05), CallFault("bind", "EADDRINUSE", nth=2),
+                     CallFault("read", "EIO", nth=2)],
+        clock_steps_s=(0.0, 3600.0, -3600.0)),
+}
+
+
+@pytest.mark.parametrize("name", PLANS)
+def test_orders_that_once_broke_a_rule(name):
+    report = play(PLANS[name])
+    assert not report.broken, report.text()
+    assert report.counts()["202"] > 50, report.text()
+
+
+@pytest.mark.parametrize("seed", [2, 5])
+def test_a_short_soak_breaks_no_rule(seed):
+    report = play(draw(seed, SECONDS, senders=2))
+    assert not report.broken, report.text()
+
+
+def test_a_seed_draws_the_same_plan_each_time():
+    assert draw(7) == draw(7) and draw(7) != draw(8)
+
+
+def records(**more):
+    """A sender that serves from 0 on, and one message that was accepted and delivered."""
+    found = Records()
+    found.lifetimes.append(Lifetime(0, 0, -1.0, ready=-0.5, killed_at=100.0, ended=100.0, meant_to_end=True))
+    found.contents["m"] = Content(b"x", "im")
+    found.requests.append(request())
+    found.calls.append(Call("m", 1.1, b"x", "im", 200, 1.2))
+    for name, value in more.items():
+        setattr(found, name, value)
+    return found
+
+
+def request(ending=Ending.ANSWERED, status=202, cls="fee", **more):
+    values = {"sender": 0, "ref": "m", "message_class": cls, "key": None, "began": 1.0, "written": 1.0,
+              "ended": 1.05, "ending": ending, "status": status, "left_s": 2.0} | more
+    return Request(**values)
+
+
+def call(status=200, began=1.1, body=b"x", ref="m"):
+    return Call(ref, began, body, "im", status, began + 0.1)
+
+
+def rules(found):
+    return sorted({broken.rule for broken in judge(found, 50.0)})
+
+
+@pytest.mark.parametrize("found,expected", [
+    (records(), []),
+    (records(requests=[request(Ending.ENDED, 0)], calls=[]), ["lost request"]),
+    (records(requests=[request(Ending.SILENT, 0)], calls=[]), ["lost request"]),
+    (records(requests=[request(Ending.REFUSED_CONNECTION, 0)], calls=[]), []),
+    (records(requests=[request(status=500)], calls=[]), ["answer"]),
+    (records(requests=[request(Ending.ENDED, 0, reused=True, rested_s=2.9)], calls=[]), []),
+    (records(calls=[]), ["no ending"]),
+    (records(calls=[], notices=[Notice("m", "given_up", 2.9)]), []),
+    (records(calls=[], notices=[Notice("m", "given_up", 4.5)]), ["late ending"]),
+    (records(requests=[request(status=503)]), ["refused and sent"]),
+    (records(calls=[call(), call(began=1.5)]), ["run twice"]),
+    (records(calls=[call(503), call(began=1.5)]), []),
+    (records(calls=[call(0), call(began=1.5)], requests=[request(cls="status")]), []),
+    (records(calls=[call(0), call(began=1.5)], requests=[request(cls="order")]), []),
+    (records(calls=[call(0), call(began=17.0)], requests=[request(cls="order", left_s=30.0)]), ["run twice"]),
+    (records(calls=[call(body=b"y")]), ["foreign"]),
+    (records(calls=[call(), call(ref="n")]), ["foreign"]),
+    (records(lifetimes=[Lifetime(0, 0, -1.0, ready=-0.5, ended=30.0, code=70)]), ["crash"]),
+    (records(lifetimes=[Lifetime(0, 0, -1.0, killed_at=40.0, ended=40.0, meant_to_end=True)]), ["not ready"]),
+    (records(lifetimes=[Lifetime(0, 0, -20.0, ready=-5.0)]), ["late to be ready"]),
+    (records(lifetimes=[Lifetime(0, 0, -1.0, ready=-0.5, lines=["n0 error: a connection was ended"])]),
+     ["bad line"]),
+])
+def test_each_rule_is_counted_from_outside(found, expected):
+    assert rules(found) == expected
+
+
+def test_a_request_that_meets_a_kill_is_not_lost():
+    found = records(requests=[request(Ending.ENDED, 0, began=99.99, written=99.99, ended=100.0)], calls=[])
+    assert rules(found) == []
+
+
+def test_weather_and_steps_are_drawn_inside_the_run():
+    for seed in range(50):
+        plan = draw(seed)
+        assert all(0 < step.at_s < plan.seconds for step in plan.steps)
+        assert plan.weather[0].from_s == 0.0 and plan.weather[-1] == Weather(plan.seconds)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -66,7 +66,7 @@
     *nth("bind", "EADDRNOTAVAIL", "EADDRINUSE", most=2), *nth("listen", "EADDRINUSE", most=2),
     *nth("socket", "ENOBUFS", "ENFILE"), *nth("setsockopt", "ENOMEM", "ENOBUFS"),
     *nth("open", "EIO", "ENFILE", "ENOSPC", most=6), *nth("read", "EIO", "EINTR", SHORT),
-    *nth("write", "ENOSPC", "EIO", SHORT), *nth("rename", "EIO", most=2), *nth("flock", "ENOLCK", most=1),
+    *nth("write", "ENOSPC", "EIO", SHORT), *nth("rename", "EIO", most=1), *nth("flock", "ENOLCK", most=1),
     *nth("poll", "ENOMEM", most=4), *nth("connect", "ENETUNREACH", "EADDRNOTAVAIL", most=2),
 ]
 # In CI a few starts meet several of them; `make long` plays each alone.
@@ -117,6 +117,16 @@
     until(lambda: world.host.refs().count(ref) == 2)
 
 
+def test_a_disk_that_takes_nothing_does_not_keep_a_sender_from_answering(world):
+    """It is ready, turns new messages away, and ends what it owes."""
+    sender, ref = owing(world, left=4000)
+    sender.calls = [CallFault("write", "ENOSPC", rate=1.0)]
+    sender.start()
+    sender.ready()
+    assert sender.hand_in()[1].status == 503
+    until(lambda: any(n["message"] == ref for n in world.discovery.notices))
+
+
 def test_a_stop_ends_a_start_that_waits(world):
     sender, _ = owing(world)
     sender.calls = [CallFault("read", "EIO", rate=1.0)]
@@ -127,8 +137,10 @@
 
 
 def test_what_an_operator_has_to_change_ends_the_start(world):
+    began = time.monotonic()
     sender = world.sender(calls=[CallFault("open", "EACCES", rate=1.0)])
     assert sender.process.wait(PATIENCE) == 2
+    assert time.monotonic() - began < 4.0  # at once, and not after the time for what passes
     until(lambda: any("cannot start" in line for line in sender.lines))
 
 
--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -10,6 +10,7 @@
 import pytest
 from toys import PATIENCE, SETTINGS, Discovery, Host, Sender, until
 
+from willownotch.handover import giver as predecessor
 from willownotch.handover import passing, wire
 from willownotch.handover.giver import Giver
 from willownotch.handover.lock import FolderLock
@@ -495,3 +496,67 @@
                   None, start)
     giver._take(Frame(Kind.CALL_OFF, msgspec.msgpack.encode(["m1", 3])))
     assert owner.calls == south.calls == [("m1", 3)]
+
+
+def test_a_process_that_could_not_be_asked_at_first_can_be_asked_later(rig, tmp_path, monkeypatch):
+    """One failure at its start left it without any upgrade for good."""
+    monkeypatch.setattr(predecessor, "LISTEN_AGAIN", wire.RETRY_TIME)
+    real, failures = os.open, []
+
+    def failing(path, *arguments, **more):
+        if str(path) == str(tmp_path) and len(failures) < 3:
+            failures.append(path)
+            raise OSError(errno.ENFILE, "no descriptor")
+        return real(path, *arguments, **more)
+
+    monkeypatch.setattr(os, "open", failing)
+    giver = Giver(tmp_path, FolderLock(tmp_path), rig.clock, rig.log, Standing(), rig, None, rig.north, None,
+                  start)
+    start("upgrade", giver.run)
+    until(lambda: (tmp_path / "handover").exists())
+    assert len(failures) == 3
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.connect(str(tmp_path / "handover"))
+        link = Link(sock)
+        link.send(Kind.HELLO, version())
+        assert link.receive(PATIENCE_SPAN).kind is Kind.NOT_NOW  # it is not ready
+
+
+def test_a_sender_with_a_control_socket_can_be_upgraded_and_shows_its_counters(tmp_path):
+    """The new process found the socket used by the old one, and did not start."""
+    from willownotch.channel.client import ask as ask_control
+
+    host = Host()
+    discovery = Discovery([host])
+    control = tmp_path / "control"
+    sender = Sender(discovery, settings=f"control {{\n socket {control}\n}}\n",
+                    env={"LB_MANAGEMENT": "127.0.0.1:0"})
+    sender.ready()
+    idle = sender.connect()
+    assert sender.exchange(sender.message(), idle).status == 202
+    old, _ = sender.upgrade()
+    assert sender.process.poll() is None, sender.lines
+    sender.ready()
+    assert old.wait(PATIENCE) == 0
+    sender.exchange(sender.request("GET", "/nowhere"))
+    until(lambda: "connection closed" in ask_control(control, "counters", {})["counters"])
+    found = ask_control(control, "counters", {})
+    assert found["process"] == sender.process.pid and found["counters"]["log line"]["bad"] == 1
+    with sender.operator() as caller:
+        caller.sendall(b"counters\n")
+        assert caller.recv(10_000).startswith(b"+OK process %d: " % sender.process.pid)
+    idle.close()
+    old.stderr.close()
+    for thing in (sender, discovery, host):
+        thing.close()
+
+
+def test_the_end_of_a_process_tells_what_was_counted(chain):
+    """More lines of one sort than the log passes were told of by nothing."""
+    sock = chain.sender.connect()
+    for _ in range(12):
+        chain.sender.exchange(chain.sender.request("GET", "/nowhere"))
+    old, said = chain.upgrade()
+    assert old.wait(PATIENCE) == 0
+    until(lambda: any("log line (bad) 12" in line for line in said))
+    sock.close()
--- a/willownotch/channel/server.py
+++ b/willownotch/channel/server.py
@@ -4,6 +4,7 @@
 import os
 import socket
 import threading
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -14,6 +15,7 @@
 PIECE = 64 * 1024  # bytes read at once
 PATIENCE = 2.0  # s that a client may take for its question, and to read a piece of its answer
 BACKLOG = 16
+ACCEPT_REST = 0.05  # s after an accept that failed
 
 
 class Question(msgspec.Struct):
@@ -31,10 +33,12 @@
 Start = Callable[[str, Callable[[], None]], None]
 
 
-def bind(path: Path) -> socket.socket:
+def bind(path: Path, replace: bool = False) -> socket.socket:
     """A listening socket at a path, for this user alone. One left by a dead process is replaced; `OSError`
-    if a living one has it."""
-    if path.is_socket():
+    if a living one has it, unless with `replace`: then that one has handed over to this process."""
+    if replace:
+        path.unlink(missing_ok=True)
+    elif path.is_socket():
         with socket.socket(socket.AF_UNIX) as probe:
             try:
                 probe.connect(str(path))
@@ -62,11 +66,11 @@
     """
 
     def __init__(self, path: str | Path, line_most: int = LINE_MOST, start: Start | None = None,
-                 at_once: int = 32) -> None:
+                 at_once: int = 32, replace: bool = False) -> None:
         self.path, self.line_most, self.start = Path(path), line_most, start
         self.answers: dict[str, Answerer] = {}
         self._places = threading.BoundedSemaphore(at_once if start is not None else 1)
-        self._sock = bind(self.path)
+        self._sock = bind(self.path, replace)
 
     def run(self) -> None:
         """Answer until the process ends."""
@@ -78,6 +82,7 @@
                 self._places.release()
                 if self._sock.fileno() < 0:
                     return
+                time.sleep(ACCEPT_REST)  # descriptors are short: until one is free
                 continue
             if self.start is None:
                 self._serve(client)
--- a/willownotch/channel/tables.py
+++ b/willownotch/channel/tables.py
@@ -116,5 +116,13 @@
     return "\n".join([*told, "counted: " + (", ".join(counted) or "nothing")])
 
 
+def counters(found: dict[str, Any]) -> str:
+    """What a sender has counted since it began."""
+    rows = [[event, reason, str(count)] for part in ("counters", "retries")
+            for event, reasons in found[part].items() for reason, count in reasons.items()]
+    return f"process {found['process']}\n" + table(["EVENT", "REASON", "COUNT"], rows)
+
+
 TABLES: dict[str, Callable[[dict[str, Any]], str]] = {
+    "counters": counters,
     "follow": follow, "leases": leases, "peers": peers, "replica": replica, "shared": shared, "usage": usage}
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -46,6 +46,7 @@
     TookOver,
 )
 from willownotch.net.registry import Hosts, Notices, Platform, Registry
+from willownotch.net.sockets import RETRIES
 from willownotch.net.south import South
 from willownotch.startup import Startup
 
@@ -176,7 +177,7 @@
 
 
 def open_mesh(config: configs.Config, blocks: Blocks, files: Files, journal: journals.Journal,
-              log: Log) -> tuple[Mesh | None, Server | None]:
+              log: Log, succeeds: bool = False) -> tuple[Mesh | None, Server | None]:
     """Peers and the control socket where the settings have them; nothing is loaded where they do not."""
     mesh = channel = None
     if blocks.peers.listen is not None:
@@ -191,22 +192,25 @@
     if blocks.control.socket is not None:
         from willownotch.channel.server import Server
 
-        channel = Server(blocks.control.socket)
+        channel = Server(blocks.control.socket, replace=succeeds)
+        channel.answers["counters"] = lambda about: {
+            "process": os.getpid(), "counters": log.counters.snapshot(), "retries": RETRIES.snapshot()}
         if mesh is not None:
             mesh.answer_on(channel)
     return mesh, channel
 
 
 def open_following(config: configs.Config, blocks: Blocks, reloads: Reloads, files: Files, log: Log,
-                   standing: Standing, channel: Server | None) -> Following | None:
+                   standing: Standing, channel: Server | None, startup: Startup) -> Following | None:
     """The side that follows the control plane, where the settings have it; nothing is loaded where not."""
     if not blocks.follow.on():
         return None
     from willownotch.controlplane.sender import Following
 
     try:
-        made = Following(blocks.follow, config.name, files, lambda text: log.say("follow", text),
-                         reloads.lay_over, lambda: standing.life.given)
+        made = startup.attempt("the address of the followed configuration", lambda: Following(
+            blocks.follow, config.name, files, lambda text: log.say("follow", text),
+            reloads.lay_over, lambda: standing.life.given))
     except (OSError, ValueError) as fault:
         print(f"willownotch: cannot start: {fault}", file=sys.stderr)
         sys.stderr.flush()
@@ -228,6 +232,8 @@
     timebase.restore_early(clock, config.state, files)
     log = Log(clock, config.name)
     standing, threads, legacy = Standing(), Threads(log), None
+    standing.changed = lambda before, after, event: log.say(
+        "state", f"{before.value} to {after.value}: {event.value}, process {os.getpid()}")
     calls = Calls(standing, clock, log)
     startup = Startup(log, lambda: signal.sigtimedwait(signals, 0) is not None)
     origin_unwritten: Callable[[], None] | None = None
@@ -263,7 +269,8 @@
         owner = Owner(config, clock, log, journal, hosts, bodies, standing, bool(blocks.shared.judgements))
         owner.lost_bodies = lost
         north = North(config, clock, log, owner, bodies, threads.start, standing, listener)
-        mesh, channel = open_mesh(config, blocks, files, journal, log)
+        mesh, channel = startup.attempt("addresses of the mesh", lambda: open_mesh(
+            config, blocks, files, journal, log, succeeds=legacy is not None))
     except InterruptedError:  # SIGTERM while another process held the folder: nothing was begun
         log.say("end", "ended before anything was taken over")
         os._exit(0)
@@ -316,7 +323,7 @@
 
     owner.retuned = retuned
     reloads = Reloads(path, config, platform, log, lambda fresh: owner.post(Retune(fresh)), overlay)
-    following = open_following(config, blocks, reloads, files, log, standing, channel)
+    following = open_following(config, blocks, reloads, files, log, standing, channel, startup)
 
     def take_reloads() -> None:
         held = blocks
@@ -348,6 +355,10 @@
     threads.start("notices", notices.run, forever=True)
     threads.start("listener", north.run, forever=True)
     giver = Giver(config.state, lock, clock, log, standing, owner, south, north, bodies, threads.start)
+    if mesh is not None:  # its addresses are the next process's
+        giver.released.append(mesh.stop)
+    if following is not None:
+        giver.released.append(following.stop)
     # Custody stays with a process: the next one claims it, as any other sender would.
     if keeper is None:
         threads.start("upgrade", giver.run)
--- a/willownotch/commands.py
+++ b/willownotch/commands.py
@@ -143,6 +143,15 @@
 SOCKET = click.option("--socket", metavar="PATH", help="The sender's control socket.")
 
 
+@group.command()
+@SOCKET
+@SETTINGS
+@JSON
+def counters(socket: str | None, settings: str | None, as_json: bool) -> int:
+    """Show what a running sender has counted since it began, by event and reason."""
+    return ask("counters", socket, settings, as_json)
+
+
 @group.command()
 @SOCKET
 @SETTINGS
--- a/willownotch/handover/giver.py
+++ b/willownotch/handover/giver.py
@@ -50,6 +50,7 @@
         self.start = start
         self._version = version()  # of what runs here, whatever the files say by then
         self._pause = threading.Event()  # never set: a wait of a moment
+        self.released: list[Callable[[], None]] = []  # what else lets go of addresses, once all is given
         self._sock: socket.socket | None = None
         self._passing: ClientPassing | None = None  # once everything is given
         self._lock_passed = False  # as a descriptor, so that no third process can take it in between
@@ -134,7 +135,7 @@
             if estate is None:
                 link.send(Kind.NOT_NOW)
             else:
-                self.log.say("upgrade", f"the state stands still after {self._since(began)} ms: "
+                self.log.say("state", f"the state stands still after {self._since(began)} ms: "
                              f"{len(estate.owed)} messages, {self.north.present()} clients")
                 given = self._gave(link, estate if same else None)
         finally:
@@ -198,18 +199,20 @@
 
     def _away(self, began: datetime) -> None:
         """Everything is the other one's. Nothing that fails here may keep the rest from being given."""
-        steps = (("the lock", self._let_go_of_lock), ("connections to endpoints", self.south.leave))
-        for name, step in steps:
-            try:
-                step()
-            except OSError as fault:
-                self.log.say("upgrade", f"{name} could not be let go: {fault}")
+        self._carry_out(self._let_go_of_lock, self.south.leave)
         clients = self.north.give()
         self.standing.tell(Event.GIVEN, self.clock.now())  # only now may this process say no
         self.log.say("upgrade", f"given away; {self.south.outside()} calls are out and are finished here; "
                      f"{clients} idle clients passed on, {self.north.present()} still here, "
                      f"{self._since(began)} ms")
 
+    def _carry_out(self, *steps: Callable[[], None]) -> None:
+        for step in steps:
+            try:
+                step()
+            except Exception as fault:
+                self.log.say("upgrade", f"{step.__qualname__} failed, the rest goes on all the same: {fault}")
+
     def _let_go_of_lock(self) -> None:
         if self._lock_passed:
             self.lock.leave()
@@ -247,6 +250,7 @@
         it may have run, and must not meet it on an open connection.
         """
         ends = self.clock.now() + LEAVE_TIME
+        self._carry_out(*self.released)
         while self.clock.now() < ends and (self._calls_out() or self.north.present()):
             if self._gone.wait(seconds(LOOK)):
                 self.log.say("upgrade", f"ends with {self._calls_out()} calls out, which may have run")
--- a/willownotch/life.py
+++ b/willownotch/life.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 from enum import Enum
@@ -97,14 +98,18 @@
 
     def __init__(self) -> None:
         self.life = Life()
+        self.changed: Callable[[State, State, Event], None] = lambda before, after, event: None
         self._changed = threading.Condition()
 
     def tell(self, event: Event, now: datetime) -> Life:
         """Something happened; the moment after it."""
         with self._changed:
-            self.life = self.life.happened(event, now)
+            before, life = self.life, self.life.happened(event, now)
+            self.life = life
             self._changed.notify_all()
-            return self.life
+        if life != before:
+            self.changed(before.state(now), life.state(now), event)
+        return life
 
     def given_away(self) -> bool:
         """Whether another process has everything; where a hand-over is under way, once that is decided."""
--- a/willownotch/management/calls.py
+++ b/willownotch/management/calls.py
@@ -1,12 +1,14 @@
 """What operators can call on this sender."""
 from __future__ import annotations
 
+import os
 from collections.abc import Callable
 
 from willownotch.life import Event, Standing
 from willownotch.management.core import Call, CallError
 from willownotch.net.clock import Clock
 from willownotch.net.log import Log
+from willownotch.net.sockets import RETRIES
 
 
 class Calls:
@@ -15,7 +17,8 @@
     def __init__(self, standing: Standing, clock: Clock, log: Log) -> None:
         self.standing, self.clock, self.log = standing, clock, log
         self.empty: Callable[[], None] = lambda: None  # has idle connections ended, once there can be any
-        self.table: dict[str, Call] = {"health": self.health, "quiesce": self.quiesce, "resume": self.resume}
+        self.table: dict[str, Call] = {"health": self.health, "quiesce": self.quiesce, "resume": self.resume,
+                                        "counters": self.counters}
 
     def _state(self) -> str:
         return self.standing.life.state(self.clock.now()).value
@@ -26,6 +29,10 @@
             raise CallError(self._state())
         return self._state()
 
+    def counters(self) -> str:
+        """What was counted since this process began, on one line."""
+        return f"process {os.getpid()}: {self.log.counters.summary()}; {RETRIES.summary()}"
+
     def quiesce(self) -> str:
         """Empty the sender."""
         if self._told(Event.QUIESCE):
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -1,11 +1,13 @@
 """The north side: clients hand messages in here, each connection on a small thread of its own."""
 from __future__ import annotations
 
+import errno
 import itertools
 import re
 import select
 import socket
 import threading
+import traceback
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -26,7 +28,7 @@
 from willownotch.net.config import Config
 from willownotch.net.listening import listen
 from willownotch.net.log import Log
-from willownotch.net.owner import Answer, HandIn, MakeRoom, Owner, Verdict, Withdraw
+from willownotch.net.owner import HandIn, MakeRoom, Owner, Verdict, Withdraw
 from willownotch.net.rules import Rules
 from willownotch.net.south import idle_most
 from willownotch.net.ticket import Ticket
@@ -185,6 +187,7 @@
         self.stage, self.asked, self.bad = Stage.SILENT, 0, 0  # requests read whole; bad ones in a row
         self.ending = False  # it makes room, or the sender stops: the request that it has is its last
         self.shut = False  # nothing that comes from now on is read as a request: the client sees the end
+        self.why = "ended by the client"  # or why it is closed here
         self.told = False  # something was written on it, which a reset could eat
         self.lock = threading.Lock()  # held while bytes are taken off it, it is ended, or it goes elsewhere
         self.moved = False  # another process reads it from now on
@@ -269,7 +272,7 @@
                 for client in self._clients:
                     # Who has just connected is about to ask.
                     if now >= cut or client.stage is not Stage.SILENT or now - client.opened >= SILENT_TIME:
-                        self._end(client, cut=now >= cut)
+                        self._end(client, "stop", cut=now >= cut)
                 self._room.wait(seconds(STOP_LOOK))
 
     def _accept_backlog(self) -> None:
@@ -284,7 +287,7 @@
                 failures += 1
 
     @staticmethod
-    def _end(client: Client, cut: bool = False) -> None:
+    def _end(client: Client, why: str, cut: bool = False) -> None:
         """Take no request after the one that it has. One that rests is shut; `cut`: also one that reads.
         For who holds the lock of all clients.
 
@@ -299,6 +302,7 @@
             if not client.waits() and (not cut or client.stage is Stage.ANSWERING):
                 return
             client.shut = True
+            client.why = why
             try:
                 client.sock.shutdown(socket.SHUT_RD if cut else socket.SHUT_WR)
             except OSError:
@@ -340,6 +344,7 @@
         try:
             self.start("north", lambda: self._serve(client, data))
         except RuntimeError as fault:  # it is ended unread
+            client.why = "no thread"
             self.log.say("accept", f"no thread for a connection: {fault}")
             return False
         return True
@@ -407,7 +412,7 @@
                     # Who has just connected is about to ask: it has the time that a first request has.
                     span = SILENT_DRAIN if client.stage is Stage.SILENT else NONE
                     if waits and life.ends_idle(client.since + span, now):
-                        self._end(client)
+                        self._end(client, "drain")
                 if not self._clients and not life.takes_messages(now):
                     return
                 self._room.wait(seconds(DRAIN_LOOK))
@@ -420,7 +425,7 @@
         with self._room:
             while len(self._clients) >= self.most:
                 if (client := self._stages.idlest(self.clock.now())) is not None:
-                    self._end(client, cut=True)
+                    self._end(client, "made room", cut=True)
                     self.log.say("crowded", f"{self.most} client connections: the idlest ends")
                 self._room.wait(seconds(SILENT_TIME) / 4)
 
@@ -433,16 +438,18 @@
             while self._exchange(client, parser):
                 pass
         except MovedError:
-            pass
-        except OSError:
-            pass  # the client is gone
-        except Exception as fault:  # a fault in reading one client must not end the sender
-            self.log.say("error", f"a connection was ended: {type(fault).__name__}: {fault}")
+            client.why = "passed on"
+        except OSError as fault:
+            client.why = f"broken: {errno.errorcode.get(fault.errno or 0, type(fault).__name__)}"
+        except Exception:  # a fault in reading one client must not end the sender
+            client.why = "error"
+            self.log.say("error", f"connection {client.number} was ended: {traceback.format_exc()}")
         finally:
             self._leave(client)
 
     def _leave(self, client: Client) -> None:
         """The one way in which a connection is closed."""
+        self.log.counters.add("connection closed", client.why)
         if client.told and not client.moved:
             self._part(client)
         if client.shared and not client.moved:  # closing alone does not end what another process has open
@@ -480,6 +487,7 @@
         except http.BadMessageError as fault:
             self.log.say("bad", f"{fault}, answered {fault.status}")
             # Framing is lost: this is the last answer.
+            client.why = "bad or slow request"
             client.write(http.write_answer(fault.status, [("Connection", "close")], f"{fault}\n".encode()))
             return False
         if found is None:
@@ -492,7 +500,7 @@
             client.asked += 1
         except MovedError:
             self._pass_on(client, again(head, body, bytes(parser.buffer)), arrived, read_at)
-            reply = self._back_off(RETRY)  # and its last answer here
+            reply = self._back_off(RETRY, "not passed on")  # and its last answer here
             client.ending = True
         except RefusedError as fault:
             self.log.say("bad", f"{fault}, answered {fault.status}")
@@ -500,7 +508,8 @@
             client.bad += 1
             client.asked += 1
         except Exception as fault:  # a request must not go unanswered, nor end the sender
-            self.log.say("error", f"a request was answered 500: {type(fault).__name__}: {fault}")
+            self.log.say("error", f"connection {client.number}: a request was answered 500: "
+                         f"{type(fault).__name__}: {fault}: {traceback.format_exc()}")
             reply = Reply(500)
             client.asked += 1
         # What has been read of a further request is owed its answer, too.
@@ -509,7 +518,10 @@
         data = http.write_answer(reply.status, [*reply.headers, *last], reply.body)
         try:
             client.write(data[:-len(reply.body)] if head.method == "HEAD" and reply.body else data)
-        except OSError:
+        except OSError as fault:
+            client.why = "gone before its answer"
+            self.log.say("unanswered", f"connection {client.number}: {reply.status} could not be written"
+                         f"{f' for {reply.taken}, withdrawn' if reply.taken else ''}: {fault}")
             if reply.taken is not None:
                 self.owner.post(Withdraw(reply.taken, reply.ticket))
             return False
@@ -518,6 +530,8 @@
             pause = min(BAD_PAUSE_MOST, BAD_PAUSE * 2 ** min(client.bad - 1, 10))
             client.at(Stage.LEAVING, self.clock.now())
             self._pause.wait(seconds(pause))
+        if last:
+            client.why = "last answer"
         return not last
 
     def _read(self, client: Client, parser: http.Parser) -> tuple[tuple[http.Head, bytes] | None, datetime]:
@@ -546,6 +560,7 @@
             if not client.moved and not client.readable(ends - self.clock.now()):
                 if parser.begun:
                     raise http.BadMessageError(408, "a request came too slowly")
+                client.why = "idle"
                 return None, arrived
             with client.lock:  # what another process is to read must not be read here
                 if client.moved:
@@ -588,14 +603,14 @@
         """Its body into the store, itself into the owner's queue, and the verdict as HTTP has it."""
         if not self.standing.life.takes_messages(self.clock.now()):
             self.log.say("drained", f"back-off answer to {taken.ref}: this sender is being kept empty")
-            return self._back_off(RETRY)
+            return self._back_off(RETRY, "drained")
         # Counted from the last byte: a large body may have been on its way for longer than all this.
         due = max(read_at + PATIENCE, self.clock.now() + PATIENCE_LEAST)
         found = self._keep(taken, due)
         if isinstance(found, Admission):
             self.log.say("full", f"back-off answer to {taken.ref} for destination {taken.destination}: "
                          f"{found.reason}")
-            return self._back_off(RETRY)
+            return self._back_off(RETRY, "no room for its body")
         taken, ticket = found, Ticket()
         self.owner.post(HandIn(taken, ticket))
         answer = ticket.wait(due - self.clock.now(), CLAIMED_PATIENCE)
@@ -605,17 +620,17 @@
             raise RuntimeError(f"{taken.ref} was taken up and never decided")
         if answer is None:
             self.log.say("late", f"{taken.ref} was not taken up in time: back-off answer")
-            answer = Answer(Verdict.BACK_OFF, RETRY)
+            return self._back_off(RETRY, "not taken up in time")
         if answer.verdict is Verdict.TAKEN:
             return Reply(202, taken=taken.ref, ticket=ticket)
         if answer.verdict is Verdict.CONFLICT:
             raise RefusedError(409, f"{taken.ref} is the id of another message")
         if answer.verdict is Verdict.BACK_OFF:
-            return self._back_off(answer.retry)
+            return self._back_off(answer.retry, answer.reason)
         return Reply(500, b"given up\n")
 
-    @staticmethod
-    def _back_off(retry: timedelta) -> Reply:
+    def _back_off(self, retry: timedelta, reason: str) -> Reply:
+        self.log.counters.add("request refused", reason)
         return Reply(503, headers=[("Retry-After", f"{millis(retry) / 1000:.3f}")])
 
     def _keep(self, taken: Taken, due: datetime) -> Taken | Admission:
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -73,6 +73,7 @@
 
     verdict: Verdict
     retry: timedelta = NONE
+    reason: str = "decided"  # of a rejection, as it is counted
 
 
 @dataclass(slots=True)
@@ -654,7 +655,7 @@
         if refusal is not None:
             sort, why = refusal
             self.bodies.discard(taken)
-            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF, sort))
             text = f"back-off answer to {taken.ref} for destination {taken.destination}"
             self.log.say(sort, f"{text}: {why}, {self._open} of {self.settings.holding_room} held")
             return
@@ -739,7 +740,7 @@
             self.log.say("conflict", f"{item.taken.ref} is open with another content, answered 409")
             item.ticket.settle(Answer(Verdict.CONFLICT))
         elif known.ticket is not None:  # not decided yet: to be told what the first is told would be a guess
-            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF, "its id is being decided"))
         else:
             known.confirmed = True
             item.ticket.settle(Answer(Verdict.TAKEN))
@@ -851,7 +852,7 @@
             self._unwritten = [r for r in records if r.ref not in unwritten]
             for owed in [self._owed[ref] for ref in unwritten if ref in self._owed]:
                 if owed.ticket is not None:
-                    owed.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+                    owed.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF, "journal not written"))
                     owed.ticket = None
                 owed.unwritten = True
                 self.bodies.discard(owed.taken)
--- a/willownotch/net/sockets.py
+++ b/willownotch/net/sockets.py
@@ -11,7 +11,10 @@
 import socket
 import time
 
+from willownotch.net.counters import Counters
+
 TRIES = 4
+RETRIES = Counters()  # of this process, by call and error
 RETRY_S = 0.002  # between tries, doubling
 # Without effect on the connection, or cleared by being reported once.
 MOMENTARY = frozenset({
@@ -34,10 +37,15 @@
         except OSError as fault:
             if fault.errno not in MOMENTARY or attempt + 1 == TRIES:
                 raise
-            time.sleep(RETRY_S * 2 ** attempt)
+            _pause("recv", fault, attempt)
     raise AssertionError("unreachable")
 
 
+def _pause(call: str, fault: OSError, attempt: int) -> None:
+    RETRIES.add(f"{call} again", errno.errorcode[fault.errno])
+    time.sleep(RETRY_S * 2 ** attempt)
+
+
 def send_all(sock: socket.socket, data: bytes) -> None:
     """As `sendall`, each byte once: what was written before a failure is not written again."""
     timeout = sock.gettimeout()
@@ -50,7 +58,7 @@
             failures += 1
             if fault.errno not in MOMENTARY or failures == TRIES:
                 raise
-            time.sleep(RETRY_S * 2 ** (failures - 1))
+            _pause("send", fault, failures - 1)
         if view and ends is not None:
             left = ends - time.monotonic()
             if left <= 0:
@@ -66,7 +74,7 @@
         except OSError as fault:
             if fault.errno not in MOMENTARY or attempt + 1 == TRIES:
                 raise
-            time.sleep(RETRY_S * 2 ** attempt)
+            _pause("poll", fault, attempt)
     raise AssertionError("unreachable")
 
 
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -239,6 +239,7 @@
             relay.told = True
             self._out.pop((relay.taken.ref, relay.number), None)
         ended.took = self.clock.now() - relay.begun_at
+        self.log.counters.add("retry ended" if relay.number else "attempt ended", ended.outcome.name.lower())
         if ended.wait:
             # Told to the other workers now: a relay may already have left the owner's hands.
             self.wait(relay.host.destination, ended.wait)
--- a/willownotch/startup.py
+++ b/willownotch/startup.py
@@ -18,6 +18,7 @@
 T = TypeVar("T")
 PATIENCE = timedelta(seconds=6)  # of the 10 s that a restarted process has until it is ready
 PAUSE, PAUSE_MOST = timedelta(milliseconds=20), timedelta(milliseconds=300)  # between tries, doubling
+TELL_EACH_S = 1.0  # between two lines on one step
 PASSING = frozenset({
     errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE,
     errno.EAGAIN, errno.EINTR, errno.EIO, errno.ENOSPC, errno.EDQUOT, errno.ESTALE, errno.EBUSY,
@@ -37,7 +38,7 @@
 
         `InterruptedError` if the process is to end.
         """
-        began, pause = time.monotonic(), seconds(PAUSE)
+        began, pause, told = time.monotonic(), seconds(PAUSE), 0.0
         while True:
             try:
                 return step()
@@ -45,7 +46,9 @@
                 waited = time.monotonic() - began
                 if fault.errno not in PASSING or (patience is not None and waited >= seconds(patience)):
                     raise
-                self.log.say("starting", f"waits for {what}: {fault}")
+                if time.monotonic() - told >= TELL_EACH_S:
+                    told = time.monotonic()
+                    self.log.say("starting", f"waits for {what}: {fault}")
             if self.stopped():
                 raise InterruptedError
             time.sleep(pause)
