--- a/willownotch/lab/soak/processes.py
+++ b/willownotch/lab/soak/processes.py
@@ -193,13 +193,17 @@
         self._signal(signal.SIGCONT)
         self.life.held.append((began, time.monotonic()))
 
-    def _drain(self) -> None:
+    def _quiesce(self) -> None:
+        self.life.drained_at.append(time.monotonic())
         self.ask(self.life, "quiesce")
+
+    def _drain(self) -> None:
+        self._quiesce()
         time.sleep(0.8)
         self.ask(self.life, "resume")
 
     def _upgrade_in_drain(self) -> None:
-        self.ask(self.life, "quiesce")
+        self._quiesce()
         self._upgrade()
         self.ask(self.life, "resume")
 
