Let the middle of three processes stay until the first one has passed everything on

It had passed the request on to the third and had not said so, so the first one answered 503 to a message that was accepted and sent. handover/giver.py `_leave` asked for its own clients and calls alone.

Each run has a process of its own now, measures its lateness and adds it to what it allows for time.

--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -560,3 +560,17 @@
     assert old.wait(PATIENCE) == 0
     until(lambda: any("log line (bad) 12" in line for line in said))
     sock.close()
+
+
+def test_the_middle_of_three_processes_stays_for_what_the_first_passes_on(chain):
+    """It ended with a connection of the first one in hand: that one answered 503 to a request that the third
+    had accepted (soak, seed 108)."""
+    half = chain.sender.connect()
+    data = chain.sender.message("status")
+    half.sendall(data[:60])
+    first, _ = chain.upgrade()
+    second, _ = chain.upgrade()
+    assert (first.poll(), second.poll()) == (None, None)
+    assert chain.sender.exchange(data[60:], half).status == 202
+    assert (first.wait(PATIENCE), second.wait(PATIENCE)) == (0, 0)
+    half.close()
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -355,6 +355,8 @@
     threads.start("notices", notices.run, forever=True)
     threads.start("listener", north.run, forever=True)
     giver = Giver(config.state, lock, clock, log, standing, owner, south, north, bodies, threads.start)
+    if legacy is not None:
+        giver.predecessor_gone = heir.gone.is_set
     if mesh is not None:  # its addresses are the next process's
         giver.released.append(mesh.stop)
     if following is not None:
--- a/willownotch/handover/giver.py
+++ b/willownotch/handover/giver.py
@@ -55,6 +55,7 @@
         self._passing: ClientPassing | None = None  # once everything is given
         self._lock_passed = False  # as a descriptor, so that no third process can take it in between
         self._gone = threading.Event()  # the other process has ended
+        self.predecessor_gone: Callable[[], bool] = lambda: True  # what it passes on goes through this one
 
     def listen(self) -> bool:
         """Whether it can be asked now; until then, this process serves all the same."""
@@ -243,6 +244,9 @@
     def _calls_out(self) -> int:
         return self.south.outside() + self.owner.remote_calls()
 
+    def _finished(self) -> bool:
+        return self.predecessor_gone() and not self._calls_out() and not self.north.present()
+
     def _leave(self, link: Link) -> None:
         """End the process once all calls have ended and all clients are gone from here.
 
@@ -251,7 +255,7 @@
         """
         ends = self.clock.now() + LEAVE_TIME
         self._carry_out(*self.released)
-        while self.clock.now() < ends and (self._calls_out() or self.north.present()):
+        while self.clock.now() < ends and not self._finished():
             if self._gone.wait(seconds(LOOK)):
                 self.log.say("upgrade", f"ends with {self._calls_out()} calls out, which may have run")
                 ends = min(ends, self.clock.now() + ANSWER_TIME)
--- a/willownotch/handover/taker.py
+++ b/willownotch/handover/taker.py
@@ -3,6 +3,7 @@
 
 import os
 import socket
+import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -114,6 +115,7 @@
 
     def __init__(self, legacy: Legacy, log: Log, owner: Owner, south: South, north: North) -> None:
         self.link, self.log, self.owner, self.south, self.north = legacy.link, log, owner, south, north
+        self.gone = threading.Event()  # the old process has ended, and all that it sent was taken
 
     def call_off(self, relay: Relay) -> None:
         """Have the old process stop waiting for a call."""
@@ -135,6 +137,7 @@
             self.log.say("upgrade", f"the process before is not heard any more: {fault}")
         self.owner.post(RemoteEnded(gone=True))
         self.link.close()
+        self.gone.set()
 
     def _adopt(self, frame: Frame) -> None:
         """Go on with a client, or say that it cannot be done: then the old process answers it."""
--- a/willownotch/lab/soak/__main__.py
+++ b/willownotch/lab/soak/__main__.py
@@ -5,7 +5,8 @@
 from __future__ import annotations
 
 import sys
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from pathlib import Path
 
 import click
@@ -27,6 +28,11 @@
     return found
 
 
+def play_seed(seconds: float, senders: int | None, program: Path, seed: int) -> Report:
+    """One seed, in a process of its own where several are played beside one another."""
+    return play(draw(seed, seconds, senders), program)
+
+
 def row(report: Report) -> dict:
     """A run as the result file has it."""
     return {"seed": report.plan.seed, "plan": report.plan.describe(), "counts": report.counts(),
@@ -47,8 +53,8 @@
          program: Path, lines: bool) -> None:
     """Play whole senders with faults drawn from seeds; exit code 1 if a rule was broken."""
     rows = []
-    with ThreadPoolExecutor(beside) as pool:
-        for report in pool.map(lambda seed: play(draw(seed, seconds, senders), program), seeds_of(seeds)):
+    with ProcessPoolExecutor(beside) as pool:
+        for report in pool.map(partial(play_seed, seconds, senders, program), seeds_of(seeds)):
             print(report.text(), flush=True)
             if lines:
                 began = report.records.began
--- a/willownotch/lab/soak/clients.py
+++ b/willownotch/lab/soak/clients.py
@@ -13,6 +13,7 @@
 ANSWER_S = 2.0  # how long an answer is waited for here; a client of the pages waits 0.4 s
 CONNECT_S = 1.0
 BODY_MOST, LARGE_BODY_MOST = 400, 60_000  # bytes
+PAUSE_EACH_S = 0.0006  # between two requests of a client, for each other client of the run
 CLASSES = ("order", "status", "fee")
 
 
@@ -20,12 +21,13 @@
     """One client. With `kept` it uses a connection for as long as that stays open."""
 
     def __init__(self, records: Records, sender: int, address: tuple[str, int], number: int, random: Random,
-                 stop: threading.Event) -> None:
+                 stop: threading.Event, others: int = 0) -> None:
         self.records, self.sender, self.address, self.number = records, sender, address, number
         self.random, self.stop = random, stop
         self.kept = random.random() < 0.8
         self.pieces = random.random() < 0.3
-        self.pause_s = random.choice((0.0, 0.005, 0.03, 0.2))
+        # Many that never pause would measure this process, not the senders.
+        self.pause_s = random.choice((0.0, 0.005, 0.03, 0.2)) + PAUSE_EACH_S * others
         self.key = f"k{sender}-{number}" if random.random() < 0.3 else None
         self._sock: socket.socket | None = None
         self._count, self._rested = 0, 0.0
--- a/willownotch/lab/soak/processes.py
+++ b/willownotch/lab/soak/processes.py
@@ -35,13 +35,16 @@
     "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 2.0, "fallS": 2.0, "keyQuietS": 0.3},
     "callers": {"marksRetry": True}, "weightKind": "rough", "zones": ["here"],
 }
-PORTS = iter(range(20000 + os.getpid() % 5000, 32000))  # each is given once; `next` is atomic
+PORT_FIRST, PORT_SHARE, PORT_PARTS = 16000, 160, 100  # a part for each process that plays
 MANAGED = re.compile(r"operators are answered at ([\d.]+):(\d+)")
 
 
 def free_port() -> int:
     """A port that nobody has now, and that no connection is given: below the range of those."""
-    for port in PORTS:
+    if not free_port.left:
+        first = PORT_FIRST + os.getpid() % PORT_PARTS * PORT_SHARE
+        free_port.left = iter([*range(first, first + PORT_SHARE)] * PORT_PARTS)
+    for port in free_port.left:
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
@@ -51,6 +54,9 @@
     raise OSError("no port is free")
 
 
+free_port.left = None
+
+
 class SenderProcesses:
     """One sender: its folder, its address, and one process after another."""
 
--- a/willownotch/lab/soak/records.py
+++ b/willownotch/lab/soak/records.py
@@ -88,6 +88,7 @@
     """All of one run. Any thread may add."""
 
     began: float = 0.0  # when the load began
+    late_s: float = 0.0  # the most that the harness itself was late
     requests: list[Request] = field(default_factory=list)
     contents: dict[str, Content] = field(default_factory=dict)
     calls: list[Call] = field(default_factory=list)
@@ -96,3 +97,7 @@
     struck: dict[str, int] = field(default_factory=dict)  # system calls that failed
     actions: list[str] = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def __getstate__(self) -> dict:
+        """Without the lock, which stays in its process."""
+        return {name: value for name, value in self.__dict__.items() if name != "lock"}
--- a/willownotch/lab/soak/run.py
+++ b/willownotch/lab/soak/run.py
@@ -18,6 +18,7 @@
 from willownotch.lab.soak.verdict import Broken, judge
 
 SETTLE_S = 12.0  # after the last request, for all endings: longer than any message is given, and a restart
+HEARTBEAT_S = 0.005
 JITTER_S = 0.002  # of the way to endpoints
 
 
@@ -42,6 +43,7 @@
         found |= {"202": sum(r.status == 202 for r in answered),
                   "503": sum(r.status == 503 for r in answered),
                   "answered after 0.4 s": sum(r.ended - r.written > 0.4 for r in answered),
+                  "the harness late by at most, ms": int(self.records.late_s * 1000),
                   "calls": len(self.records.calls), "notices": len(self.records.notices),
                   "processes": len(self.records.lifetimes), "failed system calls": sum(
                       self.records.struck.values())}
@@ -68,7 +70,7 @@
         discovery = f"127.0.0.1:{self.platform.address[1]}"
         self.senders = [SenderProcesses(n, plan, self.records, folder, discovery, program)
                         for n in range(plan.senders)]
-        self.stop = threading.Event()
+        self.stop, self.settling = threading.Event(), False
 
     def weather(self) -> Weather:
         """The plan's, as of now."""
@@ -88,16 +90,19 @@
                 client.thread.start()
             threads = [threading.Thread(target=self._steps, args=(sender,)) for sender in self.senders]
             threads.append(threading.Thread(target=self._change_proxy))
+            threading.Thread(target=self._measure_lateness, daemon=True).start()
             for thread in threads:
                 thread.start()
             for thread in threads:
                 thread.join()
             self.stop.wait(max(0.0, self.began + self.plan.seconds - time.monotonic()))
+            self.settling = True
             self.stop.set()
             for client in clients:
                 client.thread.join(10.0)
             self._settle()
         finally:
+            self.settling = False
             self.stop.set()
             now = time.monotonic()
             for sender in self.senders:
@@ -111,7 +116,8 @@
         found: list[Client | IdleCrowd] = []
         for sender in self.senders:
             found += [Client(self.records, sender.number, sender.address, n,
-                             Random(self.plan.seed * 7919 + sender.number * 101 + n), self.stop)
+                             Random(self.plan.seed * 7919 + sender.number * 101 + n), self.stop,
+                             self.plan.clients * self.plan.senders)
                       for n in range(self.plan.clients)]
             if self.plan.idle:
                 found.append(IdleCrowd(sender.address, self.plan.idle, self.stop))
@@ -139,6 +145,14 @@
             for proxy in self.proxies:
                 proxy.trouble = Trouble(jitter_s=JITTER_S, reset=weather.break_pieces)
 
+    def _measure_lateness(self) -> None:
+        """How late this process itself is: its threads share one interpreter and the machine."""
+        while not self.stop.is_set() or self.settling:
+            began = time.monotonic()
+            time.sleep(HEARTBEAT_S)
+            late = time.monotonic() - began - HEARTBEAT_S
+            self.records.late_s = max(self.records.late_s, late)
+
     def _settle(self) -> None:
         """Until every accepted message has an end, or there has been time for it."""
         ends = time.monotonic() + SETTLE_S
--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -99,15 +99,16 @@
         ends[ref] = min(at, ends.get(ref, at))
     found = []
     for ref, request in accepted.items():
-        due = request.written + request.left_s + END_SLACK_S + LOAD_SLACK_S
+        slack = LOAD_SLACK_S + 2 * records.late_s  # once for the end, once for what it is counted from
+        due = request.written + request.left_s + END_SLACK_S + slack
         for began, ended in _windows(records, request.sender):
             if began <= due:
-                due = max(due, ended + AFTER_READY_S + LOAD_SLACK_S)
+                due = max(due, ended + AFTER_READY_S + slack)
         for life in records.lifetimes:
             if life.sender == request.sender and life.stop_at is not None and life.stop_at <= due:
                 following = [x.ready for x in records.lifetimes if x.sender == life.sender
                              and x.began > life.began and x.ready is not None]
-                due = max(due, min(following, default=due) + AFTER_READY_S)
+                due = max(due, min(following, default=due) + AFTER_READY_S + slack)
         if ref not in ends and now > due:
             found.append(Broken("no ending", f"n{request.sender} {ref} ({request.message_class}) accepted at "
                                 f"{request.ended:.3f}, due at {due:.3f}"))
