--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -260,6 +260,27 @@
         assert two.next()[0].target == "/more"
 
 
+def test_a_request_at_the_bounds_of_a_head_can_be_passed_on():
+    """Written again it has a space and a line more than it came with: it was answered 431 by the next one."""
+    from willownotch.net.north import again
+
+    lines = b"".join(b"x%d:%s\r\n" % (n, b"v" * 157) for n in range(99))
+    bare = b"POST /api HTTP/1.1\r\n" + lines + b"Transfer-Encoding:chunked\r\n"
+    raw = bare + b"y" * 0 + b"\r\n2\r\nhi\r\n0\r\n\r\n"
+    assert http.HEAD_MOST - 300 < len(bare) < http.HEAD_MOST
+    one, two = http.Parser(answer=False), http.Parser(answer=False)
+    one.feed(raw)
+    head, body = one.next()
+    two.slack = http.REWRITTEN_SLACK
+    two.feed(again(head, body, b""))
+    passed, same = two.next()
+    assert same == body == b"hi" and passed.headers["x98"] == "v" * 157
+    plain = http.Parser(answer=False)
+    plain.feed(again(head, body, b""))
+    with pytest.raises(http.BadMessageError):
+        plain.next()
+
+
 def test_a_connection_counts_as_present_until_the_other_process_has_it():
     """The old process ended between marking a connection as passed on and passing it."""
     import json
--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -4,11 +4,13 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 
 import pytest
-from toys import PATIENCE, SETTINGS, Discovery, Host, Sender, until
+from toys import PATIENCE, ROOT, SETTINGS, Discovery, Host, Sender, until
 
 from willownotch.handover import giver as predecessor
 from willownotch.handover import passing, wire
@@ -574,3 +576,42 @@
     assert chain.sender.exchange(data[60:], half).status == 202
     assert (first.wait(PATIENCE), second.wait(PATIENCE)) == (0, 0)
     half.close()
+
+
+def test_a_call_whose_process_is_held_up_is_waited_for_no_longer_than_its_time(chain):
+    """The old process is stopped with a call out: its message and its key wait for the call's time alone."""
+    chain.host.held.clear()
+    fee, head = chain.sender.hand_in("fee", key="k", left=3000)
+    assert head.status == 202
+    until(lambda: fee in chain.host.refs())
+    first, _ = chain.upgrade()
+    first.send_signal(signal.SIGSTOP)
+    try:
+        until(lambda: any(n["message"] == fee for n in chain.discovery.notices))
+        until(lambda: any("has not told the end of attempt" in line for line in chain.sender.lines))
+        chain.host.held.set()
+        after, head = chain.sender.hand_in("fee", key="k")
+        assert head.status == 202
+        until(lambda: after in chain.host.refs())
+        assert chain.host.refs().count(fee) == 1
+    finally:
+        first.send_signal(signal.SIGCONT)
+
+
+def test_a_log_that_nobody_reads_holds_nothing_up():
+    """A write to a full pipe waits for good, with the lock that every thread's line needs."""
+    reading, writing = os.pipe()
+    program = """
+import sys
+from willownotch.net.clock import Clock
+from willownotch.net.log import Log
+log = Log(Clock())
+for n in range(3000):
+    log.say(f"sort{n}", "x" * 100)
+print(log.counters.snapshot()["log line lost"]["nobody reads them"])
+"""
+    done = subprocess.run([sys.executable, "-c", program], cwd=ROOT, stderr=writing, stdout=subprocess.PIPE,
+                          timeout=PATIENCE, check=True)
+    assert int(done.stdout) > 1000
+    for descriptor in (reading, writing):
+        os.close(descriptor)
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import threading
+import time
 import traceback
 from collections.abc import Callable
 from datetime import timedelta
@@ -55,6 +56,7 @@
     from willownotch.controlplane.sender import Following
     from willownotch.mesh import Mesh
 
+THREAD_TRIES, THREAD_PAUSE_S = 3, 0.01
 STACK = 256 * 1024  # bytes for each thread: nothing here recurses
 STOP_AFTER = timedelta(seconds=5)  # from SIGTERM to an end of its own, where no SIGKILL has come
 # From SIGTERM, and for what is being read then: SIGKILL may come `KILL_AFTER` on, and what has been read by
@@ -75,7 +77,15 @@
 
     def start(self, name: str, work: Callable[[], None], forever: bool = False) -> None:
         """Run `work` on a thread; with `forever` even its return counts as a death."""
-        threading.Thread(target=self._guard, args=(name, work, forever), name=name, daemon=True).start()
+        for attempt in range(THREAD_TRIES):
+            try:
+                threading.Thread(
+                    target=self._guard, args=(name, work, forever), name=name, daemon=True).start()
+                return
+            except RuntimeError:  # the machine has no thread to give for the moment
+                if attempt + 1 == THREAD_TRIES:
+                    raise
+                time.sleep(THREAD_PAUSE_S)
 
     def _guard(self, name: str, work: Callable[[], None], forever: bool) -> None:
         try:
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -1,8 +1,10 @@
 """The configuration of one sender: JSON into the few values used, then into the module's settings."""
 from __future__ import annotations
 
+import errno
 import os
 import re
+import time
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import replace
 from datetime import timedelta
@@ -16,7 +18,8 @@
 from willownotch.net.rules import Rules, rules_of
 
 MOST_PERIOD_S = 0.05  # s between two rounds: a client's answer waits for one
-
+READ_TRIES, READ_PAUSE_S = 30, 0.05
+READ_AGAIN = {errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EINTR, errno.EAGAIN, errno.ESTALE}
 
 Overlay = Callable[[Any], Any]  # of a file's decoded text, what holds of it
 
@@ -303,7 +306,19 @@
     if not named:
         raise ConfigError("no configuration: set LB_CONFIG or give --config FILE")
     try:
-        text = Path(named).read_bytes()
+        text = _read_patiently(Path(named))
     except OSError as fault:
         raise ConfigError(f"the configuration cannot be read: {fault}") from None
     return read_config(text, env, old, overlay)
+
+
+def _read_patiently(path: Path) -> bytes:
+    """A file's bytes; what a disk or the machine refuses for a moment is tried again."""
+    for attempt in range(READ_TRIES):
+        try:
+            return path.read_bytes()
+        except OSError as fault:
+            if fault.errno not in READ_AGAIN or attempt + 1 == READ_TRIES:
+                raise
+            time.sleep(READ_PAUSE_S)
+    raise AssertionError("unreachable")
--- a/willownotch/net/http.py
+++ b/willownotch/net/http.py
@@ -11,6 +11,7 @@
 
 HEAD_MOST, BODY_MOST, LINE_MOST = 16 * 1024, 64 * 1024, 1024  # bytes: a head, a body, a chunk-size line
 HEADERS_MOST = 100
+REWRITTEN_SLACK = 256  # what a head may grow by as it is written again: spaces, a host, a length
 READ = 65536  # bytes asked of a socket at a time; at half of it, floods cost more rounds of parsing
 REASONS = {
     100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
@@ -66,7 +67,8 @@
     return Head(int(found[4]), method=found[1].decode(), target=found[2].decode())
 
 
-def read_headers(head: Head, lines: Iterable[bytes], optional: tuple[bytes, ...] = ()) -> None:
+def read_headers(head: Head, lines: Iterable[bytes], optional: tuple[bytes, ...] = (),
+                 most: int = HEADERS_MOST) -> None:
     """The header lines into the head. A list given twice is joined; a length given twice must agree.
 
     An optional one is left out where its value cannot be read: it spoils no message that is good without it.
@@ -77,7 +79,7 @@
             continue
         if not colon or not TOKEN.match(name) or BAD_VALUE.search(value):
             raise BadMessageError(400, "malformed header line")
-        if count >= HEADERS_MOST:
+        if count >= most:
             raise BadMessageError(431, "too many headers")
         key, text = name.decode().lower(), value.strip(b" \t").decode("latin-1")
         known = head.headers.get(key)
@@ -150,6 +152,7 @@
     def __init__(self, answer: bool, body_most: int = BODY_MOST, stream: bool = False,
                  optional: tuple[bytes, ...] = ()) -> None:
         self.answer, self.body_most, self.stream, self.optional = answer, body_most, stream, optional
+        self.slack = 0  # bytes and lines of a head that another process's writer may have added
         self.buffer = bytearray()
         self.eof = False
         self._reset()
@@ -194,7 +197,7 @@
                 del self.buffer[:2]  # an empty line before a request is passed over, however it was cut
                 self._searched = 0
             end = self.buffer.find(b"\r\n\r\n", max(0, self._searched - 3))
-            if max(end, len(self.buffer) if end < 0 else 0) > HEAD_MOST:
+            if max(end, len(self.buffer) if end < 0 else 0) > HEAD_MOST + self.slack:
                 raise BadMessageError(431, "head too large")
             if end < 0:
                 self._searched = len(self.buffer)
@@ -202,7 +205,7 @@
             lines = bytes(self.buffer[:end]).split(b"\r\n")
             del self.buffer[:end + 4]
             head = read_first_line(lines[0], self.answer)
-            read_headers(head, lines[1:], self.optional)
+            read_headers(head, lines[1:], self.optional, HEADERS_MOST + self.slack)
             if self.answer and 100 <= head.status < 200:
                 self._reset()
                 continue
--- a/willownotch/net/log.py
+++ b/willownotch/net/log.py
@@ -1,6 +1,9 @@
 """Lines to standard error by plain print, so many a second of each sort at the most."""
 from __future__ import annotations
 
+import os
+import select
+import stat
 import sys
 import threading
 from datetime import UTC, datetime, timedelta
@@ -12,12 +15,26 @@
 MOST = 5  # lines of one sort in a period
 
 
+def pipe_of_stderr() -> select.poll | None:
+    """What tells whether standard error takes a line, where that is a pipe, which may be full."""
+    try:
+        mode = os.fstat(sys.stderr.fileno()).st_mode
+    except (OSError, ValueError, AttributeError):
+        return None
+    if not stat.S_ISFIFO(mode):
+        return None
+    found = select.poll()
+    found.register(sys.stderr, select.POLLOUT)
+    return found
+
+
 class Log:
     """`say` prints a line under its sort; what the rate keeps back is counted and told afterwards."""
 
     def __init__(self, clock: Clock, name: str = "-", stream=None) -> None:
         self.clock, self.name, self.stream = clock, name, stream
         self.counters = Counters()  # of lines by sort, those kept back too, and of what others count here
+        self._pipe = pipe_of_stderr() if stream is None else None
         self._lock = threading.Lock()
         self._spent: dict[str, tuple[datetime, int]] = {}
 
@@ -33,6 +50,9 @@
             self._spent[sort] = (began, count + 1)
             if count >= MOST:
                 return
+            if self._pipe is not None and not self._pipe.poll(0):
+                self.counters.add("log line lost", "nobody reads them")  # a write would wait for good
+                return
             more = f" ({kept_back} more such lines were kept back)" if kept_back and count == 0 else ""
             stamp = f"{datetime.now(UTC):%Y-%m-%dT%H:%M:%S.%f}Z"  # as others read it: the wall clock
             line = f"{stamp} {self.name} {sort}: {text}{more}".replace("\n", " | ")
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -434,6 +434,7 @@
             sockets.without_delay(client.sock)
             parser = http.Parser(answer=False)
             if data:
+                parser.slack = http.REWRITTEN_SLACK  # for the request that came with it
                 parser.feed(data)
             while self._exchange(client, parser):
                 pass
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -46,6 +46,7 @@
 BACK_OFF = timedelta(milliseconds=500)  # told with a back-off answer where the module has no better figure
 FIRST_NEWS = timedelta(milliseconds=300)  # recovered messages wait so long for the watch's first word
 KILL_AFTER = timedelta(milliseconds=3500)  # SIGKILL comes no sooner after SIGTERM, with some margin
+REMOTE_GRACE = timedelta(seconds=1)  # after a call's time, for the process before to tell its end
 REMEMBERED = timedelta(seconds=15)  # ended messages whose id is still known, should it be handed in again
 BATCH_MOST = 256
 OUTLOOKS_SPARE = 64  # destinations remembered beyond the listed ones before they are forgotten
@@ -398,6 +399,8 @@
                 owed.out[out.number] = relay
                 if out.gated:
                     self._gate(relay)
+                else:  # should the other process say nothing: hung, or held up
+                    heapq.heappush(self._timers, (out.ends_at + REMOTE_GRACE, next(self._order), relay))
         for taken, ended in estate.unanswered:
             self._owe_notice(taken, ended)
         for ref in self.lost_bodies:
@@ -811,7 +814,9 @@
         """Timers that are due: the module's, and those of relays still behind a gate."""
         while self._timers and self._timers[0][0] <= now:
             thing = heapq.heappop(self._timers)[2]
-            if isinstance(thing, Relay):
+            if isinstance(thing, Relay) and thing.remote:
+                self._give_up_remote(thing, now)
+            elif isinstance(thing, Relay):
                 waiting = self._gated.get(thing.taken.key or "", [])
                 if thing in waiting:
                     waiting.remove(thing)
@@ -819,6 +824,14 @@
             else:
                 events.append(face.Timer(thing))
 
+    def _give_up_remote(self, relay: Relay, now: datetime) -> None:
+        """Wait no longer for the process before to tell a call's end: it holds a slot and its key."""
+        owed = self._owed.get(relay.taken.ref)
+        if owed is not None and owed.out.get(relay.number) is relay:
+            self.log.say("upgrade", f"the process before has not told the end of attempt {relay.number} of "
+                         f"{relay.taken.ref}: it may have run")
+            self.post(RelayEnded(relay, face.Outcome.TIMED_OUT, now - relay.begun_at))
+
     def _endings(self, actions: list[face.Action], records: list[Record],
                  fresh: list[Owed]) -> dict[str, Ended]:
         """The module's final answers. One given in the hand-in's own round needs no record and no notice."""
