--- /dev/null
+++ b/tests/test_files_replaced.py
@@ -0,0 +1,123 @@
+"""The journal's file where closing or replacing fails, and where a kill has cut a record at any byte."""
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+import pytest
+
+from willownotch.files.layer import Files
+from willownotch.files.replacing import replace_file
+from willownotch.files.space import Space
+from willownotch.journal.records import Ended, Opened, Taken, frame
+from willownotch.net.journal import NAME, Journal
+from willownotch.net.timebase import Origin, continues
+
+NOW = datetime(2026, 12, 2, tzinfo=UTC)
+DISK = 1_000_000
+
+
+def taken(ref, at=NOW, left=timedelta(seconds=8)):
+    return Taken(ref, 7, "status", "acme", at + left, body=b"hello", at=at)
+
+
+class Failing(Files):
+    """Fails the calls that are named, once each."""
+
+    def __init__(self):
+        self.failing = set()
+        self.open_files = set()
+
+    def _fails(self, call):
+        if call in self.failing:
+            self.failing.discard(call)
+            raise OSError(5, "Input/output error")
+
+    def create(self, path):
+        file = super().create(path)
+        self.open_files.add(file)
+        return file
+
+    def close(self, file):
+        super().close(file)
+        self.open_files.discard(file)
+        self._fails("close")
+
+    def replace(self, old, new):
+        super().replace(old, new)  # it has taken effect
+        self._fails("replace")
+
+
+def opened(folder, files=None):
+    journal = Journal(folder, Space(DISK, 0.5), files or Files())
+    journal.open(NOW)
+    return journal
+
+
+def test_a_close_that_fails_leaves_the_new_file_in_use(tmp_path):
+    """Records went to the old descriptor's number, which could be anybody's by then."""
+    files = Failing()
+    journal = opened(tmp_path, files)
+    journal.append([taken("a")])
+    files.failing.add("close")
+    journal.compact()
+    journal.append([taken("b")])
+    assert list(opened(tmp_path).live) == ["a", "b"] and len(files.open_files) == 1
+
+
+def test_a_rename_that_fails_after_it_took_effect_loses_no_record(tmp_path):
+    """The old descriptor led to a file that has no name any more."""
+    files = Failing()
+    journal = opened(tmp_path, files)
+    journal.append([taken("a")])
+    files.failing.add("replace")
+    with pytest.raises(OSError):
+        journal.compact()
+    journal.append([taken("b")])
+    assert list(opened(tmp_path).live) == ["a", "b"]
+
+
+def test_a_record_cut_at_any_byte_costs_only_itself(tmp_path):
+    whole = [frame(taken("a")), frame(Opened("a", 0, NOW, "h")), frame(taken("b"))]
+    last = frame(Ended("b", "given_up"))
+    for cut in range(len(last)):
+        (tmp_path / NAME).write_bytes(b"".join(whole) + last[:cut])
+        journal = opened(tmp_path)
+        assert list(journal.live) == ["a", "b"] and journal.live["b"].ended is None
+        journal.append([taken("c")])
+        assert list(opened(tmp_path).live) == ["a", "b", "c"], cut
+
+
+def test_a_message_from_after_now_lives_no_longer_than_it_was_given(tmp_path):
+    """The wall clock was set back by an hour over a reboot."""
+    later = NOW + timedelta(hours=1)
+    (tmp_path / NAME).write_bytes(frame(taken("a", later)) + frame(Opened("a", 0, later, "h"))
+                                  + frame(taken("b", NOW - timedelta(seconds=1))))
+    journal = opened(tmp_path)
+    assert journal.live["a"].taken.ends_at == NOW + timedelta(seconds=8)
+    assert journal.live["a"].opened[0].at == NOW
+    assert journal.live["b"].taken.ends_at == NOW + timedelta(seconds=7)
+    assert any("1 messages have times after now" in fault for fault in journal.faults)
+
+
+@pytest.mark.parametrize("origin,holds", [
+    (None, False), (Origin("b1", NOW, 100.0), True), (Origin("b1", NOW, 200.0), True),
+    (Origin("b1", NOW, 200.1), False), (Origin("b2", NOW, 100.0), False), (Origin("", NOW, 100.0), False),
+])
+def test_times_go_on_in_the_same_boot_alone(origin, holds):
+    boot = origin.boot if origin is not None and not origin.boot else "b1"
+    assert continues(origin, boot, 200.0) == holds
+
+
+def test_a_file_is_replaced_whole_or_not_at_all(tmp_path):
+    path, files = Path(tmp_path / "x"), Failing()
+    replace_file(files, path, b"one")
+    assert path.read_bytes() == b"one" and not files.open_files
+    with pytest.raises(OSError):
+        replace_file(Full(), path, b"two")
+    assert path.read_bytes() == b"one" and sorted(p.name for p in tmp_path.iterdir()) == ["x"]
+
+
+class Full(Files):
+    """A disk without room."""
+
+    def append(self, file, data):
+        raise OSError(28, "No space left on device")
