--- a/examples/control_plane.py
+++ b/examples/control_plane.py
@@ -3,6 +3,7 @@
 Starts three members, the example platform and a sender that follows them; sets an entry, waits until it is in
 force at the sender, rolls it back, and ends everything. Exits with 0 only if both revisions came into force.
 """
+
 import json
 import secrets
 import subprocess
@@ -20,8 +21,13 @@
 
 def ask(socket, *words):
     """What a command of `willownotch config` prints."""
-    found = subprocess.run([sys.executable, "-m", "willownotch", "config", *words, "--socket", str(socket)],
-                           cwd=ROOT, text=True, capture_output=True, timeout=PATIENCE)
+    found = subprocess.run(
+        [sys.executable, "-m", "willownotch", "config", *words, "--socket", str(socket)],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=PATIENCE,
+    )
     if found.returncode:
         raise SystemExit(f"it ended with {found.returncode}: {found.stderr}")
     return found.stdout
@@ -41,7 +47,8 @@
 def member_settings(folder, name, seeds):
     """The settings file of a member."""
     file = folder / f"{name}.conf"
-    file.write_text(f"""peers {{
+    file.write_text(
+        f"""peers {{
     listen 127.0.0.1:0
     name   {name}
     keys   {folder}/keys
@@ -55,7 +62,9 @@
 control {{
     socket {folder}/{name}.socket
 }}
-""", encoding="utf-8")
+""",
+        encoding="utf-8",
+    )
     return file
 
 
@@ -64,10 +73,12 @@
     made = json.loads((ROOT / "examples" / "config.json").read_text(encoding="utf-8"))
     made.update(listen="127.0.0.1:0", discovery=discovery, state=str(folder / "state"))
     (folder / "config.json").write_text(json.dumps(made), encoding="utf-8")
-    blocks = "".join(f"    member {name} {{\n        address {address}\n    }}\n"
-                     for name, address in followers.items())
+    blocks = "".join(
+        f"    member {name} {{\n        address {address}\n    }}\n" for name, address in followers.items()
+    )
     (folder / "sender.conf").write_text(
-        f"follow {{\n    folder {folder}/followed\n    keys   {folder}/keys\n{blocks}}}\n", encoding="utf-8")
+        f"follow {{\n    folder {folder}/followed\n    keys   {folder}/keys\n{blocks}}}\n", encoding="utf-8"
+    )
     return folder / "config.json", folder / "sender.conf"
 
 
@@ -82,8 +93,14 @@
             seeds, followers, logs = [], {}, {}
             for name in MEMBERS:
                 process, logs[name] = demo.start(
-                    "-m", "willownotch", "member", "--settings", str(member_settings(folder, name, seeds)),
-                    "--bootstrap", pipe="stderr")
+                    "-m",
+                    "willownotch",
+                    "member",
+                    "--settings",
+                    str(member_settings(folder, name, seeds)),
+                    "--bootstrap",
+                    pipe="stderr",
+                )
                 processes.append(process)
                 seeds.append(demo.line(logs[name], r"listens for peers on (\S+)", PATIENCE)[1])
                 followers[name] = demo.line(logs[name], r"listens for followers on (\S+)", PATIENCE)[1]
@@ -92,8 +109,16 @@
             processes.append(toy)
             discovery = demo.line(toy_lines, r"discovery on (\S+)", PATIENCE)[1]
             file, settings = sender_files(folder, discovery, followers)
-            sender, said = demo.start("-m", "willownotch", "serve", "--config", str(file), "--settings",
-                                      str(settings), pipe="stderr")
+            sender, said = demo.start(
+                "-m",
+                "willownotch",
+                "serve",
+                "--config",
+                str(file),
+                "--settings",
+                str(settings),
+                pipe="stderr",
+            )
             processes.append(sender)
             demo.line(said, r"follows (anna|bert|carl)", PATIENCE)
             print("an entry is set at one member, and in force at the sender")
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -3,6 +3,7 @@
 Starts the example platform and a sender, hands a few messages in, shows each delivered, and ends both.
 Exits with 0 only if every message arrived.
 """
+
 import http.client
 import json
 import queue
@@ -16,8 +17,10 @@
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0  # s; for each step
 MESSAGES = [
-    ("slot-status", None, "gate 4 is open"), ("slot-order", None, "crane 2, 06:30, one box"),
-    ("fee-payment", "booking-1", "charge 120"), ("fee-payment", "booking-1", "refund 20"),
+    ("slot-status", None, "gate 4 is open"),
+    ("slot-order", None, "crane 2, 06:30, one box"),
+    ("fee-payment", "booking-1", "charge 120"),
+    ("fee-payment", "booking-1", "refund 20"),
 ]
 
 
@@ -54,18 +57,29 @@
             file.write_text(json.dumps(config), encoding="utf-8")
             print("the sender")
             sender, sender_lines = start(
-                "-m", "willownotch", "serve", "--config", str(file),
-                "--settings", "examples/willownotch.conf",
-                pipe="stderr")
+                "-m",
+                "willownotch",
+                "serve",
+                "--config",
+                str(file),
+                "--settings",
+                "examples/willownotch.conf",
+                pipe="stderr",
+            )
             processes.append(sender)
             port = int(line(sender_lines, r"listening on [\d.]+:(\d+)")[1])
             while ask(port, "GET", "/health/ready") != 200:
                 pass
             print("four messages are handed in")
             for number, (name, key, text) in enumerate(MESSAGES):
-                headers = {"Request-Id": f"demo-{number}", "Request-Class": name, "Tenant": "dune-carriers",
-                           "Request-Timeout-Ms": "8000", "X-Consignee": "dest=7",
-                           "Idempotency-Key": f"demo-key-{number}"}
+                headers = {
+                    "Request-Id": f"demo-{number}",
+                    "Request-Class": name,
+                    "Tenant": "dune-carriers",
+                    "Request-Timeout-Ms": "8000",
+                    "X-Consignee": "dest=7",
+                    "Idempotency-Key": f"demo-key-{number}",
+                }
                 target = f"/api?thread={key}" if key else "/api"
                 print(f"    demo-{number} {name}: {ask(port, 'POST', target, text, headers)}")
             print("and delivered")
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -1,8 +1,9 @@
 """A toy platform: discovery with notices, and two south side hosts of one partner system (group 7).
 
-    python examples/toy.py                       # discovery on 127.0.0.1:8500, hosts on ports of their own
-    python examples/toy.py --failing 0.3         # three calls in ten are answered 503
+python examples/toy.py                       # discovery on 127.0.0.1:8500, hosts on ports of their own
+python examples/toy.py --failing 0.3         # three calls in ten are answered 503
 """
+
 import argparse
 import json
 import random
@@ -84,9 +85,17 @@
     Host.failing = chosen.failing
     hosts = [ThreadingHTTPServer(("127.0.0.1", 0), Host) for _ in range(2)]
     Discovery.endpoints = [
-        {"name": f"s-{n}", "address": f"127.0.0.1:{host.server_port}", "zone": "walvis-main",
-         "type": "haulier", "group": 7, "status": "Ready", "weight": 10.0,
-         "since_ms": 0} for n, host in enumerate(hosts)
+        {
+            "name": f"s-{n}",
+            "address": f"127.0.0.1:{host.server_port}",
+            "zone": "walvis-main",
+            "type": "haulier",
+            "group": 7,
+            "status": "Ready",
+            "weight": 10.0,
+            "since_ms": 0,
+        }
+        for n, host in enumerate(hosts)
     ]
     discovery = ThreadingHTTPServer(("127.0.0.1", chosen.port), Discovery)
     for host in hosts:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 KNOWN-RED.txt at the root lists tests that fail for a real fault: `test | cause | issue`, three at most. They
 are passed over, and printed at the end of each run; `WILLOWNOTCH_RED=1` runs them all the same.
 """
+
 import os
 from pathlib import Path
 
--- a/tests/custodial.py
+++ b/tests/custodial.py
@@ -1,4 +1,5 @@
 """Real senders with custody behind a network of faults, and hosts that can be kept from serving."""
+
 from __future__ import annotations
 
 import json
@@ -33,8 +34,11 @@
         """From now on the host takes calls."""
         self.discovery.index += 1
         self.discovery.entries = [self.discovery.entry(0, self.host)]
-        self.discovery.tell(json.dumps({"index": self.discovery.index, "snapshot": False,
-                                        "endpoints": self.discovery.entries}))
+        self.discovery.tell(
+            json.dumps(
+                {"index": self.discovery.index, "snapshot": False, "endpoints": self.discovery.entries}
+            )
+        )
 
     def running(self):
         return [n for n, s in enumerate(self.senders) if s.process.poll() is None]
@@ -52,8 +56,13 @@
 
     def owns(self, n, most):
         found = self.custody(n)
-        return any(b["book"] == found["current"] and b["stage"] == "owned" and not b["below"]
-                   and len(b["witnesses"]) >= most for b in found["books"])
+        return any(
+            b["book"] == found["current"]
+            and b["stage"] == "owned"
+            and not b["below"]
+            and len(b["witnesses"]) >= most
+            for b in found["books"]
+        )
 
     def take(self, n, count=1, cls="status", **more):
         """Hand messages in that are to be taken on; their ids."""
@@ -102,5 +111,6 @@
 
     def settle(self):
         """Until nobody holds anything."""
-        until(lambda: not any(b["messages"] for n in self.running() for b in self.custody(n)["books"]),
-              PATIENCE)
+        until(
+            lambda: not any(b["messages"] for n in self.running() for b in self.custody(n)["books"]), PATIENCE
+        )
--- a/tests/dying.py
+++ b/tests/dying.py
@@ -4,6 +4,7 @@
 
 Prints JSON: the operations of the whole story, the deaths caused, the promises broken.
 """
+
 import json
 import os
 import signal
--- a/tests/faulty_member.py
+++ b/tests/faulty_member.py
@@ -1,4 +1,5 @@
 """A member on a disk that fails as a file says: `faulty_member.py FAULTS SETTINGS [--bootstrap]`."""
+
 import sys
 from pathlib import Path
 
--- a/tests/faulty_sender.py
+++ b/tests/faulty_sender.py
@@ -1,4 +1,5 @@
 """The sender on a disk that fails as a file says, read anew at each operation: `faulty_sender.py FAULTS`."""
+
 import sys
 from pathlib import Path
 
--- a/tests/following.py
+++ b/tests/following.py
@@ -1,4 +1,5 @@
 """A real sender that follows, and members that are the real serving core on a socket."""
+
 from __future__ import annotations
 
 import socket
@@ -29,8 +30,9 @@
         self.sock.settimeout(0.02)
         self.seal = Seal(7, read_keys(KEYS), wire.decode, wire.VERSION)
         self.lock, self.open, self.deaf = threading.Lock(), True, False
-        self.serving = Serving(name, self.document, MemberSettings(folder="x", **settings),
-                               time.monotonic(), Random(1))
+        self.serving = Serving(
+            name, self.document, MemberSettings(folder="x", **settings), time.monotonic(), Random(1)
+        )
         threading.Thread(target=self.run, daemon=True).start()
 
     def run(self):
@@ -78,8 +80,9 @@
 class Fleet:
     """A sender, and whom it follows."""
 
-    def __init__(self, path, members=1, token=1, control=True,
-                 spans=" period 300ms\n patience 150ms\n", **settings):
+    def __init__(
+        self, path, members=1, token=1, control=True, spans=" period 300ms\n patience 150ms\n", **settings
+    ):
         self.path, self.host, self.control, self.spans = path, Host(), control, spans
         self.discovery = Discovery([self.host])
         (path / "keys").write_text(KEYS)
@@ -91,11 +94,14 @@
         return self.members[0]
 
     def settings(self):
-        members = "".join(f" member {m.name} {{\n  address 127.0.0.1:{m.sock.getsockname()[1]}\n }}\n"
-                          for m in self.members)
+        members = "".join(
+            f" member {m.name} {{\n  address 127.0.0.1:{m.sock.getsockname()[1]}\n }}\n" for m in self.members
+        )
         control = f"control {{\n socket {self.path / 'control'}\n}}\n" if self.control else ""
-        return (f"follow {{\n folder {self.path / 'follow'}\n keys {self.path / 'keys'}\n"
-                f"{self.spans}{members}}}\n{control}")
+        return (
+            f"follow {{\n folder {self.path / 'follow'}\n keys {self.path / 'keys'}\n"
+            f"{self.spans}{members}}}\n{control}"
+        )
 
     def start(self):
         self.sender = Sender(self.discovery, settings=self.settings())
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """A sender on a hand-driven clock, for the tests."""
+
 from willownotch.control import Controller
 from willownotch.interface import (
     AttemptEnded,
@@ -28,8 +29,13 @@
 
 def settings(**changes):
     base = {
-        "classes": CLASSES, "kinds": (Kind("one"), Kind("batch", 20), Kind("apart", 1, True)), "slots": 8,
-        "holding_room": 100, "max_attempts": 8, "senders": 2, "max_come_back_s": 2.0,
+        "classes": CLASSES,
+        "kinds": (Kind("one"), Kind("batch", 20), Kind("apart", 1, True)),
+        "slots": 8,
+        "holding_room": 100,
+        "max_attempts": 8,
+        "senders": 2,
+        "max_come_back_s": 2.0,
         "rules": Rules(cold_share=0.2, cold_s=10.0, key_quiet_s=0.5),
     }
     return Settings(**{**base, **changes})
--- a/tests/keeping.py
+++ b/tests/keeping.py
@@ -1,4 +1,5 @@
 """For tests of the body store without sockets: a folder, a clock set by hand, hand-ins as in the sender."""
+
 import queue
 import tempfile
 from datetime import timedelta
@@ -75,7 +76,8 @@
 
     def start(self):
         self.journal, self.bodies, self.lost = open_folder(
-            self.folder, self.disk, self.files, self.clock, self.log, CLASSES, self.settings)
+            self.folder, self.disk, self.files, self.clock, self.log, CLASSES, self.settings
+        )
         if self.thread is None:
             self.bodies._queue = Direct()
             self.bodies._queue.work = self.bodies.work
@@ -89,8 +91,15 @@
 
     def hand_in(self, ref, size, cls="status", destination=7):
         """The message if it was taken on, else the admission that says why not."""
-        taken = Taken(ref, destination, cls, "acme", self.clock.now() + timedelta(seconds=20), ref,
-                      body=body_of(ref, size))
+        taken = Taken(
+            ref,
+            destination,
+            cls,
+            "acme",
+            self.clock.now() + timedelta(seconds=20),
+            ref,
+            body=body_of(ref, size),
+        )
         found = self.bodies.keep(taken, PATIENCE)
         if isinstance(found, Taken):
             try:
--- a/tests/meshed.py
+++ b/tests/meshed.py
@@ -1,4 +1,5 @@
 """Real senders with peers and counts, behind a relay that plays a bad network."""
+
 from __future__ import annotations
 
 import signal
@@ -38,9 +39,11 @@
     def settings(self, n):
         doors = [f"{host}:{port}" for host, port in self.doors]
         seeds = "" if n == 0 else f" seeds {doors[0]}\n"
-        return (f"peers {{\n listen 127.0.0.{11 + n}:0\n advertise {doors[n]}\n name i{n}\n"
-                f" keys {self.keys}\n{seeds}{self.peers}}}\nusage {{\n count yes\n{self.usage}}}\n"
-                f"control {{\n socket {self.socket(n)}\n}}\n")
+        return (
+            f"peers {{\n listen 127.0.0.{11 + n}:0\n advertise {doors[n]}\n name i{n}\n"
+            f" keys {self.keys}\n{seeds}{self.peers}}}\nusage {{\n count yes\n{self.usage}}}\n"
+            f"control {{\n socket {self.socket(n)}\n}}\n"
+        )
 
     def socket(self, n):
         return self.path / f"s{n}"
--- a/tests/plane.py
+++ b/tests/plane.py
@@ -7,6 +7,7 @@
 `Plane.check` holds what was in force anywhere against the changes that were accepted: revision by revision,
 entry by entry.
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -48,8 +49,17 @@
 LARGEST = 65535
 ROUND_MOST = 64  # datagrams of a socket before the others have their turn
 IDLE_S = 1.0  # s between two rounds at the most
-PLACES = (("north", "n1"), ("north", "n1"), ("north", "n2"), ("north", "n2"), ("north", "n3"),
-          ("north", "n3"), ("south", "s1"), ("south", "s1"), ("south", "s2"))
+PLACES = (
+    ("north", "n1"),
+    ("north", "n1"),
+    ("north", "n2"),
+    ("north", "n2"),
+    ("north", "n3"),
+    ("north", "n3"),
+    ("south", "s1"),
+    ("south", "s1"),
+    ("south", "s2"),
+)
 FAST_PEERS = """ period 200ms
  patience 100ms
  suspicion 2
@@ -103,8 +113,9 @@
         self.store = Store(self.folder, self.files, self.name)
         self.held = Held.restored(self.store.load())
         self.lives.append(len(self.history))
-        self.follower = Follower(self.name, uid, self.held, self.settings, time.monotonic(), self.random,
-                                 self._keep)
+        self.follower = Follower(
+            self.name, uid, self.held, self.settings, time.monotonic(), self.random, self._keep
+        )
         if self.held.in_force:
             self._in_force()
         self._take()
@@ -236,6 +247,7 @@
                 done.put((work(), None))
             except Exception as fault:  # the caller's
                 done.put((None, fault))
+
         self.later(run)
         found, fault = done.get(timeout=PATIENCE)
         if fault is not None:
@@ -275,8 +287,13 @@
         self.settings.write_text(self.plane.member_settings(self), encoding="utf-8")
         words = [sys.executable, "-m", "willownotch", "member", "--settings", str(self.settings)]
         self.process = subprocess.Popen(
-            [*words, *["--bootstrap"] * bootstrap], cwd=ROOT, stdout=subprocess.DEVNULL,
-            stderr=subprocess.PIPE, text=True, env={"PATH": os.environ["PATH"]})
+            [*words, *["--bootstrap"] * bootstrap],
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+            text=True,
+            env={"PATH": os.environ["PATH"]},
+        )
         self.lines = []
         threading.Thread(target=self._read, args=(self.process.stderr, self.lines), daemon=True).start()
 
@@ -291,6 +308,7 @@
         def found():
             assert self.process.poll() is None, f"{self.name} has ended: {self.lines[-5:]}"
             return next((line.rsplit(" ", 1)[1].strip() for line in self.lines if said in line), None)
+
         host, port = until(found, PATIENCE).rsplit(":", 1)
         return host, int(port)
 
@@ -340,12 +358,20 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:  # of an address that is its own
             free.bind((host, 0))
             self.address = free.getsockname()
-        members = "".join(f" member {m.name} {{\n  address {shown(m.followers)}\n  zone {m.zone}\n"
-                          f"  region {m.region}\n }}\n" for m in plane.members)
-        super().__init__(more.pop("discovery"), settings=(
-            f"follow {{\n folder {plane.path / name}\n keys {plane.keys}\n name {name}\n zone {zone}\n"
-            f" region {region}\n listen {shown(self.address)}\n{plane.pace}"
-            f"{members}}}\ncontrol {{\n socket {self.control}\n}}\n"), **more)
+        members = "".join(
+            f" member {m.name} {{\n  address {shown(m.followers)}\n  zone {m.zone}\n"
+            f"  region {m.region}\n }}\n"
+            for m in plane.members
+        )
+        super().__init__(
+            more.pop("discovery"),
+            settings=(
+                f"follow {{\n folder {plane.path / name}\n keys {plane.keys}\n name {name}\n zone {zone}\n"
+                f" region {region}\n listen {shown(self.address)}\n{plane.pace}"
+                f"{members}}}\ncontrol {{\n socket {self.control}\n}}\n"
+            ),
+            **more,
+        )
 
     def launch(self, *more, **named):
         """Another process, on the folder as it is."""
@@ -390,8 +416,21 @@
 class Plane:
     """Members, followers and the network between them. `authors` hand changes in while faults go on."""
 
-    def __init__(self, path, places=PLACES, followers=(), seed=1, weather=None, network=True, member="",
-                 lease="800ms", peers=FAST_PEERS, follow=None, entries=True, doors=True):
+    def __init__(
+        self,
+        path,
+        places=PLACES,
+        followers=(),
+        seed=1,
+        weather=None,
+        network=True,
+        member="",
+        lease="800ms",
+        peers=FAST_PEERS,
+        follow=None,
+        entries=True,
+        doors=True,
+    ):
         self.path, self.places, self.seed = Path(path), places, seed
         self.member, self.lease, self.peers, self.follow = member, lease, peers, follow or {}
         self.pace = "".join(f" {word} {span.total_seconds():g}s\n" for word, span in self.follow.items())
@@ -429,11 +468,13 @@
         voters = " ".join(m.name for m in self.members)
         advertise = f" advertise {shown(member.peers)}\n" if self.relay else ""
         seeds = " ".join(shown(m.peers) for m in self.members[:3] if m is not member and m.peers)
-        return (f"peers {{\n listen {member.host}:0\n{advertise} name {member.name}\n keys {self.keys}\n"
-                f"{f' seeds {seeds}' if seeds else ''}\n{self.peers}}}\n"
-                f"member {{\n folder {member.folder}\n voters {voters}\n"
-                f" followers {member.host}:{member.port}\n lease {self.lease}\n{self.member}}}\n"
-                f"control {{\n socket {member.socket}\n}}\n")
+        return (
+            f"peers {{\n listen {member.host}:0\n{advertise} name {member.name}\n keys {self.keys}\n"
+            f"{f' seeds {seeds}' if seeds else ''}\n{self.peers}}}\n"
+            f"member {{\n folder {member.folder}\n voters {voters}\n"
+            f" followers {member.host}:{member.port}\n lease {self.lease}\n{self.member}}}\n"
+            f"control {{\n socket {member.socket}\n}}\n"
+        )
 
     def running(self):
         return [member for member in self.members if member.running]
@@ -447,12 +488,14 @@
 
     def writer(self, among=None):
         """Wait until there is one that says it is the writer."""
+
         def found():
             for member in among or self.running():
                 with contextlib.suppress(AskError):
                     if member.ask("status")["writing"]:
                         return member
             return None
+
         return until(found, PATIENCE)
 
     # Followers.
@@ -462,11 +505,22 @@
         name = f"t{number}"
         self.where[name] = region, zone
         settings = FollowSettings(
-            folder=str(self.path / name), keys=str(self.keys), name=name, zone=zone, region=region,
+            folder=str(self.path / name),
+            keys=str(self.keys),
+            name=name,
+            zone=zone,
+            region=region,
             member={m.name: FollowedSettings(m.followers, m.zone, m.region) for m in self.members},
-            **self.follow)
-        hollow = Hollow(name, settings, read_keys(KEYS), f"127.0.1.{1 + number}", self.seed * 1000 + number,
-                        entries=entries)
+            **self.follow,
+        )
+        hollow = Hollow(
+            name,
+            settings,
+            read_keys(KEYS),
+            f"127.0.1.{1 + number}",
+            self.seed * 1000 + number,
+            entries=entries,
+        )
         if self.doors:
             self.relay.door(name)
             self.relay.behind(name, hollow.sock.getsockname())
@@ -503,9 +557,11 @@
 
     def cut(self, apart):
         """No way between two of whom `apart(name, name)` says so; it goes on until another weather."""
+
         def between(source, target):
             a, b = source.partition("/")[0], target.partition("/")[0]
             return bool(a and b) and apart(a, b)
+
         self.relay.weather = Weather(cut=between)
 
     def cut_off(self, names):
@@ -543,8 +599,9 @@
 
     def later(self, member, sets):
         """Hand a change in on a thread of its own; the change, and the thread."""
-        asked = Asked(secrets.token_hex(16), member.name, sets, (),
-                      member.ask("entries", {"key": ""})["revision"])
+        asked = Asked(
+            secrets.token_hex(16), member.name, sets, (), member.ask("entries", {"key": ""})["revision"]
+        )
         self.asked.append(asked)
         thread = threading.Thread(target=self.again, args=(asked, member, 3.0), daemon=True)
         thread.start()
@@ -553,8 +610,15 @@
     def again(self, asked, member=None, patience=PATIENCE):
         """Ask for a change by its id, at any member; what was told stands in it."""
         member = member or next(iter(self.running()))
-        text = json.dumps({"id": asked.id, "author": asked.member, "base": asked.base, "sets": asked.sets,
-                           "removes": asked.removes})
+        text = json.dumps(
+            {
+                "id": asked.id,
+                "author": asked.member,
+                "base": asked.base,
+                "sets": asked.sets,
+                "removes": asked.removes,
+            }
+        )
         try:
             told = member.ask("change", {"change": text}, patience)
         except AskError as fault:
@@ -566,8 +630,10 @@
 
     def settle(self):
         """Ask again after each change whose outcome nobody was told, until it has one."""
-        until(lambda: all(a.outcome != "unknown" or self.again(a).outcome != "unknown" for a in self.asked),
-              PATIENCE)
+        until(
+            lambda: all(a.outcome != "unknown" or self.again(a).outcome != "unknown" for a in self.asked),
+            PATIENCE,
+        )
 
     # What was seen from outside.
 
@@ -593,13 +659,17 @@
         for revision in range(1, len(accepted) + 1):
             asked = accepted[revision]
             wanted = {k: v for k, v in wanted.items() if k not in asked.removes} | {
-                key: encode(value) for key, value in asked.sets.items()}
+                key: encode(value) for key, value in asked.sets.items()
+            }
             made.append(wanted)
         for hollow in self.followers:
             for number, (before, after) in enumerate(itertools.pairwise(hollow.history), 1):
                 fresh = number in hollow.lives  # it begins with the one that it had
-                assert (before.revision < after.revision or (fresh and hollow in restored)
-                        or (fresh and before.revision == after.revision)), (hollow.name, before, after)
+                assert (
+                    before.revision < after.revision
+                    or (fresh and hollow in restored)
+                    or (fresh and before.revision == after.revision)
+                ), (hollow.name, before, after)
             for seen in hollow.history:
                 assert seen.entries == made[seen.revision], f"{hollow.name} at {seen.revision}"
 
@@ -641,8 +711,10 @@
         self.plane, self.members, self.ending = plane, members, threading.Event()
         self.faults = []
         seed = plane.seed if seed is None else seed
-        self.threads = [threading.Thread(target=self._run, args=(n, Random(f"{seed}-{n}")), daemon=True)
-                        for n in range(count)]
+        self.threads = [
+            threading.Thread(target=self._run, args=(n, Random(f"{seed}-{n}")), daemon=True)
+            for n in range(count)
+        ]
         for thread in self.threads:
             thread.start()
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,4 +1,5 @@
 """The wire: what is malformed is named in one plain line, and the rest goes on."""
+
 import copy
 import io
 import json
@@ -8,12 +9,28 @@
 from willownotch import adapter, interface
 
 CONF = {
-    "services": [{"name": "a", "credit": 1.0, "promiseS": 2.0, "hardLimitS": 10.0, "lateShare": 0.5,
-                  "idempotency": "keyed", "group": "zone", "memorySpanS": 5.0, "unknown": [1]}],
-    "models": ["m"], "orgs": [], "peersTotal": 2, "discovery": "automatic", "weightKind": "none",
+    "services": [
+        {
+            "name": "a",
+            "credit": 1.0,
+            "promiseS": 2.0,
+            "hardLimitS": 10.0,
+            "lateShare": 0.5,
+            "idempotency": "keyed",
+            "group": "zone",
+            "memorySpanS": 5.0,
+            "unknown": [1],
+        }
+    ],
+    "models": ["m"],
+    "orgs": [],
+    "peersTotal": 2,
+    "discovery": "automatic",
+    "weightKind": "none",
     "familyInfo": {"slots": 4, "kindBatch": [20], "separateRoutes": [True], "decay": "by_half"},
     "policyLimits": {"maxOpen": 50, "maxAttempts": 8, "mayCancel": True},
-    "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 2.0, "fallS": 1.5}, "later": {"new": 1},
+    "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 2.0, "fallS": 1.5},
+    "later": {"new": 1},
 }
 LIST = ["list", 0, [[0, None, 7, 0, 1, "SERVING", 1]]]
 BORN = [["born", 3, 11, CONF], LIST, ["members", 3, 0, 1, "C"]]
@@ -53,21 +70,40 @@
     assert len(wire.complaints()) == 1 and "line 9" in wire.complaints()[0]
 
 
-@pytest.mark.parametrize("batch", [
-    {"frame": 4}, {"frame": 4, "wallS": "x", "arrivals": []}, {"frame": 4, "wallS": 1, "arrivals": 3},
-])
+@pytest.mark.parametrize(
+    "batch",
+    [
+        {"frame": 4},
+        {"frame": 4, "wallS": "x", "arrivals": []},
+        {"frame": 4, "wallS": 1, "arrivals": 3},
+    ],
+)
 def test_a_batch_without_clock_or_events_is_named_and_answered(batch):
     wire = Wire()
     assert json.loads(wire.adapter.answer("line 2", json.dumps(batch))) == {"frame": 4, "steps": []}
     assert len(wire.complaints()) == 1
 
 
-@pytest.mark.parametrize("event", [
-    7, [], ["nonsense", 3], ["req", 3], ["bell", 99, 1], ["done", 3, "ab", 0, 7, "WHAT", 0.1],
-    ["req", 3, "cd", 0, "soon", None, None, 0, 1, 0], ["members", 3, 9, 1, "C"], ["members", 3, 0, 1, "Q"],
-    ["inbox", 3, 1, "00"], ["inbox", 3, 1, ""], ["inbox", 3, 1, None], ["inbox", 3, 3, "xyz"],
-    ["list", 0, [[0]]], ["req", "x", "cd", 0, 1.0, None, None, 0, 1, 0],
-])
+@pytest.mark.parametrize(
+    "event",
+    [
+        7,
+        [],
+        ["nonsense", 3],
+        ["req", 3],
+        ["bell", 99, 1],
+        ["done", 3, "ab", 0, 7, "WHAT", 0.1],
+        ["req", 3, "cd", 0, "soon", None, None, 0, 1, 0],
+        ["members", 3, 9, 1, "C"],
+        ["members", 3, 0, 1, "Q"],
+        ["inbox", 3, 1, "00"],
+        ["inbox", 3, 1, ""],
+        ["inbox", 3, 1, None],
+        ["inbox", 3, 3, "xyz"],
+        ["list", 0, [[0]]],
+        ["req", "x", "cd", 0, 1.0, None, None, 0, 1, 0],
+    ],
+)
 def test_a_malformed_event_is_one_plain_line_and_the_rest_goes_on(event):
     wire = Wire()
     wire.send(*BORN)
@@ -88,8 +124,9 @@
 
 def test_list_numbers_resolve_in_the_order_of_events():
     wire = Wire()
-    wire.send(*BORN, ["list", 0, [[0, None, 8, 0, 1, "SERVING", 1]]], ["members", 3, 0, 2, "F"],
-              ["list", 0, []])
+    wire.send(
+        *BORN, ["list", 0, [[0, None, 8, 0, 1, "SERVING", 1]]], ["members", 3, 0, 2, "F"], ["list", 0, []]
+    )
     assert list(wire.adapter.instances[3].book.routes) == [8]
 
 
@@ -124,9 +161,17 @@
 def test_odd_but_legal_rounds_change_nothing():
     wire = Wire()
     wire.send(*BORN)
-    assert wire.send(["gone", 3, "never"], ["bell", 3, 12345], ["first", 3, "never", 0, 7, 0.1],
-                     ["done", 3, "never", 0, 7, "GOOD", 0.1, True], ["inbox", 3, 1, "0000006300"],
-                     ["probeDone", 3, 999, "GOOD", 0.1]) == []
+    assert (
+        wire.send(
+            ["gone", 3, "never"],
+            ["bell", 3, 12345],
+            ["first", 3, "never", 0, 7, 0.1],
+            ["done", 3, "never", 0, 7, "GOOD", 0.1, True],
+            ["inbox", 3, 1, "0000006300"],
+            ["probeDone", 3, 999, "GOOD", 0.1],
+        )
+        == []
+    )
     assert wire.complaints() == []
 
 
--- a/tests/test_bodies_plan.py
+++ b/tests/test_bodies_plan.py
@@ -1,4 +1,5 @@
 """The body store's decisions: tables for each rule, and what must hold whatever comes."""
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -19,7 +20,13 @@
 from willownotch.interface import Effect
 
 LIMITS = Limits(
-    memory=1000, memory_low=750, room=1000, room_low=850, destination=500, inline=100, inline_low=10,
+    memory=1000,
+    memory_low=750,
+    room=1000,
+    room_low=850,
+    destination=500,
+    inline=100,
+    inline_low=10,
 )
 EFFECTS = {"status": Effect.SAFE, "order": Effect.KEYED, "fee": Effect.UNSAFE}
 WORTH = {"status": 1.0, "order": 1.0, "fee": 3.0}
@@ -38,25 +45,35 @@
     return made
 
 
-@pytest.mark.parametrize(("held", "full", "cls", "destination", "size", "verdict"), [
-    ({}, False, "status", 1, 100, KEEP),
-    ({"status": 900}, False, "status", 1, 100, KEEP),  # what is dropped may borrow all of it
-    ({"status": 900}, False, "status", 1, 101, TRY),
-    ({"status": 900}, False, "order", 1, 101, DROP),  # within its share
-    ({"status": 900}, False, "fee", 1, 200, DROP),
-    ({"status": 900}, False, "fee", 1, 201, REFUSE),  # beyond it
-    ({"order": 700}, False, "order", 1, 100, KEEP),
-    ({"order": 700}, False, "order", 1, 101, REFUSE),  # a fifth is left for fees: nothing could win it back
-    ({"order": 700}, False, "fee", 1, 200, KEEP),
-    ({"order": 700, "fee": 200}, False, "fee", 1, 100, KEEP),
-    ({"order": 700, "fee": 200}, False, "status", 1, 101, TRY),
-    ({"status": 860}, True, "status", 1, 10, TRY),  # the last step has not been left yet
-    ({"status": 860}, True, "fee", 1, 10, KEEP),  # but shares hold
-    ({"status": 450}, False, "status", 100, 51, TRY),  # one destination's limit
-    ({"status": 450}, False, "fee", 100, 51, DROP),
-    ({"status": 450}, False, "status", 1, 51, KEEP),
-    ({}, False, "fee", 1, 501, REFUSE),
-])
+@pytest.mark.parametrize(
+    ("held", "full", "cls", "destination", "size", "verdict"),
+    [
+        ({}, False, "status", 1, 100, KEEP),
+        ({"status": 900}, False, "status", 1, 100, KEEP),  # what is dropped may borrow all of it
+        ({"status": 900}, False, "status", 1, 101, TRY),
+        ({"status": 900}, False, "order", 1, 101, DROP),  # within its share
+        ({"status": 900}, False, "fee", 1, 200, DROP),
+        ({"status": 900}, False, "fee", 1, 201, REFUSE),  # beyond it
+        ({"order": 700}, False, "order", 1, 100, KEEP),
+        (
+            {"order": 700},
+            False,
+            "order",
+            1,
+            101,
+            REFUSE,
+        ),  # a fifth is left for fees: nothing could win it back
+        ({"order": 700}, False, "fee", 1, 200, KEEP),
+        ({"order": 700, "fee": 200}, False, "fee", 1, 100, KEEP),
+        ({"order": 700, "fee": 200}, False, "status", 1, 101, TRY),
+        ({"status": 860}, True, "status", 1, 10, TRY),  # the last step has not been left yet
+        ({"status": 860}, True, "fee", 1, 10, KEEP),  # but shares hold
+        ({"status": 450}, False, "status", 100, 51, TRY),  # one destination's limit
+        ({"status": 450}, False, "fee", 100, 51, DROP),
+        ({"status": 450}, False, "status", 1, 51, KEEP),
+        ({}, False, "fee", 1, 501, REFUSE),
+    ],
+)
 def test_admission(held, full, cls, destination, size, verdict):
     assert plan.admit(PLANS, LIMITS, usage(**held), full, cls, destination, size).verdict is verdict
 
@@ -73,16 +90,27 @@
     assert plan.inline_most(step, LIMITS) == most
 
 
-CANDIDATES = [Candidate("near", "status", 1, 100, 1.0), Candidate("far", "status", 2, 60, 9.0),
-              Candidate("large", "status", 2, 90, 9.0), Candidate("fee", "fee", 2, 500, 99.0)]
-
-
-@pytest.mark.parametrize(("cls", "need", "destination", "chosen"), [
-    ("fee", 50, None, ["large"]), ("fee", 91, None, ["large", "far"]),
-    ("fee", 151, None, ["large", "far", "near"]),
-    ("fee", 251, None, []),  # in vain: then nobody ends
-    ("fee", 50, 1, ["near"]), ("fee", 101, 1, []), ("status", 50, None, []), ("order", 50, None, ["large"]),
-])
+CANDIDATES = [
+    Candidate("near", "status", 1, 100, 1.0),
+    Candidate("far", "status", 2, 60, 9.0),
+    Candidate("large", "status", 2, 90, 9.0),
+    Candidate("fee", "fee", 2, 500, 99.0),
+]
+
+
+@pytest.mark.parametrize(
+    ("cls", "need", "destination", "chosen"),
+    [
+        ("fee", 50, None, ["large"]),
+        ("fee", 91, None, ["large", "far"]),
+        ("fee", 151, None, ["large", "far", "near"]),
+        ("fee", 251, None, []),  # in vain: then nobody ends
+        ("fee", 50, 1, ["near"]),
+        ("fee", 101, 1, []),
+        ("status", 50, None, []),
+        ("order", 50, None, ["large"]),
+    ],
+)
 def test_who_makes_room(cls, need, destination, chosen):
     found = plan.victims(PLANS, 1000, usage(status=250, fee=500), cls, need, CANDIDATES, destination)
     assert [candidate.ref for candidate in found] == chosen
@@ -90,9 +118,19 @@
 
 def test_a_class_keeps_its_own_share_when_others_want_room():
     settings = BodiesSettings()
-    own = {**PLANS, "news": plan.ClassPlan("news", 1.0, Effect.SAFE, plan.ClassBodies(
-        share=0.2, at_limit=for_class(settings, "x", Effect.SAFE).at_limit, drop=for_class(
-            settings, "x", Effect.SAFE).drop))}
+    own = {
+        **PLANS,
+        "news": plan.ClassPlan(
+            "news",
+            1.0,
+            Effect.SAFE,
+            plan.ClassBodies(
+                share=0.2,
+                at_limit=for_class(settings, "x", Effect.SAFE).at_limit,
+                drop=for_class(settings, "x", Effect.SAFE).drop,
+            ),
+        ),
+    }
     candidates = [Candidate(f"n{n}", "news", 1, 100, 1.0) for n in range(3)]
     assert len(plan.victims(own, 1000, usage(news=300), "fee", 100, candidates)) == 1
     assert plan.victims(own, 1000, usage(news=300), "fee", 101, candidates) == []
@@ -100,7 +138,8 @@
 
 sizes = st.integers(1, 300)
 moves = st.lists(
-    st.tuples(st.sampled_from(list(EFFECTS)), st.integers(1, 3), sizes, st.booleans()), max_size=60,
+    st.tuples(st.sampled_from(list(EFFECTS)), st.integers(1, 3), sizes, st.booleans()),
+    max_size=60,
 )
 
 
@@ -126,7 +165,7 @@
                 assert found.verdict in (KEEP, DROP)
             else:
                 there = [b.size for b in others if found.destination in (None, b.destination)]
-                assert sum(sorted(there, reverse=True)[:plan.VICTIMS_MOST]) < found.need
+                assert sum(sorted(there, reverse=True)[: plan.VICTIMS_MOST]) < found.need
         if found.verdict is KEEP:
             bodies[body.ref] = body
             held.add(cls, destination, size)
@@ -183,22 +222,31 @@
     assert silent.next_s(6.0, 0) < 2.0  # what answers again is near again
 
 
-@pytest.mark.parametrize(("segments", "pressed", "chosen"), [
-    ([], True, None),
-    ([SegmentView(1, 10_240, 10_240, 3)], True, None),  # nothing to win
-    ([SegmentView(1, 10_240, 9_000, 3), SegmentView(2, 10_240, 100, 1)], True, 2),
-    ([SegmentView(1, 10_240, 9_000, 3), SegmentView(2, 10_240, 1_300, 1)], False, None),  # half lives
-    ([SegmentView(1, 10_240, 4_000, 3), SegmentView(2, 10_240, 100, 1)], False, 2),
-    ([SegmentView(1, 102_400, 70_000, 3)], True, None),  # its live bodies find no room at once
-])
+@pytest.mark.parametrize(
+    ("segments", "pressed", "chosen"),
+    [
+        ([], True, None),
+        ([SegmentView(1, 10_240, 10_240, 3)], True, None),  # nothing to win
+        ([SegmentView(1, 10_240, 9_000, 3), SegmentView(2, 10_240, 100, 1)], True, 2),
+        ([SegmentView(1, 10_240, 9_000, 3), SegmentView(2, 10_240, 1_300, 1)], False, None),  # half lives
+        ([SegmentView(1, 10_240, 4_000, 3), SegmentView(2, 10_240, 100, 1)], False, 2),
+        ([SegmentView(1, 102_400, 70_000, 3)], True, None),  # its live bodies find no room at once
+    ],
+)
 def test_which_segment_is_written_anew(segments, pressed, chosen):
     assert plan.choose_segment(segments, 0.5, pressed, 65_536) == chosen
 
 
-@pytest.mark.parametrize(("effect", "ran", "word"), [
-    (Effect.SAFE, False, "handed_back"), (Effect.SAFE, True, "handed_back"),
-    (Effect.KEYED, False, "handed_back"), (Effect.KEYED, True, "given_up"),
-    (Effect.UNSAFE, False, "given_up"), (Effect.UNSAFE, True, "given_up"),
-])
+@pytest.mark.parametrize(
+    ("effect", "ran", "word"),
+    [
+        (Effect.SAFE, False, "handed_back"),
+        (Effect.SAFE, True, "handed_back"),
+        (Effect.KEYED, False, "handed_back"),
+        (Effect.KEYED, True, "given_up"),
+        (Effect.UNSAFE, False, "given_up"),
+        (Effect.UNSAFE, True, "given_up"),
+    ],
+)
 def test_how_a_message_without_a_body_ends(effect, ran, word):
     assert plan.ending(effect, ran) == word
--- a/tests/test_bodies_sockets.py
+++ b/tests/test_bodies_sockets.py
@@ -1,4 +1,5 @@
 """Bodies in files with a real sender: what the stand-ins receive on bad days of the disk."""
+
 import json
 import os
 import re
@@ -10,8 +11,9 @@
 from toys import PATIENCE, ROOT, Host, Sender, until
 
 LONG = bool(os.environ.get("WILLOWNOTCH_LONG"))
-FILES_ONLY = ("bodies {\n memory 0MB\n inline 0KB\n inline-low 0KB\n segment 20KB\n"
-              " destination-share 100%\n}\n")
+FILES_ONLY = (
+    "bodies {\n memory 0MB\n inline 0KB\n inline-low 0KB\n segment 20KB\n" " destination-share 100%\n}\n"
+)
 ONE_TRY = """bodies {
     inline 0KB
     inline-low 0KB
@@ -51,9 +53,15 @@
         news = [sender.hand_in("slot-status", body=b"n" * 65000, **acme) for _ in range(60)]
         held = [ref for ref, head in news if head.status == 202]
         self.assertGreater(len(held), 15)
-        for cls, dest, size in [("fee-payment", 7, 200), ("fee-payment", 8, 200), ("slot-status", 8, 200),
-                                ("slot-order", 8, 65000), ("fee-payment", 8, 65000),
-                                ("fee-payment", 7, 65000), ("fee-payment", 7, 65000)]:
+        for cls, dest, size in [
+            ("fee-payment", 7, 200),
+            ("fee-payment", 8, 200),
+            ("slot-status", 8, 200),
+            ("slot-order", 8, 65000),
+            ("fee-payment", 8, 65000),
+            ("fee-payment", 7, 65000),
+            ("fee-payment", 7, 65000),
+        ]:
             ref, head = sender.hand_in(cls, dest=dest, body=b"f" * size, **acme)
             self.assertEqual(head.status, 202, (cls, dest, size))
             if dest == 8:
@@ -102,8 +110,10 @@
 
     def test_what_was_kept_nowhere_ends_by_a_notice_after_a_kill(self):
         """A fee never as a guess, and never twice."""
-        settings = ("bodies {\n inline 0KB\n inline-low 0KB\n destination-share 1%\n class fee {\n"
-                    " at-limit one-try\n }\n}\n")
+        settings = (
+            "bodies {\n inline 0KB\n inline-low 0KB\n destination-share 1%\n class fee {\n"
+            " at-limit one-try\n }\n}\n"
+        )
         sender = self.sender(settings=settings, limits={"sockets": 1024, "disk_mb": 0.9})
         self.host.held.clear()
         fee, head = sender.hand_in("fee", body=b"f" * 30, left=15000)
@@ -179,10 +189,15 @@
         files[1].unlink()  # of the messages 2 and 3
         with files[2].open("r+b") as file:
             file.truncate(12000)  # half of the last one
-        shown = subprocess.run([sys.executable, "-m", "willownotch", "bodies", str(sender.state), "--json"],
-                               cwd=ROOT, capture_output=True, text=True)
-        self.assertEqual((shown.returncode, json.loads(shown.stdout)["damaged"]),
-                         (1, [refs[1], refs[2], refs[4]]))
+        shown = subprocess.run(
+            [sys.executable, "-m", "willownotch", "bodies", str(sender.state), "--json"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
+        self.assertEqual(
+            (shown.returncode, json.loads(shown.stdout)["damaged"]), (1, [refs[1], refs[2], refs[4]])
+        )
         self.host.held.set()
         sender.restart()
         for ref in [first, refs[1], refs[2], refs[4]]:
@@ -220,8 +235,10 @@
         run = [sys.executable, "-m", "willownotch", "bodies", str(sender.state)]
         shown = json.loads(subprocess.run([*run, "--json", "--verify"], cwd=ROOT, capture_output=True).stdout)
         row = shown["rows"][0]
-        self.assertEqual((row["message_class"], row["destination"], row["step"], row["bodies"], row["bytes"]),
-                         ("order", 7, "file", 3, 9000))
+        self.assertEqual(
+            (row["message_class"], row["destination"], row["step"], row["bodies"], row["bytes"]),
+            ("order", 7, "file", 3, 9000),
+        )
         self.assertTrue(0 <= row["youngest_s"] <= row["oldest_s"] < 60)
         text = subprocess.run(run, cwd=ROOT, capture_output=True, text=True).stdout
         self.assertRegex(text, r"order +7 file +3 +9000 +\d")
--- a/tests/test_bodies_store.py
+++ b/tests/test_bodies_store.py
@@ -1,4 +1,5 @@
 """The body store on its files: places, moves, recovery, a disk that fails, a process that dies."""
+
 import json
 import os
 import shutil
@@ -40,8 +41,9 @@
     def ledger_is_true(self, rig):
         """What the ledger has is what the folder holds."""
         space = rig.bodies.space
-        self.assertEqual(space.bodies, sum(
-            -(-file.stat().st_size // 512) * 512 for file in rig.folder.glob("bod*")))
+        self.assertEqual(
+            space.bodies, sum(-(-file.stat().st_size // 512) * 512 for file in rig.folder.glob("bod*"))
+        )
         self.assertLessEqual(rig.on_disk(), rig.disk)
         live = [e.taken.place for e in rig.journal.live.values() if e.taken.place]
         self.assertEqual(rig.bodies.usage.total, sum(place.size for place in live))
@@ -65,8 +67,10 @@
         for ref in list(rig.journal.live):
             rig.end(ref)
         self.assertEqual((rig.bodies.steps.now, rig.bodies.usage.memory), (Step.MEMORY, 0))
-        self.assertEqual([line.split(":")[1].strip() for line in rig.log.lines if "step" in line],
-                         ["step files", "step unkept", "step files", "step memory"])
+        self.assertEqual(
+            [line.split(":")[1].strip() for line in rig.log.lines if "step" in line],
+            ["step files", "step unkept", "step files", "step memory"],
+        )
         rig.work()
         self.ledger_is_true(rig)
         self.assertEqual((rig.segments(), bool(unkept)), ([], True))
@@ -231,8 +235,9 @@
         rig = self.rig()
         body = body_of("old", 5000)
         (rig.folder / "body-9-1").write_bytes(body)
-        rig.journal.append([Taken("old", 7, "fee", "acme", rig.clock.now(), apart="body-9-1",
-                                  checksum=zlib.crc32(body))])
+        rig.journal.append(
+            [Taken("old", 7, "fee", "acme", rig.clock.now(), apart="body-9-1", checksum=zlib.crc32(body))]
+        )
         rig.restart()
         self.assertEqual(rig.read("old"), body)
         rig.end("old")
@@ -269,17 +274,21 @@
         self.faults = [Fault(Kind.SHORT, "append", "bodies-*")]
         rig.hand_in("a", 9000)
         self.assertEqual(rig.bodies._read_at(rig.journal.live["a"].taken.place), body_of("a", 9000))
-        self.faults = [Fault(Kind.SHORT, "append", "bodies-*", self.files.count + 1),
-                       Fault(Kind.IO_ERROR, "append", "bodies-*", self.files.count + 2)]
+        self.faults = [
+            Fault(Kind.SHORT, "append", "bodies-*", self.files.count + 1),
+            Fault(Kind.IO_ERROR, "append", "bodies-*", self.files.count + 2),
+        ]
         self.assertIsInstance(rig.hand_in("b", 5000, "fee"), Admission)
         self.ledger_is_true(rig)
 
     def test_a_file_that_cannot_be_cut_off_takes_nothing_more(self):
         rig = self.rig()
         rig.hand_in("a", 5000)
-        self.faults = [Fault(Kind.SHORT, "append", "bodies-*", self.files.count + 1),
-                       Fault(Kind.IO_ERROR, "append", "bodies-*", self.files.count + 2),
-                       Fault(Kind.IO_ERROR, "truncate")]
+        self.faults = [
+            Fault(Kind.SHORT, "append", "bodies-*", self.files.count + 1),
+            Fault(Kind.IO_ERROR, "append", "bodies-*", self.files.count + 2),
+            Fault(Kind.IO_ERROR, "truncate"),
+        ]
         self.assertIsInstance(rig.hand_in("b", 5000, "fee"), Admission)
         self.faults = []
         rig.clock.at += timedelta(seconds=1)
@@ -381,11 +390,18 @@
         self.rig.work()
         self.rig.clock.at += timedelta(seconds=1)
 
-    @rule(fault=st.sampled_from([
-        NO_SPACE, Fault(Kind.NO_SPACE, "append"), Fault(Kind.SHORT, "append", "journal"),
-        Fault(Kind.IO_ERROR, "remove"), Fault(Kind.NO_SPACE, "create"),
-        Fault(Kind.SHORT, "append", "bodies-*"),
-    ]))
+    @rule(
+        fault=st.sampled_from(
+            [
+                NO_SPACE,
+                Fault(Kind.NO_SPACE, "append"),
+                Fault(Kind.SHORT, "append", "journal"),
+                Fault(Kind.IO_ERROR, "remove"),
+                Fault(Kind.NO_SPACE, "create"),
+                Fault(Kind.SHORT, "append", "bodies-*"),
+            ]
+        )
+    )
     def fail(self, fault):
         self.faults = [fault]
 
@@ -411,12 +427,16 @@
             assert self.rig.read(ref) == body
         assert self.rig.on_disk() <= self.rig.disk
         assert self.rig.bodies.usage.memory <= 20_000 + sum(
-            len(e.taken.body) for e in self.rig.journal.live.values() if not e.taken.unkept)
+            len(e.taken.body) for e in self.rig.journal.live.values() if not e.taken.unkept
+        )
         self.faults = faults
 
 
 Machine.TestCase.settings = settings(
-    max_examples=600 if LONG else 60, stateful_step_count=50, deadline=None, derandomize=not LONG,
+    max_examples=600 if LONG else 60,
+    stateful_step_count=50,
+    deadline=None,
+    derandomize=not LONG,
     suppress_health_check=list(HealthCheck),
 )
 TestMachine = Machine.TestCase
@@ -425,8 +445,9 @@
 @pytest.mark.parametrize("mode", ["die", "die-torn"])
 def test_death_at_any_file_operation_loses_no_promise(mode):
     """Of a spill, a read-back, a reclaim and a recovery: the next process opens the folder."""
-    done = subprocess.run([sys.executable, "tests/dying.py", mode, "1"], cwd=ROOT, text=True,
-                          capture_output=True, timeout=500)
+    done = subprocess.run(
+        [sys.executable, "tests/dying.py", mode, "1"], cwd=ROOT, text=True, capture_output=True, timeout=500
+    )
     assert done.returncode == 0, done.stdout + done.stderr
     report = json.loads(done.stdout)
     assert report["broken"] == []
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,4 +1,5 @@
 """Slopes: the fit finds a known growth, the held-out size is predicted, nothing is claimed far beyond it."""
+
 import math
 import sys
 from pathlib import Path
@@ -22,10 +23,10 @@
 
 @given(FACTORS, st.floats(0.2, 3.0))
 def test_a_power_law_is_found_and_predicted(factor, exponent):
-    one = made(lambda at: factor * at ** exponent)
+    one = made(lambda at: factor * at**exponent)
     assert one.fit.exponent == pytest.approx(exponent, abs=1e-6)
     assert one.miss == pytest.approx(0.0, abs=0.01)
-    assert slopes.predict(one, 9000).value == pytest.approx(factor * 9000 ** exponent, rel=1e-4)
+    assert slopes.predict(one, 9000).value == pytest.approx(factor * 9000**exponent, rel=1e-4)
     assert ("linear" in one.fit.growth) <= (0.9 <= exponent <= 1.1)
 
 
@@ -39,7 +40,8 @@
 @given(FACTORS, st.floats(0.3, 3.0), st.floats(0.2, 5.0))
 def test_the_miss_is_what_the_held_out_size_differs_by(factor, exponent, off):
     def growth(at):
-        return factor * at ** exponent * (off if at == SIZES[-1] else 1.0)
+        return factor * at**exponent * (off if at == SIZES[-1] else 1.0)
+
     one = made(growth)
     assert one.miss == pytest.approx(100 * (1 / off - 1), abs=0.01)
     beyond = slopes.predict(one, 2 * SIZES[-1]).value
@@ -84,8 +86,9 @@
 
 
 def role(name, *some, mechanism="gossip", **more):
-    return slopes.Role(name, "2026-12-02", "abc", "1 core", f"python {name}.py", [1], mechanism, list(some),
-                       **more)
+    return slopes.Role(
+        name, "2026-12-02", "abc", "1 core", f"python {name}.py", [1], mechanism, list(some), **more
+    )
 
 
 @given(st.floats(0.01, 3.0), st.floats(0.5, 2.0))
@@ -116,8 +119,15 @@
     found = page.load(tmp_path)
     assert not page.carried(row, found)
     assert any(page.NOT in line for line in page.roles(found) if line.startswith("| configuration |"))
-    in_force = slopes.slope("tier", "senders", "in force at the last", "s", {at: [at / 300] for at in SIZES},
-                            target=910.0, budget="age")
+    in_force = slopes.slope(
+        "tier",
+        "senders",
+        "in force at the last",
+        "s",
+        {at: [at / 300] for at in SIZES},
+        target=910.0,
+        budget="age",
+    )
     slopes.write("tier-fleet", "command", [in_force], "control tier")
     assert page.carried(row, page.load(tmp_path))[0].part == pytest.approx(0.5, rel=0.02)
 
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -1,4 +1,5 @@
 """The drivers of the fleet's slopes: each at its smallest size, the same seed twice, what is made of it."""
+
 import sys
 from pathlib import Path
 
@@ -73,8 +74,9 @@
         axis = next(axis for axis in roles.ROLES[role] if axis.driver == driver)
         runs.append(roles.Run(role, driver, at, loss, seed, dict.fromkeys(axis.measures, 3.0 * at)))
     made = roles.made_of(role, runs)
-    wanted = [(axis.driver, loss) for axis in roles.ROLES[role] for loss in axis.losses
-              for _ in axis.measures]
+    wanted = [
+        (axis.driver, loss) for axis in roles.ROLES[role] for loss in axis.losses for _ in axis.measures
+    ]
     assert [(one.driver, one.loss) for one in made] == wanted
     assert all(abs(one.miss) < 0.01 and one.fit.growth == "linear" for one in made)
     lacking = [run for run in runs if not (run.at == max(r.at for r in runs) and run.loss == 0.0)]
@@ -90,7 +92,7 @@
     assert first["without it"] == 0
     assert 0 < first["median s"] <= first["worst s"] < baselines.PATIENCE_S
     assert first["sent a sender for the change"] > size / 2
-    row, = baselines.summed([first, again])
+    (row,) = baselines.summed([first, again])
     assert row["seeds"] == 2 and row["worst s"] == first["worst s"]
 
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -1,4 +1,5 @@
 """The control socket by itself: one question after another, or many at once, large ones and bad ones."""
+
 from __future__ import annotations
 
 import socket
@@ -26,6 +27,7 @@
         servers.append(server)
         start("control", server.run)
         return server
+
     yield made
     for server in servers:
         server.close()
@@ -39,6 +41,7 @@
         began.set()
         assert go_on.wait(PATIENCE)
         return "done"
+
     server.answers["slow"] = slow
     found = []
     asking = threading.Thread(target=lambda: found.append(ask(server.path, "slow", patience=PATIENCE)))
@@ -66,10 +69,13 @@
         with lock:
             at_once.pop()
         return "done"
+
     server.answers["slow"] = slow
     found = []
-    asking = [threading.Thread(target=lambda: found.append(ask(server.path, "slow", patience=PATIENCE)))
-              for _ in range(6)]
+    asking = [
+        threading.Thread(target=lambda: found.append(ask(server.path, "slow", patience=PATIENCE)))
+        for _ in range(6)
+    ]
     for thread in asking:
         thread.start()
     both.wait(PATIENCE)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -1,4 +1,5 @@
 """The command line: help for every command, mistakes in one line with exit 2, JSON where a table is."""
+
 from __future__ import annotations
 
 import json
@@ -14,8 +15,14 @@
 
 
 def command(*words, **more):
-    return subprocess.run([sys.executable, "-m", "willownotch", *words], cwd=ROOT, text=True,
-                          capture_output=True, timeout=toys.PATIENCE, **more)
+    return subprocess.run(
+        [sys.executable, "-m", "willownotch", *words],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=toys.PATIENCE,
+        **more,
+    )
 
 
 @pytest.mark.parametrize("name", sorted(commands.group.commands))
@@ -25,14 +32,18 @@
     assert " ".join(commands.group.commands[name].help.split()) in told
 
 
-@pytest.mark.parametrize(("words", "wanted"), [
-    (["nothing"], "willownotch: No such command 'nothing'."),
-    (["usage", "--lines", "x"], "willownotch usage: "),
-    (["config", "set", "data/a"], "willownotch set: Missing argument 'VALUE'."),
-    (["config", "show"], "wanted: --socket PATH"),
-    (["load"], "willownotch load: Missing argument 'TARGET'."), (["check", "--colour"], "No such option"),
-    (["load", "127.0.0.1:1", "--speed", "0"], "willownotch load: Invalid value for '--speed'"),
-])
+@pytest.mark.parametrize(
+    ("words", "wanted"),
+    [
+        (["nothing"], "willownotch: No such command 'nothing'."),
+        (["usage", "--lines", "x"], "willownotch usage: "),
+        (["config", "set", "data/a"], "willownotch set: Missing argument 'VALUE'."),
+        (["config", "show"], "wanted: --socket PATH"),
+        (["load"], "willownotch load: Missing argument 'TARGET'."),
+        (["check", "--colour"], "No such option"),
+        (["load", "127.0.0.1:1", "--speed", "0"], "willownotch load: Invalid value for '--speed'"),
+    ],
+)
 def test_a_mistake_is_one_line_and_exit_2(words, wanted, capsys):
     assert commands.run(words) == 2
     told = capsys.readouterr().err
@@ -42,8 +53,12 @@
 def test_what_prints_has_json():
     """Commands that print a table or figures; the rest write files, run, or print a script."""
     silent = {"serve", "member", "trace", "experiment", "completion"}
-    inner = {f"{name} {word}": part for name, each in commands.group.commands.items()
-             if isinstance(each, click.Group) for word, part in each.commands.items()}
+    inner = {
+        f"{name} {word}": part
+        for name, each in commands.group.commands.items()
+        if isinstance(each, click.Group)
+        for word, part in each.commands.items()
+    }
     assert len(inner) == 7
     plain = {name: e for name, e in commands.group.commands.items() if not isinstance(e, click.Group)}
     for name, each in (plain | inner).items():
@@ -54,9 +69,19 @@
 def test_version_check_and_journal_as_json(tmp_path):
     assert json.loads(command("version", "--json").stdout)["willownotch"]
     config = tmp_path / "c.json"
-    config.write_text(json.dumps({
-        "name": "t0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "5f",
-        "state": str(tmp_path), "limits": {"sockets": 1024, "disk_mb": 3}, "settings": toys.SETTINGS}))
+    config.write_text(
+        json.dumps(
+            {
+                "name": "t0",
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "seed": "5f",
+                "state": str(tmp_path),
+                "limits": {"sockets": 1024, "disk_mb": 3},
+                "settings": toys.SETTINGS,
+            }
+        )
+    )
     assert json.loads(command("check", "--config", config, "--json").stdout)["slots"] == 6
     assert "room for 40 messages" in command("check", "--config", config).stdout
     (tmp_path / "journal").write_bytes(b"")
@@ -65,13 +90,21 @@
 
 def test_completion_knows_the_commands():
     assert "complete" in command("completion", "bash").stdout
-    found = command(env={"_WILLOWNOTCH_COMPLETE": "bash_complete", "COMP_WORDS": "willownotch us",
-                         "COMP_CWORD": "1", "PATH": ""})
+    found = command(
+        env={
+            "_WILLOWNOTCH_COMPLETE": "bash_complete",
+            "COMP_WORDS": "willownotch us",
+            "COMP_CWORD": "1",
+            "PATH": "",
+        }
+    )
     assert found.stdout.strip() == "plain,usage"
 
 
 def test_serving_without_a_command_loads_no_command_line():
-    code = ("import sys; from willownotch import cli; cli.start = lambda *a, **k: 0; cli.main([]); "
-            "print([m for m in ('click', 'argparse', 'numpy', 'willownotch.lab') if m in sys.modules])")
+    code = (
+        "import sys; from willownotch import cli; cli.start = lambda *a, **k: 0; cli.main([]); "
+        "print([m for m in ('click', 'argparse', 'numpy', 'willownotch.lab') if m in sys.modules])"
+    )
     found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True)
     assert found.stdout.strip() == "[]"
--- a/tests/test_commit_model.py
+++ b/tests/test_commit_model.py
@@ -1,4 +1,5 @@
 """Every state of a small model of agreement, with the program's own rules of voting."""
+
 from __future__ import annotations
 
 import os
@@ -24,8 +25,16 @@
 ALL = bool(os.environ.get("WILLOWNOTCH_LONG"))
 
 
-@pytest.mark.parametrize(("bounds", "states"), [
-    (TINY, 900), (AFTER, 7000), (NEXT, 4000), (LOST, 11_000), *((bounds, 30_000) for bounds in LARGE if ALL)])
+@pytest.mark.parametrize(
+    ("bounds", "states"),
+    [
+        (TINY, 900),
+        (AFTER, 7000),
+        (NEXT, 4000),
+        (LOST, 11_000),
+        *((bounds, 30_000) for bounds in LARGE if ALL),
+    ],
+)
 def test_no_state_breaks_the_agreement(bounds, states):
     found = check(bounds)
     assert found.complete
@@ -47,15 +56,19 @@
 
 def test_what_the_model_found_once_it_finds_again(monkeypatch):
     """Of one ballot's proposals, nothing and then a commit, the first one heard of was taken over."""
+
     def either(revision, pendings):
         found = [pending for pending in pendings if pending and pending[1] == revision + 1]
         return max(found, key=lambda pending: pending[0], default=())
+
     monkeypatch.setattr(commits, "again", either)
     assert check(NEXT).broken == "two commits of one revision"
 
 
-@pytest.mark.parametrize("bounds", [
-    replace(TINY, learning=False), replace(LOST, ballots=1, learning=True), replace(AFTER, ballots=1)])
+@pytest.mark.parametrize(
+    "bounds",
+    [replace(TINY, learning=False), replace(LOST, ballots=1, learning=True), replace(AFTER, ballots=1)],
+)
 def test_alike_states_are_one_and_none_is_left_out(bounds, monkeypatch):
     start = first(bounds)
 
@@ -67,6 +80,7 @@
                     seen.add(state)
                     waiting.append(state)
         return seen
+
     few = {canonical(state) for state in reached()}
     monkeypatch.setattr(commits, "canonical", lambda state: state)
     every = reached()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,4 +1,5 @@
 """What silence on idle connections proves."""
+
 import unittest
 
 from helpers import UNSAFE, Sender, sends
--- a/tests/test_controlplane_commit.py
+++ b/tests/test_controlplane_commit.py
@@ -1,4 +1,5 @@
 """Agreement among members: each hard case by itself, and seeded schedules of faults, seen from outside."""
+
 from __future__ import annotations
 
 import heapq
@@ -49,8 +50,15 @@
 class Plane:
     """Members, their folders, what is on its way, and who believes to hold the lease."""
 
-    def __init__(self, number=5, seed=1, pace=PACE, history=4096, check=lambda name, document, change: None,
-                 bootstrap=True):
+    def __init__(
+        self,
+        number=5,
+        seed=1,
+        pace=PACE,
+        history=4096,
+        check=lambda name, document, change: None,
+        bootstrap=True,
+    ):
         self.random, self.pace, self.history, self.check = Random(seed), pace, history, check
         self.names = tuple(f"m{n}" for n in range(number))
         self.now, self.weather, self.cut = 0.0, Weather(), lambda a, b: False
@@ -74,11 +82,21 @@
                 return False
             folder.extend(map(ENCODE, records))
             return True
+
         document = Document(self.history)
         self.members[name] = Commits(
-            name, self.uids * 1000 + self.random.randrange(1000), self.names, document, keep, self.now,
-            Random(self.random.random()), self.pace, lambda of, change: self.check(name, of, change),
-            [READ(data) for data in folder], bootstrap)
+            name,
+            self.uids * 1000 + self.random.randrange(1000),
+            self.names,
+            document,
+            keep,
+            self.now,
+            Random(self.random.random()),
+            self.pace,
+            lambda of, change: self.check(name, of, change),
+            [READ(data) for data in folder],
+            bootstrap,
+        )
         self.seen[name] = document.revision
         self._look(name)
 
@@ -114,8 +132,10 @@
             for _ in range(1 + (self.random.random() < self.weather.double)):
                 if self.random.random() >= self.weather.loss and not self.cut(source, send.name):
                     at = self.now + self.random.uniform(*self.weather.delay)
-                    heapq.heappush(self.wire, (at, self.sent, self.random.random(), source, send.name,
-                                               ENCODE(send.message)))
+                    heapq.heappush(
+                        self.wire,
+                        (at, self.sent, self.random.random(), source, send.name, ENCODE(send.message)),
+                    )
         self._look(source)
 
     def _deliver(self, source, name, data):
@@ -221,46 +241,57 @@
 Y = Commit(4, 2, Change(b"y" * 16, "b", 3, {"k": b"2"}), b"e" * 16)
 
 
-@pytest.mark.parametrize(("promised", "ballot", "given"), [
-    (NONE, B1, True), (B1, B1, True), (B1, B2, True), (B2, B1, False), (B3, B2, False), (B2, B3, True)])
+@pytest.mark.parametrize(
+    ("promised", "ballot", "given"),
+    [(NONE, B1, True), (B1, B1, True), (B1, B2, True), (B2, B1, False), (B3, B2, False), (B2, B3, True)],
+)
 def test_a_promise_is_kept(promised, ballot, given):
     assert may_promise(promised, ballot) == given
 
 
-@pytest.mark.parametrize(("promised", "pending", "revision", "accept", "wanted"), [
-    (NONE, None, 3, Accept(B1, 4, X), Accepted(B1, 4, X)),
-    (B1, None, 3, Accept(B1, 4, X), Accepted(B1, 4, X)),
-    (B2, None, 3, Accept(B1, 4, X), None),  # a higher ballot was promised
-    (B3, None, 3, Accept(B2, 4, X), None),  # so it was, with the same token
-    (B1, Accepted(B1, 4, X), 3, Accept(B2, 4, Y), Accepted(B2, 4, Y)),
-    (NONE, None, 4, Accept(B1, 4, X), None),  # it has that revision
-    (NONE, None, 2, Accept(B1, 4, X), None),  # it lacks the one before
-    (B1, Accepted(B1, 4, X), 3, Accept(B2, 4, None), Accepted(B2, 4, None)),  # what is older is forgotten
-    (B2, Accepted(B2, 4, Y), 3, Accept(B2, 4, None), Accepted(B2, 4, Y)),  # a late one takes nothing away
-    (B2, Accepted(B2, 4, None), 3, Accept(B2, 4, Y), Accepted(B2, 4, Y)),
-])
+@pytest.mark.parametrize(
+    ("promised", "pending", "revision", "accept", "wanted"),
+    [
+        (NONE, None, 3, Accept(B1, 4, X), Accepted(B1, 4, X)),
+        (B1, None, 3, Accept(B1, 4, X), Accepted(B1, 4, X)),
+        (B2, None, 3, Accept(B1, 4, X), None),  # a higher ballot was promised
+        (B3, None, 3, Accept(B2, 4, X), None),  # so it was, with the same token
+        (B1, Accepted(B1, 4, X), 3, Accept(B2, 4, Y), Accepted(B2, 4, Y)),
+        (NONE, None, 4, Accept(B1, 4, X), None),  # it has that revision
+        (NONE, None, 2, Accept(B1, 4, X), None),  # it lacks the one before
+        (B1, Accepted(B1, 4, X), 3, Accept(B2, 4, None), Accepted(B2, 4, None)),  # what is older is forgotten
+        (B2, Accepted(B2, 4, Y), 3, Accept(B2, 4, None), Accepted(B2, 4, Y)),  # a late one takes nothing away
+        (B2, Accepted(B2, 4, None), 3, Accept(B2, 4, Y), Accepted(B2, 4, Y)),
+    ],
+)
 def test_what_a_voter_accepts(promised, pending, revision, accept, wanted):
     assert decide(promised, pending, revision, accept) == wanted
 
 
-@pytest.mark.parametrize(("pendings", "wanted"), [
-    ([None, None], None),
-    ([Accepted(B1, 4, X), None, Accepted(B2, 4, Y)], Accepted(B2, 4, Y)),
-    ([Accepted(B2, 4, Y), Accepted(B1, 4, X)], Accepted(B2, 4, Y)),
-    ([Accepted(B1, 4, X), Accepted(B2, 4, None)], Accepted(B2, 4, None)),
-    ([Accepted(B2, 4, None), Accepted(B2, 4, Y)], Accepted(B2, 4, Y)),  # one heard less of its writer
-    ([Accepted(B2, 3, X), Accepted(B2, 5, X), Accepted(B1, 4, X)], Accepted(B1, 4, X)),
-])
+@pytest.mark.parametrize(
+    ("pendings", "wanted"),
+    [
+        ([None, None], None),
+        ([Accepted(B1, 4, X), None, Accepted(B2, 4, Y)], Accepted(B2, 4, Y)),
+        ([Accepted(B2, 4, Y), Accepted(B1, 4, X)], Accepted(B2, 4, Y)),
+        ([Accepted(B1, 4, X), Accepted(B2, 4, None)], Accepted(B2, 4, None)),
+        ([Accepted(B2, 4, None), Accepted(B2, 4, Y)], Accepted(B2, 4, Y)),  # one heard less of its writer
+        ([Accepted(B2, 3, X), Accepted(B2, 5, X), Accepted(B1, 4, X)], Accepted(B1, 4, X)),
+    ],
+)
 def test_what_is_committed_again_is_what_the_highest_ballot_proposed(pendings, wanted):
     assert again(3, pendings) == wanted
 
 
-@pytest.mark.parametrize(("vectors", "wanted"), [
-    ({"a": {}, "b": {}, "c": {}}, {"a", "b", "c"}),
-    ({"a": {"a": 1}, "b": {"b": 1, "a": 2}}, {"b"}),
-    ({"a": {"a": 2}, "b": {"a": 2}, "c": {"b": 2}}, {"a", "c"}),
-    ({"a": {"b": 3}, "b": {"a": 2, "b": 2}}, set()),
-])
+@pytest.mark.parametrize(
+    ("vectors", "wanted"),
+    [
+        ({"a": {}, "b": {}, "c": {}}, {"a", "b", "c"}),
+        ({"a": {"a": 1}, "b": {"b": 1, "a": 2}}, {"b"}),
+        ({"a": {"a": 2}, "b": {"a": 2}, "c": {"b": 2}}, {"a", "c"}),
+        ({"a": {"b": 3}, "b": {"a": 2, "b": 2}}, set()),
+    ],
+)
 def test_an_answer_of_a_replaced_incarnation_does_not_count(vectors, wanted):
     assert counted(vectors) == wanted
 
@@ -271,6 +302,7 @@
 
 # Writers that stop, die or meet
 
+
 @pytest.mark.parametrize("others", [{}, {"k": b"2"}])
 @pytest.mark.parametrize("saw", [("m0",), ("m0", "m1"), ("m0", "m1", "m2")])
 def test_a_writer_stopped_mid_change_and_continued_puts_nothing_in_force_by_itself(saw, others):
@@ -278,7 +310,8 @@
     plane.led("m0", 1)
     plane.put("m0")
     plane.watch = lambda source, target, message: (
-        target in saw if isinstance(message, Accept) and source == "m0" else True)
+        target in saw if isinstance(message, Accept) and source == "m0" else True
+    )
     change = plane.change({"k": b"x"}, "m0")
     plane.ask("m0", change)
     plane.run(0.0015)
@@ -312,8 +345,11 @@
     plane = Plane(5)
     plane.led("m0", 1)
     plane.watch = lambda source, target, message: not (
-        source == "m0" and isinstance(message, CommitBatch | Answer)
-        or isinstance(message, Accept) and target in ("m3", "m4"))
+        source == "m0"
+        and isinstance(message, CommitBatch | Answer)
+        or isinstance(message, Accept)
+        and target in ("m3", "m4")
+    )
     change = plane.change({"k": b"x"}, "m4")
     plane.ask("m4", change)
     plane.until(lambda: plane.members["m0"].document.revision == 1)
@@ -350,8 +386,11 @@
 
 def test_a_writer_begins_no_ballot_twice_and_takes_none_below_what_it_knows():
     plane, ballots = Plane(3), []
-    plane.watch = lambda source, target, message: ballots.append(message.ballot) or True if isinstance(
-        message, Prepare) and target == "m1" else True
+    plane.watch = (
+        lambda source, target, message: ballots.append(message.ballot) or True
+        if isinstance(message, Prepare) and target == "m1"
+        else True
+    )
     for _ in range(3):
         plane.led("m0", 1)
         plane.lease["m0"] = None
@@ -367,7 +406,8 @@
     plane, tokens = Plane(5), []
     plane.led("m0", 1)
     plane.watch = lambda source, target, message: not isinstance(message, Accept) or (
-        tokens.append(message.commit.token) or True)
+        tokens.append(message.commit.token) or True
+    )
     document = plane.members["m0"].document
     change = plane.change({"a": b"1"}, "m0")
     later = Commit(1, 9, change, document.digest_after(change))  # of a writer that m0 has not heard of
@@ -379,8 +419,11 @@
 def test_answers_to_an_earlier_ballot_count_for_nothing():
     plane = Plane(5)
     held = []
-    plane.watch = lambda source, target, message: held.append((source, message)) if (
-        target == "m0" and isinstance(message, Promise)) else True
+    plane.watch = (
+        lambda source, target, message: held.append((source, message))
+        if (target == "m0" and isinstance(message, Promise))
+        else True
+    )
     plane.lease["m0"] = 1
     plane.run(0.1)
     plane.lease["m0"] = None
@@ -397,8 +440,11 @@
 def test_votes_under_an_earlier_ballot_count_for_nothing():
     plane, held = Plane(5), []
     plane.led("m0", 1)
-    plane.watch = lambda source, target, message: held.append((source, message)) if (
-        target == "m0" and isinstance(message, Vote)) else True
+    plane.watch = (
+        lambda source, target, message: held.append((source, message))
+        if (target == "m0" and isinstance(message, Vote))
+        else True
+    )
     change = plane.change({"k": b"1"}, "m0")
     plane.ask("m0", change)
     plane.run(0.1)
@@ -432,15 +478,20 @@
 
 # Refusals
 
+
 def test_a_vote_for_nothing_is_no_vote_for_a_change():
     plane = Plane(3, check=lambda name, document, change: refuse() if "bad" in change.sets else None)
 
     def refuse():
         raise DocumentError("it is bad")
+
     plane.led("m0", 1)
     held = []
-    plane.watch = lambda source, target, message: held.append((source, message)) or True if isinstance(
-        message, Vote) else True
+    plane.watch = (
+        lambda source, target, message: held.append((source, message)) or True
+        if isinstance(message, Vote)
+        else True
+    )
     result = plane.told("m1", plane.change({"bad": b"1"}, "m1"))
     assert (result.outcome, result.text) == (Outcome.REFUSED, "it is bad")
     plane.watch = lambda source, target, message: not isinstance(message, Accept)
@@ -459,6 +510,7 @@
     def check(name, document, change):
         if name != "m0" and "picky" in change.sets:
             raise DocumentError("not here")
+
     plane = Plane(5, check=check)
     plane.led("m0", 1)
     plane.watch = lambda source, target, message: not isinstance(message, Accept) or target == "m1"
@@ -485,6 +537,7 @@
     def check(name, document, change):
         if not liked:
             raise DocumentError("not now")
+
     plane = Plane(3, check=check)
     plane.led("m0", 1)
     ballot = plane.members["m0"].writer.ballot
@@ -513,13 +566,16 @@
     assert [result.text for result in member.results] == ["no"]
 
 
-@pytest.mark.parametrize(("sets", "base", "outcome", "text"), [
-    ({"a": b"2"}, 0, Outcome.LOST, "revision 1 by me has changed 'a' since revision 0"),
-    ({"b": b"2"}, 0, Outcome.COMMITTED, ""),
-    ({"a": b"2"}, 1, Outcome.COMMITTED, ""),
-    ({"b": b"2"}, 5, Outcome.UNKNOWN, "it is based on revision 5, known are 0 to 1"),
-    ({"": b"2"}, 1, Outcome.REFUSED, "the key '' is empty or too long"),
-])
+@pytest.mark.parametrize(
+    ("sets", "base", "outcome", "text"),
+    [
+        ({"a": b"2"}, 0, Outcome.LOST, "revision 1 by me has changed 'a' since revision 0"),
+        ({"b": b"2"}, 0, Outcome.COMMITTED, ""),
+        ({"a": b"2"}, 1, Outcome.COMMITTED, ""),
+        ({"b": b"2"}, 5, Outcome.UNKNOWN, "it is based on revision 5, known are 0 to 1"),
+        ({"": b"2"}, 1, Outcome.REFUSED, "the key '' is empty or too long"),
+    ],
+)
 def test_what_becomes_of_a_change(sets, base, outcome, text):
     plane = Plane(3)
     plane.led("m0", 1)
@@ -560,14 +616,19 @@
 
 # Folders that are lost, full, restarted
 
+
 @pytest.mark.parametrize("learnt", [False, True])
 def test_a_change_outlives_four_of_nine_folders_lost_at_once(learnt):
     plane = Plane(9)
     plane.led("m0", 1)
     few = {"m0", "m1", "m2", "m3", "m4"}
     plane.watch = lambda source, target, message: (
-        target in few if isinstance(message, Accept)
-        else learnt and target == "m4" if isinstance(message, CommitBatch) else True)
+        target in few
+        if isinstance(message, Accept)
+        else learnt and target == "m4"
+        if isinstance(message, CommitBatch)
+        else True
+    )
     change = plane.change({"k": b"x"}, "m0")
     assert plane.told("m0", change).outcome is Outcome.COMMITTED
     plane.run(0.05)
@@ -616,9 +677,11 @@
     plane, late = Plane(5), []
     plane.led("m0", 1)
     # m3 is about to write: only m4's promise comes of it, and that late.
-    plane.watch = lambda source, target, message: late.append(message) if (
-        source == "m4" and target == "m3" and isinstance(message, Promise)) else (
-        target == "m4" or not isinstance(message, Prepare))
+    plane.watch = (
+        lambda source, target, message: late.append(message)
+        if (source == "m4" and target == "m3" and isinstance(message, Promise))
+        else (target == "m4" or not isinstance(message, Prepare))
+    )
     plane.lease["m3"] = 2
     plane.until(lambda: late)
     plane.kill("m4", emptied=True)
@@ -626,13 +689,16 @@
     plane.watch = lambda source, target, message: "m3" not in (source, target)
     plane.until(lambda: plane.members["m4"].voter.voting)  # by m0, m1, m2
     plane.watch = lambda source, target, message: (
-        "m3" not in (source, target) and not isinstance(message, CommitBatch)
-        and not (target == "m2" and isinstance(message, Accept)))
+        "m3" not in (source, target)
+        and not isinstance(message, CommitBatch)
+        and not (target == "m2" and isinstance(message, Accept))
+    )
     result = plane.told("m0", plane.change({"k": b"x"}, "m0"))
     assert result.outcome is Outcome.COMMITTED  # by m0, m1 and the new m4
     plane.post("m3", plane.members["m3"].receive(plane.now, "m4", late[0]))
     plane.watch = lambda source, target, message: {source, target} in ({"m2", "m3"}, {"m3", "m4"}) and not (
-        source == "m4" and isinstance(message, Promise))
+        source == "m4" and isinstance(message, Promise)
+    )
     plane.ask("m3", plane.change({"k": b"y"}, "m3"))
     plane.run(1)  # m2 knows that m4 is a new one
     assert plane.members["m3"].view().stage == "preparing"
@@ -651,7 +717,8 @@
     plane.kill("m4", emptied=True)
     plane.start("m4")
     plane.watch = lambda source, target, message: "m3" not in (source, target) and (
-        isinstance(message, Recover | Recovered))
+        isinstance(message, Recover | Recovered)
+    )
     plane.until(lambda: plane.members["m4"].voter.voting)
     assert plane.members["m4"].voter.promised == plane.members["m3"].writer.ballot
     plane.watch = lambda source, target, message: {source, target} <= {"m0", "m1", "m4"}
@@ -664,8 +731,11 @@
 
 def test_a_folder_lost_twice_makes_another_incarnation_and_answers_to_the_first_count_for_nothing():
     plane, held = Plane(3), []
-    plane.watch = lambda source, target, message: held.append((source, message)) or True if isinstance(
-        message, Recovered) else True
+    plane.watch = (
+        lambda source, target, message: held.append((source, message)) or True
+        if isinstance(message, Recovered)
+        else True
+    )
     for times in (2, 3, 4):
         plane.kill("m2", emptied=True)
         plane.start("m2")
@@ -675,8 +745,10 @@
         plane.until(lambda: plane.members["m2"].voter.voting)
         assert plane.members["m0"].voter.vector["m2"] == times
         assert plane.members["m2"].voter.vector["m2"] == times
-    assert not any(isinstance(send.message, Recovered) for send in plane.members["m0"].receive(
-        plane.now, "m2", Recover(1, 3)))  # of the one before, late
+    assert not any(
+        isinstance(send.message, Recovered)
+        for send in plane.members["m0"].receive(plane.now, "m2", Recover(1, 3))
+    )  # of the one before, late
     plane.kill("m1", emptied=True)  # what it knew of m2 is known to others
     plane.start("m1")
     plane.until(lambda: plane.members["m1"].voter.voting)
@@ -762,11 +834,17 @@
         plane.start(name)
         new = plane.members[name]
         assert (new.document.revision, new.document.token, new.document.digest) == (
-            old.document.revision, old.document.token, old.document.digest)
+            old.document.revision,
+            old.document.token,
+            old.document.digest,
+        )
         assert new.document.oldest() == old.document.oldest()
         assert [p.before for p in new.document.history] == [p.before for p in old.document.history]
         assert (new.voter.promised, new.voter.pending, new.voter.vector) == (
-            old.voter.promised, old.voter.pending, old.voter.vector)
+            old.voter.promised,
+            old.voter.pending,
+            old.voter.vector,
+        )
     assert plane.members["m1"].voter.pending is not None
 
 
@@ -789,6 +867,7 @@
 
 # Members that lack commits
 
+
 @pytest.mark.parametrize("weather", [Weather(), Weather(0.2, 0.2, (0.0, 0.2))])
 def test_a_member_far_behind_gets_a_document_larger_than_a_frame_in_pieces(weather):
     plane, sizes = Plane(5, history=16, seed=9), []
@@ -797,8 +876,11 @@
     for n in range(40):
         plane.put("m1", {f"k{n}": bytes([n]) * 60_000})
     plane.weather = weather
-    plane.watch = lambda source, target, message: sizes.append(len(ENCODE(message))) or True if isinstance(
-        message, Piece | CommitBatch) else True
+    plane.watch = (
+        lambda source, target, message: sizes.append(len(ENCODE(message))) or True
+        if isinstance(message, Piece | CommitBatch)
+        else True
+    )
     plane.start("m4")
     plane.run(1)
     source = plane.members["m4"].catchup.source
@@ -885,8 +967,10 @@
     def close(self):
         """Askings that have their answer are over."""
         for change_id, (member, told) in list(self.open.items()):
-            if (len(self.plane.outcomes.get(change_id, ())) > told
-                    or member not in self.plane.members.values()):
+            if (
+                len(self.plane.outcomes.get(change_id, ())) > told
+                or member not in self.plane.members.values()
+            ):
                 del self.open[change_id]
 
     def ask(self, change_id, name):
@@ -895,8 +979,10 @@
 
     def submit(self, name):
         revision = self.plane.members[name].document.revision
-        sets = {f"k{self.random.randrange(6)}": self.random.randbytes(3)
-                for _ in range(self.random.randrange(1, 3))}
+        sets = {
+            f"k{self.random.randrange(6)}": self.random.randbytes(3)
+            for _ in range(self.random.randrange(1, 3))
+        }
         change = self.plane.change(sets, name, base=max(0, revision - self.random.randrange(3)))
         self.changes[change.id] = change
         self.ask(change.id, name)
@@ -936,8 +1022,19 @@
         plane, random = self.plane, self.random
         alive = [name for name in plane.members if name not in plane.stopped]
         dead = [name for name in plane.names if name not in plane.members]
-        kinds = {"submit": 40, "again": 10, "lease": 12, "kill": 8, "start": 10, "stop": 4, "go on": 5,
-                 "full": 3, "cut": 4, "weather": 3, "all": 1}
+        kinds = {
+            "submit": 40,
+            "again": 10,
+            "lease": 12,
+            "kill": 8,
+            "start": 10,
+            "stop": 4,
+            "go on": 5,
+            "full": 3,
+            "cut": 4,
+            "weather": 3,
+            "all": 1,
+        }
         if self.racing:
             kinds |= {"submit": 25, "lease": 25, "kill": 18, "start": 25, "full": 1, "weather": 0}
         kind = random.choices(list(kinds), list(kinds.values()))[0]
@@ -959,11 +1056,19 @@
             plane.full ^= {random.choice(plane.names)}
         elif kind == "cut":
             side = {name for name in plane.names if random.random() < 0.4}
-            plane.cut = random.choice((lambda a, b: False, lambda a, b: (a in side) != (b in side),
-                                       lambda a, b: a in side and b not in side))
+            plane.cut = random.choice(
+                (
+                    lambda a, b: False,
+                    lambda a, b: (a in side) != (b in side),
+                    lambda a, b: a in side and b not in side,
+                )
+            )
         elif kind == "weather":
-            plane.weather = Weather(random.choice((0.0, 0.05, 0.3)), random.choice((0.0, 0.3)),
-                                    random.choice(((0.001, 0.002), (0.001, 0.3), (0.0, 2.0))))
+            plane.weather = Weather(
+                random.choice((0.0, 0.05, 0.3)),
+                random.choice((0.0, 0.3)),
+                random.choice(((0.001, 0.002), (0.001, 0.3), (0.0, 2.0))),
+            )
         elif kind == "all":
             for name in list(plane.members):
                 self.went[name] = 0 if plane.members[name].voter.unkept else plane.seen[name]
--- a/tests/test_controlplane_document.py
+++ b/tests/test_controlplane_document.py
@@ -1,4 +1,5 @@
 """The document's rules, as properties: commits, differences, digests, conflicts, roll-back."""
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -126,8 +127,12 @@
     right = Commit(document.revision + 1, document.token, change, document.digest_after(change))
     replace = msgspec.structs.replace
     before = state_of(document)
-    for wrong in (replace(right, revision=right.revision + 1), replace(right, revision=document.revision),
-                  replace(right, token=document.token - 1), replace(right, digest=bytes(WIDTH))):
+    for wrong in (
+        replace(right, revision=right.revision + 1),
+        replace(right, revision=document.revision),
+        replace(right, token=document.token - 1),
+        replace(right, digest=bytes(WIDTH)),
+    ):
         with pytest.raises(DocumentError):
             document.commit(wrong)
         assert state_of(document) == before and document.found(change.id) is None
@@ -151,8 +156,11 @@
     base = data.draw(st.integers(0, document.revision))
     change = Change(bytes(16), "b", base, *edit)
     keys = set(edit[0]) | set(edit[1])
-    touched = [number for number, (sets, removes) in enumerate(history, 1)
-               if number > base and keys & (set(sets) | set(removes))]
+    touched = [
+        number
+        for number, (sets, removes) in enumerate(history, 1)
+        if number > base and keys & (set(sets) | set(removes))
+    ]
     found = document.conflict(change)
     assert (found.revision if found else None) == (touched[-1] if touched else None)
 
@@ -165,11 +173,12 @@
         sums[bucket_of(key)] = (sums[bucket_of(key)] + hash_of(key, value)) % MODULUS
     assert int.from_bytes(document.digest, "big") == sum(sums) % MODULUS
     for group in range(GROUPS):
-        part = sums[group * GROUPS:(group + 1) * GROUPS]
+        part = sums[group * GROUPS : (group + 1) * GROUPS]
         assert [int.from_bytes(one, "big") for one in document.buckets(group)] == part
         assert int.from_bytes(document.groups()[group], "big") == sum(part) % MODULUS
     assert {key: value for n in range(BUCKETS) if sums[n] for key, value in document.bucket(n).items()} == (
-        states[-1])
+        states[-1]
+    )
 
 
 @given(HISTORIES)
@@ -216,16 +225,19 @@
     assert copy.get("k0") == b"1" and copy.revision == 1 and copy.commits(0) is None
 
 
-@pytest.mark.parametrize(("change", "said"), [
-    (Change(bytes(15), "a", 0, {"k": b"1"}), "16 bytes"),
-    (Change(bytes(16), "a", 0, {}), "empty"),
-    (Change(bytes(16), "a", 0, {"k": b"1"}, ("k",)), "both set and removed"),
-    (Change(bytes(16), "a", 0, {}, ("k", "k")), "twice"),
-    (Change(bytes(16), "a", 0, {"": b"1"}), "empty or too long"),
-    (Change(bytes(16), "a", 0, {"κ" * (KEY_MOST // 2 + 1): b"1"}), "empty or too long"),
-    (Change(bytes(16), "a", 0, {"k": bytes(VALUE_MOST + 1)}), "up to 65536"),
-    (Change(bytes(16), "a", 0, {f"k{n}": bytes(VALUE_MOST) for n in range(8)}), f"up to {CHANGE_MOST}"),
-])
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        (Change(bytes(15), "a", 0, {"k": b"1"}), "16 bytes"),
+        (Change(bytes(16), "a", 0, {}), "empty"),
+        (Change(bytes(16), "a", 0, {"k": b"1"}, ("k",)), "both set and removed"),
+        (Change(bytes(16), "a", 0, {}, ("k", "k")), "twice"),
+        (Change(bytes(16), "a", 0, {"": b"1"}), "empty or too long"),
+        (Change(bytes(16), "a", 0, {"κ" * (KEY_MOST // 2 + 1): b"1"}), "empty or too long"),
+        (Change(bytes(16), "a", 0, {"k": bytes(VALUE_MOST + 1)}), "up to 65536"),
+        (Change(bytes(16), "a", 0, {f"k{n}": bytes(VALUE_MOST) for n in range(8)}), f"up to {CHANGE_MOST}"),
+    ],
+)
 def test_bounds_of_a_change(change, said):
     with pytest.raises(DocumentError, match=said):
         check_change(change)
--- a/tests/test_controlplane_entries.py
+++ b/tests/test_controlplane_entries.py
@@ -1,4 +1,5 @@
 """What the control plane can tell senders: texts of entries, their types, how they lie over a file."""
+
 import json
 
 import msgspec
@@ -10,8 +11,13 @@
 from willownotch.controlplane.entries import EntriesError, overlay, parse, unparse
 from willownotch.net.config import ConfigError, read_config
 
-FILE = {"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s", "discovery": "127.0.0.1:1",
-        "limits": {"sockets": 512}}
+FILE = {
+    "settings": SETTINGS,
+    "listen": "127.0.0.1:0",
+    "state": "s",
+    "discovery": "127.0.0.1:1",
+    "limits": {"sockets": 512},
+}
 TEXT = json.dumps(FILE).encode()
 
 
@@ -43,8 +49,10 @@
 def test_a_whole_named_object_takes_the_place_of_the_old_one_and_null_takes_it_out():
     fee = {**SETTINGS["services"][2], "credit": 9.0}
     del fee["name"]
-    found = laid(f"config/settings/services/fee {json.dumps(fee)}\nconfig/settings/services/status null\n"
-                 "config/settings/services/order/credit 2\n")
+    found = laid(
+        f"config/settings/services/fee {json.dumps(fee)}\nconfig/settings/services/status null\n"
+        "config/settings/services/order/credit 2\n"
+    )
     assert [(c.name, c.worth) for c in found.settings.classes] == [("order", 2.0), ("fee", 9.0)]
 
 
@@ -53,33 +61,38 @@
         laid("config/settings/services/new/credit 2\n")
 
 
-@pytest.mark.parametrize(("line", "said"), [
-    ("config/settings/policyLimits/maxAttempts 2.5", "2:42: Expected `int`, got `float`"),
-    ('config/settings/policyLimits/maxAttempts "3"', "2:42: Expected `int`, got `str`"),
-    ("config/settings/policyLimits/maxAttemps 3",
-     "2:1: unknown key 'maxAttemps' (did you mean 'maxAttempts'?)"),
-    ("config/settings/policyLimits 3", "2:1: a part with keys of its own"),
-    ("config/settings/services [1]", "2:1: a part with keys of its own"),
-    ("config/settings/slots/x 3", "2:1: unknown key 'slots'"),
-    ("config/settings/periodS/x 3", "2:1: nothing lies below 'config/settings/periodS'"),
-    ("config/listen \"127.0.0.1:1\"", "2:1: 'listen' is each machine's own"),
-    ("config/limits/disk_mb 5", "2:1: 'limits/disk_mb' is each machine's own"),
-    ("config/settings/models []", "2:1: 'settings/models' is each machine's own"),
-    ("config/settings/services/fee {\"credit\": 1}", "2:30: Object missing required field"),
-    ("config/settings/services/fee {\"name\": \"fees\"}", "2:30: the object is named 'fees', wanted: 'fee'"),
-    ("config/settings/orgs/a {\"quota\": 1}", "2:24: unknown key 'quota', allowed: name, quotaPerS"),
-    ("config/settings/policyLimits/maxAttempts null", "2:42: Expected `int`, got `null`"),
-    ("config/discovery", "2:17: no value"),
-    ("config", "2:7: no value"),
-    ("config 3", "2:1: unknown key 'config'"),
-    ("other/x 3", "2:1: unknown key 'other/x', allowed: config/... or data/..."),
-    ("data//x 3", "2:1: no key"),
-    (f"data/{'x' * 200} 3", "2:1: no key"),
-    ("data/x {\"a\": }", "2:14: JSON is malformed"),
-    ("data/x 3 4", "2:11: JSON is malformed"),
-    ("  data/x", "2:9: no value"),
-    ("data/first 2", "2:1: 'data/first' stands twice, allowed: once (line 1 has it)"),
-])
+@pytest.mark.parametrize(
+    ("line", "said"),
+    [
+        ("config/settings/policyLimits/maxAttempts 2.5", "2:42: Expected `int`, got `float`"),
+        ('config/settings/policyLimits/maxAttempts "3"', "2:42: Expected `int`, got `str`"),
+        (
+            "config/settings/policyLimits/maxAttemps 3",
+            "2:1: unknown key 'maxAttemps' (did you mean 'maxAttempts'?)",
+        ),
+        ("config/settings/policyLimits 3", "2:1: a part with keys of its own"),
+        ("config/settings/services [1]", "2:1: a part with keys of its own"),
+        ("config/settings/slots/x 3", "2:1: unknown key 'slots'"),
+        ("config/settings/periodS/x 3", "2:1: nothing lies below 'config/settings/periodS'"),
+        ('config/listen "127.0.0.1:1"', "2:1: 'listen' is each machine's own"),
+        ("config/limits/disk_mb 5", "2:1: 'limits/disk_mb' is each machine's own"),
+        ("config/settings/models []", "2:1: 'settings/models' is each machine's own"),
+        ('config/settings/services/fee {"credit": 1}', "2:30: Object missing required field"),
+        ('config/settings/services/fee {"name": "fees"}', "2:30: the object is named 'fees', wanted: 'fee'"),
+        ('config/settings/orgs/a {"quota": 1}', "2:24: unknown key 'quota', allowed: name, quotaPerS"),
+        ("config/settings/policyLimits/maxAttempts null", "2:42: Expected `int`, got `null`"),
+        ("config/discovery", "2:17: no value"),
+        ("config", "2:7: no value"),
+        ("config 3", "2:1: unknown key 'config'"),
+        ("other/x 3", "2:1: unknown key 'other/x', allowed: config/... or data/..."),
+        ("data//x 3", "2:1: no key"),
+        (f"data/{'x' * 200} 3", "2:1: no key"),
+        ('data/x {"a": }', "2:14: JSON is malformed"),
+        ("data/x 3 4", "2:11: JSON is malformed"),
+        ("  data/x", "2:9: no value"),
+        ("data/first 2", "2:1: 'data/first' stands twice, allowed: once (line 1 has it)"),
+    ],
+)
 def test_each_mistake_is_told_with_its_line_and_column(line, said):
     with pytest.raises(EntriesError) as caught:
         parse(f"data/first 1\n{line}\n", "new.txt")
@@ -89,7 +102,7 @@
 
 def test_all_mistakes_are_told_at_once():
     with pytest.raises(EntriesError) as caught:
-        parse("data/x\nother 1\ndata/y 1\nconfig/seed \"5\"\n", "f")
+        parse('data/x\nother 1\ndata/y 1\nconfig/seed "5"\n', "f")
     assert [m.split(":")[1] for m in caught.value.mistakes] == ["1", "2", "4"]
 
 
@@ -104,15 +117,18 @@
     return Change(b"i" * 16, "me", base, texts, removes)
 
 
-@pytest.mark.parametrize(("sets", "removes", "said"), [
-    ({"config/settings/policyLimits/maxAttempts": "x"}, (), "maxAttempts: Expected `int`"),
-    ({"config/settings/policyLimits/x": 1}, (), "unknown key 'x'"),
-    ({}, ("data/none",), "no entry 'data/none' to remove"),
-    ({}, (), "empty"),
-    ({"data/x": 1}, ("data/x",), "both set and removed"),
-    ({"config/settings/policyLimits/maxAttempts": 0}, (), "with the reference configuration"),
-    ({"config/settings/services/new/credit": 1.0}, (), "with the reference configuration"),
-])
+@pytest.mark.parametrize(
+    ("sets", "removes", "said"),
+    [
+        ({"config/settings/policyLimits/maxAttempts": "x"}, (), "maxAttempts: Expected `int`"),
+        ({"config/settings/policyLimits/x": 1}, (), "unknown key 'x'"),
+        ({}, ("data/none",), "no entry 'data/none' to remove"),
+        ({}, (), "empty"),
+        ({"data/x": 1}, ("data/x",), "both set and removed"),
+        ({"config/settings/policyLimits/maxAttempts": 0}, (), "with the reference configuration"),
+        ({"config/settings/services/new/credit": 1.0}, (), "with the reference configuration"),
+    ],
+)
 def test_a_member_refuses_what_a_sender_could_not_apply(sets, removes, said):
     with pytest.raises(DocumentError, match=said):
         entries.check(Document(), change(sets, removes), TEXT)
@@ -126,8 +142,14 @@
     document.commit(Commit(1, 1, first, document.digest_after(first)))
     entries.check(document, change({"config/settings/services/new/credit": 2.0}, base=1), TEXT)
     # Without the object, a part of it is none.
-    document.commit(Commit(2, 1, second := change({"config/settings/services/new/credit": 2.0}, base=1),
-                           document.digest_after(second)))
+    document.commit(
+        Commit(
+            2,
+            1,
+            second := change({"config/settings/services/new/credit": 2.0}, base=1),
+            document.digest_after(second),
+        )
+    )
     with pytest.raises(DocumentError, match="with the reference"):
         entries.check(document, change(removes=("config/settings/services/new",), base=2), TEXT)
 
--- a/tests/test_controlplane_faults.py
+++ b/tests/test_controlplane_faults.py
@@ -4,6 +4,7 @@
 follower, with all entries. `Plane.check` holds one against the other: no revision goes back, each is what the
 accepted changes make of it, and nothing of a change that was refused or lost is in any.
 """
+
 from __future__ import annotations
 
 import itertools
@@ -19,8 +20,11 @@
 
 FOLLOWERS = tuple(dict.fromkeys(PLACES)) * 2 + PLACES[:2]  # a dozen
 HISTORY = " history 16\n"
-FAST = {"period": timedelta(milliseconds=300), "patience": timedelta(milliseconds=200),
-        "home": timedelta(seconds=2)}
+FAST = {
+    "period": timedelta(milliseconds=300),
+    "patience": timedelta(milliseconds=200),
+    "home": timedelta(seconds=2),
+}
 SEED = 35
 
 
@@ -45,12 +49,14 @@
             made[-1].relay.weather = weather or Weather()
         else:
             path = tmp_path if member else tmp_path_factory.mktemp("plane")
-            made.append(Plane(path, followers=FOLLOWERS, seed=SEED, follow=FAST, weather=weather,
-                              member=member or ""))
+            made.append(
+                Plane(path, followers=FOLLOWERS, seed=SEED, follow=FAST, weather=weather, member=member or "")
+            )
             made[-1].writer()
             made[-1].start_followers()
         print(f"seed {SEED}, begins at revision {made[-1].last()}")
         return made[-1]
+
     yield make
     for each in made:
         if each not in whole:
@@ -145,8 +151,9 @@
     until(lambda: made.last() >= before + 5, PATIENCE)
     made.arrive(outside)
     assert {h.revision for h in inside} == {before}
-    assert not [a for a in made.asked if a.outcome == "committed" and a.revision > before
-                and a.member in south]
+    assert not [
+        a for a in made.asked if a.outcome == "committed" and a.revision > before and a.member in south
+    ]
     made.heal()
     until(lambda: all(h.revision > before for h in inside), PATIENCE)
     cut.end()
@@ -164,6 +171,7 @@
 
     def ahead():
         return [h for h in made.followers if h.revision == made.last()]
+
     until(lambda: len(ahead()) >= 9, PATIENCE)
     earlier = {h: h.follower.counters["behind"] for h in ahead()}
     made.cut(lambda a, b: late in (a, b) if a[0] == b[0] else late not in (a, b))  # it is all that there is
@@ -173,9 +181,11 @@
     finish(made)
 
 
-@pytest.mark.parametrize("weather", [
-    Weather(delay=0.03, jitter=0.05, repeat=0.2), Weather(loss=0.05, delay=0.005, jitter=0.02, repeat=0.05)],
-    ids=["delayed and doubled", "dropped"])
+@pytest.mark.parametrize(
+    "weather",
+    [Weather(delay=0.03, jitter=0.05, repeat=0.2), Weather(loss=0.05, delay=0.005, jitter=0.02, repeat=0.05)],
+    ids=["delayed and doubled", "dropped"],
+)
 def test_what_is_delayed_doubled_or_dropped_makes_no_difference(plane, weather):
     made = plane(weather=weather)
     before, authors = made.last(), Authors(made)
@@ -208,8 +218,8 @@
         for sender in senders:
             until(lambda sender=sender: sender.revision == made.last(), PATIENCE)
             revisions = sender.revisions
-            assert all(a < b for a, b in itertools.pairwise(revisions[:sender.lives[-1]]))
-            assert all(a < b for a, b in itertools.pairwise(revisions[sender.lives[-1]:]))
+            assert all(a < b for a, b in itertools.pairwise(revisions[: sender.lives[-1]]))
+            assert all(a < b for a, b in itertools.pairwise(revisions[sender.lives[-1] :]))
             assert set(revisions) <= {a.revision for a in made.asked if a.outcome == "committed"}
         finish(made)
     finally:
--- a/tests/test_controlplane_follow.py
+++ b/tests/test_controlplane_follow.py
@@ -1,4 +1,5 @@
 """Followers and members in simulated time: what each does when the other is slow, silent, behind or wrong."""
+
 from collections import Counter
 from datetime import timedelta
 from random import Random
@@ -33,10 +34,15 @@
     Why,
 )
 
-SETTINGS = FollowSettings(zone="z1", region="east", member={
-    "near": FollowedSettings(("near", 1), "z1", "east"),
-    "beside": FollowedSettings(("beside", 1), "z2", "east"),
-    "far": FollowedSettings(("far", 1), "z4", "west")})
+SETTINGS = FollowSettings(
+    zone="z1",
+    region="east",
+    member={
+        "near": FollowedSettings(("near", 1), "z1", "east"),
+        "beside": FollowedSettings(("beside", 1), "z2", "east"),
+        "far": FollowedSettings(("far", 1), "z4", "west"),
+    },
+)
 
 
 def commit(document, sets, removes=(), token=None):
@@ -99,15 +105,18 @@
 
 def truthful(document, **other):
     """What a member with this document answers to a poll."""
+
     def answer(send):
         poll = send.message
         if not isinstance(poll, Poll):
             return None
         delta = document.delta(poll.revision) if poll.revision < document.revision else None
         how, data = (How.INLINE, wire.encode(delta)) if delta else (How.NOTHING, b"")
-        news = News(poll.member, poll.number, document.revision, document.token, document.digest, how,
-                    len(data), data)
+        news = News(
+            poll.member, poll.number, document.revision, document.token, document.digest, how, len(data), data
+        )
         return msgspec.structs.replace(news, **other)
+
     return answer
 
 
@@ -151,6 +160,7 @@
             plane.change()
         plane.run(plane.now + 20.0)
         return [(node.sent, node.received, node.forces) for node in plane.nodes.values()]
+
     assert story() == story()
 
 
@@ -312,7 +322,8 @@
     plane.run(60.0)
     follower = plane.nodes["s0"].core
     assert follower.held.in_force == revision and dict(follower.held.entries_in_force()) == dict(
-        plane.truth.items())
+        plane.truth.items()
+    )
     for name in MEMBERS:  # all of them with an old folder
         plane.nodes[name].document = Document()
         plane.start_member(name)
@@ -387,11 +398,16 @@
         if send.address[0] == "near" and len(times) == 1:
             return Refused("near", send.message.number, Why.RATE, 4000)
         return truthful(Document())(send) if send.address[0] == "near" else None
+
     alone.run(6.0, answer)
     assert [name for _, name in times[:2]] == ["near", "near"] and times[1][0] - times[0][0] >= 4.0
     alone = Alone()
-    alone.run(10.0, lambda send: Refused("near", send.message.number, Why.FULL, 25_000)
-              if send.address[0] == "near" else truthful(Document())(send))
+    alone.run(
+        10.0,
+        lambda send: Refused("near", send.message.number, Why.FULL, 25_000)
+        if send.address[0] == "near"
+        else truthful(Document())(send),
+    )
     assert alone.follower.member == "beside" and [p.member for p in alone.asked()].count("near") == 1
 
 
@@ -480,6 +496,7 @@
                 if isinstance(message, News):
                     message = msgspec.structs.replace(message, revision=9, how=How.TREE)
                 carry(alone.follower.receive(alone.now, ("near", 1), message))
+
     while alone.now < 2.0:
         alone.now = max(alone.now, alone.follower.due())
         carry(alone.follower.tick(alone.now))
@@ -487,8 +504,9 @@
     assert alone.follower.member != "near" and alone.follower.held.document.revision == 3
 
 
-@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x93\x01\x02\x03",
-                                  wire.encode(document_of(1).delta(0)) + b"x"])
+@pytest.mark.parametrize(
+    "data", [b"", b"\xc1", b"\x93\x01\x02\x03", wire.encode(document_of(1).delta(0)) + b"x"]
+)
 def test_what_cannot_be_read_is_as_wrong(data):
     alone = Alone(document_of(3))
     alone.run(2.0, truthful(document_of(4), delta=data))
@@ -499,8 +517,10 @@
     for how in (How.NOTHING, How.DELTA, How.TREE):
         alone, right = Alone(document_of(3)), document_of(4)
         lie = truthful(right, how=how, size=5000, delta=b"", revision=9)
-        alone.run(60.0, lambda send, lie=lie, right=right: (
-            lie if send.address[0] == "near" else truthful(right))(send))
+        alone.run(
+            60.0,
+            lambda send, lie=lie, right=right: (lie if send.address[0] == "near" else truthful(right))(send),
+        )
         assert alone.follower.counters["undelivered"] == 1, how
         assert alone.follower.member == "beside" and alone.follower.held.document.digest == right.digest
 
@@ -513,8 +533,12 @@
             return truthful(right)(send)
         if isinstance(send.message, Fetch):
             return Refused("near", send.message.number, Why.BUSY, 1500)
-        return truthful(right, how=How.DELTA, size=5000, delta=b"", revision=9)(send) if isinstance(
-            send.message, Poll) else None
+        return (
+            truthful(right, how=How.DELTA, size=5000, delta=b"", revision=9)(send)
+            if isinstance(send.message, Poll)
+            else None
+        )
+
     alone.run(100.0, answer)
     assert alone.follower.member == "near" and alone.follower.counters["told to wait"] > 10
     alone.run(150.0, answer)
@@ -614,11 +638,13 @@
 
 def msgspec_records(delta):
     from willownotch.controlplane.held import records_of
+
     return records_of(delta)
 
 
 def in_force(revision):
     from willownotch.controlplane.held import InForce, encode
+
     return [encode(InForce(revision))]
 
 
@@ -658,8 +684,17 @@
 
     def poll(self, now, name="s1", revision=0, number=None, uid=7, **more):
         number = int(now * 1000) if number is None else number
-        poll = Poll(name, uid, number, "near", 3000, revision, 1 if revision else 0,
-                    more.pop("in_force", revision), **more)
+        poll = Poll(
+            name,
+            uid,
+            number,
+            "near",
+            3000,
+            revision,
+            1 if revision else 0,
+            more.pop("in_force", revision),
+            **more,
+        )
         return [send.message for send in self.core.receive(now, (name, 1), poll)]
 
     def fetch(self, now, part, pieces=(0,), name="s1", number=1):
@@ -669,7 +704,7 @@
 
 def test_a_poll_is_answered_with_what_is_lacking():
     member = Member()
-    news, = member.poll(0.0, revision=1)
+    (news,) = member.poll(0.0, revision=1)
     delta = wire.read_delta(news.delta)
     assert (news.how, news.revision, delta.since, delta.revision) == (How.INLINE, 3, 1, 3)
     assert member.poll(1.0, revision=3)[0].how is How.NOTHING
@@ -677,7 +712,7 @@
     member.document.history.clear()
     assert member.poll(3.0, revision=1)[0].how is How.TREE
     commit(member.document, {"big": bytes(5000)})
-    news, = member.poll(4.0, revision=3)
+    (news,) = member.poll(4.0, revision=3)
     assert news.how is How.DELTA and news.size > 5000
     pieces = member.fetch(4.0, Part(Kind.DELTA, 4, 3), (0, 1, 2, 3, 4, 9))
     assert [piece.piece for piece in pieces] == [0, 1, 2, 3, 4] and {p.pieces for p in pieces} == {5}
@@ -725,7 +760,7 @@
     member = Member(admissions=10)
     refused = []
     for n in range(100):
-        answer, = member.poll(0.0, f"s{n}")
+        (answer,) = member.poll(0.0, f"s{n}")
         if isinstance(answer, Refused):
             refused.append((answer.after_ms, n))
     assert len(refused) == 90 and [ms for ms, _ in refused] == sorted({ms for ms, _ in refused})
@@ -734,15 +769,17 @@
     for ms, n in refused:
         assert isinstance(member.poll(ms / 1000 + 0.01, f"s{n}")[0], News)
     crowd = [member.poll(20.0, f"t{n}")[0] for n in range(400)]
-    late = {why: [answer.after_ms for answer in crowd if isinstance(answer, Refused) and answer.why is why]
-            for why in (Why.RATE, Why.FULL)}
+    late = {
+        why: [answer.after_ms for answer in crowd if isinstance(answer, Refused) and answer.why is why]
+        for why in (Why.RATE, Why.FULL)
+    }
     assert late[Why.FULL] and max(late[Why.FULL]) <= 45_000 and max(late[Why.RATE]) <= 30_000
     assert len(member.core._slots) <= 310
 
 
 def test_a_probe_counts_for_nothing():
     member = Member()
-    news, = member.poll(0.0, probe=True, revision=1)
+    (news,) = member.poll(0.0, probe=True, revision=1)
     assert news.how is How.NOTHING and not member.core.followers
     assert member.core.counts(0.0).followers == 0
 
@@ -754,7 +791,7 @@
     groups = Part(Kind.GROUPS, 0)
     assert isinstance(member.fetch(0.0, groups, name="s1")[0], Piece)
     for name in ("s2", "s3"):
-        answer, = member.fetch(0.1, groups, name=name)
+        (answer,) = member.fetch(0.1, groups, name=name)
         assert answer.why is Why.COPIES
     assert member.fetch(0.2, Part(Kind.BUCKETS, 3, 0, 1), name="s2")[0].why is Why.GONE  # no way round it
     assert member.fetch(0.2, Part(Kind.BUCKETS, 2, 0, 1), name="s1")[0].why is Why.GONE
@@ -772,21 +809,29 @@
     tops = []
     for name, revision in (("s1", 0), ("s2", 1), ("s3", 3)):
         member.poll(0.0, name, revision=revision)
-        piece, = member.fetch(0.0, Part(Kind.GROUPS, 0), name=name)
+        (piece,) = member.fetch(0.0, Part(Kind.GROUPS, 0), name=name)
         tops.append(wire.read_tree(piece.data).revision)
         if name == "s2":
             commit(member.document, {"new": b"1"})
     assert tops == [3, 3, 4]  # what s3 holds already would lead it nowhere
 
 
-@pytest.mark.parametrize("part", [
-    Part(Kind.DELTA, 3, 99), Part(Kind.DELTA, 1 << 60, 1), Part(Kind.ENTRIES, 3, 64, 1),
-    Part(Kind.ENTRIES, 3, -1, 1), Part(Kind.ENTRIES, 3, 0, 1 << 64), Part(Kind.ENTRIES, 3, 0, -1)])
+@pytest.mark.parametrize(
+    "part",
+    [
+        Part(Kind.DELTA, 3, 99),
+        Part(Kind.DELTA, 1 << 60, 1),
+        Part(Kind.ENTRIES, 3, 64, 1),
+        Part(Kind.ENTRIES, 3, -1, 1),
+        Part(Kind.ENTRIES, 3, 0, 1 << 64),
+        Part(Kind.ENTRIES, 3, 0, -1),
+    ],
+)
 def test_a_part_that_is_not_there(part):
     member = Member()
     member.poll(0.0)
     member.fetch(0.0, Part(Kind.GROUPS, 0))
-    answer, = member.fetch(0.1, part)
+    (answer,) = member.fetch(0.1, part)
     assert answer.why is Why.GONE
     assert member.fetch(0.1, part, name="stranger") == []
 
@@ -818,12 +863,19 @@
     member.poll(0.0, "s3", revision=3, in_force=2, refused=3, text="no")
     member.poll(0.0, "s4", revision=3)
     for name in ("s1", "s2", "s3"):
-        member.poll(15.0, name, revision=3, in_force=3 if name == "s1" else 2,
-                    **({"refused": 3, "text": "no"} if name == "s3" else {}))
+        member.poll(
+            15.0,
+            name,
+            revision=3,
+            in_force=3 if name == "s1" else 2,
+            **({"refused": 3, "text": "no"} if name == "s3" else {}),
+        )
     counts = member.core.counts(20.0)
     assert (counts.followers, counts.in_force) == (4, ((3, 2), (2, 2)))
     assert sorted((one.name, one.in_force, one.for_ms) for one in counts.laggards) == [
-        ("s2", 2, 20_000), ("s3", 2, 20_000)]
+        ("s2", 2, 20_000),
+        ("s3", 2, 20_000),
+    ]
     assert [(one.name, one.revision, one.text) for one in counts.nacks] == [("s3", 3, "no")]
     assert [(one.name, one.for_ms) for one in counts.unheard_names] == [("s4", 20_000)]
     member.core.tick(700.0)
@@ -865,7 +917,9 @@
     view = member.core.status(5.0)
     assert view.known == 6 and view.in_force == {"3": 1, "2": 3, "1": 2} and view.missing == ["gone"]
     assert [(row.name, row.followers, row.apart_s) for row in view.members] == [
-        ("far", 5, 0.5), ("near", 1, 0.0)]
+        ("far", 5, 0.5),
+        ("near", 1, 0.0),
+    ]
     assert member.core.status(30.0).missing == ["far", "gone"]
     msgspec.json.encode(view)
 
@@ -894,15 +948,23 @@
 # Messages and pieces
 
 
-@pytest.mark.parametrize("data", [
-    b"", b"\xc1", b"\x90", wire.encode(["x"]), wire.encode([200, "x"]),
-    wire.encode(Poll("", 7, 1, "near", 3000, 0, 0, 0)),
-    wire.encode(Poll("s" * 101, 7, 1, "near", 3000, 0, 0, 0)),
-    wire.encode(Poll("s1", 7, 1, "near", 3000, 0, 0, 0, 1, "x" * 201)),
-    wire.encode(Fetch("s1", "near", 1, Part(Kind.DELTA, 1), ())),
-    wire.encode(Fetch("s1", "near", 1, Part(Kind.DELTA, 1), tuple(range(17)))),
-    wire.encode(Refused("near", 1, Why.FULL, 1))[:-1],
-    wire.encode([83, "near", 1, 99, 1])])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        b"\x90",
+        wire.encode(["x"]),
+        wire.encode([200, "x"]),
+        wire.encode(Poll("", 7, 1, "near", 3000, 0, 0, 0)),
+        wire.encode(Poll("s" * 101, 7, 1, "near", 3000, 0, 0, 0)),
+        wire.encode(Poll("s1", 7, 1, "near", 3000, 0, 0, 0, 1, "x" * 201)),
+        wire.encode(Fetch("s1", "near", 1, Part(Kind.DELTA, 1), ())),
+        wire.encode(Fetch("s1", "near", 1, Part(Kind.DELTA, 1), tuple(range(17)))),
+        wire.encode(Refused("near", 1, Why.FULL, 1))[:-1],
+        wire.encode([83, "near", 1, 99, 1]),
+    ],
+)
 def test_what_is_no_message(data):
     with pytest.raises((msgspec.DecodeError, UnicodeDecodeError)):
         wire.decode(data)
@@ -910,11 +972,13 @@
 
 def test_all_messages_fit_a_datagram():
     name, large = "n" * 100, (1 << 63) - 1
-    for message in (Poll(name, large, large, name, large, large, large, large, large, "x" * 200, True),
-                    News(name, large, large, large, bytes(16), How.INLINE, large, bytes(wire.INLINE), large),
-                    Push(name, large, large, bytes(wire.INLINE)),
-                    Piece(name, large, large, large, bytes(wire.PIECE)),
-                    Fetch(name, name, large, Part(Kind.ENTRIES, large, 63, (1 << 64) - 1), (large,) * 16)):
+    for message in (
+        Poll(name, large, large, name, large, large, large, large, large, "x" * 200, True),
+        News(name, large, large, large, bytes(16), How.INLINE, large, bytes(wire.INLINE), large),
+        Push(name, large, large, bytes(wire.INLINE)),
+        Piece(name, large, large, large, bytes(wire.PIECE)),
+        Fetch(name, name, large, Part(Kind.ENTRIES, large, 63, (1 << 64) - 1), (large,) * 16),
+    ):
         data = wire.encode(message)
         assert wire.decode(data) == message and len(data) + 32 <= DATAGRAM
 
--- a/tests/test_controlplane_member.py
+++ b/tests/test_controlplane_member.py
@@ -1,4 +1,5 @@
 """Members as real processes on loopback: changes, operators' commands, losses, bad input of every kind."""
+
 from __future__ import annotations
 
 import json
@@ -32,6 +33,7 @@
     def make(number=3, more="", start=True):
         made.append(Tier(tmp_path, number, more))
         return made[0].start() if start else made[0]
+
     yield make
     for each in made:
         each.close()
@@ -50,8 +52,16 @@
 
     def poll(self, member, revision, in_force=None):
         self.number += 1
-        return wire.Poll(self.name, self.uid, self.number, member.name, 3000, revision, 0,
-                         revision if in_force is None else in_force)
+        return wire.Poll(
+            self.name,
+            self.uid,
+            self.number,
+            member.name,
+            3000,
+            revision,
+            0,
+            revision if in_force is None else in_force,
+        )
 
     def send(self, member, data):
         host, port = member.followers.split(":")
@@ -67,6 +77,7 @@
                 return self.seal.open(self.sock.recv(65535))
             except TimeoutError:
                 return None
+
         return until(answered, PATIENCE)
 
 
@@ -96,6 +107,7 @@
     def pushed():
         message = asker.seal.open(asker.sock.recv(65535))
         return isinstance(message, wire.Push) and message.revision == 4
+
     asker.sock.settimeout(PATIENCE)
     until(pushed, PATIENCE)
 
@@ -131,13 +143,14 @@
     status = member.config("status")
     assert status.returncode == 0 and "revision 6" in status.stdout and "the writer is m" in status.stdout
     for words, code, text in (
-            (("unset", "data/none"), 1, "has no entry 'data/none'"),
-            (("show", "data/none"), 1, "has no entry"),
-            (("rollback", "99"), 1, "revision 99 is not remembered, allowed: 0 to 6"),
-            (("show", "--revision", "99"), 1, "not remembered"),
-            (("put", str(tmp_path / "none")), 2, "No such file"),
-            (("rollback", "x"), 2, "is not a valid integer"),
-            (("set", "data/a"), 2, "Missing argument")):
+        (("unset", "data/none"), 1, "has no entry 'data/none'"),
+        (("show", "data/none"), 1, "has no entry"),
+        (("rollback", "99"), 1, "revision 99 is not remembered, allowed: 0 to 6"),
+        (("show", "--revision", "99"), 1, "not remembered"),
+        (("put", str(tmp_path / "none")), 2, "No such file"),
+        (("rollback", "x"), 2, "is not a valid integer"),
+        (("set", "data/a"), 2, "Missing argument"),
+    ):
         found = member.config(*words)
         assert found.returncode == code and text in found.stderr, found
     assert member.ask("entries")["revision"] == 6
@@ -175,7 +188,7 @@
     member = plane.members[0]
     member.change(0, {"data/a": 1})
     file = tmp_path / "entries"
-    file.write_text('data/a 2\nnope/x 1\ndata/b [1,\n  data/a 3\nconfig/limits/socket 4\n')
+    file.write_text("data/a 2\nnope/x 1\ndata/b [1,\n  data/a 3\nconfig/limits/socket 4\n")
     found = member.config("put", str(file))
     assert found.returncode == 2
     lines = found.stderr.splitlines()
@@ -185,13 +198,23 @@
     assert f"{file}:4:3: 'data/a' stands twice, allowed: once (line 1 has it)" in lines[2]
     assert f"{file}:5:1: unknown key 'socket' (did you mean 'sockets'?)" in lines[3]
     # Also where it does not come by the command.
-    for sets, removes, text in (({"nope/x": 1}, (), "unknown key"), ({}, ("data/none",), "no entry"),
-                                ({}, (), "empty"), ({"data/a": 1}, ("data/a",), "both set and removed"),
-                                ({"data/big": "x" * 70_000}, (), "allowed: up to")):
+    for sets, removes, text in (
+        ({"nope/x": 1}, (), "unknown key"),
+        ({}, ("data/none",), "no entry"),
+        ({}, (), "empty"),
+        ({"data/a": 1}, ("data/a",), "both set and removed"),
+        ({"data/big": "x" * 70_000}, (), "allowed: up to"),
+    ):
         told = member.change(1, sets, removes)
         assert told["outcome"] == "refused" and text in told["text"], told
-    for question in ("", "{}", '{"id": "00"}', '{"id": "zz", "author": "a", "base": 1}',
-                     '{"id": "%s", "author": "a", "base": -1.5}' % ("00" * 16), "[" * 2000):
+    for question in (
+        "",
+        "{}",
+        '{"id": "00"}',
+        '{"id": "zz", "author": "a", "base": 1}',
+        '{"id": "%s", "author": "a", "base": -1.5}' % ("00" * 16),
+        "[" * 2000,
+    ):
         with pytest.raises(AskError, match="no change"):
             member.ask("change", change=question)
     plane.holds(1)
@@ -202,10 +225,21 @@
 
 def test_a_change_is_tried_on_the_reference_configuration(tier, tmp_path):
     from toys import SETTINGS
+
     reference = tmp_path / "reference.json"
-    reference.write_text(json.dumps({
-        "name": "t0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "5f", "state": "x",
-        "limits": {"sockets": 1024, "disk_mb": 3}, "settings": SETTINGS}))
+    reference.write_text(
+        json.dumps(
+            {
+                "name": "t0",
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "seed": "5f",
+                "state": "x",
+                "limits": {"sockets": 1024, "disk_mb": 3},
+                "settings": SETTINGS,
+            }
+        )
+    )
     plane = tier(more=f" reference {reference}\n")
     plane.writer()
     member = plane.members[0]
@@ -221,24 +255,46 @@
     older, other = Asker(plane, version=1), Asker(plane, keys=[(9, b"o" * 32)])
     good = asker.seal.close(asker.poll(member, 0))
     forged = good[:-1] + bytes([good[-1] ^ 1])
-    for data in (b"", b"x", good[:20], good[:-1], good + b"x", b"x" * 1400, b"x" * 3000, forged,
-                 foreign.seal.close(foreign.poll(member, 0)), older.seal.close(older.poll(member, 0)),
-                 other.seal.close(other.poll(member, 0)), good, good):
+    for data in (
+        b"",
+        b"x",
+        good[:20],
+        good[:-1],
+        good + b"x",
+        b"x" * 1400,
+        b"x" * 3000,
+        forged,
+        foreign.seal.close(foreign.poll(member, 0)),
+        older.seal.close(older.poll(member, 0)),
+        other.seal.close(other.poll(member, 0)),
+        good,
+        good,
+    ):
         asker.send(member, data)
-    wanted = {"too short": 3, "too long": 1, "not authentic": 4, "other version": 2, "unknown key": 1,
-              "repeat": 1}
+    wanted = {
+        "too short": 3,
+        "too long": 1,
+        "not authentic": 4,
+        "other version": 2,
+        "unknown key": 1,
+        "repeat": 1,
+    }
 
     def counted():
         traffic = member.status()["traffic"]
         found = {why: traffic.get(f"datagrams for followers {why}", 0) for why in wanted}
         return found if sum(found.values()) >= sum(wanted.values()) else None
+
     assert until(counted, PATIENCE) == wanted
     member.says("refused:", "datagrams for followers not authentic")
     # Authentic ones that make no sense.
-    for message in (wire.Poll("", 77, 1, member.name, 3000, 0, 0, 0),
-                    wire.Fetch("t0", member.name, 1, wire.Part(wire.Kind.DELTA, 9, 1), ()),
-                    wire.Fetch("stranger", member.name, 1, wire.Part(wire.Kind.GROUPS, 0), (0,)),
-                    wire.Poll("t0", 77, 1, "another", 3000, 0, 0, 0), wire.News("t0", 1, 9, 9, b"x" * 16)):
+    for message in (
+        wire.Poll("", 77, 1, member.name, 3000, 0, 0, 0),
+        wire.Fetch("t0", member.name, 1, wire.Part(wire.Kind.DELTA, 9, 1), ()),
+        wire.Fetch("stranger", member.name, 1, wire.Part(wire.Kind.GROUPS, 0), (0,)),
+        wire.Poll("t0", 77, 1, "another", 3000, 0, 0, 0),
+        wire.News("t0", 1, 9, 9, b"x" * 16),
+    ):
         asker.send(member, asker.seal.close(message))
     news = asker.ask(member)
     while not isinstance(news, wire.News):
@@ -261,20 +317,34 @@
     class Strange(msgspec.Struct, array_like=True):
         source: str
         message: str
-    for data in (b"\0\0", pack("!I", 100) + b"x", pack("!I", MOST + 1), pack("!I", 5) + b"abcde",
-                 sealed(Strange("m1", "x")), sealed(Strange("m1", "x"), 17),
-                 sealed(Strange("m1", "x"), keys=[(1, b"o" * 32)])):
+
+    for data in (
+        b"\0\0",
+        pack("!I", 100) + b"x",
+        pack("!I", MOST + 1),
+        pack("!I", 5) + b"abcde",
+        sealed(Strange("m1", "x")),
+        sealed(Strange("m1", "x"), 17),
+        sealed(Strange("m1", "x"), keys=[(1, b"o" * 32)]),
+    ):
         with socket.create_connection((host, int(port)), PATIENCE) as sock:
             sock.settimeout(PATIENCE)
             sock.sendall(data)
             sock.shutdown(socket.SHUT_WR)
             assert sock.recv(1) == b""
-    wanted = {"cut off": 2, "too long": 1, "too short": 1, "unreadable": 1, "other version": 1,
-              "not authentic": 1}
+    wanted = {
+        "cut off": 2,
+        "too long": 1,
+        "too short": 1,
+        "unreadable": 1,
+        "other version": 1,
+        "not authentic": 1,
+    }
 
     def counted():
         traffic = member.status()["traffic"]
         return {why: traffic.get(f"frames of members {why}", 0) for why in wanted} == wanted
+
     until(counted, PATIENCE)
     member.says("refused:", "frames of members")
     assert member.change(0, {"data/a": 1})["outcome"] == "committed"
@@ -291,6 +361,7 @@
 
     def committed():
         return rest[0].change(3, {"data/n": 3}, change_id=change_id)["outcome"] == "committed"
+
     until(committed, PATIENCE)
     assert plane.writer() is not writer
     plane.holds(4)
@@ -425,9 +496,13 @@
 
 def assert_refused(member, text, settings=None):
     """It does not start: exit 2, one line."""
-    found = subprocess.run([sys.executable, "-m", "willownotch", "member", "--settings",
-                            str(settings or member.settings)], cwd=ROOT, text=True, capture_output=True,
-                           timeout=PATIENCE)
+    found = subprocess.run(
+        [sys.executable, "-m", "willownotch", "member", "--settings", str(settings or member.settings)],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=PATIENCE,
+    )
     assert found.returncode == 2, found
     assert len(found.stderr.splitlines()) == 1 and text in found.stderr, found
 
@@ -447,6 +522,7 @@
             made = made.replace(old, new)
         bad.write_text(made)
         assert_refused(member, text, bad)
+
     refused("another process has this folder")
     host, port = member.followers.split(":")
     fresh = (f"folder {member.folder}", f"folder {tmp_path / 'fresh'}")
@@ -465,10 +541,15 @@
     records = member.folder / stores.NAME
     head, rest = stores.bodies(records.read_bytes())[0][0], records.read_bytes()
     newer = msgspec.msgpack.encode([stores.FORMAT + 1, *msgspec.msgpack.decode(head)[1:]])
-    records.write_bytes(stores.frame(newer) + rest[len(stores.frame(head)):])
+    records.write_bytes(stores.frame(newer) + rest[len(stores.frame(head)) :])
     refused("is of format 2, this version reads up to 1")
-    found = subprocess.run([sys.executable, "-m", "willownotch", "member"], cwd=ROOT, text=True,
-                           capture_output=True, timeout=PATIENCE)
+    found = subprocess.run(
+        [sys.executable, "-m", "willownotch", "member"],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=PATIENCE,
+    )
     assert found.returncode == 2 and "no block member" in found.stderr
 
 
@@ -483,6 +564,7 @@
             said = sum("reload:" in line for line in member.lines)
             member.send_signal(signal.SIGHUP)
             until(lambda m=member, s=said: sum("reload:" in line for line in m.lines) > s, PATIENCE)
+
     reload("no keys\n")
     assert all("the old settings stay" in m.says("reload:") for m in plane.members)
     for text in (first + second, second + first, second):
@@ -521,8 +603,12 @@
     member.serving = SimpleNamespace(committed=lambda now, commit: [])
     member._serve, member.woken = lambda sends: None, SimpleNamespace(notify=lambda: None)
     member.commits = SimpleNamespace(
-        committed=[], installed=0, said=[], writer=SimpleNamespace(stage=Stage.IDLE),
-        results=[Result(change.id, Outcome.COMMITTED, 1, "")])
+        committed=[],
+        installed=0,
+        said=[],
+        writer=SimpleNamespace(stage=Stage.IDLE),
+        results=[Result(change.id, Outcome.COMMITTED, 1, "")],
+    )
     member._settle(0.0)
     assert not waiter.done.is_set()
     commit = Commit(1, 1, change, document.digest_after(change))
@@ -537,12 +623,15 @@
     plane = tier(1, start=False)
     member = plane.members[0]
     member.write_settings()
-    code = ("import sys; from willownotch.controlplane import member as m\n"
-            "def dies(*_): raise RuntimeError('of old age')\n"
-            "m.Member._look = dies\n"
-            f"sys.exit(m.main({str(member.settings)!r}, True))")
-    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
-                           timeout=PATIENCE)
+    code = (
+        "import sys; from willownotch.controlplane import member as m\n"
+        "def dies(*_): raise RuntimeError('of old age')\n"
+        "m.Member._look = dies\n"
+        f"sys.exit(m.main({str(member.settings)!r}, True))"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, timeout=PATIENCE
+    )
     assert found.returncode == 70
     assert "thread member has died, so the member ends" in found.stderr and "of old age" in found.stderr
 
@@ -557,6 +646,7 @@
         assert told["outcome"] == "committed"
         sizes.append((member.folder / stores.NAME).stat().st_size)
         return len(sizes) > 60 and sizes[-1] < max(sizes) / 2
+
     until(shrunk, PATIENCE)
     revision = len(sizes)
     entries = member.ask("entries")
@@ -568,9 +658,12 @@
 
 
 def test_a_sender_loads_nothing_of_it():
-    code = ("import sys, willownotch.cli; print([m for m in sys.modules if "
-            "m.startswith('willownotch.controlplane.') and not m.endswith('.settings') "
-            "or m.startswith('willownotch.links')])")
-    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
-                           timeout=PATIENCE)
+    code = (
+        "import sys, willownotch.cli; print([m for m in sys.modules if "
+        "m.startswith('willownotch.controlplane.') and not m.endswith('.settings') "
+        "or m.startswith('willownotch.links')])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, timeout=PATIENCE
+    )
     assert found.stdout.strip() == "[]"
--- a/tests/test_controlplane_page.py
+++ b/tests/test_controlplane_page.py
@@ -1,4 +1,5 @@
 """The operators' page has every setting with its default, every line and every counter of the code."""
+
 from __future__ import annotations
 
 import re
--- a/tests/test_controlplane_sender.py
+++ b/tests/test_controlplane_sender.py
@@ -1,4 +1,5 @@
 """A real sender that follows: revisions in force, refused, kept; members that are silent or not so good."""
+
 import json
 import signal
 import subprocess
@@ -29,6 +30,7 @@
     def make(**more):
         made.append(Fleet(tmp_path, **more))
         return made[-1]
+
     yield make
     for each in made:
         each.close()
@@ -54,14 +56,17 @@
     fleet.start()
     fleet.member.put("data/first 1\n")
     until(lambda: fleet.member.in_force().get("1") == 1)  # nothing for the owner in it
-    fleet.member.put(f"{ATTEMPTS} 3\nconfig/settings/orgs/blue {{\"quotaPerS\": 5}}\n")
+    fleet.member.put(f'{ATTEMPTS} 3\nconfig/settings/orgs/blue {{"quotaPerS": 5}}\n')
     fleet.said("revision 2 is in force")
     fleet.said("retune: new settings hold")
     until(lambda: fleet.member.in_force().get("2") == 1)
     view = fleet.view()
     assert (view["member"], view["revision"], view["in_force"], view["refused"]) == ("a", 2, 2, 0)
-    lines = [line for line in fleet.sender.lines if "retune: new settings hold" in line
-             or "revision 2 is in force" in line]
+    lines = [
+        line
+        for line in fleet.sender.lines
+        if "retune: new settings hold" in line or "revision 2 is in force" in line
+    ]
     assert "retune" in lines[0]  # in force is told once the owner has it
 
 
@@ -69,10 +74,20 @@
     member, asked, config = Member(), [], object()
     (tmp_path / "keys").write_text(KEYS)
     settings = FollowSettings(
-        folder=str(tmp_path / "follow"), keys=str(tmp_path / "keys"), period=timedelta(milliseconds=100),
-        patience=timedelta(milliseconds=50), member={"a": FollowedSettings(member.sock.getsockname())})
-    following = Following(settings, "t0", REAL, lambda text: None,
-                          lambda overlay: asked.append(overlay) or config, lambda: False)
+        folder=str(tmp_path / "follow"),
+        keys=str(tmp_path / "keys"),
+        period=timedelta(milliseconds=100),
+        patience=timedelta(milliseconds=50),
+        member={"a": FollowedSettings(member.sock.getsockname())},
+    )
+    following = Following(
+        settings,
+        "t0",
+        REAL,
+        lambda text: None,
+        lambda overlay: asked.append(overlay) or config,
+        lambda: False,
+    )
     threading.Thread(target=following.run, daemon=True).start()
     try:
         member.put(f"{ATTEMPTS} 3\n")
@@ -160,8 +175,9 @@
     other.put(f"{ATTEMPTS} 5\n")
     first.deaf = False
     fleet.said("revision 3 is in force")
-    forces = [int(line.split("revision ")[1].split()[0]) for line in fleet.sender.lines
-              if "is in force" in line]
+    forces = [
+        int(line.split("revision ")[1].split()[0]) for line in fleet.sender.lines if "is in force" in line
+    ]
     assert forces == sorted(set(forces))
 
 
@@ -174,8 +190,15 @@
     good = fleet.member.seal.close(wire.Push("a", 9, 9, b""))
     forger = Seal(9, read_keys(f"1 {'cd' * 32}\n"), wire.decode, wire.VERSION)
     changed = good[:30] + bytes([good[30] ^ 1]) + good[31:]
-    for bad in (b"x", good[:20], good[:-1], b"\x01" + good[1:], changed, good + bytes(2000),
-                forger.close(wire.Push("a", 9, 9, b""))):
+    for bad in (
+        b"x",
+        good[:20],
+        good[:-1],
+        b"\x01" + good[1:],
+        changed,
+        good + bytes(2000),
+        forger.close(wire.Push("a", 9, 9, b"")),
+    ):
         fleet.member.sock.sendto(bad, address)
     until(lambda: not_opened(fleet) == 7)
     view = fleet.view()
@@ -190,13 +213,27 @@
     store.load()
     store.close()
     config, settings = tmp_path / "c.json", tmp_path / "w.conf"
-    config.write_text(json.dumps({
-        "name": "t0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "5f",
-        "state": str(tmp_path / "s"), "limits": {"sockets": 1024, "disk_mb": 3}, "settings": SETTINGS}))
+    config.write_text(
+        json.dumps(
+            {
+                "name": "t0",
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "seed": "5f",
+                "state": str(tmp_path / "s"),
+                "limits": {"sockets": 1024, "disk_mb": 3},
+                "settings": SETTINGS,
+            }
+        )
+    )
     settings.write_text(fleet.settings())
     found = subprocess.run(
         [sys.executable, "-m", "willownotch", "serve", "--config", config, "--settings", settings],
-        cwd=ROOT, text=True, capture_output=True, timeout=toys.PATIENCE)
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=toys.PATIENCE,
+    )
     assert found.returncode == 2
     assert "belongs to 'another'" in found.stderr
     assert found.stderr.count("\n") == 1
@@ -236,15 +273,22 @@
     fleet.said("revision 2 is refused")
     found = subprocess.run(
         [sys.executable, "-m", "willownotch", "follow", "--socket", fleet.path / "control"],
-        cwd=ROOT, text=True, capture_output=True, timeout=toys.PATIENCE)
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=toys.PATIENCE,
+    )
     assert found.returncode == 0
     for said in ("t0 follows a", "revision 1 in force", "2 held", "revision 2 was refused", "promiseS"):
         assert said in found.stdout
 
 
 def test_run_loads_nothing_of_the_control_plane():
-    code = ("import sys, willownotch.cli; print([m for m in sys.modules if 'controlplane.' in m"
-            " and m != 'willownotch.controlplane.settings'])")
-    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
-                           timeout=toys.PATIENCE)
+    code = (
+        "import sys, willownotch.cli; print([m for m in sys.modules if 'controlplane.' in m"
+        " and m != 'willownotch.controlplane.settings'])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, timeout=toys.PATIENCE
+    )
     assert found.stdout.strip() == "[]"
--- a/tests/test_controlplane_store.py
+++ b/tests/test_controlplane_store.py
@@ -1,4 +1,5 @@
 """A control plane folder: torn tails at every byte, failures at every operation, other owners and formats."""
+
 from __future__ import annotations
 
 import itertools
@@ -39,8 +40,9 @@
     return list(itertools.chain(*appends))
 
 
-@given(appends=st.lists(st.lists(st.binary(max_size=2000), max_size=4), max_size=6),
-       rewritten=st.integers(0, 6))
+@given(
+    appends=st.lists(st.lists(st.binary(max_size=2000), max_size=4), max_size=6), rewritten=st.integers(0, 6)
+)
 def test_what_was_appended_comes_back_in_order(tmp_path_factory, appends, rewritten):
     folder = tmp_path_factory.mktemp("any") / "made"
     made, found = opened(folder)
@@ -97,7 +99,7 @@
 def test_a_file_cut_within_its_head_is_told(tmp_path, left):
     whole = written(tmp_path / "made", [])
     assert len(whole) > 20
-    (tmp_path / "made" / stores.NAME).write_bytes(whole[:min(left, len(whole) - 1)])
+    (tmp_path / "made" / stores.NAME).write_bytes(whole[: min(left, len(whole) - 1)])
     with pytest.raises(StoreError, match="damaged at byte 0"):
         read(tmp_path / "made")
 
@@ -165,8 +167,10 @@
             faults = [Fault(kind, number=number)]
             if operation != "*":
                 # Half of it is written, then the disk is full.
-                faults = [Fault(Kind.SHORT, "append", number=number),
-                          Fault(kind, "append", number=number + 1)]
+                faults = [
+                    Fault(Kind.SHORT, "append", number=number),
+                    Fault(kind, "append", number=number + 1),
+                ]
             kept = []
             folder = tmp_path / f"{kind.name}{number}{operation == '*'}"
             story(folder, Faulty(lambda faults=faults: faults), kept)
@@ -180,14 +184,15 @@
     for number in range(1, counting.count + 1):
         files = Faulty()
         files.faults = lambda files=files, number=number: (
-            [Fault(kind)] if number <= files.count < number + 7 else [])
+            [Fault(kind)] if number <= files.count < number + 7 else []
+        )
         kept = []
         folder = tmp_path / f"{kind.name}{number}"
         story(folder, files, kept)
         found = read(folder)
-        assert found[:len(kept)] == kept, (number, counting.trail[number - 1])
+        assert found[: len(kept)] == kept, (number, counting.trail[number - 1])
         # Where it fails until the end, the last that was refused may stand there, but only whole.
-        assert found[len(kept):] in TRIED if files.count < number + 7 else found == kept, number
+        assert found[len(kept) :] in TRIED if files.count < number + 7 else found == kept, number
 
 
 def test_a_new_file_whose_name_is_not_synced_holds_and_is_synced_before_the_next_write(tmp_path):
@@ -225,9 +230,9 @@
         with pytest.raises(KilledError):
             story(folder, Faulty(lambda number=number: [Fault(kind, number=number)], kill), kept)
         found = read(folder)
-        assert found[:len(kept)] == kept, (number, counting.trail[number - 1])
+        assert found[: len(kept)] == kept, (number, counting.trail[number - 1])
         # What was under way may be there, too, but only whole.
-        assert found[len(kept):] in TRIED
+        assert found[len(kept) :] in TRIED
 
 
 def test_a_full_disk_leaves_the_file_as_it_was_and_room_lets_it_go_on(tmp_path):
@@ -251,8 +256,11 @@
     faults = []
     files = Faulty(lambda: faults)
     made, _ = opened(tmp_path / "made", files)
-    faults += [Fault(Kind.SHORT, "append", number=files.count + 1),
-               Fault(Kind.IO_ERROR, "append", number=files.count + 2), Fault(Kind.IO_ERROR, "truncate")]
+    faults += [
+        Fault(Kind.SHORT, "append", number=files.count + 1),
+        Fault(Kind.IO_ERROR, "append", number=files.count + 2),
+        Fault(Kind.IO_ERROR, "truncate"),
+    ]
     for _ in range(2):
         with pytest.raises(OSError, match="Input/output"):
             made.append([b"x" * 1000])
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 
 docs/crossings.md has a row for each. Connections are real; each test fails with its mend taken out.
 """
+
 import json
 import socket
 import threading
@@ -25,9 +26,19 @@
 from willownotch.net.south import BEGIN_LATE, Idle, Relay, South
 from willownotch.net.ticket import Ticket
 
-REQUEST = http.write_request("POST", "/api", "a", [
-    ("Request-Id", "a1"), ("Request-Class", "status"), ("Tenant", "acme"), ("Request-Timeout-Ms", "900"),
-    ("X-Consignee", "dest=7")], b"hello")
+REQUEST = http.write_request(
+    "POST",
+    "/api",
+    "a",
+    [
+        ("Request-Id", "a1"),
+        ("Request-Class", "status"),
+        ("Tenant", "acme"),
+        ("Request-Timeout-Ms", "900"),
+        ("X-Consignee", "dest=7"),
+    ],
+    b"hello",
+)
 SPAN = timedelta(seconds=PATIENCE)
 
 
@@ -203,8 +214,14 @@
 
 def test_who_makes_room_is_the_one_longest_at_the_first_stage_that_has_any_long_enough():
     stages, began, pairs = Stages(), Clock().now(), [socket.socketpair() for _ in range(6)]
-    steps = [(Stage.READING, 0), (Stage.IDLE, 20), (Stage.SILENT, 40), (Stage.SILENT, 30),
-             (Stage.ANSWERING, 0), (Stage.IDLE, 10)]
+    steps = [
+        (Stage.READING, 0),
+        (Stage.IDLE, 20),
+        (Stage.SILENT, 40),
+        (Stage.SILENT, 30),
+        (Stage.ANSWERING, 0),
+        (Stage.IDLE, 10),
+    ]
     several = [Client(pair[0], began, stages) for pair in pairs]
     for client, (stage, after) in sorted(zip(several, steps, strict=True), key=lambda row: row[1][1]):
         client.at(stage, began + timedelta(milliseconds=after))
@@ -273,8 +290,15 @@
     """Killed before its 202 was out, it came again on a new connection, was turned away as too early, and
     came a third time under another id: two messages were owed for one."""
     clock, known = Clock(), Taken("a1", 7, "status", "acme", Clock().now() + SPAN)
-    owner = Owner(config(), clock, Log(clock), None, SimpleNamespace(listed=lambda dest: False),
-                  SimpleNamespace(discard=lambda taken: None), Standing())
+    owner = Owner(
+        config(),
+        clock,
+        Log(clock),
+        None,
+        SimpleNamespace(listed=lambda dest: False),
+        SimpleNamespace(discard=lambda taken: None),
+        Standing(),
+    )
     owner._recovered = [Entry(known, 0)]
     answers = []
     for ref, more in (("a1", {}), ("a2", {}), ("a1", {"destination": 8})):
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,4 +1,5 @@
 """The deploy file: what the platform builds, starts and counts as the sender."""
+
 import json
 import subprocess
 import sys
@@ -10,12 +11,17 @@
 
 
 def test_everything_that_serve_loads_is_named_as_node_or_policy():
-    code = ("import json, sys, willownotch.cli; print(json.dumps("
-            "[m.__file__ for n, m in sys.modules.items() if n.startswith('willownotch')]))")
+    code = (
+        "import json, sys, willownotch.cli; print(json.dumps("
+        "[m.__file__ for n, m in sys.modules.items() if n.startswith('willownotch')]))"
+    )
     out = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, check=True).stdout
     named = [(ROOT / name).resolve() for name in DEPLOY["node"] + DEPLOY["policy"]]
-    missing = [path for path in map(Path, json.loads(out))
-               if not any(name == path or name in path.parents for name in named)]
+    missing = [
+        path
+        for path in map(Path, json.loads(out))
+        if not any(name == path or name in path.parents for name in named)
+    ]
     assert not missing
 
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -1,4 +1,5 @@
 """Experiments: resumption after a kill, paired comparison, reports."""
+
 from __future__ import annotations
 
 import os
@@ -46,8 +47,9 @@
 
 
 def command(*words):
-    return subprocess.run([sys.executable, "-m", "willownotch", *words], cwd=ROOT, text=True,
-                          capture_output=True, timeout=100)
+    return subprocess.run(
+        [sys.executable, "-m", "willownotch", *words], cwd=ROOT, text=True, capture_output=True, timeout=100
+    )
 
 
 def test_an_experiment_killed_halfway_goes_on_and_ends_with_the_same_table(tmp_path):
@@ -55,9 +57,23 @@
     path.write_text(FILE)
     found = command("experiment", path, "--database", tmp_path / "a", "--report", whole, "--workers", "2")
     assert found.returncode == 0
-    process = subprocess.Popen([sys.executable, "-m", "willownotch", "experiment", path, "--database",
-                                tmp_path / "b", "--workers", "1"], cwd=ROOT, start_new_session=True,
-                               stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "willownotch",
+            "experiment",
+            path,
+            "--database",
+            tmp_path / "b",
+            "--workers",
+            "1",
+        ],
+        cwd=ROOT,
+        start_new_session=True,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
 
     def kept():
         try:
@@ -65,6 +81,7 @@
                 return db.execute("select count(*) from cases").fetchone()[0]
         except sqlite3.OperationalError:
             return 0
+
     until(lambda: kept() >= 3, 60)
     os.killpg(process.pid, signal.SIGKILL)
     process.wait()
@@ -100,8 +117,20 @@
 
 
 def row(scenario, policy, seed, score):
-    result = Result(score, score, {"run": score}, {}, {"a": {"delivered": 10}}, {"a": score}, [], [], 10, 10,
-                    1, {"a": [100.0] * 10})
+    result = Result(
+        score,
+        score,
+        {"run": score},
+        {},
+        {"a": {"delivered": 10}},
+        {"a": score},
+        [],
+        [],
+        10,
+        10,
+        1,
+        {"a": [100.0] * 10},
+    )
     return Row(scenario, 0.8, policy, seed, "v", score, "d", 1.0, result)
 
 
@@ -155,11 +184,14 @@
     assert (found.returncode, found.stdout[:5]) == (0, "score")
 
 
-@pytest.mark.parametrize(("text", "wanted"), [
-    ("experiment {\n policies luck\n scenario a {\n }\n}\n", "unknown policy 'luck', allowed: module"),
-    ("experiment {\n policies aimd\n scenario a {\n }\n}\n", "'reference' is none of the policies"),
-    ("experiment {\n}\n", "no scenario"),
-])
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        ("experiment {\n policies luck\n scenario a {\n }\n}\n", "unknown policy 'luck', allowed: module"),
+        ("experiment {\n policies aimd\n scenario a {\n }\n}\n", "'reference' is none of the policies"),
+        ("experiment {\n}\n", "no scenario"),
+    ],
+)
 def test_bad_experiments_are_told(text, wanted):
     with pytest.raises(SettingsError) as fault:
         read(text, ExperimentFile, "f")
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,4 +1,5 @@
 """One test for each failure that a simulated day or an incident has shown."""
+
 from dataclasses import replace
 from math import inf
 
@@ -206,9 +207,15 @@
     return sender.step(sender.message(UNSAFE, dest=3), after=3.0)
 
 
-@pytest.mark.parametrize(("outcome", "closes"), [
-    (Outcome.BROKEN, True), (Outcome.TIMED_OUT, True), (None, True), (Outcome.DELIVERED, False),
-])
+@pytest.mark.parametrize(
+    ("outcome", "closes"),
+    [
+        (Outcome.BROKEN, True),
+        (Outcome.TIMED_OUT, True),
+        (None, True),
+        (Outcome.DELIVERED, False),
+    ],
+)
 def test_idle_connections_are_closed_before_use_once_some_were_dropped_unseen(outcome, closes):
     """retira-sul-main big-1, big-2: each next call on an idle connection broke or hung and was lost."""
     sender = Sender(rows=[(1, 1, 0, 0), (2, 2, 0, 0), (3, 3, 0, 0)], keepalive_s=10.0, handshake_price=0.04)
@@ -308,8 +315,13 @@
         wakes = [a for a in out if isinstance(a, Wake)]
         assert len(wakes) == 1 and wakes[0].after_s <= sender.settings.rules.ask_within_s
         for _ in range(3):
-            asked += len([a for a in sender.step(Timer(wakes[0].label), after=wakes[0].after_s)
-                          if isinstance(a, Subscribe)])
+            asked += len(
+                [
+                    a
+                    for a in sender.step(Timer(wakes[0].label), after=wakes[0].after_s)
+                    if isinstance(a, Subscribe)
+                ]
+            )
         times.append(round(wakes[0].after_s, 3))
         assert asked == 1
     assert len(set(times)) > 5
--- a/tests/test_files_replaced.py
+++ b/tests/test_files_replaced.py
@@ -1,4 +1,5 @@
 """The journal's file where closing or replacing fails, and where a kill has cut a record at any byte."""
+
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 
@@ -89,8 +90,11 @@
 def test_a_message_from_after_now_lives_no_longer_than_it_was_given(tmp_path):
     """The wall clock was set back by an hour over a reboot."""
     later = NOW + timedelta(hours=1)
-    (tmp_path / NAME).write_bytes(frame(taken("a", later)) + frame(Opened("a", 0, later, "h"))
-                                  + frame(taken("b", NOW - timedelta(seconds=1))))
+    (tmp_path / NAME).write_bytes(
+        frame(taken("a", later))
+        + frame(Opened("a", 0, later, "h"))
+        + frame(taken("b", NOW - timedelta(seconds=1)))
+    )
     journal = opened(tmp_path)
     assert journal.live["a"].taken.ends_at == NOW + timedelta(seconds=8)
     assert journal.live["a"].opened[0].at == NOW
@@ -98,10 +102,17 @@
     assert any("1 messages have times after now" in fault for fault in journal.faults)
 
 
-@pytest.mark.parametrize("origin,holds", [
-    (None, False), (Origin("b1", NOW, 100.0), True), (Origin("b1", NOW, 200.0), True),
-    (Origin("b1", NOW, 200.1), False), (Origin("b2", NOW, 100.0), False), (Origin("", NOW, 100.0), False),
-])
+@pytest.mark.parametrize(
+    "origin,holds",
+    [
+        (None, False),
+        (Origin("b1", NOW, 100.0), True),
+        (Origin("b1", NOW, 200.0), True),
+        (Origin("b1", NOW, 200.1), False),
+        (Origin("b2", NOW, 100.0), False),
+        (Origin("", NOW, 100.0), False),
+    ],
+)
 def test_times_go_on_in_the_same_boot_alone(origin, holds):
     boot = origin.boot if origin is not None and not origin.boot else "b1"
     assert continues(origin, boot, 200.0) == holds
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,5 @@
 """What is fine for one sender and hurts when forty do it: several controllers beside one destination."""
+
 import heapq
 import random
 from dataclasses import replace
@@ -73,7 +74,8 @@
         assert count < budget + (2 * sqrt(budget) + 2) * (multiple != RULES.fall_multiple), begin
     # A limit that answers tell is less than the capacity: as much of its cold share, until it is reached.
     assert sum(at < back + 4 for at in called) > 0.75 * multiple * 4 * LIMIT * (
-        RULES.cold_share + (1 - RULES.cold_share) * 2 / RULES.cold_s)
+        RULES.cold_share + (1 - RULES.cold_share) * 2 / RULES.cold_s
+    )
     share = sum(back + 4 <= at < back + 8 for at in called) / 4 / LIMIT
     present = RULES.cold_share + (1 - RULES.cold_share) * 6 / RULES.cold_s
     assert 0.9 * present < share < 1.4 * present
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,4 +1,5 @@
 """Duties by themselves: grants, hand-on, fencing, through loss, cuts, stalls, restarts in simulated time."""
+
 from __future__ import annotations
 
 import time
@@ -19,21 +20,29 @@
 
 ELECTORS = tuple(f"m{n}" for n in range(5))
 ASKED = LeaseSettings(electors=ELECTORS, span=timedelta(seconds=1), duty={"fold": DutySettings()})
-PEERS = PeersSettings(period=timedelta(milliseconds=200), patience=timedelta(milliseconds=100), suspicion=2,
-                      gossip=timedelta(milliseconds=50), sync=timedelta(seconds=1),
-                      rejoin=timedelta(milliseconds=500))
-
-
-@pytest.mark.parametrize(("grant", "now", "wanted", "granted"), [
-    (None, 0.0, Wanted(1, "a", 1, 1.0), True),
-    (Grant(1, "a", 1, 1.0), 0.5, Wanted(2, "b", 2, 1.0), False),  # the lease runs
-    (Grant(1, "a", 1, 1.0), 1.0, Wanted(2, "b", 2, 1.0), True),
-    (Grant(1, "a", 1, 1.0), 5.0, Wanted(1, "b", 2, 1.0), False),  # one holder a token
-    (Grant(1, "a", 1, 1.0), 0.5, Wanted(1, "a", 9, 1.0), False),  # another process under the name
-    (Grant(2, "b", 2, 1.0), 5.0, Wanted(1, "a", 1, 1.0), False),  # an old token
-    (Grant(1, "a", 1, 1.0), 0.5, Wanted(1, "a", 1, 1.0), True),  # renewed
-    (Grant(1, "a", 1, 1.0, True), 5.0, Wanted(2, "a", 1, 1.0), False),  # over for good
-])
+PEERS = PeersSettings(
+    period=timedelta(milliseconds=200),
+    patience=timedelta(milliseconds=100),
+    suspicion=2,
+    gossip=timedelta(milliseconds=50),
+    sync=timedelta(seconds=1),
+    rejoin=timedelta(milliseconds=500),
+)
+
+
+@pytest.mark.parametrize(
+    ("grant", "now", "wanted", "granted"),
+    [
+        (None, 0.0, Wanted(1, "a", 1, 1.0), True),
+        (Grant(1, "a", 1, 1.0), 0.5, Wanted(2, "b", 2, 1.0), False),  # the lease runs
+        (Grant(1, "a", 1, 1.0), 1.0, Wanted(2, "b", 2, 1.0), True),
+        (Grant(1, "a", 1, 1.0), 5.0, Wanted(1, "b", 2, 1.0), False),  # one holder a token
+        (Grant(1, "a", 1, 1.0), 0.5, Wanted(1, "a", 9, 1.0), False),  # another process under the name
+        (Grant(2, "b", 2, 1.0), 5.0, Wanted(1, "a", 1, 1.0), False),  # an old token
+        (Grant(1, "a", 1, 1.0), 0.5, Wanted(1, "a", 1, 1.0), True),  # renewed
+        (Grant(1, "a", 1, 1.0, True), 5.0, Wanted(2, "a", 1, 1.0), False),  # over for good
+    ],
+)
 def test_who_is_granted(grant, now, wanted, granted):
     assert (decide(grant, now, wanted) is not None) == granted
 
@@ -62,9 +71,17 @@
         def keep(duty, token, holder, life):
             folder[duty, bool(holder)] = token, holder, life
             return True
+
         random = Random(self.lives * 100 + self.seed)
-        made = Duties(name, self.lives, self.asked, self.net.now + offset, random, keep,
-                      lambda duty, token, source, body: self.taken.append((name, token, source, body)))
+        made = Duties(
+            name,
+            self.lives,
+            self.asked,
+            self.net.now + offset,
+            random,
+            keep,
+            lambda duty, token, source, body: self.taken.append((name, token, source, body)),
+        )
         for (duty, _), held in folder.items():
             made.restore(duty, *held)
         self.duties[name] = made
@@ -175,9 +192,16 @@
 
 
 @settings(max_examples=25, deadline=None, derandomize=True)
-@given(seed=st.integers(0, 2**20), moves=st.lists(st.tuples(
-    st.sampled_from(["kill", "stop", "go", "cut", "heal", "restart", "storm", "act"]), st.integers(0, 4)),
-    max_size=14))
+@given(
+    seed=st.integers(0, 2**20),
+    moves=st.lists(
+        st.tuples(
+            st.sampled_from(["kill", "stop", "go", "cut", "heal", "restart", "storm", "act"]),
+            st.integers(0, 4),
+        ),
+        max_size=14,
+    ),
+)
 def test_no_story_has_two_holders_or_takes_an_older_act_after_a_newer(seed, moves):
     fleet, stopped = Fleet(seed), set()
     fleet.net.run(2.0)
@@ -211,8 +235,16 @@
 
 def test_a_lease_that_has_lapsed_by_the_own_clock_is_not_shown_as_held(tmp_path):
     said = []
-    leases = Leases(LeaseSettings(electors=ELECTORS, duty={"fold": DutySettings()}), "m0", 1, tmp_path, REAL,
-                    time.monotonic(), Random(1), said.append)
+    leases = Leases(
+        LeaseSettings(electors=ELECTORS, duty={"fold": DutySettings()}),
+        "m0",
+        1,
+        tmp_path,
+        REAL,
+        time.monotonic(),
+        Random(1),
+        said.append,
+    )
     duty = leases.layer.duties["fold"]
     duty.stage, duty.token = Stage.HELD, 3
     shown = []
--- a/tests/test_lease_model.py
+++ b/tests/test_lease_model.py
@@ -1,4 +1,5 @@
 """Every state of a small model of leases and fencing, with the program's own rule of granting."""
+
 from __future__ import annotations
 
 import os
@@ -31,6 +32,7 @@
                     seen.add(state)
                     waiting.append(state)
         return seen
+
     few = {leases.canonical(state, bounds) for state in reached()}
     monkeypatch.setattr(leases, "canonical", lambda state, bounds: leases.sorted_out(state))
     every = reached()
@@ -39,10 +41,13 @@
     assert len(every) > 10 * len(few)
 
 
-@pytest.mark.parametrize(("left_out", "wanted"), [
-    ({"fencing": False}, "an older act was taken after a newer"),
-    ({"margin": 0}, "two hold the duty"),
-])
+@pytest.mark.parametrize(
+    ("left_out", "wanted"),
+    [
+        ({"fencing": False}, "an older act was taken after a newer"),
+        ({"margin": 0}, "two hold the duty"),
+    ],
+)
 def test_a_safeguard_that_is_left_out_is_found(left_out, wanted):
     found = check(replace(TINY, **left_out))
     assert found.broken == wanted
--- a/tests/test_lease_sockets.py
+++ b/tests/test_lease_sockets.py
@@ -1,4 +1,5 @@
 """Duties with real senders and faults between them: stops, cuts, kills, old folders, loss."""
+
 from __future__ import annotations
 
 import shutil
@@ -27,7 +28,8 @@
     def settings(self, n):
         electors = " ".join(f"i{k}" for k in range(MEMBERS))
         return super().settings(n).replace("usage {\n count yes\n}\n", "") + (
-            f"lease {{\n electors {electors}\n span 800ms\n duty fold {{\n canary 100ms\n }}\n}}\n")
+            f"lease {{\n electors {electors}\n span 800ms\n duty fold {{\n canary 100ms\n }}\n}}\n"
+        )
 
     def running(self):
         return [n for n, s in enumerate(self.senders) if s.process.poll() is None and n not in self.stopped]
@@ -63,6 +65,7 @@
     def make(**more):
         made.append(Leasing(MEMBERS, tmp_path, **more))
         return made[-1].joined(PATIENCE)
+
     yield make
     for each in made:
         each.close()
@@ -163,7 +166,11 @@
     until(lambda: fleet.duty((first + 1) % MEMBERS)["holder"] == f"i{first}", PATIENCE)
     found = subprocess.run(
         [sys.executable, "-m", "willownotch", "leases", "--socket", str(fleet.socket((first + 1) % MEMBERS))],
-        cwd=ROOT, text=True, capture_output=True, timeout=toys.PATIENCE)
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=toys.PATIENCE,
+    )
     assert found.returncode == 0
     assert "fold" in found.stdout
     assert f"i{first}" in found.stdout
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -1,4 +1,5 @@
 """The states of a sender: every two events in both orders, and what each state means."""
+
 from datetime import UTC, datetime, timedelta
 
 import pytest
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,5 @@
 """What the repository promises of its files, and that equal events give equal actions."""
+
 import random
 from pathlib import Path
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,4 +1,5 @@
 """Links over TCP by themselves: what is cut, oversized, forged or foreign, and what is bounded."""
+
 from __future__ import annotations
 
 import socket
@@ -20,8 +21,9 @@
     text: bytes
 
 
-KIND = Kind("note", 200, msgspec.msgpack.Decoder(Note).decode,
-            lambda note: len(note.text) + 400)  # more than it is
+KIND = Kind(
+    "note", 200, msgspec.msgpack.Decoder(Note).decode, lambda note: len(note.text) + 400
+)  # more than it is
 
 
 class End:
@@ -127,13 +129,16 @@
     assert one.edge.traffic["too long"] == 1 and not one.got
 
 
-@pytest.mark.parametrize(("data", "why"), [
-    (framed(sealed(version=17)), "other version"),
-    (framed(sealed(keys=[(1, b"o" * 32)])), "not authentic"),
-    (framed(sealed(keys=[(2, b"k" * 32)])), "unknown key"),
-    (framed(sealed(uid=1)), "own"),
-    (pack("!I", 3) + b"abc", "too short"),
-])
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (framed(sealed(version=17)), "other version"),
+        (framed(sealed(keys=[(1, b"o" * 32)])), "not authentic"),
+        (framed(sealed(keys=[(2, b"k" * 32)])), "unknown key"),
+        (framed(sealed(uid=1)), "own"),
+        (pack("!I", 3) + b"abc", "too short"),
+    ],
+)
 def test_forged_and_foreign_frames_end_their_connection_and_are_counted(ends, data, why):
     one, _ = ends
     with raw(one, data) as sock:
@@ -145,6 +150,7 @@
 def test_a_message_of_another_kind_is_unreadable(ends):
     class Other(msgspec.Struct, tag=2, array_like=True):
         text: bytes
+
     one, _ = ends
     data = sealed().close(Other(b"x"))
     with raw(one, pack("!I", len(data)) + data) as sock:
--- a/tests/test_list_changes.py
+++ b/tests/test_list_changes.py
@@ -1,4 +1,5 @@
 """What a change of the list costs: by what it names, not by all that is listed. Counted, not timed."""
+
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,4 +1,5 @@
 """The load generator: plans, traces, the open loop in simulated time, and bad targets on sockets."""
+
 from __future__ import annotations
 
 import heapq
@@ -39,9 +40,17 @@
 def even(at_us, cls="status", dest=7):
     """A plan of these times."""
     n = len(at_us)
-    return Plan(np.array(at_us, dtype=np.int64), np.zeros(n, dtype=np.int32), np.full(n, dest),
-                np.zeros(n, dtype=np.int32), np.full(n, NO_KEY), np.full(n, 10, dtype=np.int32),
-                np.full(n, 8000), (cls,), ("acme",))
+    return Plan(
+        np.array(at_us, dtype=np.int64),
+        np.zeros(n, dtype=np.int32),
+        np.full(n, dest),
+        np.zeros(n, dtype=np.int32),
+        np.full(n, NO_KEY),
+        np.full(n, 10, dtype=np.int32),
+        np.full(n, 8000),
+        (cls,),
+        ("acme",),
+    )
 
 
 # Plans
@@ -56,14 +65,30 @@
     return int(np.sum((plan.at_us >= began * 1e6) & (plan.at_us < ended * 1e6)))
 
 
-@pytest.mark.parametrize(("settings", "spans"), [
-    ({"jump": {"a": Jump(at=2 * S, for_=2 * S, times=3.0)}}, [(0, 2, 200), (2, 4, 600), (4, 10, 600)]),
-    ({"ramp": {"a": Ramp(at=2 * S, for_=4 * S, from_=0.0, to=2.0)}}, [(0, 2, 0), (2, 6, 400), (6, 10, 800)]),
-    ({"ramp": {"a": Ramp(for_=10 * S)}, "jump": {"b": Jump(at=5 * S, for_=5 * S, times=2.0)}},
-     [(0, 5, 125), (5, 10, 750)]),
-    ({"jump": {"a": Jump(at=1 * S, for_=4 * S, times=2.0), "b": Jump(at=3 * S, for_=4 * S, times=2.0)}},
-     [(1, 3, 400), (3, 5, 800), (5, 7, 400)]),
-], ids=["jump", "ramp", "ramp and jump", "two jumps that overlap"])
+@pytest.mark.parametrize(
+    ("settings", "spans"),
+    [
+        ({"jump": {"a": Jump(at=2 * S, for_=2 * S, times=3.0)}}, [(0, 2, 200), (2, 4, 600), (4, 10, 600)]),
+        (
+            {"ramp": {"a": Ramp(at=2 * S, for_=4 * S, from_=0.0, to=2.0)}},
+            [(0, 2, 0), (2, 6, 400), (6, 10, 800)],
+        ),
+        (
+            {"ramp": {"a": Ramp(for_=10 * S)}, "jump": {"b": Jump(at=5 * S, for_=5 * S, times=2.0)}},
+            [(0, 5, 125), (5, 10, 750)],
+        ),
+        (
+            {
+                "jump": {
+                    "a": Jump(at=1 * S, for_=4 * S, times=2.0),
+                    "b": Jump(at=3 * S, for_=4 * S, times=2.0),
+                }
+            },
+            [(1, 3, 400), (3, 5, 800), (5, 7, 400)],
+        ),
+    ],
+    ids=["jump", "ramp", "ramp and jump", "two jumps that overlap"],
+)
 def test_shapes_combine(settings, spans):
     plan = draw(LoadSettings(duration=10 * S, rate=100.0, arrivals=Arrivals.CONSTANT, **settings))
     for began, ended, wanted in spans:
@@ -74,8 +99,14 @@
 
 
 def test_clumps_are_a_share_of_all_and_each_for_one_destination():
-    plan = draw(LoadSettings(duration=100 * S, rate=50.0, destinations=10, clump={
-        "c": Clump(share=0.2, size=25, over=timedelta(milliseconds=1))}))
+    plan = draw(
+        LoadSettings(
+            duration=100 * S,
+            rate=50.0,
+            destinations=10,
+            clump={"c": Clump(share=0.2, size=25, over=timedelta(milliseconds=1))},
+        )
+    )
     assert abs(len(plan) - 5000) < 400
     gaps = np.diff(plan.at_us) < 1000
     same = plan.dest[1:] == plan.dest[:-1]
@@ -83,10 +114,17 @@
 
 
 def test_shares_of_classes_destinations_tenants_and_hot_keys():
-    plan = draw(LoadSettings(
-        duration=200 * S, rate=100.0, destinations=4, first_destination=10,
-        class_={"a": LoadClass(share=0.7), "b": LoadClass(keys=50, hot_key=0.5, size=9, time=3 * S)},
-        destination={"11": Shared(0.55)}, tenant={"x": Shared(0.9), "y": Shared(0.1)}))
+    plan = draw(
+        LoadSettings(
+            duration=200 * S,
+            rate=100.0,
+            destinations=4,
+            first_destination=10,
+            class_={"a": LoadClass(share=0.7), "b": LoadClass(keys=50, hot_key=0.5, size=9, time=3 * S)},
+            destination={"11": Shared(0.55)},
+            tenant={"x": Shared(0.9), "y": Shared(0.1)},
+        )
+    )
     n = len(plan)
     assert abs(np.mean(plan.cls == 0) - 0.7) < 0.02
     assert abs(np.mean(plan.dest == 11) - 0.55) < 0.02
@@ -102,10 +140,16 @@
 
 
 GOLDEN = LoadSettings(
-    duration=20 * S, rate=80.0, seed=7, destinations=5, jump={"a": Jump(at=3 * S)},
-    ramp={"b": Ramp(for_=10 * S)}, clump={"c": Clump()},
+    duration=20 * S,
+    rate=80.0,
+    seed=7,
+    destinations=5,
+    jump={"a": Jump(at=3 * S)},
+    ramp={"b": Ramp(for_=10 * S)},
+    clump={"c": Clump()},
     class_={"a": LoadClass(share=0.4), "b": LoadClass(keys=9, hot_key=0.2)},
-    tenant={"x": Shared(0.5), "y": Shared(0.5)})
+    tenant={"x": Shared(0.5), "y": Shared(0.5)},
+)
 
 
 def test_the_same_settings_draw_the_same_plan_on_any_machine():
@@ -117,12 +161,15 @@
         draw(LoadSettings(duration=24 * 3600 * S, rate=1e6))
 
 
-@pytest.mark.parametrize(("text", "wanted"), [
-    ("load {\n rate fast\n}\n", "f:2:7: 'rate' cannot be 'fast', allowed: a number"),
-    ("load {\n class a {\n share 70%\n }\n class b {\n share 40%\n }\n}\n", "over 100% together"),
-    ("load {\n destination 9 {\n share 10%\n }\n}\n", "unknown destination '9', allowed: 0 to 0"),
-    ("load {\n arrivals sometimes\n}\n", "allowed: one of poisson, constant"),
-])
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        ("load {\n rate fast\n}\n", "f:2:7: 'rate' cannot be 'fast', allowed: a number"),
+        ("load {\n class a {\n share 70%\n }\n class b {\n share 40%\n }\n}\n", "over 100% together"),
+        ("load {\n destination 9 {\n share 10%\n }\n}\n", "unknown destination '9', allowed: 0 to 0"),
+        ("load {\n arrivals sometimes\n}\n", "allowed: one of poisson, constant"),
+    ],
+)
 def test_bad_settings_are_told(text, wanted):
     with pytest.raises(SettingsError) as fault:
         read(text, LoadFile, "f")
@@ -145,12 +192,18 @@
         assert again.key_name(int(again.key[0])) == plan.key_name(int(plan.key[0]))
 
 
-@pytest.mark.parametrize(("line", "wanted"), [
-    ("0 a 7 t - 10", "f:2:11: 6 fields, wanted: 7"), ("x a 7 t - 10 8", "f:2:1: offset_us cannot be 'x'"),
-    ("0 a -1 t - 10 8", "f:2:5: destination cannot be '-1'"), ("0 a 7 t - 99999 8", "f:2:11: size cannot be"),
-    ("5 a 7 t - 10 8\n4 a 7 t - 10 8", "f:3:1: offset_us goes back from 5"),
-    ("0 a 7 t - 10 8 9", "8 fields, wanted: 7"), ("0 a 7 t - 10 1e3", "f:2:14: time_ms cannot be '1e3'"),
-])
+@pytest.mark.parametrize(
+    ("line", "wanted"),
+    [
+        ("0 a 7 t - 10", "f:2:11: 6 fields, wanted: 7"),
+        ("x a 7 t - 10 8", "f:2:1: offset_us cannot be 'x'"),
+        ("0 a -1 t - 10 8", "f:2:5: destination cannot be '-1'"),
+        ("0 a 7 t - 99999 8", "f:2:11: size cannot be"),
+        ("5 a 7 t - 10 8\n4 a 7 t - 10 8", "f:3:1: offset_us goes back from 5"),
+        ("0 a 7 t - 10 8 9", "8 fields, wanted: 7"),
+        ("0 a 7 t - 10 1e3", "f:2:14: time_ms cannot be '1e3'"),
+    ],
+)
 def test_a_malformed_line_is_told_with_its_place(line, wanted):
     with pytest.raises(trace.TraceError) as fault:
         trace.read(f"{trace.FIRST}\n{line}\n", "f")
@@ -186,8 +239,9 @@
         return self.pause[1] + self.took_us if self.pause[0] <= done < self.pause[1] else done
 
 
-def play(plan, target, connections=1000, patience_us=60_000_000, lag_us=0, status=lambda n, attempt: 202,
-         **more):
+def play(
+    plan, target, connections=1000, patience_us=60_000_000, lag_us=0, status=lambda n, attempt: 202, **more
+):
     """Run a plan against a stand-in; `lag_us` is by how much the generator's machine is late each time."""
     made = Generator(plan, connections, patience_us, **more)
     events, order, sent, now = [], 0, [], 0
@@ -209,8 +263,16 @@
                 heapq.heappush(events, (now + 100, order, "open", action.connection, 0))
             elif isinstance(action, Send):
                 sent.append((now, action.number, action.attempt))
-                heapq.heappush(events, (target.answers_at(now), order, "answer", action.connection,
-                                        status(action.number, action.attempt)))
+                heapq.heappush(
+                    events,
+                    (
+                        target.answers_at(now),
+                        order,
+                        "answer",
+                        action.connection,
+                        status(action.number, action.attempt),
+                    ),
+                )
             elif isinstance(action, Close):
                 events = [e for e in events if e[3] != action.connection]
                 heapq.heapify(events)
@@ -271,8 +333,13 @@
 
 
 def test_a_message_turned_away_comes_again_and_its_latency_runs_on():
-    record, sent = play(even([0]), Pausing(), status=lambda n, attempt: 202 if attempt == 2 else 503,
-                        retries=3, retry_wait_us=400_000)
+    record, sent = play(
+        even([0]),
+        Pausing(),
+        status=lambda n, attempt: 202 if attempt == 2 else 503,
+        retries=3,
+        retry_wait_us=400_000,
+    )
     assert [attempt for _, _, attempt in sent] == [0, 1, 2]
     assert record.count("taken") == 1 and record.retried == 2
     assert summary(record.all()).most == pytest.approx(815.1, rel=0.01)
@@ -280,8 +347,18 @@
     assert len(sent) == 2 and record.count("turned away") == 1
 
 
-@given(st.lists(st.tuples(st.sampled_from(["a", "b"]), st.sampled_from(["taken", "broken"]),
-                          st.integers(1, 10**9), st.integers(0, 10**6)), max_size=60), st.integers(1, 4))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["a", "b"]),
+            st.sampled_from(["taken", "broken"]),
+            st.integers(1, 10**9),
+            st.integers(0, 10**6),
+        ),
+        max_size=60,
+    ),
+    st.integers(1, 4),
+)
 def test_records_of_workers_merge_to_what_one_would_have(values, workers):
     one, parts = Record(), [Record() for _ in range(workers)]
     for n, (cls, outcome, latency, late) in enumerate(values):
@@ -310,12 +387,18 @@
         return self.data
 
 
-@pytest.mark.parametrize(("data", "outcome"), [
-    (http.write_answer(202), "taken"), (http.write_answer(503), "turned away"), (None, "broken"),
-    (http.write_answer(418), "answered 418"), (b"what?\r\n\r\n", "unreadable"),
-    (b"HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nhalf", "unanswered"),
-    (b"HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "taken"),
-])
+@pytest.mark.parametrize(
+    ("data", "outcome"),
+    [
+        (http.write_answer(202), "taken"),
+        (http.write_answer(503), "turned away"),
+        (None, "broken"),
+        (http.write_answer(418), "answered 418"),
+        (b"what?\r\n\r\n", "unreadable"),
+        (b"HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nhalf", "unanswered"),
+        (b"HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "taken"),
+    ],
+)
 def test_what_a_target_does_is_told_as_an_outcome(data, outcome):
     target = Answering(data)
     try:
@@ -345,8 +428,13 @@
 
 
 def command(*words):
-    return subprocess.run([sys.executable, "-m", "willownotch", "load", *words], cwd=ROOT, text=True,
-                          capture_output=True, timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "willownotch", "load", *words],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=60,
+    )
 
 
 def test_the_command_and_its_exit_codes(tmp_path):
@@ -380,8 +468,13 @@
         for n in range(5):
             sender.hand_in("fee" if n % 2 else "status", key=f"k/{n}" if n % 2 else None, body=b"x" * n)
         path = tmp_path / "t"
-        found = subprocess.run([sys.executable, "-m", "willownotch", "trace", sender.state, path], cwd=ROOT,
-                               capture_output=True, text=True, timeout=60)
+        found = subprocess.run(
+            [sys.executable, "-m", "willownotch", "trace", sender.state, path],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         assert found.stdout == "5 messages\n"
         plan = trace.read(path.read_text())
         assert [plan.classes[c] for c in plan.cls] == ["status", "fee"] * 2 + ["status"]
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -1,4 +1,5 @@
 """Operators' calls: the lines as a table, and a real sender that is drained while clients go on."""
+
 import signal
 import socket
 import time
@@ -18,25 +19,40 @@
 ALLOWED = b"allowed: health, quiesce"
 
 
-@pytest.mark.parametrize("line,start", [
-    (b"quiesce", b"+OK quiescing"), (b"  QUIESCE ", b"+OK quiescing"), (b"health", b"-ERR starting"),
-    (b"", b"-ERR an empty call, " + ALLOWED), (b"   ", b"-ERR an empty call"),
-    (b"stop", b"-ERR unknown call 'stop', " + ALLOWED), (b"quiesce now", b"-ERR quiesce takes no arguments"),
-    (b"\xff\x00health", b"-ERR the call is not plain text"),
-    (b"h" * (LINE_MOST + 1), b"-ERR the call is longer"),
-    (b"h" * LINE_MOST, b"-ERR unknown call"),
-])
+@pytest.mark.parametrize(
+    "line,start",
+    [
+        (b"quiesce", b"+OK quiescing"),
+        (b"  QUIESCE ", b"+OK quiescing"),
+        (b"health", b"-ERR starting"),
+        (b"", b"-ERR an empty call, " + ALLOWED),
+        (b"   ", b"-ERR an empty call"),
+        (b"stop", b"-ERR unknown call 'stop', " + ALLOWED),
+        (b"quiesce now", b"-ERR quiesce takes no arguments"),
+        (b"\xff\x00health", b"-ERR the call is not plain text"),
+        (b"h" * (LINE_MOST + 1), b"-ERR the call is longer"),
+        (b"h" * LINE_MOST, b"-ERR unknown call"),
+    ],
+)
 def test_each_line_has_one_answer_of_one_line(line, start):
     found = answer(line, CALLS)
     assert found.startswith(start) and found.endswith(b"\r\n") and found.count(b"\n") == 1
 
 
-@pytest.mark.parametrize("pieces,ended,line", [
-    ([b"health\r\n"], False, b"health"), ([b"health\n"], False, b"health"),
-    ([b"he", b"alth", b"\r", b"\n"], False, b"health"),
-    ([b"health"], False, None), ([b"health"], True, b"health"), ([b""], True, None), ([b"\r\n"], False, b""),
-    ([b"a\nb\n"], False, b"a"), ([b"x" * 300], False, b"x" * 300),
-])
+@pytest.mark.parametrize(
+    "pieces,ended,line",
+    [
+        ([b"health\r\n"], False, b"health"),
+        ([b"health\n"], False, b"health"),
+        ([b"he", b"alth", b"\r", b"\n"], False, b"health"),
+        ([b"health"], False, None),
+        ([b"health"], True, b"health"),
+        ([b""], True, None),
+        ([b"\r\n"], False, b""),
+        ([b"a\nb\n"], False, b"a"),
+        ([b"x" * 300], False, b"x" * 300),
+    ],
+)
 def test_a_line_may_come_in_pieces(pieces, ended, line):
     reader = Line()
     found = [reader.feed(piece, ended and n == len(pieces) - 1) for n, piece in enumerate(pieces)]
@@ -95,8 +111,9 @@
         self.assertEqual((self.readiness(), self.sender.hand_in()[1].status), (200, 202))
 
     def test_with_all_places_taken_messages_and_operators_are_answered(self):
-        sender = Sender(self.discovery, env={"LB_MANAGEMENT": "127.0.0.1:0"},
-                        limits={"sockets": 64, "disk_mb": 3})
+        sender = Sender(
+            self.discovery, env={"LB_MANAGEMENT": "127.0.0.1:0"}, limits={"sockets": 64, "disk_mb": 3}
+        )
         self.addCleanup(sender.close)
         sender.ready()
         crowd = [sender.connect() for _ in range(120)]
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,4 +1,5 @@
 """The design's window, cuts and caps, with figures worked by hand."""
+
 from math import inf, sqrt
 
 import pytest
@@ -65,13 +66,16 @@
     assert u.expected == pytest.approx(2 * 0.19)
 
 
-@pytest.mark.parametrize(("measured", "failed_at", "window"), [
-    (0.9, -inf, inf),  # M has not passed expected and nothing fails: does not bind
-    (4.0, -inf, 10 * sqrt(1 / 4)),
-    (0.8, 9.5, 10 / 0.8),  # calls fail, middle band: expected / M
-    (0.4, 9.5, inf),  # calls fail, but F is infinite under half of expected
-    (1000.0, -inf, 1.0),  # never below one
-])
+@pytest.mark.parametrize(
+    ("measured", "failed_at", "window"),
+    [
+        (0.9, -inf, inf),  # M has not passed expected and nothing fails: does not bind
+        (4.0, -inf, 10 * sqrt(1 / 4)),
+        (0.8, 9.5, 10 / 0.8),  # calls fail, middle band: expected / M
+        (0.4, 9.5, inf),  # calls fail, but F is infinite under half of expected
+        (1000.0, -inf, 1.0),  # never below one
+    ],
+)
 def test_window(measured, failed_at, window):
     u = unit(min_cost=0.5, max_rate=20.0, expected=1.0, measured=measured, failed_at=failed_at)
     assert control.window(u, 10.0) == pytest.approx(window)
--- a/tests/test_mesh_sockets.py
+++ b/tests/test_mesh_sockets.py
@@ -1,4 +1,5 @@
 """Peers and usage on real sockets: senders that count, a bad network between them, folders that last."""
+
 from __future__ import annotations
 
 import json
@@ -26,6 +27,7 @@
     def make(*arguments, **more):
         made.append(Meshed(*arguments, tmp_path, **more))
         return made[-1].joined()
+
     yield make
     for each in made:
         each.close()
@@ -64,6 +66,7 @@
             shutil.copytree(folder, one.state)
         one.start()
         fleet.found(1)
+
     for _ in range(3):
         one.hand_in("status")
     fleet.all_hold(3)
@@ -155,8 +158,15 @@
     fleet.all_hold(1)
 
     def run(*words):
-        return subprocess.run([sys.executable, "-m", "willownotch", *words], cwd=ROOT, text=True,
-                              capture_output=True, timeout=toys.PATIENCE, env={"PATH": os.environ["PATH"]})
+        return subprocess.run(
+            [sys.executable, "-m", "willownotch", *words],
+            cwd=ROOT,
+            text=True,
+            capture_output=True,
+            timeout=toys.PATIENCE,
+            env={"PATH": os.environ["PATH"]},
+        )
+
     path = str(fleet.socket(1))
     assert "acme" in run("usage", "--socket", path).stdout
     assert "alive" in run("peers", "--socket", path).stdout
@@ -175,8 +185,10 @@
 def test_questions_that_cannot_be_answered_are_told_so(meshed):
     fleet = meshed(1)
     for question, about, wanted in (
-            ("nothing", {}, "allowed: peers, usage"), ("usage", {"x": "1"}, "unknown word"),
-            ("usage", {"lines": "many"}, "no whole number")):
+        ("nothing", {}, "allowed: peers, usage"),
+        ("usage", {"x": "1"}, "unknown word"),
+        ("usage", {"lines": "many"}, "no whole number"),
+    ):
         with pytest.raises(AskError, match=wanted):
             ask(fleet.socket(0), question, about)
 
@@ -193,37 +205,56 @@
     assert ask(fleet.socket(0), "peers")["name"] == "i0"
 
 
-@pytest.mark.parametrize(("text", "wanted"), [
-    ("peers {\n listen 127.0.0.1:0\n}\n", "w.conf:2:2: 'listen' without 'keys'"),
-    ("replica {\n acks 1\n}\n", "w.conf:1:1: 'acks' without peers"),
-    ("replica {\n acks 3\n}\n", "w.conf:1:1: 'copies' is below 'acks', wanted: 3 at least"),
-    ("replica {\n witnesses 4\n}\n", "w.conf:2:2: 'witnesses' is even"),
-    ("usage {\n count yes\n}\n", "w.conf:1:1: 'count yes' without peers"),
-    ("peers {\n listen localhost:1\n keys k\n}\n", "w.conf:2:9: 'listen' cannot be 'localhost:1'"),
-    ("peers {\n seeds 127.0.0.1:1 x\n}\n", "w.conf:2:20: 'seeds' cannot be 'x'"),
-    ("peers {\n seeds\n}\n", "w.conf:2:2: 'seeds' has 0 values"),
-    ("peers {\n listen 127.0.0.1:0\n keys /no/such/file\n}\n", "/no/such/file:1:1: cannot be read"),
-])
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        ("peers {\n listen 127.0.0.1:0\n}\n", "w.conf:2:2: 'listen' without 'keys'"),
+        ("replica {\n acks 1\n}\n", "w.conf:1:1: 'acks' without peers"),
+        ("replica {\n acks 3\n}\n", "w.conf:1:1: 'copies' is below 'acks', wanted: 3 at least"),
+        ("replica {\n witnesses 4\n}\n", "w.conf:2:2: 'witnesses' is even"),
+        ("usage {\n count yes\n}\n", "w.conf:1:1: 'count yes' without peers"),
+        ("peers {\n listen localhost:1\n keys k\n}\n", "w.conf:2:9: 'listen' cannot be 'localhost:1'"),
+        ("peers {\n seeds 127.0.0.1:1 x\n}\n", "w.conf:2:20: 'seeds' cannot be 'x'"),
+        ("peers {\n seeds\n}\n", "w.conf:2:2: 'seeds' has 0 values"),
+        ("peers {\n listen 127.0.0.1:0\n keys /no/such/file\n}\n", "/no/such/file:1:1: cannot be read"),
+    ],
+)
 def test_bad_settings_are_told_with_their_place(tmp_path, text, wanted):
     path, config = tmp_path / "w.conf", tmp_path / "c.json"
     path.write_text(text)
-    config.write_text(json.dumps({
-        "name": "t0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "5f",
-        "limits": {"sockets": 1024, "disk_mb": 3}, "settings": toys.SETTINGS}))
+    config.write_text(
+        json.dumps(
+            {
+                "name": "t0",
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "seed": "5f",
+                "limits": {"sockets": 1024, "disk_mb": 3},
+                "settings": toys.SETTINGS,
+            }
+        )
+    )
     found = subprocess.run(
         [sys.executable, "-m", "willownotch", "check", "--config", config, "--settings", path],
-        cwd=ROOT, text=True, capture_output=True, timeout=toys.PATIENCE)
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=toys.PATIENCE,
+    )
     assert found.returncode == 2
     assert wanted in found.stderr
 
 
 def test_serve_without_peers_loads_nothing_of_them():
-    code = ("import sys, willownotch.cli; "
-            "print([m for m in sys.modules if m in ('blake3', 'xxhash', 'lark') or "
-            "m.startswith('willownotch.peers.core') or m.startswith('willownotch.usage.core') or "
-            "m in ('willownotch.replica.core', 'willownotch.replica.service', 'willownotch.links.edge')])")
-    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
-                           timeout=toys.PATIENCE)
+    code = (
+        "import sys, willownotch.cli; "
+        "print([m for m in sys.modules if m in ('blake3', 'xxhash', 'lark') or "
+        "m.startswith('willownotch.peers.core') or m.startswith('willownotch.usage.core') or "
+        "m in ('willownotch.replica.core', 'willownotch.replica.service', 'willownotch.links.edge')])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, timeout=toys.PATIENCE
+    )
     assert found.stdout.strip() == "[]"
 
 
@@ -240,5 +271,6 @@
             if found:
                 parts[n] = float(found[-1].rsplit(" ", 1)[1])
         return parts.get(0, 0.0) > 0.6 > 0.4 > parts.get(1, 1.0)
+
     until(told)
     assert sum(parts.values()) <= 1.001
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -1,4 +1,5 @@
 """The laboratory's model: one seed, one story; what partner systems do; rules that are broken."""
+
 from __future__ import annotations
 
 from concurrent.futures import ProcessPoolExecutor
@@ -25,10 +26,16 @@
 from willownotch.settings.types import Flag
 
 S = timedelta(seconds=1)
-SHORT = Scenario(duration=20 * S, partners=6, rate=20.0, trouble={
-    "a": TroubleBlock(kind=Trouble.SILENCE, at=5 * S, for_=5 * S),
-    "b": TroubleBlock(kind=Trouble.CRASH, at=8 * S, for_=2 * S),
-    "c": TroubleBlock(kind=Trouble.HOT, at=2 * S, for_=9 * S)})
+SHORT = Scenario(
+    duration=20 * S,
+    partners=6,
+    rate=20.0,
+    trouble={
+        "a": TroubleBlock(kind=Trouble.SILENCE, at=5 * S, for_=5 * S),
+        "b": TroubleBlock(kind=Trouble.CRASH, at=8 * S, for_=2 * S),
+        "c": TroubleBlock(kind=Trouble.HOT, at=2 * S, for_=9 * S),
+    },
+)
 
 
 def told(policy, seed=2):
@@ -52,8 +59,9 @@
 @pytest.mark.parametrize("policy", POLICIES)
 @pytest.mark.parametrize("kind", Trouble)
 def test_each_message_ends_once_whatever_strikes(policy, kind):
-    scenario = Scenario(duration=12 * S, partners=5, rate=15.0, trouble={
-        "a": TroubleBlock(kind=kind, at=3 * S, for_=4 * S)})
+    scenario = Scenario(
+        duration=12 * S, partners=5, rate=15.0, trouble={"a": TroubleBlock(kind=kind, at=3 * S, for_=4 * S)}
+    )
     result = play(scenario, policy, 4)
     assert result.messages > 100
     assert {b.rule for b in result.breaches} <= {"pushed over"}
@@ -86,10 +94,15 @@
     assert outcomes.count(Outcome.TURNED_AWAY) == 100 - 5 * endpoint.workers
 
 
-@pytest.mark.parametrize(("state", "wanted"), [
-    (State.SILENT, []), (State.HANGS, []), (State.GONE, [Outcome.UNREACHABLE]),
-    (State.SHUT, [Outcome.TURNED_AWAY]),
-])
+@pytest.mark.parametrize(
+    ("state", "wanted"),
+    [
+        (State.SILENT, []),
+        (State.HANGS, []),
+        (State.GONE, [Outcome.UNREACHABLE]),
+        (State.SHUT, [Outcome.TURNED_AWAY]),
+    ],
+)
 def test_how_an_endpoint_treats_a_call(state, wanted):
     world, made, endpoint = partner()
     endpoint.state = state
@@ -228,20 +241,39 @@
 
 
 AT_A_CALL = ("drain", "repeat", "order", "wait")
-HARD = Scenario(duration=25 * S, partners=4, rate=25.0, load=1.2, kind={
-    "limited": Partners(share=1.0, limit=Flag.YES, limit_least=0.5, limit_low=0.5, limit_high=0.6,
-                        tells_wait=Flag.YES)},
-    class_={"fee": ModelClass(share=0.7, repeat=Effect.UNSAFE, in_order=Flag.YES, keys=8),
-            "order": ModelClass(share=0.3, repeat=Effect.KEYED, memory=S)},
-    trouble={"a": TroubleBlock(kind=Trouble.HANG, at=4 * S, for_=6 * S, share=0.6),
-             "b": TroubleBlock(kind=Trouble.DRAIN, at=12 * S, for_=12 * S, share=0.6)})
-
-
-@pytest.mark.parametrize(("policy", "rules"), [
-    (SendsToTheGone, {"drain"}), (Repeats, {"repeat", "effect twice"}), (MixesKeys, {"order"}),
-    (HeedsNoWait, {"wait"}), (SaysNothing, {"no ending in time"}), (EndsTwice, {"two endings"}),
-    (HandsBackTheUnsafe, {"handed back though it may have run"}),
-])
+HARD = Scenario(
+    duration=25 * S,
+    partners=4,
+    rate=25.0,
+    load=1.2,
+    kind={
+        "limited": Partners(
+            share=1.0, limit=Flag.YES, limit_least=0.5, limit_low=0.5, limit_high=0.6, tells_wait=Flag.YES
+        )
+    },
+    class_={
+        "fee": ModelClass(share=0.7, repeat=Effect.UNSAFE, in_order=Flag.YES, keys=8),
+        "order": ModelClass(share=0.3, repeat=Effect.KEYED, memory=S),
+    },
+    trouble={
+        "a": TroubleBlock(kind=Trouble.HANG, at=4 * S, for_=6 * S, share=0.6),
+        "b": TroubleBlock(kind=Trouble.DRAIN, at=12 * S, for_=12 * S, share=0.6),
+    },
+)
+
+
+@pytest.mark.parametrize(
+    ("policy", "rules"),
+    [
+        (SendsToTheGone, {"drain"}),
+        (Repeats, {"repeat", "effect twice"}),
+        (MixesKeys, {"order"}),
+        (HeedsNoWait, {"wait"}),
+        (SaysNothing, {"no ending in time"}),
+        (EndsTwice, {"two endings"}),
+        (HandsBackTheUnsafe, {"handed back though it may have run"}),
+    ],
+)
 def test_a_broken_rule_is_named_with_its_message_time_and_call(policy, rules):
     result = Story(HARD, policy, 5).run()
     found = {b.rule for b in result.breaches}
@@ -269,11 +301,17 @@
     assert one.draws("b").uniform() == other.draws("b").uniform()
 
 
-@pytest.mark.parametrize(("text", "wanted"), [
-    ("scenario {\n trouble a {\n kind flood\n }\n}\n", "f:3:7: 'kind' cannot be 'flood', allowed: one of"),
-    ("scenario {\n list-low 5s\n}\n", "'list-low' is above 'list-high'"),
-    ("scenario {\n class a {\n share 80%\n }\n class b {\n share 30%\n }\n}\n", "over 100%"),
-])
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        (
+            "scenario {\n trouble a {\n kind flood\n }\n}\n",
+            "f:3:7: 'kind' cannot be 'flood', allowed: one of",
+        ),
+        ("scenario {\n list-low 5s\n}\n", "'list-low' is above 'list-high'"),
+        ("scenario {\n class a {\n share 80%\n }\n class b {\n share 30%\n }\n}\n", "over 100%"),
+    ],
+)
 def test_bad_scenarios_are_told(text, wanted):
     with pytest.raises(SettingsError) as fault:
         read(text, ScenarioFile, "f")
