--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -1,4 +1,5 @@
 """Tables of cases for everything that reads bytes or text: HTTP, the journal, the configuration, the list."""
+
 import json
 import queue
 import re
@@ -36,7 +37,7 @@
     """All messages in the bytes, fed whole or in pieces, the end of the connection last."""
     parser, out = http.Parser(answer), []
     for at in range(0, len(data), size or len(data)):
-        parser.feed(data[at:at + (size or len(data))])
+        parser.feed(data[at : at + (size or len(data))])
         while found := parser.next():
             out.append(found)
     parser.feed(b"")
@@ -53,8 +54,12 @@
             (b"\r\nGET /a HTTP/1.1\r\nHost: x\r\n\r\n", False, [b""]),
             (b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.0\r\n\r\n", False, [b"abc", b""]),
             (b"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", False, [b"abc"]),
-            (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-             b"3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: 1\r\n\r\n", False, [b"abcd"]),
+            (
+                b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: 1\r\n\r\n",
+                False,
+                [b"abcd"],
+            ),
             (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", True, [b"ok"]),
             (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204\r\n\r\n", True, [b""]),
             (b"HTTP/1.1 200 OK\r\n\r\nto the end", True, [b"to the end"]),
@@ -68,13 +73,18 @@
     def test_what_loses_framing_is_refused(self):
         post = b"POST / HTTP/1.1\r\n"
         table = [
-            (b"GET  / HTTP/1.1\r\n\r\n", 400), (b"GET / HTTP/2.0\r\n\r\n", 505),
+            (b"GET  / HTTP/1.1\r\n\r\n", 400),
+            (b"GET / HTTP/2.0\r\n\r\n", 505),
             (b"\x16\x03\x01\r\n\r\n", 400),
-            (b"GET / HTTP/1.1\r\nbad name: x\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA : x\r\n\r\n", 400),
-            (b"GET / HTTP/1.1\r\n folded: x\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA: \x00\r\n\r\n", 400),
-            (b"GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n", 400), (post + b"\r\n", 411),
+            (b"GET / HTTP/1.1\r\nbad name: x\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nA : x\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\n folded: x\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nA: \x00\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n", 400),
+            (post + b"\r\n", 411),
             (post + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\n", 400),
-            (post + b"Content-Length: 3, 3\r\n\r\n", 400), (post + b"Content-Length: -3\r\n\r\n", 400),
+            (post + b"Content-Length: 3, 3\r\n\r\n", 400),
+            (post + b"Content-Length: -3\r\n\r\n", 400),
             (post + b"Content-Length: 65537\r\n\r\n", 413),
             (post + b"Content-Length: 99999999999999\r\n\r\n", 400),
             (post + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
@@ -100,8 +110,13 @@
             parsed(data, answer=True)
 
     def test_keeping_a_connection(self):
-        for minor, said, keeps in [(1, "", True), (1, "Close", False), (1, "x, close", False),
-                                   (0, "", False), (0, "keep-alive", True)]:
+        for minor, said, keeps in [
+            (1, "", True),
+            (1, "Close", False),
+            (1, "x, close", False),
+            (0, "", False),
+            (0, "keep-alive", True),
+        ]:
             head = http.Head(minor, headers={"connection": said})
             self.assertEqual(head.keeps_alive(), keeps, (minor, said))
 
@@ -120,11 +135,13 @@
 class SouthSide(unittest.TestCase):
     def test_each_row_of_the_table_of_outcomes(self):
         table = [
-            (200, {}, Outcome.DELIVERED, True, False, 0), (500, {}, Outcome.ERROR, False, False, 0),
+            (200, {}, Outcome.DELIVERED, True, False, 0),
+            (500, {}, Outcome.ERROR, False, False, 0),
             (429, {"retry-after": "0.75"}, Outcome.TURNED_AWAY, False, False, 0.75),
             (503, {}, Outcome.TURNED_AWAY, False, False, 0),
             (503, {"x-line-busy": "1"}, Outcome.NOT_SENT, False, True, 0),
-            (504, {}, Outcome.NOT_SENT, False, False, 0), (410, {}, Outcome.NOT_SENT, True, False, 0),
+            (504, {}, Outcome.NOT_SENT, False, False, 0),
+            (410, {}, Outcome.NOT_SENT, True, False, 0),
             (418, {}, Outcome.ERROR, False, False, 0),
         ]
         for status, headers, outcome, over, no_slot, wait in table:
@@ -135,31 +152,60 @@
     def test_a_200_that_is_read_after_the_messages_time_is_no_delivery(self):
         """A sender short of CPU read one late, ended nothing, and sent the next of the key."""
         clock = Hand()
-        config = configs.read_config(json.dumps({"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s",
-                                                 "discovery": "127.0.0.1:1"}).encode(), {})
+        config = configs.read_config(
+            json.dumps(
+                {"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s", "discovery": "127.0.0.1:1"}
+            ).encode(),
+            {},
+        )
         south = South(config, clock, None, None, None, {}, None, None)
         relay = Relay(taken("a"), 0, 1, None, ENDS, ENDS)
-        for early, status, outcome in [(0.2, 200, Outcome.DELIVERED), (0.0, 200, Outcome.TIMED_OUT),
-                                       (-0.2, 200, Outcome.TIMED_OUT), (-0.2, 500, Outcome.ERROR)]:
+        for early, status, outcome in [
+            (0.2, 200, Outcome.DELIVERED),
+            (0.0, 200, Outcome.TIMED_OUT),
+            (-0.2, 200, Outcome.TIMED_OUT),
+            (-0.2, 500, Outcome.ERROR),
+        ]:
             clock.at = ENDS - timedelta(seconds=early)
             ended = south._in_time(read_outcome(relay, status, {}))
             self.assertEqual((ended.outcome, ended.over), (outcome, outcome is Outcome.DELIVERED), early)
 
     def test_reports_and_waits(self):
-        for text, found in [("x0=0.4,x1=25", (0.4, 25.0)), ("x1=3", (None, 3.0)), (None, (None, None)),
-                            ("x0=much, x1 = 2", (None, None)), ("x0=nan,x1=-1", (None, None)),
-                            (",=", (None, None))]:
+        for text, found in [
+            ("x0=0.4,x1=25", (0.4, 25.0)),
+            ("x1=3", (None, 3.0)),
+            (None, (None, None)),
+            ("x0=much, x1 = 2", (None, None)),
+            ("x0=nan,x1=-1", (None, None)),
+            (",=", (None, None)),
+        ]:
             self.assertEqual(read_load(text), found, text)
-        for text, span in [("2", 2.0), ("0.25", 0.25), (None, 0.0), ("soon", 0.0), ("-1", 0.0), ("inf", 0.0),
-                           ("nan", 0.0)]:
+        for text, span in [
+            ("2", 2.0),
+            ("0.25", 0.25),
+            (None, 0.0),
+            ("soon", 0.0),
+            ("-1", 0.0),
+            ("inf", 0.0),
+            ("nan", 0.0),
+        ]:
             self.assertEqual(read_wait(text).total_seconds(), span, text)
 
 
 class NorthSide(unittest.TestCase):
-    good = {"request-id": "a1", "request-class": "fee", "tenant": "acme", "request-timeout-ms": "480",
-            "x-consignee": "dest=7"}
-    config = configs.read_config(json.dumps({"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s",
-                                             "discovery": "127.0.0.1:1"}).encode(), {})
+    good = {
+        "request-id": "a1",
+        "request-class": "fee",
+        "tenant": "acme",
+        "request-timeout-ms": "480",
+        "x-consignee": "dest=7",
+    }
+    config = configs.read_config(
+        json.dumps(
+            {"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s", "discovery": "127.0.0.1:1"}
+        ).encode(),
+        {},
+    )
 
     def read(self, target="/api?thread=k%20k", **changes):
         headers = {k: v for k, v in {**self.good, **changes}.items() if v is not None}
@@ -167,17 +213,26 @@
 
     def test_a_message_is_read(self):
         taken = self.read(**{"client-retry": "again", "idempotency-key": "i"})
-        self.assertEqual((taken.ref, taken.destination, taken.key, taken.again, taken.idempotency_key),
-                         ("a1", 7, "k k", True, "i"))
+        self.assertEqual(
+            (taken.ref, taken.destination, taken.key, taken.again, taken.idempotency_key),
+            ("a1", 7, "k k", True, "i"),
+        )
         self.assertEqual(taken.ends_at - ENDS, timedelta(milliseconds=480))
         self.assertIsNone(self.read(**{"request-class": "status"}).key)  # only classes in order have one
 
     def test_what_is_no_message_is_refused(self):
-        for change in [{"request-id": None}, {"request-id": "a b"}, {"request-class": "x"},
-                       {"tenant": None},
-                       {"request-timeout-ms": "0"}, {"request-timeout-ms": "1.5"}, {"x-consignee": "dest=-1"},
-                       {"x-consignee": "x"}, {"idempotency-key": "a b"},
-                       {"target": "/api?thread=a&thread=b"}]:
+        for change in [
+            {"request-id": None},
+            {"request-id": "a b"},
+            {"request-class": "x"},
+            {"tenant": None},
+            {"request-timeout-ms": "0"},
+            {"request-timeout-ms": "1.5"},
+            {"x-consignee": "dest=-1"},
+            {"x-consignee": "x"},
+            {"idempotency-key": "a b"},
+            {"target": "/api?thread=a&thread=b"},
+        ]:
             with self.subTest(change), self.assertRaises(RefusedError):
                 self.read(**change)
 
@@ -215,7 +270,7 @@
         for size in (1, 3, 50, 5000):
             news, out = News(), []
             for at in range(0, len(data), size):
-                out += news.feed(data[at:at + size])[0]
+                out += news.feed(data[at : at + size])[0]
             self.assertEqual([(each.index, len(each.endpoints)) for each in out], [(n, n) for n in range(4)])
 
     def test_what_is_no_list_breaks_a_watch_off_at_once(self):
@@ -249,12 +304,24 @@
     def test_replay(self):
         """Deadline, count, marks and order come back; a relay open at the end may have run."""
         large = b"l" * 5000
-        self.open().append([
-            taken("a"), taken("b", large), taken("c"), taken("d"), Opened("a", 0, ENDS, "s"),
-            Closed("a", 0, False), Opened("a", 2, ENDS, "s"), Opened("b", 0, ENDS, "s"), Closed("b", 0, True),
-            Ended("c", "delivered"), Ended("d", "handed_back", 500), taken("e"),
-            Ended("e", "given_up"), Noticed("e"),
-        ])
+        self.open().append(
+            [
+                taken("a"),
+                taken("b", large),
+                taken("c"),
+                taken("d"),
+                Opened("a", 0, ENDS, "s"),
+                Closed("a", 0, False),
+                Opened("a", 2, ENDS, "s"),
+                Opened("b", 0, ENDS, "s"),
+                Closed("b", 0, True),
+                Ended("c", "delivered"),
+                Ended("d", "handed_back", 500),
+                taken("e"),
+                Ended("e", "given_up"),
+                Noticed("e"),
+            ]
+        )
         for _ in range(2):  # as written, and as written anew
             live = self.open().live
             self.assertEqual(list(live), ["a", "b", "d"])
@@ -318,8 +385,9 @@
         """Room kept for twelve relays of each turned usual clients away at half of the holding room."""
         made = self.open(3_000_000)
         for n in range(980):
-            message = Taken(f"{n:016x}", 7, "slot-order", "erongo-haulage", ENDS, "k" * 16, "i" * 32,
-                            body=b"z" * 500)
+            message = Taken(
+                f"{n:016x}", 7, "slot-order", "erongo-haulage", ENDS, "k" * 16, "i" * 32, body=b"z" * 500
+            )
             self.assertTrue(made.fits([message]), n)
             made.append([message, Opened(message.ref, 0, ENDS, "s-5be2a07c"), Closed(message.ref, 0, False)])
         self.assertEqual(self.open(3_000_000).live[f"{0:016x}"].count(), 1)
@@ -387,8 +455,12 @@
 
     def test_waits_and_lines_of_kept_connections(self):
         clock = Hand()
-        config = configs.read_config(json.dumps({"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s",
-                                                 "discovery": "127.0.0.1:1"}).encode(), {})
+        config = configs.read_config(
+            json.dumps(
+                {"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s", "discovery": "127.0.0.1:1"}
+            ).encode(),
+            {},
+        )
         hosts = {n: Host(n, f"s-{n}", ("127.0.0.1", n), n, True) for n in range(1, 60)}
         south = South(config, clock, None, None, None, hosts, None, None)
         for n, host in hosts.items():
@@ -414,8 +486,12 @@
     def test_what_comes_within_a_period_shares_a_round(self):
         """One round for each event took the CPU that the sockets wanted, and clients waited in vain."""
         settings = {**SETTINGS, "periodS": 0.05}
-        config = configs.read_config(json.dumps({"settings": settings, "listen": "127.0.0.1:0", "state": "s",
-                                                 "discovery": "127.0.0.1:1"}).encode(), {})
+        config = configs.read_config(
+            json.dumps(
+                {"settings": settings, "listen": "127.0.0.1:0", "state": "s", "discovery": "127.0.0.1:1"}
+            ).encode(),
+            {},
+        )
         clock = Clock()
         owner = Owner(config, clock, Log(clock), None, None, None, Standing())
         owner._recovered = None
@@ -472,21 +548,30 @@
     """Several messages in one call."""
 
     def test_the_body_has_a_line_and_the_bytes_of_each(self):
-        self.assertEqual(bulk.write_body([("a1", None, b"hello"), ("a2", "k", b"\r\n")]),
-                         b"a1 - 5\r\nhello\r\na2 k 2\r\n\r\n\r\n")
+        self.assertEqual(
+            bulk.write_body([("a1", None, b"hello"), ("a2", "k", b"\r\n")]),
+            b"a1 - 5\r\nhello\r\na2 k 2\r\n\r\n\r\n",
+        )
         for ref, key, body in [("a1", None, b"x" * 65536), ("r" * 128, "k" * 128, b"")]:
             most = len(body) + bulk.line_room(ref, key)
             self.assertLessEqual(len(bulk.write_body([(ref, key, body)])), most)
 
     def test_what_the_answer_says_of_each_and_what_it_does_not_say(self):
         table = [
-            (b"a1 delivered\r\n", (Outcome.DELIVERED, True)), (b"a1 failed\n", (Outcome.ERROR, False)),
-            (b"a1 refused\r\n", (Outcome.TURNED_AWAY, False)), (b"a1 over\r\n", (Outcome.NOT_SENT, True)),
-            (b"a1 spent\r\n", (Outcome.NOT_SENT, False)), (b"", (Outcome.ERROR, False)),
-            (b"a1 fine\r\n", (Outcome.ERROR, False)), (b"a1\r\n", (Outcome.ERROR, False)),
+            (b"a1 delivered\r\n", (Outcome.DELIVERED, True)),
+            (b"a1 failed\n", (Outcome.ERROR, False)),
+            (b"a1 refused\r\n", (Outcome.TURNED_AWAY, False)),
+            (b"a1 over\r\n", (Outcome.NOT_SENT, True)),
+            (b"a1 spent\r\n", (Outcome.NOT_SENT, False)),
+            (b"", (Outcome.ERROR, False)),
+            (b"a1 fine\r\n", (Outcome.ERROR, False)),
+            (b"a1\r\n", (Outcome.ERROR, False)),
             (b"a1 refused\r\na1 delivered\r\n", (Outcome.ERROR, False)),
             (b"\xff\xfe", (Outcome.ERROR, False)),
         ]
         for body, found in table:
-            self.assertEqual(bulk.read_answer(b"a2 delivered\r\n" + body, ["a1", "a2"]),
-                             {"a1": found, "a2": (Outcome.DELIVERED, True)}, body)
+            self.assertEqual(
+                bulk.read_answer(b"a2 delivered\r\n" + body, ["a1", "a2"]),
+                {"a1": found, "a2": (Outcome.DELIVERED, True)},
+                body,
+            )
--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -1,4 +1,5 @@
 """One test with real sockets for each rule of the real sender; what each guards against stands beside it."""
+
 import json
 import shutil
 import signal
@@ -190,8 +191,13 @@
 class Admission(Case):
     def test_answers_where_nothing_is_taken_on(self):
         sender = self.sender()
-        valid = [("Request-Id", "a"), ("Request-Class", "status"), ("Tenant", "acme"),
-                 ("Request-Timeout-Ms", "900"), ("X-Consignee", "dest=7")]
+        valid = [
+            ("Request-Id", "a"),
+            ("Request-Class", "status"),
+            ("Tenant", "acme"),
+            ("Request-Timeout-Ms", "900"),
+            ("X-Consignee", "dest=7"),
+        ]
         table = [
             ("unknown class", "POST", "/api", {**dict(valid), "Request-Class": "x"}, 400),
             ("unknown tenant", "POST", "/api", {**dict(valid), "Tenant": "x"}, 400),
@@ -214,7 +220,8 @@
     def test_lost_framing_is_answered_and_the_connection_closed(self):
         sender = self.sender()
         for data, status in [
-            (b"nonsense\r\n\r\n", 400), (b"POST /api HTTP/1.1\r\n\r\n", 411),
+            (b"nonsense\r\n\r\n", 400),
+            (b"POST /api HTTP/1.1\r\n\r\n", 411),
             (b"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
             (b"GET / HTTP/1.1\r\nX: " + b"y" * 20000, 431),
         ]:
@@ -334,8 +341,13 @@
     def test_a_body_that_comes_slowly_is_taken_on_all_the_same(self):
         """Its answer was timed from its first byte: a body on its way for 250 ms was always turned away."""
         sender = self.sender()
-        headers = [("Request-Id", "a"), ("Request-Class", "status"), ("Tenant", "acme"),
-                   ("Request-Timeout-Ms", "8000"), ("X-Consignee", "dest=7")]
+        headers = [
+            ("Request-Id", "a"),
+            ("Request-Class", "status"),
+            ("Tenant", "acme"),
+            ("Request-Timeout-Ms", "8000"),
+            ("X-Consignee", "dest=7"),
+        ]
         data = sender.request("POST", "/api", headers, b"slow" * 100)
         with sender.connect() as sock:
             sock.sendall(data[:-200])
@@ -494,8 +506,14 @@
 
 class CommandLine(unittest.TestCase):
     def run_it(self, *arguments, env=None):
-        return subprocess.run([sys.executable, "-m", "willownotch", *arguments], cwd=ROOT, text=True,
-                              capture_output=True, env=env, timeout=30)
+        return subprocess.run(
+            [sys.executable, "-m", "willownotch", *arguments],
+            cwd=ROOT,
+            text=True,
+            capture_output=True,
+            env=env,
+            timeout=30,
+        )
 
     def test_bad_configurations_are_one_plain_line_and_exit_2(self):
         good = json.loads((ROOT / "examples" / "config.json").read_text(encoding="utf-8"))
@@ -511,11 +529,14 @@
     def test_a_dead_thread_is_logged_and_ends_the_process(self):
         """A sender without its owner or its watch looks alive and serves nobody."""
         for work, forever in [("lambda: 1 / 0", False), ("lambda: None", True)]:
-            code = ("import threading; from willownotch.cli import Threads; "
-                    "from willownotch.net.log import Log; from willownotch.net.clock import Clock; "
-                    f"Threads(Log(Clock())).start('watch', {work}, {forever}); threading.Event().wait(20)")
-            done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
-                                  timeout=30)
+            code = (
+                "import threading; from willownotch.cli import Threads; "
+                "from willownotch.net.log import Log; from willownotch.net.clock import Clock; "
+                f"Threads(Log(Clock())).start('watch', {work}, {forever}); threading.Event().wait(20)"
+            )
+            done = subprocess.run(
+                [sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, timeout=30
+            )
             self.assertEqual(done.returncode, 70)
             self.assertIn("thread watch has died", done.stderr)
 
@@ -525,8 +546,9 @@
             self.assertEqual(self.run_it("check", "--config", f"examples/{name}.json").returncode, 0)
 
     def test_the_example_delivers_as_written(self):
-        toy = subprocess.Popen([sys.executable, "examples/toy.py", "--port", "0"], cwd=ROOT, text=True,
-                               stdout=subprocess.PIPE)
+        toy = subprocess.Popen(
+            [sys.executable, "examples/toy.py", "--port", "0"], cwd=ROOT, text=True, stdout=subprocess.PIPE
+        )
         self.addCleanup(toy.stdout.close)
         self.addCleanup(toy.wait, PATIENCE)
         self.addCleanup(toy.kill)
@@ -539,5 +561,3 @@
         ref, head = sender.hand_in("slot-status", tenant="dune-carriers")
         self.assertEqual(head.status, 202)
         self.assertIn(f"{ref} 200 b'hello'", toy.stdout.readline())
-
-
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,5 @@
 """Membership in simulated time under loss, partitions and returns; datagrams, and what is refused."""
+
 import secrets
 import socket
 from random import Random
@@ -35,9 +36,16 @@
     return [(who, news.name) for _, who, news in net.news if news.change is Change.DIED]
 
 
-@pytest.mark.parametrize(("loss", "delay", "repeat"), [
-    (0.0, 0.001, 0.0), (0.2, 0.001, 0.0), (0.2, 0.3, 0.0), (0.0, 0.001, 0.5), (0.3, 0.05, 0.1),
-])
+@pytest.mark.parametrize(
+    ("loss", "delay", "repeat"),
+    [
+        (0.0, 0.001, 0.0),
+        (0.2, 0.001, 0.0),
+        (0.2, 0.3, 0.0),
+        (0.0, 0.001, 0.5),
+        (0.3, 0.05, 0.1),
+    ],
+)
 def test_members_find_each_other_and_learn_of_a_death_and_a_return(loss, delay, repeat):
     net = joined(weather=Weather(loss, delay, 0.05, repeat))
     net.kill("m3")
@@ -69,9 +77,13 @@
 def test_a_partition_into_halves_heals_by_itself():
     net, half = joined(), set(NAMES[:4])
     net.weather.cut = lambda a, b: (a in half) != (b in half)
-    net.until(lambda: all(
-        {m.name for m in net.members[n].alive()} | {n} == (half if n in half else ALL - half) for n in NAMES
-    ), 300)
+    net.until(
+        lambda: all(
+            {m.name for m in net.members[n].alive()} | {n} == (half if n in half else ALL - half)
+            for n in NAMES
+        ),
+        300,
+    )
     net.run(net.now + 60)
     net.weather.cut = lambda a, b: False
     net.until(lambda: net.all_know(ALL), 120)
@@ -89,8 +101,11 @@
     """It hears nothing and takes its spans longer, so it declares the others dead later than they do it."""
     net = joined()
     net.weather.cut = lambda a, b: "m5" in (a, b)
-    net.until(lambda: net.all_know(ALL - {"m5"}) or all(
-        "m5" not in {m.name for m in net.members[n].alive()} for n in NAMES if n != "m5"), 120)
+    net.until(
+        lambda: net.all_know(ALL - {"m5"})
+        or all("m5" not in {m.name for m in net.members[n].alive()} for n in NAMES if n != "m5"),
+        120,
+    )
     assert net.members["m5"].health > 0
     assert len([1 for who, _ in deaths(net) if who == "m5"]) < 7
 
@@ -113,8 +128,10 @@
     net = joined(weather=Weather(loss=0.1))
     for _ in range(3):
         back = net.add("m3", ("m0",))
-        net.until(lambda back=back: all(
-            net.members[n].members["m3"].uid == back.uid for n in NAMES if n != "m3"), 60)
+        net.until(
+            lambda back=back: all(net.members[n].members["m3"].uid == back.uid for n in NAMES if n != "m3"),
+            60,
+        )
         net.until(lambda: net.all_know(ALL), 60)
 
 
@@ -122,8 +139,7 @@
     net = joined()
     first = net.members["m4"]
     second = net.add("other", ("m0",), claims="m4", uid=first.uid - 1)
-    net.until(lambda: all(
-        net.members[n].members["m4"].uid == second.uid for n in NAMES if n != "m4"), 60)
+    net.until(lambda: all(net.members[n].members["m4"].uid == second.uid for n in NAMES if n != "m4"), 60)
     assert net.count(Change.CONFLICT) > 0
 
 
@@ -201,23 +217,35 @@
     whole = tuple(rumour(f"member-{n:04}") for n in range(300))
     sent = []
     for at in range(0, 300, 20):
-        sent += member.receive(1.0, ("10.0.0.1", 2), Sync("x", at == 280, whole[at:at + 20]))
+        sent += member.receive(1.0, ("10.0.0.1", 2), Sync("x", at == 280, whole[at : at + 20]))
     pieces = [a.message for a in sent if isinstance(a, Send)]
     assert all(len(encode(p)) <= DATAGRAM for p in pieces)
     assert {r.name for p in pieces for r in p.rumours} >= {r.name for r in whole}
 
 
 @settings(max_examples=200)
-@given(st.lists(st.tuples(st.sampled_from(["me", "a", "b"]), st.sampled_from(list(State)), st.integers(0, 4),
-                          st.integers(1, 3)), max_size=30))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["me", "a", "b"]),
+            st.sampled_from(list(State)),
+            st.integers(0, 4),
+            st.integers(1, 3),
+        ),
+        max_size=30,
+    )
+)
 def test_no_rumour_can_make_a_member_think_itself_gone_or_step_back(said):
     """Whatever is told, a member's incarnation and those that it holds of one process never fall."""
     member = Membership("me", ("10.0.0.1", 1), 1, PeersSettings(), Random(1))
     member.start(0.0)
     for at, (name, state, incarnation, uid) in enumerate(said):
         before, own = dict((n, (m.uid, m.incarnation)) for n, m in member.members.items()), member.incarnation
-        news = member.receive(float(at) / 100, ("10.0.0.1", 2), Sync("a", False, (
-            Rumour(name, state, incarnation, uid, "10.0.0.1", uid, "b"),)))
+        news = member.receive(
+            float(at) / 100,
+            ("10.0.0.1", 2),
+            Sync("a", False, (Rumour(name, state, incarnation, uid, "10.0.0.1", uid, "b"),)),
+        )
         assert member.incarnation >= own
         if name == "me" and uid == 1 and state is not State.ALIVE:
             assert member.incarnation > incarnation
@@ -244,20 +272,32 @@
 def test_keys_are_rolled_with_no_gap():
     """Each step on one member at a time: whatever the other has, both hear each other."""
     old, new = KEYS
-    for ours, theirs in [([old], [old]), ([old, new], [old]), ([old, new], [old, new]),
-                         ([new, old], [old, new]), ([new, old], [new, old]), ([new], [new, old]),
-                         ([new], [new])]:
+    for ours, theirs in [
+        ([old], [old]),
+        ([old, new], [old]),
+        ([old, new], [old, new]),
+        ([new, old], [old, new]),
+        ([new, old], [new, old]),
+        ([new], [new, old]),
+        ([new], [new]),
+    ]:
         a, b = Seal(1, ours), Seal(2, theirs)
         assert b.open(a.close(PING)) == PING and a.open(b.close(PING)) == PING
 
 
-@pytest.mark.parametrize(("change", "why"), [
-    (lambda d: b"", "too short"), (lambda d: d[:30], "too short"), (lambda d: d + b"x" * 1400, "too long"),
-    (lambda d: b"\x02" + d[1:], "other version"), (lambda d: d[:1] + b"\x09" + d[2:], "unknown key"),
-    (lambda d: d[:1] + b"\x02" + d[2:], "not authentic"),
-    (lambda d: d[:-1] + bytes([d[-1] ^ 1]), "not authentic"),
-    (lambda d: d[:20] + bytes([d[20] ^ 1]) + d[21:], "not authentic"),
-])
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        (lambda d: b"", "too short"),
+        (lambda d: d[:30], "too short"),
+        (lambda d: d + b"x" * 1400, "too long"),
+        (lambda d: b"\x02" + d[1:], "other version"),
+        (lambda d: d[:1] + b"\x09" + d[2:], "unknown key"),
+        (lambda d: d[:1] + b"\x02" + d[2:], "not authentic"),
+        (lambda d: d[:-1] + bytes([d[-1] ^ 1]), "not authentic"),
+        (lambda d: d[:20] + bytes([d[20] ^ 1]) + d[21:], "not authentic"),
+    ],
+)
 def test_what_is_not_authentic_is_refused_and_counted(change, why):
     theirs = Seal(2, KEYS)
     assert theirs.open(change(Seal(1, KEYS).close(PING))) is None
@@ -266,7 +306,7 @@
 
 def test_an_authentic_datagram_that_cannot_be_read_is_refused():
     ours, theirs = Seal(1, KEYS), Seal(2, KEYS)
-    data = ours.close(PING)[:-seal.TAG] + b"\xc1"
+    data = ours.close(PING)[: -seal.TAG] + b"\xc1"
     data += seal._tag()(data, KEYS[0][1])
     assert (theirs.open(data), dict(theirs.refused)) == (None, {"unreadable": 1})
     assert Seal(1, KEYS).open(ours.close(PING)) is None  # a member's own, come back to it
@@ -288,12 +328,19 @@
         assert set(taken) == set(counters)  # out of order, and none is lost
 
 
-@pytest.mark.parametrize(("text", "wrong"), [
-    ("", "1:1: 0 keys, allowed: one or two"), ("1 abc", "1:1: no key"), ("x " + "0" * 64, "1:1: no key"),
-    ("300 " + "0" * 64, "1:1: no key"), ("1 " + "0" * 62, "1:1: no key"), ("\n1", "2:1: no key"),
-    ("1 " + "0" * 64 + "\n1 " + "1" * 64, "2:1: key 1 stands twice"),
-    ("\n".join(f"{n} " + "0" * 64 for n in range(3)), "1:1: 3 keys"),
-])
+@pytest.mark.parametrize(
+    ("text", "wrong"),
+    [
+        ("", "1:1: 0 keys, allowed: one or two"),
+        ("1 abc", "1:1: no key"),
+        ("x " + "0" * 64, "1:1: no key"),
+        ("300 " + "0" * 64, "1:1: no key"),
+        ("1 " + "0" * 62, "1:1: no key"),
+        ("\n1", "2:1: no key"),
+        ("1 " + "0" * 64 + "\n1 " + "1" * 64, "2:1: key 1 stands twice"),
+        ("\n".join(f"{n} " + "0" * 64 for n in range(3)), "1:1: 3 keys"),
+    ],
+)
 def test_keys_that_cannot_be_used(text, wrong):
     with pytest.raises(KeysError, match=wrong):
         read_keys(text)
@@ -301,7 +348,9 @@
 
 def test_a_file_of_keys():
     assert read_keys(f"# new\n7 {'ab' * 32}  # since May\n\n1 {'00' * 32}\n") == [
-        (7, b"\xab" * 32), (1, bytes(32))]
+        (7, b"\xab" * 32),
+        (1, bytes(32)),
+    ]
 
 
 def test_messages_pass_the_wire_unchanged():
--- a/tests/test_peers_story.py
+++ b/tests/test_peers_story.py
@@ -1,4 +1,5 @@
 """Membership as a state machine under any story: kills, returns, partitions, loss; then all is well again."""
+
 from __future__ import annotations
 
 from datetime import timedelta
@@ -24,8 +25,9 @@
 
     def __init__(self):
         super().__init__()
-        self.fleet = Fleet(1, Weather(), UsageSettings(settle=timedelta(seconds=20), gone=timedelta(hours=1)),
-                           QUICK)
+        self.fleet = Fleet(
+            1, Weather(), UsageSettings(settle=timedelta(seconds=20), gone=timedelta(hours=1)), QUICK
+        )
         self.folders, self.incarnations, self.held = {}, {}, {}
         for name in NAMES:
             self.fleet.start(name, tuple(n for n in NAMES if n != name and n in self.fleet.running))
@@ -59,9 +61,15 @@
 
     def told(self, name, folder):
         lives = {life.id: life.upto for life in folder.lives}
-        return any(all(i.usage.lives.get(life) is not None and i.usage.lives[life].upto >= upto
-                       or life in i.usage.settled.lives for life, upto in lives.items())
-                   for i in self.fleet.running.values())
+        return any(
+            all(
+                i.usage.lives.get(life) is not None
+                and i.usage.lives[life].upto >= upto
+                or life in i.usage.settled.lives
+                for life, upto in lives.items()
+            )
+            for i in self.fleet.running.values()
+        )
 
     @rule(half=st.sets(names, min_size=1, max_size=4))
     def the_network_is_cut(self, half):
@@ -111,13 +119,16 @@
         there = set(self.fleet.running)
         ends = self.fleet.now + 120
         while not (self.net.all_know(there) and self.fleet.agreed()):
-            assert self.fleet.now < ends, {n: (self.fleet.held(n), sorted(
-                m.name for m in self.net.members[n].members.values() if m.state <= State.SUSPECT))
-                for n in there}
+            assert self.fleet.now < ends, {
+                n: (
+                    self.fleet.held(n),
+                    sorted(m.name for m in self.net.members[n].members.values() if m.state <= State.SUSPECT),
+                )
+                for n in there
+            }
             self.fleet.run(self.fleet.now + 1)
         assert all(isinstance(node.layers[0], Exchanges) for node in self.net.nodes.values())
 
 
 TestStory = Story.TestCase
-TestStory.settings = settings(max_examples=40, stateful_step_count=20, deadline=None,
-                              derandomize=True)
+TestStory.settings = settings(max_examples=40, stateful_step_count=20, deadline=None, derandomize=True)
--- a/tests/test_prices.py
+++ b/tests/test_prices.py
@@ -1,4 +1,5 @@
 """The account of prices: what it makes of senders' lines, and that a traced sender writes them."""
+
 import json
 import os
 import subprocess
@@ -16,8 +17,15 @@
 
 STARTED = lines.Started(0.0, msgspec.Raw(json.dumps(SETTINGS).encode()))  # its holding room is 40
 GOAL = {"whole": 0.45, "worst_window": 0.25, "worst_class": 0.2, "worst_tenant": 0.1}
-DAY = {"name": "calm", "whole": 0.9, "worst_window": 0.7, "worst_class": 0.8, "worst_tenant": 0.95,
-       "g": 0.795, "prices": {"waste": 0.0, "handshake": 0.03, "failed_untried": 0.01}}
+DAY = {
+    "name": "calm",
+    "whole": 0.9,
+    "worst_window": 0.7,
+    "worst_class": 0.8,
+    "worst_tenant": 0.95,
+    "g": 0.795,
+    "prices": {"waste": 0.0, "handshake": 0.03, "failed_untried": 0.01},
+}
 
 
 def came(ref, at=1.0, cls="order", again=False, left=16.0):
@@ -25,15 +33,21 @@
 
 
 def delivered(ref, at, **more):
-    return [came(ref, **more), lines.Answered(1.0, ref, 202), lines.Called(1.0, ref, 0, 3),
-            lines.CallEnded(at, ref, 0, "delivered", at - 1.0, 0.0, True)]
+    return [
+        came(ref, **more),
+        lines.Answered(1.0, ref, 202),
+        lines.Called(1.0, ref, 0, 3),
+        lines.CallEnded(at, ref, 0, "delivered", at - 1.0, 0.0, True),
+    ]
 
 
 def over(ref, how, at, status=202, *outcomes, wait=0.0, cls="order", held=37, there=0):
     told = [came(ref, cls=cls, left=20.0 if cls == "fee" else 16.0), lines.Answered(1.0, ref, status)]
     for number, outcome in enumerate(outcomes):
-        told += [lines.Called(1.0, ref, number, 3),
-                 lines.CallEnded(1.0, ref, number, outcome, 0.0, wait, False)]
+        told += [
+            lines.Called(1.0, ref, number, 3),
+            lines.CallEnded(1.0, ref, number, outcome, 0.0, wait, False),
+        ]
     return [*told, lines.Over(at, ref, how, 0.5, held, there)]
 
 
@@ -43,33 +57,42 @@
     return account([[lines.write(line) for line in [STARTED, *plain, *told]]])
 
 
-@pytest.mark.parametrize(("told", "fate", "early"), [
-    (delivered("a", 1.5), Fate.IN_TIME, 0.0),
-    (delivered("a", 9.0), Fate.LATE, 0.0),
-    # Handed in again with 2.6 s of its time gone, it is late however soon it is delivered.
-    (delivered("a", 1.2, again=True, left=13.4), Fate.LATE, 0.0),
-    ([came("a"), lines.Answered(1.0, "a", 503)], Fate.DOOR, 0.0),
-    ([came("a"), lines.Answered(1.0, "a", 202)], Fate.NO_END, 0.0),
-    (over("a", "refused", 1.0, 503), Fate.AT_ONCE, 0.0),
-    (over("a", "refused", 12.1), Fate.BACK_UNTRIED, 0.3 / 100),
-    (over("a", "refused", 12.3), Fate.BACK_UNTRIED, 0.0),  # 11.2 s are seven tenths of its 16 s
-    (over("a", "refused", 5.0, 202, "turned away"), Fate.BACK_UNRUN, 0.3 / 100),
-    (over("a", "refused", 5.0, 202, "turned away", wait=12.0), Fate.BACK_UNRUN, 0.0),
-    (over("a", "refused", 5.0, 202, "timed out"), Fate.BACK_RAN, 0.0),
-    (over("a", "failed", 5.0), Fate.FAILED_UNTRIED, 0.3 / 100),
-    (over("a", "failed", 5.0, 202, "unreachable"), Fate.FAILED_UNRUN, 0.3 / 100),
-    (over("a", "failed", 5.0, 202, "broken"), Fate.FAILED_RAN, 0.0),
-    (over("a", "failed", 5.0, cls="fee"), Fate.FAILED_UNTRIED, 0.3 * 3 / 102),
-])
+@pytest.mark.parametrize(
+    ("told", "fate", "early"),
+    [
+        (delivered("a", 1.5), Fate.IN_TIME, 0.0),
+        (delivered("a", 9.0), Fate.LATE, 0.0),
+        # Handed in again with 2.6 s of its time gone, it is late however soon it is delivered.
+        (delivered("a", 1.2, again=True, left=13.4), Fate.LATE, 0.0),
+        ([came("a"), lines.Answered(1.0, "a", 503)], Fate.DOOR, 0.0),
+        ([came("a"), lines.Answered(1.0, "a", 202)], Fate.NO_END, 0.0),
+        (over("a", "refused", 1.0, 503), Fate.AT_ONCE, 0.0),
+        (over("a", "refused", 12.1), Fate.BACK_UNTRIED, 0.3 / 100),
+        (over("a", "refused", 12.3), Fate.BACK_UNTRIED, 0.0),  # 11.2 s are seven tenths of its 16 s
+        (over("a", "refused", 5.0, 202, "turned away"), Fate.BACK_UNRUN, 0.3 / 100),
+        (over("a", "refused", 5.0, 202, "turned away", wait=12.0), Fate.BACK_UNRUN, 0.0),
+        (over("a", "refused", 5.0, 202, "timed out"), Fate.BACK_RAN, 0.0),
+        (over("a", "failed", 5.0), Fate.FAILED_UNTRIED, 0.3 / 100),
+        (over("a", "failed", 5.0, 202, "unreachable"), Fate.FAILED_UNRUN, 0.3 / 100),
+        (over("a", "failed", 5.0, 202, "broken"), Fate.FAILED_RAN, 0.0),
+        (over("a", "failed", 5.0, cls="fee"), Fate.FAILED_UNTRIED, 0.3 * 3 / 102),
+    ],
+)
 def test_what_becomes_of_a_message_and_what_an_early_end_costs(told, fate, early):
     found = day(*told)
     assert found.fates[fate][0] == 1 + 99 * (fate is Fate.IN_TIME)
     assert sum(points for _, points in found.early.values()) == pytest.approx(early)
 
 
-@pytest.mark.parametrize(("held", "there", "cause"), [
-    (37, 1, Cause.ROOM), (36, 1, Cause.OTHER), (36, 21, Cause.DESTINATION), (37, 21, Cause.ROOM),
-])
+@pytest.mark.parametrize(
+    ("held", "there", "cause"),
+    [
+        (37, 1, Cause.ROOM),
+        (36, 1, Cause.OTHER),
+        (36, 21, Cause.DESTINATION),
+        (37, 21, Cause.ROOM),
+    ],
+)
 def test_why_a_message_ended_early(held, there, cause):
     found = day(*over("a", "refused", 5.0, 202, "turned away", held=held, there=there))
     assert found.early == {(cause, "order"): (1, pytest.approx(0.003))} and found.calls_early == 1
@@ -78,16 +101,23 @@
 def test_what_the_worst_parts_lie_under_the_whole_and_the_prices_make_the_difference_to_g():
     rows = taken(DAY, GOAL)
     assert rows == {
-        "goal: the worst 10 s": pytest.approx(0.05), "goal: the worst class": pytest.approx(0.02),
-        "goal: the worst tenant": pytest.approx(-0.005), "price: failed_untried": 0.01,
-        "price: handshake": 0.03, "rest": pytest.approx(0.0)}
+        "goal: the worst 10 s": pytest.approx(0.05),
+        "goal: the worst class": pytest.approx(0.02),
+        "goal: the worst tenant": pytest.approx(-0.005),
+        "price: failed_untried": 0.01,
+        "price: handshake": 0.03,
+        "rest": pytest.approx(0.0),
+    }
     assert sum(rows.values()) == pytest.approx(DAY["whole"] - DAY["g"])
 
 
 def test_a_message_is_followed_through_every_sender_and_restart():
     first = [STARTED, came("a"), lines.Answered(1.0, "a", 202), lines.Called(1.0, "a", 0, 3)]
-    second = [lines.Started(5.0, STARTED.settings), lines.Recalled(5.3, "a", 1, True),
-              lines.Over(6.0, "a", "failed", 0.0, 1, 0)]
+    second = [
+        lines.Started(5.0, STARTED.settings),
+        lines.Recalled(5.3, "a", 1, True),
+        lines.Over(6.0, "a", "failed", 0.0, 1, 0),
+    ]
     log = [f"{n}.25 {lines.write(line)}\n" for n, line in enumerate(first + second)]
     found = account([["x n1 start: listening\n", *log, log[1][:40]], [lines.write(STARTED)]])
     assert (found.messages, found.counts["starts"], found.counts["found by a restart"]) == (1, 3, 1)
@@ -95,8 +125,13 @@
 
 
 def test_what_clients_hand_in_after_the_day_does_not_count():
-    told = [STARTED, *delivered("a", 1.5), came("b", 2.0), came("c", 3.0),
-            came("d", 3.5, again=True, left=14.0)]
+    told = [
+        STARTED,
+        *delivered("a", 1.5),
+        came("b", 2.0),
+        came("c", 3.0),
+        came("d", 3.5, again=True, left=14.0),
+    ]
     logs = [[lines.write(line) for line in told]]
     assert account(logs, 2).hand_ins == 3  # the last one's client first wanted it at 1.5
     assert account(logs, 1).hand_ins == 2
@@ -121,8 +156,11 @@
 def test_the_table_has_a_column_a_day(tmp_path):
     told = [STARTED, *over("a", "failed", 5.0), lines.Connected(1.0, "endpoint")]
     result = CliRunner().invoke(main, files(tmp_path, ("calm", told)))
-    table = {cells[1]: cells[2:-1] for row in result.output.splitlines()
-             if (cells := [cell.strip() for cell in row.split("|")])}
+    table = {
+        cells[1]: cells[2:-1]
+        for row in result.output.splitlines()
+        if (cells := [cell.strip() for cell in row.split("|")])
+    }
     assert table[""] == ["calm", "herd"]
     assert table["G"] == ["0.795", "0.795"] and table["price: handshake"] == ["0.0300", "0.0300"]
     assert table["ended early, the holding room was full, order"] == ["1 (0.3000)", ""]
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,4 +1,5 @@
 """The README's example runs as written, and answers what it says."""
+
 import re
 from pathlib import Path
 
--- a/tests/test_repeated_upgrades.py
+++ b/tests/test_repeated_upgrades.py
@@ -3,6 +3,7 @@
 Real processes over loopback. A request that was written whole must have its answer, whichever process reads
 it.
 """
+
 import signal
 import socket
 import threading
--- a/tests/test_replica_ids.py
+++ b/tests/test_replica_ids.py
@@ -1,4 +1,5 @@
 """The list of ids that a book's owner tells its keepers, over a way that loses, repeats and reorders."""
+
 from __future__ import annotations
 
 from datetime import UTC, datetime
@@ -51,9 +52,13 @@
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
-@given(seed=st.integers(0, 2**32), loss=st.sampled_from([0.0, 0.2, 0.5]),
-       stories=st.lists(st.tuples(st.sets(st.integers(0, 9)), st.sets(st.integers(0, 9)), st.integers(0, 5)),
-                        max_size=30))
+@given(
+    seed=st.integers(0, 2**32),
+    loss=st.sampled_from([0.0, 0.2, 0.5]),
+    stories=st.lists(
+        st.tuples(st.sets(st.integers(0, 9)), st.sets(st.integers(0, 9)), st.integers(0, 5)), max_size=30
+    ),
+)
 def test_a_keeper_comes_to_know_what_is_owed_whatever_is_lost(seed, loss, stories):
     way = Way(seed, loss)
     for added, gone, steps in stories:
@@ -68,16 +73,19 @@
     assert set(way.index.refs) == way.owed
 
 
-@pytest.mark.parametrize(("keepers", "wanted"), [
-    ({}, None),  # there is nobody to wait for
-    ({"a": Keeper(at=2)}, None),  # it has all of them
-    ({"a": Keeper(at=1, since=9.95)}, 7),
-    ({"a": Keeper(at=1, since=9.5)}, None),  # it does not answer
-    ({"a": Keeper(at=-1)}, None),  # it never has
-    ({"a": Keeper(at=1, since=9.5), "b": Keeper(at=1, since=9.95)}, 7),
-    ({"a": Keeper(at=0, since=9.95), "b": Keeper(at=2)}, None),
-    ({"a": Keeper(at=0, since=9.95)}, 4),
-])
+@pytest.mark.parametrize(
+    ("keepers", "wanted"),
+    [
+        ({}, None),  # there is nobody to wait for
+        ({"a": Keeper(at=2)}, None),  # it has all of them
+        ({"a": Keeper(at=1, since=9.95)}, 7),
+        ({"a": Keeper(at=1, since=9.5)}, None),  # it does not answer
+        ({"a": Keeper(at=-1)}, None),  # it never has
+        ({"a": Keeper(at=1, since=9.5), "b": Keeper(at=1, since=9.95)}, 7),
+        ({"a": Keeper(at=0, since=9.95), "b": Keeper(at=2)}, None),
+        ({"a": Keeper(at=0, since=9.95)}, 4),
+    ],
+)
 def test_a_promise_waits_for_one_keeper_that_answers(keepers, wanted):
     ids = Ids(keepers={"a": Keeper()})
     for ref, before in (("r", 4), ("s", 7)):
--- a/tests/test_replica_parts.py
+++ b/tests/test_replica_parts.py
@@ -1,4 +1,5 @@
 """Custody's parts by tables: who may have a term, what a copy takes, what the folder keeps, who is where."""
+
 from __future__ import annotations
 
 from datetime import UTC, datetime, timedelta
@@ -36,18 +37,21 @@
     return Claim(about.owner, "book", term, about, 1000, 1, release, closed)
 
 
-@pytest.mark.parametrize(("steps", "wanted"), [
-    ([(0.0, ABOUT, 1)], "granted"),
-    ([(0.0, ABOUT, 1), (0.5, OTHER, 2)], "refused"),  # the lease runs
-    ([(0.0, ABOUT, 1), (1.1, OTHER, 2)], "granted"),  # it has run out
-    ([(0.0, ABOUT, 1), (1.1, OTHER, 1)], "refused"),  # one owner a term
-    ([(0.0, ABOUT, 1), (1.1, OTHER, 2), (1.2, ABOUT, 1)], "refused"),  # the old one is fenced
-    ([(0.0, ABOUT, 1), (0.9, ABOUT, 1), (1.5, OTHER, 2)], "refused"),  # it was renewed
-    ([(0.0, ABOUT, 1), (0.1, ABOUT, 1, True), (0.2, OTHER, 2)], "granted"),  # it was released
-    ([(0.0, ABOUT, 1), (0.1, ABOUT, 1, True, True), (5.0, OTHER, 2)], "refused"),  # it is over for good
-    ([(0.5, OTHER, 7)], "refused"),  # perhaps a grant was forgotten with the folder
-    ([(1.1, OTHER, 7)], "granted"),
-])
+@pytest.mark.parametrize(
+    ("steps", "wanted"),
+    [
+        ([(0.0, ABOUT, 1)], "granted"),
+        ([(0.0, ABOUT, 1), (0.5, OTHER, 2)], "refused"),  # the lease runs
+        ([(0.0, ABOUT, 1), (1.1, OTHER, 2)], "granted"),  # it has run out
+        ([(0.0, ABOUT, 1), (1.1, OTHER, 1)], "refused"),  # one owner a term
+        ([(0.0, ABOUT, 1), (1.1, OTHER, 2), (1.2, ABOUT, 1)], "refused"),  # the old one is fenced
+        ([(0.0, ABOUT, 1), (0.9, ABOUT, 1), (1.5, OTHER, 2)], "refused"),  # it was renewed
+        ([(0.0, ABOUT, 1), (0.1, ABOUT, 1, True), (0.2, OTHER, 2)], "granted"),  # it was released
+        ([(0.0, ABOUT, 1), (0.1, ABOUT, 1, True, True), (5.0, OTHER, 2)], "refused"),  # it is over for good
+        ([(0.5, OTHER, 7)], "refused"),  # perhaps a grant was forgotten with the folder
+        ([(1.1, OTHER, 7)], "granted"),
+    ],
+)
 def test_who_is_granted_a_term(steps, wanted):
     register = Register(0.0, 1.0)
     for now, about, term, *more in steps:
@@ -86,17 +90,28 @@
 def test_a_fill_brings_only_ranges_that_differ_and_keeps_the_order():
     old, new = Copy("book", ABOUT, 1), Copy("book", ABOUT, 1)
     old.take(append(1, START, *(taken(f"r{n}") for n in range(40))), 0)
-    new.take(append(1, START, *(taken(f"r{n}") for n in range(40)), Opened("r7", 0, NOW, "h"),
-                    Ended("r9", "delivered"), taken("r40")), 0)
+    new.take(
+        append(
+            1,
+            START,
+            *(taken(f"r{n}") for n in range(40)),
+            Opened("r7", 0, NOW, "h"),
+            Ended("r9", "delivered"),
+            taken("r40"),
+        ),
+        0,
+    )
     mine, theirs = copies.digests(new.entries()), copies.digests(old.entries())
     ranges = sum(1 << n for n in range(copies.RANGES) if mine[n] != theirs[n])
     assert 0 < bin(ranges).count("1") <= 3
-    wanted = [(order, copies.pack(e)) for order, e in new.entries()
-              if ranges >> copies.range_of(e.taken.ref) & 1]
+    wanted = [
+        (order, copies.pack(e)) for order, e in new.entries() if ranges >> copies.range_of(e.taken.ref) & 1
+    ]
     pieces = list(copies.parts(wanted))
     for n, piece in enumerate(pieces):
-        last = old.fill(wire.Fill("a", "book", 1, new.position, old.position, ranges, n, len(pieces), piece,
-                                  NOW, ABOUT))
+        last = old.fill(
+            wire.Fill("a", "book", 1, new.position, old.position, ranges, n, len(pieces), piece, NOW, ABOUT)
+        )
     assert last
     assert copies.digests(old.entries()) == mine
     assert [e.taken.ref for _, e in old.entries()] == [e.taken.ref for _, e in new.entries()]
@@ -212,8 +227,9 @@
 
 
 def test_a_process_that_stood_still_holds_nobody_for_silent():
-    custody = core.Custody("b", 2, ReplicaSettings(acks=1, lease=timedelta(seconds=1)), 0.0,
-                           Random(1), lambda book: (0, []))
+    custody = core.Custody(
+        "b", 2, ReplicaSettings(acks=1, lease=timedelta(seconds=1)), 0.0, Random(1), lambda book: (0, [])
+    )
     custody.members(0.0, {"a": 1, "c": 3, "d": 4})
     custody.receive(0.0, NOW, msgspec.structs.replace(append(1, START, taken("r1")), about=ABOUT))
     custody.members(0.1, {"c": 3, "d": 4})
--- a/tests/test_replica_sockets.py
+++ b/tests/test_replica_sockets.py
@@ -1,4 +1,5 @@
 """Custody with real senders and faults between them: lost machines, stalls, cuts, old folders."""
+
 from __future__ import annotations
 
 import shutil
@@ -21,6 +22,7 @@
     def make(number=5, **more):
         made.append(Custodial(number, tmp_path, **more))
         return made[-1].joined(PATIENCE).able()
+
     yield make
     for each in made:
         each.close()
@@ -52,7 +54,7 @@
 def test_a_fee_that_may_have_run_is_never_sent_again_and_its_end_is_told(custodial):
     fleet = custodial(serving=True)
     fleet.host.held.clear()  # it answers nobody: the fee is out when its sender is lost
-    ref, = fleet.take(0, cls="fee")
+    (ref,) = fleet.take(0, cls="fee")
     until(lambda: fleet.host.refs() == [ref], PATIENCE)
     fleet.lose(0)
     until(lambda: [n["message"] for n in fleet.discovery.notices if n["message"] == ref], PATIENCE)
@@ -74,7 +76,7 @@
 def test_a_lost_holders_unanswered_notice_is_owed_by_its_successor(custodial):
     fleet = custodial()
     fleet.discovery.deaf = True
-    ref, = fleet.take(0, left=700)
+    (ref,) = fleet.take(0, left=700)
     until(lambda: fleet.said(0, "notice: not answered"), PATIENCE)
     until(lambda: not any(book["below"] for book in fleet.custody(0)["books"]), PATIENCE)
     fleet.lose(0)
@@ -187,8 +189,13 @@
 def test_the_command_shows_what_is_held_and_for_whom(custodial):
     fleet = custodial(3)
     fleet.take(0, 2)
-    found = subprocess.run([sys.executable, "-m", "willownotch", "replica", "--socket", str(fleet.socket(1))],
-                           cwd=ROOT, text=True, capture_output=True, timeout=toys.PATIENCE)
+    found = subprocess.run(
+        [sys.executable, "-m", "willownotch", "replica", "--socket", str(fleet.socket(1))],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=toys.PATIENCE,
+    )
     assert found.returncode == 0
     assert "HOLDS COPY OF" in found.stdout
     assert "i0/" in found.stdout
--- a/tests/test_replica_story.py
+++ b/tests/test_replica_story.py
@@ -1,4 +1,5 @@
 """Custody as a state machine under any story: lost machines, stalls, cuts, restarts; and what must hold."""
+
 from __future__ import annotations
 
 import os
@@ -95,7 +96,7 @@
     def machines_are_lost(self, gone):
         """As many as the promise stands for, all at one moment, once the fleet is whole again."""
         self.mend()
-        for name in sorted(gone)[:self.wanted]:
+        for name in sorted(gone)[: self.wanted]:
             self.fleet.kill(name, disk=True)
         self.fleet.run(6.0)
         for name in NAMES:
@@ -108,10 +109,15 @@
         self.resume()
         self.fleet.run(3.0)
         self.fleet.until(lambda: self.fleet.ready(self.wanted))
-        self.fleet.until(lambda: all(
-            o.stage.value == "owned" and o.proposed is None and all(
-                (f := o.followers.get(n)) and f.acked == o.last for n in o.about.replicas)
-            for s in self.fleet.senders.values() for o in s.core.owned.values()))
+        self.fleet.until(
+            lambda: all(
+                o.stage.value == "owned"
+                and o.proposed is None
+                and all((f := o.followers.get(n)) and f.acked == o.last for n in o.about.replicas)
+                for s in self.fleet.senders.values()
+                for o in s.core.owned.values()
+            )
+        )
 
     @invariant()
     def one_holder_a_term(self):
@@ -122,8 +128,12 @@
     @invariant()
     def one_may_act_on_a_book(self):
         if hasattr(self, "fleet"):
-            acting = [book for s in self.fleet.senders.values() for book in s.core.owned
-                      if s.core.leased(book, self.fleet.now)]
+            acting = [
+                book
+                for s in self.fleet.senders.values()
+                for book in s.core.owned
+                if s.core.leased(book, self.fleet.now)
+            ]
             assert len(acting) == len(set(acting)), acting
 
     @invariant()
@@ -139,9 +149,14 @@
         self.fleet.run(8.0)
         over = {*self.fleet.calls, *self.fleet.told, *self.fleet.expired}
         for ref in self.fleet.promised:
-            assert ref in over or len(self.fleet.holds(ref)) == 1, (ref, self.fleet.promised[ref], {
-                name: (sender.core.owned.keys(), sender.core.copies.keys(), sender.lost)
-                for name, sender in self.fleet.senders.items()})
+            assert ref in over or len(self.fleet.holds(ref)) == 1, (
+                ref,
+                self.fleet.promised[ref],
+                {
+                    name: (sender.core.owned.keys(), sender.core.copies.keys(), sender.lost)
+                    for name, sender in self.fleet.senders.items()
+                },
+            )
 
 
 class Wider(Story):
@@ -206,6 +221,13 @@
 
 @pytest.mark.parametrize("story", [Story, Wider])
 def test_custody_under_any_story(story):
-    run_state_machine_as_test(story, settings=settings(
-        max_examples=400 if LONG else 25, stateful_step_count=30, deadline=None, derandomize=not LONG,
-        phases=(Phase.explicit, Phase.generate)))  # a story takes seconds: shrinking it, minutes
+    run_state_machine_as_test(
+        story,
+        settings=settings(
+            max_examples=400 if LONG else 25,
+            stateful_step_count=30,
+            deadline=None,
+            derandomize=not LONG,
+            phases=(Phase.explicit, Phase.generate),
+        ),
+    )  # a story takes seconds: shrinking it, minutes
--- a/tests/test_restarted.py
+++ b/tests/test_restarted.py
@@ -1,4 +1,5 @@
 """What the module is told of the time before a restart, and of its own coming end."""
+
 import unittest
 from datetime import UTC, datetime, timedelta
 
@@ -21,8 +22,13 @@
         ran, never = PastAttempt(1, 3.0, True), PastAttempt(1, 3.0, False)
         old = PastAttempt(99, 11.0, True)  # longer ago than a repeat is dropped, at an endpoint long gone
         table = [
-            (UNSAFE, (ran,), Fail), (UNSAFE, (never,), None), (SAFE, (ran, ran), None), (KEYED, (ran,), None),
-            (KEYED, (old,), Refuse), (SAFE, (never,) * 8, Refuse), (UNSAFE, (never, ran), Fail),
+            (UNSAFE, (ran,), Fail),
+            (UNSAFE, (never,), None),
+            (SAFE, (ran, ran), None),
+            (KEYED, (ran,), None),
+            (KEYED, (old,), Refuse),
+            (SAFE, (never,) * 8, Refuse),
+            (UNSAFE, (never, ran), Fail),
         ]
         for cls, past, ending in table:
             with self.subTest(cls=cls.name, past=past):
@@ -35,8 +41,9 @@
         """All of it comes in one round: in the journal's order, what had least time left ran out of it."""
         ends = datetime(2026, 12, 2, tzinfo=UTC)
         rows = [("a", None, 9), ("b", "k", 8), ("c", None, 7), ("d", "k", 5), ("e", None, 8)]
-        found = [Entry(Taken(ref, 1, "x", "", ends + timedelta(seconds=left), key), 0)
-                 for ref, key, left in rows]
+        found = [
+            Entry(Taken(ref, 1, "x", "", ends + timedelta(seconds=left), key), 0) for ref, key, left in rows
+        ]
         told = [entry.taken.ref for entry in soonest_first(found)]
         self.assertEqual(told, ["b", "d", "c", "e", "a"])  # of a key as handed in
         sender = Sender(slots=1)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -1,4 +1,5 @@
 """Settings that change in service: files sound and broken, and rules that stay with each message."""
+
 import copy
 import json
 import unittest
@@ -23,8 +24,16 @@
 
 
 def text(settings=SETTINGS, **more):
-    return json.dumps({"settings": settings, "listen": "127.0.0.1:0", "state": "s",
-                       "discovery": "127.0.0.1:1", "limits": {"sockets": 512}, **more}).encode()
+    return json.dumps(
+        {
+            "settings": settings,
+            "listen": "127.0.0.1:0",
+            "state": "s",
+            "discovery": "127.0.0.1:1",
+            "limits": {"sockets": 512},
+            **more,
+        }
+    ).encode()
 
 
 class Files(unittest.TestCase):
@@ -33,7 +42,9 @@
     def test_each_broken_file_is_told_in_one_line(self):
         status = dict(SETTINGS["services"][1])
         table = [
-            (b"", "cannot be read"), (text()[:-40], "cannot be read"), (b"[]", "cannot be read"),
+            (b"", "cannot be read"),
+            (text()[:-40], "cannot be read"),
+            (b"[]", "cannot be read"),
             (text(changed(["services", 1, "hardLimitS"], 0)), "a class without time"),
             (text(changed(["services", 1, "hardLimitS"], -5)), "a class without time"),
             (text(changed(["services", 0, "hardLimitS"], "12")), "cannot be read"),
@@ -53,8 +64,15 @@
             self.assertNotIn("\n", str(caught.exception))
 
     def test_what_can_hold_in_service_does_and_the_rest_is_named(self):
-        fresh = read_config(text(changed(["policyLimits", "maxAttempts"], 3), listen="127.0.0.1:9",
-                                 limits={"sockets": 256, "disk_mb": 1}), {}, self.old)
+        fresh = read_config(
+            text(
+                changed(["policyLimits", "maxAttempts"], 3),
+                listen="127.0.0.1:9",
+                limits={"sockets": 256, "disk_mb": 1},
+            ),
+            {},
+            self.old,
+        )
         now, later = retuned(self.old, fresh)
         self.assertEqual(later, ["listen", "disk_mb"])
         self.assertEqual((now.listen, now.limits.sockets, now.limits.disk_mb), (self.old.listen, 256, 3.0))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """Each of the six rules, and the limits of the settings, held by one sender alone."""
+
 import pytest
 from helpers import CLASSES, KEYED, ORDERED, SAFE, UNSAFE, ZONED, Sender, answers, sends
 
@@ -121,6 +122,7 @@
 @pytest.mark.parametrize("whole", [True, False])
 def test_nothing_new_goes_to_a_draining_or_missing_endpoint(whole):
     from willownotch.interface import Endpoint, EndpointList, Readiness
+
     sender = Sender(rows=[(1, 1, 0, 0), (2, 1, 0, 0)])
     entries = (Endpoint(2, 1, 0, 0),) if whole else (Endpoint(1, 1, 0, 0, Readiness.DRAINING),)
     out = sender.step(EndpointList(entries, whole), *[sender.message() for _ in range(4)])
@@ -225,8 +227,12 @@
 
 def test_messages_of_one_key_go_one_at_a_time_in_order():
     sender = Sender(rows=[(1, 1, 0, 0), (2, 2, 0, 0)])
-    out = sender.step(sender.message(ORDERED, key="k"), sender.message(ORDERED, dest=2, key="k"),
-                      sender.message(ORDERED, key="other"), sender.message(SAFE, key="k"))
+    out = sender.step(
+        sender.message(ORDERED, key="k"),
+        sender.message(ORDERED, dest=2, key="k"),
+        sender.message(ORDERED, key="other"),
+        sender.message(SAFE, key="k"),
+    )
     assert {s.ref for s in sends(out)} == {"m1", "m3", "m4"}
     first = next(s for s in sends(out) if s.ref == "m1")
     assert sends(sender.tick()) == []
@@ -234,9 +240,15 @@
     assert [s.ref for s in sends(out)] == ["m2"]
 
 
-@pytest.mark.parametrize("outcome, unread", [
-    (Outcome.TIMED_OUT, False), (Outcome.BROKEN, False), (Outcome.CALLED_OFF, False), (Outcome.ERROR, True),
-])
+@pytest.mark.parametrize(
+    "outcome, unread",
+    [
+        (Outcome.TIMED_OUT, False),
+        (Outcome.BROKEN, False),
+        (Outcome.CALLED_OFF, False),
+        (Outcome.ERROR, True),
+    ],
+)
 def test_a_key_stays_quiet_after_an_attempt_that_may_still_run(outcome, unread):
     sender = Sender(max_attempts=1)
     sent = sends(sender.step(sender.message(ORDERED, key="k")))[0]
@@ -293,8 +305,10 @@
 def test_the_longest_wait_told_in_one_call_counts():
     sender = Sender(rows=[(1, 1, 1, 0)])
     sent = sends(sender.step(sender.message(), sender.message()))
-    sender.step(sender.ended(sent[0], Outcome.TURNED_AWAY, wait=0.2),
-                sender.ended(sent[1], Outcome.TURNED_AWAY, wait=0.9))
+    sender.step(
+        sender.ended(sent[0], Outcome.TURNED_AWAY, wait=0.2),
+        sender.ended(sent[1], Outcome.TURNED_AWAY, wait=0.9),
+    )
     assert min(t for t, _ in send_times(sender, 3.0)) >= 0.9
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,5 @@
 """Settings files: every mistake with its place, all in one go, and every legal value as it was meant."""
+
 import subprocess
 import sys
 from datetime import timedelta
@@ -34,7 +35,7 @@
     ("class a {\nshare 60%\n}\nclass b {\nshare 60%\n}", ["1:1: the shares of all classes are over 100%"]),
     ("class a", ["2:1: 'class' is a block, wanted: '{'"]),
     ("memory {\n}", ["2:1: 'memory' is no block, allowed: a size"]),
-    ('class "a {', ['2:7: unexpected \'"\', allowed: words, or a text in quotes that is closed']),
+    ('class "a {', ["2:7: unexpected '\"', allowed: words, or a text in quotes that is closed"]),
     ("class a { share 1%\n}", ["2:11: unexpected 'share', allowed: the end of the line"]),
     ("memory x\ninline y\nnonsense", ["2:8:", "3:8:", "4:1:"]),
 ]
@@ -50,12 +51,16 @@
     assert len(found) >= len(told)
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    ("bodies {", "1:1: block 'bodies' is not closed, wanted: '}'"), ("}", "1:1: '}' closes nothing"),
-    ("bodies x {\n}", "1:8: block 'bodies' takes no name"),
-    ("bodies {\n}\nbodies {\n}", "3:1: 'bodies' stands twice"),
-    ("{", "1:1: unexpected '{', allowed: "),
-])
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("bodies {", "1:1: block 'bodies' is not closed, wanted: '}'"),
+        ("}", "1:1: '}' closes nothing"),
+        ("bodies x {\n}", "1:8: block 'bodies' takes no name"),
+        ("bodies {\n}\nbodies {\n}", "3:1: 'bodies' stands twice"),
+        ("{", "1:1: unexpected '{', allowed: "),
+    ],
+)
 def test_blocks_that_do_not_fit(text, told):
     with pytest.raises(SettingsError) as caught:
         read(text, Blocks, "f.conf")
@@ -63,7 +68,8 @@
 
 
 def test_values_comments_quotes_and_units():
-    made = read("""
+    made = read(
+        """
     # all of it
     bodies {   # a comment behind
         memory 1.5MB
@@ -75,7 +81,9 @@
             drop no
         }
     }
-    """, Blocks).bodies
+    """,
+        Blocks,
+    ).bodies
     assert (made.memory, made.inline, made.destination_share) == (1_500_000, 1024, 0.125)
     assert made.write_patience == timedelta(milliseconds=150)
     assert made.class_ == {"slot status": ClassBodies(at_limit=AtLimit.ONE_TRY, drop=Flag.NO)}
@@ -105,8 +113,14 @@
 
 
 def run(*arguments, **more):
-    return subprocess.run([sys.executable, "-m", "willownotch", *arguments], cwd=ROOT, text=True,
-                          capture_output=True, timeout=30, **more)
+    return subprocess.run(
+        [sys.executable, "-m", "willownotch", *arguments],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=30,
+        **more,
+    )
 
 
 def test_check_and_serve_tell_all_mistakes_and_exit_2(tmp_path):
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -1,4 +1,5 @@
 """Shared state by itself: parts of budgets under any story, the laws of merging, what is bounded and how."""
+
 from __future__ import annotations
 
 import heapq
@@ -85,9 +86,15 @@
 
 
 @settings(max_examples=40, deadline=None)
-@given(seed=st.integers(0, 2**32), moves=st.lists(st.tuples(
-    st.sampled_from(["load", "cut", "heal", "restart", "wait"]), st.integers(0, 3), st.integers(0, 60)),
-    max_size=25))
+@given(
+    seed=st.integers(0, 2**32),
+    moves=st.lists(
+        st.tuples(
+            st.sampled_from(["load", "cut", "heal", "restart", "wait"]), st.integers(0, 3), st.integers(0, 60)
+        ),
+        max_size=25,
+    ),
+)
 def test_no_story_ever_lets_more_than_the_whole_be_spent(seed, moves):
     story = Story(seed)
     for _ in range(40):
@@ -133,9 +140,15 @@
     assert [made.part("acme", story.clock(n)) for n, made in enumerate(story.made)] == [WHOLE // 4] * 4
 
 
-@pytest.mark.parametrize("loan", [
-    Loan(1, "acme", WHOLE, SPAN), Loan(2, "acme", -5, SPAN), Loan(3, "nobody", 1000, SPAN),
-    Loan(4, "acme", WHOLE // 4 + 1, 1e9)])
+@pytest.mark.parametrize(
+    "loan",
+    [
+        Loan(1, "acme", WHOLE, SPAN),
+        Loan(2, "acme", -5, SPAN),
+        Loan(3, "nobody", 1000, SPAN),
+        Loan(4, "acme", WHOLE // 4 + 1, 1e9),
+    ],
+)
 def test_nobody_lends_what_it_cannot_own(loan):
     made = budgets_of("i0")
     made.borrowed(10.0, "i1", 9.9, [loan])
@@ -159,14 +172,22 @@
 
 # Judgements
 
+
 def judge(name="me", life=0, **more):
     asked = {"span": 5.0, "sources": 2, "most_share": 0.5, "rows_most": 100, **more}
     return Judgements(name, life, **asked)
 
 
-rows = st.builds(Row, life=st.integers(1, 4), source=st.sampled_from(["a", "b", "c"]),
-                 endpoint=st.sampled_from(["e1", "e2"]), version=st.integers(1, 4),
-                 failing=st.sampled_from([True, False, None]), limit=st.none(), age_ms=st.integers(0, 6000))
+rows = st.builds(
+    Row,
+    life=st.integers(1, 4),
+    source=st.sampled_from(["a", "b", "c"]),
+    endpoint=st.sampled_from(["e1", "e2"]),
+    version=st.integers(1, 4),
+    failing=st.sampled_from([True, False, None]),
+    limit=st.none(),
+    age_ms=st.integers(0, 6000),
+)
 histories = st.lists(st.lists(rows, max_size=6), max_size=6)
 
 
@@ -257,6 +278,7 @@
 
 # The layer in simulated time
 
+
 def fleet(number, weather, seed=1):
     net = Network(seed, weather)
     layers = {}
@@ -275,8 +297,11 @@
         layers[name].judgements.told(net.now + net.offsets[name], "e1", works=False)
 
     def know(count):
-        return sum("e1" in layers[n].judgements.verdicts(net.now + net.offsets[n], LISTED)
-                   for n in net.living()) == count
+        return (
+            sum("e1" in layers[n].judgements.verdicts(net.now + net.offsets[n], LISTED) for n in net.living())
+            == count
+        )
+
     net.until(lambda: know(6), 6.0)  # the two themselves hear one other each
     net.kill("i0")
     net.kill("i1")
@@ -284,12 +309,28 @@
 
 
 @settings(max_examples=200, deadline=None)
-@given(message=st.one_of(
-    st.builds(Ask, source=st.text(max_size=5), stamp=st.integers(), wishes=st.lists(st.tuples(
-        st.text(max_size=4), st.integers(), st.integers()), max_size=3).map(tuple)),
-    st.builds(Lend, source=st.text(max_size=5), stamp=st.integers(), loans=st.lists(st.tuples(
-        st.integers(), st.sampled_from(["acme", "x"]), st.integers(), st.integers()), max_size=3).map(tuple)),
-    st.builds(Found, source=st.text(max_size=5), rows=st.lists(rows, max_size=3).map(tuple))))
+@given(
+    message=st.one_of(
+        st.builds(
+            Ask,
+            source=st.text(max_size=5),
+            stamp=st.integers(),
+            wishes=st.lists(st.tuples(st.text(max_size=4), st.integers(), st.integers()), max_size=3).map(
+                tuple
+            ),
+        ),
+        st.builds(
+            Lend,
+            source=st.text(max_size=5),
+            stamp=st.integers(),
+            loans=st.lists(
+                st.tuples(st.integers(), st.sampled_from(["acme", "x"]), st.integers(), st.integers()),
+                max_size=3,
+            ).map(tuple),
+        ),
+        st.builds(Found, source=st.text(max_size=5), rows=st.lists(rows, max_size=3).map(tuple)),
+    )
+)
 def test_whatever_comes_the_own_part_stands_and_nothing_fails(message):
     made = budgets_of("i0")
     layer = Sharing("i0", lambda: 0.2, Random(1), made, judge("i0", 99), 0.0)
@@ -300,6 +341,7 @@
 
 # The decisions
 
+
 def test_the_module_turns_away_what_is_above_a_hard_part_and_says_when_to_come_again():
     order = MessageClass("order", 1.0, 2.0, 10.0, 0.3, Effect.SAFE)
     asked = Settings((order,), (Kind("k"),), 50, 100, (Tenant("acme", 10.0),), max_come_back_s=5.0)
--- a/tests/test_shared_sockets.py
+++ b/tests/test_shared_sockets.py
@@ -1,4 +1,5 @@
 """Budgets and judgements with real senders and faults between them."""
+
 from __future__ import annotations
 
 import json
@@ -32,8 +33,10 @@
 class SharingFleet(Meshed):
     """Senders with one budget in parts, and judgements."""
 
-    shared = (f" budgets yes\n hard acme\n instances {MEMBERS}\n loan 1s\n exchange 50ms\n"
-              " judgements yes\n judgement 2s\n")
+    shared = (
+        f" budgets yes\n hard acme\n instances {MEMBERS}\n loan 1s\n exchange 50ms\n"
+        " judgements yes\n judgement 2s\n"
+    )
 
     def __init__(self, number, tmp_path, weather=None, more=""):
         self.shared += more
@@ -56,6 +59,7 @@
     def make(number=MEMBERS, weather=None, more=""):
         made.append(SharingFleet(number, tmp_path, weather, more))
         return made[-1].joined(PATIENCE)
+
     yield make
     for each in made:
         each.close()
@@ -76,10 +80,16 @@
                 sock = self.sender.connect()
                 while not self.ending.is_set():
                     count += 1
-                    headers = [("Request-Id", f"{self.name_}-{count}"), ("Request-Class", "status"),
-                               ("Tenant", "acme"), ("Request-Timeout-Ms", "8000"), ("X-Consignee", "dest=7")]
+                    headers = [
+                        ("Request-Id", f"{self.name_}-{count}"),
+                        ("Request-Class", "status"),
+                        ("Tenant", "acme"),
+                        ("Request-Timeout-Ms", "8000"),
+                        ("X-Consignee", "dest=7"),
+                    ]
                     head = self.sender.exchange(
-                        http.write_request("POST", "/api", "api.internal", headers, b"x"), sock)
+                        http.write_request("POST", "/api", "api.internal", headers, b"x"), sock
+                    )
                     if head.status == 202:
                         self.taken.append(time.monotonic())
                     else:
@@ -179,14 +189,16 @@
         host.close()  # who calls it is refused
     fleet.discovery.index += 1
     fleet.discovery.entries += [fleet.discovery.entry(n + 1, host, group=8) for n, host in enumerate(down)]
-    fleet.discovery.tell(json.dumps(
-        {"index": fleet.discovery.index, "snapshot": False, "endpoints": fleet.discovery.entries}))
+    fleet.discovery.tell(
+        json.dumps({"index": fleet.discovery.index, "snapshot": False, "endpoints": fleet.discovery.entries})
+    )
     ending = threading.Event()
 
     def hand_in():
         while not ending.wait(0.02):
             for n in (0, 1):
                 fleet.senders[n].hand_in("status", left=3000, dest=8)
+
     thread = threading.Thread(target=hand_in, daemon=True)
     thread.start()
     until(lambda: all(any(v["failing"] for v in fleet.view(n)["verdicts"]) for n in (2, 3)), PATIENCE)
@@ -213,6 +225,7 @@
 
     def lie(now):
         judgements.told(now, "s-0", works=False)
+
     edge.before = lie
     threading.Thread(target=edge.run, args=((fleet.doors[0],),), daemon=True).start()
     return edge
@@ -222,8 +235,12 @@
     fleet = sharing(3)
     edge = liar(fleet)
     try:
-        until(lambda: all(any(r["source"] == "liar" and r["failing"] for r in fleet.view(n)["rows"])
-                          for n in range(3)), PATIENCE)
+        until(
+            lambda: all(
+                any(r["source"] == "liar" and r["failing"] for r in fleet.view(n)["rows"]) for n in range(3)
+            ),
+            PATIENCE,
+        )
         assert all(not fleet.view(n)["verdicts"] for n in range(3))
         refs = [fleet.senders[n].hand_in("status")[0] for n in range(3)]
         until(lambda: len(fleet.host.calls) == len(refs), PATIENCE)
@@ -235,9 +252,17 @@
     assert SETTINGS["policyLimits"]["maxOpen"]
     sender = None
     try:
-        sender = Sender(known=None, text={
-            "name": "t0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "5f",
-            "limits": {"sockets": 1024, "disk_mb": 3}, "settings": SETTINGS})
+        sender = Sender(
+            known=None,
+            text={
+                "name": "t0",
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "seed": "5f",
+                "limits": {"sockets": 1024, "disk_mb": 3},
+                "settings": SETTINGS,
+            },
+        )
         maps = Path(f"/proc/{sender.process.pid}/maps").read_text(encoding="utf-8")
         assert "xxhash" not in maps
         assert "blake3" not in maps
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,25 +13,50 @@
 
 
 def fixed(*steps, call_faults=(), clients=6, clock_steps_s=(), idle=0, weather=CALM):
-    return Plan(1, SECONDS, 1, clients, idle, 3, tuple(Step(at, 0, action) for at, action in steps), weather,
-                tuple(call_faults), clock_steps_s)
+    return Plan(
+        1,
+        SECONDS,
+        1,
+        clients,
+        idle,
+        3,
+        tuple(Step(at, 0, action) for at, action in steps),
+        weather,
+        tuple(call_faults),
+        clock_steps_s,
+    )
 
 
 # Each order that a seed has found, or that the incident names, played every time.
 PLANS = {
-    "upgrades on upgrades": fixed((0.5, Action.UPGRADE_TWICE), (1.5, Action.UPGRADE), (2.0, Action.HOLD),
-                                  (2.2, Action.UPGRADE_TWICE), (3.5, Action.UPGRADE), idle=40),
-    "a stop in an upgrade, a reload in one": fixed((0.5, Action.RELOAD_IN_UPGRADE), (1.5, Action.RELOAD),
-                                                   (2.0, Action.STOP_IN_UPGRADE)),
+    "upgrades on upgrades": fixed(
+        (0.5, Action.UPGRADE_TWICE),
+        (1.5, Action.UPGRADE),
+        (2.0, Action.HOLD),
+        (2.2, Action.UPGRADE_TWICE),
+        (3.5, Action.UPGRADE),
+        idle=40,
+    ),
+    "a stop in an upgrade, a reload in one": fixed(
+        (0.5, Action.RELOAD_IN_UPGRADE), (1.5, Action.RELOAD), (2.0, Action.STOP_IN_UPGRADE)
+    ),
     "drains and kills": fixed((0.5, Action.UPGRADE_IN_DRAIN), (2.5, Action.KILL), (4.0, Action.DRAIN)),
     "hung endpoints and failing calls": fixed(
-        (0.5, Action.UPGRADE), (2.0, Action.UPGRADE_TWICE), (3.5, Action.KILL),
+        (0.5, Action.UPGRADE),
+        (2.0, Action.UPGRADE_TWICE),
+        (3.5, Action.KILL),
         weather=(Weather(0.0, hang=0.3, refuse=0.2, break_pieces=0.02), Weather(4.0)),
-        call_faults=[CallFault("recv", "short", rate=0.1), CallFault("send", "ENOBUFS", rate=0.02),
-                     CallFault("sendmsg", "ETOOMANYREFS", rate=0.1), CallFault("poll", "ENOMEM", rate=0.01),
-                     CallFault("accept", "ENFILE", rate=0.05), CallFault("bind", "EADDRINUSE", nth=2),
-                     CallFault("read", "EIO", nth=2)],
-        clock_steps_s=(0.0, 3600.0, -3600.0)),
+        call_faults=[
+            CallFault("recv", "short", rate=0.1),
+            CallFault("send", "ENOBUFS", rate=0.02),
+            CallFault("sendmsg", "ETOOMANYREFS", rate=0.1),
+            CallFault("poll", "ENOMEM", rate=0.01),
+            CallFault("accept", "ENFILE", rate=0.05),
+            CallFault("bind", "EADDRINUSE", nth=2),
+            CallFault("read", "EIO", nth=2),
+        ],
+        clock_steps_s=(0.0, 3600.0, -3600.0),
+    ),
 }
 
 
@@ -65,8 +90,18 @@
 
 
 def request(ending=Ending.ANSWERED, status=202, cls="fee", **more):
-    values = {"sender": 0, "ref": "m", "message_class": cls, "key": None, "began": 1.0, "written": 1.0,
-              "ended": 1.05, "ending": ending, "status": status, "left_s": 2.0} | more
+    values = {
+        "sender": 0,
+        "ref": "m",
+        "message_class": cls,
+        "key": None,
+        "began": 1.0,
+        "written": 1.0,
+        "ended": 1.05,
+        "ending": ending,
+        "status": status,
+        "left_s": 2.0,
+    } | more
     return Request(**values)
 
 
@@ -78,30 +113,41 @@
     return sorted({broken.rule for broken in judge(found, 50.0)})
 
 
-@pytest.mark.parametrize("found,expected", [
-    (records(), []),
-    (records(requests=[request(Ending.ENDED, 0)], calls=[]), ["lost request"]),
-    (records(requests=[request(Ending.SILENT, 0)], calls=[]), ["lost request"]),
-    (records(requests=[request(Ending.REFUSED_CONNECTION, 0)], calls=[]), []),
-    (records(requests=[request(status=500)], calls=[]), ["answer"]),
-    (records(requests=[request(Ending.ENDED, 0, reused=True, rested_s=2.9)], calls=[]), []),
-    (records(calls=[]), ["no ending"]),
-    (records(calls=[], notices=[Notice("m", "given_up", 2.9)]), []),
-    (records(calls=[], notices=[Notice("m", "given_up", 4.5)]), ["late ending"]),
-    (records(requests=[request(status=503)]), ["refused and sent"]),
-    (records(calls=[call(), call(began=1.5)]), ["run twice"]),
-    (records(calls=[call(503), call(began=1.5)]), []),
-    (records(calls=[call(0), call(began=1.5)], requests=[request(cls="status")]), []),
-    (records(calls=[call(0), call(began=1.5)], requests=[request(cls="order")]), []),
-    (records(calls=[call(0), call(began=17.0)], requests=[request(cls="order", left_s=30.0)]), ["run twice"]),
-    (records(calls=[call(body=b"y")]), ["foreign"]),
-    (records(calls=[call(), call(ref="n")]), ["foreign"]),
-    (records(lifetimes=[Lifetime(0, 0, -1.0, ready=-0.5, ended=30.0, code=70)]), ["crash"]),
-    (records(lifetimes=[Lifetime(0, 0, -1.0, killed_at=40.0, ended=40.0, meant_to_end=True)]), ["not ready"]),
-    (records(lifetimes=[Lifetime(0, 0, -20.0, ready=-5.0)]), ["late to be ready"]),
-    (records(lifetimes=[Lifetime(0, 0, -1.0, ready=-0.5, lines=["n0 error: a connection was ended"])]),
-     ["bad line"]),
-])
+@pytest.mark.parametrize(
+    "found,expected",
+    [
+        (records(), []),
+        (records(requests=[request(Ending.ENDED, 0)], calls=[]), ["lost request"]),
+        (records(requests=[request(Ending.SILENT, 0)], calls=[]), ["lost request"]),
+        (records(requests=[request(Ending.REFUSED_CONNECTION, 0)], calls=[]), []),
+        (records(requests=[request(status=500)], calls=[]), ["answer"]),
+        (records(requests=[request(Ending.ENDED, 0, reused=True, rested_s=2.9)], calls=[]), []),
+        (records(calls=[]), ["no ending"]),
+        (records(calls=[], notices=[Notice("m", "given_up", 2.9)]), []),
+        (records(calls=[], notices=[Notice("m", "given_up", 4.5)]), ["late ending"]),
+        (records(requests=[request(status=503)]), ["refused and sent"]),
+        (records(calls=[call(), call(began=1.5)]), ["run twice"]),
+        (records(calls=[call(503), call(began=1.5)]), []),
+        (records(calls=[call(0), call(began=1.5)], requests=[request(cls="status")]), []),
+        (records(calls=[call(0), call(began=1.5)], requests=[request(cls="order")]), []),
+        (
+            records(calls=[call(0), call(began=17.0)], requests=[request(cls="order", left_s=30.0)]),
+            ["run twice"],
+        ),
+        (records(calls=[call(body=b"y")]), ["foreign"]),
+        (records(calls=[call(), call(ref="n")]), ["foreign"]),
+        (records(lifetimes=[Lifetime(0, 0, -1.0, ready=-0.5, ended=30.0, code=70)]), ["crash"]),
+        (
+            records(lifetimes=[Lifetime(0, 0, -1.0, killed_at=40.0, ended=40.0, meant_to_end=True)]),
+            ["not ready"],
+        ),
+        (records(lifetimes=[Lifetime(0, 0, -20.0, ready=-5.0)]), ["late to be ready"]),
+        (
+            records(lifetimes=[Lifetime(0, 0, -1.0, ready=-0.5, lines=["n0 error: a connection was ended"])]),
+            ["bad line"],
+        ),
+    ],
+)
 def test_each_rule_is_counted_from_outside(found, expected):
     assert rules(found) == expected
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -2,6 +2,7 @@
 
 Verdicts are counted from outside: what clients, endpoints and the platform saw.
 """
+
 import os
 import signal
 import threading
@@ -63,26 +64,48 @@
 
 # Each momentary failure of a start, at each of the first calls of its kind.
 START = [
-    *nth("bind", "EADDRNOTAVAIL", "EADDRINUSE", most=2), *nth("listen", "EADDRINUSE", most=2),
-    *nth("socket", "ENOBUFS", "ENFILE"), *nth("setsockopt", "ENOMEM", "ENOBUFS"),
-    *nth("open", "EIO", "ENFILE", "ENOSPC", most=6), *nth("read", "EIO", "EINTR", SHORT),
-    *nth("write", "ENOSPC", "EIO", SHORT), *nth("rename", "EIO", most=1), *nth("flock", "ENOLCK", most=1),
-    *nth("poll", "ENOMEM", most=4), *nth("connect", "ENETUNREACH", "EADDRNOTAVAIL", most=2),
+    *nth("bind", "EADDRNOTAVAIL", "EADDRINUSE", most=2),
+    *nth("listen", "EADDRINUSE", most=2),
+    *nth("socket", "ENOBUFS", "ENFILE"),
+    *nth("setsockopt", "ENOMEM", "ENOBUFS"),
+    *nth("open", "EIO", "ENFILE", "ENOSPC", most=6),
+    *nth("read", "EIO", "EINTR", SHORT),
+    *nth("write", "ENOSPC", "EIO", SHORT),
+    *nth("rename", "EIO", most=1),
+    *nth("flock", "ENOLCK", most=1),
+    *nth("poll", "ENOMEM", most=4),
+    *nth("connect", "ENETUNREACH", "EADDRNOTAVAIL", most=2),
 ]
 # In CI a few starts meet several of them; `make long` plays each alone.
 START_SHORT = [
-    [CallFault("bind", "EADDRNOTAVAIL", nth=1), CallFault("listen", "EADDRINUSE", nth=2),
-     CallFault("socket", "ENFILE", nth=3), CallFault("open", "EIO", nth=2)],
-    [CallFault("bind", "EADDRINUSE", nth=2), CallFault("socket", "ENOBUFS", nth=1),
-     CallFault("read", "EIO", nth=1), CallFault("read", "EIO", nth=3), CallFault("write", "ENOSPC", nth=1)],
-    [CallFault("open", "ENFILE", nth=n) for n in (1, 3, 5)] + [CallFault("rename", "EIO", nth=1),
-     CallFault("flock", "ENOLCK", nth=1), CallFault("poll", "ENOMEM", nth=2)],
+    [
+        CallFault("bind", "EADDRNOTAVAIL", nth=1),
+        CallFault("listen", "EADDRINUSE", nth=2),
+        CallFault("socket", "ENFILE", nth=3),
+        CallFault("open", "EIO", nth=2),
+    ],
+    [
+        CallFault("bind", "EADDRINUSE", nth=2),
+        CallFault("socket", "ENOBUFS", nth=1),
+        CallFault("read", "EIO", nth=1),
+        CallFault("read", "EIO", nth=3),
+        CallFault("write", "ENOSPC", nth=1),
+    ],
+    [CallFault("open", "ENFILE", nth=n) for n in (1, 3, 5)]
+    + [
+        CallFault("rename", "EIO", nth=1),
+        CallFault("flock", "ENOLCK", nth=1),
+        CallFault("poll", "ENOMEM", nth=2),
+    ],
     [CallFault("setsockopt", "ENOBUFS", rate=1.0), CallFault("write", "EIO", to_s=2.0, rate=1.0)],
 ]
 
 
-@pytest.mark.parametrize("calls", START if LONG else START_SHORT, ids=lambda calls: "+".join(
-    f"{c.call}-{c.effect}-{c.nth or c.rate}" for c in calls))
+@pytest.mark.parametrize(
+    "calls",
+    START if LONG else START_SHORT,
+    ids=lambda calls: "+".join(f"{c.call}-{c.effect}-{c.nth or c.rate}" for c in calls),
+)
 def test_a_start_outlasts_a_failure_of_the_moment(world, calls):
     """It ended with `cannot start`, or took a journal that it could not read for an empty one."""
     sender, ref = owing(world)
@@ -93,8 +116,10 @@
     sender.ready()
     assert time.monotonic() - began < READY_TIME
     until(lambda: world.host.refs().count(ref) == 2)  # still owed: it may have run, and may be repeated
+
     def accepted():
         return sender.hand_in()[1].status == 202
+
     until(accepted)
     with sender.operator() as caller:
         caller.sendall(b"health\n")
@@ -146,31 +171,51 @@
 
 # In service: every kind of call, with each error that Linux documents for it and that may pass.
 SERVICE = {
-    "accept": [CallFault("accept", effect, rate=0.1) for effect in (
-        "ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EINTR")],
+    "accept": [
+        CallFault("accept", effect, rate=0.1)
+        for effect in ("ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EINTR")
+    ],
     "client and endpoint connections": [
-        *(CallFault("recv", effect, rate=0.02) for effect in ("EINTR", "ENOBUFS", "ENOMEM", "ETIMEDOUT",
-                                                              "EHOSTUNREACH", "ENETUNREACH")),
-        *(CallFault("send", effect, rate=0.02) for effect in ("EINTR", "ENOBUFS", "ENOMEM", "ETIMEDOUT",
-                                                              "EHOSTUNREACH", "ENETUNREACH")),
-        CallFault("recv", SHORT, rate=0.3), CallFault("send", SHORT, rate=0.3)],
-    "connect": [*(CallFault("connect", effect, rate=0.05) for effect in (
-        "ENETUNREACH", "EHOSTUNREACH", "EADDRNOTAVAIL", "ETIMEDOUT", "ENOBUFS")),
+        *(
+            CallFault("recv", effect, rate=0.02)
+            for effect in ("EINTR", "ENOBUFS", "ENOMEM", "ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH")
+        ),
+        *(
+            CallFault("send", effect, rate=0.02)
+            for effect in ("EINTR", "ENOBUFS", "ENOMEM", "ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH")
+        ),
+        CallFault("recv", SHORT, rate=0.3),
+        CallFault("send", SHORT, rate=0.3),
+    ],
+    "connect": [
+        *(
+            CallFault("connect", effect, rate=0.05)
+            for effect in ("ENETUNREACH", "EHOSTUNREACH", "EADDRNOTAVAIL", "ETIMEDOUT", "ENOBUFS")
+        ),
         *(CallFault("socket", effect, rate=0.05) for effect in ("ENFILE", "EMFILE", "ENOBUFS", "ENOMEM")),
-        CallFault("setsockopt", "ENOBUFS", rate=0.3)],
-    "waits": [CallFault("poll", "ENOMEM", rate=0.02), CallFault("poll", "EINTR", rate=0.1),
-              CallFault("poll", SLOW, rate=0.05), CallFault("recv", SLOW, rate=0.05)],
-    "folder": [CallFault("write", "ENOSPC", rate=0.05), CallFault("write", "EIO", rate=0.05),
-               CallFault("write", SHORT, rate=0.05), CallFault("ftruncate", "EIO", rate=0.2),
-               CallFault("rename", "EIO", rate=0.3), CallFault("open", "EMFILE", rate=0.1)],
+        CallFault("setsockopt", "ENOBUFS", rate=0.3),
+    ],
+    "waits": [
+        CallFault("poll", "ENOMEM", rate=0.02),
+        CallFault("poll", "EINTR", rate=0.1),
+        CallFault("poll", SLOW, rate=0.05),
+        CallFault("recv", SLOW, rate=0.05),
+    ],
+    "folder": [
+        CallFault("write", "ENOSPC", rate=0.05),
+        CallFault("write", "EIO", rate=0.05),
+        CallFault("write", SHORT, rate=0.05),
+        CallFault("ftruncate", "EIO", rate=0.2),
+        CallFault("rename", "EIO", rate=0.3),
+        CallFault("open", "EMFILE", rate=0.1),
+    ],
 }
 CLIENTS, REQUESTS = 6, 25
 
 
 @pytest.mark.parametrize("kind", SERVICE)
 def test_calls_that_fail_for_a_moment_lose_no_request_and_no_message(world, kind):
-    sender = world.sender(calls=[CallFault(f.call, f.effect, rate=f.rate, from_s=1.0)
-                                 for f in SERVICE[kind]])
+    sender = world.sender(calls=[CallFault(f.call, f.effect, rate=f.rate, from_s=1.0) for f in SERVICE[kind]])
     sender.ready()
     until(lambda: time.monotonic() - began_of(sender) > 1.0)
     accepted, unanswered = [], []
@@ -199,8 +244,10 @@
         thread.join(3 * PATIENCE)
     assert not unanswered, (unanswered, sender.lines[-10:])
     assert sender.process.poll() is None, sender.lines[-10:]
-    until(lambda: set(accepted) <= set(world.host.refs()) | {n["message"] for n in world.discovery.notices},
-          2 * PATIENCE)
+    until(
+        lambda: set(accepted) <= set(world.host.refs()) | {n["message"] for n in world.discovery.notices},
+        2 * PATIENCE,
+    )
     assert len(accepted) > CLIENTS * REQUESTS // 4, len(accepted)
     assert shim.struck(sender.struck)
 
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -1,4 +1,5 @@
 """Several messages in one call, with a real sender: one end for each, whatever becomes of the call."""
+
 import threading
 import unittest
 
@@ -120,9 +121,12 @@
 
 class Waiting(unittest.TestCase):
     setUp, ends = Together.setUp, Together.ends
-    settings = {**MANY, "services": [{**entry, "promiseS": 0.5} for entry in MANY["services"]],
-                "familyInfo": {**MANY["familyInfo"], "slots": 4},
-                "policyLimits": {**MANY["policyLimits"], "secondCopies": False}}
+    settings = {
+        **MANY,
+        "services": [{**entry, "promiseS": 0.5} for entry in MANY["services"]],
+        "familyInfo": {**MANY["familyInfo"], "slots": 4},
+        "policyLimits": {**MANY["policyLimits"], "secondCopies": False},
+    }
 
     def test_one_that_is_not_waited_for_is_sent_again_only_once_its_call_is_closed(self):
         self.host.held.clear()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,4 +1,5 @@
 """A second process takes over under load: real processes, and a peer that dies or hangs at each step."""
+
 import shutil
 import signal
 import socket
@@ -165,8 +166,11 @@
 
     def test_a_process_with_other_decisions_starts_from_the_journal(self):
         with tempfile.TemporaryDirectory() as folder:
-            shutil.copytree(ROOT / "willownotch", Path(folder) / "willownotch",
-                            ignore=shutil.ignore_patterns("__pycache__"))
+            shutil.copytree(
+                ROOT / "willownotch",
+                Path(folder) / "willownotch",
+                ignore=shutil.ignore_patterns("__pycache__"),
+            )
             with open(Path(folder) / "willownotch" / "state.py", "a", encoding="utf-8") as file:
                 file.write("# another version\n")
             idle = self.sender.connect()
@@ -227,17 +231,28 @@
     for size in (1, 2, 7, len(data)):
         frames, found = Frames(), []
         for at in range(0, len(data), size):
-            found += frames.feed(data[at:at + size], [8, 9] if at == 0 else [])
+            found += frames.feed(data[at : at + size], [8, 9] if at == 0 else [])
         assert found == [Frame(Kind.CLIENT, b"abc", (8, 9)), Frame(Kind.GIVEN, b"")]
-    for bad in (b"x" * HEAD.size, HEAD.pack(MAGIC, 99, 0, 0), HEAD.pack(MAGIC, Kind.CLIENT, 1, 0),
-                HEAD.pack(MAGIC, Kind.ESTATE, 0, 1 << 31)):
+    for bad in (
+        b"x" * HEAD.size,
+        HEAD.pack(MAGIC, 99, 0, 0),
+        HEAD.pack(MAGIC, Kind.CLIENT, 1, 0),
+        HEAD.pack(MAGIC, Kind.ESTATE, 0, 1 << 31),
+    ):
         with pytest.raises(BadFrameError):
             Frames().feed(bad, [])
 
 
-@pytest.mark.parametrize("data", [
-    b"", b"junk", b"cos\nsystem\n(S'true'\ntR.", b"cwillownotch.net.http\nwrite_head\n.", b"\x80\x05N.",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"junk",
+        b"cos\nsystem\n(S'true'\ntR.",
+        b"cwillownotch.net.http\nwrite_head\n.",
+        b"\x80\x05N.",
+    ],
+)
 def test_an_estate_is_made_of_our_own_types_only(data):
     with pytest.raises(ValueError):
         pickled.read(data)
@@ -246,9 +261,11 @@
 def test_a_request_is_passed_on_as_it_was():
     from willownotch.net.north import again
 
-    for raw in (b"POST /api?thread=k HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nhi",
-                b"GET /health/ready HTTP/1.0\r\nHost: a\r\n\r\n",
-                b"POST /api HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"):
+    for raw in (
+        b"POST /api?thread=k HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nhi",
+        b"GET /health/ready HTTP/1.0\r\nHost: a\r\n\r\n",
+        b"POST /api HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+    ):
         one, two = http.Parser(answer=False), http.Parser(answer=False)
         one.feed(raw)
         head, body = one.next()
@@ -293,8 +310,12 @@
     from willownotch.net.log import Log
     from willownotch.net.north import North, Stage
 
-    config = read_config(json.dumps({"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s",
-                                     "discovery": "127.0.0.1:1"}).encode(), {})
+    config = read_config(
+        json.dumps(
+            {"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s", "discovery": "127.0.0.1:1"}
+        ).encode(),
+        {},
+    )
     clock = Clock()
     begun, allowed = threading.Event(), threading.Event()
 
@@ -302,8 +323,15 @@
         begun.set()
         return allowed.wait(PATIENCE)
 
-    north = North(config, clock, Log(clock), None, None,
-                  lambda name, work: threading.Thread(target=work, daemon=True).start(), Standing())
+    north = North(
+        config,
+        clock,
+        Log(clock),
+        None,
+        None,
+        lambda name, work: threading.Thread(target=work, daemon=True).start(),
+        Standing(),
+    )
     with socket.create_server(("127.0.0.1", 0)) as server:
         theirs = socket.create_connection(server.getsockname())
         ours, _ = server.accept()
--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -1,4 +1,5 @@
 """What becomes of requests, calls and the folder when a hand-over goes wrong at one of its steps."""
+
 import errno
 import json
 import os
@@ -29,8 +30,12 @@
 from willownotch.net.north import North, Stage
 from willownotch.net.owner import Answer, HandIn, HandOver, Verdict
 
-CONFIG = read_config(json.dumps({"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s",
-                                 "discovery": "127.0.0.1:1"}).encode(), {})
+CONFIG = read_config(
+    json.dumps(
+        {"settings": SETTINGS, "listen": "127.0.0.1:0", "state": "s", "discovery": "127.0.0.1:1"}
+    ).encode(),
+    {},
+)
 
 
 def start(name, work):
@@ -79,9 +84,20 @@
 
 
 def request(ref="1", more=()):
-    return http.write_request("POST", "/api", "a", [
-        ("Request-Id", ref), ("Request-Class", "status"), ("Tenant", "acme"), ("Request-Timeout-Ms", "800"),
-        ("X-Consignee", "dest=7"), *more], b"hello")
+    return http.write_request(
+        "POST",
+        "/api",
+        "a",
+        [
+            ("Request-Id", ref),
+            ("Request-Class", "status"),
+            ("Tenant", "acme"),
+            ("Request-Timeout-Ms", "800"),
+            ("X-Consignee", "dest=7"),
+            *more,
+        ],
+        b"hello",
+    )
 
 
 def answer_of(sock):
@@ -145,20 +161,36 @@
 def test_what_is_let_go_by_the_owner_has_where_to_go(rig, tmp_path, monkeypatch):
     """Evidence 2: the owner answered `moved` before the client side was told where connections go."""
     ours, theirs = socket.socketpair(socket.AF_UNIX)
-    owner, south = Standstill(), type("South", (), {
-        "kept": lambda self: [], "waits": {}, "leave": lambda self: None, "outside": lambda self: 0})()
+    owner, south = (
+        Standstill(),
+        type(
+            "South",
+            (),
+            {"kept": lambda self: [], "waits": {}, "leave": lambda self: None, "outside": lambda self: 0},
+        )(),
+    )
     owner.north = rig.north
     bodies = type("Bodies", (), {"freeze": lambda self: None, "thaw": lambda self, halted=False: None})()
     monkeypatch.setattr("willownotch.handover.pickled.write", lambda state: b"state")
-    giver = Giver(tmp_path, FolderLock(tmp_path), rig.clock, rig.log, rig.standing, owner, south, rig.north,
-                  bodies, start)
+    giver = Giver(
+        tmp_path,
+        FolderLock(tmp_path),
+        rig.clock,
+        rig.log,
+        rig.standing,
+        owner,
+        south,
+        rig.north,
+        bodies,
+        start,
+    )
     other = Link(theirs)
     other.send(Kind.HELLO, version())
     other.send(Kind.TOOK, LOCK_WANTED)
     before = owner.forward
     assert giver._asked(Link(ours))
     until(lambda: owner.seen)
-    (forward, elsewhere), = owner.seen
+    ((forward, elsewhere),) = owner.seen
     assert forward is not before and elsewhere is not None
     assert other.receive(PATIENCE_SPAN).kind is Kind.ESTATE
     given = other.receive(PATIENCE_SPAN)
@@ -231,7 +263,9 @@
     frames = Frames()
     assert frames.feed(client[:-1], [], truncated=True) == []
     assert frames.feed(client[-1:] + client, [7]) == [
-        Frame(Kind.CLIENT, b"abc", (), truncated=True), Frame(Kind.CLIENT, b"abc", (7,))]
+        Frame(Kind.CLIENT, b"abc", (), truncated=True),
+        Frame(Kind.CLIENT, b"abc", (7,)),
+    ]
     state = HEAD.pack(MAGIC, Kind.ESTATE, 3, 0)
     assert Frames().feed(state, [4, 5], truncated=True) == [Frame(Kind.ESTATE, b"", (4, 5), truncated=True)]
     with pytest.raises(BadFrameError):
@@ -494,8 +528,9 @@
         call_off_remote = call_off_by
 
     owner, south = Recorder(), Recorder()
-    giver = Giver(tmp_path, FolderLock(tmp_path), rig.clock, rig.log, rig.standing, owner, south, rig.north,
-                  None, start)
+    giver = Giver(
+        tmp_path, FolderLock(tmp_path), rig.clock, rig.log, rig.standing, owner, south, rig.north, None, start
+    )
     giver._take(Frame(Kind.CALL_OFF, msgspec.msgpack.encode(["m1", 3])))
     assert owner.calls == south.calls == [("m1", 3)]
 
@@ -512,8 +547,9 @@
         return real(path, *arguments, **more)
 
     monkeypatch.setattr(os, "open", failing)
-    giver = Giver(tmp_path, FolderLock(tmp_path), rig.clock, rig.log, Standing(), rig, None, rig.north, None,
-                  start)
+    giver = Giver(
+        tmp_path, FolderLock(tmp_path), rig.clock, rig.log, Standing(), rig, None, rig.north, None, start
+    )
     start("upgrade", giver.run)
     until(lambda: (tmp_path / "handover").exists())
     assert len(failures) == 3
@@ -531,8 +567,9 @@
     host = Host()
     discovery = Discovery([host])
     control = tmp_path / "control"
-    sender = Sender(discovery, settings=f"control {{\n socket {control}\n}}\n",
-                    env={"LB_MANAGEMENT": "127.0.0.1:0"})
+    sender = Sender(
+        discovery, settings=f"control {{\n socket {control}\n}}\n", env={"LB_MANAGEMENT": "127.0.0.1:0"}
+    )
     sender.ready()
     idle = sender.connect()
     assert sender.exchange(sender.message(), idle).status == 202
@@ -610,8 +647,14 @@
     log.say(f"sort{n}", "x" * 100)
 print(log.counters.snapshot()["log line lost"]["nobody reads them"])
 """
-    done = subprocess.run([sys.executable, "-c", program], cwd=ROOT, stderr=writing, stdout=subprocess.PIPE,
-                          timeout=PATIENCE, check=True)
+    done = subprocess.run(
+        [sys.executable, "-c", program],
+        cwd=ROOT,
+        stderr=writing,
+        stdout=subprocess.PIPE,
+        timeout=PATIENCE,
+        check=True,
+    )
     assert int(done.stdout) > 1000
     for descriptor in (reading, writing):
         os.close(descriptor)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -1,4 +1,5 @@
 """Counts without a leader: the replicated state in simulated time, under each fault that is named."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -40,9 +41,16 @@
     return [made.running[n].usage.one(made.own_time(n), *key).holds(made.truth[key]) for n in made.running]
 
 
-@pytest.mark.parametrize("weather", [
-    Weather(), Weather(loss=0.2, delay=0.3, jitter=0.05), Weather(loss=0.5), Weather(repeat=0.5, jitter=0.5),
-], ids=["good", "loss and delay", "half lost", "repeats and overtaking"])
+@pytest.mark.parametrize(
+    "weather",
+    [
+        Weather(),
+        Weather(loss=0.2, delay=0.3, jitter=0.05),
+        Weather(loss=0.5),
+        Weather(repeat=0.5, jitter=0.5),
+    ],
+    ids=["good", "loss and delay", "half lost", "repeats and overtaking"],
+)
 def test_all_hold_the_truth_and_every_interval_holds_it_meanwhile(weather):
     made = fleet(weather=weather)
     made.run(10)
@@ -277,7 +285,7 @@
     made.count("i0", KEY, 5)
     made.count("i0", KEY, 3, Sort.DELIVERED)
     made.settle()
-    line, = made.running["i1"].usage.answer(made.own_time("i1")).lines
+    (line,) = made.running["i1"].usage.answer(made.own_time("i1")).lines
     assert [c.count for c in line.counts] == [5, 3, 0, 0, 0]
 
 
@@ -308,7 +316,7 @@
     made.run(2)
     made.load("i0", KEY, 50.0)
     made.run(70)
-    line, = made.running["i1"].usage.answer(made.own_time("i1")).lines
+    (line,) = made.running["i1"].usage.answer(made.own_time("i1")).lines
     assert 40 < line.short_rate < 60
     assert 45 < line.long_rate < 55
 
@@ -337,8 +345,11 @@
     return (life.upto, dict(life.rows)) if life else (0, {})
 
 
-steps = st.lists(st.tuples(st.sampled_from([b"a", b"b", b"c"]), st.sampled_from(list(Sort)),
-                           st.integers(1, 2**58)), min_size=1, max_size=12)
+steps = st.lists(
+    st.tuples(st.sampled_from([b"a", b"b", b"c"]), st.sampled_from(list(Sort)), st.integers(1, 2**58)),
+    min_size=1,
+    max_size=12,
+)
 cuts = st.lists(st.tuples(st.integers(0, 12), st.integers(0, 12)), max_size=30)
 
 
@@ -384,7 +395,7 @@
     for upto in (min(first, last), min(second, last), last):
         direct._merge(1.0, history.part(0, upto), 0.5)
         through._merge(1.0, history.part(0, upto), 0.5)
-    answer, = through._asked(1.0, Ask("end", 5, 0, 0, 2**63 - 1))
+    (answer,) = through._asked(1.0, Ask("end", 5, 0, 0, 2**63 - 1))
     for part in answer.parts:
         end._merge(1.0, part, 0.5)
     assert counted(end) == counted(direct)
@@ -396,17 +407,25 @@
     assert now.low == held <= now.high <= later.high
 
 
-@pytest.mark.parametrize(("own", "others", "by_load", "wanted"), [
-    (0.0, [], 0.5, 1.0), (0.0, [0.0], 0.5, 0.5), (10.0, [0.0], 1.0, 1.0), (10.0, [0.0], 0.5, 0.75),
-    (0.0, [10.0], 0.5, 0.25), (1.0, [3.0], 0.0, 0.5), (1.0, [3.0], 1.0, 0.25),
-])
+@pytest.mark.parametrize(
+    ("own", "others", "by_load", "wanted"),
+    [
+        (0.0, [], 0.5, 1.0),
+        (0.0, [0.0], 0.5, 0.5),
+        (10.0, [0.0], 1.0, 1.0),
+        (10.0, [0.0], 0.5, 0.75),
+        (0.0, [10.0], 0.5, 0.25),
+        (1.0, [3.0], 0.0, 0.5),
+        (1.0, [3.0], 1.0, 0.25),
+    ],
+)
 def test_the_rest_is_shared_by_load_and_evenly(own, others, by_load, wanted):
     assert share(own, others, by_load) == pytest.approx(wanted)
 
 
 @given(st.lists(st.floats(0, 1e6), min_size=1, max_size=20), st.floats(0, 1))
 def test_all_shares_together_are_the_whole_at_most(rates, by_load):
-    shares = [share(rate, rates[:n] + rates[n + 1:], by_load) for n, rate in enumerate(rates)]
+    shares = [share(rate, rates[:n] + rates[n + 1 :], by_load) for n, rate in enumerate(rates)]
     assert sum(shares) <= 1 + 1e-9
 
 
@@ -446,11 +465,25 @@
 counts = st.tuples(*[amounts] * len(Sort))
 names = st.sampled_from(["", "here", "other"])
 rows = st.builds(Row, st.sampled_from([b"acme", b"b"]), st.just("status"), amounts, counts, amounts)
-parts = st.builds(Part, amounts, names, st.booleans(), amounts, amounts, st.none() | amounts,
-                  st.lists(rows, max_size=3).map(tuple))
+parts = st.builds(
+    Part,
+    amounts,
+    names,
+    st.booleans(),
+    amounts,
+    amounts,
+    st.none() | amounts,
+    st.lists(rows, max_size=3).map(tuple),
+)
 pairs = st.lists(st.tuples(amounts, amounts), max_size=3).map(tuple)
-chunks = st.builds(Chunk, amounts, amounts, amounts, pairs,
-                   st.lists(st.tuples(st.just(b"acme"), st.just("status"), counts), max_size=2).map(tuple))
+chunks = st.builds(
+    Chunk,
+    amounts,
+    amounts,
+    amounts,
+    pairs,
+    st.lists(st.tuples(st.just(b"acme"), st.just("status"), counts), max_size=2).map(tuple),
+)
 messages = st.one_of(
     st.builds(Ask, names, amounts, amounts, amounts, amounts, pairs, amounts, st.tuples(amounts, amounts)),
     st.builds(Tell, names, amounts, amounts, st.lists(parts, max_size=3).map(tuple), st.none() | chunks),
@@ -474,12 +507,23 @@
     assert all(count >= 0 for sort in Sort for count in made.totals(sort).values())
 
 
-@pytest.mark.parametrize("part", [
-    Part(99, "other", False, 0, 2, 0,
-         (Row(*KEY, 2, (6, 0, 0, 0, 0)), Row(b"b", "status", 1, (1, 0, 0, 0, 0)))),
-    Part(99, "other", False, 0, 1, 0, (Row(*KEY, 2, (1, 0, 0, 0, 0)),)),
-    Part(99, "other", False, 1, 2, 0, (Row(*KEY, 2, (1, 0, 0, 0, 0)),)),
-], ids=["out of order", "beyond its end", "counting down"])
+@pytest.mark.parametrize(
+    "part",
+    [
+        Part(
+            99,
+            "other",
+            False,
+            0,
+            2,
+            0,
+            (Row(*KEY, 2, (6, 0, 0, 0, 0)), Row(b"b", "status", 1, (1, 0, 0, 0, 0))),
+        ),
+        Part(99, "other", False, 0, 1, 0, (Row(*KEY, 2, (1, 0, 0, 0, 0)),)),
+        Part(99, "other", False, 1, 2, 0, (Row(*KEY, 2, (1, 0, 0, 0, 0)),)),
+    ],
+    ids=["out of order", "beyond its end", "counting down"],
+)
 def test_a_part_that_no_counting_can_have_made_changes_nothing(part):
     made = usage()
     made._merge(1.0, Part(99, "other", False, 0, 1, 0, (Row(*KEY, 1, (5, 0, 0, 0, 0)),)), 0.5)
@@ -514,9 +558,16 @@
     return made.receive(now, OTHER[0][1], Ask(source, life, 0, 0, 2**63 - 1, held))
 
 
-@pytest.mark.parametrize(("now", "held", "folded"), [
-    (10.0, ((99, 1),), True), (1.0, ((99, 1),), False), (10.0, ((99, 2),), False), (10.0, (), False),
-], ids=["all hold it alike", "closed only now", "another holds more", "another has not heard of it"])
+@pytest.mark.parametrize(
+    ("now", "held", "folded"),
+    [
+        (10.0, ((99, 1),), True),
+        (1.0, ((99, 1),), False),
+        (10.0, ((99, 2),), False),
+        (10.0, (), False),
+    ],
+    ids=["all hold it alike", "closed only now", "another holds more", "another has not heard of it"],
+)
 def test_a_closed_life_is_folded_once_all_hold_it_alike(now, held, folded):
     made = holding()
     made._answered(now)
@@ -558,7 +609,7 @@
     assert made.overdue
     assert asked(made, 31.0, ()) == []
     made.renew(31.0)
-    answer, = asked(made, 31.0, ())
+    (answer,) = asked(made, 31.0, ())
     assert {part.life for part in answer.message.parts} == {made.own.id} != {before}
 
 
@@ -612,8 +663,16 @@
 
 def test_an_answer_to_a_former_life_is_not_taken():
     made = usage()
-    made.receive(1.0, OTHER[0][1], Tell("other", made.own.id + 1, 0, (
-        Part(99, "other", False, 0, 1, 0, (Row(*KEY, 1, (5, 0, 0, 0, 0)),)),)))
+    made.receive(
+        1.0,
+        OTHER[0][1],
+        Tell(
+            "other",
+            made.own.id + 1,
+            0,
+            (Part(99, "other", False, 0, 1, 0, (Row(*KEY, 1, (5, 0, 0, 0, 0)),)),),
+        ),
+    )
     assert made.totals() == {}
     assert made.counters["strange"] == 1
 
--- a/tests/test_usage_book.py
+++ b/tests/test_usage_book.py
@@ -1,4 +1,5 @@
 """Own counts in the folder: death at each file operation, torn tails, damage, no room, another life."""
+
 from __future__ import annotations
 
 import pytest
@@ -62,6 +63,7 @@
 def operations():
     import tempfile
     from pathlib import Path
+
     with tempfile.TemporaryDirectory() as folder:
         files = Faulty()
         story(Path(folder), files, [])
@@ -99,7 +101,7 @@
     log = next((tmp_path / "usage").glob("log.*"))
     whole = log.read_bytes()
     for place in range(len(whole)):
-        log.write_bytes(whole[:place] + bytes([whole[place] ^ 4]) + whole[place + 1:])
+        log.write_bytes(whole[:place] + bytes([whole[place] ^ 4]) + whole[place + 1 :])
         said = []
         assert held(reread(tmp_path, said)[0]) in (0, 1, 2)
         assert any("cannot be read" in line for line in said)
@@ -129,10 +131,16 @@
     assert any("base" in line for line in said)
 
 
-@pytest.mark.parametrize("fault", [
-    Fault(Kind.NO_SPACE, "append", "log.*"), Fault(Kind.IO_ERROR, "append", "log.*"),
-    Fault(Kind.NO_SPACE, "append", "base*"), Fault(Kind.NO_SPACE, "create"), Fault(Kind.IO_ERROR, "replace"),
-])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault(Kind.NO_SPACE, "append", "log.*"),
+        Fault(Kind.IO_ERROR, "append", "log.*"),
+        Fault(Kind.NO_SPACE, "append", "base*"),
+        Fault(Kind.NO_SPACE, "create"),
+        Fault(Kind.IO_ERROR, "replace"),
+    ],
+)
 def test_a_disk_that_fails_costs_no_count_and_is_made_good_later(tmp_path, fault):
     faults, said = [], []
     book, lives, settled = opened(tmp_path, Faulty(lambda: faults), said=said)
--- a/tests/tiered.py
+++ b/tests/tiered.py
@@ -1,4 +1,5 @@
 """Member processes on loopback, each on ports of its own, without anything between them."""
+
 from __future__ import annotations
 
 import contextlib
@@ -47,7 +48,9 @@
             f"peers {{\n listen {self.host}:0\n name {self.name}\n keys {self.tier.keys}\n{seeds}{FAST}}}\n"
             f"member {{\n folder {self.folder}\n voters {' '.join(m.name for m in self.tier.members)}\n"
             f" followers {self.host}:0\n lease 600ms\n{self.tier.more}{more}}}\n"
-            f"control {{\n socket {self.socket}\n}}\n", encoding="utf-8")
+            f"control {{\n socket {self.socket}\n}}\n",
+            encoding="utf-8",
+        )
 
     def start(self, bootstrap=False):
         self.write_settings()
@@ -56,8 +59,13 @@
     def begin(self, bootstrap=False):
         """With the settings as they are."""
         words = [sys.executable, ROOT / "tests" / "faulty_member.py", self.faults, self.settings]
-        self.process = subprocess.Popen([*words, *["--bootstrap"] * bootstrap], cwd=ROOT, text=True,
-                                        stderr=subprocess.PIPE, env={"PATH": os.environ["PATH"]})
+        self.process = subprocess.Popen(
+            [*words, *["--bootstrap"] * bootstrap],
+            cwd=ROOT,
+            text=True,
+            stderr=subprocess.PIPE,
+            env={"PATH": os.environ["PATH"]},
+        )
         self.lines = []
         threading.Thread(target=self._read, args=(self.process.stderr, self.lines), daemon=True).start()
         self.peers, self.followers = self._listens("peers"), self._listens("followers")
@@ -72,12 +80,15 @@
             assert self.process.poll() is None, self.lines
             said = f"{self.name} listens for {what} on "
             return next((line.split(said)[1].strip() for line in self.lines if said in line), None)
+
         return until(found, PATIENCE)
 
     def says(self, *words, patience=PATIENCE):
         """Wait for a line with all these words."""
+
         def found():
             return next((line for line in list(self.lines) if all(word in line for word in words)), None)
+
         try:
             return until(found, patience)
         except AssertionError:
@@ -102,8 +113,13 @@
 
     def change(self, base, sets=None, removes=(), change_id=None):
         """Ask for a change; what was told."""
-        text = {"id": change_id or secrets.token_hex(16), "author": "test", "base": base, "sets": sets or {},
-                "removes": removes}
+        text = {
+            "id": change_id or secrets.token_hex(16),
+            "author": "test",
+            "base": base,
+            "sets": sets or {},
+            "removes": removes,
+        }
         return self.ask("change", change=json.dumps(text))
 
     def config(self, *words):
@@ -137,18 +153,22 @@
 
     def writer(self, among=None):
         """Wait for one that writes."""
+
         def found():
             for member in among or self.running():
                 with contextlib.suppress(AskError):
                     if member.status()["writing"]:
                         return member
             return None
+
         return until(found, PATIENCE)
 
     def holds(self, revision, among=None):
         """Wait until a revision is everywhere."""
-        until(lambda: all(m.status()["agreement"]["revision"] >= revision for m in among or self.running()),
-              PATIENCE)
+        until(
+            lambda: all(m.status()["agreement"]["revision"] >= revision for m in among or self.running()),
+            PATIENCE,
+        )
 
     def close(self):
         for member in self.running():
--- a/tests/toys.py
+++ b/tests/toys.py
@@ -1,4 +1,5 @@
 """The other parties for the tests with real sockets: hosts, discovery, clients, and the sender's process."""
+
 import json
 import os
 import queue
@@ -21,18 +22,44 @@
 
 SETTINGS = {
     "services": [
-        {"name": "order", "credit": 1.0, "promiseS": 2.5, "hardLimitS": 16.0, "lateShare": 0.3,
-         "idempotency": "keyed", "group": "all", "memorySpanS": 15.0},
+        {
+            "name": "order",
+            "credit": 1.0,
+            "promiseS": 2.5,
+            "hardLimitS": 16.0,
+            "lateShare": 0.3,
+            "idempotency": "keyed",
+            "group": "all",
+            "memorySpanS": 15.0,
+        },
         {"name": "status", "credit": 1.0, "promiseS": 2.5, "hardLimitS": 28.0, "idempotency": "safe"},
-        {"name": "fee", "credit": 3.0, "promiseS": 2.0, "hardLimitS": 20.0, "idempotency": "unsafe",
-         "oneAtATime": True},
+        {
+            "name": "fee",
+            "credit": 3.0,
+            "promiseS": 2.0,
+            "hardLimitS": 20.0,
+            "idempotency": "unsafe",
+            "oneAtATime": True,
+        },
     ],
-    "models": ["haulier"], "orgs": [{"name": "acme", "quotaPerS": 50.0}], "peersTotal": 1,
+    "models": ["haulier"],
+    "orgs": [{"name": "acme", "quotaPerS": 50.0}],
+    "peersTotal": 1,
     "familyInfo": {"slots": 6, "decay": "even", "kindBatch": [1], "separateRoutes": [False]},
-    "policyLimits": {"maxOpen": 40, "maxAttempts": 12, "connectTimeoutS": 1.0, "keepaliveS": 5.0,
-                     "maxRetryAfterS": 2.0, "mayCancel": True, "retryAfter": True, "secondCopies": True},
+    "policyLimits": {
+        "maxOpen": 40,
+        "maxAttempts": 12,
+        "connectTimeoutS": 1.0,
+        "keepaliveS": 5.0,
+        "maxRetryAfterS": 2.0,
+        "mayCancel": True,
+        "retryAfter": True,
+        "secondCopies": True,
+    },
     "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 2.0, "fallS": 2.0, "keyQuietS": 0.3},
-    "callers": {"marksRetry": True}, "weightKind": "rough", "zones": ["here"],
+    "callers": {"marksRetry": True},
+    "weightKind": "rough",
+    "zones": ["here"],
 }
 
 
@@ -120,8 +147,16 @@
 
     @staticmethod
     def entry(number, host, status="Ready", group=7):
-        return {"name": f"s-{number}", "address": host.address, "zone": "here", "type": "haulier",
-                "group": group, "status": status, "weight": 20.0, "since_ms": 0}
+        return {
+            "name": f"s-{number}",
+            "address": host.address,
+            "zone": "here",
+            "type": "haulier",
+            "group": group,
+            "status": status,
+            "weight": 20.0,
+            "since_ms": 0,
+        }
 
     def known(self):
         return {"index": self.index, "snapshot": True, "endpoints": self.entries}
@@ -151,21 +186,44 @@
 
     def change(self, number, host, status, group=7):
         self.index += 1
-        self.tell(json.dumps({"index": self.index, "snapshot": False,
-                              "endpoints": [self.entry(number, host, status, group)]}))
+        self.tell(
+            json.dumps(
+                {
+                    "index": self.index,
+                    "snapshot": False,
+                    "endpoints": [self.entry(number, host, status, group)],
+                }
+            )
+        )
 
 
 class Sender:
     """The program itself, in a process of its own, with a folder that lasts."""
 
-    def __init__(self, discovery=None, known=None, limits=None, text=None, keepalive=5.0, env=None,
-                 settings=None, faults=None, calls=(), step_s=0.0, step_from_s=0.0):
+    def __init__(
+        self,
+        discovery=None,
+        known=None,
+        limits=None,
+        text=None,
+        keepalive=5.0,
+        env=None,
+        settings=None,
+        faults=None,
+        calls=(),
+        step_s=0.0,
+        step_from_s=0.0,
+    ):
         self.folder = tempfile.TemporaryDirectory()
         self.config = Path(self.folder.name) / "config.json"
         self.state = Path(self.folder.name) / "state"
         self.text = text or {
-            "name": "t0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "5f",
-            "limits": limits or {"sockets": 1024, "disk_mb": 3}, "known": known,
+            "name": "t0",
+            "listen": "127.0.0.1:0",
+            "discovery": discovery.address,
+            "seed": "5f",
+            "limits": limits or {"sockets": 1024, "disk_mb": 3},
+            "known": known,
             "settings": {**SETTINGS, "policyLimits": {**SETTINGS["policyLimits"], "keepaliveS": keepalive}},
         }
         self.config.write_text(json.dumps(self.text), encoding="utf-8")
@@ -186,16 +244,22 @@
         until(lambda: self.port or self.process.poll() is not None)
 
     def launch(self, cwd=ROOT):
-        env = {"PATH": os.environ["PATH"], "LB_CONFIG": str(self.config), "LB_STATE": str(self.state),
-               **self.env}
+        env = {
+            "PATH": os.environ["PATH"],
+            "LB_CONFIG": str(self.config),
+            "LB_STATE": str(self.state),
+            **self.env,
+        }
         if self.calls or self.step_s:
-            env |= shim.environment(self.calls, self.state, step_s=self.step_s,
-                                    step_from_s=self.step_from_s, log=self.struck)
+            env |= shim.environment(
+                self.calls, self.state, step_s=self.step_s, step_from_s=self.step_from_s, log=self.struck
+            )
         program = ["-m", "willownotch"]
         if self.faults.exists():
             program = ["tests/faulty_sender.py", str(self.faults)]
-        self.process = subprocess.Popen([sys.executable, *program], cwd=cwd, env=env,
-                                        stderr=subprocess.PIPE, text=True)
+        self.process = subprocess.Popen(
+            [sys.executable, *program], cwd=cwd, env=env, stderr=subprocess.PIPE, text=True
+        )
         self.lines, self.port, self.managed = [], None, None
         threading.Thread(target=self._read, args=(self.process.stderr, self.lines), daemon=True).start()
 
@@ -244,8 +308,9 @@
     def reload(self, text, said):
         """Replace the configuration file, tell the process, and wait for what it says of it."""
         before = len(self.lines)
-        self.config.write_text(text if isinstance(text, str) else json.dumps({**self.text, **text}),
-                               encoding="utf-8")
+        self.config.write_text(
+            text if isinstance(text, str) else json.dumps({**self.text, **text}), encoding="utf-8"
+        )
         self.process.send_signal(signal.SIGHUP)
         until(lambda: any(f"reload: {said}" in line for line in self.lines[before:]))
 
@@ -289,9 +354,14 @@
         """Those of a hand-in, with an id of its own if none is given."""
         self.count += 1
         ref = ref or f"{self.count:016x}"
-        return [("Request-Id", ref), ("Request-Class", cls), ("Tenant", tenant),
-                ("Request-Timeout-Ms", str(left)), ("X-Consignee", f"dest={dest}"),
-                ("Idempotency-Key", f"i{ref}")]
+        return [
+            ("Request-Id", ref),
+            ("Request-Class", cls),
+            ("Tenant", tenant),
+            ("Request-Timeout-Ms", str(left)),
+            ("X-Consignee", f"dest={dest}"),
+            ("Idempotency-Key", f"i{ref}"),
+        ]
 
     def message(self, cls="status", key=None, body=b"hello", **more):
         """A hand-in's bytes."""
--- a/willownotch/__main__.py
+++ b/willownotch/__main__.py
@@ -1,4 +1,5 @@
 """`python -m willownotch`."""
+
 import sys
 
 from willownotch.cli import main
--- a/willownotch/adapter.py
+++ b/willownotch/adapter.py
@@ -3,6 +3,7 @@
 Run as `python -m willownotch.adapter`: one batch of events a line on standard input, one reply a line on
 standard output. What is malformed is named in one plain line on standard error and passed over.
 """
+
 from __future__ import annotations
 
 import json
@@ -15,16 +16,32 @@
 from willownotch.control import Controller
 
 OUTCOMES = {
-    "GOOD": i.Outcome.DELIVERED, "BAD": i.Outcome.ERROR, "FULL": i.Outcome.TURNED_AWAY,
-    "LATE": i.Outcome.TIMED_OUT, "NOCONN": i.Outcome.UNREACHABLE, "RST": i.Outcome.BROKEN,
-    "CXL": i.Outcome.CALLED_OFF, "NOP": i.Outcome.NOT_SENT,
+    "GOOD": i.Outcome.DELIVERED,
+    "BAD": i.Outcome.ERROR,
+    "FULL": i.Outcome.TURNED_AWAY,
+    "LATE": i.Outcome.TIMED_OUT,
+    "NOCONN": i.Outcome.UNREACHABLE,
+    "RST": i.Outcome.BROKEN,
+    "CXL": i.Outcome.CALLED_OFF,
+    "NOP": i.Outcome.NOT_SENT,
 }
 READINESS = {
-    "SERVING": i.Readiness.SERVING, "DRAINING": i.Readiness.DRAINING, "DELETED": i.Readiness.GONE,
+    "SERVING": i.Readiness.SERVING,
+    "DRAINING": i.Readiness.DRAINING,
+    "DELETED": i.Readiness.GONE,
 }
 LENGTHS = {  # values an event carries at the least, its name included; trailing ones may be absent
-    "born": 4, "list": 3, "members": 5, "req": 10, "gone": 3, "bell": 3, "probeDone": 5, "stop": 2,
-    "first": 6, "inbox": 4, "done": 7,
+    "born": 4,
+    "list": 3,
+    "members": 5,
+    "req": 10,
+    "gone": 3,
+    "bell": 3,
+    "probeDone": 5,
+    "stop": 2,
+    "first": 6,
+    "inbox": 4,
+    "done": 7,
 }
 
 
@@ -43,10 +60,15 @@
 def read_class(entry: dict[str, Any]) -> i.MessageClass:
     """One of the classes in the settings."""
     return i.MessageClass(
-        name=str(entry["name"]), worth=float(entry["credit"]), wanted_s=float(entry["promiseS"]),
-        deadline_s=float(entry["hardLimitS"]), late_share=float(entry.get("lateShare") or 0.0),
-        effect=i.Effect(entry["idempotency"]), group=i.Group(entry.get("group") or "all"),
-        memory_s=float(entry.get("memorySpanS") or 0.0), in_order=bool(entry.get("oneAtATime")),
+        name=str(entry["name"]),
+        worth=float(entry["credit"]),
+        wanted_s=float(entry["promiseS"]),
+        deadline_s=float(entry["hardLimitS"]),
+        late_share=float(entry.get("lateShare") or 0.0),
+        effect=i.Effect(entry["idempotency"]),
+        group=i.Group(entry.get("group") or "all"),
+        memory_s=float(entry.get("memorySpanS") or 0.0),
+        in_order=bool(entry.get("oneAtATime")),
         stretch=float(entry.get("aimStretch") or 0.0),
     )
 
@@ -61,20 +83,25 @@
         for n, name in enumerate(conf["models"])
     )
     return i.Settings(
-        classes=tuple(read_class(entry) for entry in conf["services"]), kinds=kinds,
-        slots=int(family["slots"]), holding_room=int(limits["maxOpen"]),
+        classes=tuple(read_class(entry) for entry in conf["services"]),
+        kinds=kinds,
+        slots=int(family["slots"]),
+        holding_room=int(limits["maxOpen"]),
         tenants=tuple(
             i.Tenant(str(t["name"]), float(t.get("quotaPerS") or 0.0)) for t in conf.get("orgs") or []
         ),
-        senders=int(conf["peersTotal"]), max_attempts=int(limits["maxAttempts"]),
+        senders=int(conf["peersTotal"]),
+        max_attempts=int(limits["maxAttempts"]),
         decay=i.Decay(family.get("decay") or "even"),
         over_share_worth=float(conf.get("overShareWorth", 1.0)),
         zone_fees=tuple(float(fee) for fee in family.get("feeByZone") or []),
-        refusal_price=float(family.get("refusalCost") or 0.0), waste_price=float(costs.get("waste") or 0.0),
+        refusal_price=float(family.get("refusalCost") or 0.0),
+        waste_price=float(costs.get("waste") or 0.0),
         handshake_price=float(costs.get("handshake") or 0.0),
         max_come_back_s=float(limits.get("maxRetryAfterS") or 0.0) if limits.get("retryAfter") else 0.0,
         keepalive_s=float(limits.get("keepaliveS") or inf),
-        may_cancel=bool(limits.get("mayCancel")), may_probe=bool(limits.get("mayProbe")),
+        may_cancel=bool(limits.get("mayCancel")),
+        may_probe=bool(limits.get("mayProbe")),
         may_tell=bool(limits.get("mayTell")),
         second_copies=bool(limits.get("secondCopies")),
         must_subscribe=conf.get("discovery") == "subscribe",
@@ -82,8 +109,10 @@
         listed_rates=conf.get("weightKind") in ("nominal", "rough"),
         rules=i.Rules(
             answer_grace_s=float(rules.get("graceToAnswerS") or 0.0),
-            cold_share=float(rules["coldShare"]), cold_s=float(rules["coldS"]),
-            fall_multiple=float(rules["fallMultiple"]), fall_s=float(rules["fallS"]),
+            cold_share=float(rules["coldShare"]),
+            cold_s=float(rules["coldS"]),
+            fall_multiple=float(rules["fallMultiple"]),
+            fall_s=float(rules["fallS"]),
             key_quiet_s=float(rules.get("keyQuietS") or 0.0),
             ask_within_s=float(rules.get("askWithinS") or 10.0),
         ),
@@ -93,7 +122,10 @@
 def read_entry(row: list[Any]) -> i.Endpoint:
     """One row of a list."""
     return i.Endpoint(
-        kind=int(row[0] or 0), number=int(row[2]), zone=int(row[3] or 0), destination=int(row[4]),
+        kind=int(row[0] or 0),
+        number=int(row[2]),
+        zone=int(row[3] or 0),
+        destination=int(row[4]),
         readiness=pick("readiness", READINESS, row[5]),
         rate=float(row[6] or 0.0) if len(row) > 6 else 0.0,
     )
@@ -110,9 +142,14 @@
     """A new message."""
     flags = int(e[7] or 0)
     return i.Message(
-        ref=str(e[2]), tenant=int(e[3] or 0), time_left_s=float(e[4]), key=e[5],
-        cost_hint_s=float(e[6] or 0.0) if flags & 1 else 0.0, again=bool(flags & 18),
-        destination=int(e[8]), message_class=int(e[9] or 0),
+        ref=str(e[2]),
+        tenant=int(e[3] or 0),
+        time_left_s=float(e[4]),
+        key=e[5],
+        cost_hint_s=float(e[6] or 0.0) if flags & 1 else 0.0,
+        again=bool(flags & 18),
+        destination=int(e[8]),
+        message_class=int(e[9] or 0),
     )
 
 
@@ -122,10 +159,16 @@
     note = int(e[8] or 0) if len(e) > 8 else 0
     left, limit = reports(e[9] if len(e) > 9 else None)
     return i.AttemptEnded(
-        ref=str(e[2]), attempt=int(e[3]), endpoint=int(e[4]), outcome=outcome, took_s=float(e[6] or 0.0),
+        ref=str(e[2]),
+        attempt=int(e[3]),
+        endpoint=int(e[4]),
+        outcome=outcome,
+        took_s=float(e[6] or 0.0),
         final=bool(len(e) > 7 and e[7]),
         wait_s=note / 1000.0 if outcome is i.Outcome.TURNED_AWAY else 0.0,
-        no_slot=outcome is i.Outcome.NOT_SENT and note == 1, room_left=left, limit_per_s=limit,
+        no_slot=outcome is i.Outcome.NOT_SENT and note == 1,
+        room_left=left,
+        limit_per_s=limit,
     )
 
 
--- a/willownotch/blocks.py
+++ b/willownotch/blocks.py
@@ -1,4 +1,5 @@
 """The blocks of a settings file, each declared by the subsystem that owns it."""
+
 from __future__ import annotations
 
 from typing import Annotated
--- a/willownotch/bodies/plan.py
+++ b/willownotch/bodies/plan.py
@@ -5,6 +5,7 @@
 a segment follows the log-structured file system of Rosenblum and Ousterhout (1992), without its age term:
 bodies live for seconds, and what is old is not colder here.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -108,8 +109,15 @@
     return limits.inline if step is Step.MEMORY else limits.inline_low
 
 
-def admit(plans: dict[str, ClassPlan], limits: Limits, usage: Usage, full: bool, cls: str, destination: int,
-          size: int) -> Admission:
+def admit(
+    plans: dict[str, ClassPlan],
+    limits: Limits,
+    usage: Usage,
+    full: bool,
+    cls: str,
+    destination: int,
+    size: int,
+) -> Admission:
     """Whether a body may stand on the disk. `full`: the last step holds, and has not been left yet.
 
     A class is always let in up to its stated share, if need be at the cost of what may be dropped. Beyond it,
@@ -126,8 +134,14 @@
             return Admission(Verdict.DROP_FIRST, reason, over, destination)
         return _at_limit(plan, reason, destination)
     free = limits.room - usage.total
-    reserved = 0 if plan.own.drop else sum(
-        max(0, p.share(limits.room) - usage.classes.get(p.name, 0)) for p in plans.values() if p.name != cls
+    reserved = (
+        0
+        if plan.own.drop
+        else sum(
+            max(0, p.share(limits.room) - usage.classes.get(p.name, 0))
+            for p in plans.values()
+            if p.name != cls
+        )
     )
     if within:
         if size <= free:
@@ -151,8 +165,9 @@
     return _at_limit(plan, reason)
 
 
-def without_room(plans: dict[str, ClassPlan], limits: Limits, usage: Usage, cls: str, size: int,
-                 reason: str) -> Admission:
+def without_room(
+    plans: dict[str, ClassPlan], limits: Limits, usage: Usage, cls: str, size: int, reason: str
+) -> Admission:
     """The files have no room though the bodies would: they hold whole blocks, and dead bytes for a while."""
     plan = plans[cls]
     if usage.classes.get(cls, 0) + size <= plan.share(limits.room):
@@ -178,8 +193,15 @@
     next_s: float
 
 
-def victims(plans: dict[str, ClassPlan], room: int, usage: Usage, cls: str, need: int,
-            candidates: Iterable[Candidate], destination: int | None = None) -> list[Candidate]:
+def victims(
+    plans: dict[str, ClassPlan],
+    room: int,
+    usage: Usage,
+    cls: str,
+    need: int,
+    candidates: Iterable[Candidate],
+    destination: int | None = None,
+) -> list[Candidate]:
     """Which messages end so that one of `cls` finds `need` bytes of `room`; none where that would not do.
 
     Only classes that are dropped, worth no more, and only what they hold beyond their own share. First those
@@ -187,7 +209,8 @@
     """
     plan = plans[cls]
     spare = {
-        p.name: usage.classes.get(p.name, 0) - p.share(room) for p in plans.values()
+        p.name: usage.classes.get(p.name, 0) - p.share(room)
+        for p in plans.values()
         if p.own.drop and p.name != cls and p.worth <= plan.worth
     }
     chosen, won = [], 0
@@ -296,8 +319,9 @@
     count: int
 
 
-def choose_segment(segments: Iterable[SegmentView], reclaim: float, pressed: bool,
-                   copy_most: int) -> int | None:
+def choose_segment(
+    segments: Iterable[SegmentView], reclaim: float, pressed: bool, copy_most: int
+) -> int | None:
     """The sealed segment to write anew next, by what it frees for each byte to be copied; None if none is
     worth it.
 
--- a/willownotch/bodies/settings.py
+++ b/willownotch/bodies/settings.py
@@ -1,4 +1,5 @@
 """The `bodies` block of the settings file."""
+
 from __future__ import annotations
 
 from datetime import timedelta
--- a/willownotch/bodies/show.py
+++ b/willownotch/bodies/show.py
@@ -1,4 +1,5 @@
 """`willownotch bodies FOLDER`: what is kept there, by class, destination, step and age. It only reads."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -48,8 +49,9 @@
     rows: dict[tuple[str, int, str], Row] = {}
     for taken in owed:
         step = step_of(taken)
-        row = rows.setdefault((taken.message_class, taken.destination, step),
-                              Row(taken.message_class, taken.destination, step))
+        row = rows.setdefault(
+            (taken.message_class, taken.destination, step), Row(taken.message_class, taken.destination, step)
+        )
         row.bodies += 1
         row.bytes += taken.body_size()
         if taken.at is not None:
@@ -61,7 +63,7 @@
 
 def look(folder: Path, owed: list[Taken], now: datetime, verify: bool = False) -> Kept:
     """Read a folder; with `verify` every body is read and its checksum compared."""
-    found = ((f.name[len(PREFIX):], f) for f in folder.glob(f"{PREFIX}*"))
+    found = ((f.name[len(PREFIX) :], f) for f in folder.glob(f"{PREFIX}*"))
     files = {int(number): file for number, file in found if number.isdigit()}
     sizes = {number: file.stat().st_size for number, file in files.items()}
     damaged = []
@@ -84,9 +86,13 @@
     lines = [f"{'class':<16} {'dest':>6} {'step':<7} {'bodies':>7} {'bytes':>12} {'age':>17}"]
     for row in kept.rows:
         age = "-" if row.oldest_s is None else f"{row.youngest_s:.1f} to {row.oldest_s:.1f} s"
-        lines.append(f"{row.message_class:<16} {row.destination:>6} {row.step:<7} {row.bodies:>7} "
-                     f"{row.bytes:>12} {age:>17}")
-    lines.append(f"{kept.files} files of {kept.files_bytes} bytes, {kept.live_bytes} of them live; "
-                 f"{len(kept.damaged)} bodies missing or damaged{': ' * bool(kept.damaged)}"
-                 f"{', '.join(kept.damaged[:20])}")
+        lines.append(
+            f"{row.message_class:<16} {row.destination:>6} {row.step:<7} {row.bodies:>7} "
+            f"{row.bytes:>12} {age:>17}"
+        )
+    lines.append(
+        f"{kept.files} files of {kept.files_bytes} bytes, {kept.live_bytes} of them live; "
+        f"{len(kept.damaged)} bodies missing or damaged{': ' * bool(kept.damaged)}"
+        f"{', '.join(kept.damaged[:20])}"
+    )
     return "\n".join(lines)
--- a/willownotch/bodies/store.py
+++ b/willownotch/bodies/store.py
@@ -5,6 +5,7 @@
 file goes once nothing in it is live; one that is mostly dead is written anew, body by body, each move a
 journal record. The lock here is never held while a file is touched.
 """
+
 from __future__ import annotations
 
 import queue
@@ -112,12 +113,20 @@
 
 def limits_of(settings: BodiesSettings, memory_mb: float, space: Space) -> Limits:
     """The settings as bytes, where they are left open as parts of what the machine has."""
-    memory = settings.memory if settings.memory is not None else int(
-        min(MEMORY_MOST, MEMORY_SHARE * memory_mb * 1_000_000))
+    memory = (
+        settings.memory
+        if settings.memory is not None
+        else int(min(MEMORY_MOST, MEMORY_SHARE * memory_mb * 1_000_000))
+    )
     room = space.bodies_most - copy_room(space)
     return Limits(
-        memory, int(settings.memory_low * memory), room, int(settings.disk_low * room),
-        int(settings.destination_share * room), settings.inline, settings.inline_low,
+        memory,
+        int(settings.memory_low * memory),
+        room,
+        int(settings.disk_low * room),
+        int(settings.destination_share * room),
+        settings.inline,
+        settings.inline_low,
     )
 
 
@@ -125,8 +134,17 @@
     """The store. `keep` is called by client threads, `read` by relays, the rest by whoever writes the
     journal."""
 
-    def __init__(self, folder: Path, files: Files, space: Space, clock: Clock, log: Log,
-                 classes: Iterable[MessageClass], settings: BodiesSettings, memory_mb: float = 192.0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        files: Files,
+        space: Space,
+        clock: Clock,
+        log: Log,
+        classes: Iterable[MessageClass],
+        settings: BodiesSettings,
+        memory_mb: float = 192.0,
+    ) -> None:
         self.folder, self.files, self.space, self.clock, self.log = folder, files, space, clock, log
         self.classes, self.memory_mb = tuple(classes), memory_mb
         # Where a message's body stands now, by the journal; a move is a record there.
@@ -190,8 +208,8 @@
         names = self.files.names(self.folder)
         sizes: dict[int, int] = {}
         for name in names:
-            if name.startswith(PREFIX) and name[len(PREFIX):].isdigit():
-                sizes[int(name[len(PREFIX):])] = self.files.size(self.folder / name)
+            if name.startswith(PREFIX) and name[len(PREFIX) :].isdigit():
+                sizes[int(name[len(PREFIX) :])] = self.files.size(self.folder / name)
         lost, old = [], set()
         for taken in live:
             place = taken.place
@@ -267,7 +285,8 @@
             if found == NO_ROOM and not last:
                 with self._lock:
                     admission = plan.without_room(
-                        self.plans, self.limits, self.usage, taken.message_class, size, reason)
+                        self.plans, self.limits, self.usage, taken.message_class, size, reason
+                    )
         if admission.verdict is Verdict.ONE_TRY:
             return self._one_try(taken, admission.reason)
         return admission
@@ -275,8 +294,9 @@
     def _admit(self, taken: TakenBody, size: int) -> Admission:
         """The plan's word; after a failure of the disk, one body in a while tries it again."""
         full = self.steps.full and not self._refused
-        admission = plan.admit(self.plans, self.limits, self.usage, full, taken.message_class,
-                               taken.destination, size)
+        admission = plan.admit(
+            self.plans, self.limits, self.usage, full, taken.message_class, taken.destination, size
+        )
         if self._refused and admission.verdict is Verdict.KEEP:
             now = self.clock.now()
             if now < self._blocked_until:
@@ -375,8 +395,11 @@
 
     def _memory_ran_out(self) -> None:
         if self.steps.memory_ran_out():
-            self.log.say("bodies", f"step files: {self.usage.memory} of {self.limits.memory} bytes of memory "
-                         f"are used; bodies over {self.limits.inline_low} bytes stand in files only")
+            self.log.say(
+                "bodies",
+                f"step files: {self.usage.memory} of {self.limits.memory} bytes of memory "
+                f"are used; bodies over {self.limits.inline_low} bytes stand in files only",
+            )
 
     def _room_ran_out(self, reason: str) -> None:
         if self.steps.room_ran_out():
@@ -445,8 +468,14 @@
         with self._lock:
             return self._outlook(destination).next_s(self.clock.module_s(self.clock.now()), 0)
 
-    def victims(self, cls: str, need: int, candidates: Iterable[plan.Candidate],
-                destination: int | None = None, inline: bool = False) -> list[plan.Candidate]:
+    def victims(
+        self,
+        cls: str,
+        need: int,
+        candidates: Iterable[plan.Candidate],
+        destination: int | None = None,
+        inline: bool = False,
+    ) -> list[plan.Candidate]:
         """Who makes room, on the disk's part for bodies, or among those that stand in records."""
         usage = self.inline if inline else self.usage
         room = int(self.space.journal_share * self.space.room) // 2 if inline else self.limits.room
@@ -544,7 +573,8 @@
         """The segment to write anew."""
         with self._lock:
             views = [
-                plan.SegmentView(s.number, s.size, s.live, len(s.places)) for s in self.segments.values()
+                plan.SegmentView(s.number, s.size, s.live, len(s.places))
+                for s in self.segments.values()
                 if s is not self._active and s.places and s.number not in self._stuck
             ]
         return plan.choose_segment(views, self.settings.reclaim, pressed, self.copy_room)
@@ -578,8 +608,14 @@
                 self._remember(found, taken.destination, body)
         put.ticket.settle(found)
 
-    def _write(self, ref: str, body: bytes, digest: int, wanted: Callable[[], bool] = lambda: True,
-               reserve: int | None = None) -> Place | str:
+    def _write(
+        self,
+        ref: str,
+        body: bytes,
+        digest: int,
+        wanted: Callable[[], bool] = lambda: True,
+        reserve: int | None = None,
+    ) -> Place | str:
         """Append a body to the active segment, or to a new one; a text if there is no room for it."""
         size, reserve = len(body), self.copy_room if reserve is None else reserve
         while True:
--- a/willownotch/channel/client.py
+++ b/willownotch/channel/client.py
@@ -1,4 +1,5 @@
 """Asks a running sender."""
+
 from __future__ import annotations
 
 import socket
@@ -18,8 +19,9 @@
     """The answer says that the question is none."""
 
 
-def ask(path: str | Path, question: str, about: dict[str, str] | None = None,
-        patience: float = PATIENCE) -> Any:
+def ask(
+    path: str | Path, question: str, about: dict[str, str] | None = None, patience: float = PATIENCE
+) -> Any:
     """The answer to a question, as plain values."""
     with socket.socket(socket.AF_UNIX) as sock:
         sock.settimeout(patience)
--- a/willownotch/channel/server.py
+++ b/willownotch/channel/server.py
@@ -1,4 +1,5 @@
 """Answers on a Unix socket: one question a connection, one JSON line each way."""
+
 from __future__ import annotations
 
 import os
@@ -65,8 +66,14 @@
     question.
     """
 
-    def __init__(self, path: str | Path, line_most: int = LINE_MOST, start: Start | None = None,
-                 at_once: int = 32, replace: bool = False) -> None:
+    def __init__(
+        self,
+        path: str | Path,
+        line_most: int = LINE_MOST,
+        start: Start | None = None,
+        at_once: int = 32,
+        replace: bool = False,
+    ) -> None:
         self.path, self.line_most, self.start = Path(path), line_most, start
         self.answers: dict[str, Answerer] = {}
         self._places = threading.BoundedSemaphore(at_once if start is not None else 1)
--- a/willownotch/channel/settings.py
+++ b/willownotch/channel/settings.py
@@ -1,4 +1,5 @@
 """The `control` block of the settings file."""
+
 from __future__ import annotations
 
 from typing import Annotated
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -3,6 +3,7 @@
 Without any argument the sender is served, and nothing of the command line's library is loaded: `commands` has
 the sub-commands.
 """
+
 from __future__ import annotations
 
 import os
@@ -80,7 +81,8 @@
         for attempt in range(THREAD_TRIES):
             try:
                 threading.Thread(
-                    target=self._guard, args=(name, work, forever), name=name, daemon=True).start()
+                    target=self._guard, args=(name, work, forever), name=name, daemon=True
+                ).start()
                 return
             except RuntimeError:  # the machine has no thread to give for the moment
                 if attempt + 1 == THREAD_TRIES:
@@ -103,8 +105,15 @@
     """The configuration that holds now, and what takes its place, whole or not at all: the file on SIGHUP, a
     revision of the fleet's that lies over it. Any thread may call."""
 
-    def __init__(self, path: str | None, config: configs.Config, platform: Platform, log: Log,
-                 retune: Callable[[configs.Config], None], overlay: configs.Overlay | None = None) -> None:
+    def __init__(
+        self,
+        path: str | None,
+        config: configs.Config,
+        platform: Platform,
+        log: Log,
+        retune: Callable[[configs.Config], None],
+        overlay: configs.Overlay | None = None,
+    ) -> None:
         self.path, self.config, self.platform, self.log = path, config, platform, log
         self.retune, self.overlay = retune, overlay
         self._lock = threading.Lock()
@@ -134,9 +143,12 @@
         moved = self.platform.move(fresh.discovery)
         host, port = fresh.discovery
         differs = _differs(old, fresh)
-        self.log.say("reload", f"discovery {'is now' if moved else 'stays'} at {host}:{port}"
-                     + "; the settings differ" * differs
-                     + (f"; {', '.join(later)} as changed will hold from the next start" if later else ""))
+        self.log.say(
+            "reload",
+            f"discovery {'is now' if moved else 'stays'} at {host}:{port}"
+            + "; the settings differ" * differs
+            + (f"; {', '.join(later)} as changed will hold from the next start" if later else ""),
+        )
         self.config = fresh
         if differs:
             self.retune(fresh)
@@ -157,8 +169,9 @@
     return load(path, Blocks)
 
 
-def reload_settings(path: str | None, blocks: Blocks, bodies: Bodies, mesh: Mesh | None,
-                    following: Following | None, log: Log) -> Blocks:
+def reload_settings(
+    path: str | None, blocks: Blocks, bodies: Bodies, mesh: Mesh | None, following: Following | None, log: Log
+) -> Blocks:
     """Take a replaced settings file, whole or not at all; the blocks that hold now."""
     if not path:
         return blocks
@@ -175,26 +188,46 @@
         log.say("reload", f"the old settings stay: {fault}")
         return blocks
     later += ["journal-share"] * (fresh.bodies.journal_share != blocks.bodies.journal_share)
-    later += [f"follow {word}" for word in ("folder", "listen", "name")
-              if getattr(fresh.follow, word) != getattr(blocks.follow, word)]
+    later += [
+        f"follow {word}"
+        for word in ("folder", "listen", "name")
+        if getattr(fresh.follow, word) != getattr(blocks.follow, word)
+    ]
     later += ["control socket"] * (fresh.control != blocks.control)
     if fresh != blocks:
         bodies.configure(fresh.bodies)
         waiting = ", ".join(filter(None, later))
-        log.say("reload", f"the settings of {path} hold now"
-                + f"; {waiting} as changed will hold from the next start" * bool(waiting))
+        log.say(
+            "reload",
+            f"the settings of {path} hold now"
+            + f"; {waiting} as changed will hold from the next start" * bool(waiting),
+        )
     return fresh
 
 
-def open_mesh(config: configs.Config, blocks: Blocks, files: Files, journal: journals.Journal,
-              log: Log, succeeds: bool = False) -> tuple[Mesh | None, Server | None]:
+def open_mesh(
+    config: configs.Config,
+    blocks: Blocks,
+    files: Files,
+    journal: journals.Journal,
+    log: Log,
+    succeeds: bool = False,
+) -> tuple[Mesh | None, Server | None]:
     """Peers and the control socket where the settings have them; nothing is loaded where they do not."""
     mesh = channel = None
     if blocks.peers.listen is not None:
         from willownotch.mesh import Mesh
 
-        mesh = Mesh(blocks, config.name, config.state, files, journal.space, log.say, log.clock.now,
-                    config.settings.senders)
+        mesh = Mesh(
+            blocks,
+            config.name,
+            config.state,
+            files,
+            journal.space,
+            log.say,
+            log.clock.now,
+            config.settings.senders,
+        )
         if mesh.counting is not None:
             journal.counting = mesh.counting.counted
             mesh.counting.tenants = tuple(t.name for t in config.settings.tenants)
@@ -204,23 +237,42 @@
 
         channel = Server(blocks.control.socket, replace=succeeds)
         channel.answers["counters"] = lambda about: {
-            "process": os.getpid(), "counters": log.counters.snapshot(), "retries": RETRIES.snapshot()}
+            "process": os.getpid(),
+            "counters": log.counters.snapshot(),
+            "retries": RETRIES.snapshot(),
+        }
         if mesh is not None:
             mesh.answer_on(channel)
     return mesh, channel
 
 
-def open_following(config: configs.Config, blocks: Blocks, reloads: Reloads, files: Files, log: Log,
-                   standing: Standing, channel: Server | None, startup: Startup) -> Following | None:
+def open_following(
+    config: configs.Config,
+    blocks: Blocks,
+    reloads: Reloads,
+    files: Files,
+    log: Log,
+    standing: Standing,
+    channel: Server | None,
+    startup: Startup,
+) -> Following | None:
     """The side that follows the control plane, where the settings have it; nothing is loaded where not."""
     if not blocks.follow.on():
         return None
     from willownotch.controlplane.sender import Following
 
     try:
-        made = startup.attempt("the address of the followed configuration", lambda: Following(
-            blocks.follow, config.name, files, lambda text: log.say("follow", text),
-            reloads.lay_over, lambda: standing.life.given))
+        made = startup.attempt(
+            "the address of the followed configuration",
+            lambda: Following(
+                blocks.follow,
+                config.name,
+                files,
+                lambda text: log.say("follow", text),
+                reloads.lay_over,
+                lambda: standing.life.given,
+            ),
+        )
     except (OSError, ValueError) as fault:
         print(f"willownotch: cannot start: {fault}", file=sys.stderr)
         sys.stderr.flush()
@@ -230,8 +282,14 @@
     return made
 
 
-def serve(config: configs.Config, path: str | None, blocks: Blocks, settings_path: str | None = None,
-          files: Files = REAL, overlay: configs.Overlay | None = None) -> int:
+def serve(
+    config: configs.Config,
+    path: str | None,
+    blocks: Blocks,
+    settings_path: str | None = None,
+    files: Files = REAL,
+    overlay: configs.Overlay | None = None,
+) -> int:
     """Run the sender until it is told to stop. `overlay` is the revision of the fleet's that it starts on."""
     signals = {signal.SIGTERM, signal.SIGINT}
     # Before any thread: this one takes them, and the reloading one SIGHUP, which must never end the sender.
@@ -243,15 +301,17 @@
     log = Log(clock, config.name)
     standing, threads, legacy = Standing(), Threads(log), None
     standing.changed = lambda before, after, event: log.say(
-        "state", f"{before.value} to {after.value}: {event.value}, process {os.getpid()}")
+        "state", f"{before.value} to {after.value}: {event.value}, process {os.getpid()}"
+    )
     calls = Calls(standing, clock, log)
     startup = Startup(log, lambda: signal.sigtimedwait(signals, 0) is not None)
     origin_unwritten: Callable[[], None] | None = None
     try:
         if config.management is not None:
             # First of all: it answers while the journal is read, too.
-            address = startup.attempt("the management address",
-                                      lambda: listen(config.management, management.BACKLOG))
+            address = startup.attempt(
+                "the management address", lambda: listen(config.management, management.BACKLOG)
+            )
             operators = management.Server(address, clock, log, calls.table)
             threads.start("management", operators.run, forever=True)
             log.say("start", f"operators are answered at {config.management[0]}:{operators.port}")
@@ -265,22 +325,39 @@
             fresh, (config, _) = config, configs.retuned(estate.config, config)
             config = msgspec.structs.replace(config, management=fresh.management, limits=fresh.limits)
         # Bound before the folder is touched: a process of a version without the lock may still serve there.
-        listener = legacy.listener if legacy else startup.attempt(
-            "the address for clients", lambda: listen(config.listen, BACKLOG))
+        listener = (
+            legacy.listener
+            if legacy
+            else startup.attempt("the address for clients", lambda: listen(config.listen, BACKLOG))
+        )
         if estate is None:
             origin_unwritten = startup.attempt(
-                "the folder", lambda: timebase.restore(clock, config.state, files, log), None)
+                "the folder", lambda: timebase.restore(clock, config.state, files, log), None
+            )
         # Without what is owed there is nothing to start on, however long that takes.
-        journal, bodies, lost = startup.attempt("the folder", lambda: open_folder(
-            config.state, int(config.limits.disk_mb * MEGABYTE) - CLOCK_BYTES, files, clock, log,
-            config.settings.classes, blocks.bodies, config.limits.memory_mb, estate.live if estate else None,
-        ), None)
+        journal, bodies, lost = startup.attempt(
+            "the folder",
+            lambda: open_folder(
+                config.state,
+                int(config.limits.disk_mb * MEGABYTE) - CLOCK_BYTES,
+                files,
+                clock,
+                log,
+                config.settings.classes,
+                blocks.bodies,
+                config.limits.memory_mb,
+                estate.live if estate else None,
+            ),
+            None,
+        )
         hosts = Hosts(tuple(kind.name for kind in config.settings.kinds), config.zones, clock, log)
         owner = Owner(config, clock, log, journal, hosts, bodies, standing, bool(blocks.shared.judgements))
         owner.lost_bodies = lost
         north = North(config, clock, log, owner, bodies, threads.start, standing, listener)
-        mesh, channel = startup.attempt("addresses of the mesh", lambda: open_mesh(
-            config, blocks, files, journal, log, succeeds=legacy is not None))
+        mesh, channel = startup.attempt(
+            "addresses of the mesh",
+            lambda: open_mesh(config, blocks, files, journal, log, succeeds=legacy is not None),
+        )
     except InterruptedError:  # SIGTERM while another process held the folder: nothing was begun
         log.say("end", "ended before anything was taken over")
         os._exit(0)
@@ -323,6 +400,7 @@
     if legacy is not None:
         heir = Heir(legacy, log, owner, south, north)
         owner.call_off = lambda relay: (heir if relay.remote else south).call_off(relay)
+
     def retuned(fresh: configs.Config) -> None:
         """By the owner, in the round from which the settings hold."""
         bodies.retune(fresh.settings.classes)
@@ -443,8 +521,10 @@
         known = [c.name for c in config.settings.classes]
         unknown = sorted(set(blocks.bodies.class_) - set(known))
         if unknown:
-            mistakes.append(f"{settings_path}: block bodies names classes that the configuration does not "
-                            f"have: {', '.join(unknown)}, allowed: {', '.join(known)}")
+            mistakes.append(
+                f"{settings_path}: block bodies names classes that the configuration does not "
+                f"have: {', '.join(unknown)}, allowed: {', '.join(known)}"
+            )
     return Found(config, blocks, overlay, mistakes)
 
 
--- a/willownotch/columns.py
+++ b/willownotch/columns.py
@@ -1,4 +1,5 @@
 """Tables in plain text."""
+
 from __future__ import annotations
 
 
--- a/willownotch/commands.py
+++ b/willownotch/commands.py
@@ -1,4 +1,5 @@
 """The sub-commands, on click. Each is thin: its subsystem does the work, and is loaded when asked for."""
+
 from __future__ import annotations
 
 import os
@@ -17,8 +18,12 @@
     from willownotch.controlplane.asking import Wanted
 
 CONFIG = click.option("--config", metavar="FILE", help="The configuration (else $LB_CONFIG).")
-SETTINGS = click.option("--settings", metavar="FILE", envvar=SETTINGS_VARIABLE,
-                        help=f"The settings file, if any (else ${SETTINGS_VARIABLE}).")
+SETTINGS = click.option(
+    "--settings",
+    metavar="FILE",
+    envvar=SETTINGS_VARIABLE,
+    help=f"The settings file, if any (else ${SETTINGS_VARIABLE}).",
+)
 JSON = click.option("--json", "as_json", is_flag=True, help="As one JSON object.")
 FOLDER = click.argument("folder", type=click.Path(path_type=Path), envvar="LB_STATE", default=".")
 
@@ -57,11 +62,19 @@
     if read.mistakes or (found := read.config) is None:
         click.echo("\n".join(read.mistakes), err=True)
         return FAULTY
-    view = {"name": found.name, "listen": f"{found.listen[0]}:{found.listen[1]}",
-            "classes": len(found.settings.classes), "slots": found.settings.slots,
-            "holding_room": found.settings.holding_room}
-    told(view, as_json, lambda v: f"{v['name']}: listens on {v['listen']}, {v['classes']} classes, "
-         f"{v['slots']} slots, room for {v['holding_room']} messages")
+    view = {
+        "name": found.name,
+        "listen": f"{found.listen[0]}:{found.listen[1]}",
+        "classes": len(found.settings.classes),
+        "slots": found.settings.slots,
+        "holding_room": found.settings.holding_room,
+    }
+    told(
+        view,
+        as_json,
+        lambda v: f"{v['name']}: listens on {v['listen']}, {v['classes']} classes, "
+        f"{v['slots']} slots, room for {v['holding_room']} messages",
+    )
     return 0
 
 
@@ -81,19 +94,36 @@
     rows = []
     for entry in live.values():
         taken, runs = entry.taken, [entry.may_have_run(n) for n in range(entry.count())]
-        rows.append({
-            "ref": taken.ref, "destination": taken.destination, "class": taken.message_class,
-            "until": taken.ends_at, "key": taken.key, "relays": len(runs), "may_have_run": sum(runs),
-            "body": taken.body_size(), "ended": entry.ended.outcome if entry.ended else None})
+        rows.append(
+            {
+                "ref": taken.ref,
+                "destination": taken.destination,
+                "class": taken.message_class,
+                "until": taken.ends_at,
+                "key": taken.key,
+                "relays": len(runs),
+                "may_have_run": sum(runs),
+                "body": taken.body_size(),
+                "ended": entry.ended.outcome if entry.ended else None,
+            }
+        )
 
     def line(row: dict[str, Any]) -> str:
         state = f"notice unanswered ({row['ended']})" if row["ended"] else "owed"
-        return (f"{row['ref']} dest={row['destination']} {row['class']} until {row['until']:%H:%M:%S.%f} "
-                f"key={row['key'] or '-'} relays={row['relays']} may_have_run={row['may_have_run']} "
-                f"body={row['body']} {state}")
+        return (
+            f"{row['ref']} dest={row['destination']} {row['class']} until {row['until']:%H:%M:%S.%f} "
+            f"key={row['key'] or '-'} relays={row['relays']} may_have_run={row['may_have_run']} "
+            f"body={row['body']} {state}"
+        )
+
     found = {"messages": rows, "bytes": len(data), "damaged": damaged}
-    told(found, as_json, lambda f: "\n".join([*map(line, rows), (
-        f"{len(rows)} messages, {len(data)} bytes, {damaged} of them damaged")]))
+    told(
+        found,
+        as_json,
+        lambda f: "\n".join(
+            [*map(line, rows), (f"{len(rows)} messages, {len(data)} bytes, {damaged} of them damaged")]
+        ),
+    )
     return 0
 
 
@@ -203,16 +233,20 @@
 @JSON
 @click.option("--tenant", help="Of this tenant only.")
 @click.option("--lines", type=click.IntRange(0), help="Lines at the most, the highest counts first.")
-def usage(socket: str | None, settings: str | None, as_json: bool, tenant: str | None,
-          lines: int | None) -> int:
+def usage(
+    socket: str | None, settings: str | None, as_json: bool, tenant: str | None, lines: int | None
+) -> int:
     """Show the usage of all instances as a running sender knows it."""
     return ask("usage", socket, settings, as_json, tenant=tenant, lines=lines)
 
 
 @group.command()
 @SETTINGS
-@click.option("--bootstrap", is_flag=True,
-              help="The first start of all: an empty folder is a new one, and not one that was lost.")
+@click.option(
+    "--bootstrap",
+    is_flag=True,
+    help="The first start of all: an empty folder is a new one, and not one that was lost.",
+)
 def member(settings: str | None, bootstrap: bool) -> int:
     """Run a member of the control plane."""
     from willownotch.controlplane import member as members
@@ -225,11 +259,15 @@
     """Look at and change the configuration that the control plane holds, at any member."""
 
 
-EXPECT = click.option("--expect", metavar="REVISION", type=click.IntRange(0),
-                      help="What the change is based on (else the last): who has changed one of its keys "
-                      "since then wins.")
-ID = click.option("--id", "change_id", metavar="ID",
-                  help="Ask again for a change whose outcome is not known.")
+EXPECT = click.option(
+    "--expect",
+    metavar="REVISION",
+    type=click.IntRange(0),
+    help="What the change is based on (else the last): who has changed one of its keys " "since then wins.",
+)
+ID = click.option(
+    "--id", "change_id", metavar="ID", help="Ask again for a change whose outcome is not known."
+)
 
 
 def looked(socket: str | None, settings: str | None, look: Callable[[str], int]) -> int:
@@ -250,8 +288,11 @@
     from willownotch.controlplane import asking
 
     if not wanted:
-        told({"outcome": "nothing to change", "revision": wanted.base}, as_json,
-             lambda found: f"nothing to change: revision {wanted.base} has it so")
+        told(
+            {"outcome": "nothing to change", "revision": wanted.base},
+            as_json,
+            lambda found: f"nothing to change: revision {wanted.base} has it so",
+        )
         return asking.DONE
     found = asking.submit(path, change_id or asking.new_id(), wanted)
     code = asking.CODES.get(found["outcome"], asking.UNKNOWN)
@@ -270,14 +311,22 @@
 @SOCKET
 @SETTINGS
 @JSON
-def config_put(file: Path, merge: bool, expect: int | None, change_id: str | None, socket: str | None,
-               settings: str | None, as_json: bool) -> int:
+def config_put(
+    file: Path,
+    merge: bool,
+    expect: int | None,
+    change_id: str | None,
+    socket: str | None,
+    settings: str | None,
+    as_json: bool,
+) -> int:
     """Make the entries those of FILE: what it does not name is removed."""
     from willownotch.controlplane import asking, entries
 
     def look(path: str) -> int:
         wanted = entries.parse(file.read_text(encoding="utf-8"), str(file))
         return changed(path, change_id, asking.toward(asking.entries(path, expect), wanted, merge), as_json)
+
     return looked(socket, settings, look)
 
 
@@ -289,8 +338,15 @@
 @SOCKET
 @SETTINGS
 @JSON
-def config_set(key: str, value: str, expect: int | None, change_id: str | None, socket: str | None,
-               settings: str | None, as_json: bool) -> int:
+def config_set(
+    key: str,
+    value: str,
+    expect: int | None,
+    change_id: str | None,
+    socket: str | None,
+    settings: str | None,
+    as_json: bool,
+) -> int:
     """Set the entry KEY to VALUE, a JSON text."""
     from willownotch.controlplane import asking, entries
 
@@ -298,6 +354,7 @@
         wanted = entries.parse(f"{key} {value}", "KEY VALUE")
         found = asking.entries(path, expect, key)
         return changed(path, change_id, asking.toward(found, wanted, merge=True), as_json)
+
     return looked(socket, settings, look)
 
 
@@ -308,8 +365,14 @@
 @SOCKET
 @SETTINGS
 @JSON
-def config_unset(key: str, expect: int | None, change_id: str | None, socket: str | None,
-                 settings: str | None, as_json: bool) -> int:
+def config_unset(
+    key: str,
+    expect: int | None,
+    change_id: str | None,
+    socket: str | None,
+    settings: str | None,
+    as_json: bool,
+) -> int:
     """Remove the entry KEY."""
     from willownotch.controlplane import asking
 
@@ -319,6 +382,7 @@
             click.echo(f"willownotch config: revision {found['revision']} has no entry {key!r}", err=True)
             return asking.REFUSED
         return changed(path, change_id, asking.toward(found, {}), as_json)
+
     return looked(socket, settings, look)
 
 
@@ -329,14 +393,21 @@
 @SOCKET
 @SETTINGS
 @JSON
-def config_rollback(revision: int, expect: int | None, change_id: str | None, socket: str | None,
-                    settings: str | None, as_json: bool) -> int:
+def config_rollback(
+    revision: int,
+    expect: int | None,
+    change_id: str | None,
+    socket: str | None,
+    settings: str | None,
+    as_json: bool,
+) -> int:
     """Make the entries those of an earlier REVISION again, by a new one."""
     from willownotch.controlplane import asking
 
     def look(path: str) -> int:
         found, earlier = asking.entries(path, expect), asking.entries(path, revision)
         return changed(path, change_id, asking.toward(found, asking.kept(earlier)), as_json)
+
     return looked(socket, settings, look)
 
 
@@ -346,8 +417,9 @@
 @SOCKET
 @SETTINGS
 @JSON
-def config_show(key: str | None, revision: int | None, socket: str | None, settings: str | None,
-                as_json: bool) -> int:
+def config_show(
+    key: str | None, revision: int | None, socket: str | None, settings: str | None, as_json: bool
+) -> int:
     """Print all entries, as `put` reads them, or the value of KEY."""
     from willownotch.controlplane import asking, entries
 
@@ -357,10 +429,18 @@
             click.echo(f"willownotch config: revision {found['revision']} has no entry {key!r}", err=True)
             return asking.REFUSED
         kept = asking.kept(found)
-        told(found, as_json, lambda found: kept[key].decode() if key is not None else (
-            f"# revision {found['revision']}, {len(kept)} entries, digest {found['digest'] or '-'}\n"
-            + entries.unparse(kept.items())).rstrip("\n"))
+        told(
+            found,
+            as_json,
+            lambda found: kept[key].decode()
+            if key is not None
+            else (
+                f"# revision {found['revision']}, {len(kept)} entries, digest {found['digest'] or '-'}\n"
+                + entries.unparse(kept.items())
+            ).rstrip("\n"),
+        )
         return asking.DONE
+
     return looked(socket, settings, look)
 
 
@@ -376,6 +456,7 @@
     def look(path: str) -> int:
         told(client.ask(path, "status"), as_json, shown.status)
         return 0
+
     return looked(socket, settings, look)
 
 
@@ -392,6 +473,7 @@
     def look(path: str) -> int:
         told(client.ask(path, "history", {"last": str(last)}), as_json, shown.history)
         return 0
+
     return looked(socket, settings, look)
 
 
@@ -399,14 +481,27 @@
 @click.argument("target")
 @click.option("--settings", metavar="FILE", help="The file with the block load.")
 @click.option("--trace", metavar="FILE", help="Send this trace, not what the block describes.")
-@click.option("--speed", type=click.FloatRange(0, min_open=True), default=1.0, show_default=True,
-              help="Times as fast as planned.")
-@click.option("--workers", type=click.IntRange(1, 255), default=1, show_default=True,
-              help="Processes that send.")
+@click.option(
+    "--speed",
+    type=click.FloatRange(0, min_open=True),
+    default=1.0,
+    show_default=True,
+    help="Times as fast as planned.",
+)
+@click.option(
+    "--workers", type=click.IntRange(1, 255), default=1, show_default=True, help="Processes that send."
+)
 @click.option("--write-trace", metavar="FILE", help="Send nothing, write the plan as a trace.")
 @JSON
-def load(target: str, settings: str | None, trace: str | None, speed: float, workers: int,
-         write_trace: str | None, as_json: bool) -> int:
+def load(
+    target: str,
+    settings: str | None,
+    trace: str | None,
+    speed: float,
+    workers: int,
+    write_trace: str | None,
+    as_json: bool,
+) -> int:
     """Send messages at the sender at TARGET (ADDRESS:PORT) on an open loop, and measure."""
     from willownotch.lab.load import command
 
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -4,6 +4,7 @@
 min cost x max rate. Exceptions: pace (`refused`), health (`_evidence`), silence (`_overdue`), trials and
 return ramp (`_space`), distrusted connections (`_reused`). `willownotch/state.py` has what is remembered.
 """
+
 from __future__ import annotations
 
 import random
@@ -223,8 +224,10 @@
         """Go by these settings from now on; what is in hand keeps its class, a tenant what is left to it."""
         self.settings = self.book.settings = settings
         self.strange, self.parts = min(c.wanted_s for c in settings.classes), {}  # patience; counted parts
-        self.shares = {t.name: self.shares.get(t.name, Bucket(t.quota_per_s * TENANT_BURST_S, 0.0))
-                       for t in settings.tenants}
+        self.shares = {
+            t.name: self.shares.get(t.name, Bucket(t.quota_per_s * TENANT_BURST_S, 0.0))
+            for t in settings.tenants
+        }
         for route in self.book.routes.values() if settings.listed_rates else ():
             route.unit.told_limit = route.unit.told_limit or route.entry.rate
 
@@ -257,7 +260,7 @@
                 route.unit.told_limit = route.unit.told_limit or route.entry.rate * self.settings.listed_rates
         elif isinstance(event, face.ListFailed) and self.list_at == inf:
             # All senders fail together: they ask again apart, one call each, before they are deemed told.
-            wait = min(LIST_AGAIN_S * 2 ** self.list_fails, self.settings.rules.ask_within_s / 2)
+            wait = min(LIST_AGAIN_S * 2**self.list_fails, self.settings.rules.ask_within_s / 2)
             wait, self.list_fails = wait * self.random.uniform(*JITTER), self.list_fails + 1
             self.list_at = self.now + wait
             self.out.append(face.Wake(wait, LIST_LABEL))
@@ -281,7 +284,7 @@
         self.arrivals.add(1.0, self.now)
         quotas = ARRIVALS_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
         part = max(1 / self.settings.senders, min(1.0, self.arrivals.at(self.now) / quotas))
-        for tenant in self.settings.tenants[message.tenant:message.tenant + 1]:
+        for tenant in self.settings.tenants[message.tenant : message.tenant + 1]:
             own = self.parts.get(message.tenant) or face.TenantPart(message.tenant, part)
             share, fresh = self.shares[tenant.name], own.part * tenant.quota_per_s
             # One message at the least, or a sender with hardly any traffic would find all of it over.
@@ -512,7 +515,7 @@
     def _shed(self, dests: list[Destination], beyond: float) -> None:
         """Give the least worthy up; the newest first among equals, since the older have waited."""
         if beyond > 0:
-            for job in self._ranked(dests)[-int(beyond + 1):]:
+            for job in self._ranked(dests)[-int(beyond + 1) :]:
                 self._end(job)
 
     def _dispatch(self) -> None:
--- a/willownotch/controlplane/agreement.py
+++ b/willownotch/controlplane/agreement.py
@@ -7,6 +7,7 @@
 `may_promise`, `decide`, `again` and `counted` are the whole of it, over plain values: voters, writers and the
 model check use them.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
@@ -186,8 +187,20 @@
     vector: Vector
 
 
-Message = (Prepare | Promise | Accept | Vote | Beat | Want | CommitBatch | Piece | Submit | Answer | Recover
-           | Recovered)
+Message = (
+    Prepare
+    | Promise
+    | Accept
+    | Vote
+    | Beat
+    | Want
+    | CommitBatch
+    | Piece
+    | Submit
+    | Answer
+    | Recover
+    | Recovered
+)
 
 
 # The rules
--- a/willownotch/controlplane/asking.py
+++ b/willownotch/controlplane/asking.py
@@ -1,4 +1,5 @@
 """The operators' side of a member's control socket: what to ask for, what is told, and exit codes."""
+
 from __future__ import annotations
 
 import getpass
@@ -53,8 +54,11 @@
 def toward(found: Mapping[str, Any], wanted: Mapping[str, bytes], merge: bool = False) -> Wanted:
     """What makes the entries of an answer those that are wanted; with `merge` others stay."""
     now = kept(found)
-    return Wanted(found["revision"], {key: value for key, value in wanted.items() if now.get(key) != value},
-                  () if merge else tuple(sorted(now.keys() - wanted.keys())))
+    return Wanted(
+        found["revision"],
+        {key: value for key, value in wanted.items() if now.get(key) != value},
+        () if merge else tuple(sorted(now.keys() - wanted.keys())),
+    )
 
 
 def new_id() -> str:
@@ -65,9 +69,15 @@
 def submit(path: str, change_id: str, wanted: Wanted) -> dict[str, Any]:
     """Ask for a change; what was told of it. `AnswerError` where it was not taken for one, nothing was done
     then; any other trouble is the outcome `unknown`."""
-    text = msgspec.json.encode({
-        "id": change_id, "author": author(), "base": wanted.base, "removes": wanted.removes,
-        "sets": {key: msgspec.Raw(value) for key, value in wanted.sets.items()}}).decode()
+    text = msgspec.json.encode(
+        {
+            "id": change_id,
+            "author": author(),
+            "base": wanted.base,
+            "removes": wanted.removes,
+            "sets": {key: msgspec.Raw(value) for key, value in wanted.sets.items()},
+        }
+    ).decode()
     try:
         return ask(path, "change", {"change": text}, PATIENCE)
     except AnswerError:
@@ -79,11 +89,15 @@
 def outcome(told: Mapping[str, Any], wanted: Wanted) -> str:
     """In words."""
     if told["outcome"] == "committed":
-        return (f"revision {told['revision']} is committed: {len(wanted.sets)} set, {len(wanted.removes)} "
-                f"removed, change {told['id']}")
+        return (
+            f"revision {told['revision']} is committed: {len(wanted.sets)} set, {len(wanted.removes)} "
+            f"removed, change {told['id']}"
+        )
     if told["outcome"] == "lost":
         return f"lost to revision {told['revision']}: {told['text']}"
     if told["outcome"] == "refused":
         return f"refused: {told['text']}"
-    return (f"not known whether it was committed: {told['text']}; ask again by the same command with "
-            f"--id {told['id']} --expect {wanted.base}")
+    return (
+        f"not known whether it was committed: {told['text']}; ask again by the same command with "
+        f"--id {told['id']} --expect {wanted.base}"
+    )
--- a/willownotch/controlplane/catchup.py
+++ b/willownotch/controlplane/catchup.py
@@ -4,6 +4,7 @@
 back so far, a snapshot, one part after the other. What does not come is asked for again; after some tries,
 of whoever was heard to have it last.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -20,8 +21,9 @@
 def size_of(commit: Commit) -> int:
     """About how many bytes it takes."""
     change = commit.change
-    return (100 + sum(len(key) + len(value) for key, value in change.sets.items())
-            + sum(map(len, change.removes)))
+    return (
+        100 + sum(len(key) + len(value) for key, value in change.sets.items()) + sum(map(len, change.removes))
+    )
 
 
 class CatchUp:
@@ -74,11 +76,15 @@
         part = message.part
         if part.revision <= self.voter.document.revision:
             return
-        if message.number == 0 and not (self._got and source == self._from
-                                        and self._got[0].digest == part.digest):
+        if message.number == 0 and not (
+            self._got and source == self._from and self._got[0].digest == part.digest
+        ):
             self._got, self._from = [], source
-        if message.number != len(self._got) or source != self._from or (
-                self._got and self._got[0].digest != part.digest):
+        if (
+            message.number != len(self._got)
+            or source != self._from
+            or (self._got and self._got[0].digest != part.digest)
+        ):
             return
         self._got.append(part)
         self._tries = 0
--- a/willownotch/controlplane/commit.py
+++ b/willownotch/controlplane/commit.py
@@ -11,6 +11,7 @@
 An author asks for a change by its id and gets one outcome. All are final but `UNKNOWN`, after which it asks
 again, at any member, by the same id and with the same change: one asking of an id after the other.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -44,8 +45,18 @@
 from willownotch.controlplane.voter import Keep, Recovery, Voter
 from willownotch.controlplane.writer import Check, Stage, Writer
 
-__all__ = ["CommitPace", "CommitView", "Commits", "Keep", "Message", "Outcome", "Record", "Result", "Send",
-           "Stage"]
+__all__ = [
+    "CommitPace",
+    "CommitView",
+    "Commits",
+    "Keep",
+    "Message",
+    "Outcome",
+    "Record",
+    "Result",
+    "Send",
+    "Stage",
+]
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -118,10 +129,20 @@
     `installed`: a document that was moved on by a snapshot has no commits to tell.
     """
 
-    def __init__(self, name: str, uid: int, voters: tuple[str, ...], document: Document, keep: Keep,
-                 now: float, random: Random, pace: CommitPace | None = None,
-                 check: Check = lambda document, change: None, restored: Iterable[Record] = (),
-                 bootstrap: bool = False) -> None:
+    def __init__(
+        self,
+        name: str,
+        uid: int,
+        voters: tuple[str, ...],
+        document: Document,
+        keep: Keep,
+        now: float,
+        random: Random,
+        pace: CommitPace | None = None,
+        check: Check = lambda document, change: None,
+        restored: Iterable[Record] = (),
+        bootstrap: bool = False,
+    ) -> None:
         if name not in voters:
             raise ValueError(f"{name!r} is not one of the voters: {', '.join(voters)}")
         self.name, self.voters, self.document = name, voters, document
@@ -142,10 +163,19 @@
         self._beaten = NONE
         self._differs = -1  # revision at which another member's digest was another
         self._takes: dict[type, Callable[[float, str, Message], None]] = {
-            Prepare: self._on_prepare, Promise: self._on_promise, Accept: self._on_accept,
-            Vote: self._on_vote, Beat: self._on_beat, Want: self.catchup.wanted,
-            CommitBatch: self.catchup.commits, Piece: self.catchup.piece, Submit: self._on_submit,
-            Answer: self._on_answer, Recover: self._on_recover, Recovered: self._on_recovered}
+            Prepare: self._on_prepare,
+            Promise: self._on_promise,
+            Accept: self._on_accept,
+            Vote: self._on_vote,
+            Beat: self._on_beat,
+            Want: self.catchup.wanted,
+            CommitBatch: self.catchup.commits,
+            Piece: self.catchup.piece,
+            Submit: self._on_submit,
+            Answer: self._on_answer,
+            Recover: self._on_recover,
+            Recovered: self._on_recovered,
+        }
 
     # What the edge calls
 
@@ -163,13 +193,23 @@
             self._beat(now)
         for asking in list(self.asks.values()):
             if now >= asking.until:
-                self._result(asking.change.id, Outcome.UNKNOWN, 0, (
-                    "no answer of the writer" if asking.ballot != NONE else "no writer is known")
-                    + f" within {self.pace.patience:g} s: ask again by the id {asking.change.id.hex()}")
+                self._result(
+                    asking.change.id,
+                    Outcome.UNKNOWN,
+                    0,
+                    ("no answer of the writer" if asking.ballot != NONE else "no writer is known")
+                    + f" within {self.pace.patience:g} s: ask again by the id {asking.change.id.hex()}",
+                )
             else:
                 self._route(now, asking)
-        busy = self.asks or self.catchup.behind or self.recovery is not None or self.voter.unkept \
-            or self.writer.stage is Stage.PREPARING or self.writer.proposal is not None
+        busy = (
+            self.asks
+            or self.catchup.behind
+            or self.recovery is not None
+            or self.voter.unkept
+            or self.writer.stage is Stage.PREPARING
+            or self.writer.proposal is not None
+        )
         self._due = now + min(self.pace.again, self.pace.beat) / (3 if busy else 1)
         return self._settle(now)
 
@@ -195,8 +235,12 @@
         if (revision := self.document.found(change.id)) is not None:
             self._result(change.id, Outcome.COMMITTED, revision, "")
         elif len(self.asks) >= self.pace.asks and change.id not in self.asks:
-            self._result(change.id, Outcome.UNKNOWN, 0,
-                         f"{len(self.asks)} changes wait here already: nothing was done, ask again")
+            self._result(
+                change.id,
+                Outcome.UNKNOWN,
+                0,
+                f"{len(self.asks)} changes wait here already: nothing was done, ask again",
+            )
         else:
             asking = self.asks.setdefault(change.id, Asking(change, 0.0))
             asking.until = now + self.pace.patience
@@ -220,12 +264,23 @@
         """For who asks."""
         voter, writer = self.voter, self.writer
         return CommitView(
-            self.name, voter.voting, self.recovery.text() if self.recovery is not None else "",
-            writer.stage.value, self.leader, self.leader_ballot, voter.promised,
-            voter.pending.revision if voter.pending is not None else 0, self.document.revision,
-            self.document.token, max(0, self.catchup.head - self.document.revision), dict(voter.vector),
-            len(writer.queue) + (writer.proposal is not None), len(self.asks), voter.failing,
-            dict(self.counts))
+            self.name,
+            voter.voting,
+            self.recovery.text() if self.recovery is not None else "",
+            writer.stage.value,
+            self.leader,
+            self.leader_ballot,
+            voter.promised,
+            voter.pending.revision if voter.pending is not None else 0,
+            self.document.revision,
+            self.document.token,
+            max(0, self.catchup.head - self.document.revision),
+            dict(voter.vector),
+            len(writer.queue) + (writer.proposal is not None),
+            len(self.asks),
+            voter.failing,
+            dict(self.counts),
+        )
 
     # Inside
 
@@ -326,8 +381,10 @@
             for asking in list(self.asks.values()):
                 self._route(now, asking)
         self.catchup.heard(now, source, message.revision)
-        if message.revision == self.document.revision != self._differs \
-                and message.digest != self.document.digest:
+        if (
+            message.revision == self.document.revision != self._differs
+            and message.digest != self.document.digest
+        ):
             self._differs = message.revision
             self.counts["digest differs"] += 1
             self.said.append(f"revision {message.revision} has another digest at {source}")
@@ -338,8 +395,9 @@
     def _on_answer(self, now: float, source: str, message: Answer) -> None:
         asking = self.asks.get(message.id)
         # What an overtaken writer refuses is not final where a later one was asked.
-        if asking is not None and (message.ballot >= asking.ballot
-                                   or message.outcome in (Outcome.COMMITTED, Outcome.LOST)):
+        if asking is not None and (
+            message.ballot >= asking.ballot or message.outcome in (Outcome.COMMITTED, Outcome.LOST)
+        ):
             self._result(message.id, message.outcome, message.revision, message.text)
 
     def _on_recover(self, now: float, source: str, message: Recover) -> None:
--- a/willownotch/controlplane/comparison.py
+++ b/willownotch/controlplane/comparison.py
@@ -3,6 +3,7 @@
 
 Each level has to add up to the one above it, so what is wrong is known at the first part that does not.
 """
+
 from __future__ import annotations
 
 from willownotch.controlplane.document import (
@@ -33,8 +34,9 @@
     def take(self, part: Part, data: bytes) -> list[tuple[Part, int | None]]:
         """A part that was fetched: the parts to be fetched next, and of how many pieces they are, if that is
         known; `ValueError` if it does not add up or cannot be read."""
-        wanted = {Kind.GROUPS: self._groups, Kind.BUCKETS: self._group_buckets,
-                  Kind.ENTRIES: self._entries}[part.kind](part, data)
+        wanted = {Kind.GROUPS: self._groups, Kind.BUCKETS: self._group_buckets, Kind.ENTRIES: self._entries}[
+            part.kind
+        ](part, data)
         self.awaited += len(wanted) - 1
         return wanted
 
@@ -49,16 +51,19 @@
             ours, theirs = self.document.bucket(number), self.buckets[number][1]
             sets |= {key: value for key, value in theirs.items() if ours.get(key) != value}
             removes += [key for key in ours if key not in theirs]
-        return Delta(self.document.revision, self.top.revision, self.top.token, sets, tuple(removes),
-                     self.top.digest)
+        return Delta(
+            self.document.revision, self.top.revision, self.top.token, sets, tuple(removes), self.top.digest
+        )
 
     def _groups(self, part: Part, data: bytes) -> list[tuple[Part, int | None]]:
         self.top = read_tree(data)
         sums = _digests(self.top.groups)
         if len(sums) != GROUPS or _sum(sums) != self.top.digest:
             raise ValueError("a tree that does not add up")
-        mask = sum((ours != theirs) << number for number, (ours, theirs)
-                   in enumerate(zip(self.document.groups(), sums, strict=True)))
+        mask = sum(
+            (ours != theirs) << number
+            for number, (ours, theirs) in enumerate(zip(self.document.groups(), sums, strict=True))
+        )
         pieces = -(-mask.bit_count() * GROUPS * WIDTH // PIECE)
         return [(Part(Kind.BUCKETS, self.top.revision, 0, mask), pieces)] if mask else []
 
@@ -69,7 +74,7 @@
             raise ValueError("digests of other groups")
         found = []
         for place, group in enumerate(groups):
-            theirs = sums[place * GROUPS:(place + 1) * GROUPS]
+            theirs = sums[place * GROUPS : (place + 1) * GROUPS]
             if _sum(theirs) != tops[group]:
                 raise ValueError("a group that does not add up")
             if mask := self._lacking(group, theirs):
@@ -87,8 +92,9 @@
         return mask
 
     def _entries(self, part: Part, data: bytes) -> list[tuple[Part, int | None]]:
-        found: dict[int, dict[str, bytes]] = {part.node * GROUPS + at: {} for at in range(GROUPS)
-                                              if part.mask >> at & 1}
+        found: dict[int, dict[str, bytes]] = {
+            part.node * GROUPS + at: {} for at in range(GROUPS) if part.mask >> at & 1
+        }
         for key, value in read_entries(data).items():
             if (number := bucket_of(key)) not in found:
                 raise ValueError("an entry of another bucket")
@@ -102,7 +108,7 @@
 
 
 def _digests(data: bytes) -> list[bytes]:
-    return [data[at:at + WIDTH] for at in range(0, len(data), WIDTH)]
+    return [data[at : at + WIDTH] for at in range(0, len(data), WIDTH)]
 
 
 def _sum(digests: list[bytes]) -> bytes:
--- a/willownotch/controlplane/document.py
+++ b/willownotch/controlplane/document.py
@@ -8,6 +8,7 @@
 Entries lie in 64 x 64 buckets by a hash of their key, and each bucket has its digest: two documents that
 differ are compared as a tree of two levels, as anti-entropy by Merkle trees does (Dynamo, 2007).
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -135,12 +136,14 @@
 
     def groups(self) -> list[bytes]:
         """The digest of each group of buckets."""
-        return [(sum(self._sums[at:at + GROUPS]) % MODULUS).to_bytes(WIDTH, "big")
-                for at in range(0, BUCKETS, GROUPS)]
+        return [
+            (sum(self._sums[at : at + GROUPS]) % MODULUS).to_bytes(WIDTH, "big")
+            for at in range(0, BUCKETS, GROUPS)
+        ]
 
     def buckets(self, group: int) -> list[bytes]:
         """The digest of each bucket of a group."""
-        return [n.to_bytes(WIDTH, "big") for n in self._sums[group * GROUPS:(group + 1) * GROUPS]]
+        return [n.to_bytes(WIDTH, "big") for n in self._sums[group * GROUPS : (group + 1) * GROUPS]]
 
     def bucket(self, number: int) -> dict[str, bytes]:
         """A copy of a bucket's entries."""
@@ -195,8 +198,10 @@
         if change.base > self.revision:
             raise DocumentError(f"the change is based on revision {change.base}, the last is {self.revision}")
         if change.base < self.oldest():
-            raise DocumentError(f"the change is based on revision {change.base}, older than is "
-                                f"remembered ({self.oldest()}): look again")
+            raise DocumentError(
+                f"the change is based on revision {change.base}, older than is "
+                f"remembered ({self.oldest()}): look again"
+            )
         keys = change.touched()
         for past in reversed(self.history):
             if past.commit.revision <= change.base:
@@ -253,19 +258,29 @@
         for commit in commits:
             touched |= dict.fromkeys(commit.change.sets) | dict.fromkeys(commit.change.removes)
         now = {key: self.get(key) for key in touched}
-        return Delta(since, self.revision, self.token, {k: v for k, v in now.items() if v is not None},
-                     tuple(k for k, v in now.items() if v is None), self.digest)
+        return Delta(
+            since,
+            self.revision,
+            self.token,
+            {k: v for k, v in now.items() if v is not None},
+            tuple(k for k, v in now.items() if v is None),
+            self.digest,
+        )
 
     def apply(self, delta: Delta) -> None:
         """Move on by a delta; `DocumentError`, and nothing changed, if it begins elsewhere, does not lead
         forward or makes another digest. The history is lost with it, as followers need none."""
         if delta.since != self.revision or delta.revision <= self.revision or delta.token < self.token:
-            raise DocumentError(f"a difference from {delta.since} to {delta.revision} (token {delta.token}) "
-                                f"does not lead on from {self.revision} (token {self.token})")
+            raise DocumentError(
+                f"a difference from {delta.since} to {delta.revision} (token {delta.token}) "
+                f"does not lead on from {self.revision} (token {self.token})"
+            )
         before = self._write(delta.sets, delta.removes)
         if self.digest != delta.digest:
-            self._write({k: v for k, v in before.items() if v is not None},
-                        [k for k, v in before.items() if v is None])
+            self._write(
+                {k: v for k, v in before.items() if v is not None},
+                [k for k, v in before.items() if v is None],
+            )
             raise DocumentError(f"revision {delta.revision} has another digest than comes of the difference")
         self.revision, self.token = delta.revision, delta.token
         self.history.clear()
@@ -275,20 +290,29 @@
         """What to set and to remove so that the entries are those of an earlier revision; `DocumentError`
         where the history does not go back so far."""
         if not self.oldest() <= revision <= self.revision:
-            raise DocumentError(f"revision {revision} is not remembered, allowed: {self.oldest()} to "
-                                f"{self.revision}")
+            raise DocumentError(
+                f"revision {revision} is not remembered, allowed: {self.oldest()} to " f"{self.revision}"
+            )
         then: dict[str, bytes | None] = {}
         for past in reversed(self.history):
             if past.commit.revision <= revision:
                 break
             then |= past.before
         now = {key: self.get(key) for key in then}
-        return ({k: v for k, v in then.items() if v is not None and v != now[k]},
-                tuple(sorted(k for k, v in then.items() if v is None and now[k] is not None)))
+        return (
+            {k: v for k, v in then.items() if v is not None and v != now[k]},
+            tuple(sorted(k for k, v in then.items() if v is None and now[k] is not None)),
+        )
 
     @classmethod
-    def whole(cls, revision: int, token: int, entries: Iterable[tuple[str, bytes]], digest: bytes,
-              history_most: int = HISTORY_MOST) -> Document:
+    def whole(
+        cls,
+        revision: int,
+        token: int,
+        entries: Iterable[tuple[str, bytes]],
+        digest: bytes,
+        history_most: int = HISTORY_MOST,
+    ) -> Document:
         """A document of all its entries; `DocumentError` if its digest is another."""
         made = cls(history_most)
         for key, value in entries:
--- a/willownotch/controlplane/entries.py
+++ b/willownotch/controlplane/entries.py
@@ -5,6 +5,7 @@
 there, and holds before the file; `null` takes a named object out. `data/...` is carried, kept and shown, and
 nothing of the sender reads it. What belongs to one machine (its name, addresses, folder, disk) is no entry.
 """
+
 from __future__ import annotations
 
 import re
@@ -19,8 +20,17 @@
 
 CONFIG, DATA = "config", "data"
 OWN = {  # of each machine, or read at a start only
-    "name", "listen", "management", "seed", "state", "known", "limits/memory_mb", "limits/disk_mb",
-    "settings/models", "settings/zones"}
+    "name",
+    "listen",
+    "management",
+    "seed",
+    "state",
+    "known",
+    "limits/memory_mb",
+    "limits/disk_mb",
+    "settings/models",
+    "settings/zones",
+}
 SEGMENT = re.compile(r"[^\s/\x00-\x1f]+")
 PLACE = re.compile(r" \(byte (\d+)\)$")
 
@@ -61,7 +71,7 @@
             above = "/".join([CONFIG, *parts[:at]])
             raise ValueError(f"nothing lies below {above!r}, allowed: its whole value")
         fields = _fields(kind)
-        path = "/".join(parts[:at + 1])
+        path = "/".join(parts[: at + 1])
         known = [name for name in fields if "/".join([*parts[:at], name]) not in OWN]
         if part not in fields:
             near = get_close_matches(part, known, 1)
@@ -124,8 +134,10 @@
             mistakes.append(f"{file}:{number}:{column + len(key)}: no value, wanted: one JSON text after it")
             continue
         if key in lines:
-            mistakes.append(f"{file}:{number}:{column}: {key!r} stands twice, allowed: once "
-                            f"(line {lines[key]} has it)")
+            mistakes.append(
+                f"{file}:{number}:{column}: {key!r} stands twice, allowed: once "
+                f"(line {lines[key]} has it)"
+            )
             continue
         lines[key] = number
         try:
@@ -133,8 +145,10 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as fault:
             said = str(fault)
             place = PLACE.search(said)
-            mistakes.append(f"{file}:{number}:{at + (int(place[1]) if place else 0)}: "
-                            f"{PLACE.sub('', said)}, wanted: one JSON text")
+            mistakes.append(
+                f"{file}:{number}:{at + (int(place[1]) if place else 0)}: "
+                f"{PLACE.sub('', said)}, wanted: one JSON text"
+            )
             continue
         if (wrong := _fault(key, value)) is not None:
             mistakes.append(f"{file}:{number}:{column if wrong[0] else at}: {wrong[1]}")
--- a/willownotch/controlplane/fetching.py
+++ b/willownotch/controlplane/fetching.py
@@ -1,6 +1,7 @@
 """Parts in pieces: what a follower asks its member for, within a window and a rate, again where it was lost.
 No I/O.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/willownotch/controlplane/follower.py
+++ b/willownotch/controlplane/follower.py
@@ -21,6 +21,7 @@
 Never: an older revision, one that is not whole, has a wrong digest or is not kept; two members at once; a
 question to a member before the time that it told to come back.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -117,18 +118,33 @@
 def ranked(name: str, settings: FollowSettings) -> list[str]:
     """All members: those of the own zone, then of the own region, then the others; among equals by rendezvous
     hashing (Thaler and Ravishankar, 1998), so that followers spread evenly and few move with a member."""
+
     def distance(member: str) -> int:
         there = settings.member[member]
         return 0 if there.zone == settings.zone else 1 if there.region == settings.region else 2
-    return sorted(settings.member, key=lambda member: (
-        distance(member), blake3(f"{len(name)}:{name}{member}".encode()).digest(length=8)))
+
+    return sorted(
+        settings.member,
+        key=lambda member: (
+            distance(member),
+            blake3(f"{len(name)}:{name}{member}".encode()).digest(length=8),
+        ),
+    )
 
 
 class Follower:
     """One sender's. `keep` puts records into its folder: False, if that failed."""
 
-    def __init__(self, name: str, uid: int, held: Held, settings: FollowSettings, now: float, random: Random,
-                 keep: Callable[[list[bytes]], bool] = lambda records: True) -> None:
+    def __init__(
+        self,
+        name: str,
+        uid: int,
+        held: Held,
+        settings: FollowSettings,
+        now: float,
+        random: Random,
+        keep: Callable[[list[bytes]], bool] = lambda records: True,
+    ) -> None:
         self.name, self.uid, self.held, self.random, self.keep = name, uid, held, random, keep
         self.counters: Counter[str] = Counter()
         self.offered: list[Offer] = []
@@ -198,9 +214,19 @@
     def view(self, now: float) -> FollowView:
         """For who asks."""
         document = self.held.document
-        return FollowView(self.name, self.member or "", document.revision, document.token,
-                          document.digest.hex(), document.count, self.held.in_force, *self._refusal,
-                          round(self.unheard_s(now), 3), self._comparison is not None, dict(self.counters))
+        return FollowView(
+            self.name,
+            self.member or "",
+            document.revision,
+            document.token,
+            document.digest.hex(),
+            document.count,
+            self.held.in_force,
+            *self._refusal,
+            round(self.unheard_s(now), 3),
+            self._comparison is not None,
+            dict(self.counters),
+        )
 
     # Time and messages
 
@@ -240,8 +266,11 @@
         source = message.source
         if isinstance(message, News) and self._look is not None and message.number == self._look.number:
             return self._looked(now, message) if source == self._look.member else []
-        if isinstance(message, Refused) and self._look is not None and (
-                (source, message.number) == (self._look.member, self._look.number)):
+        if (
+            isinstance(message, Refused)
+            and self._look is not None
+            and ((source, message.number) == (self._look.member, self._look.number))
+        ):
             self._shun(now, source, message.after_ms / 1000)
             self._look = None
             return []
@@ -307,9 +336,20 @@
         if member is None:
             self._asked_at = self._polled_at = now
             self.counters["polls"] += 1
-        return Send(self.settings.member[target].address, Poll(
-            self.name, self.uid, self._number, target, round(self.period * 1000), *self._kept,
-            self.held.in_force, *self._refusal, member is not None))
+        return Send(
+            self.settings.member[target].address,
+            Poll(
+                self.name,
+                self.uid,
+                self._number,
+                target,
+                round(self.period * 1000),
+                *self._kept,
+                self.held.in_force,
+                *self._refusal,
+                member is not None,
+            ),
+        )
 
     def _soon(self, now: float) -> None:
         """Poll before it is time."""
@@ -380,7 +420,7 @@
             return []
         others = [member for member in self.ranked if member != self.member]
         if self._apart < APART_S:
-            others = self.ranked[:self.ranked.index(self.member)]
+            others = self.ranked[: self.ranked.index(self.member)]
         free = [member for member in others if self._standing_of(member).until <= now]
         if not free:
             return []
@@ -393,7 +433,8 @@
         apart = news.apart_ms / 1000
         self._standing_of(news.source).silent = 0
         if (news.token, news.revision) < (self.held.document.token, self.held.document.revision) or (
-                apart >= APART_S and apart >= self._apart):
+            apart >= APART_S and apart >= self._apart
+        ):
             self._shun(now, news.source, BEHIND_S)
             return []
         sends = self._leave(now, 0.0)
