--- a/willownotch/controlplane/held.py
+++ b/willownotch/controlplane/held.py
@@ -7,6 +7,7 @@
 In the folder: `More` records and the `Step` that ends them are one step; `InForce` says that a revision is
 applied. Records are msgpack, tagged.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -136,19 +137,31 @@
     def records(self) -> list[bytes]:
         """All of it anew, for a folder that is worth rewriting: what is in force, then what is held."""
         if not self.steps:
-            whole = Delta(0, self.document.revision, self.document.token, dict(self.document.items()), (),
-                          self.document.digest)
+            whole = Delta(
+                0,
+                self.document.revision,
+                self.document.token,
+                dict(self.document.items()),
+                (),
+                self.document.digest,
+            )
             return [*records_of(whole), encode(InForce(self.in_force))] if self.document.revision else []
         found = []
         if self.in_force:
             then = dict(self.entries_in_force())
-            found += records_of(Delta(0, self.in_force, self._token_in_force, then, (),
-                                      self._digest_in_force))
+            found += records_of(
+                Delta(0, self.in_force, self._token_in_force, then, (), self._digest_in_force)
+            )
             found.append(encode(InForce(self.in_force)))
         now = {key: self.document.get(key) for key in self._then()}
-        last = Delta(self.in_force, self.document.revision, self.document.token,
-                     {key: value for key, value in now.items() if value is not None},
-                     tuple(key for key, value in now.items() if value is None), self.document.digest)
+        last = Delta(
+            self.in_force,
+            self.document.revision,
+            self.document.token,
+            {key: value for key, value in now.items() if value is not None},
+            tuple(key for key, value in now.items() if value is None),
+            self.document.digest,
+        )
         return found + records_of(last)
 
     @classmethod
@@ -167,8 +180,9 @@
                 removes += record.removes
             elif isinstance(record, Step):
                 delta = record.delta
-                made.lead(msgspec.structs.replace(delta, sets=sets | delta.sets,
-                                                  removes=(*removes, *delta.removes)))
+                made.lead(
+                    msgspec.structs.replace(delta, sets=sets | delta.sets, removes=(*removes, *delta.removes))
+                )
                 sets, removes = {}, []
             else:
                 made.applied(record.revision)
--- a/willownotch/controlplane/member.py
+++ b/willownotch/controlplane/member.py
@@ -4,6 +4,7 @@
 TCP at the same port; followers ask at a datagram socket of their own, operators at a control socket. One lock
 is held around the cores, whoever calls them; the membership's is its own and is taken second, if at all.
 """
+
 from __future__ import annotations
 
 import os
@@ -75,8 +76,9 @@
 
 _encode = msgspec.msgpack.Encoder().encode
 _record = msgspec.msgpack.Decoder(agreement.Record).decode
-LINKS = Kind("member", LINK_VERSION, msgspec.msgpack.Decoder(Said).decode,
-             lambda message: len(_encode(message)) + 64)
+LINKS = Kind(
+    "member", LINK_VERSION, msgspec.msgpack.Decoder(Said).decode, lambda message: len(_encode(message)) + 64
+)
 
 
 class Waiter:
@@ -110,8 +112,9 @@
 
 def lease_settings(settings: MemberSettings) -> LeaseSettings:
     """The lease that makes one member the writer."""
-    return LeaseSettings(electors=settings.voters, span=settings.lease,
-                         duty={duty_of(settings.voters): DutySettings()})
+    return LeaseSettings(
+        electors=settings.voters, span=settings.lease, duty={duty_of(settings.voters): DutySettings()}
+    )
 
 
 def read_reference(settings: MemberSettings) -> bytes | None:
@@ -128,8 +131,10 @@
         if not settings.on():
             raise MemberError("no block member with 'folder', wanted: one in the settings file")
         if blocks.peers.name is None or blocks.peers.name not in settings.voters:
-            raise MemberError(f"the name {blocks.peers.name!r} of peers is not one of 'voters', allowed: "
-                              f"{', '.join(settings.voters)}")
+            raise MemberError(
+                f"the name {blocks.peers.name!r} of peers is not one of 'voters', allowed: "
+                f"{', '.join(settings.voters)}"
+            )
         self.blocks, self.say, self.name = blocks, say, blocks.peers.name
         keys, self.reference = load_keys(blocks.peers.keys), read_reference(settings)
         folder, uid, now = Path(settings.folder), secrets.randbits(UID_BITS), time.monotonic()
@@ -141,8 +146,19 @@
         self.woken = threading.Condition(self.lock)
         random = Random(secrets.randbits(64))
         try:
-            self.commits = Commits(self.name, uid, settings.voters, self.document, self._keep, now, random,
-                                   CommitPace(), self._check, records, bootstrap)
+            self.commits = Commits(
+                self.name,
+                uid,
+                settings.voters,
+                self.document,
+                self._keep,
+                now,
+                random,
+                CommitPace(),
+                self._check,
+                records,
+                bootstrap,
+            )
         except DocumentError as fault:
             raise StoreError(f"{folder}: its records make no document ({fault}); {ANEW}") from None
         self.serving = Serving(self.name, self.document, settings, now, Random(secrets.randbits(64)))
@@ -150,8 +166,13 @@
         self.sock = bind_followers(settings.followers)
         self.seal = Seal(uid, keys, wire.decode, wire.VERSION, wire.DATAGRAM)
         self._open_peers(uid, keys, folder, files, now)
-        self.channel = None if blocks.control.socket is None else Server(
-            blocks.control.socket, operators.QUESTION_MOST, lambda name, work: self._start(name, work))
+        self.channel = (
+            None
+            if blocks.control.socket is None
+            else Server(
+                blocks.control.socket, operators.QUESTION_MOST, lambda name, work: self._start(name, work)
+            )
+        )
         self.traffic: Counter[str] = Counter()
         self._waiting: dict[bytes, list[Waiter]] = {}
         # Outcomes by revisions that this member has not got yet: who was told and looks here would find an
@@ -170,23 +191,47 @@
         try:
             return [_record(payload) for payload in found]
         except msgspec.DecodeError as fault:
-            raise StoreError(f"{folder}: a record of another kind ({fault}); wanted: the version of the "
-                             "program that wrote it") from None
-
-    def _open_peers(self, uid: int, keys: list[tuple[int, bytes]], folder: Path, files: Files,
-                    now: float) -> None:
+            raise StoreError(
+                f"{folder}: a record of another kind ({fault}); wanted: the version of the "
+                "program that wrote it"
+            ) from None
+
+    def _open_peers(
+        self, uid: int, keys: list[tuple[int, bytes]], folder: Path, files: Files, now: float
+    ) -> None:
         peers = self.blocks.peers
         self.peers_sock, listener = bind(peers.listen, both=True)
         address = peers.advertise or self.peers_sock.getsockname()
         membership = Membership(self.name, address, uid, peers, Random(secrets.randbits(64)))
-        self.leases = Leases(lease_settings(self.blocks.member), self.name, uid, folder, files, now,
-                             Random(secrets.randbits(64)), lambda text: self.say("lease", text))
+        self.leases = Leases(
+            lease_settings(self.blocks.member),
+            self.name,
+            uid,
+            folder,
+            files,
+            now,
+            Random(secrets.randbits(64)),
+            lambda text: self.say("lease", text),
+        )
         node = Node(membership, (self.leases.layer,))
-        self.edge = Edge(self.peers_sock, node, Seal(uid, keys, node.decode), peers.budget,
-                         lambda text: self.say("peers", text), self.leases.before)
+        self.edge = Edge(
+            self.peers_sock,
+            node,
+            Seal(uid, keys, node.decode),
+            peers.budget,
+            lambda text: self.say("peers", text),
+            self.leases.before,
+        )
         self.leases.lock = self.edge.lock
-        self.links = Links(LINKS, listener, peers.listen[0], uid, keys, self._take_frame,
-                           lambda name, work: self._start(name, work))
+        self.links = Links(
+            LINKS,
+            listener,
+            peers.listen[0],
+            uid,
+            keys,
+            self._take_frame,
+            lambda name, work: self._start(name, work),
+        )
 
     # The folder
 
@@ -218,19 +263,30 @@
     def start(self, start: Callable[[str, Callable[[], None], bool], None]) -> None:
         """Start its threads; `start` makes one, and with True one that must not end."""
         self._start = lambda name, work: start(name, work, False)
-        for what, address in (("peers", self.peers_sock.getsockname()),
-                              ("followers", self.sock.getsockname())):
+        for what, address in (
+            ("peers", self.peers_sock.getsockname()),
+            ("followers", self.sock.getsockname()),
+        ):
             self.say("member", f"{self.name} listens for {what} on {shown(address)}")
         start("peers", lambda: self.edge.run(self.blocks.peers.seeds), False)
         start("member", self.run, False)
         start("member-in", self.links.run, True)
         start("followers", self._receive, True)
         if self.channel is not None:
-            self.channel.answers.update({
-                "status": lambda about: self.status(), "change": self._asked,
-                "entries": lambda about: self._with_lock(lambda: operators.entries_of(self.document, about)),
-                "history": lambda about: self._with_lock(lambda: operators.history_of(self.document, about)),
-                "peers": lambda about: self.edge.view(), "leases": lambda about: self.leases.view()})
+            self.channel.answers.update(
+                {
+                    "status": lambda about: self.status(),
+                    "change": self._asked,
+                    "entries": lambda about: self._with_lock(
+                        lambda: operators.entries_of(self.document, about)
+                    ),
+                    "history": lambda about: self._with_lock(
+                        lambda: operators.history_of(self.document, about)
+                    ),
+                    "peers": lambda about: self.edge.view(),
+                    "leases": lambda about: self.leases.view(),
+                }
+            )
             start("control", self.channel.run, False)
 
     def _with_lock(self, look: Callable[[], object]) -> object:
@@ -270,8 +326,11 @@
         for commit in commits.committed:
             moved = True
             change = commit.change
-            self.say("commit", f"revision {commit.revision} of {change.author}, {len(change.sets)} set and "
-                     f"{len(change.removes)} removed, change {change.id.hex()}")
+            self.say(
+                "commit",
+                f"revision {commit.revision} of {change.author}, {len(change.sets)} set and "
+                f"{len(change.removes)} removed, change {change.id.hex()}",
+            )
         if commits.installed != self._installed:
             self._installed, moved = commits.installed, True
             self.say("commit", f"revision {self.document.revision} was taken over whole")
@@ -296,8 +355,13 @@
         writing = commits.writer.stage is Stage.LEADING
         if writing != self._writing:
             self._writing = writing
-            self.say("agreement", f"writes from revision {self.document.revision} on, under token "
-                     f"{commits.writer.ballot.token}" if writing else "writes no more")
+            self.say(
+                "agreement",
+                f"writes from revision {self.document.revision} on, under token "
+                f"{commits.writer.ballot.token}"
+                if writing
+                else "writes no more",
+            )
 
     # Members
 
@@ -368,8 +432,7 @@
         """Also those that are taken for dead: the agreement does not wait for who was wrong about them."""
         with self.edge.lock:
             members = self.edge.node.membership.members.values()
-            self.links.addresses = {m.name: m.address for m in members
-                                    if m.name in self.blocks.member.voters}
+            self.links.addresses = {m.name: m.address for m in members if m.name in self.blocks.member.voters}
 
     def _look(self, now: float) -> None:
         counts = Said(self.name, self.voters, self.serving.counts(now))
@@ -384,21 +447,29 @@
     def _look_apart(self, now: float) -> None:
         """Whether a majority was heard lately; since when not."""
         others = agreement.majority(len(self.blocks.member.voters)) - 1
-        heard = sorted((self._heard.get(name, self._began) for name in self.blocks.member.voters
-                        if name != self.name), reverse=True)
+        heard = sorted(
+            (self._heard.get(name, self._began) for name in self.blocks.member.voters if name != self.name),
+            reverse=True,
+        )
         since = heard[others - 1] if others else now
         apart = now - since > APART_S
         if apart != self._apart:
             self._apart = apart
-            self.say("apart", f"no majority of the voters has been heard for {now - since:.0f} s: revision "
-                     f"{self.document.revision} stays, no change is taken" if apart else
-                     f"a majority of the voters is heard again, revision {self.document.revision}")
+            self.say(
+                "apart",
+                f"no majority of the voters has been heard for {now - since:.0f} s: revision "
+                f"{self.document.revision} stays, no change is taken"
+                if apart
+                else f"a majority of the voters is heard again, revision {self.document.revision}",
+            )
         self.serving.apart_since = since if apart else None
 
     def _look_refused(self) -> None:
         found: Counter[str] = Counter()
-        for what, refused in (("datagrams for followers", self.seal.refused),
-                              ("frames of members", self.links.seal.refused)):
+        for what, refused in (
+            ("datagrams for followers", self.seal.refused),
+            ("frames of members", self.links.seal.refused),
+        ):
             found.update({f"{what} {why}": count for why, count in dict(refused).items()})
         found["frames of members too long"] += self.links.traffic["too long"]
         found["frames of members cut off"] += self.links.traffic["cut off"]
@@ -434,13 +505,24 @@
         with self.lock:
             now = time.monotonic()
             since = self.serving.apart_since
-            heard = {name: round(now - self._heard[name], 3) if name in self._heard else None
-                     for name in self.blocks.member.voters if name != self.name}
+            heard = {
+                name: round(now - self._heard[name], 3) if name in self._heard else None
+                for name in self.blocks.member.voters
+                if name != self.name
+            }
             traffic = +(Counter(self.traffic) | self._refused)
             traffic.update({f"member {what}": count for what, count in dict(self.links.traffic).items()})
             apart = None if since is None else round(now - since, 3)
-            return operators.MemberStatus(self.name, self._writing, self.commits.leader, apart, heard,
-                                          self.commits.view(), self.serving.status(now), dict(traffic))
+            return operators.MemberStatus(
+                self.name,
+                self._writing,
+                self.commits.leader,
+                apart,
+                heard,
+                self.commits.view(),
+                self.serving.status(now),
+                dict(traffic),
+            )
 
     # Signals
 
@@ -453,14 +535,25 @@
         if not settings.on() or blocks.peers.keys is None:
             raise MemberError("no block member with 'folder', or no 'keys' of peers")
         keys, reference = load_keys(blocks.peers.keys), read_reference(settings)
-        later = [f"member {word}" for word in ("folder", "voters", "followers", "history")
-                 if getattr(old.member, word) != getattr(settings, word)]
-        later += [f"peers {word}" for word in ("listen", "advertise", "name", "seeds")
-                  if getattr(old.peers, word) != getattr(blocks.peers, word)]
+        later = [
+            f"member {word}"
+            for word in ("folder", "voters", "followers", "history")
+            if getattr(old.member, word) != getattr(settings, word)
+        ]
+        later += [
+            f"peers {word}"
+            for word in ("listen", "advertise", "name", "seeds")
+            if getattr(old.peers, word) != getattr(blocks.peers, word)
+        ]
         later += ["control socket"] * (old.control != blocks.control)
         # A member's part in the agreement stays what it was until the next start.
-        settings = msgspec.structs.replace(settings, voters=old.member.voters, folder=old.member.folder,
-                                           followers=old.member.followers, history=old.member.history)
+        settings = msgspec.structs.replace(
+            settings,
+            voters=old.member.voters,
+            folder=old.member.folder,
+            followers=old.member.followers,
+            history=old.member.history,
+        )
         with self.lock:
             self.seal.roll(keys)
             self.links.roll(keys)
@@ -519,8 +612,11 @@
         except (ValueError, OSError) as fault:
             log.say("reload", f"the old settings stay: {fault}")
         else:
-            log.say("reload", f"the settings of {path} hold now"
-                    + f"; {later} as changed will hold from the next start" * bool(later))
+            log.say(
+                "reload",
+                f"the settings of {path} hold now"
+                + f"; {later} as changed will hold from the next start" * bool(later),
+            )
     member.stop()
     log.say("end", "ended; what was agreed on stands in the folder")
     sys.stderr.flush()
--- a/willownotch/controlplane/operators.py
+++ b/willownotch/controlplane/operators.py
@@ -2,6 +2,7 @@
 
 Values of entries travel as plain JSON; a member keeps each as the one text that `entries.encode` makes of it.
 """
+
 from __future__ import annotations
 
 from typing import Any
@@ -125,10 +126,16 @@
         for gone in removes:
             del entries[gone]
     last = revision == document.revision
-    token = document.token if last else next(
-        (past.commit.token for past in document.history if past.commit.revision == revision), 0)
-    digest = document.digest if last else next(
-        (past.commit.digest for past in document.history if past.commit.revision == revision), b"")
+    token = (
+        document.token
+        if last
+        else next((past.commit.token for past in document.history if past.commit.revision == revision), 0)
+    )
+    digest = (
+        document.digest
+        if last
+        else next((past.commit.digest for past in document.history if past.commit.revision == revision), b"")
+    )
     return EntriesView(revision, token, digest.hex(), {k: msgspec.Raw(v) for k, v in entries.items()})
 
 
@@ -136,6 +143,18 @@
     """The `last` so many commits."""
     most = number(about, "last", HISTORY_SHOWN)
     commits = document.commits(max(document.oldest(), document.revision - most)) or []
-    return HistoryView(document.revision, document.oldest(), [
-        CommitLine(c.revision, c.token, c.change.author, c.change.id.hex(), sorted(c.change.sets),
-                   sorted(c.change.removes)) for c in reversed(commits)])
+    return HistoryView(
+        document.revision,
+        document.oldest(),
+        [
+            CommitLine(
+                c.revision,
+                c.token,
+                c.change.author,
+                c.change.id.hex(),
+                sorted(c.change.sets),
+                sorted(c.change.removes),
+            )
+            for c in reversed(commits)
+        ],
+    )
--- a/willownotch/controlplane/rate.py
+++ b/willownotch/controlplane/rate.py
@@ -1,4 +1,5 @@
 """A token bucket. No clock."""
+
 from __future__ import annotations
 
 NEAR = 1e-6  # what is missing by rounding when it is time
--- a/willownotch/controlplane/sender.py
+++ b/willownotch/controlplane/sender.py
@@ -4,6 +4,7 @@
 the path that SIGHUP uses, and counts as in force once the owner has taken it in a round of its own. Nothing
 of the sender waits for anything here: without a member it goes on with what it has.
 """
+
 from __future__ import annotations
 
 import queue
@@ -58,8 +59,15 @@
 class Following:
     """Follows the control plane for a running sender. `lay_over` applies a revision: `Reloads.lay_over`."""
 
-    def __init__(self, settings: FollowSettings, name: str, files: Files, say: Callable[[str], None],
-                 lay_over: Callable[[Overlay], Config | None], given: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        settings: FollowSettings,
+        name: str,
+        files: Files,
+        say: Callable[[str], None],
+        lay_over: Callable[[Overlay], Config | None],
+        given: Callable[[], bool],
+    ) -> None:
         self.settings, self.name, self.say = settings, settings.name or name, say
         self.lay_over, self.given = lay_over, given
         self.store = Store(Path(settings.folder), files, self.name)
@@ -118,8 +126,15 @@
                 pause.wait(FOLDER_S)
                 continue
             self.held = Held.restored(found)
-            self.follower = Follower(self.name, self._uid, self.held, self.settings, time.monotonic(),
-                                     Random(secrets.randbits(64)), self._keep)
+            self.follower = Follower(
+                self.name,
+                self._uid,
+                self.held,
+                self.settings,
+                time.monotonic(),
+                Random(secrets.randbits(64)),
+                self._keep,
+            )
             if (behind := laid(self.held)) is not None:
                 self.say(f"begins with revision {self.held.in_force} in force")
                 try:
@@ -183,8 +198,11 @@
         unheard = self.follower.unheard_s(now) >= UNHEARD_S
         if unheard != self._unheard:
             self._unheard = unheard
-            self.say(f"no member was heard for {UNHEARD_S:g} s, revision {self.held.in_force} stays in force"
-                     if unheard else "a member is heard again")
+            self.say(
+                f"no member was heard for {UNHEARD_S:g} s, revision {self.held.in_force} stays in force"
+                if unheard
+                else "a member is heard again"
+            )
 
     def _receive(self, wait: float) -> tuple[bytes, Address] | None:
         self.sock.settimeout(wait)
--- a/willownotch/controlplane/serving.py
+++ b/willownotch/controlplane/serving.py
@@ -9,6 +9,7 @@
 A whole copy is of a snapshot that is kept for the transfer; followers share it while the difference from it
 to the last revision is small.
 """
+
 from __future__ import annotations
 
 from collections import Counter, OrderedDict, deque
@@ -135,8 +136,9 @@
     """One member's followers. The edge moves `document` on by commits and then tells `committed`, and sets
     `apart_since` while the member hears no majority."""
 
-    def __init__(self, name: str, document: Document, settings: MemberSettings, now: float,
-                 random: Random) -> None:
+    def __init__(
+        self, name: str, document: Document, settings: MemberSettings, now: float, random: Random
+    ) -> None:
         self.name, self.document, self.settings, self.random = name, document, settings, random
         self.apart_since: float | None = None
         self.counters: Counter[str] = Counter()
@@ -227,8 +229,19 @@
         heard = sum(now - other.heard_at <= other.silent() for other in self.followers.values())
         if heard >= self.settings.most_followers or self._slot_at > now + NEAR:
             return [self._refuse(now, address, poll.number, Why.FULL, FULL_S)]
-        return [Send(address, News(self.name, poll.number, self.document.revision, self.document.token,
-                                   self.document.digest, apart_ms=self._apart(now)))]
+        return [
+            Send(
+                address,
+                News(
+                    self.name,
+                    poll.number,
+                    self.document.revision,
+                    self.document.token,
+                    self.document.digest,
+                    apart_ms=self._apart(now),
+                ),
+            )
+        ]
 
     def _polled(self, now: float, address: Address, poll: Poll) -> list[Send]:
         follower = self.followers.get(poll.source)
@@ -270,13 +283,15 @@
 
     def _news(self, now: float, number: int, since: int) -> News:
         document = self.document
-        news = News(self.name, number, document.revision, document.token, document.digest,
-                    apart_ms=self._apart(now))
+        news = News(
+            self.name, number, document.revision, document.token, document.digest, apart_ms=self._apart(now)
+        )
         if since >= document.revision:
             return news
         how, data = self._way(now, since)
-        return msgspec.structs.replace(news, how=how, size=len(data),
-                                       delta=data if how is How.INLINE else b"")
+        return msgspec.structs.replace(
+            news, how=how, size=len(data), delta=data if how is How.INLINE else b""
+        )
 
     def _way(self, now: float, since: int) -> tuple[How, bytes]:
         """How a follower gets to the last revision, and the difference."""
@@ -297,8 +312,15 @@
             if not self._builds.spend(now):
                 self.counters["difference put off"] += 1
                 return None
-            self._keep(part, encode(document.delta(since) or Delta(
-                0, document.revision, document.token, dict(document.items()), (), document.digest)))
+            self._keep(
+                part,
+                encode(
+                    document.delta(since)
+                    or Delta(
+                        0, document.revision, document.token, dict(document.items()), (), document.digest
+                    )
+                ),
+            )
         self._parts.move_to_end(part)
         return self._parts[part]
 
@@ -398,11 +420,13 @@
     @staticmethod
     def _encoded(snapshot: Document, part: Part) -> bytes:
         if part.kind is Kind.GROUPS:
-            return encode(Tree(snapshot.revision, snapshot.token, snapshot.digest,
-                               b"".join(snapshot.groups())))
+            return encode(
+                Tree(snapshot.revision, snapshot.token, snapshot.digest, b"".join(snapshot.groups()))
+            )
         if part.kind is Kind.BUCKETS:
-            return b"".join(digest for at in range(GROUPS) if part.mask >> at & 1
-                            for digest in snapshot.buckets(at))
+            return b"".join(
+                digest for at in range(GROUPS) if part.mask >> at & 1 for digest in snapshot.buckets(at)
+            )
         entries: dict[str, bytes] = {}
         for at in range(GROUPS):
             if part.mask >> at & 1:
@@ -427,8 +451,9 @@
             if follower is None or follower.revision >= self.document.revision:
                 continue
             how, data = self._way(now, follower.revision)
-            push = Push(self.name, self.document.revision, self.document.token,
-                        data if how is How.INLINE else b"")
+            push = Push(
+                self.name, self.document.revision, self.document.token, data if how is How.INLINE else b""
+            )
             self._bytes.force(now, OVERHEAD + len(push.delta))
             self.counters["pushes"] += 1
             sends.append(Send(follower.address, push))
@@ -444,8 +469,12 @@
                 continue
             pieces = max(1, -(-len(data) // PIECE))
             self.counters["pieces"] += 1
-            sends.append(Send(address, Piece(self.name, number, piece, pieces,
-                                             data[piece * PIECE:(piece + 1) * PIECE])))
+            sends.append(
+                Send(
+                    address,
+                    Piece(self.name, number, piece, pieces, data[piece * PIECE : (piece + 1) * PIECE]),
+                )
+            )
         return sends
 
     def _sweep(self, now: float) -> None:
@@ -482,12 +511,27 @@
             if follower.refused > follower.in_force:
                 nacks.append(Nack(name, follower.refused, follower.text))
         listed = sorted(force.items(), reverse=True)
-        arrived = [(name, round((now - f.came_at) * 1000)) for name, f in self.followers.items()
-                   if now - f.came_at <= ARRIVED_S]
-        return Counts(self.name, self.document.revision, self.document.token, self._apart(now),
-                      len(self.followers), tuple(listed[:LISTED]), sum(n for _, n in listed[LISTED:]),
-                      len(lagging), _longest(lagging), len(nacks), tuple(nacks[:LISTED]),
-                      len(unheard), _longest(unheard), tuple(arrived[:ARRIVED]))
+        arrived = [
+            (name, round((now - f.came_at) * 1000))
+            for name, f in self.followers.items()
+            if now - f.came_at <= ARRIVED_S
+        ]
+        return Counts(
+            self.name,
+            self.document.revision,
+            self.document.token,
+            self._apart(now),
+            len(self.followers),
+            tuple(listed[:LISTED]),
+            sum(n for _, n in listed[LISTED:]),
+            len(lagging),
+            _longest(lagging),
+            len(nacks),
+            tuple(nacks[:LISTED]),
+            len(unheard),
+            _longest(unheard),
+            tuple(arrived[:ARRIVED]),
+        )
 
     def heard(self, now: float, source: str, counts: Counts) -> None:
         """Another member's counts. A follower that came to it after it was last heard here is its own now."""
@@ -509,16 +553,33 @@
             in_force["older"] = older
         voters = self.settings.voters or tuple(self.members)
         return StatusView(
-            self.name, self.document.revision, self.document.token, self.document.digest.hex(),
-            self.document.count, sum(counts.followers for counts in known.values()), in_force,
-            sum(counts.lagging for counts in known.values()), _named(known, lambda c: c.laggards),
+            self.name,
+            self.document.revision,
+            self.document.token,
+            self.document.digest.hex(),
+            self.document.count,
+            sum(counts.followers for counts in known.values()),
+            in_force,
+            sum(counts.lagging for counts in known.values()),
+            _named(known, lambda c: c.laggards),
             sum(counts.nacked for counts in known.values()),
             [(member, n.name, n.revision, n.text) for member, c in sorted(known.items()) for n in c.nacks],
-            sum(counts.unheard for counts in known.values()), _named(known, lambda c: c.unheard_names),
-            [MemberView(name, c.revision, c.followers, c.unheard, c.apart_ms / 1000,
-                        0.0 if name == self.name else round(now - self.members[name][0], 3))
-             for name, c in sorted(known.items())],
-            sorted(set(voters) - set(known)), dict(self.counters))
+            sum(counts.unheard for counts in known.values()),
+            _named(known, lambda c: c.unheard_names),
+            [
+                MemberView(
+                    name,
+                    c.revision,
+                    c.followers,
+                    c.unheard,
+                    c.apart_ms / 1000,
+                    0.0 if name == self.name else round(now - self.members[name][0], 3),
+                )
+                for name, c in sorted(known.items())
+            ],
+            sorted(set(voters) - set(known)),
+            dict(self.counters),
+        )
 
 
 def _longest(laggards: Iterable[Laggard]) -> tuple[Laggard, ...]:
@@ -526,5 +587,8 @@
 
 
 def _named(known: dict[str, Counts], of) -> list[tuple[str, str, int, float]]:
-    return [(member, one.name, one.in_force, one.for_ms / 1000)
-            for member, counts in sorted(known.items()) for one in of(counts)]
+    return [
+        (member, one.name, one.in_force, one.for_ms / 1000)
+        for member, counts in sorted(known.items())
+        for one in of(counts)
+    ]
--- a/willownotch/controlplane/settings.py
+++ b/willownotch/controlplane/settings.py
@@ -1,4 +1,5 @@
 """The `member` and `follow` blocks of the settings file: a control plane's member, and who follows it."""
+
 from __future__ import annotations
 
 from datetime import timedelta
--- a/willownotch/controlplane/simulated.py
+++ b/willownotch/controlplane/simulated.py
@@ -5,6 +5,7 @@
 they are back. The same seed gives the same story. Counted from outside: when each follower had which revision
 in force, that it never went back, bytes on the wire, processor time of the cores.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -60,9 +61,16 @@
 class Plane:
     """All of them. `apply_s`: what a sender takes to apply a revision; `refuses`: whether it cannot."""
 
-    def __init__(self, seed: int, followers: int, weather: Weather | None = None,
-                 member: MemberSettings | None = None, follow: FollowSettings | None = None,
-                 entries: int = 0, spread: Callable[[int], str] | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        followers: int,
+        weather: Weather | None = None,
+        member: MemberSettings | None = None,
+        follow: FollowSettings | None = None,
+        entries: int = 0,
+        spread: Callable[[int], str] | None = None,
+    ) -> None:
         self.random, self.weather = Random(seed), weather or Weather()
         self.member = member or MemberSettings()
         self.now, self.apply_s = 0.0, 0.02
@@ -90,9 +98,11 @@
 
     def seed_document(self, entries: int, each: int = 200) -> None:
         """Entries of so many bytes, as revision 1."""
-        made = {f"route/{n:06d}": bytes(self.random.getrandbits(8) for _ in range(8)).hex().encode() * 13
-                for n in range(entries)}
-        made = {key: value[:max(1, each - len(key))] for key, value in made.items()}
+        made = {
+            f"route/{n:06d}": bytes(self.random.getrandbits(8) for _ in range(8)).hex().encode() * 13
+            for n in range(entries)
+        }
+        made = {key: value[: max(1, each - len(key))] for key, value in made.items()}
         change = Change(self._id(), "seed", 0, made)
         self.truth.commit(Commit(1, 1, change, self.truth.digest_after(change)))
         self.committed[1] = self.now
@@ -124,9 +134,15 @@
             node.records.clear()
         zone = node.zone
         settings = msgspec.structs.replace(self.follow, zone=zone, region=ZONES[zone], member=self.listed)
-        node.core = Follower(name, self.random.getrandbits(48), Held.restored(node.records), settings,
-                             self.now, Random(self.random.getrandbits(64)),
-                             lambda records: self._keep(node, records))
+        node.core = Follower(
+            name,
+            self.random.getrandbits(48),
+            Held.restored(node.records),
+            settings,
+            self.now,
+            Random(self.random.getrandbits(64)),
+            lambda records: self._keep(node, records),
+        )
         self._offered(node)
         self._schedule(node)
 
@@ -148,11 +164,14 @@
 
     def change(self, size: int = 200, keys: int = 1) -> int:
         """A change is accepted by the majority; its revision."""
-        sets = {f"route/{self.random.randrange(60_000):06d}": self.random.randbytes(size // 2).hex().encode()
-                for _ in range(keys)}
+        sets = {
+            f"route/{self.random.randrange(60_000):06d}": self.random.randbytes(size // 2).hex().encode()
+            for _ in range(keys)
+        }
         change = Change(self._id(), "op", self.truth.revision, sets)
-        commit = Commit(self.truth.revision + 1, self.truth.token + 1, change,
-                        self.truth.digest_after(change))
+        commit = Commit(
+            self.truth.revision + 1, self.truth.token + 1, change, self.truth.digest_after(change)
+        )
         self.truth.commit(commit)
         self.committed[commit.revision] = self.now
         for node in self.members():
--- a/willownotch/controlplane/store.py
+++ b/willownotch/controlplane/store.py
@@ -7,6 +7,7 @@
 A frame that cannot be read is the torn tail of a write that nobody was told of if no frame comes after it,
 and is cut off. Anywhere else it is damage: what a voter has promised is no longer known, so nothing is read.
 """
+
 from __future__ import annotations
 
 import zlib
@@ -58,7 +59,7 @@
     if not data.startswith(MAGIC, at) or at + FRAME.size > len(data):
         return None
     _, length, checksum = FRAME.unpack_from(data, at)
-    body = data[at + FRAME.size:at + FRAME.size + length]
+    body = data[at + FRAME.size : at + FRAME.size + length]
     return body if len(body) == length and zlib.crc32(body) == checksum else None
 
 
@@ -154,11 +155,15 @@
         except (IndexError, msgspec.DecodeError):
             raise StoreError(f"{self.path}: damaged at byte 0; {ANEW}") from None
         if head.format > FORMAT:
-            raise StoreError(f"{self.path}: is of format {head.format}, this version reads up to {FORMAT}; "
-                             "wanted: the newer version of the program")
+            raise StoreError(
+                f"{self.path}: is of format {head.format}, this version reads up to {FORMAT}; "
+                "wanted: the newer version of the program"
+            )
         if head.owner != self.owner:
-            raise StoreError(f"{self.path}: belongs to {head.owner!r}, not to {self.owner!r}; "
-                             "wanted: a folder of its own for each")
+            raise StoreError(
+                f"{self.path}: belongs to {head.owner!r}, not to {self.owner!r}; "
+                "wanted: a folder of its own for each"
+            )
 
     def append(self, payloads: list[bytes]) -> None:
         """Keep payloads, all or none; they outlast a loss of power once this returns.
--- a/willownotch/controlplane/voter.py
+++ b/willownotch/controlplane/voter.py
@@ -3,6 +3,7 @@
 No I/O: `keep` puts records into the folder. What was learnt may run ahead of the folder (others have it),
 what is promised, accepted or answered never does.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -64,8 +65,15 @@
     """One member's own state. `restored`: the folder's records in order; `bootstrap`: an empty folder is that
     of a member that has never voted, and not a lost one."""
 
-    def __init__(self, name: str, voters: tuple[str, ...], document: Document, keep: Keep,
-                 restored: Iterable[Record], bootstrap: bool) -> None:
+    def __init__(
+        self,
+        name: str,
+        voters: tuple[str, ...],
+        document: Document,
+        keep: Keep,
+        restored: Iterable[Record],
+        bootstrap: bool,
+    ) -> None:
         self.name, self.voters, self.document, self.keep = name, voters, document, keep
         self.promised: Ballot = NONE
         self.pending: Accepted | None = None
@@ -127,8 +135,11 @@
         else:
             self.counts["keep failed"] += 1
         if kept == self.failing:
-            self.said.append("the folder can be written again" if kept
-                             else "the folder cannot be written: no vote until it can")
+            self.said.append(
+                "the folder can be written again"
+                if kept
+                else "the folder cannot be written: no vote until it can"
+            )
         self.failing = not kept
         return kept
 
@@ -242,8 +253,12 @@
             if not self._kept([found] if found != self.pending else []):
                 return None
             self.promised, self.pending = message.ballot, found
-        return self._vote(message.ballot, found is not None, message.revision,
-                          message.commit.change.id if message.commit is not None else b"")
+        return self._vote(
+            message.ballot,
+            found is not None,
+            message.revision,
+            message.commit.change.id if message.commit is not None else b"",
+        )
 
     def _vote(self, ballot: Ballot, accepted: bool, voted: int, change_id: bytes) -> Vote:
         return Vote(ballot, self.promised, accepted, self.document.revision, voted, change_id, self.vector)
@@ -265,8 +280,15 @@
             return None
         if not self.flush():
             return None
-        return Recovered(message.uid, message.incarnation, self.voting, self.promised, self.document.revision,
-                         self.pending, self.vector)
+        return Recovered(
+            message.uid,
+            message.incarnation,
+            self.voting,
+            self.promised,
+            self.document.revision,
+            self.pending,
+            self.vector,
+        )
 
 
 class Recovery:
@@ -292,11 +314,15 @@
     def text(self) -> str:
         """How far it is, for the operators."""
         wanted, all_of_them = majority(len(self.voter.voters)), len(self.voter.voters)
-        line = (f"no vote: the folder was empty, {len(self.counted())} of the {wanted} voters needed have "
-                "answered")
+        line = (
+            f"no vote: the folder was empty, {len(self.counted())} of the {wanted} voters needed have "
+            "answered"
+        )
         if all_of_them - 1 - len(self.without) < wanted:
-            line += (f"; {len(self.without) + 1} of {all_of_them} voters have lost their folder, no majority "
-                     "is left that remembers: bring one of these folders back")
+            line += (
+                f"; {len(self.without) + 1} of {all_of_them} voters have lost their folder, no majority "
+                "is left that remembers: bring one of these folders back"
+            )
         return line
 
     def answered(self, source: str, answer: Recovered) -> None:
@@ -323,5 +349,8 @@
         latest = max(answer.revision for answer in answers)
         if voter.document.revision < latest:
             return  # it is caught up with first
-        voter.adopt(vector | {voter.name: self.incarnation}, max(answer.promised for answer in answers),
-                    again(voter.document.revision, (answer.pending for answer in answers)))
+        voter.adopt(
+            vector | {voter.name: self.incarnation},
+            max(answer.promised for answer in answers),
+            again(voter.document.revision, (answer.pending for answer in answers)),
+        )
--- a/willownotch/controlplane/wire.py
+++ b/willownotch/controlplane/wire.py
@@ -16,6 +16,7 @@
 
 `Counts` travels between members, beside the messages of `commit`.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/willownotch/controlplane/writer.py
+++ b/willownotch/controlplane/writer.py
@@ -8,6 +8,7 @@
 for the revision yet: an earlier try of it, which some voter may have accepted, can never come back then, and
 no writer that was overtaken refuses anything.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -71,8 +72,16 @@
 class Writer:
     """One member as the writer. `send(name, message)` takes what it says, also to its own voter."""
 
-    def __init__(self, voter: Voter, uid: int, check: Check, queue_most: int, again_s: float, random: Random,
-                 send: Callable[[str, object], None]) -> None:
+    def __init__(
+        self,
+        voter: Voter,
+        uid: int,
+        check: Check,
+        queue_most: int,
+        again_s: float,
+        random: Random,
+        send: Callable[[str, object], None],
+    ) -> None:
         self.voter, self.uid, self.check, self.queue_most = voter, uid, check, queue_most
         self.again_s, self.random, self.send = again_s, random, send
         self.stage = Stage.IDLE
@@ -145,8 +154,12 @@
         proposal = self.proposal
         if message.promised > self.ballot:
             self.overtaken(now, message.promised)
-        elif message.accepted and proposal is not None and message.voted == proposal.accept.revision \
-                and message.id == proposal.id:
+        elif (
+            message.accepted
+            and proposal is not None
+            and message.voted == proposal.accept.revision
+            and message.id == proposal.id
+        ):
             proposal.votes[source] = message.vector
 
     # Changes
@@ -166,8 +179,13 @@
                 return None
         if len(self.queue) >= self.queue_most:
             self.counts["queue full"] += 1
-            return Answer(self.ballot, change.id, Outcome.UNKNOWN, 0,
-                          f"{len(self.queue)} changes wait already: nothing was done, ask again")
+            return Answer(
+                self.ballot,
+                change.id,
+                Outcome.UNKNOWN,
+                0,
+                f"{len(self.queue)} changes wait already: nothing was done, ask again",
+            )
         self.queue.append(Asked(change, {source}))
         return None
 
@@ -231,14 +249,26 @@
             return self._answer(asked, Outcome.COMMITTED, revision, "")
         if change.base > document.revision or change.base < document.oldest():
             # Whether it is in is not known here: of old changes the ids are forgotten.
-            return self._answer(asked, Outcome.UNKNOWN, 0, (
-                f"it is based on revision {change.base}, known are {document.oldest()} to "
-                f"{document.revision}: look at the last one, and ask for what is lacking as a new change"))
+            return self._answer(
+                asked,
+                Outcome.UNKNOWN,
+                0,
+                (
+                    f"it is based on revision {change.base}, known are {document.oldest()} to "
+                    f"{document.revision}: look at the last one, and ask for what is lacking as a new change"
+                ),
+            )
         if (lost_to := document.conflict(change)) is not None:
             key = min(change.touched() & lost_to.change.touched())
-            return self._answer(asked, Outcome.LOST, lost_to.revision, (
-                f"revision {lost_to.revision} by {lost_to.change.author} has changed {key!r} since "
-                f"revision {change.base}"))
+            return self._answer(
+                asked,
+                Outcome.LOST,
+                lost_to.revision,
+                (
+                    f"revision {lost_to.revision} by {lost_to.change.author} has changed {key!r} since "
+                    f"revision {change.base}"
+                ),
+            )
         try:
             check_change(change)
             self.check(document, change)
@@ -247,8 +277,11 @@
         if document.token > self.ballot.token:
             # A later writer's commit: what is proposed under this ballot would fall back behind it.
             return self.overtaken(now, Ballot(document.token, 0))
-        self._propose(now, Commit(document.revision + 1, self.ballot.token, change,
-                                  document.digest_after(change)), asked)
+        self._propose(
+            now,
+            Commit(document.revision + 1, self.ballot.token, change, document.digest_after(change)),
+            asked,
+        )
 
     def _propose(self, now: float, commit: Commit | None, asked: Asked | None, refusal: str = "") -> None:
         accept = Accept(self.ballot, self.voter.document.revision + 1, commit)
--- a/willownotch/files/faulty.py
+++ b/willownotch/files/faulty.py
@@ -3,6 +3,7 @@
 A stand-in for tests and rigs, never loaded by `serve`. Operations are numbered from 1 in the order in which
 they are begun. After SQLite's tests: fail at the Nth operation, for every N.
 """
+
 from __future__ import annotations
 
 import errno
@@ -63,11 +64,13 @@
 
 def from_file(path: Path) -> Callable[[], list[Fault]]:
     """Faults as a file has them at the moment: a test writes and removes it while another process runs."""
+
     def read() -> list[Fault]:
         try:
             return read_faults(path.read_text(encoding="utf-8"))
         except FileNotFoundError:
             return []
+
     return read
 
 
@@ -75,8 +78,12 @@
     """Asks `faults` before each operation. `trail` has (number, operation, file name) of all that were
     begun."""
 
-    def __init__(self, faults: Callable[[], list[Fault]] = list, die: Callable[[], None] | None = None,
-                 begun: Callable[[int, str, str], None] | None = None) -> None:
+    def __init__(
+        self,
+        faults: Callable[[], list[Fault]] = list,
+        die: Callable[[], None] | None = None,
+        begun: Callable[[int, str, str], None] | None = None,
+    ) -> None:
         self.faults, self.begun = faults, begun
         self.die = die or (lambda: os.kill(os.getpid(), signal.SIGKILL))
         self.count = 0
@@ -127,7 +134,7 @@
         """See `Files`."""
         kind = self._begin("append", self._names.get(file, "?"))
         if kind in (Kind.SHORT, Kind.DIE_TORN) and len(data) > 1:
-            written = super().append(file, data[:len(data) // 2])
+            written = super().append(file, data[: len(data) // 2])
             if kind is Kind.DIE_TORN:
                 self.die()
             return written
--- a/willownotch/files/layer.py
+++ b/willownotch/files/layer.py
@@ -1,4 +1,5 @@
 """The real file system behind the narrow interface."""
+
 from __future__ import annotations
 
 import os
@@ -30,7 +31,7 @@
         """Append until all is written. An error may leave part of it in the file."""
         view = memoryview(data)
         while view:
-            view = view[self.append(file, view):]
+            view = view[self.append(file, view) :]
 
     def sync(self, file: int) -> None:
         """Have all that was written to a file, or all names of a folder, outlast a loss of power."""
--- a/willownotch/files/replacing.py
+++ b/willownotch/files/replacing.py
@@ -1,4 +1,5 @@
 """A small file that is replaced whole: after a kill it has the old content or the new one."""
+
 from __future__ import annotations
 
 from pathlib import Path
--- a/willownotch/files/space.py
+++ b/willownotch/files/space.py
@@ -8,6 +8,7 @@
 
 and the bodies' part ends where the journal's stated part begins, so that neither starves the other.
 """
+
 from __future__ import annotations
 
 import threading
--- a/willownotch/handover/estate.py
+++ b/willownotch/handover/estate.py
@@ -1,4 +1,5 @@
 """All that the owner knows, as it goes over to the next process: plain data."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/willownotch/handover/giver.py
+++ b/willownotch/handover/giver.py
@@ -1,4 +1,5 @@
 """The old process's side: asked for everything, it gives all in one step, then ends what calls it has out."""
+
 from __future__ import annotations
 
 import os
@@ -42,9 +43,19 @@
 class Giver:
     """Waits for a process that asks. `leave` ends this one."""
 
-    def __init__(self, folder: Path, lock: FolderLock, clock: Clock, log: Log, standing: Standing,
-                 owner: Owner, south: South, north: North, bodies: Bodies,
-                 start: Callable[[str, Callable[[], None]], None]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        lock: FolderLock,
+        clock: Clock,
+        log: Log,
+        standing: Standing,
+        owner: Owner,
+        south: South,
+        north: North,
+        bodies: Bodies,
+        start: Callable[[str, Callable[[], None]], None],
+    ) -> None:
         self.folder, self.lock, self.clock, self.log, self.standing = folder, lock, clock, log, standing
         self.owner, self.south, self.north, self.bodies = owner, south, north, bodies
         self.start = start
@@ -123,8 +134,11 @@
             link.send(Kind.NOT_NOW)
             return False
         same = hello.data == self._version
-        self.log.say("upgrade", "another process takes over"
-                     + ("" if same else ", with other decisions: calls that are out are finished first"))
+        self.log.say(
+            "upgrade",
+            "another process takes over"
+            + ("" if same else ", with other decisions: calls that are out are finished first"),
+        )
         if not same:
             self.south.finish(FINISH_TIME)
         order, given = HandOver(Ticket(), queue.SimpleQueue()), False
@@ -136,8 +150,11 @@
             if estate is None:
                 link.send(Kind.NOT_NOW)
             else:
-                self.log.say("state", f"the state stands still after {self._since(began)} ms: "
-                             f"{len(estate.owed)} messages, {self.north.present()} clients")
+                self.log.say(
+                    "state",
+                    f"the state stands still after {self._since(began)} ms: "
+                    f"{len(estate.owed)} messages, {self.north.present()} clients",
+                )
                 given = self._gave(link, estate if same else None)
         finally:
             if given:  # before anybody is let go: what is handed on from now on has where to go
@@ -169,8 +186,9 @@
                 idle = self.south.kept()[:KEPT_MOST]
                 estate.waits = dict(self.south.waits)
                 estate.idle = [(number, kept.since) for number, kept in idle]
-                link.send(Kind.ESTATE, pickled.write(estate),
-                          (listener, *(kept.sock.fileno() for _, kept in idle)))
+                link.send(
+                    Kind.ESTATE, pickled.write(estate), (listener, *(kept.sock.fileno() for _, kept in idle))
+                )
             answer = link.receive(TOOK_TIME)
             if answer is None or answer.kind is not Kind.TOOK:
                 return False
@@ -203,9 +221,12 @@
         self._carry_out(self._let_go_of_lock, self.south.leave)
         clients = self.north.give()
         self.standing.tell(Event.GIVEN, self.clock.now())  # only now may this process say no
-        self.log.say("upgrade", f"given away; {self.south.outside()} calls are out and are finished here; "
-                     f"{clients} idle clients passed on, {self.north.present()} still here, "
-                     f"{self._since(began)} ms")
+        self.log.say(
+            "upgrade",
+            f"given away; {self.south.outside()} calls are out and are finished here; "
+            f"{clients} idle clients passed on, {self.north.present()} still here, "
+            f"{self._since(began)} ms",
+        )
 
     def _carry_out(self, *steps: Callable[[], None]) -> None:
         for step in steps:
--- a/willownotch/handover/lock.py
+++ b/willownotch/handover/lock.py
@@ -1,4 +1,5 @@
 """The lock on the folder that lasts: whoever holds it writes there. It dies with its holder."""
+
 from __future__ import annotations
 
 import fcntl
--- a/willownotch/handover/passing.py
+++ b/willownotch/handover/passing.py
@@ -3,6 +3,7 @@
 A connection is closed here only once the other process has it. What it could not take, or what was on its way
 when it ended, is still open here, so that a request that was read is answered by somebody.
 """
+
 from __future__ import annotations
 
 import itertools
@@ -40,8 +41,14 @@
         self._pending: dict[int, Pending] = {}
         self._over = False
 
-    def pass_on(self, sock: socket.socket, request: bytes, arrived: datetime | None, asked: int,
-                read_at: datetime | None = None) -> bool:
+    def pass_on(
+        self,
+        sock: socket.socket,
+        request: bytes,
+        arrived: datetime | None,
+        asked: int,
+        read_at: datetime | None = None,
+    ) -> bool:
         """Whether the other process goes on with this connection. One without a request is not waited for."""
         number, pending = next(self._numbers), Pending()
         with self._lock:
--- a/willownotch/handover/pickled.py
+++ b/willownotch/handover/pickled.py
@@ -1,4 +1,5 @@
 """An estate as bytes, read back with care. Loaded only when one is handed over."""
+
 from __future__ import annotations
 
 import io
@@ -8,9 +9,17 @@
 
 # Whatever else a pickle names is refused: these and our own classes are all that an estate is made of.
 ALLOWED = {
-    ("builtins", "set"), ("builtins", "frozenset"), ("builtins", "bytearray"), ("collections", "deque"),
-    ("datetime", "datetime"), ("datetime", "timedelta"), ("datetime", "timezone"), ("random", "Random"),
-    ("pathlib", "PosixPath"), ("pathlib._local", "PosixPath"), ("copyreg", "_reconstructor"),
+    ("builtins", "set"),
+    ("builtins", "frozenset"),
+    ("builtins", "bytearray"),
+    ("collections", "deque"),
+    ("datetime", "datetime"),
+    ("datetime", "timedelta"),
+    ("datetime", "timezone"),
+    ("random", "Random"),
+    ("pathlib", "PosixPath"),
+    ("pathlib._local", "PosixPath"),
+    ("copyreg", "_reconstructor"),
     ("builtins", "object"),
 }
 OURS = "willownotch."
--- a/willownotch/handover/taker.py
+++ b/willownotch/handover/taker.py
@@ -1,4 +1,5 @@
 """The new process's side: it takes the folder where nobody has it, or all that its holder hands over."""
+
 from __future__ import annotations
 
 import os
@@ -106,8 +107,12 @@
         if len(estate.idle) != len(frame.fds) - 1:
             raise BadFrameError("connections of the estate are missing")
         listener, *kept = [socket.socket(fileno=fd) for fd in frame.fds]
-        return Legacy(link, listener, estate, [
-            (number, Idle(sock, since)) for (number, since), sock in zip(estate.idle, kept, strict=True)])
+        return Legacy(
+            link,
+            listener,
+            estate,
+            [(number, Idle(sock, since)) for (number, since), sock in zip(estate.idle, kept, strict=True)],
+        )
 
 
 class Heir:
@@ -172,4 +177,3 @@
             self.owner.post(Withdraw(msgspec.msgpack.decode(frame.data, type=Withdrawn).ref, None))
         else:
             raise BadFrameError(f"{frame.kind.name} is not for this side")
-
--- a/willownotch/handover/told.py
+++ b/willownotch/handover/told.py
@@ -1,4 +1,5 @@
 """What the two processes tell each other after the hand-over, besides connections."""
+
 from __future__ import annotations
 
 from datetime import datetime, timedelta
@@ -26,8 +27,17 @@
 
     def ended(self) -> RelayEnded:
         """As the owner takes it, the relay still to be filled in."""
-        return RelayEnded(None, self.outcome, self.took, self.wait, self.no_slot, self.over, self.room_left,
-                          self.limit_per_s, self.unread)
+        return RelayEnded(
+            None,
+            self.outcome,
+            self.took,
+            self.wait,
+            self.no_slot,
+            self.over,
+            self.room_left,
+            self.limit_per_s,
+            self.unread,
+        )
 
 
 class CallOff(msgspec.Struct, array_like=True):
@@ -67,6 +77,15 @@
     """What the new process has to know of a call's end."""
     relay = ended.relay
     return CallEnded(
-        relay.taken.ref, relay.number, relay.taken.destination, ended.outcome, ended.took, ended.wait,
-        ended.no_slot, ended.over, ended.room_left, ended.limit_per_s, ended.unread,
+        relay.taken.ref,
+        relay.number,
+        relay.taken.destination,
+        ended.outcome,
+        ended.took,
+        ended.wait,
+        ended.no_slot,
+        ended.over,
+        ended.room_left,
+        ended.limit_per_s,
+        ended.unread,
     )
--- a/willownotch/handover/version.py
+++ b/willownotch/handover/version.py
@@ -1,12 +1,23 @@
 """What two processes must have in common to hand an estate over."""
+
 from __future__ import annotations
 
 import functools
 import hashlib
 from pathlib import Path
 
-NAMES = ("control.py", "state.py", "interface.py", "handover/estate.py", "handover/pickled.py",
-         "net/config.py", "journal/records.py", "net/registry.py", "net/rules.py", "bodies/plan.py")
+NAMES = (
+    "control.py",
+    "state.py",
+    "interface.py",
+    "handover/estate.py",
+    "handover/pickled.py",
+    "net/config.py",
+    "journal/records.py",
+    "net/registry.py",
+    "net/rules.py",
+    "bodies/plan.py",
+)
 
 
 @functools.cache
--- a/willownotch/handover/wire.py
+++ b/willownotch/handover/wire.py
@@ -1,4 +1,5 @@
 """Frames between the two processes: a kind, some bytes, and descriptors. `Frames` opens nothing."""
+
 from __future__ import annotations
 
 import errno
@@ -82,8 +83,8 @@
                 raise BadFrameError("no frame of a hand-over")
             if len(self._data) < HEAD.size + length:
                 break
-            body = bytes(self._data[HEAD.size:HEAD.size + length])
-            del self._data[:HEAD.size + length]
+            body = bytes(self._data[HEAD.size : HEAD.size + length])
+            del self._data[: HEAD.size + length]
             found.append(Frame(Kind(kind), body, *self._descriptors(count)))
         return found
 
@@ -114,8 +115,9 @@
         self._frames, self._ready = Frames(), deque[Frame]()
         self._lock = threading.Lock()
 
-    def send(self, kind: Kind, data: bytes = b"", fds: tuple[int, ...] = (),
-             patience: timedelta = BEGIN_TIME) -> None:
+    def send(
+        self, kind: Kind, data: bytes = b"", fds: tuple[int, ...] = (), patience: timedelta = BEGIN_TIME
+    ) -> None:
         """Send one frame whole. After `TimeoutError` nothing was written; another `OSError` ends the link."""
         if len(fds) > DESCRIPTORS:
             raise ValueError("too many descriptors for a frame")
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -3,6 +3,7 @@
 The words are the field's: a *message* goes to a *destination* by a call (an *attempt*) to one of its
 *endpoints*. Times are seconds on the caller's clock. Nothing here decides anything.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -375,7 +376,17 @@
 
 
 Event = (
-    EndpointList | ListFailed | Message | Withdrawn | AttemptEnded | AnswerStarted | ProbeEnded | Note
-    | TenantPart | Retuned | Stopping | Timer
+    EndpointList
+    | ListFailed
+    | Message
+    | Withdrawn
+    | AttemptEnded
+    | AnswerStarted
+    | ProbeEnded
+    | Note
+    | TenantPart
+    | Retuned
+    | Stopping
+    | Timer
 )
 Action = Send | Refuse | Fail | CallOff | Probe | CloseIdle | Tell | Wake | Subscribe | FetchList | Log
--- a/willownotch/journal/records.py
+++ b/willownotch/journal/records.py
@@ -3,6 +3,7 @@
 A record is framed as magic, length, checksum, body. `apply` lets one change what is live, so that whoever
 sees the same records in the same order holds the same: a file that is read back, or a copy elsewhere.
 """
+
 from __future__ import annotations
 
 import zlib
@@ -189,7 +190,7 @@
         record = None
         if data.startswith(MAGIC, at) and at + FRAME.size <= len(data):
             _, length, checksum = FRAME.unpack_from(data, at)
-            body = data[at + FRAME.size:at + FRAME.size + length]
+            body = data[at + FRAME.size : at + FRAME.size + length]
             if length <= MOST_RECORD and len(body) == length and zlib.crc32(body) == checksum:
                 try:
                     record = _decode(body)
--- a/willownotch/lab/check/commits.py
+++ b/willownotch/lab/check/commits.py
@@ -17,6 +17,7 @@
 more, folders that cannot be written, how commits are caught up with. Which voter is which changes nothing, so
 the numbers of voters in what is found are those of their order at that moment.
 """
+
 from __future__ import annotations
 
 import sys
@@ -111,22 +112,34 @@
 
 def replaced(items: tuple, at: int, item) -> tuple:
     """The same with one item changed."""
-    return items[:at] + (item,) + items[at + 1:]
+    return items[:at] + (item,) + items[at + 1 :]
 
 
 def canonical(state: State) -> State:
     """One state for all that differ by which voter is which, or by answers that nobody waits for."""
     over = [bool(writer.sent) for writer in state.writers]
-    return state._replace(voters=tuple(sorted(voter._replace(promises=tuple(
-        () if done else said for done, said in zip(over, voter.promises, strict=True)))
-        for voter in state.voters)))
+    return state._replace(
+        voters=tuple(
+            sorted(
+                voter._replace(
+                    promises=tuple(
+                        () if done else said for done, said in zip(over, voter.promises, strict=True)
+                    )
+                )
+                for voter in state.voters
+            )
+        )
+    )
 
 
 @cache
 def count(answers: tuple[tuple[int, int, int], ...], lost: int) -> int:
     """How many of these answers count, (voter, new, knows) each, where the voter `lost` lost its folder."""
-    return len(agreement.counted({str(voter): {str(lost): 2} if knows else {str(voter): 1 + new}
-                                  for voter, new, knows in answers}))
+    return len(
+        agreement.counted(
+            {str(voter): {str(lost): 2} if knows else {str(voter): 1 + new} for voter, new, knows in answers}
+        )
+    )
 
 
 def enough(answers: Iterable[tuple[int, int, int]], state: State, bounds: Bounds) -> bool:
@@ -137,8 +150,12 @@
 
 
 @cache
-def decide(promised: int, pending: tuple[int, ...], revision: int, accept: tuple[int, int, int],
-           ) -> tuple[int, ...] | None:
+def decide(
+    promised: int,
+    pending: tuple[int, ...],
+    revision: int,
+    accept: tuple[int, int, int],
+) -> tuple[int, ...] | None:
     """The program's rule for a voter's vote."""
     ballot, wanted, change = accept
     found = agreement.decide(promised, kept(pending), revision, Accept(ballot, wanted, change or None))
@@ -164,6 +181,7 @@
 
 def moves_of(bounds: Bounds):
     """All that can happen in a state."""
+
     def moves(state: State) -> Iterator[Move]:
         for at, voter in enumerate(state.voters):
             for what, fresh, more in steps(state, at, voter, bounds):
@@ -173,6 +191,7 @@
             for what, fresh, more in writes(state, n + 1, writer, bounds):
                 following = state._replace(writers=replaced(state.writers, n, fresh), **more)
                 yield f"writer {n + 1} {what}", canonical(following)
+
     return moves
 
 
@@ -186,22 +205,31 @@
         if not writer.sent and agreement.may_promise(voter.promised, ballot):
             fresh = voter._replace(promised=ballot)
             if said(fresh) not in voter.promises[n]:
-                yield f"promises {ballot}", fresh._replace(promises=replaced(
-                    voter.promises, n, tuple(sorted({*voter.promises[n], said(fresh)})))), {}
+                yield (
+                    f"promises {ballot}",
+                    fresh._replace(
+                        promises=replaced(voter.promises, n, tuple(sorted({*voter.promises[n], said(fresh)})))
+                    ),
+                    {},
+                )
         for revision, change in writer.sent:
             promised = voter.promised if bounds.promise else 0
             found = decide(promised, voter.pending, voter.revision, (ballot, revision, change))
             if found is None:
                 continue
             cast = Cast(ballot, revision, change, voter.new, voter.knows)
-            fresh = voter._replace(promised=max(voter.promised, ballot), pending=found,
-                                   votes=tuple(sorted({*voter.votes, cast})))
+            fresh = voter._replace(
+                promised=max(voter.promised, ballot), pending=found, votes=tuple(sorted({*voter.votes, cast}))
+            )
             if fresh != voter:
                 yield f"accepts {change or 'nothing'} under {ballot}", fresh, {}
     if bounds.learning and voter.revision < bounds.revisions and state.chosen[voter.revision]:
         pending = voter.pending if voter.pending and voter.pending[1] > voter.revision + 1 else ()
-        yield f"learns revision {voter.revision + 1}", voter._replace(
-            revision=voter.revision + 1, pending=pending), {}
+        yield (
+            f"learns revision {voter.revision + 1}",
+            voter._replace(revision=voter.revision + 1, pending=pending),
+            {},
+        )
     if state.left:
         empty = Voter(new=1, voting=0, promises=voter.promises, votes=voter.votes)
         if not bounds.recovery:
@@ -218,9 +246,17 @@
     if not enough(((n, one.new, one.knows) for n, one in told), state, bounds):
         return
     latest = max(one.revision for _, one in told)
-    yield "votes again", voter._replace(
-        promised=max(one.promised for _, one in told), revision=latest, knows=1, voting=1,
-        pending=again(latest, tuple(one.pending for _, one in told))), {}
+    yield (
+        "votes again",
+        voter._replace(
+            promised=max(one.promised for _, one in told),
+            revision=latest,
+            knows=1,
+            voting=1,
+            pending=again(latest, tuple(one.pending for _, one in told)),
+        ),
+        {},
+    )
 
 
 def wanted(ballot: int, revision: int) -> int:
@@ -236,13 +272,19 @@
     revision, change = writer.sent[-1]
     if change == NOTHING:
         if not bounds.asked_first or carried(state, ballot, revision, NOTHING, bounds):
-            yield "refuses X and wants its own", writer._replace(
-                sent=(*writer.sent, (revision, wanted(ballot, revision))), refused=1), {"refused": 1}
+            yield (
+                "refuses X and wants its own",
+                writer._replace(sent=(*writer.sent, (revision, wanted(ballot, revision))), refused=1),
+                {"refused": 1},
+            )
     elif revision < bounds.revisions and state.chosen[revision - 1]:
         token = max(state.chosen[revision - 1]) // 10
         if token <= ballot or not bounds.tokens:
-            yield f"goes on to revision {revision + 1}", writer._replace(
-                sent=(*writer.sent, (revision + 1, wanted(ballot, revision + 1)))), {}
+            yield (
+                f"goes on to revision {revision + 1}",
+                writer._replace(sent=(*writer.sent, (revision + 1, wanted(ballot, revision + 1)))),
+                {},
+            )
 
 
 def begins(state: State, ballot: int, writer: Writer, bounds: Bounds) -> Iterator[tuple[str, Writer, dict]]:
@@ -251,8 +293,9 @@
     for number in range(1, VOTERS + 1):
         for group in combinations(range(VOTERS), number):
             for answers in product(*(state.voters[at].promises[ballot - 1] for at in group)):
-                if not enough(((at, one.new, one.knows) for at, one in zip(group, answers, strict=True)),
-                              state, bounds):
+                if not enough(
+                    ((at, one.new, one.knows) for at, one in zip(group, answers, strict=True)), state, bounds
+                ):
                     continue
                 latest = max(one.revision for one in answers)
                 for revision in range(latest, bounds.revisions):
@@ -266,16 +309,27 @@
                     elif not revision or not bounds.tokens or max(state.chosen[revision - 1]) // 10 <= ballot:
                         seen.add((revision + 1, wanted(ballot, revision + 1)))
     for revision, change in sorted(seen):
-        yield f"wants {change or 'nothing'} as revision {revision}", writer._replace(
-            sent=((revision, change),)), {}
+        yield (
+            f"wants {change or 'nothing'} as revision {revision}",
+            writer._replace(sent=((revision, change),)),
+            {},
+        )
 
 
 def carried(state: State, ballot: int, revision: int, change: int, bounds: Bounds) -> bool:
     """Whether votes enough were cast: any of them may be those that the writer hears."""
-    cast = [(at, vote.new, vote.knows) for at, voter in enumerate(state.voters) for vote in voter.votes
-            if vote[:3] == (ballot, revision, change)]
-    return any(enough(group, state, bounds) for number in range(1, VOTERS + 1)
-               for group in combinations(cast, number) if len({at for at, _, _ in group}) == number)
+    cast = [
+        (at, vote.new, vote.knows)
+        for at, voter in enumerate(state.voters)
+        for vote in voter.votes
+        if vote[:3] == (ballot, revision, change)
+    ]
+    return any(
+        enough(group, state, bounds)
+        for number in range(1, VOTERS + 1)
+        for group in combinations(cast, number)
+        if len({at for at, _, _ in group}) == number
+    )
 
 
 def decided(state: State, at: int, bounds: Bounds) -> State:
@@ -301,8 +355,12 @@
 
 def first(bounds: Bounds) -> State:
     """Nothing has happened."""
-    return State((Voter(promises=((),) * bounds.ballots),) * VOTERS, (Writer(),) * bounds.ballots,
-                 ((),) * bounds.revisions, bounds.lost)
+    return State(
+        (Voter(promises=((),) * bounds.ballots),) * VOTERS,
+        (Writer(),) * bounds.ballots,
+        ((),) * bounds.revisions,
+        bounds.lost,
+    )
 
 
 def check(bounds: Bounds, most: int = 10**7) -> Found:
@@ -316,10 +374,14 @@
 LOST = Bounds(refusing=False, learning=False)
 LONG = Bounds(lost=0, revisions=2, ballots=3, refusing=False)  # minutes, as the next
 LARGE = (LONG, Bounds(lost=0, ballots=3), Bounds())
-WITHOUT = (("no promise", TINY, {"promise": False}), ("no first phase", TINY, {"first_phase": False}),
-           ("no majority", TINY, {"majority": False}), ("no incarnations", LOST, {"incarnations": False}),
-           ("no recovery", LOST, {"recovery": False}),
-           ("refused by the writer alone", NEXT, {"asked_first": False}))
+WITHOUT = (
+    ("no promise", TINY, {"promise": False}),
+    ("no first phase", TINY, {"first_phase": False}),
+    ("no majority", TINY, {"majority": False}),
+    ("no incarnations", LOST, {"incarnations": False}),
+    ("no recovery", LOST, {"recovery": False}),
+    ("refused by the writer alone", NEXT, {"asked_first": False}),
+)
 WITHOUT_LARGE = (("no tokens", LONG, {"tokens": False}),)
 
 
--- a/willownotch/lab/check/leases.py
+++ b/willownotch/lab/check/leases.py
@@ -10,6 +10,7 @@
 What must hold: no two candidates have a lease by their own clocks at once; acts are never taken under a lower
 token than one taken before. Each safeguard can be left out, to see that the check finds what it is for.
 """
+
 from __future__ import annotations
 
 import sys
@@ -73,7 +74,7 @@
 
 def replaced(items: tuple, at: int, item) -> tuple:
     """The same with one item changed."""
-    return items[:at] + (item,) + items[at + 1:]
+    return items[:at] + (item,) + items[at + 1 :]
 
 
 def bare(state: State, bounds: Bounds) -> State:
@@ -86,25 +87,36 @@
         for number, token in enumerate(one.tokens):
             for at, elector in enumerate(state.electors):
                 # A token is one holder's for good and only grows, unless an elector forgets.
-                if bounds.remembered and (elector.token > token or (
-                        elector.token == token and elector.holder != n + 1)):
+                if bounds.remembered and (
+                    elector.token > token or (elector.token == token and elector.holder != n + 1)
+                ):
                     asks[number] &= ~(1 << at)
         hoped = bool(one.asks) and one.age < bounds.span - bounds.margin and asks[last] | answers[last]
-        tokens = [token if asks[number] or (number == last and hoped) else 0
-                  for number, token in enumerate(one.tokens)]
-        candidates.append(one._replace(
-            asks=tuple(asks), answers=tuple(answers), tokens=tuple(tokens),
-            token=one.token if one.held or hoped else 0, age=one.age if hoped else bounds.span,
-            granted=one.granted if hoped else 0,
-            armed=0 if bounds.fencing and one.armed < state.taken else one.armed))
+        tokens = [
+            token if asks[number] or (number == last and hoped) else 0
+            for number, token in enumerate(one.tokens)
+        ]
+        candidates.append(
+            one._replace(
+                asks=tuple(asks),
+                answers=tuple(answers),
+                tokens=tuple(tokens),
+                token=one.token if one.held or hoped else 0,
+                age=one.age if hoped else bounds.span,
+                granted=one.granted if hoped else 0,
+                armed=0 if bounds.fencing and one.armed < state.taken else one.armed,
+            )
+        )
     return state._replace(candidates=tuple(candidates))
 
 
 def swapped(state: State) -> State:
     """The same with the candidates in each other's place: which is which changes nothing either."""
     other = (0, 2, 1)
-    return state._replace(candidates=state.candidates[::-1], electors=tuple(
-        elector._replace(holder=other[elector.holder]) for elector in state.electors))
+    return state._replace(
+        candidates=state.candidates[::-1],
+        electors=tuple(elector._replace(holder=other[elector.holder]) for elector in state.electors),
+    )
 
 
 def canonical(state: State, bounds: Bounds) -> State:
@@ -115,54 +127,84 @@
 
 def sorted_out(state: State) -> State:
     """The same state with the electors in one order: which is which changes nothing."""
+
     def of(at: int) -> tuple:
         return state.electors[at], tuple(
             (*(mask >> at & 1 for mask in (*one.asks, *one.answers)), one.granted >> at & 1)
-            for one in state.candidates)
+            for one in state.candidates
+        )
+
     line = sorted(range(ELECTORS), key=of)
     if line == list(range(ELECTORS)):
         return state
 
     def turned(mask: int) -> int:
         return sum((mask >> old & 1) << new for new, old in enumerate(line))
-    return state._replace(electors=tuple(state.electors[at] for at in line), candidates=tuple(
-        one._replace(asks=tuple(map(turned, one.asks)), answers=tuple(map(turned, one.answers)),
-                     granted=turned(one.granted)) for one in state.candidates))
+
+    return state._replace(
+        electors=tuple(state.electors[at] for at in line),
+        candidates=tuple(
+            one._replace(
+                asks=tuple(map(turned, one.asks)),
+                answers=tuple(map(turned, one.answers)),
+                granted=turned(one.granted),
+            )
+            for one in state.candidates
+        ),
+    )
 
 
 def moves_of(bounds: Bounds):
     """All that can happen in a state."""
+
     def all_moves(state: State) -> Iterator[Move]:
         for what, following in moves(state):
             yield what, canonical(following, bounds)
 
     def moves(state: State) -> Iterator[Move]:
         for n, one in enumerate(state.candidates):
+
             def changed(fresh: Candidate, n: int = n, **more) -> State:
                 return state._replace(candidates=replaced(state.candidates, n, fresh), **more)
+
             if len(one.asks) < bounds.rounds:
                 known = max(e.token for e in state.electors)
                 token = one.token if one.held else known + 1
                 if token <= bounds.tokens:
-                    yield f"{n} asks for token {token}", changed(one._replace(
-                        token=token, age=0, granted=0, asks=one.asks + (0b111,),
-                        answers=one.answers + (0,), tokens=one.tokens + (token,)))
+                    yield (
+                        f"{n} asks for token {token}",
+                        changed(
+                            one._replace(
+                                token=token,
+                                age=0,
+                                granted=0,
+                                asks=one.asks + (0b111,),
+                                answers=one.answers + (0,),
+                                tokens=one.tokens + (token,),
+                            )
+                        ),
+                    )
             yield from heard(state, n, one, changed, bounds)
             if one.held and one.left > 0 and one.armed != one.token:
                 yield f"{n} looks at its lease", changed(one._replace(armed=one.token))
             if one.armed:
                 fresh = one._replace(armed=0)
                 if one.armed >= state.taken or not bounds.fencing:
-                    yield f"{n}'s act under {one.armed} is taken", changed(
-                        fresh, taken=max(one.armed, state.taken), wrong=one.armed < state.taken)
+                    yield (
+                        f"{n}'s act under {one.armed} is taken",
+                        changed(fresh, taken=max(one.armed, state.taken), wrong=one.armed < state.taken),
+                    )
             yield from asked(state, n, one, changed, bounds)
         yield from ticked(state, bounds)
         if state.restarts < bounds.restarts:
             for n, elector in enumerate(state.electors):
                 # Its lease counts anew: it may have been granted a moment before.
                 back = elector._replace(left=bounds.span) if bounds.remembered else Elector()
-                yield f"elector {n} restarts", state._replace(
-                    electors=replaced(state.electors, n, back), restarts=state.restarts + 1)
+                yield (
+                    f"elector {n} restarts",
+                    state._replace(electors=replaced(state.electors, n, back), restarts=state.restarts + 1),
+                )
+
     return all_moves
 
 
@@ -178,10 +220,14 @@
             found = decide(grant, 0, Wanted(one.tokens[number], str(n + 1), 0, bounds.span))
             if found is None:
                 continue
-            fresh = fresh._replace(answers=replaced(
-                one.answers, number, one.answers[number] | 1 << at))
-            yield f"elector {at} grants {n}'s round {number}", changed(fresh, electors=replaced(
-                state.electors, at, Elector(found.token, n + 1, int(found.until))))
+            fresh = fresh._replace(answers=replaced(one.answers, number, one.answers[number] | 1 << at))
+            yield (
+                f"elector {at} grants {n}'s round {number}",
+                changed(
+                    fresh,
+                    electors=replaced(state.electors, at, Elector(found.token, n + 1, int(found.until))),
+                ),
+            )
 
 
 def heard(state: State, n: int, one: Candidate, changed, bounds: Bounds) -> Iterator[Move]:
@@ -213,12 +259,15 @@
                 candidates.append(one._replace(missed=one.missed + 1))
                 continue
             left = max(0, one.left - 1)
-            candidates.append(one._replace(
-                left=left, age=min(one.age + 1, bounds.span), held=one.held and left > 0))
+            candidates.append(
+                one._replace(left=left, age=min(one.age + 1, bounds.span), held=one.held and left > 0)
+            )
         else:
             missing = ", ".join(str(n) for n in range(2) if misses >> n & 1)
-            yield f"a tick{' that ' + missing + ' misses' if missing else ''}", state._replace(
-                electors=electors, candidates=tuple(candidates))
+            yield (
+                f"a tick{' that ' + missing + ' misses' if missing else ''}",
+                state._replace(electors=electors, candidates=tuple(candidates)),
+            )
 
 
 def broken(state: State) -> str:
@@ -237,8 +286,11 @@
 TINY = Bounds(span=2, rounds=1, restarts=0)  # seconds; the others take a minute, and some
 SMALL = Bounds(rounds=1, restarts=0)
 LONG = Bounds(rounds=2, tokens=3, restarts=0)
-WITHOUT = (("no fencing", {"fencing": False}), ("no margin for drift", {"margin": 0}),
-           ("electors that forget", {"remembered": False, "restarts": 1}))
+WITHOUT = (
+    ("no fencing", {"fencing": False}),
+    ("no margin for drift", {"margin": 0}),
+    ("electors that forget", {"remembered": False, "restarts": 1}),
+)
 
 
 def main() -> None:
--- a/willownotch/lab/check/states.py
+++ b/willownotch/lab/check/states.py
@@ -1,4 +1,5 @@
 """Breadth-first search through all states that can be reached, each kept once."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -18,8 +19,12 @@
     way: tuple[str, ...] = ()
 
 
-def explore(first: Hashable, moves: Callable[[Hashable], Iterable[Move]],
-            broken: Callable[[Hashable], str], most: int = 10**7) -> Found:
+def explore(
+    first: Hashable,
+    moves: Callable[[Hashable], Iterable[Move]],
+    broken: Callable[[Hashable], str],
+    most: int = 10**7,
+) -> Found:
     """Look at every state, the nearest first, until one is broken or `most` have been seen."""
     before: dict[Hashable, tuple[Hashable | None, str]] = {first: (None, "")}
     waiting = deque([first])
--- a/willownotch/lab/experiment/cases.py
+++ b/willownotch/lab/experiment/cases.py
@@ -1,4 +1,5 @@
 """The cases of an experiment, each named by all that its result hangs on, the code among it."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -27,8 +28,9 @@
 
     def key(self, version: str) -> str:
         """The same for the same story of the same code."""
-        data = msgspec.msgpack.encode([version, self.load, self.policy, self.seed, self.settings],
-                                      enc_hook=lambda value: str(value))
+        data = msgspec.msgpack.encode(
+            [version, self.load, self.policy, self.seed, self.settings], enc_hook=lambda value: str(value)
+        )
         return xxh3_128(data).hexdigest()
 
 
--- a/willownotch/lab/experiment/command.py
+++ b/willownotch/lab/experiment/command.py
@@ -1,4 +1,5 @@
 """`willownotch experiment` and `willownotch play`."""
+
 from __future__ import annotations
 
 import os
@@ -64,13 +65,21 @@
     if as_json:
         print(msgspec.json.encode(asdict(result)).decode())
     else:
-        rows = [[cls, f"{result.classes[cls]:.3f}", *(str(ends.get(what, 0)) for what in ENDS)]
-                for cls, ends in result.outcomes.items()]
-        print(f"score {result.score:.3f}: " + ", ".join(f"{k} {v:.3f}" for k, v in result.parts.items())
-              + "; less " + ", ".join(f"{k} {v:.3f}" for k, v in result.deductions.items()))
+        rows = [
+            [cls, f"{result.classes[cls]:.3f}", *(str(ends.get(what, 0)) for what in ENDS)]
+            for cls, ends in result.outcomes.items()
+        ]
+        print(
+            f"score {result.score:.3f}: "
+            + ", ".join(f"{k} {v:.3f}" for k, v in result.parts.items())
+            + "; less "
+            + ", ".join(f"{k} {v:.3f}" for k, v in result.deductions.items())
+        )
         print(table(["CLASS", "WORTH KEPT", *(what.upper() for what in ENDS)], rows))
-        print(f"{result.messages} messages, {result.attempts} attempts, {result.connections} connections, "
-              f"{result.events} events, digest {result.digest}")
+        print(
+            f"{result.messages} messages, {result.attempts} attempts, {result.connections} connections, "
+            f"{result.events} events, digest {result.digest}"
+        )
         for breach in result.breaches:
             print(f"broken: {breach.rule}, {breach.ref} at {breach.at:.3f} s, {breach.call}")
     return BROKEN if result.breaches else FINE
--- a/willownotch/lab/experiment/compare.py
+++ b/willownotch/lab/experiment/compare.py
@@ -4,6 +4,7 @@
 has a bootstrap interval (Efron, 1979; percentiles of means of resamples); where that holds zero, the
 difference is called noise.
 """
+
 from __future__ import annotations
 
 from collections import defaultdict
@@ -47,8 +48,12 @@
     places = (random.random((RESAMPLES, len(data))) * len(data)).astype(int)
     means = np.sort(data[places].mean(axis=1))
     edge = (1 - LEVEL) / 2
-    return Difference(float(data.mean()), float(means[int(edge * RESAMPLES)]),
-                      float(means[int((1 - edge) * RESAMPLES) - 1]), len(data))
+    return Difference(
+        float(data.mean()),
+        float(means[int(edge * RESAMPLES)]),
+        float(means[int((1 - edge) * RESAMPLES) - 1]),
+        len(data),
+    )
 
 
 def against(rows: list[Row], reference: str) -> dict[tuple[str, float, str], Difference]:
--- a/willownotch/lab/experiment/report.py
+++ b/willownotch/lab/experiment/report.py
@@ -1,4 +1,5 @@
 """Tables in Markdown and charts of an experiment."""
+
 from __future__ import annotations
 
 from collections import Counter, defaultdict
@@ -44,8 +45,9 @@
     return markdown(table)
 
 
-def best_other(differences: dict[tuple[str, float, str], Difference], scenario: str,
-               load: float) -> tuple[str, Difference] | None:
+def best_other(
+    differences: dict[tuple[str, float, str], Difference], scenario: str, load: float
+) -> tuple[str, Difference] | None:
     """The policy that does best against the reference."""
     there = [(p, d) for (s, at, p), d in differences.items() if (s, at) == (scenario, load)]
     return max(there, key=lambda each: each[1].mean, default=None)
@@ -53,13 +55,20 @@
 
 def losses(rows: list[Row], reference: str) -> list[str]:
     """Where the reference loses, for certain, the largest loss first."""
-    found = [(d.mean, s, load, p, d) for (s, load, p), d in against(rows, reference).items()
-             if d.mean > 0 and not d.noise]
+    found = [
+        (d.mean, s, load, p, d)
+        for (s, load, p), d in against(rows, reference).items()
+        if d.mean > 0 and not d.noise
+    ]
     found.sort(key=lambda each: -each[0])
     if not found:
         return [f"{reference} loses to none of them beyond noise."]
-    return markdown([["scenario", "load", "policy", f"less {reference}"],
-                     *[[s, f"{load:.0%}", p, d.show()] for _, s, load, p, d in found]])
+    return markdown(
+        [
+            ["scenario", "load", "policy", f"less {reference}"],
+            *[[s, f"{load:.0%}", p, d.show()] for _, s, load, p, d in found],
+        ]
+    )
 
 
 def breaches(rows: list[Row]) -> list[str]:
@@ -119,7 +128,7 @@
             continue
         began, ended = block.at.total_seconds(), (block.at + block.for_).total_seconds()
         before = rate[(at <= began)]
-        after = (at >= ended + SMOOTH * SAMPLE_S / 2)
+        after = at >= ended + SMOOTH * SAMPLE_S / 2
         if not len(before) or not after.any():
             continue
         well = np.flatnonzero(after & (rate >= RECOVERED * np.mean(before)))
@@ -137,8 +146,16 @@
                 spans[name].append(span)
         for name, values in spans.items():
             known = [v for v in values if v is not None]
-            table.append([scenario, f"{load:.0%}", policy, name, f"{median(known):.1f}" if known else "",
-                          str(len(values) - len(known))])
+            table.append(
+                [
+                    scenario,
+                    f"{load:.0%}",
+                    policy,
+                    name,
+                    f"{median(known):.1f}" if known else "",
+                    str(len(values) - len(known)),
+                ]
+            )
     return markdown(table)
 
 
@@ -158,16 +175,23 @@
         figure.savefig(folder / name, metadata={"Date": None})
         pyplot.close(figure)
         names.append(name)
+
     loads = sorted({row.load for row in rows})
     for scenario in experiment.scenario:
         if len(loads) > 1:
             figure, axes = pyplot.subplots(figsize=(7, 4))
             for policy in experiment.policies:
-                there = [(load, groups[scenario, load, policy]) for load in loads
-                         if (scenario, load, policy) in groups]
-                axes.plot([100 * load for load, _ in there],
-                          [fmean(r.result.parts["run"] for r in group) for _, group in there], marker="o",
-                          label=policy)
+                there = [
+                    (load, groups[scenario, load, policy])
+                    for load in loads
+                    if (scenario, load, policy) in groups
+                ]
+                axes.plot(
+                    [100 * load for load, _ in there],
+                    [fmean(r.result.parts["run"] for r in group) for _, group in there],
+                    marker="o",
+                    label=policy,
+                )
             axes.set(xlabel="load, % of full", ylabel="worth kept", title=f"goodput against load: {scenario}")
             axes.legend(fontsize=7)
             save(figure, f"load-{scenario}.svg")
@@ -175,13 +199,21 @@
         figure, axes = pyplot.subplots(figsize=(7, 4))
         for policy in experiment.policies:
             group = groups.get((scenario, load, policy))
-            values = np.sort([v for row in group or () for each in row.result.latency_ms.values()
-                              for v in each])
+            values = np.sort(
+                [v for row in group or () for each in row.result.latency_ms.values() for v in each]
+            )
             if len(values):
-                axes.plot(values / 1000, 100 * (np.arange(len(values)) + 1) / sum(
-                    row.result.messages for row in group), label=policy)
-        axes.set(xscale="log", xlabel="seconds from the first hand-in", ylabel="% of messages delivered",
-                 title=f"latency: {scenario} at {load:.0%}")
+                axes.plot(
+                    values / 1000,
+                    100 * (np.arange(len(values)) + 1) / sum(row.result.messages for row in group),
+                    label=policy,
+                )
+        axes.set(
+            xscale="log",
+            xlabel="seconds from the first hand-in",
+            ylabel="% of messages delivered",
+            title=f"latency: {scenario} at {load:.0%}",
+        )
         axes.legend(fontsize=7)
         save(figure, f"latency-{scenario}.svg")
         figure, (upper, lower) = pyplot.subplots(2, 1, figsize=(7, 5), sharex=True)
@@ -207,13 +239,36 @@
 def report(rows: list[Row], experiment: Experiment, name: str, folder: Path | None = None) -> str:
     """The whole report; charts go to `folder`, if one is given."""
     seeds = sorted({row.seed for row in rows})
-    lines = [f"# {name}", "", f"{len(rows)} stories, seeds {seeds[0]} to {seeds[-1]}, "
-             f"code {', '.join(sorted({row.version for row in rows}))}.", "", "## Scores", "",
-             *scores(rows, experiment.policies, experiment.reference), "",
-             f"## Where {experiment.reference} loses", "", *losses(rows, experiment.reference), "",
-             "## Broken rules", "", *breaches(rows), "", "## Latency", "", *latencies(rows), "",
-             "## Outcomes by class", "", *outcomes(rows), "", "## Recovery", "",
-             *recoveries(rows, experiment)]
+    lines = [
+        f"# {name}",
+        "",
+        f"{len(rows)} stories, seeds {seeds[0]} to {seeds[-1]}, "
+        f"code {', '.join(sorted({row.version for row in rows}))}.",
+        "",
+        "## Scores",
+        "",
+        *scores(rows, experiment.policies, experiment.reference),
+        "",
+        f"## Where {experiment.reference} loses",
+        "",
+        *losses(rows, experiment.reference),
+        "",
+        "## Broken rules",
+        "",
+        *breaches(rows),
+        "",
+        "## Latency",
+        "",
+        *latencies(rows),
+        "",
+        "## Outcomes by class",
+        "",
+        *outcomes(rows),
+        "",
+        "## Recovery",
+        "",
+        *recoveries(rows, experiment),
+    ]
     if folder is not None:
         made = charts(rows, experiment, folder)
         lines += ["", "## Charts", "", *[f"![{chart}]({folder.name}/{chart})" for chart in made]]
--- a/willownotch/lab/experiment/run.py
+++ b/willownotch/lab/experiment/run.py
@@ -1,4 +1,5 @@
 """Plays what is missing of an experiment, on all cores."""
+
 from __future__ import annotations
 
 import time
--- a/willownotch/lab/experiment/settings.py
+++ b/willownotch/lab/experiment/settings.py
@@ -1,4 +1,5 @@
 """The `experiment` block of a settings file."""
+
 from __future__ import annotations
 
 from typing import Annotated
@@ -27,8 +28,9 @@
             if policy not in POLICIES:
                 found.append(("policies", f"unknown policy {policy!r}, allowed: {', '.join(POLICIES)}"))
         if self.reference not in self.policies:
-            found.append(("reference", "'reference' is none of the policies, allowed: "
-                          f"{', '.join(self.policies)}"))
+            found.append(
+                ("reference", "'reference' is none of the policies, allowed: " f"{', '.join(self.policies)}")
+            )
         if not self.scenario:
             found.append(("scenario", "no scenario, wanted: a block 'scenario NAME' at the least"))
         return found
--- a/willownotch/lab/experiment/store.py
+++ b/willownotch/lab/experiment/store.py
@@ -1,5 +1,6 @@
 """Results in SQLite: a row a case, each in a transaction of its own, so that a kill loses no finished
 case."""
+
 from __future__ import annotations
 
 import sqlite3
@@ -45,21 +46,34 @@
 
     def has(self, keys: Iterable[str]) -> set[str]:
         """Those of these cases that are there."""
-        known = {key for key, in self._db.execute("select key from cases")}
+        known = {key for (key,) in self._db.execute("select key from cases")}
         return known & set(keys)
 
     def put(self, key: str, case: Case, version: str, result: Result, took_s: float) -> None:
         """Keep a case's result."""
-        self._db.execute("insert or replace into cases values (?,?,?,?,?,?,?,?,?,?)", (
-            key, case.scenario, case.load, case.policy, case.seed, version, result.score, result.digest,
-            took_s, msgspec.msgpack.encode(asdict(result))))
+        self._db.execute(
+            "insert or replace into cases values (?,?,?,?,?,?,?,?,?,?)",
+            (
+                key,
+                case.scenario,
+                case.load,
+                case.policy,
+                case.seed,
+                version,
+                result.score,
+                result.digest,
+                took_s,
+                msgspec.msgpack.encode(asdict(result)),
+            ),
+        )
 
     def rows(self, keys: Iterable[str]) -> list[Row]:
         """The results of these cases, in a fixed order."""
         wanted, found = set(keys), []
         for key, *fields, blob in self._db.execute(
-                "select key, scenario, load, policy, seed, version, score, digest, took_s, result from cases "
-                "order by scenario, load, policy, seed"):
+            "select key, scenario, load, policy, seed, version, score, digest, took_s, result from cases "
+            "order by scenario, load, policy, seed"
+        ):
             if key in wanted:
                 found.append(Row(*fields, msgspec.msgpack.decode(blob, type=Result)))
         return found
--- a/willownotch/lab/faults/net.py
+++ b/willownotch/lab/faults/net.py
@@ -8,6 +8,7 @@
 A cut holds a connection's bytes until it heals, as a network does whose ends go on trying; what was sent
 before the cut may come long after it. Loss breaks connections: a share of their pieces is lost with them.
 """
+
 from __future__ import annotations
 
 import heapq
--- a/willownotch/lab/faults/proxy.py
+++ b/willownotch/lab/faults/proxy.py
@@ -1,4 +1,5 @@
 """A TCP proxy on loopback that delays, breaks and holds what goes through it, both ways."""
+
 from __future__ import annotations
 
 import socket
--- a/willownotch/lab/faults/shim.py
+++ b/willownotch/lab/faults/shim.py
@@ -2,6 +2,7 @@
 
 The C compiler is a tool of the tests. Nothing here is loaded by a sender.
 """
+
 from __future__ import annotations
 
 import errno
@@ -51,13 +52,21 @@
     return path
 
 
-def environment(faults: list[CallFault], folder: Path, seed: int = 1, step_s: float = 0.0,
-                step_from_s: float = 0.0, log: Path | None = None) -> dict[str, str]:
+def environment(
+    faults: list[CallFault],
+    folder: Path,
+    seed: int = 1,
+    step_s: float = 0.0,
+    step_from_s: float = 0.0,
+    log: Path | None = None,
+) -> dict[str, str]:
     """The variables that load the library into a process: its faults, the folder whose files they strike, and
     a step of the wall clock in seconds."""
     found = {
-        "LD_PRELOAD": str(library()), "FAULT_SHIM_PLAN": " ".join(fault.text() for fault in faults),
-        "FAULT_SHIM_FOLDER": str(folder), "FAULT_SHIM_SEED": str(seed),
+        "LD_PRELOAD": str(library()),
+        "FAULT_SHIM_PLAN": " ".join(fault.text() for fault in faults),
+        "FAULT_SHIM_FOLDER": str(folder),
+        "FAULT_SHIM_SEED": str(seed),
     }
     if step_s:
         found["FAULT_SHIM_STEP"] = f"{step_s}:{step_from_s}"
--- a/willownotch/lab/load/command.py
+++ b/willownotch/lab/load/command.py
@@ -1,4 +1,5 @@
 """`willownotch load`: a plan against a sender, and the report."""
+
 from __future__ import annotations
 
 import sys
@@ -30,14 +31,23 @@
     return (plan.faster(speed) if speed != 1.0 else plan), settings
 
 
-def main(target: str, settings_file: str | None, trace_file: str | None, speed: float, workers: int,
-         as_json: bool, write_trace: str | None = None) -> int:
+def main(
+    target: str,
+    settings_file: str | None,
+    trace_file: str | None,
+    speed: float,
+    workers: int,
+    as_json: bool,
+    write_trace: str | None = None,
+) -> int:
     """Carry the command out; its exit code."""
     try:
         host, port = AddressWord().read(target)
     except WordError:
-        print(f"willownotch: the target cannot be {target!r}, allowed: {AddressWord().allowed()}",
-              file=sys.stderr)
+        print(
+            f"willownotch: the target cannot be {target!r}, allowed: {AddressWord().allowed()}",
+            file=sys.stderr,
+        )
         return FAULTY
     try:
         plan, settings = planned(settings_file, trace_file, speed)
@@ -45,15 +55,26 @@
         print(fault, file=sys.stderr)
         return FAULTY
     except OSError as fault:
-        print(f"{fault.filename}:1:1: cannot be read ({fault.strerror}), wanted: a readable file",
-              file=sys.stderr)
+        print(
+            f"{fault.filename}:1:1: cannot be read ({fault.strerror}), wanted: a readable file",
+            file=sys.stderr,
+        )
         return FAULTY
     if write_trace is not None:
         Path(write_trace).write_text(trace.write(plan), encoding="utf-8")
         return FINE
-    record = run(plan, Target(host, port, settings.connections,
-                              round(settings.patience.total_seconds() * 1e6), settings.retries,
-                              round(settings.retry_wait.total_seconds() * 1e6)), workers)
+    record = run(
+        plan,
+        Target(
+            host,
+            port,
+            settings.connections,
+            round(settings.patience.total_seconds() * 1e6),
+            settings.retries,
+            round(settings.retry_wait.total_seconds() * 1e6),
+        ),
+        workers,
+    )
     found = report(record, plan.rate(), settings.late_most.total_seconds() * 1000)
     print(msgspec.json.encode(found).decode() if as_json else table(found))
     return FINE if found.schedule.kept else NOT_KEPT
--- a/willownotch/lab/load/core.py
+++ b/willownotch/lab/load/core.py
@@ -4,6 +4,7 @@
 and no more may be opened, it waits for one, and its latency runs on. Times are microseconds from the start
 of the run.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -64,8 +65,9 @@
 class Generator:
     """Sends a plan. Feed it by `tick`, `opened`, `answered` and `broken`; each returns what is to be done."""
 
-    def __init__(self, plan: Plan, connections: int, patience_us: int, retries: int = 0,
-                 retry_wait_us: int = 500_000) -> None:
+    def __init__(
+        self, plan: Plan, connections: int, patience_us: int, retries: int = 0, retry_wait_us: int = 500_000
+    ) -> None:
         self.plan, self.most, self.patience_us = plan, connections, patience_us
         self.retries, self.retry_wait_us = retries, retry_wait_us
         self.record = Record(planned=len(plan))
@@ -135,8 +137,9 @@
             total += 1
             actions.append(Open(self._count))
 
-    def _send(self, now: int, connection: int, number: int, attempt: int, since: int,
-              actions: list[Action]) -> None:
+    def _send(
+        self, now: int, connection: int, number: int, attempt: int, since: int, actions: list[Action]
+    ) -> None:
         if attempt == 0:
             self.record.sent(now, since - self._at[number], now - since)
         self._out[connection] = Out(number, attempt, now)
@@ -156,8 +159,9 @@
         else:
             self._free.append(connection)
 
-    def answered(self, now: int, connection: int, status: int, keeps: bool,
-                 wait_us: int | None = None) -> list[Action]:
+    def answered(
+        self, now: int, connection: int, status: int, keeps: bool, wait_us: int | None = None
+    ) -> list[Action]:
         """An answer has come. `wait_us` is how long it tells to stay away."""
         out = self._out.pop(connection, None)
         actions: list[Action] = []
--- a/willownotch/lab/load/edge.py
+++ b/willownotch/lab/load/edge.py
@@ -2,6 +2,7 @@
 
 All workers share one start on the monotonic clock, which is the machine's. Each sends every n-th message.
 """
+
 from __future__ import annotations
 
 import errno
@@ -57,8 +58,9 @@
 
     def __init__(self, plan: Plan, target: Target, mark: str, start_s: float) -> None:
         self.plan, self.target, self.mark, self.start_s = plan, target, mark, start_s
-        self.generator = Generator(plan, target.connections, target.patience_us, target.retries,
-                                   target.retry_wait_us)
+        self.generator = Generator(
+            plan, target.connections, target.patience_us, target.retries, target.retry_wait_us
+        )
         self.selector = selectors.DefaultSelector()
         self.connections: dict[int, Connection] = {}
         self._bodies: dict[int, bytes] = {}
@@ -138,8 +140,11 @@
             head = found[0]
             found_wait = WAIT.match(head.headers.get("retry-after", ""))
             wait = round(1e6 * float(found_wait[0])) if found_wait else None
-            self._act(self.generator.answered(self.now(), connection.number, head.status,
-                                              head.keeps_alive() and not ended, wait))
+            self._act(
+                self.generator.answered(
+                    self.now(), connection.number, head.status, head.keeps_alive() and not ended, wait
+                )
+            )
         elif ended:
             self._lose(connection)
 
@@ -166,9 +171,17 @@
         plan, n = self.plan, action.number
         size = int(plan.size[n])
         return request(
-            self.target.host, self.target.path, f"{self.mark}{n:08x}", plan.classes[plan.cls[n]],
-            plan.tenants[plan.tenant[n]], int(plan.time_ms[n]), int(plan.dest[n]),
-            plan.key_name(int(plan.key[n])), action.attempt, self._bodies.setdefault(size, b"w" * size))
+            self.target.host,
+            self.target.path,
+            f"{self.mark}{n:08x}",
+            plan.classes[plan.cls[n]],
+            plan.tenants[plan.tenant[n]],
+            int(plan.time_ms[n]),
+            int(plan.dest[n]),
+            plan.key_name(int(plan.key[n])),
+            action.attempt,
+            self._bodies.setdefault(size, b"w" * size),
+        )
 
     def _lose(self, connection: Connection, why: str | None = None) -> None:
         self._drop(connection)
--- a/willownotch/lab/load/plan.py
+++ b/willownotch/lab/load/plan.py
@@ -8,6 +8,7 @@
 Random numbers are numpy's PCG64, and of its methods only the uniform one, whose stream is kept the same over
 versions; all else is made of those here.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, fields
@@ -133,8 +134,11 @@
     for clump in settings.clump.values():
         number = int(round(expected * clump.share / clump.size))
         # Clumps begin where messages do: more of them where the rate is higher.
-        begin = np.interp(random.random(number) * expected, np.concatenate([[0.0], np.cumsum(rate * GRID_S)]),
-                          np.arange(len(rate) + 1) * GRID_S)
+        begin = np.interp(
+            random.random(number) * expected,
+            np.concatenate([[0.0], np.cumsum(rate * GRID_S)]),
+            np.arange(len(rate) + 1) * GRID_S,
+        )
         inside = np.sort(random.random((number, clump.size)), axis=1) * clump.over.total_seconds()
         times = np.concatenate([times, (begin[:, None] + inside).ravel()])
         dest = np.concatenate([dest, np.repeat(choose(shares, number, random), clump.size)])
@@ -152,8 +156,13 @@
             mine = cls == place
             key[mine] = np.where(hot[mine] < one.hot_key, 0, (drawn[mine] * one.keys).astype(np.int64))
     return Plan(
-        np.round(times * 1e6).astype(np.int64), cls.astype(np.int32), dest.astype(np.int64),
-        tenant.astype(np.int32), key, np.array([c.size for c in each], dtype=np.int32)[cls],
+        np.round(times * 1e6).astype(np.int64),
+        cls.astype(np.int32),
+        dest.astype(np.int64),
+        tenant.astype(np.int32),
+        key,
+        np.array([c.size for c in each], dtype=np.int32)[cls],
         np.array([round(c.time.total_seconds() * 1000) for c in each], dtype=np.int64)[cls],
-        names, tuple(tenants) or ("",),
+        names,
+        tuple(tenants) or ("",),
     )
--- a/willownotch/lab/load/record.py
+++ b/willownotch/lab/load/record.py
@@ -3,6 +3,7 @@
 Latency runs from the time that a message was meant to go out, so a target that stalls does not hide what
 would have been sent meanwhile ("coordinated omission", Tene). Values are microseconds, kept to three digits.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -97,17 +98,29 @@
 
     def to_bytes(self) -> bytes:
         """For another process or a file."""
-        return msgspec.msgpack.encode([
-            [[cls, outcome, values.encode()] for (cls, outcome), values in self.latency.items()],
-            self.late.encode(), self.queued.encode(), self.planned, self.retried, self.connections,
-            self.first_us, self.last_us])
+        return msgspec.msgpack.encode(
+            [
+                [[cls, outcome, values.encode()] for (cls, outcome), values in self.latency.items()],
+                self.late.encode(),
+                self.queued.encode(),
+                self.planned,
+                self.retried,
+                self.connections,
+                self.first_us,
+                self.last_us,
+            ]
+        )
 
     @classmethod
     def from_bytes(cls, data: bytes) -> Record:
         """Back again."""
         rows, late, queued, *rest = msgspec.msgpack.decode(data)
-        return cls({(name, outcome): HdrHistogram.decode(values) for name, outcome, values in rows},
-                   HdrHistogram.decode(late), HdrHistogram.decode(queued), *rest)
+        return cls(
+            {(name, outcome): HdrHistogram.decode(values) for name, outcome, values in rows},
+            HdrHistogram.decode(late),
+            HdrHistogram.decode(queued),
+            *rest,
+        )
 
 
 class Kept(msgspec.Struct, frozen=True):
@@ -139,9 +152,20 @@
     sent = record.late.total_count
     span = max(1e-6, (record.last_us - record.first_us) / 1e6)
     return Report(
-        summary(record.all()), [(*key, summary(values)) for key, values in sorted(record.latency.items())],
-        Kept(late, summary(record.queued), record.planned, sent, round(wanted_rate, 3), round(sent / span, 3),
-             late.p99 <= late_most_ms and sent == record.planned), record.retried, record.connections)
+        summary(record.all()),
+        [(*key, summary(values)) for key, values in sorted(record.latency.items())],
+        Kept(
+            late,
+            summary(record.queued),
+            record.planned,
+            sent,
+            round(wanted_rate, 3),
+            round(sent / span, 3),
+            late.p99 <= late_most_ms and sent == record.planned,
+        ),
+        record.retried,
+        record.connections,
+    )
 
 
 def table(found: Report) -> str:
@@ -149,11 +173,15 @@
     heads = ["CLASS", "OUTCOME", "MESSAGES", "P50 MS", "P90", "P99", "P99.9", "MOST"]
     rows = [[cls, outcome, *_cells(values)] for cls, outcome, values in [*found.rows, ("all", "", found.all)]]
     lines, kept = [columns(heads, rows)], found.schedule
-    lines.append(f"sent {kept.sent} of {kept.planned} planned, {kept.sent_rate:.1f} a second of "
-                 f"{kept.wanted_rate:.1f} wanted; {found.connections} connections, {found.retried} retries")
-    lines.append(f"own lateness p50 {kept.late.p50:.2f} ms, p99 {kept.late.p99:.2f}, most "
-                 f"{kept.late.most:.2f}; waits for a connection p99 {kept.queued.p99:.2f}, most "
-                 f"{kept.queued.most:.2f}")
+    lines.append(
+        f"sent {kept.sent} of {kept.planned} planned, {kept.sent_rate:.1f} a second of "
+        f"{kept.wanted_rate:.1f} wanted; {found.connections} connections, {found.retried} retries"
+    )
+    lines.append(
+        f"own lateness p50 {kept.late.p50:.2f} ms, p99 {kept.late.p99:.2f}, most "
+        f"{kept.late.most:.2f}; waits for a connection p99 {kept.queued.p99:.2f}, most "
+        f"{kept.queued.most:.2f}"
+    )
     if not kept.kept:
         lines.append("THE SCHEDULE WAS NOT KEPT: this run asked less of the target than planned, or later")
     return "\n".join(lines)
--- a/willownotch/lab/load/settings.py
+++ b/willownotch/lab/load/settings.py
@@ -1,4 +1,5 @@
 """The `load` block of a settings file: what arrives, when and for whom."""
+
 from __future__ import annotations
 
 from datetime import timedelta
@@ -98,8 +99,9 @@
         for field in ("class_", "destination", "tenant", "clump"):
             if sum(each.share or 0.0 for each in getattr(self, field).values()) > 1.0 + 1e-9:
                 word = field.rstrip("_")
-                found.append((field, f"the shares of all blocks '{word}' are over 100% together, "
-                              "allowed: 100%"))
+                found.append(
+                    (field, f"the shares of all blocks '{word}' are over 100% together, " "allowed: 100%")
+                )
         first, last = self.first_destination, self.first_destination + self.destinations - 1
         strange = [name for name in self.destination if not name.isdigit() or not first <= int(name) <= last]
         if strange:
--- a/willownotch/lab/load/trace.py
+++ b/willownotch/lab/load/trace.py
@@ -9,6 +9,7 @@
 microseconds from the trace's start and never go back. A line that begins with `#` is a remark. All mistakes
 are told, none is passed over: half a trace is another trace.
 """
+
 from __future__ import annotations
 
 import re
@@ -42,22 +43,28 @@
             continue
         found = list(re.finditer(r"\S+", line))
         if len(found) != len(FIELDS):
-            mistakes.append(f"{file}:{number}:{found[-1].start() + 1}: {len(found)} fields, wanted: "
-                            f"{len(FIELDS)} ({' '.join(FIELDS)})")
+            mistakes.append(
+                f"{file}:{number}:{found[-1].start() + 1}: {len(found)} fields, wanted: "
+                f"{len(FIELDS)} ({' '.join(FIELDS)})"
+            )
             continue
         row, sound = {}, True
         for name, part in zip(FIELDS, found, strict=True):
             row[name] = part[0]
             if name in WHOLE:
                 if not re.fullmatch(r"[0-9]{1,16}", part[0]) or int(part[0]) > WHOLE[name]:
-                    mistakes.append(f"{file}:{number}:{part.start() + 1}: {name} cannot be {part[0]!r}, "
-                                    f"allowed: a whole number from 0 to {WHOLE[name]}")
+                    mistakes.append(
+                        f"{file}:{number}:{part.start() + 1}: {name} cannot be {part[0]!r}, "
+                        f"allowed: a whole number from 0 to {WHOLE[name]}"
+                    )
                     sound = False
                 else:
                     row[name] = int(part[0])
         if sound and row["offset_us"] < last:
-            mistakes.append(f"{file}:{number}:{found[0].start() + 1}: offset_us goes back from {last}, "
-                            "allowed: times in order")
+            mistakes.append(
+                f"{file}:{number}:{found[0].start() + 1}: offset_us goes back from {last}, "
+                "allowed: times in order"
+            )
         elif sound:
             last = row["offset_us"]
             rows.append(tuple(row[name] for name in FIELDS))
@@ -82,10 +89,15 @@
     keys = tuple(dict.fromkeys(k for k in key if k != "-"))
     numbers = {name: n for n, name in enumerate(keys)} | {"-": NO_KEY}
     return Plan(
-        np.array(at, dtype=np.int64), _places(cls, classes),
-        np.array(dest, dtype=np.int64), _places(tenant, tenants),
-        np.array([numbers[k] for k in key], dtype=np.int64), np.array(size, dtype=np.int32),
-        np.array(time_ms, dtype=np.int64), classes, tuple("" if t == "-" else unquote(t) for t in tenants),
+        np.array(at, dtype=np.int64),
+        _places(cls, classes),
+        np.array(dest, dtype=np.int64),
+        _places(tenant, tenants),
+        np.array([numbers[k] for k in key], dtype=np.int64),
+        np.array(size, dtype=np.int32),
+        np.array(time_ms, dtype=np.int64),
+        classes,
+        tuple("" if t == "-" else unquote(t) for t in tenants),
         tuple(unquote(k) for k in keys),
     )
 
@@ -100,10 +112,19 @@
     lines = [FIRST, "# " + " ".join(FIELDS)]
     for n in range(len(plan)):
         key = plan.key_name(int(plan.key[n]))
-        lines.append(" ".join([
-            str(plan.at_us[n]), plan.classes[plan.cls[n]], str(plan.dest[n]),
-            _quoted(plan.tenants[plan.tenant[n]]), _quoted(key or ""),
-            str(plan.size[n]), str(plan.time_ms[n])]))
+        lines.append(
+            " ".join(
+                [
+                    str(plan.at_us[n]),
+                    plan.classes[plan.cls[n]],
+                    str(plan.dest[n]),
+                    _quoted(plan.tenants[plan.tenant[n]]),
+                    _quoted(key or ""),
+                    str(plan.size[n]),
+                    str(plan.time_ms[n]),
+                ]
+            )
+        )
     return "\n".join(lines) + "\n"
 
 
@@ -115,8 +136,15 @@
     taken = sorted((r for r in records if isinstance(r, Taken) and r.at is not None), key=lambda r: r.at)
     rows = []
     for record in taken:
-        rows.append((
-            round((record.at - taken[0].at).total_seconds() * 1e6), record.message_class, record.destination,
-            _quoted(record.tenant), _quoted(record.key or ""),
-            record.body_size(), max(1, round((record.ends_at - record.at).total_seconds() * 1000))))
+        rows.append(
+            (
+                round((record.at - taken[0].at).total_seconds() * 1e6),
+                record.message_class,
+                record.destination,
+                _quoted(record.tenant),
+                _quoted(record.key or ""),
+                record.body_size(),
+                max(1, round((record.ends_at - record.at).total_seconds() * 1000)),
+            )
+        )
     return of_rows(rows)
--- a/willownotch/lab/model/baselines.py
+++ b/willownotch/lab/model/baselines.py
@@ -4,6 +4,7 @@
 endpoint with the fewest calls out, gives each message its answer, and repeats only what its class allows.
 They differ in how much may be out at a destination, and in when another attempt is made.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -223,8 +224,11 @@
     def _give_up(self, job: Job) -> None:
         """Its final answer, at once: handed back where a repeat does no harm."""
         risky = [ran for ran in job.runs if ran is not Ran.NEVER]
-        harmless = not risky or job.cls.effect is Effect.SAFE or (
-            job.cls.effect is Effect.KEYED and Ran.OUTSTANDING not in job.runs)
+        harmless = (
+            not risky
+            or job.cls.effect is Effect.SAFE
+            or (job.cls.effect is Effect.KEYED and Ran.OUTSTANDING not in job.runs)
+        )
         if harmless:
             self.out.append(face.Refuse(job.message.ref, COME_BACK_S))
         else:
@@ -347,6 +351,11 @@
 
 
 POLICIES: dict[str, Callable[[face.Settings, int], object]] = {
-    "module": Controller, "single try": Plain, "back-off": Backoff, "aimd": Aimd, "retry budget": Budget,
-    "gradient": Gradient, "codel": CoDel,
+    "module": Controller,
+    "single try": Plain,
+    "back-off": Backoff,
+    "aimd": Aimd,
+    "retry budget": Budget,
+    "gradient": Gradient,
+    "codel": CoDel,
 }
--- a/willownotch/lab/model/ledger.py
+++ b/willownotch/lab/model/ledger.py
@@ -5,6 +5,7 @@
 (25%), the worst-served class (20%) and the worst-served tenant within its share (10%), less what new
 connections, wasted work and lateness cost.
 """
+
 from __future__ import annotations
 
 from collections import Counter, defaultdict
@@ -130,10 +131,17 @@
 
         def worst(what: str) -> float:
             return min((share_of(key) for key in asked if key[0] == what), default=1.0)
-        windows = [share_of(("window", n)) for n in range(int(max(
-            (i.at for i in self.items.values()), default=0.0) // WINDOW_S) + 1)]
-        parts = {"run": share_of("run"), "window": worst("window"), "class": worst("class"),
-                 "tenant": worst("tenant")}
+
+        windows = [
+            share_of(("window", n))
+            for n in range(int(max((i.at for i in self.items.values()), default=0.0) // WINDOW_S) + 1)
+        ]
+        parts = {
+            "run": share_of("run"),
+            "window": worst("window"),
+            "class": worst("class"),
+            "tenant": worst("tenant"),
+        }
         service = sum(WEIGHTS[name] * part for name, part in parts.items())
         number = max(1, len(self.items))
         deductions = {
@@ -142,9 +150,16 @@
             "late": PRICES["late"] * late / max(1, delivered),
         }
         return Result(
-            round(max(0.0, service - sum(deductions.values())), 6), round(service, 6),
-            {k: round(v, 6) for k, v in parts.items()}, {k: round(v, 6) for k, v in deductions.items()},
+            round(max(0.0, service - sum(deductions.values())), 6),
+            round(service, 6),
+            {k: round(v, 6) for k, v in parts.items()},
+            {k: round(v, 6) for k, v in deductions.items()},
             {name: dict(sorted(counter.items())) for name, counter in outcomes.items()},
             {cls.name: round(share_of(("class", n)), 6) for n, cls in enumerate(self.classes)},
-            [round(w, 6) for w in windows], self.breaches, len(self.items), self.attempts, self.connections,
-            {name: sorted(values) for name, values in latency.items()})
+            [round(w, 6) for w in windows],
+            self.breaches,
+            len(self.items),
+            self.attempts,
+            self.connections,
+            {name: sorted(values) for name, values in latency.items()},
+        )
--- a/willownotch/lab/model/node.py
+++ b/willownotch/lab/model/node.py
@@ -3,6 +3,7 @@
 It does what the real sender does around the decision module, without bytes: events are gathered into rounds,
 actions are carried out, attempts get exactly one outcome each. What it took on outlives it.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -61,9 +62,18 @@
 class Node:
     """One sender."""
 
-    def __init__(self, world: World, number: int, settings: face.Settings, make: Callable[[int], Policy],
-                 ledger: Ledger, endpoints: dict[int, Endpoint], way_s: float, period_s: float,
-                 takes_s: Callable[[int], float]) -> None:
+    def __init__(
+        self,
+        world: World,
+        number: int,
+        settings: face.Settings,
+        make: Callable[[int], Policy],
+        ledger: Ledger,
+        endpoints: dict[int, Endpoint],
+        way_s: float,
+        period_s: float,
+        takes_s: Callable[[int], float],
+    ) -> None:
         self.world, self.number, self.settings, self.make = world, number, settings, make
         self.ledger, self.endpoints, self.way_s, self.period_s = ledger, endpoints, way_s, period_s
         self.takes_s = takes_s
@@ -110,17 +120,31 @@
         if item.key is not None:
             self._by_key.setdefault(item.key, []).append(held)
         self.world.at(held.ends_at + SLACK_S, self._check_end, held, self.life)
-        self.post(face.Message(item.ref, item.dest, item.cls, max(0.001, item.ends_at - now), item.tenant,
-                               item.key, again=again))
+        self.post(
+            face.Message(
+                item.ref,
+                item.dest,
+                item.cls,
+                max(0.001, item.ends_at - now),
+                item.tenant,
+                item.key,
+                again=again,
+            )
+        )
         return True
 
     def hear_list(self, entries: tuple[face.Endpoint, ...], whole: bool) -> None:
         """News of the list has come."""
         now = self.world.now
         if whole:
-            entries = (*entries, *(face.Endpoint(e.number, e.destination, e.kind, e.zone, Readiness.GONE)
-                                   for number, e in self.listed.items() if number not in {
-                                       x.number for x in entries}))
+            entries = (
+                *entries,
+                *(
+                    face.Endpoint(e.number, e.destination, e.kind, e.zone, Readiness.GONE)
+                    for number, e in self.listed.items()
+                    if number not in {x.number for x in entries}
+                ),
+            )
         for entry in entries:
             if entry.readiness is Readiness.SERVING:
                 self.told_off.pop(entry.number, None)
@@ -187,8 +211,14 @@
         if fresh:
             self.ledger.connections += 1
             if endpoint.state is State.SILENT or endpoint.partner.down:
-                self.world.after(min(CONNECT_S, action.time_out_s), self._ended, held, attempt,
-                                 Answer(Outcome.UNREACHABLE), life)
+                self.world.after(
+                    min(CONNECT_S, action.time_out_s),
+                    self._ended,
+                    held,
+                    attempt,
+                    Answer(Outcome.UNREACHABLE),
+                    life,
+                )
                 return
         self.world.after(way, endpoint.partner.arrive, endpoint, call)
         self.world.after(action.time_out_s, self._ended, held, attempt, Answer(Outcome.TIMED_OUT), life)
@@ -212,10 +242,19 @@
         if delivered and not held.over:
             self._over(held, "delivered")
         if self.up:
-            self.post(face.AttemptEnded(
-                held.item.ref, attempt.number, attempt.endpoint.number, answer.outcome,
-                now - attempt.began_at, held.over, answer.wait_s, room_left=answer.room_left,
-                limit_per_s=answer.limit_per_s))
+            self.post(
+                face.AttemptEnded(
+                    held.item.ref,
+                    attempt.number,
+                    attempt.endpoint.number,
+                    answer.outcome,
+                    now - attempt.began_at,
+                    held.over,
+                    answer.wait_s,
+                    room_left=answer.room_left,
+                    limit_per_s=answer.limit_per_s,
+                )
+            )
 
     # Endings
 
@@ -257,8 +296,10 @@
         if now < self.wait_until.get(item.dest, 0.0) - EPSILON:
             self.ledger.breach("wait", now, item.ref, call)
         risky = [a for a in held.attempts if a.outcome is None or a.outcome in MAYBE]
-        if risky and (cls.effect is Effect.UNSAFE or (cls.effect is Effect.KEYED and now > risky[0].began_at
-                                                      + cls.memory_s + EPSILON)):
+        if risky and (
+            cls.effect is Effect.UNSAFE
+            or (cls.effect is Effect.KEYED and now > risky[0].began_at + cls.memory_s + EPSILON)
+        ):
             self.ledger.breach("repeat", now, item.ref, call)
         if cls.in_order and item.key is not None:
             if now < self.quiet.get(item.key, 0.0) - EPSILON:
@@ -300,5 +341,15 @@
                 if attempt.outcome is None:
                     attempt.outcome = Outcome.BROKEN
                 past.append(face.PastAttempt(attempt.endpoint.number, now - attempt.began_at, maybe))
-            self.post(face.Message(held.item.ref, held.item.dest, held.item.cls, held.ends_at - now,
-                                   held.item.tenant, held.item.key, again=True, past=tuple(past)))
+            self.post(
+                face.Message(
+                    held.item.ref,
+                    held.item.dest,
+                    held.item.cls,
+                    held.ends_at - now,
+                    held.item.tenant,
+                    held.item.key,
+                    again=True,
+                    past=tuple(past),
+                )
+            )
--- a/willownotch/lab/model/partners.py
+++ b/willownotch/lab/model/partners.py
@@ -1,4 +1,5 @@
 """Partner systems: endpoints with queues and workers, rate limits, cold starts, and what strikes them."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -94,8 +95,19 @@
 class Partner:
     """A partner system. `on_fall` hears when it is pushed over while cold, with who sent how much."""
 
-    def __init__(self, world: World, number: int, kind: str, block: Partners, share: float, full_rate: float,
-                 takes_s: float, draws: Draws, errors: float, report_s: tuple[float, float]) -> None:
+    def __init__(
+        self,
+        world: World,
+        number: int,
+        kind: str,
+        block: Partners,
+        share: float,
+        full_rate: float,
+        takes_s: float,
+        draws: Draws,
+        errors: float,
+        report_s: tuple[float, float],
+    ) -> None:
         self.world, self.number, self.kind, self.block = world, number, kind, block
         self.share, self.draws, self.errors = share, draws, errors
         self.pace = draws.uniform(0.6, 1.6)  # x the usual time of a call
@@ -240,7 +252,8 @@
         while self._arrivals[0][0] < now - FALL_S:
             self._arrivals.popleft()
         if now - self.back_at >= FALL_S and len(self._arrivals) / FALL_S > max(
-                2 / FALL_S, FALL_TIMES * self.capacity()):
+            2 / FALL_S, FALL_TIMES * self.capacity()
+        ):
             self.down = True
             self.on_fall(self, [sender for _, sender in self._arrivals])
             for endpoint in self.endpoints:
--- a/willownotch/lab/model/scenario.py
+++ b/willownotch/lab/model/scenario.py
@@ -1,4 +1,5 @@
 """The `scenario` block of a settings file: who sends how much to whom, and what goes wrong."""
+
 from __future__ import annotations
 
 from datetime import timedelta
@@ -121,8 +122,14 @@
         """Those of the file, or those of the port."""
         return self.kind or {
             "terminal-operator": Partners(share=0.17, size=4.0, limit=Flag.YES, limit_least=3.0),
-            "haulier": Partners(share=0.33, limit=Flag.YES, limit_low=0.95, limit_high=1.6, limit_least=3.5,
-                                refused_count=Flag.YES),
+            "haulier": Partners(
+                share=0.33,
+                limit=Flag.YES,
+                limit_low=0.95,
+                limit_high=1.6,
+                limit_least=3.5,
+                refused_count=Flag.YES,
+            ),
             "shipping-agent": Partners(share=0.5, room_low=0.94),
         }
 
@@ -132,9 +139,16 @@
             "slot-order": ModelClass(share=0.46, repeat=Effect.KEYED, memory=timedelta(seconds=15)),
             "slot-status": ModelClass(share=0.43, deadline=timedelta(seconds=28), late_share=0.4),
             "fee-payment": ModelClass(
-                share=0.11, worth=3.0, wanted=timedelta(seconds=2), deadline=timedelta(seconds=20),
-                repeat=Effect.UNSAFE, in_order=Flag.YES, keys=400, takes_low=timedelta(milliseconds=110),
-                takes_high=timedelta(milliseconds=190)),
+                share=0.11,
+                worth=3.0,
+                wanted=timedelta(seconds=2),
+                deadline=timedelta(seconds=20),
+                repeat=Effect.UNSAFE,
+                in_order=Flag.YES,
+                keys=400,
+                takes_low=timedelta(milliseconds=110),
+                takes_high=timedelta(milliseconds=190),
+            ),
         }
 
     def tenants(self) -> dict[str, Shared]:
@@ -148,11 +162,20 @@
             if block.kind is Trouble.BURST:
                 jumps[f"trouble {name}"] = Jump(block.at, block.for_, block.times)
         return LoadSettings(
-            duration=self.duration, rate=self.rate, seed=seed, destinations=self.partners, jump=jumps,
-            ramp=self.ramp, clump=self.clump, tenant=self.tenants(),
-            class_={name: LoadClass(share=c.share, time=c.deadline, keys=c.keys)
-                    for name, c in self.classes().items()},
-            destination={str(n): Shared(share) for n, share in enumerate(shares)})
+            duration=self.duration,
+            rate=self.rate,
+            seed=seed,
+            destinations=self.partners,
+            jump=jumps,
+            ramp=self.ramp,
+            clump=self.clump,
+            tenant=self.tenants(),
+            class_={
+                name: LoadClass(share=c.share, time=c.deadline, keys=c.keys)
+                for name, c in self.classes().items()
+            },
+            destination={str(n): Shared(share) for n, share in enumerate(shares)},
+        )
 
     def faults(self) -> list[tuple[str, str]]:
         """What does not go together."""
--- a/willownotch/lab/model/story.py
+++ b/willownotch/lab/model/story.py
@@ -1,4 +1,5 @@
 """A scenario played: partner systems laid out, clients, discovery, troubles, and a policy in each sender."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -30,20 +31,34 @@
 class Story:
     """One play of a scenario. `run` gives its result; a story is played once."""
 
-    def __init__(self, scenario: Scenario, policy: str | Callable[[face.Settings, int], Policy] = "module",
-                 seed: int = 1) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        policy: str | Callable[[face.Settings, int], Policy] = "module",
+        seed: int = 1,
+    ) -> None:
         self.scenario, self.seed = scenario, seed
         self.world = self.make_world()
         self.draws = self.world.draws("layout")
         blocks = scenario.classes()
         self.classes = tuple(
-            face.MessageClass(name, c.worth, seconds(c.wanted), seconds(c.deadline), c.late_share, c.repeat,
-                              memory_s=seconds(c.memory), in_order=bool(c.in_order))
-            for name, c in blocks.items())
+            face.MessageClass(
+                name,
+                c.worth,
+                seconds(c.wanted),
+                seconds(c.deadline),
+                c.late_share,
+                c.repeat,
+                memory_s=seconds(c.memory),
+                in_order=bool(c.in_order),
+            )
+            for name, c in blocks.items()
+        )
         usual = self.world.draws("classes")
         self.takes = [usual.uniform(seconds(c.takes_low), seconds(c.takes_high)) for c in blocks.values()]
         self.mean_takes = sum(c.share * t for c, t in zip(blocks.values(), self.takes, strict=True)) / max(
-            1e-9, sum(c.share for c in blocks.values()))
+            1e-9, sum(c.share for c in blocks.values())
+        )
         self.tenants = scenario.tenants()
         self.ledger = Ledger(self.classes, tuple(self.tenants))
         self.full = scenario.rate / scenario.load
@@ -82,14 +97,26 @@
                 if at < place or name == names[-1]:
                     drawn.append(name)
                     break
-        sizes = [kinds[name].size / (1 + self.draws.whole(0, scenario.partners - 1)) ** scenario.skew
-                 for name in drawn]
+        sizes = [
+            kinds[name].size / (1 + self.draws.whole(0, scenario.partners - 1)) ** scenario.skew
+            for name in drawn
+        ]
         report = seconds(scenario.report_low), seconds(scenario.report_high)
         partners = []
         for n, (name, size) in enumerate(zip(drawn, sizes, strict=True)):
             share = size / sum(sizes)
-            partner = Partner(self.world, n, name, kinds[name], share, share * self.full, self.mean_takes,
-                              self.world.draws(f"partner {n}"), scenario.errors, report)
+            partner = Partner(
+                self.world,
+                n,
+                name,
+                kinds[name],
+                share,
+                share * self.full,
+                self.mean_takes,
+                self.world.draws(f"partner {n}"),
+                scenario.errors,
+                report,
+            )
             partner.on_fall = self._fell
             partner.began = self._began
             for endpoint in partner.endpoints:
@@ -105,21 +132,36 @@
         scenario, each = self.scenario, self.full / self.scenario.senders
         busy = each * (self.mean_takes + QUEUE_WAIT_S)
         return face.Settings(
-            classes=self.classes, kinds=tuple(face.Kind(name) for name in scenario.kinds()),
+            classes=self.classes,
+            kinds=tuple(face.Kind(name) for name in scenario.kinds()),
             slots=max(SLOTS_LEAST, round(busy * self.draws.uniform(scenario.slots_low, scenario.slots_high))),
             holding_room=max(HOLDING_LEAST, round(each * seconds(scenario.holding))),
             tenants=tuple(face.Tenant(name, t.share * self.full) for name, t in self.tenants.items()),
-            senders=scenario.senders, max_attempts=scenario.attempts,
-            over_share_worth=scenario.over_share_worth, keepalive_s=seconds(scenario.keepalive),
-            max_come_back_s=seconds(scenario.come_back_most), may_cancel=True, second_copies=True,
-            listed_rates=True, again_is_marked=True,
-            rules=face.Rules(cold_share=0.18, cold_s=14.0, fall_multiple=2.0, fall_s=2.0, key_quiet_s=0.3))
+            senders=scenario.senders,
+            max_attempts=scenario.attempts,
+            over_share_worth=scenario.over_share_worth,
+            keepalive_s=seconds(scenario.keepalive),
+            max_come_back_s=seconds(scenario.come_back_most),
+            may_cancel=True,
+            second_copies=True,
+            listed_rates=True,
+            again_is_marked=True,
+            rules=face.Rules(cold_share=0.18, cold_s=14.0, fall_multiple=2.0, fall_s=2.0, key_quiet_s=0.3),
+        )
 
     def _node(self, number: int, make: Callable[[face.Settings, int], Policy]) -> Node:
         scenario, seed = self.scenario, self.seed * 1000 + number
         node = Node(
-            self.world, number, self.settings, lambda life: make(self.settings, seed + life), self.ledger,
-            self.endpoints, seconds(scenario.way), seconds(scenario.round), lambda cls: self.takes[cls])
+            self.world,
+            number,
+            self.settings,
+            lambda life: make(self.settings, seed + life),
+            self.ledger,
+            self.endpoints,
+            seconds(scenario.way),
+            seconds(scenario.round),
+            lambda cls: self.takes[cls],
+        )
         node.told = partial(self._told, node)
         return node
 
@@ -129,8 +171,14 @@
 
     def _listed(self, endpoint: Endpoint) -> face.Endpoint:
         partner = endpoint.partner
-        return face.Endpoint(endpoint.number, partner.number, list(self.scenario.kinds()).index(partner.kind),
-                             0, endpoint.readiness, round(partner.share * self.full * 1.2, 3))
+        return face.Endpoint(
+            endpoint.number,
+            partner.number,
+            list(self.scenario.kinds()).index(partner.kind),
+            0,
+            endpoint.readiness,
+            round(partner.share * self.full * 1.2, 3),
+        )
 
     def _plan(self) -> Plan:
         plan = draw(self.scenario.traffic(self.seed, [p.share for p in self.partners]))
@@ -181,9 +229,15 @@
 
     def _sample(self) -> None:
         """Where things stand, now and then."""
-        self.series.append((
-            round(self.world.now, 3), sum(n.open for n in self.nodes if n.up), sum(n.out for n in self.nodes),
-            self.delivered, len(self.ledger.items)))
+        self.series.append(
+            (
+                round(self.world.now, 3),
+                sum(n.open for n in self.nodes if n.up),
+                sum(n.out for n in self.nodes),
+                self.delivered,
+                len(self.ledger.items),
+            )
+        )
         if self.world.now < seconds(self.scenario.duration):
             self.world.after(SAMPLE_S, self._sample)
 
@@ -193,8 +247,17 @@
         within = self._within(tenant, now)
         worth = self.classes[cls].worth * (1.0 if within else self.scenario.over_share_worth)
         key = plan.key_name(int(plan.key[n]))
-        item = Item(f"m{n}", int(plan.dest[n]), cls, tenant, key, now, worth, within,
-                    now + self.classes[cls].deadline_s)
+        item = Item(
+            f"m{n}",
+            int(plan.dest[n]),
+            cls,
+            tenant,
+            key,
+            now,
+            worth,
+            within,
+            now + self.classes[cls].deadline_s,
+        )
         self.ledger.items[item.ref] = item
         if item.key is not None:
             node = self.nodes[crc32(item.key.encode()) % len(self.nodes)]
@@ -241,8 +304,12 @@
     def _fell(self, partner: Partner, senders: list[int]) -> None:
         knew = sum(self.nodes[n].seen_failing.get(partner.number, -1.0) >= partner.out_at for n in senders)
         if knew >= 2 / 3 * len(senders):
-            self.ledger.breach("pushed over", self.world.now, f"partner {partner.number}",
-                               f"{len(senders)} calls in {FALL_S:g} s")
+            self.ledger.breach(
+                "pushed over",
+                self.world.now,
+                f"partner {partner.number}",
+                f"{len(senders)} calls in {FALL_S:g} s",
+            )
 
     # Troubles
 
--- a/willownotch/lab/model/world.py
+++ b/willownotch/lab/model/world.py
@@ -5,6 +5,7 @@
 so that a change in one part of the model leaves the draws of the others alone (common random numbers, for
 paired comparison).
 """
+
 from __future__ import annotations
 
 import heapq
--- a/willownotch/lab/prices/account.py
+++ b/willownotch/lab/prices/account.py
@@ -4,6 +4,7 @@
 G is these as the site file's `goal` weighs them, less the prices: what the worst parts lie under the whole
 stands between the share served and G too, and is no price. The senders' own lines say which messages it was.
 """
+
 from __future__ import annotations
 
 from collections import Counter, defaultdict
@@ -19,8 +20,11 @@
 EARLY, EARLY_PRICE = 0.7, 0.3  # share of its time before which an untried end costs; of its worth
 ROOM_FULL, DEST_ROOM = 0.9, 0.5  # of the holding room, where the module gives messages up for room
 RAN = ("error", "timed out", "broken", "called off")  # outcomes of calls that may have run
-PARTS = {"worst_window": "the worst 10 s", "worst_class": "the worst class",
-         "worst_tenant": "the worst tenant"}
+PARTS = {
+    "worst_window": "the worst 10 s",
+    "worst_class": "the worst class",
+    "worst_tenant": "the worst tenant",
+}
 
 
 def taken(day: dict[str, Any], goal: dict[str, float]) -> dict[str, float]:
@@ -128,8 +132,9 @@
             counts["starts"] += 1
             settings = msgspec.json.decode(line.settings)
             room = settings["policyLimits"]["maxOpen"]
-            services |= {s["name"]: Service(s["credit"], s["promiseS"], s["hardLimitS"])
-                         for s in settings["services"]}
+            services |= {
+                s["name"]: Service(s["credit"], s["promiseS"], s["hardLimitS"]) for s in settings["services"]
+            }
         elif isinstance(line, lines.Connected):
             counts[f"connections: {line.where}"] += 1
         elif isinstance(line, lines.Came):
@@ -178,5 +183,11 @@
             key = hand_in.cause(room), hand_in.came.message_class
             early[key] = early[key][0] + 1, early[key][1] + EARLY_PRICE * worth[ref] / asked
             calls_early += hand_in.calls > 0
-    return Account(sum(not hand_in.came.again for hand_in in found.values()), len(found),
-                   {fate: fates[fate] for fate in Fate if fate in fates}, dict(early), calls_early, counts)
+    return Account(
+        sum(not hand_in.came.again for hand_in in found.values()),
+        len(found),
+        {fate: fates[fate] for fate in Fate if fate in fates},
+        dict(early),
+        calls_early,
+        counts,
+    )
--- a/willownotch/lab/prices/lines.py
+++ b/willownotch/lab/prices/lines.py
@@ -1,4 +1,5 @@
 """What a traced sender writes: one JSON array a line, behind `MARK`. Times are Unix seconds."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
--- a/willownotch/lab/prices/trace.py
+++ b/willownotch/lab/prices/trace.py
@@ -3,6 +3,7 @@
 Run it in the place of `willownotch serve`, by a deploy file of its own. Nothing is decided otherwise; each
 line costs some 10 us of processor time.
 """
+
 from __future__ import annotations
 
 import os
@@ -35,8 +36,11 @@
     def _hand_in(self, taken: Taken) -> Reply:
         self.owner.handed.add(taken.ref)
         now, left = time.time(), (taken.ends_at - self.clock.now()).total_seconds()
-        say(lines.Came(now, taken.ref, taken.message_class, taken.tenant, taken.destination, taken.again,
-                       left))
+        say(
+            lines.Came(
+                now, taken.ref, taken.message_class, taken.tenant, taken.destination, taken.again, left
+            )
+        )
         reply = super()._hand_in(taken)
         say(lines.Answered(time.time(), taken.ref, reply.status))
         return reply
@@ -65,8 +69,17 @@
                 ran = any(past.may_have_run for past in event.past)
                 say(lines.Recalled(at, event.ref, len(event.past), ran))
             elif isinstance(event, face.AttemptEnded):
-                say(lines.CallEnded(at, event.ref, event.attempt, event.outcome.value, event.took_s,
-                                    event.wait_s, event.final))
+                say(
+                    lines.CallEnded(
+                        at,
+                        event.ref,
+                        event.attempt,
+                        event.outcome.value,
+                        event.took_s,
+                        event.wait_s,
+                        event.final,
+                    )
+                )
         actions = self._decide(now, events)
         for action in actions:
             if isinstance(action, face.Send):
@@ -76,8 +89,16 @@
             elif isinstance(action, face.Refuse | face.Fail):
                 refused = isinstance(action, face.Refuse)
                 dest = self._owed[action.ref].taken.destination
-                say(lines.Over(at, action.ref, "refused" if refused else "failed",
-                               action.come_back_s if refused else 0.0, held, there.get(dest, 0)))
+                say(
+                    lines.Over(
+                        at,
+                        action.ref,
+                        "refused" if refused else "failed",
+                        action.come_back_s if refused else 0.0,
+                        held,
+                        there.get(dest, 0),
+                    )
+                )
                 self._begun.pop(action.ref, None)
         return actions
 
--- a/willownotch/lab/soak/__main__.py
+++ b/willownotch/lab/soak/__main__.py
@@ -2,6 +2,7 @@
 
 One seed again, with the processes' lines: `python -m willownotch.lab.soak --seeds 17 --lines`.
 """
+
 from __future__ import annotations
 
 import sys
@@ -35,9 +36,16 @@
 
 def row(report: Report) -> dict:
     """A run as the result file has it."""
-    return {"seed": report.plan.seed, "plan": report.plan.describe(), "counts": report.counts(),
-            "struck": report.records.struck, "actions": report.records.actions, "broken": report.rules(),
-            "texts": [f"{b.rule}: {b.text}" for b in report.broken[:10]], "seconds": round(report.seconds, 1)}
+    return {
+        "seed": report.plan.seed,
+        "plan": report.plan.describe(),
+        "counts": report.counts(),
+        "struck": report.records.struck,
+        "actions": report.records.actions,
+        "broken": report.rules(),
+        "texts": [f"{b.rule}: {b.text}" for b in report.broken[:10]],
+        "seconds": round(report.seconds, 1),
+    }
 
 
 @click.command()
@@ -46,11 +54,22 @@
 @click.option("--beside", default=1, show_default=True, help="How many are played at the same time.")
 @click.option("--senders", type=int, help="How many senders, in place of the drawn number.")
 @click.option("--json", "path", type=click.Path(path_type=Path), help="Where the results go.")
-@click.option("--program", type=click.Path(path_type=Path), default=ROOT,
-              help="The folder of the program to play, in place of this one.")
+@click.option(
+    "--program",
+    type=click.Path(path_type=Path),
+    default=ROOT,
+    help="The folder of the program to play, in place of this one.",
+)
 @click.option("--lines", is_flag=True, help="Print what the processes said.")
-def main(seeds: str, seconds: float, beside: int, senders: int | None, path: Path | None,
-         program: Path, lines: bool) -> None:
+def main(
+    seeds: str,
+    seconds: float,
+    beside: int,
+    senders: int | None,
+    path: Path | None,
+    program: Path,
+    lines: bool,
+) -> None:
     """Play whole senders with faults drawn from seeds; exit code 1 if a rule was broken."""
     rows = []
     with ProcessPoolExecutor(beside) as pool:
@@ -59,8 +78,11 @@
             if lines:
                 began = report.records.began
                 for life in report.records.lifetimes:
-                    times = {name: round(at - began, 3) for name in TIMES
-                             if (at := getattr(life, name)) is not None}
+                    times = {
+                        name: round(at - began, 3)
+                        for name in TIMES
+                        if (at := getattr(life, name)) is not None
+                    }
                     print(f"--- n{life.sender} process {life.number} {times}", *life.lines, sep="\n")
                 print(*report.records.actions, sep="\n")
             rows.append(row(report))
--- a/willownotch/lab/soak/clients.py
+++ b/willownotch/lab/soak/clients.py
@@ -1,4 +1,5 @@
 """Clients of one sender: each sends one message after the other and records what became of each."""
+
 from __future__ import annotations
 
 import socket
@@ -20,8 +21,16 @@
 class Client:
     """One client. With `kept` it uses a connection for as long as that stays open."""
 
-    def __init__(self, records: Records, sender: int, address: tuple[str, int], number: int, random: Random,
-                 stop: threading.Event, others: int = 0) -> None:
+    def __init__(
+        self,
+        records: Records,
+        sender: int,
+        address: tuple[str, int],
+        number: int,
+        random: Random,
+        stop: threading.Event,
+        others: int = 0,
+    ) -> None:
         self.records, self.sender, self.address, self.number = records, sender, address, number
         self.random, self.stop = random, stop
         self.kept = random.random() < 0.8
@@ -56,9 +65,14 @@
         left_s = self.random.choice((1.5, 4.0, 8.0))
         with self.records.lock:
             self.records.contents[ref] = Content(body, f"i{ref}")
-        headers = [("Request-Id", ref), ("Request-Class", cls), ("Tenant", "acme"),
-                   ("Request-Timeout-Ms", str(int(left_s * 1000))), ("X-Consignee", f"dest={DESTINATION}"),
-                   ("Idempotency-Key", f"i{ref}")]
+        headers = [
+            ("Request-Id", ref),
+            ("Request-Class", cls),
+            ("Tenant", "acme"),
+            ("Request-Timeout-Ms", str(int(left_s * 1000))),
+            ("X-Consignee", f"dest={DESTINATION}"),
+            ("Idempotency-Key", f"i{ref}"),
+        ]
         target = f"/api?thread={self.key}" if self.key else "/api"
         return ref, cls, left_s, http.write_request("POST", target, "api.internal", headers, body)
 
@@ -87,9 +101,23 @@
                 pass  # `ending` says how far it came
         self._rested = time.monotonic()
         with self.records.lock:
-            self.records.requests.append(Request(
-                self.sender, ref, cls, self.key, began, written, self._rested, ending, status, last, reused,
-                rested, left_s))
+            self.records.requests.append(
+                Request(
+                    self.sender,
+                    ref,
+                    cls,
+                    self.key,
+                    began,
+                    written,
+                    self._rested,
+                    ending,
+                    status,
+                    last,
+                    reused,
+                    rested,
+                    left_s,
+                )
+            )
         if ending is not Ending.ANSWERED or last or not self.kept:
             self._close()
         return ending is Ending.ANSWERED
--- a/willownotch/lab/soak/endpoints.py
+++ b/willownotch/lab/soak/endpoints.py
@@ -1,4 +1,5 @@
 """The other parties, on threads: endpoints that misbehave as the plan has it, discovery, and the platform."""
+
 from __future__ import annotations
 
 import json
@@ -93,13 +94,21 @@
     def answer(self, sock: socket.socket, head: http.Head, body: bytes) -> bool:
         """See `Server`."""
         weather = self.weather()
-        call = Call(head.headers.get("request-id", ""), time.monotonic(), body,
-                    head.headers.get("idempotency-key", ""))
+        call = Call(
+            head.headers.get("request-id", ""),
+            time.monotonic(),
+            body,
+            head.headers.get("idempotency-key", ""),
+        )
         with self.records.lock:
             self.records.calls.append(call)
         lot = self.random.random()
-        for share, act in ((weather.refuse, self._refuse), (weather.error, self._fail),
-                           (weather.reset, self._reset), (weather.hang, self._hang)):
+        for share, act in (
+            (weather.refuse, self._refuse),
+            (weather.error, self._fail),
+            (weather.reset, self._reset),
+            (weather.hang, self._hang),
+        ):
             if lot < share:
                 return act(sock, call)
             lot -= share
@@ -140,9 +149,18 @@
     def __init__(self, records: Records, endpoints: list[tuple[str, int]], up: Callable[[], bool]) -> None:
         self.records, self.up = records, up
         self.entries = [
-            {"name": f"s-{number:04x}", "address": f"{host}:{port}", "zone": "here", "type": "haulier",
-             "group": DESTINATION, "status": "Ready", "weight": 100.0, "since_ms": 0}
-            for number, (host, port) in enumerate(endpoints)]
+            {
+                "name": f"s-{number:04x}",
+                "address": f"{host}:{port}",
+                "zone": "here",
+                "type": "haulier",
+                "group": DESTINATION,
+                "status": "Ready",
+                "weight": 100.0,
+                "since_ms": 0,
+            }
+            for number, (host, port) in enumerate(endpoints)
+        ]
         super().__init__()
 
     def answer(self, sock: socket.socket, head: http.Head, body: bytes) -> bool:
--- a/willownotch/lab/soak/plan.py
+++ b/willownotch/lab/soak/plan.py
@@ -1,4 +1,5 @@
 """What one run plays, drawn from its seed: senders, clients, endpoints, and what goes wrong when."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -71,9 +72,11 @@
         """One line."""
         steps = ", ".join(f"{s.at_s:.1f} s n{s.sender} {s.action.value}" for s in self.steps)
         faults = " ".join(fault.text() for fault in self.call_faults) or "none"
-        return (f"seed {self.seed}: {self.senders} senders x {self.clients} clients + {self.idle} idle, "
-                f"{self.endpoints} endpoints; {steps}; system calls: {faults}; "
-                f"clock steps: {self.clock_steps_s}")
+        return (
+            f"seed {self.seed}: {self.senders} senders x {self.clients} clients + {self.idle} idle, "
+            f"{self.endpoints} endpoints; {steps}; system calls: {faults}; "
+            f"clock steps: {self.clock_steps_s}"
+        )
 
 
 # Error kinds of each group that a run may draw. The rates are small: several strike a second under load.
@@ -88,12 +91,20 @@
     ("sendmsg", ("ENOBUFS", "ETOOMANYREFS", "EINTR")),
 )
 FOLDER_FAULTS = (
-    ("write", ("ENOSPC", "EIO", SHORT)), ("read", ("EIO", "EINTR", SHORT)), ("open", ("EMFILE", "EIO")),
-    ("rename", ("EIO",)), ("ftruncate", ("EIO",)), ("flock", ("ENOLCK",)),
+    ("write", ("ENOSPC", "EIO", SHORT)),
+    ("read", ("EIO", "EINTR", SHORT)),
+    ("open", ("EMFILE", "EIO")),
+    ("rename", ("EIO",)),
+    ("ftruncate", ("EIO",)),
+    ("flock", ("ENOLCK",)),
 )
 START_FAULTS = (
-    ("bind", ("EADDRNOTAVAIL", "EADDRINUSE")), ("listen", ("EADDRINUSE",)), ("socket", ("ENFILE", "ENOBUFS")),
-    ("open", ("EIO", "ENFILE")), ("read", ("EIO",)), ("write", ("ENOSPC",)),
+    ("bind", ("EADDRNOTAVAIL", "EADDRINUSE")),
+    ("listen", ("EADDRINUSE",)),
+    ("socket", ("ENFILE", "ENOBUFS")),
+    ("open", ("EIO", "ENFILE")),
+    ("read", ("EIO",)),
+    ("write", ("ENOSPC",)),
 )
 
 
@@ -108,8 +119,15 @@
     if random.random() < 0.4:
         call, effects = random.choice(FOLDER_FAULTS)
         begin = random.uniform(0.0, seconds / 2)
-        found.append(CallFault(call, random.choice(effects), rate=random.choice((0.02, 0.3, 1.0)),
-                               from_s=begin, to_s=begin + random.uniform(0.2, 1.5)))
+        found.append(
+            CallFault(
+                call,
+                random.choice(effects),
+                rate=random.choice((0.02, 0.3, 1.0)),
+                from_s=begin,
+                to_s=begin + random.uniform(0.2, 1.5),
+            )
+        )
     if random.random() < 0.5:
         call, effects = random.choice(START_FAULTS)
         found.append(CallFault(call, random.choice(effects), nth=random.randint(1, 4)))
@@ -121,12 +139,18 @@
     found, at = [Weather(0.0)], 1.0
     while at < seconds - 1.0:
         kind = random.random()
-        found.append(Weather(
-            at, slow_s=random.choice((0.005, 0.02, 0.1, 0.4)),
-            refuse=random.choice((0.0, 0.0, 0.1, 0.5)), error=random.choice((0.0, 0.0, 0.05)),
-            reset=random.choice((0.0, 0.0, 0.05)), hang=random.choice((0.0, 0.0, 0.1, 0.5)),
-            break_pieces=random.choice((0.0, 0.0, 0.0, 0.02)), discovery_up=kind > 0.15,
-        ))
+        found.append(
+            Weather(
+                at,
+                slow_s=random.choice((0.005, 0.02, 0.1, 0.4)),
+                refuse=random.choice((0.0, 0.0, 0.1, 0.5)),
+                error=random.choice((0.0, 0.0, 0.05)),
+                reset=random.choice((0.0, 0.0, 0.05)),
+                hang=random.choice((0.0, 0.0, 0.1, 0.5)),
+                break_pieces=random.choice((0.0, 0.0, 0.0, 0.02)),
+                discovery_up=kind > 0.15,
+            )
+        )
         at += random.uniform(0.8, 3.0)
     return (*found, Weather(seconds))
 
@@ -134,10 +158,18 @@
 def draw_steps(random: Random, senders: int, seconds: float) -> tuple[Step, ...]:
     """What is done to each sender: signals come in series, one on another."""
     found = []
-    weights = {Action.UPGRADE: 6, Action.UPGRADE_TWICE: 3, Action.RESTART: 2, Action.KILL: 2,
-               Action.RELOAD: 2, Action.HOLD: 2, Action.DRAIN: 1, Action.UPGRADE_IN_DRAIN: 1,
-               Action.STOP_IN_UPGRADE: 1,
-               Action.RELOAD_IN_UPGRADE: 1}
+    weights = {
+        Action.UPGRADE: 6,
+        Action.UPGRADE_TWICE: 3,
+        Action.RESTART: 2,
+        Action.KILL: 2,
+        Action.RELOAD: 2,
+        Action.HOLD: 2,
+        Action.DRAIN: 1,
+        Action.UPGRADE_IN_DRAIN: 1,
+        Action.STOP_IN_UPGRADE: 1,
+        Action.RELOAD_IN_UPGRADE: 1,
+    }
     for sender in range(senders):
         at = random.uniform(0.8, 2.0)
         while at < seconds - 1.0:
@@ -156,9 +188,16 @@
     if large and senders is None:  # processes are dear: one in five senders is touched
         steps = tuple(step for step in steps if step.sender % 5 == 0)
     return Plan(
-        seed, seconds, count, 2 if large else random.choice((2, 4, 8)),
-        0 if large or random.random() < 0.6 else IDLE_CROWD, random.randint(2, 6), steps,
-        draw_weather(random, seconds), draw_call_faults(random, seconds),
+        seed,
+        seconds,
+        count,
+        2 if large else random.choice((2, 4, 8)),
+        0 if large or random.random() < 0.6 else IDLE_CROWD,
+        random.randint(2, 6),
+        steps,
+        draw_weather(random, seconds),
+        draw_call_faults(random, seconds),
         tuple(random.choice((0.0, 0.0, 3600.0, -3600.0, 7.0)) for _ in range(4))
-        if random.random() < 0.4 else (),
+        if random.random() < 0.4
+        else (),
     )
--- a/willownotch/lab/soak/processes.py
+++ b/willownotch/lab/soak/processes.py
@@ -1,4 +1,5 @@
 """The processes of one sender: started, upgraded, stopped, held and killed as the plan has it."""
+
 from __future__ import annotations
 
 import json
@@ -22,18 +23,44 @@
 ASK_S = 1.0
 SETTINGS = {
     "services": [
-        {"name": "order", "credit": 1.0, "promiseS": 2.5, "hardLimitS": 16.0, "lateShare": 0.3,
-         "idempotency": "keyed", "group": "all", "memorySpanS": 15.0},
+        {
+            "name": "order",
+            "credit": 1.0,
+            "promiseS": 2.5,
+            "hardLimitS": 16.0,
+            "lateShare": 0.3,
+            "idempotency": "keyed",
+            "group": "all",
+            "memorySpanS": 15.0,
+        },
         {"name": "status", "credit": 1.0, "promiseS": 2.5, "hardLimitS": 28.0, "idempotency": "safe"},
-        {"name": "fee", "credit": 3.0, "promiseS": 2.0, "hardLimitS": 20.0, "idempotency": "unsafe",
-         "oneAtATime": True},
+        {
+            "name": "fee",
+            "credit": 3.0,
+            "promiseS": 2.0,
+            "hardLimitS": 20.0,
+            "idempotency": "unsafe",
+            "oneAtATime": True,
+        },
     ],
-    "models": ["haulier"], "orgs": [{"name": "acme", "quotaPerS": 500.0}], "peersTotal": 1,
+    "models": ["haulier"],
+    "orgs": [{"name": "acme", "quotaPerS": 500.0}],
+    "peersTotal": 1,
     "familyInfo": {"slots": 16, "decay": "even", "kindBatch": [1], "separateRoutes": [False]},
-    "policyLimits": {"maxOpen": 200, "maxAttempts": 8, "connectTimeoutS": 1.0, "keepaliveS": 5.0,
-                     "maxRetryAfterS": 2.0, "mayCancel": True, "retryAfter": True, "secondCopies": True},
+    "policyLimits": {
+        "maxOpen": 200,
+        "maxAttempts": 8,
+        "connectTimeoutS": 1.0,
+        "keepaliveS": 5.0,
+        "maxRetryAfterS": 2.0,
+        "mayCancel": True,
+        "retryAfter": True,
+        "secondCopies": True,
+    },
     "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 2.0, "fallS": 2.0, "keyQuietS": 0.3},
-    "callers": {"marksRetry": True}, "weightKind": "rough", "zones": ["here"],
+    "callers": {"marksRetry": True},
+    "weightKind": "rough",
+    "zones": ["here"],
 }
 PORT_FIRST, PORT_SHARE, PORT_PARTS = 16000, 160, 100  # a part for each process that plays
 MANAGED = re.compile(r"operators are answered at ([\d.]+):(\d+)")
@@ -60,17 +87,27 @@
 class SenderProcesses:
     """One sender: its folder, its address, and one process after another."""
 
-    def __init__(self, number: int, plan: Plan, records: Records, folder: Path, discovery: str,
-                 program: Path = ROOT) -> None:
+    def __init__(
+        self, number: int, plan: Plan, records: Records, folder: Path, discovery: str, program: Path = ROOT
+    ) -> None:
         self.number, self.plan, self.records, self.program = number, plan, records, program
         self.folder, self.state = folder / f"n{number}", folder / f"n{number}" / "state"
         self.folder.mkdir()
         self.address = ("127.0.0.1", free_port())
         self.config, self.struck = self.folder / "config.json", self.folder / "struck"
-        self.config.write_text(json.dumps({
-            "name": f"n{number}", "listen": f"127.0.0.1:{self.address[1]}", "discovery": discovery,
-            "seed": f"{plan.seed:x}{number}", "limits": {"sockets": 384, "disk_mb": 8, "memory_mb": 96},
-            "settings": SETTINGS}), encoding="utf-8")
+        self.config.write_text(
+            json.dumps(
+                {
+                    "name": f"n{number}",
+                    "listen": f"127.0.0.1:{self.address[1]}",
+                    "discovery": discovery,
+                    "seed": f"{plan.seed:x}{number}",
+                    "limits": {"sockets": 384, "disk_mb": 8, "memory_mb": 96},
+                    "settings": SETTINGS,
+                }
+            ),
+            encoding="utf-8",
+        )
         self.life: Lifetime | None = None
         self.process: subprocess.Popen | None = None
         self._lock = threading.Lock()  # one action after the other; their ends come later
@@ -81,16 +118,30 @@
     def start(self) -> Lifetime:
         """Start the program; the one that runs, if any, goes on."""
         life = Lifetime(self.number, len(self.processes), time.monotonic())
-        env = {"PATH": os.environ["PATH"], "LB_CONFIG": str(self.config), "LB_STATE": str(self.state),
-               "LB_MANAGEMENT": "127.0.0.1:0"}
+        env = {
+            "PATH": os.environ["PATH"],
+            "LB_CONFIG": str(self.config),
+            "LB_STATE": str(self.state),
+            "LB_MANAGEMENT": "127.0.0.1:0",
+        }
         steps = self.plan.clock_steps_s
         step_s = steps[life.number % len(steps)] if steps else 0.0
         if self.plan.call_faults or step_s:
-            env |= shim.environment(list(self.plan.call_faults), self.state,
-                                    self.plan.seed * 1000 + self.number * 50 + life.number, step_s,
-                                    log=self.struck)
-        process = subprocess.Popen([sys.executable, "-m", "willownotch"], cwd=self.program, env=env,
-                                   stderr=subprocess.PIPE, text=True, errors="replace")
+            env |= shim.environment(
+                list(self.plan.call_faults),
+                self.state,
+                self.plan.seed * 1000 + self.number * 50 + life.number,
+                step_s,
+                log=self.struck,
+            )
+        process = subprocess.Popen(
+            [sys.executable, "-m", "willownotch"],
+            cwd=self.program,
+            env=env,
+            stderr=subprocess.PIPE,
+            text=True,
+            errors="replace",
+        )
         self.life, self.process = life, process
         self.processes.append((life, process))
         with self.records.lock:
@@ -134,12 +185,18 @@
         with self._lock:
             if self.process is None or self.process.poll() is not None:
                 return
-            {Action.UPGRADE: self._upgrade, Action.UPGRADE_TWICE: self._upgrade_twice,
-             Action.RESTART: self._restart, Action.KILL: self._kill,
-             Action.RELOAD: lambda: self._signal(signal.SIGHUP), Action.HOLD: self._hold,
-             Action.DRAIN: self._drain, Action.UPGRADE_IN_DRAIN: self._upgrade_in_drain,
-             Action.STOP_IN_UPGRADE: self._stop_in_upgrade,
-             Action.RELOAD_IN_UPGRADE: self._reload_in_upgrade}[action]()
+            {
+                Action.UPGRADE: self._upgrade,
+                Action.UPGRADE_TWICE: self._upgrade_twice,
+                Action.RESTART: self._restart,
+                Action.KILL: self._kill,
+                Action.RELOAD: lambda: self._signal(signal.SIGHUP),
+                Action.HOLD: self._hold,
+                Action.DRAIN: self._drain,
+                Action.UPGRADE_IN_DRAIN: self._upgrade_in_drain,
+                Action.STOP_IN_UPGRADE: self._stop_in_upgrade,
+                Action.RELOAD_IN_UPGRADE: self._reload_in_upgrade,
+            }[action]()
 
     def _signal(self, number: int, process: subprocess.Popen | None = None) -> None:
         try:
--- a/willownotch/lab/soak/records.py
+++ b/willownotch/lab/soak/records.py
@@ -1,4 +1,5 @@
 """What was seen from outside, with times on the monotonic clock of the harness. Plain values."""
+
 from __future__ import annotations
 
 import threading
--- a/willownotch/lab/soak/run.py
+++ b/willownotch/lab/soak/run.py
@@ -1,4 +1,5 @@
 """Plays a plan, and reports."""
+
 from __future__ import annotations
 
 import tempfile
@@ -40,13 +41,16 @@
         requests = self.records.requests
         answered = [r for r in requests if r.ending is Ending.ANSWERED]
         found = dict(Counter(r.ending.value for r in requests))
-        found |= {"202": sum(r.status == 202 for r in answered),
-                  "503": sum(r.status == 503 for r in answered),
-                  "answered after 0.4 s": sum(r.ended - r.written > 0.4 for r in answered),
-                  "the harness late by at most, ms": int(self.records.late_s * 1000),
-                  "calls": len(self.records.calls), "notices": len(self.records.notices),
-                  "processes": len(self.records.lifetimes), "failed system calls": sum(
-                      self.records.struck.values())}
+        found |= {
+            "202": sum(r.status == 202 for r in answered),
+            "503": sum(r.status == 503 for r in answered),
+            "answered after 0.4 s": sum(r.ended - r.written > 0.4 for r in answered),
+            "the harness late by at most, ms": int(self.records.late_s * 1000),
+            "calls": len(self.records.calls),
+            "notices": len(self.records.notices),
+            "processes": len(self.records.lifetimes),
+            "failed system calls": sum(self.records.struck.values()),
+        }
         return found
 
     def text(self) -> str:
@@ -65,11 +69,13 @@
         self.plan, self.records, self.began = plan, Records(), time.monotonic()
         self.endpoints = [Endpoint(self.records, self.weather, plan.seed + n) for n in range(plan.endpoints)]
         self.proxies = [Proxy(endpoint.address, plan.seed + n) for n, endpoint in enumerate(self.endpoints)]
-        self.platform = Platform(self.records, [proxy.address for proxy in self.proxies],
-                                 lambda: self.weather().discovery_up)
+        self.platform = Platform(
+            self.records, [proxy.address for proxy in self.proxies], lambda: self.weather().discovery_up
+        )
         discovery = f"127.0.0.1:{self.platform.address[1]}"
-        self.senders = [SenderProcesses(n, plan, self.records, folder, discovery, program)
-                        for n in range(plan.senders)]
+        self.senders = [
+            SenderProcesses(n, plan, self.records, folder, discovery, program) for n in range(plan.senders)
+        ]
         self.stop, self.settling = threading.Event(), False
 
     def weather(self) -> Weather:
@@ -115,10 +121,18 @@
     def _clients(self) -> list[Client | IdleCrowd]:
         found: list[Client | IdleCrowd] = []
         for sender in self.senders:
-            found += [Client(self.records, sender.number, sender.address, n,
-                             Random(self.plan.seed * 7919 + sender.number * 101 + n), self.stop,
-                             self.plan.clients * self.plan.senders)
-                      for n in range(self.plan.clients)]
+            found += [
+                Client(
+                    self.records,
+                    sender.number,
+                    sender.address,
+                    n,
+                    Random(self.plan.seed * 7919 + sender.number * 101 + n),
+                    self.stop,
+                    self.plan.clients * self.plan.senders,
+                )
+                for n in range(self.plan.clients)
+            ]
             if self.plan.idle:
                 found.append(IdleCrowd(sender.address, self.plan.idle, self.stop))
         return found
@@ -134,8 +148,9 @@
         if time.monotonic() > self.began + self.plan.seconds:
             return  # what came before took its time
         with self.records.lock:
-            self.records.actions.append(f"{time.monotonic() - self.began:.2f} n{sender.number} "
-                                        f"{step.action.value}")
+            self.records.actions.append(
+                f"{time.monotonic() - self.began:.2f} n{sender.number} " f"{step.action.value}"
+            )
         sender.act(step.action)
 
     def _change_proxy(self) -> None:
--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -1,4 +1,5 @@
 """The rules, counted from records alone: what was broken, a line each."""
+
 from __future__ import annotations
 
 from collections import defaultdict
@@ -44,24 +45,28 @@
         down = min((t for t in (life.killed_at, life.ended) if t is not None), default=None)
         if down is None:
             continue
-        up = next((x.ready for x in lives[n + 1:] if x.ready is not None), float("inf"))
+        up = next((x.ready for x in lives[n + 1 :] if x.ready is not None), float("inf"))
         found.append((down - KILL_MARGIN_S, up))
     return found
 
 
 def _stops(records: Records, sender: int) -> list[tuple[float, float]]:
     """When processes were told to end, and when they had ended."""
-    return [(life.stop_at, life.ended or float("inf"))
-            for life in records.lifetimes if life.sender == sender and life.stop_at is not None
-            and life.succeeded_at is None]
+    return [
+        (life.stop_at, life.ended or float("inf"))
+        for life in records.lifetimes
+        if life.sender == sender and life.stop_at is not None and life.succeeded_at is None
+    ]
 
 
 def _requests(records: Records) -> list[Broken]:
     found = []
     windows = {life.sender: _windows(records, life.sender) for life in records.lifetimes}
     stops = {life.sender: _stops(records, life.sender) for life in records.lifetimes}
-    drains = {life.sender: [at for x in records.lifetimes if x.sender == life.sender for at in x.drained_at]
-              for life in records.lifetimes}
+    drains = {
+        life.sender: [at for x in records.lifetimes if x.sender == life.sender for at in x.drained_at]
+        for life in records.lifetimes
+    }
     for request in records.requests:
         if request.ending not in (Ending.ENDED, Ending.SILENT):
             if request.ending is Ending.ANSWERED and request.status not in (202, 503):
@@ -72,13 +77,20 @@
             continue
         crossing = request.ending is Ending.ENDED and any(
             (stop + LET_GO_S <= request.ended if request.reused else stop + NEW_UNTIL_S <= request.began)
-            and request.ended <= ended for stop, ended in stops[request.sender])
+            and request.ended <= ended
+            for stop, ended in stops[request.sender]
+        )
         if not crossing and not _rested(request, drains[request.sender]):
             began = records.began
-            found.append(Broken("lost request", f"n{request.sender} {request.ref} written at "
-                                f"{request.written - began:.3f}, {request.ending.value} at "
-                                f"{request.ended - began:.3f}, on a {'kept' if request.reused else 'new'} "
-                                f"connection"))
+            found.append(
+                Broken(
+                    "lost request",
+                    f"n{request.sender} {request.ref} written at "
+                    f"{request.written - began:.3f}, {request.ending.value} at "
+                    f"{request.ended - began:.3f}, on a {'kept' if request.reused else 'new'} "
+                    f"connection",
+                )
+            )
     return found
 
 
@@ -94,8 +106,10 @@
     accepted = {r.ref: r for r in records.requests if r.status in (200, 202)}
     refused = {r.ref for r in records.requests if r.ending is Ending.ANSWERED and r.status in (429, 503)}
     ends: dict[str, float] = {}
-    for at, ref in [*((c.ended, c.ref) for c in records.calls if c.status == 200),
-                    *((n.at, n.ref) for n in records.notices)]:
+    for at, ref in [
+        *((c.ended, c.ref) for c in records.calls if c.status == 200),
+        *((n.at, n.ref) for n in records.notices),
+    ]:
         ends[ref] = min(at, ends.get(ref, at))
     found = []
     for ref, request in accepted.items():
@@ -106,12 +120,20 @@
                 due = max(due, ended + AFTER_READY_S + slack)
         for life in records.lifetimes:
             if life.sender == request.sender and life.stop_at is not None and life.stop_at <= due:
-                following = [x.ready for x in records.lifetimes if x.sender == life.sender
-                             and x.began > life.began and x.ready is not None]
+                following = [
+                    x.ready
+                    for x in records.lifetimes
+                    if x.sender == life.sender and x.began > life.began and x.ready is not None
+                ]
                 due = max(due, min(following, default=due) + AFTER_READY_S + slack)
         if ref not in ends and now > due:
-            found.append(Broken("no ending", f"n{request.sender} {ref} ({request.message_class}) accepted at "
-                                f"{request.ended:.3f}, due at {due:.3f}"))
+            found.append(
+                Broken(
+                    "no ending",
+                    f"n{request.sender} {ref} ({request.message_class}) accepted at "
+                    f"{request.ended:.3f}, due at {due:.3f}",
+                )
+            )
         elif ref in ends and ends[ref] > due:
             found.append(Broken("late ending", f"n{request.sender} {ref} ended {ends[ref] - due:.3f} s late"))
     found += [Broken("refused and sent", call.ref) for call in records.calls if call.ref in refused]
@@ -135,8 +157,13 @@
                 cls = classes.get(ref)
                 late = call.began - may_have_run > MEMORY_SPAN_S
                 if cls == "fee" or (cls == "order" and late):
-                    found.append(Broken("run twice", f"{ref} ({cls}) called again {call.began:.3f}, had been "
-                                        f"at {may_have_run:.3f}"))
+                    found.append(
+                        Broken(
+                            "run twice",
+                            f"{ref} ({cls}) called again {call.began:.3f}, had been "
+                            f"at {may_have_run:.3f}",
+                        )
+                    )
             elif call.status not in NEVER_RAN:
                 may_have_run = call.began
     return found
@@ -150,8 +177,11 @@
             found.append(Broken("crash", f"{name} ended by itself with {life.code}: {life.lines[-3:]}"))
         elif life.code not in (None, 0) and life.killed_at is None:
             found.append(Broken("crash", f"{name} ended with {life.code}: {life.lines[-3:]}"))
-        found += [Broken("bad line", f"{name}: {line}") for line in life.lines
-                  if any(bad in line for bad in BAD_LINES)]
+        found += [
+            Broken("bad line", f"{name}: {line}")
+            for line in life.lines
+            if any(bad in line for bad in BAD_LINES)
+        ]
         found += _ready(life, name, records)
     return found
 
@@ -160,8 +190,10 @@
     before = [x for x in records.lifetimes if x.sender == life.sender and x.number == life.number - 1]
     upgrade = any(x.succeeded_at is not None for x in before)
     most = UPGRADE_READY_MOST_S if upgrade else READY_MOST_S
-    if any(x.stop_at is not None and x.succeeded_at is None and x.ended is not None
-           and life.began < x.ended for x in before):
+    if any(
+        x.stop_at is not None and x.succeeded_at is None and x.ended is not None and life.began < x.ended
+        for x in before
+    ):
         most += max(x.ended for x in before) - life.began  # it had to wait for the folder
     if life.ready is None:
         if life.killed_at is None or life.killed_at - life.began > most:
--- a/willownotch/lab/twin/loop.py
+++ b/willownotch/lab/twin/loop.py
@@ -1,4 +1,5 @@
 """The model's world in real time: the same calls at the same times, and sockets between them."""
+
 from __future__ import annotations
 
 import heapq
--- a/willownotch/lab/twin/play.py
+++ b/willownotch/lab/twin/play.py
@@ -1,4 +1,5 @@
 """A scenario on sockets: the model's story with real senders in place of its own."""
+
 from __future__ import annotations
 
 import json
@@ -45,8 +46,13 @@
         config = self.folder / "config.json"
         config.write_text(json.dumps(self.story.config(self)), encoding="utf-8")
         env = {"PATH": os.environ["PATH"], "LB_CONFIG": str(config), "LB_STATE": str(self.folder / "state")}
-        self._process = subprocess.Popen([sys.executable, "-m", "willownotch"], env=env, text=True,
-                                         stderr=subprocess.PIPE, cwd=Path(__file__).parents[3])
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "willownotch"],
+            env=env,
+            text=True,
+            stderr=subprocess.PIPE,
+            cwd=Path(__file__).parents[3],
+        )
         listening = threading.Event()
         threading.Thread(target=self._read, args=(self._process, listening), daemon=True).start()
         if not listening.wait(READY_S):
@@ -141,48 +147,97 @@
             self._open(endpoint.number, endpoint)
 
     def _open(self, number: int, endpoint: Endpoint) -> None:
-        self.doors[number] = Door(self.world, endpoint, lambda ref: self.takes[self.ledger.items[ref].cls],
-                                  self._arrived, self._delivered, self._connected)
+        self.doors[number] = Door(
+            self.world,
+            endpoint,
+            lambda ref: self.takes[self.ledger.items[ref].cls],
+            self._arrived,
+            self._delivered,
+            self._connected,
+        )
 
     def listed(self, entry: face.Endpoint) -> dict:
         """An entry as the platform writes it."""
         host, port = self.doors[entry.number].listener.address
         partner = self.endpoints[entry.number].partner
-        return {"name": f"e{entry.number}", "address": f"{host}:{port}", "zone": "here", "type": partner.kind,
-                "group": entry.destination, "status": STATUS[entry.readiness], "weight": entry.rate,
-                "since_ms": 0}
+        return {
+            "name": f"e{entry.number}",
+            "address": f"{host}:{port}",
+            "zone": "here",
+            "type": partner.kind,
+            "group": entry.destination,
+            "status": STATUS[entry.readiness],
+            "weight": entry.rate,
+            "since_ms": 0,
+        }
 
     def config(self, node: Process) -> dict:
         """A sender's configuration, as the platform writes it."""
         settings, scenario = self.settings, self.scenario
         return {
-            "name": f"n{node.number}", "listen": "127.0.0.1:0", "discovery": node.discovery.address,
+            "name": f"n{node.number}",
+            "listen": "127.0.0.1:0",
+            "discovery": node.discovery.address,
             "seed": f"{self.seed * 1000 + node.number:x}",
             "limits": {"sockets": 4096, "disk_mb": 64, "memory_mb": 192},
             "settings": {
-                "services": [{
-                    "name": c.name, "credit": c.worth, "promiseS": c.wanted_s, "hardLimitS": c.deadline_s,
-                    "lateShare": c.late_share, "idempotency": c.effect.value, "group": c.group.value,
-                    "memorySpanS": c.memory_s, "oneAtATime": c.in_order} for c in self.classes],
-                "models": list(scenario.kinds()), "peersTotal": settings.senders,
+                "services": [
+                    {
+                        "name": c.name,
+                        "credit": c.worth,
+                        "promiseS": c.wanted_s,
+                        "hardLimitS": c.deadline_s,
+                        "lateShare": c.late_share,
+                        "idempotency": c.effect.value,
+                        "group": c.group.value,
+                        "memorySpanS": c.memory_s,
+                        "oneAtATime": c.in_order,
+                    }
+                    for c in self.classes
+                ],
+                "models": list(scenario.kinds()),
+                "peersTotal": settings.senders,
                 "orgs": [{"name": t.name, "quotaPerS": t.quota_per_s} for t in settings.tenants],
                 "familyInfo": {"slots": settings.slots, "decay": "even"},
                 "policyLimits": {
-                    "maxOpen": settings.holding_room, "maxAttempts": settings.max_attempts,
-                    "connectTimeoutS": 1.0, "keepaliveS": settings.keepalive_s,
-                    "maxRetryAfterS": settings.max_come_back_s, "mayCancel": True, "retryAfter": True,
-                    "secondCopies": True},
-                "rules": {"coldShare": settings.rules.cold_share, "coldS": settings.rules.cold_s,
-                          "fallMultiple": settings.rules.fall_multiple, "fallS": settings.rules.fall_s,
-                          "keyQuietS": settings.rules.key_quiet_s},
-                "callers": {"marksRetry": True}, "weightKind": "rough", "zones": ["here"],
-                "overShareWorth": settings.over_share_worth}}
+                    "maxOpen": settings.holding_room,
+                    "maxAttempts": settings.max_attempts,
+                    "connectTimeoutS": 1.0,
+                    "keepaliveS": settings.keepalive_s,
+                    "maxRetryAfterS": settings.max_come_back_s,
+                    "mayCancel": True,
+                    "retryAfter": True,
+                    "secondCopies": True,
+                },
+                "rules": {
+                    "coldShare": settings.rules.cold_share,
+                    "coldS": settings.rules.cold_s,
+                    "fallMultiple": settings.rules.fall_multiple,
+                    "fallS": settings.rules.fall_s,
+                    "keyQuietS": settings.rules.key_quiet_s,
+                },
+                "callers": {"marksRetry": True},
+                "weightKind": "rough",
+                "zones": ["here"],
+                "overShareWorth": settings.over_share_worth,
+            },
+        }
 
     def request(self, item: Item, again: bool) -> bytes:
         """A hand-in's bytes."""
         left = max(1, round(1000 * (item.ends_at - self.world.now)))
-        return request("lab", "/api", item.ref, self.classes[item.cls].name, list(self.tenants)[item.tenant],
-                       left, item.dest, item.key, int(again), BODY)
+        return request(
+            "lab",
+            "/api",
+            item.ref,
+            self.classes[item.cls].name,
+            list(self.tenants)[item.tenant],
+            left,
+            item.dest,
+            item.key,
+            int(again),
+            BODY,
+        )
 
     def run(self) -> Result:
         """Start the senders, then play as the model does."""
--- a/willownotch/lab/twin/servers.py
+++ b/willownotch/lab/twin/servers.py
@@ -1,4 +1,5 @@
 """Stand-ins on sockets, all on one loop: endpoints of partner systems, discovery, and clients."""
+
 from __future__ import annotations
 
 import errno
@@ -20,8 +21,14 @@
 class Peer:
     """One connection, read by the loop and written at once: all messages here are small."""
 
-    def __init__(self, world: RealWorld, sock: socket.socket, answer: bool,
-                 heard: Callable[[Peer, http.Head, bytes], None], gone: Callable[[Peer], None]) -> None:
+    def __init__(
+        self,
+        world: RealWorld,
+        sock: socket.socket,
+        answer: bool,
+        heard: Callable[[Peer, http.Head, bytes], None],
+        gone: Callable[[Peer], None],
+    ) -> None:
         self.world, self.sock, self.heard, self.gone = world, sock, heard, gone
         self.parser = http.Parser(answer=answer)
         self.open = True
@@ -67,9 +74,13 @@
 class Listener:
     """A port of its own that makes a peer of each connection."""
 
-    def __init__(self, world: RealWorld, heard: Callable[[Peer, http.Head, bytes], None],
-                 gone: Callable[[Peer], None] = lambda peer: None,
-                 connected: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        world: RealWorld,
+        heard: Callable[[Peer, http.Head, bytes], None],
+        gone: Callable[[Peer], None] = lambda peer: None,
+        connected: Callable[[], None] = lambda: None,
+    ) -> None:
         self.world, self.heard, self.gone, self.connected = world, heard, gone, connected
         self.sock = socket.create_server(("127.0.0.1", 0), backlog=1024)
         self.sock.setblocking(False)
@@ -101,9 +112,15 @@
 class Door:
     """An endpoint's port: a request becomes a call of the model, its answer is written back."""
 
-    def __init__(self, world: RealWorld, endpoint: Endpoint, takes_s: Callable[[str], float],
-                 arrived: Callable[[str, Endpoint], None], delivered: Callable[[str], None],
-                 connected: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        world: RealWorld,
+        endpoint: Endpoint,
+        takes_s: Callable[[str], float],
+        arrived: Callable[[str, Endpoint], None],
+        delivered: Callable[[str], None],
+        connected: Callable[[], None],
+    ) -> None:
         self.world, self.endpoint, self.takes_s = world, endpoint, takes_s
         self.arrived, self.delivered = arrived, delivered
         self.listener = Listener(world, self._heard, connected=connected)
--- a/willownotch/lease/core.py
+++ b/willownotch/lease/core.py
@@ -5,7 +5,8 @@
 Its holder renews it; it counts its lease from before it asked, less what two clocks may differ in speed,
 while an elector counts from when it was asked. So the holder stops by its own clock before another can
 begin. Every act bears the duty's token, and whoever takes acts refuses a lower token than it has seen or
-granted: a holder that stood still between looking at its lease and acting does no harm. """
+granted: a holder that stood still between looking at its lease and acting does no harm."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -143,13 +144,20 @@
     """One member's part: elector, candidate, holder and receiver. A layer of the membership.
 
     `keep` puts a grant or a fence into the folder before it counts; `took` is told of each act that is taken
-    here. """
+    here."""
 
     messages = (Ask, Answer, Free, Act, Took)
 
-    def __init__(self, name: str, life: int, settings: LeaseSettings, now: float, random: Random,
-                 keep: Keep = lambda duty, token, holder, life: True,
-                 took: Callable[[str, int, str, bytes], None] = lambda *act: None) -> None:
+    def __init__(
+        self,
+        name: str,
+        life: int,
+        settings: LeaseSettings,
+        now: float,
+        random: Random,
+        keep: Keep = lambda duty, token, holder, life: True,
+        took: Callable[[str, int, str, bytes], None] = lambda *act: None,
+    ) -> None:
         self.name, self.life, self.settings, self.random = name, life, settings, random
         self.keep, self.took = keep, took
         self.register = Register(now, self._span())
@@ -260,8 +268,11 @@
         known = self.register.grants.get(ask.duty)
         wanted = Wanted(ask.token, ask.source, ask.life, ask.span_ms / 1000, ask.release)
         grant = self.register.ask(now, ask.duty, wanted)
-        if grant is not None and (known is None or grant.token != known.token) and not self.keep(
-                ask.duty, grant.token, grant.holder, grant.life):
+        if (
+            grant is not None
+            and (known is None or grant.token != known.token)
+            and not self.keep(ask.duty, grant.token, grant.holder, grant.life)
+        ):
             # It cannot outlast this process, so it was not given.
             if known is None:
                 self.register.forget(ask.duty)
@@ -270,8 +281,16 @@
             grant, known = None, known
         shown = grant or self.register.grants.get(ask.duty)
         left = round(self.register.left(now, ask.duty) * 1000)
-        answer = Answer(self.name, ask.duty, ask.number, grant is not None, shown.token if shown else 0,
-                        shown.holder if shown else "", shown.life if shown else 0, left)
+        answer = Answer(
+            self.name,
+            ask.duty,
+            ask.number,
+            grant is not None,
+            shown.token if shown else 0,
+            shown.holder if shown else "",
+            shown.life if shown else 0,
+            left,
+        )
         if ask.source == self.name:
             self._answered(now, answer)
         else:
@@ -307,8 +326,10 @@
         Who sees no majority does not ask: its tokens would only be in the way of a holder elsewhere.
         """
         lately = now - 2 * self._span()
-        seen = sum(name == self.name or name in self._members or self._heard.get(name, lately) > lately
-                   for name in self.settings.electors)
+        seen = sum(
+            name == self.name or name in self._members or self._heard.get(name, lately) > lately
+            for name in self.settings.electors
+        )
         if seen < self._need():
             duty.stage, duty.ask_at = Stage.IDLE, now + self._span() / 4
             # A question that nobody grants, and whose answer shows who is there all the same.
@@ -346,8 +367,11 @@
 
     def _to_electors(self, ask: Ask) -> None:
         """To the others, those that the membership holds for dead too: it may be wrong, or late."""
-        self._sent += [Send(self._known[name], ask) for name in self.settings.electors
-                       if name != self.name and name in self._known]
+        self._sent += [
+            Send(self._known[name], ask)
+            for name in self.settings.electors
+            if name != self.name and name in self._known
+        ]
 
     def _answered(self, now: float, answer: Answer) -> None:
         duty = self.duties.get(answer.duty)
@@ -379,7 +403,7 @@
         duty.rounds.clear()
         # Where several are in each other's way again and again, who waits least must have time enough.
         duty.tries = min(duty.tries + 1, 4) if contested else 0
-        duty.ask_at = now + left + self.random.uniform(0.0, 0.05 * 2 ** duty.tries) * self._span()
+        duty.ask_at = now + left + self.random.uniform(0.0, 0.05 * 2**duty.tries) * self._span()
 
     def _freed(self, now: float, free: Free) -> None:
         duty = self.duties.get(free.duty)
--- a/willownotch/lease/register.py
+++ b/willownotch/lease/register.py
@@ -1,7 +1,8 @@
 """Who holds what, as one elector has it: a grant for a span, under a token that only grows. No I/O, no clock.
 
 `decide` is the whole rule, over plain values: the register, the witnesses of custody and the model check use
-it. """
+it."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -34,7 +35,7 @@
     """The new grant, or None: it is refused.
 
     A token is one holder's for good. A higher one is granted once the lease has run out, or to the holder
-    itself. """
+    itself."""
     if grant is None:
         grant = Grant(0, "", 0, now)
     own = (grant.holder, grant.life) == (wanted.holder, wanted.life)
