--- a/willownotch/lease/service.py
+++ b/willownotch/lease/service.py
@@ -1,7 +1,8 @@
 """Duties in a running sender: grants and fences in the folder, acts done and taken, what operators ask.
 
 The membership's thread runs the core under its lock. A grant is in the folder before it is answered; the
-file is small, and written anew in one step each time, so that it is whole or the one before. """
+file is small, and written anew in one step each time, so that it is whole or the one before."""
+
 from __future__ import annotations
 
 import threading
@@ -65,8 +66,17 @@
 class Leases:
     """The duties of one sender. `lock` is the membership's, set before it is started."""
 
-    def __init__(self, settings: LeaseSettings, name: str, life: int, folder: Path, files: Files, now: float,
-                 random: Random, say: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        settings: LeaseSettings,
+        name: str,
+        life: int,
+        folder: Path,
+        files: Files,
+        now: float,
+        random: Random,
+        say: Callable[[str], None],
+    ) -> None:
         self.settings, self.name, self.files, self.say = settings, name, files, say
         self.folder, self.path, self.lock = folder, folder / NAME, threading.Lock()
         self.kept: dict[tuple[str, bool], Kept] = {}
@@ -137,14 +147,26 @@
             now, found = time.monotonic(), []
             for name, duty in sorted(self.layer.duties.items()):
                 alive = duty.holder and now < duty.holder_until
-                last = tuple(ActView(token, source, round(now - at, 3), body.decode("ascii", "replace"))
-                             for at, token, source, body in self._last.get(name, ()))
+                last = tuple(
+                    ActView(token, source, round(now - at, 3), body.decode("ascii", "replace"))
+                    for at, token, source, body in self._last.get(name, ())
+                )
                 here = duty.stage.value
                 if duty.stage is Stage.HELD and self.layer.token(name, now) is None:
                     here = "lapsed"  # its own clock says so, and the next tick will
-                found.append(DutyView(
-                    name, duty.holder if alive else "", max(duty.highest, duty.fence, duty.token),
-                    round(max(0.0, duty.holder_until - now), 3) if alive else 0.0, here,
-                    duty.acts, duty.taken, duty.refused, last))
-            return LeaseView(self.name, self.settings.electors, self.settings.span.total_seconds(),
-                             tuple(found))
+                found.append(
+                    DutyView(
+                        name,
+                        duty.holder if alive else "",
+                        max(duty.highest, duty.fence, duty.token),
+                        round(max(0.0, duty.holder_until - now), 3) if alive else 0.0,
+                        here,
+                        duty.acts,
+                        duty.taken,
+                        duty.refused,
+                        last,
+                    )
+                )
+            return LeaseView(
+                self.name, self.settings.electors, self.settings.span.total_seconds(), tuple(found)
+            )
--- a/willownotch/lease/settings.py
+++ b/willownotch/lease/settings.py
@@ -1,4 +1,5 @@
 """The `lease` block of the settings file. Off unless it names electors and duties; needs `peers`."""
+
 from __future__ import annotations
 
 from datetime import timedelta
--- a/willownotch/life.py
+++ b/willownotch/life.py
@@ -3,6 +3,7 @@
 Signals, operators' calls, the owner and a hand-over tell it what happened, in any order. `Life` is
 immutable, and `happened` gives the next one. Every question about a state is answered here and nowhere else.
 """
+
 from __future__ import annotations
 
 import threading
@@ -69,8 +70,11 @@
         """The one word for it; what stands further up hides what stands below."""
         coming = self.drained_at is not None and now < self.drained_at + COMING
         table = [
-            (self.given, State.RETIRED), (self.handing, State.HANDING_OVER), (self.stopping, State.STOPPING),
-            (coming, State.QUIESCING), (self.drained_at is not None, State.QUIESCED),
+            (self.given, State.RETIRED),
+            (self.handing, State.HANDING_OVER),
+            (self.stopping, State.STOPPING),
+            (coming, State.QUIESCING),
+            (self.drained_at is not None, State.QUIESCED),
             (not self.listed, State.STARTING),
         ]
         return next((state for holds, state in table if holds), State.READY)
--- a/willownotch/links/edge.py
+++ b/willownotch/links/edge.py
@@ -6,6 +6,7 @@
 
     length 4 | version 1 | key number 1 | sender's uid 6 | counter 8 | message | tag 16
 """
+
 from __future__ import annotations
 
 import queue
@@ -105,8 +106,16 @@
 class Edge:
     """The listener, the connections that were taken, and a link for each peer that is spoken to."""
 
-    def __init__(self, kind: Kind, listener: socket.socket, host: str, uid: int,
-                 keys: list[tuple[int, bytes]], got: Callable[[Message], None], start: Start) -> None:
+    def __init__(
+        self,
+        kind: Kind,
+        listener: socket.socket,
+        host: str,
+        uid: int,
+        keys: list[tuple[int, bytes]],
+        got: Callable[[Message], None],
+        start: Start,
+    ) -> None:
         self.kind, self.listener, self.host, self.got, self.start = kind, listener, host, got, start
         self.seal = Seal(uid, keys, kind.decode, kind.version, MOST)
         self.traffic: Counter[str] = Counter()
--- a/willownotch/management/calls.py
+++ b/willownotch/management/calls.py
@@ -1,4 +1,5 @@
 """What operators can call on this sender."""
+
 from __future__ import annotations
 
 import os
@@ -17,8 +18,12 @@
     def __init__(self, standing: Standing, clock: Clock, log: Log) -> None:
         self.standing, self.clock, self.log = standing, clock, log
         self.empty: Callable[[], None] = lambda: None  # has idle connections ended, once there can be any
-        self.table: dict[str, Call] = {"health": self.health, "quiesce": self.quiesce, "resume": self.resume,
-                                        "counters": self.counters}
+        self.table: dict[str, Call] = {
+            "health": self.health,
+            "quiesce": self.quiesce,
+            "resume": self.resume,
+            "counters": self.counters,
+        }
 
     def _state(self) -> str:
         return self.standing.life.state(self.clock.now()).value
--- a/willownotch/management/core.py
+++ b/willownotch/management/core.py
@@ -1,4 +1,5 @@
 """Lines of operators' calls and the table of what can be called. No sockets and no clock."""
+
 from __future__ import annotations
 
 import re
--- a/willownotch/management/edge.py
+++ b/willownotch/management/edge.py
@@ -1,4 +1,5 @@
 """The one thread that answers operators. It never waits for a caller, however many there are."""
+
 from __future__ import annotations
 
 import select
--- a/willownotch/mesh.py
+++ b/willownotch/mesh.py
@@ -1,5 +1,6 @@
 """Peers and what travels on them, put together for a running sender. Loaded only where the settings ask for
 it."""
+
 from __future__ import annotations
 
 import secrets
@@ -61,8 +62,17 @@
 class Mesh:
     """The peers of one sender: the socket, the node on it, its layers, and the questions it answers."""
 
-    def __init__(self, blocks: Blocks, name: str, folder: Path, files: Files, space: Space,
-                 say: Callable[[str, str], None], now: Callable[[], datetime], instances: int = 1) -> None:
+    def __init__(
+        self,
+        blocks: Blocks,
+        name: str,
+        folder: Path,
+        files: Files,
+        space: Space,
+        say: Callable[[str, str], None],
+        now: Callable[[], datetime],
+        instances: int = 1,
+    ) -> None:
         settings = blocks.peers
         self.blocks, self.say, self._space = blocks, say, space
         name = settings.name or name
@@ -78,20 +88,36 @@
             if blocks.shared.on():
                 from willownotch.shared.service import Shared
 
-                self.shared = Shared(blocks.shared, name, uid, instances, time.monotonic(),
-                                     Random(secrets.randbits(64)))
+                self.shared = Shared(
+                    blocks.shared, name, uid, instances, time.monotonic(), Random(secrets.randbits(64))
+                )
                 layers += (self.shared.layer,)
             self.leases: Leases | None = None
             if blocks.lease.on():
                 from willownotch.lease.service import Leases
 
-                self.leases = Leases(blocks.lease, name, uid, folder, files, time.monotonic(),
-                                     Random(secrets.randbits(64)), lambda text: say("lease", text))
+                self.leases = Leases(
+                    blocks.lease,
+                    name,
+                    uid,
+                    folder,
+                    files,
+                    time.monotonic(),
+                    Random(secrets.randbits(64)),
+                    lambda text: say("lease", text),
+                )
                 layers += (self.leases.layer,)
                 space.settle(0, 2 * BLOCK)  # its file, and the one that takes its place
             if blocks.usage.count:
-                self.counting = Counting(blocks.usage, name, not settings.seeds, folder, files, space,
-                                         lambda text: say("usage", text))
+                self.counting = Counting(
+                    blocks.usage,
+                    name,
+                    not settings.seeds,
+                    folder,
+                    files,
+                    space,
+                    lambda text: say("usage", text),
+                )
                 layers += (self.counting.layer,)
         except OSError:
             self.sock.close()
@@ -101,15 +127,32 @@
             from willownotch.links.edge import Edge as Links
             from willownotch.replica.service import LINKS, Keeper
 
-            edge = Links(LINKS, listener, settings.listen[0], uid, keys,
-                              lambda message: self.keeper.post(message),
-                              lambda name, work: self._start(name, work))
-            self.keeper = Keeper(blocks.replica, name, uid, edge, folder, files, space, space.room,
-                                 lambda text: say("custody", text), now)
+            edge = Links(
+                LINKS,
+                listener,
+                settings.listen[0],
+                uid,
+                keys,
+                lambda message: self.keeper.post(message),
+                lambda name, work: self._start(name, work),
+            )
+            self.keeper = Keeper(
+                blocks.replica,
+                name,
+                uid,
+                edge,
+                folder,
+                files,
+                space,
+                space.room,
+                lambda text: say("custody", text),
+                now,
+            )
             self.keeper.there = self.there
         node = Node(membership, layers)
-        self.edge = Edge(self.sock, node, Seal(uid, keys, node.decode), settings.budget,
-                         lambda text: say("peers", text))
+        self.edge = Edge(
+            self.sock, node, Seal(uid, keys, node.decode), settings.budget, lambda text: say("peers", text)
+        )
         if self.counting is not None:
             self.counting.lock = self.edge.lock
         if self.shared is not None:
@@ -146,7 +189,7 @@
             threading.Event().wait(SWEEP_S)
             if self.leases.holds(SWEEP) and (books := self.keeper.over()):
                 for at in range(0, len(books), SWEEP_MOST):
-                    self.leases.act(SWEEP, b"forget " + " ".join(books[at:at + SWEEP_MOST]).encode())
+                    self.leases.act(SWEEP, b"forget " + " ".join(books[at : at + SWEEP_MOST]).encode())
 
     def answer_on(self, server: Server) -> None:
         """Register the questions that it answers."""
@@ -189,12 +232,18 @@
                 self.counting.usage.settings = fresh.usage
                 self.counting.book.tally.most = fresh.usage.rows
         self.blocks = fresh
-        later = [f"peers {word}" for word in ("listen", "advertise", "name", "seeds")
-                 if getattr(old.peers, word) != getattr(fresh.peers, word)]
+        later = [
+            f"peers {word}"
+            for word in ("listen", "advertise", "name", "seeds")
+            if getattr(old.peers, word) != getattr(fresh.peers, word)
+        ]
         later += ["usage count"] * (bool(old.usage.count) != bool(fresh.usage.count))
         later += ["lease"] * (old.lease.on() != fresh.lease.on())
-        later += [f"shared {word}" for word in ("budgets", "judgements", "instances")
-                  if getattr(old.shared, word) != getattr(fresh.shared, word)]
+        later += [
+            f"shared {word}"
+            for word in ("budgets", "judgements", "instances")
+            if getattr(old.shared, word) != getattr(fresh.shared, word)
+        ]
         later += ["replica"] * (old.replica.on() != fresh.replica.on())
         return ", ".join(later)
 
@@ -209,4 +258,3 @@
             if self.edge.node.membership.size() > 1:
                 threading.Event().wait(LINGER_S)
         self.edge.stop()
-
--- a/willownotch/net/bulk.py
+++ b/willownotch/net/bulk.py
@@ -1,4 +1,5 @@
 """Several messages in one call: its body as bytes, and what the answer says of each. No I/O."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -8,8 +9,10 @@
 TARGET = "/inbox/bulk"
 # What the answer says of a message: its outcome, and whether it is over for the host, too.
 WORDS = {
-    "delivered": (Outcome.DELIVERED, True), "failed": (Outcome.ERROR, False),
-    "refused": (Outcome.TURNED_AWAY, False), "over": (Outcome.NOT_SENT, True),
+    "delivered": (Outcome.DELIVERED, True),
+    "failed": (Outcome.ERROR, False),
+    "refused": (Outcome.TURNED_AWAY, False),
+    "over": (Outcome.NOT_SENT, True),
     "spent": (Outcome.NOT_SENT, False),
 }
 
@@ -34,6 +37,8 @@
         ref, _, word = line.strip().partition(" ")
         said.setdefault(ref, []).append(word.strip())
     return {
-        ref: WORDS.get(words[0], (Outcome.ERROR, False)) if len(words := said.get(ref, [])) == 1
-        else (Outcome.ERROR, False) for ref in refs
+        ref: WORDS.get(words[0], (Outcome.ERROR, False))
+        if len(words := said.get(ref, [])) == 1
+        else (Outcome.ERROR, False)
+        for ref in refs
     }
--- a/willownotch/net/clock.py
+++ b/willownotch/net/clock.py
@@ -1,4 +1,5 @@
 """Wall-clock times that never run backwards, and the one place where they become the module's seconds."""
+
 from __future__ import annotations
 
 import time
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -1,4 +1,5 @@
 """The configuration of one sender: JSON into the few values used, then into the module's settings."""
+
 from __future__ import annotations
 
 import errno
@@ -201,26 +202,48 @@
     return face.Settings(
         classes=tuple(
             face.MessageClass(
-                c.name, c.credit, c.promise_s, c.hard_limit_s, c.late_share, face.Effect(c.idempotency),
-                face.Group(c.group or "all"), c.memory_span_s, c.one_at_a_time, c.aim_stretch,
-            ) for c in entry.services
+                c.name,
+                c.credit,
+                c.promise_s,
+                c.hard_limit_s,
+                c.late_share,
+                face.Effect(c.idempotency),
+                face.Group(c.group or "all"),
+                c.memory_span_s,
+                c.one_at_a_time,
+                c.aim_stretch,
+            )
+            for c in entry.services
         ),
         kinds=tuple(
             face.Kind(name, batch[n] if n < len(batch) else 1, n < len(apart) and apart[n])
             for n, name in enumerate(entry.models)
         ),
-        slots=family.slots, holding_room=policy.max_open,
+        slots=family.slots,
+        holding_room=policy.max_open,
         tenants=tuple(face.Tenant(org.name, org.quota_per_s) for org in entry.orgs),
-        senders=entry.peers_total, max_attempts=policy.max_attempts, decay=face.Decay(family.decay),
-        over_share_worth=entry.over_share_worth, zone_fees=tuple(family.fee_by_zone),
-        refusal_price=family.refusal_cost, waste_price=entry.costs.waste,
-        handshake_price=entry.costs.handshake, keepalive_s=policy.keepalive_s or inf,
+        senders=entry.peers_total,
+        max_attempts=policy.max_attempts,
+        decay=face.Decay(family.decay),
+        over_share_worth=entry.over_share_worth,
+        zone_fees=tuple(family.fee_by_zone),
+        refusal_price=family.refusal_cost,
+        waste_price=entry.costs.waste,
+        handshake_price=entry.costs.handshake,
+        keepalive_s=policy.keepalive_s or inf,
         max_come_back_s=policy.max_retry_after_s if policy.retry_after else 0.0,
-        may_cancel=policy.may_cancel, second_copies=policy.second_copies,
-        listed_rates=entry.weight_kind in ("nominal", "rough"), again_is_marked=entry.callers.marks_retry,
+        may_cancel=policy.may_cancel,
+        second_copies=policy.second_copies,
+        listed_rates=entry.weight_kind in ("nominal", "rough"),
+        again_is_marked=entry.callers.marks_retry,
         rules=face.Rules(
-            rules.grace_to_answer_s, rules.cold_share, rules.cold_s, rules.fall_multiple, rules.fall_s,
-            rules.key_quiet_s, rules.ask_within_s,
+            rules.grace_to_answer_s,
+            rules.cold_share,
+            rules.cold_s,
+            rules.fall_multiple,
+            rules.fall_s,
+            rules.key_quiet_s,
+            rules.ask_within_s,
         ),
     )
 
@@ -236,8 +259,9 @@
         yield from sorted(set.intersection(*(set(item) for item in value)))
 
 
-def read_config(text: bytes, env: Mapping[str, str], old: Config | None = None,
-                overlay: Overlay | None = None) -> Config:
+def read_config(
+    text: bytes, env: Mapping[str, str], old: Config | None = None, overlay: Overlay | None = None
+) -> Config:
     """The file's text. The environment's own variables go first, but not before the file's `discovery`.
 
     A file can be replaced while the process runs; what the start's environment said is the older news. One
@@ -253,8 +277,9 @@
         raise ConfigError(f"the configuration cannot be read: {fault}") from None
     if old is not None and (missing := sorted(old.keys - keys)):
         raise ConfigError(f"the configuration is short of {missing[0]!r}, which it had before")
-    if doubled := sorted({c.name for c in file.settings.services
-                          if [d.name for d in file.settings.services].count(c.name) > 1}):
+    if doubled := sorted(
+        {c.name for c in file.settings.services if [d.name for d in file.settings.services].count(c.name) > 1}
+    ):
         raise ConfigError(f"the configuration has the class {doubled[0]!r} twice")
     state = env.get("LB_STATE") or file.state
     if not state:
@@ -273,13 +298,19 @@
         name=env.get("LB_NAME") or file.name or "sender",
         listen=read_address(env.get("LB_LISTEN") or file.listen, "the address to listen on"),
         discovery=read_address(file.discovery or env.get("LB_DISCOVERY", ""), "discovery's address"),
-        state=Path(state), seed=int(file.seed, 16), limits=file.limits, known=file.known, settings=settings,
-        zones=tuple(file.settings.zones), connect_time=timedelta(seconds=policy.connect_timeout_s),
+        state=Path(state),
+        seed=int(file.seed, 16),
+        limits=file.limits,
+        known=file.known,
+        settings=settings,
+        zones=tuple(file.settings.zones),
+        connect_time=timedelta(seconds=policy.connect_timeout_s),
         keepalive=timedelta(seconds=policy.keepalive_s or 60.0),
         period=timedelta(seconds=min(MOST_PERIOD_S, max(0.0, file.settings.period_s))),
         management=read_address(called_at, "the management address") if called_at else None,
         asked=file.settings.discovery == "subscribe",
-        keys=keys, rules={c.name: rules_of(c, settings.max_attempts) for c in settings.classes},
+        keys=keys,
+        rules={c.name: rules_of(c, settings.max_attempts) for c in settings.classes},
     )
 
 
@@ -299,8 +330,12 @@
     return msgspec.structs.replace(fresh, limits=limits, settings=settings, **keep), later
 
 
-def load(path: str | None = None, env: Mapping[str, str] = os.environ, old: Config | None = None,
-         overlay: Overlay | None = None) -> Config:
+def load(
+    path: str | None = None,
+    env: Mapping[str, str] = os.environ,
+    old: Config | None = None,
+    overlay: Overlay | None = None,
+) -> Config:
     """The configuration at a path, or where $LB_CONFIG says."""
     named = path or env.get("LB_CONFIG")
     if not named:
--- a/willownotch/net/counters.py
+++ b/willownotch/net/counters.py
@@ -1,4 +1,5 @@
 """Counts of what happened, by event and reason. The log is limited in lines a second; these are not."""
+
 from __future__ import annotations
 
 import threading
--- a/willownotch/net/folder.py
+++ b/willownotch/net/folder.py
@@ -1,4 +1,5 @@
 """The folder that lasts, opened whole: the journal, the body store, and the one limit that they share."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -15,10 +16,17 @@
 from willownotch.net.log import Log
 
 
-def open_folder(folder: Path, disk_bytes: int, files: Files, clock: Clock, log: Log,
-                classes: Iterable[MessageClass], settings: BodiesSettings,
-                memory_mb: float = 192.0,
-                live: dict[str, Entry] | None = None) -> tuple[Journal, Bodies, list[str]]:
+def open_folder(
+    folder: Path,
+    disk_bytes: int,
+    files: Files,
+    clock: Clock,
+    log: Log,
+    classes: Iterable[MessageClass],
+    settings: BodiesSettings,
+    memory_mb: float = 192.0,
+    live: dict[str, Entry] | None = None,
+) -> tuple[Journal, Bodies, list[str]]:
     """Journal and store, wired to each other, and the messages whose body was not found; or `OSError`.
 
     `live` is what another process handed over: it is the journal's content, and nothing is read.
--- a/willownotch/net/http.py
+++ b/willownotch/net/http.py
@@ -3,6 +3,7 @@
 One `Parser` reads one side of one connection. It guards against what loses framing: a request whose length
 is missing, conflicting or too large is a `BadMessageError`, after which the connection must be closed.
 """
+
 from __future__ import annotations
 
 import re
@@ -14,11 +15,23 @@
 REWRITTEN_SLACK = 256  # what a head may grow by as it is written again: spaces, a host, a length
 READ = 65536  # bytes asked of a socket at a time; at half of it, floods cost more rounds of parsing
 REASONS = {
-    100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-    405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 411: "Length Required",
-    413: "Content Too Large", 417: "Expectation Failed", 429: "Too Many Requests",
+    100: "Continue",
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    411: "Length Required",
+    413: "Content Too Large",
+    417: "Expectation Failed",
+    429: "Too Many Requests",
     431: "Request Header Fields Too Large",
-    500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    503: "Service Unavailable",
     505: "HTTP Version Not Supported",
 }
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
@@ -67,8 +80,9 @@
     return Head(int(found[4]), method=found[1].decode(), target=found[2].decode())
 
 
-def read_headers(head: Head, lines: Iterable[bytes], optional: tuple[bytes, ...] = (),
-                 most: int = HEADERS_MOST) -> None:
+def read_headers(
+    head: Head, lines: Iterable[bytes], optional: tuple[bytes, ...] = (), most: int = HEADERS_MOST
+) -> None:
     """The header lines into the head. A list given twice is joined; a length given twice must agree.
 
     An optional one is left out where its value cannot be read: it spoils no message that is good without it.
@@ -106,8 +120,8 @@
         out = bytearray()
         while not self.done:
             if self._left:
-                part = buffer[:self._left]
-                del buffer[:self._left]
+                part = buffer[: self._left]
+                del buffer[: self._left]
                 out += part
                 self._left -= len(part)
                 self._after = not self._left
@@ -120,7 +134,7 @@
                     raise BadMessageError(400, "a chunk's line is too long")
                 break
             line = bytes(buffer[:end])
-            del buffer[:end + 2]
+            del buffer[: end + 2]
             self._line(line)
         return bytes(out)
 
@@ -149,8 +163,9 @@
     and `begun` while a message is partly in. A `stream` gives an answer's body out by `body_part` instead.
     """
 
-    def __init__(self, answer: bool, body_most: int = BODY_MOST, stream: bool = False,
-                 optional: tuple[bytes, ...] = ()) -> None:
+    def __init__(
+        self, answer: bool, body_most: int = BODY_MOST, stream: bool = False, optional: tuple[bytes, ...] = ()
+    ) -> None:
         self.answer, self.body_most, self.stream, self.optional = answer, body_most, stream, optional
         self.slack = 0  # bytes and lines of a head that another process's writer may have added
         self.buffer = bytearray()
@@ -203,7 +218,7 @@
                 self._searched = len(self.buffer)
                 return False
             lines = bytes(self.buffer[:end]).split(b"\r\n")
-            del self.buffer[:end + 4]
+            del self.buffer[: end + 4]
             head = read_first_line(lines[0], self.answer)
             read_headers(head, lines[1:], self.optional, HEADERS_MOST + self.slack)
             if self.answer and 100 <= head.status < 200:
@@ -271,8 +286,9 @@
     return (text + "\r\n\r\n").encode("latin-1")
 
 
-def write_request(method: str, target: str, host: str, headers: Iterable[tuple[str, str]],
-                  body: bytes | None = None) -> bytes:
+def write_request(
+    method: str, target: str, host: str, headers: Iterable[tuple[str, str]], body: bytes | None = None
+) -> bytes:
     """A whole request."""
     length = () if body is None else (("Content-Length", str(len(body))),)
     return write_head(f"{method} {target} HTTP/1.1", [("Host", host), *headers, *length]) + (body or b"")
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -4,6 +4,7 @@
 still fit the disk side by side. A large message body stands in the body store (`willownotch.bodies`), and its
 record says where.
 """
+
 from __future__ import annotations
 
 import threading
@@ -156,8 +157,10 @@
     def entries(self, number: Callable[[], int]) -> tuple[int, list[Entry]]:
         """What is live at one moment, in order, and what `number` says at the same."""
         with self._lock:
-            return number(), [msgspec.structs.replace(e, opened=dict(e.opened), closed=dict(e.closed))
-                              for e in self.live.values()]
+            return number(), [
+                msgspec.structs.replace(e, opened=dict(e.opened), closed=dict(e.closed))
+                for e in self.live.values()
+            ]
 
     def compact(self) -> None:
         """Write the file anew now: others need the room."""
--- a/willownotch/net/listening.py
+++ b/willownotch/net/listening.py
@@ -1,4 +1,5 @@
 """A listening TCP socket."""
+
 from __future__ import annotations
 
 import socket
--- a/willownotch/net/log.py
+++ b/willownotch/net/log.py
@@ -1,4 +1,5 @@
 """Lines to standard error by plain print, so many a second of each sort at the most."""
+
 from __future__ import annotations
 
 import os
--- a/willownotch/net/memory.py
+++ b/willownotch/net/memory.py
@@ -4,6 +4,7 @@
 26 threads and bodies of 64 KiB, 5 MB more than was in use. One arena is enough, as Python's own lock lets one
 thread allocate at a time, and what is as large as a body is better given back to the system at once.
 """
+
 from __future__ import annotations
 
 M_ARENA_MAX, M_MMAP_THRESHOLD = -8, -3  # of glibc's malloc.h
--- a/willownotch/net/north.py
+++ b/willownotch/net/north.py
@@ -1,4 +1,5 @@
 """The north side: clients hand messages in here, each connection on a small thread of its own."""
+
 from __future__ import annotations
 
 import errno
@@ -63,8 +64,14 @@
 class PassOn(Protocol):
     """Has another process go on with a connection, and with what was asked on it; whether it does."""
 
-    def __call__(self, sock: socket.socket, request: bytes, arrived: datetime | None, asked: int,
-                 read_at: datetime | None = None) -> bool:
+    def __call__(
+        self,
+        sock: socket.socket,
+        request: bytes,
+        arrived: datetime | None,
+        asked: int,
+        read_at: datetime | None = None,
+    ) -> bool:
         """Any thread may call; it takes no longer than a client waits, unless the other process has it."""
 
 
@@ -87,8 +94,10 @@
     faults = [
         (not ID.match(ref), "Request-Id is missing or unreadable"),
         (cls is None, f"unknown class {name!r}"),
-        (bool(settings.tenants) and tenant not in [t.name for t in settings.tenants],
-         f"unknown tenant {tenant!r}"),
+        (
+            bool(settings.tenants) and tenant not in [t.name for t in settings.tenants],
+            f"unknown tenant {tenant!r}",
+        ),
         (not WHOLE.match(left) or int(left) == 0, "Request-Timeout-Ms is not a whole number above 0"),
         (dest is None, "X-Consignee names no dest"),
         (idempotency is not None and not ID.match(idempotency), "Idempotency-Key is unreadable"),
@@ -98,9 +107,17 @@
         if wrong:
             raise RefusedError(400, text)
     return Taken(
-        ref=ref, destination=int(dest[1]), message_class=name, tenant=tenant,
-        ends_at=arrived + timedelta(milliseconds=int(left)), key=keys[0] if keys and cls.in_order else None,
-        idempotency_key=idempotency, again="client-retry" in headers, body=body, at=arrived, rules=cls,
+        ref=ref,
+        destination=int(dest[1]),
+        message_class=name,
+        tenant=tenant,
+        ends_at=arrived + timedelta(milliseconds=int(left)),
+        key=keys[0] if keys and cls.in_order else None,
+        idempotency_key=idempotency,
+        again="client-retry" in headers,
+        body=body,
+        at=arrived,
+        rules=cls,
     )
 
 
@@ -231,9 +248,17 @@
 class North:
     """The listener and the connections it has taken."""
 
-    def __init__(self, config: Config, clock: Clock, log: Log, owner: Owner, bodies: Bodies,
-                 start: Callable[[str, Callable[[], None]], None], standing: Standing,
-                 listener: socket.socket | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        log: Log,
+        owner: Owner,
+        bodies: Bodies,
+        start: Callable[[str, Callable[[], None]], None],
+        standing: Standing,
+        listener: socket.socket | None = None,
+    ) -> None:
         self.bodies, self.standing = bodies, standing
         self.config, self.clock, self.log, self.owner, self.start = config, clock, log, owner, start
         self.most = clients_most(config)
@@ -349,8 +374,14 @@
             return False
         return True
 
-    def adopt(self, sock: socket.socket, request: bytes, arrived: datetime | None, asked: int,
-              read_at: datetime | None = None) -> bool:
+    def adopt(
+        self,
+        sock: socket.socket,
+        request: bytes,
+        arrived: datetime | None,
+        asked: int,
+        read_at: datetime | None = None,
+    ) -> bool:
         """Go on with a client of the process before this one; whether it is served here from now on."""
         client = Client(sock, self.clock.now(), self._stages)
         client.asked, client.shared, client.arrived, client.read_at = asked, True, arrived, read_at
@@ -381,26 +412,35 @@
         with self._room:
             return sum(not client.passed for client in self._clients)
 
-    def _move(self, client: Client, request: bytes = b"", arrived: datetime | None = None,
-              read_at: datetime | None = None) -> bool:
+    def _move(
+        self,
+        client: Client,
+        request: bytes = b"",
+        arrived: datetime | None = None,
+        read_at: datetime | None = None,
+    ) -> bool:
         """Let another process go on with a connection, and with what it has asked; whether it does."""
         if client.moved or (client.ending and not request):
             return client.moved
         client.moved = True
         passed = self._elsewhere is not None and self._elsewhere(
-            client.sock, request, arrived, client.asked, read_at)
+            client.sock, request, arrived, client.asked, read_at
+        )
         client.moved = passed
         client.passed = passed  # only now: this process ends once all are
-        self.log.counters.add("client passed on" if passed else "client not passed on",
-                              "with a request" if request else "idle")
+        self.log.counters.add(
+            "client passed on" if passed else "client not passed on", "with a request" if request else "idle"
+        )
         return passed
 
     def _pass_on(self, client: Client, request: bytes, arrived: datetime, read_at: datetime) -> None:
         """Have the other process answer a request that was read here; what it cannot take is refused."""
         if self._move(client, request, arrived, read_at):
             raise MovedError
-        self.log.say("upgrade", f"connection {client.number}: the other process did not take its request, "
-                     "answered 503")
+        self.log.say(
+            "upgrade",
+            f"connection {client.number}: the other process did not take its request, " "answered 503",
+        )
 
     def empty(self) -> None:
         """While a drain lasts, end the connections that stay idle; until it is over or all are gone."""
@@ -509,8 +549,11 @@
             client.bad += 1
             client.asked += 1
         except Exception as fault:  # a request must not go unanswered, nor end the sender
-            self.log.say("error", f"connection {client.number}: a request was answered 500: "
-                         f"{type(fault).__name__}: {fault}: {traceback.format_exc()}")
+            self.log.say(
+                "error",
+                f"connection {client.number}: a request was answered 500: "
+                f"{type(fault).__name__}: {fault}: {traceback.format_exc()}",
+            )
             reply = Reply(500)
             client.asked += 1
         # What has been read of a further request is owed its answer, too.
@@ -518,11 +561,14 @@
         last = [] if head.keeps_alive() and not ends else [("Connection", "close")]
         data = http.write_answer(reply.status, [*reply.headers, *last], reply.body)
         try:
-            client.write(data[:-len(reply.body)] if head.method == "HEAD" and reply.body else data)
+            client.write(data[: -len(reply.body)] if head.method == "HEAD" and reply.body else data)
         except OSError as fault:
             client.why = "gone before its answer"
-            self.log.say("unanswered", f"connection {client.number}: {reply.status} could not be written"
-                         f"{f' for {reply.taken}, withdrawn' if reply.taken else ''}: {fault}")
+            self.log.say(
+                "unanswered",
+                f"connection {client.number}: {reply.status} could not be written"
+                f"{f' for {reply.taken}, withdrawn' if reply.taken else ''}: {fault}",
+            )
             if reply.taken is not None:
                 self.owner.post(Withdraw(reply.taken, reply.ticket))
             return False
@@ -609,8 +655,10 @@
         due = max(read_at + PATIENCE, self.clock.now() + PATIENCE_LEAST)
         found = self._keep(taken, due)
         if isinstance(found, Admission):
-            self.log.say("full", f"back-off answer to {taken.ref} for destination {taken.destination}: "
-                         f"{found.reason}")
+            self.log.say(
+                "full",
+                f"back-off answer to {taken.ref} for destination {taken.destination}: " f"{found.reason}",
+            )
             return self._back_off(RETRY, "no room for its body")
         taken, ticket = found, Ticket()
         self.owner.post(HandIn(taken, ticket))
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -3,6 +3,7 @@
 A message comes in by `HandIn` and goes out by exactly one ending. Nothing here knows how either travels: a
 second protocol hands in the same `Taken`, waits on the same `Ticket` and keeps the same rules.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -235,16 +236,43 @@
     return keyed + sorted((e for e in entries if e.taken.key is None), key=lambda e: e.taken.ends_at)
 
 
-Item = (HandIn | MakeRoom | BodyLost | Withdraw | RelayEnded | RemoteEnded | ListNews | Noticed | TenantParts
-        | HandOver | SharedNews | Copied | MayTell | TookOver | LostBook | ExpiredBook | Flush | Retune
-        | Stop)
+Item = (
+    HandIn
+    | MakeRoom
+    | BodyLost
+    | Withdraw
+    | RelayEnded
+    | RemoteEnded
+    | ListNews
+    | Noticed
+    | TenantParts
+    | HandOver
+    | SharedNews
+    | Copied
+    | MayTell
+    | TookOver
+    | LostBook
+    | ExpiredBook
+    | Flush
+    | Retune
+    | Stop
+)
 
 
 class Owner:
     """Owns the module. All that sockets have to say reaches it through `post`."""
 
-    def __init__(self, config: Config, clock: Clock, log: Log, journal: Journal, hosts: Hosts,
-                 bodies: Bodies, standing: Standing, tells: bool = False) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        log: Log,
+        journal: Journal,
+        hosts: Hosts,
+        bodies: Bodies,
+        standing: Standing,
+        tells: bool = False,
+    ) -> None:
         self.standing, self.tells = standing, tells
         self.config, self.clock, self.log, self.journal, self.hosts = config, clock, log, journal, hosts
         self.bodies = bodies
@@ -300,8 +328,11 @@
 
     def turned_away(self, taken: Taken) -> bool:
         """Whether a hand-in would be turned away as things are, whatever its body; any thread may ask."""
-        return (not self.standing.life.listed or self._open >= self.settings.holding_room
-                or not self.hosts.listed(taken.destination))
+        return (
+            not self.standing.life.listed
+            or self._open >= self.settings.holding_room
+            or not self.hosts.listed(taken.destination)
+        )
 
     def run(self) -> None:
         """Recover what the journal has, then take rounds until the process ends or another takes over."""
@@ -335,15 +366,30 @@
     def _estate(self) -> Estate:
         gated = {relay for line in self._gated.values() for relay in line}
         return Estate(
-            config=self.config, clock=self.clock.origin(), controller=self.controller,
-            hosts=self.hosts.state(), live=self.journal.live, ended=self._ended, unwritten=self._unwritten,
+            config=self.config,
+            clock=self.clock.origin(),
+            controller=self.controller,
+            hosts=self.hosts.state(),
+            live=self.journal.live,
+            ended=self._ended,
+            unwritten=self._unwritten,
             timers=[(when, thing) for when, _, thing in self._timers if not isinstance(thing, Relay)],
-            owed=[OwedMessage(
-                owed.taken, owed.count, owed.over, owed.confirmed, owed.unwritten,
-                [Out(r.number, r.endpoint, r.host, r.begun_at, r.ends_at, r in gated)
-                 for r in owed.out.values()],
-            ) for owed in self._owed.values()],
-            unanswered=list(self._unanswered.values()), discovery=self.config.discovery,
+            owed=[
+                OwedMessage(
+                    owed.taken,
+                    owed.count,
+                    owed.over,
+                    owed.confirmed,
+                    owed.unwritten,
+                    [
+                        Out(r.number, r.endpoint, r.host, r.begun_at, r.ends_at, r in gated)
+                        for r in owed.out.values()
+                    ],
+                )
+                for owed in self._owed.values()
+            ],
+            unanswered=list(self._unanswered.values()),
+            discovery=self.config.discovery,
             list_index=self.list_index,
         )
 
@@ -394,8 +440,16 @@
             owed.confirmed, owed.unwritten = known.confirmed, known.unwritten
             self._open += not owed.over
             for out in known.out:
-                relay = Relay(known.taken, out.number, out.endpoint, out.host, out.begun_at, out.ends_at,
-                              remote=not out.gated, repeatable=self._repeatable(known.taken))
+                relay = Relay(
+                    known.taken,
+                    out.number,
+                    out.endpoint,
+                    out.host,
+                    out.begun_at,
+                    out.ends_at,
+                    remote=not out.gated,
+                    repeatable=self._repeatable(known.taken),
+                )
                 owed.out[out.number] = relay
                 if out.gated:
                     self._gate(relay)
@@ -406,8 +460,11 @@
         for ref in self.lost_bodies:
             self.post(BodyLost(ref))
         remote = sum(relay.remote for owed in self._owed.values() for relay in owed.out.values())
-        self.log.say("upgrade", f"taken over: {self._open} messages owed, {remote} calls out in the process "
-                     f"before, {len(self._unanswered)} notices unanswered")
+        self.log.say(
+            "upgrade",
+            f"taken over: {self._open} messages owed, {remote} calls out in the process "
+            f"before, {len(self._unanswered)} notices unanswered",
+        )
         self._round([Retune(self.config)] if estate.config.settings != self.settings else [])
 
     def _next_items(self) -> list[Item]:
@@ -516,8 +573,9 @@
         """Whether the watch itself has spoken; the configured list is not its word."""
         return any(isinstance(item, ListNews) and item is not self.config.known for item in items)
 
-    def _take(self, item: Item, now: datetime, events: list[face.Event], records: list[Record],
-              fresh: list[Owed]) -> None:
+    def _take(
+        self, item: Item, now: datetime, events: list[face.Event], records: list[Record], fresh: list[Owed]
+    ) -> None:
         """One item of the queue, as an event for the module where it is one."""
         if isinstance(item, HandIn):
             self._hand_in(item, now, events, records, fresh)
@@ -543,8 +601,11 @@
         elif isinstance(item, MakeRoom):
             self._make_room(item, now, events)
         elif isinstance(item, TenantParts):
-            events += [face.TenantPart(self.tenants[name], part) for name, part in item.parts.items()
-                       if name in self.tenants]
+            events += [
+                face.TenantPart(self.tenants[name], part)
+                for name, part in item.parts.items()
+                if name in self.tenants
+            ]
         elif isinstance(item, SharedNews):
             self._hear(item.found, now, events)
         elif isinstance(item, Copied):
@@ -582,21 +643,30 @@
         """What other senders share, as events for the module."""
         if hasattr(found, "parts"):
             self._parts = found
-            events += [face.TenantPart(self.tenants[name], part, name in found.hard)
-                       for name, part in found.parts.items() if name in self.tenants]
+            events += [
+                face.TenantPart(self.tenants[name], part, name in found.hard)
+                for name, part in found.parts.items()
+                if name in self.tenants
+            ]
             return
         for name, works in found.works:
             if (number := self.hosts.number_listed(name)) is not None:
                 events.append(face.Note(number, works))
                 self.log.say("shared", f"{name} {'works' if works else 'fails'}, by what others say")
-        events += [face.ProbeEnded(number, face.Outcome.NOT_SENT, 0.0, limit_per_s=limit)
-                   for name, limit in found.limits if (number := self.hosts.number_listed(name)) is not None]
+        events += [
+            face.ProbeEnded(number, face.Outcome.NOT_SENT, 0.0, limit_per_s=limit)
+            for name, limit in found.limits
+            if (number := self.hosts.number_listed(name)) is not None
+        ]
 
     def _unheard(self, events: list[face.Event]) -> None:
         """Nothing was heard of budgets for too long: only what is never lent may be spent."""
         told, self._parts = self._parts, None
-        events += [face.TenantPart(self.tenants[name], min(part, told.floor), name in told.hard)
-                   for name, part in told.parts.items() if name in self.tenants]
+        events += [
+            face.TenantPart(self.tenants[name], min(part, told.floor), name in told.hard)
+            for name, part in told.parts.items()
+            if name in self.tenants
+        ]
         self.log.say("shared", "parts of budgets are not told any more: only what is never lent is spent")
 
     def _retune(self, config: Config, events: list[face.Event]) -> None:
@@ -607,9 +677,12 @@
         if self.shared is not None:
             self.shared.configure({t.name: t.quota_per_s for t in self.settings.tenants})
         events.append(face.Retuned(self.settings))
-        self.log.say("retune", f"new settings hold: classes {', '.join(self.classes)}, "
-                     f"{self.settings.max_attempts} attempts, {self.settings.slots} slots, room for "
-                     f"{self.settings.holding_room}; {self._open} messages in hand keep the rules they have")
+        self.log.say(
+            "retune",
+            f"new settings hold: classes {', '.join(self.classes)}, "
+            f"{self.settings.max_attempts} attempts, {self.settings.slots} slots, room for "
+            f"{self.settings.holding_room}; {self._open} messages in hand keep the rules they have",
+        )
 
     def _class(self, taken: Taken) -> face.MessageClass:
         """The rules that a message was taken under."""
@@ -620,8 +693,9 @@
     def _repeatable(self, taken: Taken) -> bool:
         return self._class(taken).effect is not face.Effect.UNSAFE
 
-    def _hand_in(self, item: HandIn, now: datetime, events: list[face.Event], records: list[Record],
-                 fresh: list[Owed]) -> None:
+    def _hand_in(
+        self, item: HandIn, now: datetime, events: list[face.Event], records: list[Record], fresh: list[Owed]
+    ) -> None:
         taken = item.taken
         if not item.ticket.claim():
             self.bodies.discard(taken)
@@ -702,27 +776,36 @@
             return
         admission, taken = item.admission, item.taken
         chosen = self.bodies.victims(
-            taken.message_class, admission.need,
-            [c for c in self._candidates() if self._owed[c.ref].taken.place], admission.destination,
+            taken.message_class,
+            admission.need,
+            [c for c in self._candidates() if self._owed[c.ref].taken.place],
+            admission.destination,
         )
         for candidate in chosen:
             self._drop(candidate, taken, now, events)
 
     def _drop(self, candidate: Candidate, taken: Taken, now: datetime, events: list[face.Event]) -> None:
         self._end_without_body(
-            self._owed[candidate.ref], f"of {candidate.size} bytes makes room for {taken.message_class} "
-            f"{taken.ref}", now, events)
+            self._owed[candidate.ref],
+            f"of {candidate.size} bytes makes room for {taken.message_class} " f"{taken.ref}",
+            now,
+            events,
+        )
 
-    def _end_without_body(self, owed: Owed, why: str, now: datetime, events: list[face.Event],
-                          last: RelayEnded | None = None) -> None:
+    def _end_without_body(
+        self, owed: Owed, why: str, now: datetime, events: list[face.Event], last: RelayEnded | None = None
+    ) -> None:
         """A message that has no body any more ends here: at once, by a notice, and never as a guess.
 
         Its record is written by itself: what is taken on in this round may need the room.
         """
         ref, entry = owed.taken.ref, self.journal.live.get(owed.taken.ref)
         number = last.relay.number if last is not None else -1
-        ran = bool(owed.out) or entry is None or any(
-            entry.may_have_run(n) for n in range(entry.count()) if n != number)
+        ran = (
+            bool(owed.out)
+            or entry is None
+            or any(entry.may_have_run(n) for n in range(entry.count()) if n != number)
+        )
         ran = ran or (last is not None and RAN[last.outcome] is not Ran.NEVER)
         ended = self._body_ended(owed.taken, ran)
         self.log.say("dropped", f"{ref} {ended.outcome}: its body {why}")
@@ -750,9 +833,15 @@
 
     def _message(self, taken: Taken, now: datetime, past: tuple[face.PastAttempt, ...] = ()) -> face.Message:
         return face.Message(
-            taken.ref, taken.destination, self.classes.get(taken.message_class, 0),
-            seconds(taken.ends_at - now), self.tenants.get(taken.tenant, 0), taken.key,
-            again=taken.again or bool(past), past=past, rules=self._class(taken),
+            taken.ref,
+            taken.destination,
+            self.classes.get(taken.message_class, 0),
+            seconds(taken.ends_at - now),
+            self.tenants.get(taken.tenant, 0),
+            taken.key,
+            again=taken.again or bool(past),
+            past=past,
+            rules=self._class(taken),
         )
 
     def _recall(self, entry: Entry, now: datetime) -> face.Message:
@@ -772,8 +861,9 @@
         if item.gone:
             left = [relay for owed in self._owed.values() for relay in owed.out.values() if relay.remote]
             if left:
-                self.log.say("upgrade", f"the process before is gone with {len(left)} calls out: they may "
-                             "have run")
+                self.log.say(
+                    "upgrade", f"the process before is gone with {len(left)} calls out: they may " "have run"
+                )
             return [RelayEnded(relay, face.Outcome.BROKEN, now - relay.begun_at) for relay in left]
         relay = self._owed[item.ref].out.get(item.number) if item.ref in self._owed else None
         if relay is None or not relay.remote:
@@ -781,8 +871,9 @@
         item.ended.relay = relay
         return [item.ended]
 
-    def _relay_ended(self, ended: RelayEnded, now: datetime, events: list[face.Event],
-                     records: list[Record]) -> None:
+    def _relay_ended(
+        self, ended: RelayEnded, now: datetime, events: list[face.Event], records: list[Record]
+    ) -> None:
         relay, ref = ended.relay, ended.relay.taken.ref
         owed = self._owed.get(ref)
         if owed is None or owed.out.pop(relay.number, None) is None:
@@ -803,10 +894,21 @@
             elif owed.taken.unkept and relay.opened:
                 self._end_without_body(owed, "was kept for one relay only", now, events, ended)
         final = owed.over or ended.over
-        events.append(face.AttemptEnded(
-            ref, relay.number, relay.endpoint, ended.outcome, seconds(ended.took), final,
-            seconds(ended.wait), ended.no_slot, ended.room_left, ended.limit_per_s, ended.unread,
-        ))
+        events.append(
+            face.AttemptEnded(
+                ref,
+                relay.number,
+                relay.endpoint,
+                ended.outcome,
+                seconds(ended.took),
+                final,
+                seconds(ended.wait),
+                ended.no_slot,
+                ended.room_left,
+                ended.limit_per_s,
+                ended.unread,
+            )
+        )
         if final:
             self._forget(owed, now, remember=ended.outcome is face.Outcome.DELIVERED)
 
@@ -828,12 +930,16 @@
         """Wait no longer for the process before to tell a call's end: it holds a slot and its key."""
         owed = self._owed.get(relay.taken.ref)
         if owed is not None and owed.out.get(relay.number) is relay:
-            self.log.say("upgrade", f"the process before has not told the end of attempt {relay.number} of "
-                         f"{relay.taken.ref}: it may have run")
+            self.log.say(
+                "upgrade",
+                f"the process before has not told the end of attempt {relay.number} of "
+                f"{relay.taken.ref}: it may have run",
+            )
             self.post(RelayEnded(relay, face.Outcome.TIMED_OUT, now - relay.begun_at))
 
-    def _endings(self, actions: list[face.Action], records: list[Record],
-                 fresh: list[Owed]) -> dict[str, Ended]:
+    def _endings(
+        self, actions: list[face.Action], records: list[Record], fresh: list[Owed]
+    ) -> dict[str, Ended]:
         """The module's final answers. One given in the hand-in's own round needs no record and no notice."""
         ends = {}
         for action in actions:
@@ -847,8 +953,11 @@
             if owed.taken.ref in refused:
                 self.bodies.discard(owed.taken)
         records[:] = [r for r in records if not (isinstance(r, Taken) and r.ref in refused)]
-        records += [Ended(ref, "withdrawn") if self._owed[ref].copying else ended
-                    for ref, ended in ends.items() if ref not in refused]
+        records += [
+            Ended(ref, "withdrawn") if self._owed[ref].copying else ended
+            for ref, ended in ends.items()
+            if ref not in refused
+        ]
         return ends
 
     def _write(self, records: list[Record]) -> None:
@@ -899,8 +1008,7 @@
         ref, ticket, owed.copying = owed.taken.ref, owed.ticket, True
         since = self.clock.now() - (owed.taken.at or self.clock.now())
         patience = max(COPY_LEAST, min(self.custody.settings.patience, COPY_MOST - since))
-        self.custody.wait(owed.taken.custody, patience, True,
-                          lambda ok: self.post(Copied(ref, ticket, ok)))
+        self.custody.wait(owed.taken.custody, patience, True, lambda ok: self.post(Copied(ref, ticket, ok)))
 
     def _copied(self, item: Copied, now: datetime, events: list[face.Event], records: list[Record]) -> None:
         owed = self._owed.get(item.ref)
@@ -936,8 +1044,11 @@
     # Custody: books that come and go
 
     def _in_book(self, book: str) -> dict[str, Entry]:
-        return {ref: entry for ref, entry in self.journal.live.items()
-                if entry.taken.custody is not None and entry.taken.custody.book == book}
+        return {
+            ref: entry
+            for ref, entry in self.journal.live.items()
+            if entry.taken.custody is not None and entry.taken.custody.book == book
+        }
 
     def _take_over(self, won: Won, now: datetime, events: list[face.Event]) -> None:
         """Go on with what another sender, or a former process of this one, held."""
@@ -948,12 +1059,20 @@
         known = [ref for ref in found if ref in self._owed or ref in self._ended or ref in self._unanswered]
         taken = [entry for ref, entry in found.items() if ref not in known]
         unsure = [e for e in taken if e.ended is None and not won.sure(e.taken.custody.acks)]
-        orphans = [ref for ref in won.refs if ref not in kept and ref not in self._owed
-                   and ref not in self._ended and ref not in self._unanswered]
+        orphans = [
+            ref
+            for ref in won.refs
+            if ref not in kept
+            and ref not in self._owed
+            and ref not in self._ended
+            and ref not in self._unanswered
+        ]
         orphans = [] if won.sure(1) else orphans
         try:
-            adopted = [*(Ended(ref, "withdrawn") for ref in local),
-                       *(record for entry in taken for record in entry.records())]
+            adopted = [
+                *(Ended(ref, "withdrawn") for ref in local),
+                *(record for entry in taken for record in entry.records()),
+            ]
             if adopted:
                 self.journal.append(adopted, adopted=True)
         except (OSError, JournalFullError) as fault:
@@ -966,21 +1085,31 @@
         ends = {ref: now + timedelta(milliseconds=won.refs[ref]) for ref in orphans}
         more: list[Record] = [r for entry in kept.values() for r in entry.records()]
         more += [kept_records.Opened(e.taken.ref, e.count(), now, UNKNOWN_HOST) for e in unsure]
-        more += [Taken(ref, 0, "", "", at, custody=kept_records.Custody(won.book, 1))
-                 for ref, at in ends.items()]
+        more += [
+            Taken(ref, 0, "", "", at, custody=kept_records.Custody(won.book, 1)) for ref, at in ends.items()
+        ]
         more += [Ended(ref, "given_up") for ref in orphans]
         self._write(more)
-        entries = [self.journal.live[ref] for ref in [*(e.taken.ref for e in taken), *kept, *orphans]
-                   if ref in self.journal.live]
+        entries = [
+            self.journal.live[ref]
+            for ref in [*(e.taken.ref for e in taken), *kept, *orphans]
+            if ref in self.journal.live
+        ]
         open_ones = [entry for entry in entries if self._still_owed(entry)]
         if self._recovered is not None:
             self._recovered += open_ones
         else:
             events += [self._recall(entry, now) for entry in open_ones]
-        sure = "all that was promised is among them" if won.sure(1) else (
-            f"{won.answers} of {won.of} copies answered, so some may be missing, and all may have run")
-        self.log.say("custody", f"{won.book} of {won.before or 'nobody'} is taken over at term {won.term}: "
-                     f"{len(open_ones)} messages, {len(entries) - len(open_ones)} ends; {sure}")
+        sure = (
+            "all that was promised is among them"
+            if won.sure(1)
+            else (f"{won.answers} of {won.of} copies answered, so some may be missing, and all may have run")
+        )
+        self.log.say(
+            "custody",
+            f"{won.book} of {won.before or 'nobody'} is taken over at term {won.term}: "
+            f"{len(open_ones)} messages, {len(entries) - len(open_ones)} ends; {sure}",
+        )
 
     def _lose_book(self, lost: Lost, now: datetime, events: list[face.Event]) -> None:
         """Drop what another sender has now: it is neither sent nor ended here."""
@@ -1003,14 +1132,18 @@
                 self._open_gate(entry.taken.key, ref)
         if local:
             self._write([Ended(ref, "withdrawn") for ref in local])
-            self.log.say("custody", f"{lost.book} is {lost.owner}'s from term {lost.term} on: "
-                         f"{len(local) - notices} messages and {notices} notices are dropped here")
+            self.log.say(
+                "custody",
+                f"{lost.book} is {lost.owner}'s from term {lost.term} on: "
+                f"{len(local) - notices} messages and {notices} notices are dropped here",
+            )
 
     def _expire(self, expired: Expired, now: datetime) -> None:
         """Tell the ends that nobody else will: past a deadline no sender delivers any more."""
         fresh = [entry.taken for entry in expired.entries] + [
             entry.taken if (entry := self.journal.live.get(ref)) is not None else Taken(ref, 0, "", "", now)
-            for ref in expired.refs]
+            for ref in expired.refs
+        ]
         told = 0
         for taken in fresh:
             ref, entry = taken.ref, self.journal.live.get(taken.ref)
@@ -1023,8 +1156,11 @@
             self._owe_notice(bare, ended)
             told += 1
         if told:
-            self.log.say("custody", f"{told} messages of {expired.book} are told as given up at their "
-                         "deadlines: nobody could take them over")
+            self.log.say(
+                "custody",
+                f"{told} messages of {expired.book} are told as given up at their "
+                "deadlines: nobody could take them over",
+            )
 
     def _noticed(self, ref: str, records: list[Record]) -> None:
         taken, _ = self._unanswered.pop(ref, (None, None))
@@ -1080,8 +1216,16 @@
     def _send(self, action: face.Send, now: datetime) -> None:
         owed, host = self._owed[action.ref], self.hosts.by_number.get(action.endpoint)
         ends_at = min(now + span(action.time_out_s), owed.taken.ends_at - END_MARGIN)
-        relay = Relay(owed.taken, owed.count, action.endpoint, host, now, ends_at,
-                      repeatable=self._repeatable(owed.taken), stopping=self.stopped_at is not None)
+        relay = Relay(
+            owed.taken,
+            owed.count,
+            action.endpoint,
+            host,
+            now,
+            ends_at,
+            repeatable=self._repeatable(owed.taken),
+            stopping=self.stopped_at is not None,
+        )
         owed.count += 1
         owed.out[relay.number] = relay
         if host is None or owed.unwritten:  # it left the list in this very round
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -1,4 +1,5 @@
 """What is said with the platform: the list of south side hosts by a watch, and notices of ended messages."""
+
 from __future__ import annotations
 
 import queue
@@ -40,7 +41,9 @@
 GONE_KEPT = timedelta(seconds=60)  # how long a host that left the list keeps its number
 NEWS_MOST = 4 << 20  # bytes of one list of a watch
 READINESS = {
-    "Ready": face.Readiness.SERVING, "Terminating": face.Readiness.DRAINING, "Gone": face.Readiness.GONE,
+    "Ready": face.Readiness.SERVING,
+    "Terminating": face.Readiness.DRAINING,
+    "Gone": face.Readiness.GONE,
 }
 
 
@@ -178,8 +181,14 @@
             self.by_number.pop(number, None)
             return face.Endpoint(number, listed.group, self.kinds.index(listed.type), zone, readiness)
         self.by_number[number] = Host(
-            number, listed.name, address, listed.group, readiness is face.Readiness.SERVING,
-            self.kinds.index(listed.type), zone, listed.since_ms,
+            number,
+            listed.name,
+            address,
+            listed.group,
+            readiness is face.Readiness.SERVING,
+            self.kinds.index(listed.type),
+            zone,
+            listed.since_ms,
         )
         return face.Endpoint(
             number, listed.group, self.kinds.index(listed.type), zone, readiness, listed.weight
@@ -240,7 +249,7 @@
         To ask for what cannot be had in time would only have it come later still.
         """
         all_once = self.others * self.each
-        span = min(max(AGAIN_MOST, 2 * all_once), 2 ** self.tries * max(AGAIN_FIRST, all_once))
+        span = min(max(AGAIN_MOST, 2 * all_once), 2**self.tries * max(AGAIN_FIRST, all_once))
         self.tries = min(10, self.tries + 1)
         return min(span, most if all_once <= 2 * AGAIN_LONG else AGAIN_BUSY) * (1.0 - self.draw())
 
@@ -316,8 +325,9 @@
 class Registry:
     """Watches the list for good: a watch that breaks, is silent or talks nonsense is made anew."""
 
-    def __init__(self, config: Config, platform: Platform, log: Log, clock: Clock,
-                 tell: Callable[[ListNews], None]) -> None:
+    def __init__(
+        self, config: Config, platform: Platform, log: Log, clock: Clock, tell: Callable[[ListNews], None]
+    ) -> None:
         self.platform, self.log, self.clock, self.tell = platform, log, clock, tell
         self.index, self._index_moves = config.known.index if config.known else 0, platform.moves
         self.first_word = FIRST_WORD_ASKED if config.asked else FIRST_WORD_PUSHED
--- a/willownotch/net/rules.py
+++ b/willownotch/net/rules.py
@@ -2,6 +2,7 @@
 
 Settings change while messages are open, and a process may end in between: nothing else remembers old rules.
 """
+
 from __future__ import annotations
 
 from dataclasses import replace
@@ -29,8 +30,18 @@
 
 def rules_of(cls: MessageClass, attempts: int) -> Rules:
     """The present rules of a class."""
-    return Rules(cls.worth, cls.wanted_s, cls.deadline_s, cls.late_share, cls.effect, cls.group, cls.memory_s,
-                 cls.in_order, cls.stretch, attempts)
+    return Rules(
+        cls.worth,
+        cls.wanted_s,
+        cls.deadline_s,
+        cls.late_share,
+        cls.effect,
+        cls.group,
+        cls.memory_s,
+        cls.in_order,
+        cls.stretch,
+        attempts,
+    )
 
 
 @lru_cache(64)
--- a/willownotch/net/sockets.py
+++ b/willownotch/net/sockets.py
@@ -4,6 +4,7 @@
 unreachable route, a time-out of the path). Such a call is made again a few times: a connection that is really
 over says so in the next call, by its end or by a reset.
 """
+
 from __future__ import annotations
 
 import errno
@@ -17,14 +18,31 @@
 RETRIES = Counters()  # of this process, by call and error
 RETRY_S = 0.002  # between tries, doubling
 # Without effect on the connection, or cleared by being reported once.
-MOMENTARY = frozenset({
-    errno.EINTR, errno.ENOBUFS, errno.ENOMEM, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH,
-    errno.ENETDOWN, errno.EHOSTDOWN, errno.EPROTO,
-})
+MOMENTARY = frozenset(
+    {
+        errno.EINTR,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ETIMEDOUT,
+        errno.EHOSTUNREACH,
+        errno.ENETUNREACH,
+        errno.ENETDOWN,
+        errno.EHOSTDOWN,
+        errno.EPROTO,
+    }
+)
 # Of this machine and not of the peer: nothing has left it.
-SHORTAGES = frozenset({
-    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR,
-})
+SHORTAGES = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EINTR,
+    }
+)
 # Of one connection that came and went, or of the moment: the next one may be accepted at once.
 ACCEPT_AGAIN = MOMENTARY | {errno.ECONNABORTED}
 
@@ -43,7 +61,7 @@
 
 def _pause(call: str, fault: OSError, attempt: int) -> None:
     RETRIES.add(f"{call} again", errno.errorcode[fault.errno])
-    time.sleep(RETRY_S * 2 ** attempt)
+    time.sleep(RETRY_S * 2**attempt)
 
 
 def send_all(sock: socket.socket, data: bytes) -> None:
@@ -53,7 +71,7 @@
     view, failures = memoryview(data), 0
     while view:
         try:
-            view, failures = view[sock.send(view):], 0
+            view, failures = view[sock.send(view) :], 0
         except OSError as fault:
             failures += 1
             if fault.errno not in MOMENTARY or failures == TRIES:
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -2,6 +2,7 @@
 
 What came back becomes an outcome by PROTOCOL's table, and nothing is ever sent a second time from here.
 """
+
 from __future__ import annotations
 
 import queue
@@ -140,9 +141,17 @@
 class South:
     """The workers and the connections that they keep."""
 
-    def __init__(self, config: Config, clock: Clock, log: Log, journal: Journal, bodies: Bodies,
-                 hosts: dict[int, Host], ended: Callable[[RelayEnded], None],
-                 start: Callable[[str, Callable[[], None]], None]):
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        log: Log,
+        journal: Journal,
+        bodies: Bodies,
+        hosts: dict[int, Host],
+        ended: Callable[[RelayEnded], None],
+        start: Callable[[str, Callable[[], None]], None],
+    ):
         self.config, self.clock, self.log, self.journal, self.hosts = config, clock, log, journal, hosts
         self.bodies = bodies
         self.ended, self.start = ended, start
@@ -201,7 +210,7 @@
         """Stop waiting for a relay: its connection is closed, unless its call goes on for others.
 
         Then its end is told with the call's: until the connection is closed it would be out twice if it were
-        sent again. """
+        sent again."""
         with relay.lock:
             relay.called_off = True
             if relay.sock is not None and not any(other.waited_for() for other in relay.together):
@@ -367,8 +376,10 @@
         try:
             sock = self._connection(left[0])
         except OSError:
-            return [RelayEnded(relay, Outcome.NOT_SENT if relay.called_off else Outcome.UNREACHABLE)
-                    for relay in left]
+            return [
+                RelayEnded(relay, Outcome.NOT_SENT if relay.called_off else Outcome.UNREACHABLE)
+                for relay in left
+            ]
         going = [relay for relay in left if sock is not None and not relay.told and not self._barred(relay)]
         for relay in left:
             if relay not in going:
@@ -386,8 +397,10 @@
                 return []
         if not self._quiet(sock):
             self._drop(left[0], sock)
-            return [RelayEnded(relay, Outcome.NOT_SENT if left[0].reused else Outcome.UNREACHABLE)
-                    for relay in going]
+            return [
+                RelayEnded(relay, Outcome.NOT_SENT if left[0].reused else Outcome.UNREACHABLE)
+                for relay in going
+            ]
         for relay in going:
             with relay.lock:
                 relay.sock, relay.together = sock, tuple(going)
@@ -398,12 +411,15 @@
                 with relay.lock:
                     relay.sock = None
 
-    def _exchange_together(self, relays: list[Relay], sock: socket.socket,
-                           bodies: list[bytes]) -> list[RelayEnded]:
+    def _exchange_together(
+        self, relays: list[Relay], sock: socket.socket, bodies: list[bytes]
+    ) -> list[RelayEnded]:
         first, whole = relays[0], False
         parser = http.Parser(answer=True, optional=(b"server-load",))
-        body = bulk.write_body((relay.taken.ref, relay.taken.idempotency_key, data)
-                               for relay, data in zip(relays, bodies, strict=True))
+        body = bulk.write_body(
+            (relay.taken.ref, relay.taken.idempotency_key, data)
+            for relay, data in zip(relays, bodies, strict=True)
+        )
         bodies.clear()
         ends_at = max(relay.ends_at for relay in relays)
         try:
@@ -461,12 +477,18 @@
         waits = self.waits.get(relay.host.destination)
         return (
             relay.called_off
-            or host is None or not host.serving or host.address != relay.host.address
-            or (waits is not None and now < waits) or now >= relay.ends_at
+            or host is None
+            or not host.serving
+            or host.address != relay.host.address
+            or (waits is not None and now < waits)
+            or now >= relay.ends_at
             # The module counts on its decision being carried out at once: begun later, or decided on before
             # the stop was known, it could straddle the kill and would be lost by it.
-            or (self.stopping and not relay.repeatable
-                and (not relay.stopping or now - relay.begun_at > BEGIN_LATE))
+            or (
+                self.stopping
+                and not relay.repeatable
+                and (not relay.stopping or now - relay.begun_at > BEGIN_LATE)
+            )
         )
 
     def _outside_window(self, relay: Relay, now: datetime) -> bool:
@@ -477,8 +499,11 @@
         rules, entry = relay.taken.rules, self.journal.live.get(relay.taken.ref)
         if rules is None or rules.effect is not Effect.KEYED or entry is None:
             return False
-        others = [opened.at for number, opened in list(entry.opened.items())
-                  if number != relay.number and entry.may_have_run(number)]
+        others = [
+            opened.at
+            for number, opened in list(entry.opened.items())
+            if number != relay.number and entry.may_have_run(number)
+        ]
         return bool(others) and now > min(others) + timedelta(seconds=rules.memory_s) - WINDOW_MARGIN
 
     def _connection(self, relay: Relay) -> socket.socket | None:
@@ -500,8 +525,11 @@
             except OSError as fault:
                 if fault.errno not in sockets.SHORTAGES:
                     raise
-                self.log.say("connect", f"no connection to {relay.host.name} for {relay.taken.ref} "
-                             f"attempt {relay.number}: {fault}")
+                self.log.say(
+                    "connect",
+                    f"no connection to {relay.host.name} for {relay.taken.ref} "
+                    f"attempt {relay.number}: {fault}",
+                )
                 if self.clock.now() >= min(ends, relay.ends_at):
                     return None  # nothing was learnt of the host, and nothing has left this machine
             self._pause.wait(seconds(SHORTAGE_PAUSE))
@@ -638,8 +666,9 @@
             return RelayEnded(ended.relay, Outcome.TIMED_OUT)
         return ended
 
-    def _broken(self, relay: Relay, fault: Exception, whole: bool, parser: http.Parser,
-                many: bool = False) -> RelayEnded:
+    def _broken(
+        self, relay: Relay, fault: Exception, whole: bool, parser: http.Parser, many: bool = False
+    ) -> RelayEnded:
         """No sound answer, and the connection is not used again.
 
         A first line with 200 is true in any case. All else that is spoilt proves nothing, a refusal no less:
@@ -652,8 +681,11 @@
         if relay.called_off:
             return RelayEnded(relay, Outcome.CALLED_OFF)
         if isinstance(fault, http.BadMessageError) or (isinstance(fault, TimeoutError) and parser.begun):
-            self.log.say("spoilt", f"the answer of {relay.host.name} on {relay.taken.ref} cannot be used: "
-                         f"{fault or type(fault).__name__}")
+            self.log.say(
+                "spoilt",
+                f"the answer of {relay.host.name} on {relay.taken.ref} cannot be used: "
+                f"{fault or type(fault).__name__}",
+            )
             return RelayEnded(relay, Outcome.ERROR, unread=True)
         if isinstance(fault, TimeoutError):
             return RelayEnded(relay, Outcome.TIMED_OUT)
--- a/willownotch/net/ticket.py
+++ b/willownotch/net/ticket.py
@@ -1,4 +1,5 @@
 """One thread's wait for another's answer, either claimed in time or abandoned, never both."""
+
 from __future__ import annotations
 
 import queue
--- a/willownotch/net/timebase.py
+++ b/willownotch/net/timebase.py
@@ -5,6 +5,7 @@
 the same boot goes on from it, and a step of the wall clock between the two changes no span. Over a reboot, or
 where the two cannot belong together, the wall clock is read anew.
 """
+
 from __future__ import annotations
 
 import threading
@@ -82,8 +83,11 @@
         clock.adopt((found.time, found.monotonic_s))
         step = datetime.now(UTC) - clock.now()
         if abs(step) >= STEP_TOLD:
-            log.say("clock", f"the wall clock was stepped by {seconds(step):+.0f} s since the first process "
-                    "of this boot: times go on by the monotonic clock")
+            log.say(
+                "clock",
+                f"the wall clock was stepped by {seconds(step):+.0f} s since the first process "
+                "of this boot: times go on by the monotonic clock",
+            )
         return None
     if found is not None:
         log.say("clock", "another boot than the process before: times go on by the wall clock")
--- a/willownotch/peers/core.py
+++ b/willownotch/peers/core.py
@@ -9,6 +9,7 @@
 
 Times are seconds on the caller's clock, which need agree with nobody else's and must not step back.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -104,8 +105,15 @@
     `uid` differs for each process that ever takes the name; `random` is its own.
     """
 
-    def __init__(self, name: str, address: Address, uid: int, settings: PeersSettings, random: Random,
-                 incarnation: int = 0) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        uid: int,
+        settings: PeersSettings,
+        random: Random,
+        incarnation: int = 0,
+    ) -> None:
         self.name, self.address, self.uid, self.incarnation = name, address, uid, incarnation
         self.settings, self.random = settings, random
         self.members: dict[str, Member] = {}
@@ -151,7 +159,7 @@
         gone = Rumour(self.name, State.LEFT, self.incarnation, self.uid, *self.address, self.name)
         self._say(gone)
         told = self._some(len(self.members), lambda m: m.state <= State.SUSPECT)
-        for member in told[:max(3, self.settings.retransmit)]:
+        for member in told[: max(3, self.settings.retransmit)]:
             self._send(member.address, Sync(self.name, False, (gone,)))
         return self._done()
 
@@ -234,13 +242,15 @@
         if member is None:
             return
         probe.indirect = True
-        others = self._some(self.settings.indirect,
-                            lambda m: m.state is State.ALIVE and m.name != member.name)
+        others = self._some(
+            self.settings.indirect, lambda m: m.state is State.ALIVE and m.name != member.name
+        )
         for other in others:
             probe.nacks_wanted += 1
             bare = PingFor(sequence, member.name, *member.address, self.name)
-            self._send(other.address, PingFor(sequence, member.name, *member.address, self.name,
-                                              self._ride(bare)))
+            self._send(
+                other.address, PingFor(sequence, member.name, *member.address, self.name, self._ride(bare))
+            )
 
     def _on_missed(self, sequence: int) -> None:
         """Nor from anybody else. Who also misses the others' word that they tried may be cut off itself."""
@@ -252,8 +262,12 @@
         self._feel(missing if probe.nacks_wanted else 1)
         if member.state is State.ALIVE:
             others = f" nor to {probe.nacks_wanted} others" if probe.nacks_wanted else ""
-            self._hear(Rumour(member.name, State.SUSPECT, member.incarnation, member.uid, *member.address,
-                              self.name), f"no answer to a probe{others}")
+            self._hear(
+                Rumour(
+                    member.name, State.SUSPECT, member.incarnation, member.uid, *member.address, self.name
+                ),
+                f"no answer to a probe{others}",
+            )
 
     def _pinged(self, address: Address, ping: Ping) -> None:
         if ping.name != self.name:
@@ -311,8 +325,10 @@
         if ends > self.now:
             self._after(ends - self.now, "suspect", what)
             return
-        self._hear(Rumour(name, State.DEAD, incarnation, member.uid, *member.address, self.name),
-                   f"suspected by {len(member.blamers)} for {self.now - member.since:.1f} s and not refuted")
+        self._hear(
+            Rumour(name, State.DEAD, incarnation, member.uid, *member.address, self.name),
+            f"suspected by {len(member.blamers)} for {self.now - member.since:.1f} s and not refuted",
+        )
 
     # Rumours
 
@@ -342,8 +358,9 @@
             self._on_suspect((member.name, member.incarnation))
 
     def _meet(self, rumour: Rumour, why: str) -> None:
-        member = Member(rumour.name, rumour.address, rumour.uid, rumour.incarnation, rumour.state, self.now,
-                        why)
+        member = Member(
+            rumour.name, rumour.address, rumour.uid, rumour.incarnation, rumour.state, self.now, why
+        )
         former = self.members.get(rumour.name)
         self._size += (member.state <= State.SUSPECT) - (former is not None and former.state <= State.SUSPECT)
         self.members[rumour.name] = member
--- a/willownotch/peers/edge.py
+++ b/willownotch/peers/edge.py
@@ -3,6 +3,7 @@
 Membership goes first: what travels on top may use the bound only while a quarter of a second's bytes is
 left. What cannot be sent is dropped and counted; the protocols ask again.
 """
+
 from __future__ import annotations
 
 import socket
@@ -76,8 +77,15 @@
 class Edge:
     """Runs a node. `before` is called in each round before anything else, with the time."""
 
-    def __init__(self, sock: socket.socket, node: Node, seal: Seal, budget: int,
-                 say: Callable[[str], None], before: Callable[[float], None] = lambda now: None) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        node: Node,
+        seal: Seal,
+        budget: int,
+        say: Callable[[str], None],
+        before: Callable[[float], None] = lambda now: None,
+    ) -> None:
         self.sock, self.node, self.seal, self.say, self.before = sock, node, seal, say, before
         self.budget = Budget(budget, time.monotonic())
         self.traffic: Counter[str] = Counter()
@@ -169,8 +177,23 @@
         with self.lock:
             now, own = time.monotonic(), self.node.membership
             members = tuple(
-                PeerView(m.name, shown(m.address), m.state.name.lower(), m.why, round(now - m.since, 3),
-                         None if m.heard_at is None else round(now - m.heard_at, 3), m.incarnation)
-                for m in sorted(own.members.values(), key=lambda m: m.name))
-            return PeersView(own.name, shown(own.address), own.health, own.incarnation, members,
-                             dict(self.traffic), dict(self.seal.refused))
+                PeerView(
+                    m.name,
+                    shown(m.address),
+                    m.state.name.lower(),
+                    m.why,
+                    round(now - m.since, 3),
+                    None if m.heard_at is None else round(now - m.heard_at, 3),
+                    m.incarnation,
+                )
+                for m in sorted(own.members.values(), key=lambda m: m.name)
+            )
+            return PeersView(
+                own.name,
+                shown(own.address),
+                own.health,
+                own.incarnation,
+                members,
+                dict(self.traffic),
+                dict(self.seal.refused),
+            )
--- a/willownotch/peers/keys.py
+++ b/willownotch/peers/keys.py
@@ -1,4 +1,5 @@
 """The file of keys, wherever a settings file names one."""
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -14,5 +15,6 @@
         what = f"cannot be read ({fault.strerror}), wanted: a readable file of keys"
         raise KeysError(f"{path}:1:1: {what}") from None
     except ValueError as fault:
-        raise KeysError(f"{path}:{fault}" if isinstance(fault, KeysError) else
-                        f"{path}:1:1: is not UTF-8, wanted: text") from None
+        raise KeysError(
+            f"{path}:{fault}" if isinstance(fault, KeysError) else f"{path}:1:1: is not UTF-8, wanted: text"
+        ) from None
--- a/willownotch/peers/lossy.py
+++ b/willownotch/peers/lossy.py
@@ -4,6 +4,7 @@
 The members are the real protocol core; nothing here runs on a socket or a clock. The same seed gives the same
 story.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -54,8 +55,9 @@
     """All members, and what is on its way between them. `now` is the true time; each member's own is
     offset."""
 
-    def __init__(self, seed: int, weather: Weather | None = None,
-                 settings: PeersSettings | None = None) -> None:
+    def __init__(
+        self, seed: int, weather: Weather | None = None, settings: PeersSettings | None = None
+    ) -> None:
         self.random, self.weather = Random(seed), weather or Weather()
         self.settings = settings or PeersSettings()
         self.now, self._order = 0.0, 0
@@ -70,9 +72,17 @@
         self._queue: list[Due] = []
         self._ticks: dict[str, tuple[float, float]] = {}  # when, and by the member's own clock
 
-    def add(self, name: str, seeds: tuple[str, ...] = (), offset: float = 0.0, port: int | None = None,
-            incarnation: int = 0, layers: tuple[Layer, ...] = (), uid: int | None = None,
-            claims: str | None = None) -> Membership:
+    def add(
+        self,
+        name: str,
+        seeds: tuple[str, ...] = (),
+        offset: float = 0.0,
+        port: int | None = None,
+        incarnation: int = 0,
+        layers: tuple[Layer, ...] = (),
+        uid: int | None = None,
+        claims: str | None = None,
+    ) -> Membership:
         """Start a member, also one that is back under its name; its clock is `offset` ahead of the true
         time.
 
@@ -81,8 +91,14 @@
         """
         old = self.members.get(name)
         address = ("10.0.0.1", port or (old.address[1] if old else 1000 + len(self._at)))
-        member = Membership(claims or name, address, self.random.getrandbits(48) if uid is None else uid,
-                            self.settings, Random(self.random.getrandbits(64)), incarnation)
+        member = Membership(
+            claims or name,
+            address,
+            self.random.getrandbits(48) if uid is None else uid,
+            self.settings,
+            Random(self.random.getrandbits(64)),
+            incarnation,
+        )
         self.members[name], self._at[address], self.offsets[name] = member, name, offset
         self.addresses[name] = address
         self.traffic.setdefault(name, Traffic())
@@ -110,8 +126,11 @@
         for name, member in self.members.items():
             for other in self.members.values():
                 if other is not member:
-                    member.receive(self.now + self.offsets[name], other.address, Sync(other.name, False, (
-                        other.own_rumour(),)))
+                    member.receive(
+                        self.now + self.offsets[name],
+                        other.address,
+                        Sync(other.name, False, (other.own_rumour(),)),
+                    )
             member.forget_rumours()
 
     def kill(self, name: str) -> None:
--- a/willownotch/peers/node.py
+++ b/willownotch/peers/node.py
@@ -2,6 +2,7 @@
 
 The same node runs on sockets (`edge`) and in simulated time (`lossy`).
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -83,8 +84,7 @@
 
 def silent(membership: Membership, now: float, most_s: float) -> list[str]:
     """Those that went without a word, not longer than so many seconds ago."""
-    return [m.name for m in membership.members.values()
-            if m.state is State.DEAD and now - m.since <= most_s]
+    return [m.name for m in membership.members.values() if m.state is State.DEAD and now - m.since <= most_s]
 
 
 __all__ = ["Layer", "News", "Node", "Send", "decoder", "silent", "there"]
--- a/willownotch/peers/rumours.py
+++ b/willownotch/peers/rumours.py
@@ -4,6 +4,7 @@
 After SWIM's infection-style dissemination: a rumour that rides on a multiple of log(n) messages reaches all
 members with high probability, and the load of a member does not grow with their number.
 """
+
 from __future__ import annotations
 
 from math import ceil, log10
--- a/willownotch/peers/seal.py
+++ b/willownotch/peers/seal.py
@@ -10,6 +10,7 @@
 What is refused costs one look at its length, its version or its tag, changes nothing and is counted by its
 reason.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -46,8 +47,9 @@
             if len(words) != 2 or len(key) != KEY or not 0 <= number <= 255:
                 raise ValueError
         except (ValueError, IndexError):
-            raise KeysError(f"{line}:1: no key, allowed: a number from 0 to 255 and {2 * KEY} hexadecimal "
-                            "digits") from None
+            raise KeysError(
+                f"{line}:1: no key, allowed: a number from 0 to 255 and {2 * KEY} hexadecimal " "digits"
+            ) from None
         if number in [n for n, _ in keys]:
             raise KeysError(f"{line}:1: key {number} stands twice, allowed: once")
         keys.append((number, key))
@@ -82,9 +84,14 @@
     Another kind of frame with the same keys has a `version` of its own, and is none of these.
     """
 
-    def __init__(self, uid: int, keys: list[tuple[int, bytes]],
-                 read: Callable[[bytes], msgspec.Struct] = decode, version: int = VERSION,
-                 most: int = MOST) -> None:
+    def __init__(
+        self,
+        uid: int,
+        keys: list[tuple[int, bytes]],
+        read: Callable[[bytes], msgspec.Struct] = decode,
+        version: int = VERSION,
+        most: int = MOST,
+    ) -> None:
         self.uid, self.keys, self._read = uid.to_bytes(6, "little"), keys, read
         self.version, self.most = version, most
         self.refused: Counter[str] = Counter()
@@ -134,7 +141,7 @@
         if not seen.fresh(counter):
             return "repeat", None
         try:
-            return "", self._read(data[HEAD.size:-TAG])
+            return "", self._read(data[HEAD.size : -TAG])
         except (msgspec.DecodeError, UnicodeDecodeError):
             return "unreadable", None
 
--- a/willownotch/peers/settings.py
+++ b/willownotch/peers/settings.py
@@ -1,4 +1,5 @@
 """The `peers` block of the settings file. Off unless it names a listener."""
+
 from __future__ import annotations
 
 from datetime import timedelta
--- a/willownotch/peers/wire.py
+++ b/willownotch/peers/wire.py
@@ -1,4 +1,5 @@
 """What members say to each other, and how it is told apart. Plain values; bytes by msgspec's msgpack."""
+
 from __future__ import annotations
 
 from enum import IntEnum
--- a/willownotch/replica/books.py
+++ b/willownotch/replica/books.py
@@ -3,6 +3,7 @@
 
 The records themselves are the journal's; here are only those that some replica has not acknowledged yet.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -25,7 +26,7 @@
 
 def resend_after(tries: int) -> float:
     """Seconds to wait for an answer before the next try."""
-    return min(RESEND_MOST, RESEND * 2 ** tries)
+    return min(RESEND_MOST, RESEND * 2**tries)
 
 
 @dataclass(slots=True)
@@ -138,10 +139,12 @@
             return False
         found = [self.followers.get(name) for name in self.proposed if name != self.about.owner]
         if self.joint_from is None and all(
-                f is not None and f.acked is not None and not f.fill for f in found):
+            f is not None and f.acked is not None and not f.fill for f in found
+        ):
             self.joint_from = self.last
-        return self.joint_from is not None and all(f.acked is not None and f.acked >= self.joint_from
-                                                   for f in found)
+        return self.joint_from is not None and all(
+            f.acked is not None and f.acked >= self.joint_from for f in found
+        )
 
     def next_version(self) -> int:
         """Of a set that is put on record: above all of this owner's before, and of all owners before it."""
@@ -157,8 +160,9 @@
         is in."""
         least = self.last
         for line in self.sets():
-            acked = sorted((self.last if name == self.about.owner else self._acked(name) for name in line),
-                           reverse=True)
+            acked = sorted(
+                (self.last if name == self.about.owner else self._acked(name) for name in line), reverse=True
+            )
             least = min(least, acked[wanted - 1] if len(acked) >= wanted else -1)
         return least
 
@@ -168,11 +172,16 @@
 
     def able(self, now: float, wanted: int, silence: float) -> bool:
         """Whether so many copies can be expected soon: the lease is held, and enough replicas answer."""
+
         def answers(name: str) -> bool:
             follower = self.followers.get(name)
             return name == self.about.owner or (
-                follower is not None and follower.acked is not None and not follower.fill
-                and now - follower.heard_at < silence)
+                follower is not None
+                and follower.acked is not None
+                and not follower.fill
+                and now - follower.heard_at < silence
+            )
+
         return self.leased(now) and all(sum(map(answers, line)) >= wanted for line in self.sets())
 
     def position(self, number: int) -> Position:
@@ -254,7 +263,8 @@
         """Whether so many have given this term or a higher one to others that no majority is left."""
         found = self.rounds.get(number)
         return found is not None and (
-            len(found.taken) > len(self.about.witnesses) - majority(len(self.about.witnesses)))
+            len(found.taken) > len(self.about.witnesses) - majority(len(self.about.witnesses))
+        )
 
     def begin_round(self, now: float, version: int) -> int:
         """Claims go out now."""
--- a/willownotch/replica/copies.py
+++ b/willownotch/replica/copies.py
@@ -2,6 +2,7 @@
 
 No I/O, no clock.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
@@ -33,8 +34,9 @@
 
     found = [0] * RANGES
     for order, entry in entries:
-        bare = msgspec.structs.replace(entry.taken, body=b"", apart=None, checksum=0, place=None,
-                                       unkept=False)
+        bare = msgspec.structs.replace(
+            entry.taken, body=b"", apart=None, checksum=0, place=None, unkept=False
+        )
         records = sorted(frame(r) for r in entry.records() if not isinstance(r, Taken))
         data = b"".join([b"%d %d " % (order, entry.taken.body_size()), frame(bare), *records])
         found[range_of(entry.taken.ref)] ^= xxh64_intdigest(data)
@@ -151,7 +153,10 @@
             return False
         filling = self.filling
         if filling is None or (filling.position, filling.ranges, filling.parts) != (
-                fill.position, fill.ranges, fill.parts):
+            fill.position,
+            fill.ranges,
+            fill.parts,
+        ):
             filling = self.filling = Filling(fill.position, fill.told, fill.ranges, fill.parts)
         filling.got[fill.part] = fill.entries
         if len(filling.got) < filling.parts:
--- a/willownotch/replica/core.py
+++ b/willownotch/replica/core.py
@@ -5,6 +5,7 @@
 Times named `now` are seconds on a monotonic clock; those named `wall` are the sender's own time of day, which
 need agree with nobody else's.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -120,8 +121,16 @@
 class Custody:
     """One sender's part. `snapshot` tells what a book holds as its journal has it, whenever it is asked."""
 
-    def __init__(self, name: str, life: int, settings: ReplicaSettings, now: float, random: Random,
-                 snapshot: Snapshot, room: int = 10**9) -> None:
+    def __init__(
+        self,
+        name: str,
+        life: int,
+        settings: ReplicaSettings,
+        now: float,
+        random: Random,
+        snapshot: Snapshot,
+        room: int = 10**9,
+    ) -> None:
         self.name, self.life, self.settings, self.random = name, life, settings, random
         self.snapshot, self.room = snapshot, room
         self.register = Register(now, self._span())
@@ -173,8 +182,13 @@
 
     # What is fed to it
 
-    def restore(self, terms: Iterable[Term], kept: Iterable[Copy], books: dict[str, tuple[About, int]],
-                owed: dict[str, dict[str, float]]) -> None:
+    def restore(
+        self,
+        terms: Iterable[Term],
+        kept: Iterable[Copy],
+        books: dict[str, tuple[About, int]],
+        owed: dict[str, dict[str, float]],
+    ) -> None:
         """What the folder has. Copies are no answers to a fetch until an owner has confirmed them.
 
         `books` are those of former processes with this folder, `owed` their open ids, with the s left.
@@ -197,8 +211,9 @@
             self._place()
         return self._done()
 
-    def wrote(self, now: float, book: str, frames: tuple[bytes, ...], opened: dict[str, datetime],
-              over: list[str]) -> list[Action]:
+    def wrote(
+        self, now: float, book: str, frames: tuple[bytes, ...], opened: dict[str, datetime], over: list[str]
+    ) -> list[Action]:
         """Records of a book that the journal has taken: ids with their deadlines that are owed by them, and
         ids that are over."""
         self.now = max(self.now, now)
@@ -391,8 +406,10 @@
         self._full[book] = self.now + 1.0
 
     def _behind(self, copy: Copy, source: str) -> None:
-        self._send(source, wire.Behind(self.name, copy.book, copy.term, copy.position,
-                                       copies.digests(copy.entries())))
+        self._send(
+            source,
+            wire.Behind(self.name, copy.book, copy.term, copy.position, copies.digests(copy.entries())),
+        )
 
     def _on_fill(self, fill: wire.Fill) -> None:
         known = self.copies.get(fill.book)
@@ -422,8 +439,10 @@
         index = self.indexes.get(fetch.book)
         refs = tuple((ref, round((at - self.now) * 1000)) for ref, at in index.refs.items()) if index else ()
         if copy is None:
-            self._send(fetch.source, wire.Held(self.name, fetch.book, fetch.term, START, False, False, 0, 1,
-                                               (), self._wall, refs))
+            self._send(
+                fetch.source,
+                wire.Held(self.name, fetch.book, fetch.term, START, False, False, 0, 1, (), self._wall, refs),
+            )
             return
         if fetch.term > copy.term:  # from here on nothing of a lower term is taken
             copy.term, copy.filling = fetch.term, None
@@ -431,9 +450,22 @@
         copy.heard_at = self.now
         pieces = list(copies.parts(self._packed(copy)))
         for n, piece in enumerate(pieces):
-            self._send(fetch.source, wire.Held(
-                self.name, copy.book, fetch.term, copy.position, copy.sure, True, n, len(pieces), piece,
-                self._wall, refs if n == 0 else ()))
+            self._send(
+                fetch.source,
+                wire.Held(
+                    self.name,
+                    copy.book,
+                    fetch.term,
+                    copy.position,
+                    copy.sure,
+                    True,
+                    n,
+                    len(pieces),
+                    piece,
+                    self._wall,
+                    refs if n == 0 else (),
+                ),
+            )
 
     @staticmethod
     def _packed(copy: Copy) -> list[tuple[int, bytes]]:
@@ -458,8 +490,9 @@
             return
         found = owned.rounds.get(granted.number)
         if granted.version > owned.about.version and owned.stage is Stage.CLAIMING:
-            owned.about = msgspec.structs.replace(owned.about, version=granted.version,
-                                                  replicas=granted.replicas)
+            owned.about = msgspec.structs.replace(
+                owned.about, version=granted.version, replicas=granted.replicas
+            )
         if not owned.granted(self.now, granted, self._span()):
             return
         if owned.stage is Stage.CLAIMING:
@@ -495,8 +528,11 @@
                 owned.rounds[refused.number].taken.add(refused.source)
             if owned.stage is Stage.CLAIMING and owned.hopeless(refused.number):
                 self._stand_back(owned, refused.left_ms / 1000)
-            elif owned.stage is Stage.OWNED and owned.hopeless(refused.number) and (
-                    self.now > owned.lease_until + self._span()):
+            elif (
+                owned.stage is Stage.OWNED
+                and owned.hopeless(refused.number)
+                and (self.now > owned.lease_until + self._span())
+            ):
                 self._claim_anew(owned)
         elif owned.stage is Stage.CLAIMING and refused.left_ms:
             wait = min(refused.left_ms / 1000, self._span())
@@ -523,8 +559,9 @@
         """A book's owner is another by now."""
         for table in (self.copies, self.indexes):
             if book in table:
-                table[book].about = msgspec.structs.replace(table[book].about, owner=refused.owner,
-                                                            life=refused.life)
+                table[book].about = msgspec.structs.replace(
+                    table[book].about, owner=refused.owner, life=refused.life
+                )
         if refused.closed and book in self.copies:
             self._drop_copy(book)
 
@@ -552,7 +589,8 @@
         if follower is None or acked.term != owned.term:
             return
         if acked.position != owned.position(acked.position[1]) or (
-                acked.position[1] > max(owned.last, follower.fill_at)):
+            acked.position[1] > max(owned.last, follower.fill_at)
+        ):
             return  # elsewhere: it will say that it is behind
         follower.heard_at, follower.tries = self.now, 0
         self._silences.pop(follower.name, None)
@@ -594,15 +632,30 @@
         mine = copies.digests(entries)
         theirs = behind.digests or (0,) * copies.RANGES
         ranges = sum(1 << n for n in range(copies.RANGES) if mine[n] != theirs[n])
-        wanted = [(order, copies.pack(entry)) for order, entry in entries
-                  if ranges >> copies.range_of(entry.taken.ref) & 1]
+        wanted = [
+            (order, copies.pack(entry))
+            for order, entry in entries
+            if ranges >> copies.range_of(entry.taken.ref) & 1
+        ]
         pieces = list(copies.parts(wanted))
         follower.acked, follower.told, follower.fill_at = None, behind.position, last
         follower.fill.clear()
         for n, piece in enumerate(pieces):
-            follower.fill.append(wire.Fill(
-                self.name, owned.book, owned.term, owned.position(last), behind.position, ranges, n,
-                len(pieces), piece, self._wall, owned.about))
+            follower.fill.append(
+                wire.Fill(
+                    self.name,
+                    owned.book,
+                    owned.term,
+                    owned.position(last),
+                    behind.position,
+                    ranges,
+                    n,
+                    len(pieces),
+                    piece,
+                    self._wall,
+                    owned.about,
+                )
+            )
         self._pour(owned, follower)
 
     def _pour(self, owned: Owned, follower: Follower) -> None:
@@ -638,8 +691,10 @@
     def _append(self, owned: Owned, follower: Follower, before: int, frames: tuple[bytes, ...]) -> None:
         follower.sent_at = self.now
         about = owned.about if not before or not frames else None
-        self._send(follower.name, wire.Append(self.name, owned.book, owned.term, owned.position(before),
-                                              frames, self._wall, about))
+        self._send(
+            follower.name,
+            wire.Append(self.name, owned.book, owned.term, owned.position(before), frames, self._wall, about),
+        )
 
     def _probe(self, owned: Owned, name: str) -> None:
         """Ask a replica where it is; it is told that the owner lives by the same."""
@@ -698,7 +753,7 @@
         """Who is to hold each book, now that members came or went."""
         names = self._fit()
         for owned in self.owned.values():
-            wanted = tuple(ranked(owned.book, names)[:self.settings.copies])
+            wanted = tuple(ranked(owned.book, names)[: self.settings.copies])
             known = self._desired.get(owned.book)
             if wanted and (known is None or known[0] != wanted):
                 gone = any(name not in names for name in owned.about.replicas)
@@ -706,8 +761,12 @@
 
     def _change_set(self, owned: Owned) -> None:
         wanted, at = self._desired.get(owned.book, (owned.about.replicas, 0.0))
-        if wanted and at <= self.now and not owned.offered and set(wanted) != set(
-                owned.proposed or owned.about.replicas):
+        if (
+            wanted
+            and at <= self.now
+            and not owned.offered
+            and set(wanted) != set(owned.proposed or owned.about.replicas)
+        ):
             owned.propose(wanted if set(wanted) != set(owned.about.replicas) else None)
             for name in owned.proposed or ():
                 self._probe(owned, name)
@@ -758,13 +817,19 @@
         """Whether a new book cannot yet have the copies that the current one can."""
         return current is not None and any(
             current.able(self.now, wanted, self._span()) and not pending.able(self.now, wanted, self._span())
-            for wanted in self.settings.asked())
+            for wanted in self.settings.asked()
+        )
 
     def _open(self, names: list[str]) -> None:
         self._count += 1
         book = f"{self.name}/{self.life:012x}.{self._count}"
-        about = About(self.name, self.life, 1, tuple(ranked(book, names)[:self.settings.copies]),
-                      witnesses(book, self.name, names, self.settings.witnesses))
+        about = About(
+            self.name,
+            self.life,
+            1,
+            tuple(ranked(book, names)[: self.settings.copies]),
+            witnesses(book, self.name, names, self.settings.witnesses),
+        )
         owned = self.owned[book] = Owned(book, 1, about, born=self.now)
         self._claim(owned)
 
@@ -783,8 +848,9 @@
         elif owned.stage is not Stage.OWNED and not owned.fresh:
             about = msgspec.structs.replace(about, version=0, replicas=())
         number = owned.begin_round(self.now, about.version)
-        claim = wire.Claim(self.name, owned.book, owned.term, about, round(self._span() * 1000), number,
-                           release, closed)
+        claim = wire.Claim(
+            self.name, owned.book, owned.term, about, round(self._span() * 1000), number, release, closed
+        )
         for name in owned.about.witnesses:
             if name == self.name:
                 self._on_claim(claim)
@@ -820,8 +886,9 @@
                 continue
             if silent > self._span() and not any(name in self.there for name in about.replicas):
                 line = sorted(about.witnesses)
-                self._stand(book, about, index.term,
-                            1 + (line.index(self.name) if self.name in line else len(line)))
+                self._stand(
+                    book, about, index.term, 1 + (line.index(self.name) if self.name in line else len(line))
+                )
             if silent > self._span() or book in self._former:
                 self._expire_refs(book, index)
 
@@ -843,8 +910,11 @@
         by = copy.ahead or copies.NO_TIME
         if not self._nobody(copy.book):
             return
-        over = [entry for ref, entry in copy.live.items()
-                if ref not in copy.told and entry.taken.ends_at + by <= self._wall]
+        over = [
+            entry
+            for ref, entry in copy.live.items()
+            if ref not in copy.told and entry.taken.ends_at + by <= self._wall
+        ]
         if over:
             copy.told.update(entry.taken.ref for entry in over)
             self._act(Expired(copy.book, tuple(copies.shifted(entry, by) for entry in over), ()))
@@ -875,8 +945,9 @@
         self._terms[book] = term
         self._try_at[book] = self.now + self._span() + self._pause()
         mine = msgspec.structs.replace(about, owner=self.name, life=self.life)
-        owned = self.owned[book] = Owned(book, term, mine, born=self.now, fresh=False,
-                                         before=(about.owner, about.life))
+        owned = self.owned[book] = Owned(
+            book, term, mine, born=self.now, fresh=False, before=(about.owner, about.life)
+        )
         self._claim(owned)
 
     # Taking over
@@ -889,8 +960,9 @@
             copy.term = max(copy.term, owned.term)
             self._act(KeepCopy(owned.book, copy))
             pieces = list(copies.parts(self._packed(copy)))
-            owned.answers[self.name] = Answer(copy.position, copy.sure, True, len(pieces),
-                                              got=dict(enumerate(pieces)))
+            owned.answers[self.name] = Answer(
+                copy.position, copy.sure, True, len(pieces), got=dict(enumerate(pieces))
+            )
         if (index := self.indexes.get(owned.book)) is not None:
             answer = owned.answers.setdefault(self.name, Answer(START, False, False, 1, got={0: ()}))
             answer.refs = {ref: round((at - self.now) * 1000) for ref, at in index.refs.items()}
@@ -934,24 +1006,41 @@
         if best is not None:
             owned.base, owned.last = best.position, best.position[1]
             for part in sorted(best.got):
-                entries += [(order, copies.shifted(entry, best.ahead)) for order, data in best.got[part]
-                            if (entry := copies.unpack(data)) is not None]
+                entries += [
+                    (order, copies.shifted(entry, best.ahead))
+                    for order, data in best.got[part]
+                    if (entry := copies.unpack(data)) is not None
+                ]
         known = {entry.taken.ref for _, entry in entries}
         owned.stage, owned.answers = Stage.ADOPTING, {}
-        before = self.copies[owned.book].about.owner if owned.book in self.copies else (
-            self.indexes[owned.book].about.owner if owned.book in self.indexes else self.name)
+        before = (
+            self.copies[owned.book].about.owner
+            if owned.book in self.copies
+            else (self.indexes[owned.book].about.owner if owned.book in self.indexes else self.name)
+        )
         self.indexes.pop(owned.book, None)
         refs = {ref: left for ref, left in refs.items() if ref not in known}
-        self._act(Won(owned.book, owned.term, owned.last, tuple(entries), len(told),
-                      len(owned.about.replicas), refs, before))
+        self._act(
+            Won(
+                owned.book,
+                owned.term,
+                owned.last,
+                tuple(entries),
+                len(told),
+                len(owned.about.replicas),
+                refs,
+                before,
+            )
+        )
 
     # What is told to keepers of ids
 
     def _keepers(self, owned: Owned) -> list[str]:
         """Members without a copy, witnesses if there are any, who tell the ends should all copies be lost."""
         names = owned.names()
-        fit = [n for n in owned.about.witnesses
-               if n in self.there and n not in self._unfit and n not in names]
+        fit = [
+            n for n in owned.about.witnesses if n in self.there and n not in self._unfit and n not in names
+        ]
         return ranked(owned.book, fit or [n for n in self._fit() if n not in names], "ids")[:KEEPERS]
 
     def _keep_ids(self, owned: Owned) -> None:
@@ -975,8 +1064,9 @@
                 after, owed, over, about = -1, owned.open, (), owned.about
             else:
                 after, (owed, over) = found
-            left = tuple((ref, max(0, round((at - self._wall).total_seconds() * 1000)))
-                         for ref, at in owed.items())
+            left = tuple(
+                (ref, max(0, round((at - self._wall).total_seconds() * 1000))) for ref, at in owed.items()
+            )
             self._send(name, wire.Refs(self.name, owned.book, owned.term, after, ids.step, left, over, about))
 
     def _on_told(self, told: wire.Told) -> None:
@@ -1005,4 +1095,3 @@
     def _done(self) -> list[Action]:
         actions, self._actions = self._actions, []
         return actions
-
--- a/willownotch/replica/ids.py
+++ b/willownotch/replica/ids.py
@@ -3,6 +3,7 @@
 They end these by a notice should all copies be lost. Each change is a step; a keeper applies the steps in
 their order, and a promise waits until one of the keepers has the step that the message came with.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -28,8 +29,9 @@
     refs: dict[str, float]  # ids, and when their deadlines are by this clock
     at: int = -1
 
-    def take(self, now: float, after: int, step: int, owed: tuple[tuple[str, int], ...],
-             over: tuple[str, ...]) -> bool:
+    def take(
+        self, now: float, after: int, step: int, owed: tuple[tuple[str, int], ...], over: tuple[str, ...]
+    ) -> bool:
         """Take ids in and out, ms left told with each; whether steps before these were missed."""
         if self.at < after:
             return True
@@ -67,7 +69,8 @@
     _added: dict[str, datetime] = field(default_factory=dict)
     _gone: set[str] = field(default_factory=set)
     _taken: deque[tuple[int, int]] = field(  # steps, and the record before each one's first
-        default_factory=lambda: deque(maxlen=STEPS_MOST))
+        default_factory=lambda: deque(maxlen=STEPS_MOST)
+    )
 
     def note(self, added: dict[str, datetime], gone: list[str]) -> None:
         """Ids that are owed an end from now on, and that are not any more; told with the next step."""
@@ -148,6 +151,7 @@
             self._taken.popleft()
         if not self._taken:
             return None
-        answering = any(k.at >= 0 and (k.since is None or now - k.since <= patience)
-                        for k in self.keepers.values())
+        answering = any(
+            k.at >= 0 and (k.since is None or now - k.since <= patience) for k in self.keepers.values()
+        )
         return self._taken[0][1] if answering else None
--- a/willownotch/replica/placement.py
+++ b/willownotch/replica/placement.py
@@ -3,6 +3,7 @@
 Each member has a weight for each book, and the highest ones are chosen. A member that goes moves only what it
 had; one that comes takes over only what it is now the best place for.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -14,6 +15,7 @@
 
     def weight(name: str) -> tuple[int, str]:
         return xxh64_intdigest(f"{purpose}\0{book}\0{name}".encode()), name
+
     return sorted(names, key=weight, reverse=True)
 
 
--- a/willownotch/replica/service.py
+++ b/willownotch/replica/service.py
@@ -4,6 +4,7 @@
 what may be promised and done; the answers are plain values that this thread publishes, so nobody waits for it
 but those who wait for copies.
 """
+
 from __future__ import annotations
 
 import queue
@@ -35,8 +36,9 @@
 LOG_S = 10.0  # between two lines on messages that no copies can be had for
 WITNESS_OF = (wire.Granted, wire.Acked)  # what may be said only once it is in the folder
 
-LINKS = Kind("custody", wire.VERSION, wire.decode,
-             lambda message: sum(map(len, getattr(message, "frames", ()))) + 200)
+LINKS = Kind(
+    "custody", wire.VERSION, wire.decode, lambda message: sum(map(len, getattr(message, "frames", ()))) + 200
+)
 
 
 class FollowerView(msgspec.Struct, frozen=True):
@@ -110,13 +112,30 @@
 class Keeper:
     """Custody for one sender. `start` its threads, ask from any."""
 
-    def __init__(self, settings: ReplicaSettings, name: str, life: int, edge: Edge, folder: Path,
-                 files: Files, space: Space, room: int, say: Callable[[str], None],
-                 now: Callable[[], datetime]) -> None:
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        name: str,
+        life: int,
+        edge: Edge,
+        folder: Path,
+        files: Files,
+        space: Space,
+        room: int,
+        say: Callable[[str], None],
+        now: Callable[[], datetime],
+    ) -> None:
         self.settings, self.name, self.edge, self.say, self.now = settings, name, edge, say, now
         self.store = Store(folder, files, space, say)
-        self.core = cores.Custody(name, life, settings, time.monotonic(), Random(life), self._snapshot,
-                                  int(settings.room * room / 3))
+        self.core = cores.Custody(
+            name,
+            life,
+            settings,
+            time.monotonic(),
+            Random(life),
+            self._snapshot,
+            int(settings.room * room / 3),
+        )
         self.read_body: Callable[[Taken], bytes] = lambda taken: taken.body
         self.entries: Callable[[Callable[[], int]], tuple[int, list[Entry]]] = lambda number: (number(), [])
         self.there: Callable[[], dict[str, tuple[int, tuple[str, int]]]] = dict
@@ -159,8 +178,9 @@
         ends = time.monotonic() + patience.total_seconds()
         with self._changed:
             wanted = [(m.book, m.acks, self._last.get(m.book, 0)) for m in marks]
-            while not all(self._reached.get((book, acks), -1) >= at and self.acting(book)
-                          for book, acks, at in wanted):
+            while not all(
+                self._reached.get((book, acks), -1) >= at and self.acting(book) for book, acks, at in wanted
+            ):
                 left = ends - time.monotonic()
                 if left <= 0 or any(self._lapsed(book) for book, _, _ in wanted):
                     return False
@@ -178,8 +198,16 @@
         else can own the book, and without a lease it is told in the end all the same.
         """
         with self._lock:
-            self._waits.append(Wait(mark.book, self._last.get(mark.book, 0), mark.acks,
-                                    time.monotonic() + patience.total_seconds(), strict, done))
+            self._waits.append(
+                Wait(
+                    mark.book,
+                    self._last.get(mark.book, 0),
+                    mark.acks,
+                    time.monotonic() + patience.total_seconds(),
+                    strict,
+                    done,
+                )
+            )
         self._inbox.put(None)
 
     # What it tells
@@ -231,25 +259,30 @@
         def look() -> list[cores.Action]:
             box.put(self.core.register.over(time.monotonic()))
             return []
+
         self._inbox.put(look)
         return box.get()
 
     def forget(self, words: bytes) -> None:
         """Forget these books, as far as they are over here, too."""
+
         def take() -> list[cores.Action]:
             known = set(self.core.register.over(time.monotonic()))
             books = [book for book in words.decode("utf-8", "replace").split() if book in known]
             self.core.register.forget(books)
             self.store.forget(books)
             return []
+
         self._inbox.put(take)
 
     def configure(self, settings: ReplicaSettings, room: int) -> None:
         """Take other settings."""
+
         def take() -> list[cores.Action]:
             self.settings = self.core.settings = settings
             self.core.room = int(settings.room * room / 3)
             return []
+
         self._inbox.put(take)
 
     # Its thread
@@ -370,11 +403,13 @@
         now, done = time.monotonic(), []
         asked = self.settings.asked()
         with self._changed:
-            self._leases = {book: o.lease_until for book, o in self.core.owned.items()
-                            if o.stage is Stage.OWNED}
+            self._leases = {
+                book: o.lease_until for book, o in self.core.owned.items() if o.stage is Stage.OWNED
+            }
             wanted = asked | {wait.wanted for wait in self._waits}
-            self._reached = {(book, w): self.core.reached(book, w)
-                             for book in self.core.owned for w in wanted}
+            self._reached = {
+                (book, w): self.core.reached(book, w) for book in self.core.owned for w in wanted
+            }
             self._usable = {w: self.core.usable(w, now) for w in asked}
             waits, self._waits = self._waits, []
             for wait in waits:
@@ -414,14 +449,21 @@
             with self._lock:
                 orders.update(self._order.get(book, {}))
                 return self._last.get(book, 0)
+
         last, found = self.entries(number)
         entries = []
         for entry in found:
             mark = entry.taken.custody
             if mark is not None and mark.book == book and entry.taken.ref in orders:
                 if entry.ended is None:
-                    entry = Entry(self._whole(entry.taken), entry.own_size, dict(entry.opened),
-                                  dict(entry.closed), entry.counted, entry.ended)
+                    entry = Entry(
+                        self._whole(entry.taken),
+                        entry.own_size,
+                        dict(entry.opened),
+                        dict(entry.closed),
+                        entry.counted,
+                        entry.ended,
+                    )
                 entries.append((orders[entry.taken.ref], entry))
         return last, sorted(entries, key=lambda pair: pair[0])
 
@@ -439,6 +481,7 @@
         def look() -> list[cores.Action]:
             box.put(self._view(time.monotonic()))
             return []
+
         self._inbox.put(look)
         return box.get(timeout=5.0)
 
@@ -447,17 +490,41 @@
         books = []
         for book, owned in self.core.owned.items():
             followers = [owned.followers[n] for n in owned.names() if n in owned.followers]
-            books.append(BookView(
-                book, owned.term, owned.stage.value, round(max(0.0, owned.lease_until - now), 3),
-                len(owned.open), max(0, owned.last - self.core.reached(book, most)), owned.about.witnesses,
-                tuple(FollowerView(f.name, None if f.acked is None else owned.last - f.acked, len(f.fill),
-                                   round(now - f.heard_at, 3)) for f in followers)))
-        copies = [CopyView(c.book, c.about.owner, c.term, len(c.live), c.size, c.sure,
-                           round(now - c.heard_at, 3)) for c in self.core.copies.values()]
-        return ReplicaView(self.name, self.core.current, tuple(books), tuple(copies),
-                           len(self.core.register),
-                           {book: len(index.refs) for book, index in self.core.indexes.items()},
-                           dict(self.edge.traffic), dict(self.edge.seal.refused), dict(self.counts))
+            books.append(
+                BookView(
+                    book,
+                    owned.term,
+                    owned.stage.value,
+                    round(max(0.0, owned.lease_until - now), 3),
+                    len(owned.open),
+                    max(0, owned.last - self.core.reached(book, most)),
+                    owned.about.witnesses,
+                    tuple(
+                        FollowerView(
+                            f.name,
+                            None if f.acked is None else owned.last - f.acked,
+                            len(f.fill),
+                            round(now - f.heard_at, 3),
+                        )
+                        for f in followers
+                    ),
+                )
+            )
+        copies = [
+            CopyView(c.book, c.about.owner, c.term, len(c.live), c.size, c.sure, round(now - c.heard_at, 3))
+            for c in self.core.copies.values()
+        ]
+        return ReplicaView(
+            self.name,
+            self.core.current,
+            tuple(books),
+            tuple(copies),
+            len(self.core.register),
+            {book: len(index.refs) for book, index in self.core.indexes.items()},
+            dict(self.edge.traffic),
+            dict(self.edge.seal.refused),
+            dict(self.counts),
+        )
 
 
 def over(record: Record) -> bool:
--- a/willownotch/replica/settings.py
+++ b/willownotch/replica/settings.py
@@ -1,4 +1,5 @@
 """The `replica` block of the settings file. Off unless a class asks for acknowledgements; needs `peers`."""
+
 from __future__ import annotations
 
 from datetime import timedelta
@@ -24,9 +25,11 @@
     acks: Annotated[int, CountWord(0, MOST)] = 0  # W: copies that a promise waits for; 0: not copied at all
     witnesses: Annotated[int, CountWord(1, 15)] = 5  # that grant terms, a majority of them each
     lease: Annotated[timedelta, SpanWord(timedelta(milliseconds=200), timedelta(minutes=5))] = timedelta(
-        seconds=3)
+        seconds=3
+    )
     patience: Annotated[timedelta, SpanWord(timedelta(milliseconds=10), timedelta(milliseconds=250))] = (
-        timedelta(milliseconds=200))  # that a client's answer waits for copies
+        timedelta(milliseconds=200)
+    )  # that a client's answer waits for copies
     rate: Annotated[int, SizeWord(4096, 10**9)] = 1_000_000  # bytes a second of repair
     room: Annotated[float, ShareWord(0.01, 0.9)] = 0.25  # of disk_mb, for copies of others' messages
     class_: Annotated[dict[str, ClassReplica], Named(ClassReplica)] = {}
--- a/willownotch/replica/simulated.py
+++ b/willownotch/replica/simulated.py
@@ -3,6 +3,7 @@
 The cores are the real ones. Journals, disks, membership and the network are played here: who is dead, stalled
 or cut off is held for gone by the others after `detect` seconds. The same seed gives the same story.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -51,8 +52,9 @@
 
     def __init__(self, fleet: Fleet, name: str, life: int, disk: Disk) -> None:
         self.fleet, self.name, self.life, self.disk = fleet, name, life, disk
-        self.core = cores.Custody(name, life, fleet.settings, fleet.now, Random(fleet.random.getrandbits(64)),
-                                  self.snapshot)
+        self.core = cores.Custody(
+            name, life, fleet.settings, fleet.now, Random(fleet.random.getrandbits(64)), self.snapshot
+        )
         self.last: dict[str, int] = {}
         self.waiting: dict[str, tuple[str, int]] = {}  # ids whose clients wait: book, record
         self.tries: list[Try] = []
@@ -74,8 +76,11 @@
 
     def snapshot(self, book: str) -> tuple[int, list[tuple[int, Entry]]]:
         """A book as the journal has it."""
-        found = [(self.disk.order[ref], entry) for ref, entry in self.disk.live.items()
-                 if entry.taken.custody.book == book]
+        found = [
+            (self.disk.order[ref], entry)
+            for ref, entry in self.disk.live.items()
+            if entry.taken.custody.book == book
+        ]
         return self.last.get(book, 0), sorted(found, key=lambda pair: pair[0])
 
     def write(self, book: str, records: list[Record]) -> int:
@@ -98,8 +103,16 @@
         book = self.core.usable(wanted, self.fleet.now)
         if book is None or ref in self.disk.live:
             return False
-        taken = Taken(ref, 7, "fee", "acme", self.fleet.wall(self.name) + timedelta(seconds=span), "k",
-                      body=b"body of " + ref.encode(), custody=Custody(book, wanted))
+        taken = Taken(
+            ref,
+            7,
+            "fee",
+            "acme",
+            self.fleet.wall(self.name) + timedelta(seconds=span),
+            "k",
+            body=b"body of " + ref.encode(),
+            custody=Custody(book, wanted),
+        )
         self.waiting[ref] = book, self.write(book, [taken])
         return True
 
@@ -126,8 +139,11 @@
         now = self.fleet.now
         for ref, (book, at) in list(self.waiting.items()):
             entry = self.disk.live.get(ref)
-            if entry is not None and self.core.leased(book, now) and (
-                    self.core.reached(book, entry.taken.custody.acks) >= at):
+            if (
+                entry is not None
+                and self.core.leased(book, now)
+                and (self.core.reached(book, entry.taken.custody.acks) >= at)
+            ):
                 self.fleet.promised[ref] = self.name
                 del self.waiting[ref]
         for one in list(self.tries):
@@ -135,7 +151,8 @@
             if entry is None:
                 self.tries.remove(one)
             elif self.core.leased(one.book, now) and (
-                    self.core.reached(one.book, entry.taken.custody.acks) >= one.at):
+                self.core.reached(one.book, entry.taken.custody.acks) >= one.at
+            ):
                 self.tries.remove(one)
                 self.fleet.calls.setdefault(one.ref, []).append((self.name, now))
                 self.write(one.book, [Closed(one.ref, one.number, True)])
@@ -200,8 +217,15 @@
 
 def write_copy(copy: Copy) -> bytes:
     """A copy as its file would have it."""
-    return msgspec.msgpack.encode([copy.book, copy.about, copy.term, copy.position, [
-        [order, b"".join(map(frame, entry.records()))] for order, entry in copy.entries()]])
+    return msgspec.msgpack.encode(
+        [
+            copy.book,
+            copy.about,
+            copy.term,
+            copy.position,
+            [[order, b"".join(map(frame, entry.records()))] for order, entry in copy.entries()],
+        ]
+    )
 
 
 def read_copy(data: bytes) -> Copy:
@@ -215,8 +239,14 @@
 class Fleet:
     """All senders, the network between them, and what really happened."""
 
-    def __init__(self, seed: int, names: list[str], settings: ReplicaSettings, detect: float = DETECT_S,
-                 durable: bool = True) -> None:
+    def __init__(
+        self,
+        seed: int,
+        names: list[str],
+        settings: ReplicaSettings,
+        detect: float = DETECT_S,
+        durable: bool = True,
+    ) -> None:
         self.random, self.settings, self.detect, self.durable = Random(seed), settings, detect, durable
         self.now, self._count, self._lives = 0.0, 0, 0
         self.delay, self.loss = 0.002, 0.0
@@ -279,8 +309,9 @@
         for name, sender in self.senders.items():
             if name == observer:
                 continue
-            heard = not sender.stalled and (self.around(observer, name) or not (
-                self.cut(name, observer) or self.cut(observer, name)))
+            heard = not sender.stalled and (
+                self.around(observer, name) or not (self.cut(name, observer) or self.cut(observer, name))
+            )
             if heard:
                 self._gone_at.pop((observer, name), None)
             gone_at = self._gone_at.setdefault((observer, name), self.now) if not heard else self.now
--- a/willownotch/replica/store.py
+++ b/willownotch/replica/store.py
@@ -4,6 +4,7 @@
 A record is framed as magic, length, checksum, body, as the journal's are; a torn tail is passed over. Its
 room comes from the folder's one limit, and is claimed before a byte is written.
 """
+
 from __future__ import annotations
 
 import zlib
@@ -79,7 +80,7 @@
     found, at, lost = [], 0, 0
     while at < len(data):
         magic, length, checksum = FRAME.unpack_from(data, at) if at + FRAME.size <= len(data) else (b"", 0, 0)
-        body = data[at + FRAME.size:at + FRAME.size + length]
+        body = data[at + FRAME.size : at + FRAME.size + length]
         if magic == MAGIC and len(body) == length and zlib.crc32(body) == checksum:
             try:
                 found.append(_decode(body))
--- a/willownotch/replica/terms.py
+++ b/willownotch/replica/terms.py
@@ -4,6 +4,7 @@
 answers must be in the folder first: a grant that is forgotten could be given twice. Leases are not kept:
 after a restart each may still run for its whole span.
 """
+
 from __future__ import annotations
 
 import msgspec
@@ -45,13 +46,15 @@
         """The answer to a claim, and what must be in the folder before it is given."""
         about = claim.about
         held = self.held.get(claim.book) or Term(claim.book, 0, NOBODY)
-        wanted = Wanted(claim.term, about.owner, about.life, claim.span_ms / 1000, claim.release,
-                        claim.closed)
+        wanted = Wanted(
+            claim.term, about.owner, about.life, claim.span_ms / 1000, claim.release, claim.closed
+        )
         # Its first owner may have it at once: nobody else knows of it.
         if self.grants.ask(now, claim.book, wanted, new=claim.term == 1) is None:
             left = round(self.grants.left(now, claim.book) * 1000)
-            refused = Refused("", claim.book, claim.number, held.term, held.about.owner, held.about.life,
-                              left, held.closed)
+            refused = Refused(
+                "", claim.book, claim.number, held.term, held.about.owner, held.about.life, left, held.closed
+            )
             return refused, None
         if about.version < held.about.version:  # the set that is on record stays
             about = msgspec.structs.replace(about, version=held.about.version, replicas=held.about.replicas)
@@ -74,7 +77,7 @@
     def _trim(self, now: float) -> None:
         if len(self.held) > BOOKS_MOST:
             closed = [book for book, term in self.held.items() if term.closed]
-            self.forget((closed + self.over(now))[:len(self.held) - BOOKS_MOST])
+            self.forget((closed + self.over(now))[: len(self.held) - BOOKS_MOST])
 
     def term(self, book: str) -> int:
         """The highest term granted here."""
--- a/willownotch/replica/wire.py
+++ b/willownotch/replica/wire.py
@@ -2,6 +2,7 @@
 
 Every message may be lost, late or repeated: a connection that breaks takes with it what was on its way.
 """
+
 from __future__ import annotations
 
 from datetime import datetime
@@ -175,7 +176,8 @@
     missed: bool = False
 
 
-Message = (Claim | Granted | Refused | Append | Acked | Behind | Fill | Higher | Fetch | Held | Close | Refs
-           | Told)
+Message = (
+    Claim | Granted | Refused | Append | Acked | Behind | Fill | Higher | Fetch | Held | Close | Refs | Told
+)
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/willownotch/settings/reader.py
+++ b/willownotch/settings/reader.py
@@ -3,6 +3,7 @@
 The format is line-based, so each line is parsed by itself: a line that cannot be read costs only itself, and
 all that is wrong is told in one go.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -29,8 +30,14 @@
 %ignore COMMENT
 """
 MOST_LINES = 10_000
-EXPECTED = {"WORD": "a word", "STRING": "a text in quotes", "LBRACE": "'{'", "RBRACE": "'}'",
-            "$END": "the end of the line", "<END-OF-FILE>": "the end of the line"}
+EXPECTED = {
+    "WORD": "a word",
+    "STRING": "a text in quotes",
+    "LBRACE": "'{'",
+    "RBRACE": "'}'",
+    "$END": "the end of the line",
+    "<END-OF-FILE>": "the end of the line",
+}
 _parser = lark.Lark(GRAMMAR, parser="lalr")
 
 
@@ -93,8 +100,12 @@
             self.fault(number, max(1, fault.column), f"unexpected {str(fault.token)!r}, allowed: {wanted}")
             return
         except lark.UnexpectedCharacters as fault:
-            self.fault(number, max(1, fault.column), f"unexpected {line[fault.column - 1]!r}, "
-                       "allowed: words, or a text in quotes that is closed")
+            self.fault(
+                number,
+                max(1, fault.column),
+                f"unexpected {line[fault.column - 1]!r}, "
+                "allowed: words, or a text in quotes that is closed",
+            )
             return
         except lark.UnexpectedEOF:
             self.fault(number, len(line) + 1, "the line breaks off, allowed: a word with its values")
@@ -125,13 +136,17 @@
             if name is None:
                 continue
             if isinstance(reader, Inner | Named):
-                self.fault(setting.line, setting.column,
-                           f"'{setting.word}' is a block, wanted: '{{' after it")
+                self.fault(
+                    setting.line, setting.column, f"'{setting.word}' is a block, wanted: '{{' after it"
+                )
             elif isinstance(reader, ListWord) and setting.values:
                 given[name] = tuple(self._value(setting, reader.of, place) for place in setting.values)
             elif len(setting.values) != 1:
-                self.fault(setting.line, setting.column,
-                           f"'{setting.word}' has {len(setting.values)} values, allowed: {reader.allowed()}")
+                self.fault(
+                    setting.line,
+                    setting.column,
+                    f"'{setting.word}' has {len(setting.values)} values, allowed: {reader.allowed()}",
+                )
             else:
                 given[name] = self._value(setting, reader, setting.values[0])
         for inner in block.blocks:
@@ -149,8 +164,9 @@
         try:
             return reader.read(text)
         except WordError:
-            self.fault(setting.line, column,
-                       f"'{setting.word}' cannot be {text!r}, allowed: {reader.allowed()}")
+            self.fault(
+                setting.line, column, f"'{setting.word}' cannot be {text!r}, allowed: {reader.allowed()}"
+            )
             return None
 
     def _inner(self, inner: Block, allowed: dict, places: dict, given: dict[str, Any]) -> None:
@@ -163,8 +179,11 @@
                 return
             own = given.setdefault(name, {})
             if head.values[0][1] in own:
-                self.fault(head.line, head.values[0][0], f"{head.word} '{head.values[0][1]}' stands twice, "
-                           "allowed: once")
+                self.fault(
+                    head.line,
+                    head.values[0][0],
+                    f"{head.word} '{head.values[0][1]}' stands twice, " "allowed: once",
+                )
             own[head.values[0][1]] = self.fill(inner, named.block)
             return
         name, reader = self._known(head, allowed, places)
@@ -182,13 +201,20 @@
         if setting.word not in allowed:
             near = get_close_matches(setting.word, allowed, 1)
             hint = f" (did you mean '{near[0]}'?)" if near else ""
-            self.fault(setting.line, setting.column, f"unknown word '{setting.word}'{hint}, "
-                       f"allowed: {', '.join(sorted(allowed)) or 'nothing'}")
+            self.fault(
+                setting.line,
+                setting.column,
+                f"unknown word '{setting.word}'{hint}, "
+                f"allowed: {', '.join(sorted(allowed)) or 'nothing'}",
+            )
             return None, None
         name, reader = allowed[setting.word]
         if name in places:
-            self.fault(setting.line, setting.column,
-                       f"'{setting.word}' stands twice, allowed: once (line {places[name][0]} has it)")
+            self.fault(
+                setting.line,
+                setting.column,
+                f"'{setting.word}' stands twice, allowed: once (line {places[name][0]} has it)",
+            )
             return None, None
         places[name] = (setting.line, setting.column)
         return name, reader
@@ -218,6 +244,6 @@
         what = f"cannot be read ({fault.strerror}), wanted: a readable file"
         raise SettingsError([f"{path}:1:1: {what}"]) from None
     except UnicodeDecodeError as fault:
-        line = Path(path).read_bytes()[:fault.start].count(b"\n") + 1
+        line = Path(path).read_bytes()[: fault.start].count(b"\n") + 1
         raise SettingsError([f"{path}:{line}:1: is not UTF-8, wanted: text"]) from None
     return read(text, kind, str(path))
--- a/willownotch/settings/types.py
+++ b/willownotch/settings/types.py
@@ -3,6 +3,7 @@
 A block is a msgspec struct; a field `write_patience: Span = ...` is the setting `write-patience`. Nothing
 here loads the parser, so a subsystem can declare its block without it.
 """
+
 from __future__ import annotations
 
 import re
--- a/willownotch/shared/budgets.py
+++ b/willownotch/shared/budgets.py
@@ -9,6 +9,7 @@
 
 Parts are whole millionths, so that sums are exact.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -81,10 +82,11 @@
     """This instance's parts. `instances` is how many may run at once, dead or cut off ones among them.
 
     A process that has just begun knows of no loans that the one before it made: for one span it counts all
-    but what is never lent as lent. """
+    but what is never lent as lent."""
 
-    def __init__(self, name: str, instances: int, now: float, random: Random, span: float,
-                 keep: float) -> None:
+    def __init__(
+        self, name: str, instances: int, now: float, random: Random, span: float, keep: float
+    ) -> None:
         self.name, self.instances, self.random, self.span, self.keep = name, instances, random, span, keep
         self.began, self.budgets = now, {}  # type: float, dict[str, Budget]
         self._number = random.getrandbits(40)
@@ -210,8 +212,9 @@
             known = budget.borrowed.get((lender, loan.number))
             if until <= now or (known is not None and known.asked_at >= asked_at):
                 continue  # late, or a repeat
-            others = sum(n.amount for key, n in budget.borrowed.items()
-                         if key[0] == lender and key[1] != loan.number)
+            others = sum(
+                n.amount for key, n in budget.borrowed.items() if key[0] == lender and key[1] != loan.number
+            )
             if not 0 < loan.amount <= self.own() - others:
                 continue  # nobody can lend what it does not own
             budget.borrowed[lender, loan.number] = Borrowed(loan.number, lender, loan.amount, until, asked_at)
--- a/willownotch/shared/judgements.py
+++ b/willownotch/shared/judgements.py
@@ -15,6 +15,7 @@
 What others say counts here only once `sources` of them say so, and never for more than a share of a
 destination's endpoints. So one that is wrong, or lies, changes nothing; many change no more than that share.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -181,7 +182,7 @@
         """A stretch of all rows, for whoever missed news: anti-entropy a message at a time."""
         keys = sorted(key for key, held in self.held.items() if now - held.at < self.span / 2)
         start = offset * ROWS_MOST % max(1, len(keys))
-        return tuple(aged(self.held[key], now) for key in keys[start:start + ROWS_MOST])
+        return tuple(aged(self.held[key], now) for key in keys[start : start + ROWS_MOST])
 
     # What it comes to
 
@@ -211,9 +212,11 @@
         for endpoint, destination in endpoints.items():
             of.setdefault(destination, []).append(endpoint)
         for names in of.values():
-            down = sorted((v for name in names if (v := found.get(name)) is not None and v.failing),
-                          key=lambda v: (-v.sources, v.age, v.endpoint))
-            for verdict in down[int(self.most_share * len(names)):]:
+            down = sorted(
+                (v for name in names if (v := found.get(name)) is not None and v.failing),
+                key=lambda v: (-v.sources, v.age, v.endpoint),
+            )
+            for verdict in down[int(self.most_share * len(names)) :]:
                 del found[verdict.endpoint]
         return found
 
@@ -227,8 +230,11 @@
             known = said.setdefault(endpoint, {}).get(held.row.source)
             if known is None or held.at > known[0]:
                 said[endpoint][held.row.source] = held.at, held.row.limit
-        return {endpoint: median_low(limit for _, limit in told.values())
-                for endpoint, told in said.items() if len(told) >= self.sources}
+        return {
+            endpoint: median_low(limit for _, limit in told.values())
+            for endpoint, told in said.items()
+            if len(told) >= self.sources
+        }
 
 
 def aged(held: Held, now: float) -> Row:
--- a/willownotch/shared/layer.py
+++ b/willownotch/shared/layer.py
@@ -1,4 +1,5 @@
 """Budgets and judgements on top of the membership: what is said to whom, and when. No I/O, no clock."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -44,8 +45,15 @@
 
     messages = (Ask, Lend, Found)
 
-    def __init__(self, name: str, exchange: Callable[[], float], random: Random, budgets: Budgets | None,
-                 judgements: Judgements | None, now: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        exchange: Callable[[], float],
+        random: Random,
+        budgets: Budgets | None,
+        judgements: Judgements | None,
+        now: float,
+    ) -> None:
         self.name, self.exchange, self.random = name, exchange, random
         self.budgets, self.judgements = budgets, judgements
         self._at, self._rounds = now, 0
@@ -85,8 +93,10 @@
         if isinstance(message, Lend) and self.budgets is not None:
             asked_at = message.stamp / 1e6
             if asked_at <= now:
-                loans = [Loan(number, budget, amount, span / 1000)
-                         for number, budget, amount, span in message.loans]
+                loans = [
+                    Loan(number, budget, amount, span / 1000)
+                    for number, budget, amount, span in message.loans
+                ]
                 self.budgets.borrowed(now, message.source, asked_at, loans)
         elif isinstance(message, Found) and self.judgements is not None:
             self.judgements.merge(now, message.rows)
--- a/willownotch/shared/service.py
+++ b/willownotch/shared/service.py
@@ -2,6 +2,7 @@
 
 The membership's thread runs it, under that thread's lock; the owner only counts and posts.
 """
+
 from __future__ import annotations
 
 import threading
@@ -86,17 +87,31 @@
 class Shared:
     """Both halves for one sender. `lock` is the membership's, set before it is started."""
 
-    def __init__(self, settings: SharedSettings, name: str, life: int, instances: int, now: float,
-                 random: Random) -> None:
+    def __init__(
+        self, settings: SharedSettings, name: str, life: int, instances: int, now: float, random: Random
+    ) -> None:
         self.settings, self.name, self.lock = settings, name, threading.Lock()
         number = settings.instances or instances
-        self.budgets = Budgets(name, number, now, random, settings.loan.total_seconds(),
-                               settings.keep) if settings.budgets else None
-        self.judgements = Judgements(
-            name, life, settings.judgement.total_seconds(), settings.sources, settings.most_share,
-            settings.rows) if settings.judgements else None
-        self.layer = Sharing(name, lambda: self.settings.exchange.total_seconds(), random, self.budgets,
-                             self.judgements, now)
+        self.budgets = (
+            Budgets(name, number, now, random, settings.loan.total_seconds(), settings.keep)
+            if settings.budgets
+            else None
+        )
+        self.judgements = (
+            Judgements(
+                name,
+                life,
+                settings.judgement.total_seconds(),
+                settings.sources,
+                settings.most_share,
+                settings.rows,
+            )
+            if settings.judgements
+            else None
+        )
+        self.layer = Sharing(
+            name, lambda: self.settings.exchange.total_seconds(), random, self.budgets, self.judgements, now
+        )
         self.endpoints: Callable[[], dict[str, int]] = dict  # those that are listed, with their destinations
         self.tell: Callable[[Parts | Findings], None] = lambda found: None
         self._demand: Counter[str] = Counter()
@@ -186,17 +201,33 @@
         if self.budgets is not None:
             for name, budget in self.budgets.budgets.items():
                 part = self.budgets.part(name, now)
-                budgets.append(BudgetView(
-                    name, budget.per_s, part / 1e6, sum(n.amount for n in budget.lent.values()) / 1e6,
-                    sum(n.amount for n in budget.borrowed.values()) / 1e6, round(budget.demand, 3)))
+                budgets.append(
+                    BudgetView(
+                        name,
+                        budget.per_s,
+                        part / 1e6,
+                        sum(n.amount for n in budget.lent.values()) / 1e6,
+                        sum(n.amount for n in budget.borrowed.values()) / 1e6,
+                        round(budget.demand, 3),
+                    )
+                )
         if self.judgements is not None:
-            rows = [RowView(h.row.endpoint, h.row.source, h.row.failing, h.row.limit, round(now - h.at, 3))
-                    for _, h in sorted(self.judgements.held.items())]
+            rows = [
+                RowView(h.row.endpoint, h.row.source, h.row.failing, h.row.limit, round(now - h.at, 3))
+                for _, h in sorted(self.judgements.held.items())
+            ]
             found = self.judgements.verdicts(now, self.endpoints())
-            verdicts = [VerdictView(v.endpoint, v.failing, v.sources, round(v.age, 3))
-                        for v in found.values()]
+            verdicts = [
+                VerdictView(v.endpoint, v.failing, v.sources, round(v.age, 3)) for v in found.values()
+            ]
         own = self.budgets.own() / 1e6 if self.budgets else 0.0
         return SharedView(
-            self.name, own, self.settings.loan.total_seconds(),
-            self.settings.judgement.total_seconds(), tuple(budgets), tuple(rows), tuple(verdicts),
-            self.judgements.left_out if self.judgements else 0)
+            self.name,
+            own,
+            self.settings.loan.total_seconds(),
+            self.settings.judgement.total_seconds(),
+            tuple(budgets),
+            tuple(rows),
+            tuple(verdicts),
+            self.judgements.left_out if self.judgements else 0,
+        )
--- a/willownotch/shared/settings.py
+++ b/willownotch/shared/settings.py
@@ -1,4 +1,5 @@
 """The `shared` block of the settings file. Off unless it says so; needs `peers`."""
+
 from __future__ import annotations
 
 from datetime import timedelta
--- a/willownotch/startup.py
+++ b/willownotch/startup.py
@@ -4,6 +4,7 @@
 passes by itself, and a process that ended for it would only be started again. What an operator has to change
 ends the start at once.
 """
+
 from __future__ import annotations
 
 import errno
@@ -19,12 +20,31 @@
 PATIENCE = timedelta(seconds=6)  # of the 10 s that a restarted process has until it is ready
 PAUSE, PAUSE_MOST = timedelta(milliseconds=20), timedelta(milliseconds=300)  # between tries, doubling
 TELL_EACH_S = 1.0  # between two lines on one step
-PASSING = frozenset({
-    errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE,
-    errno.EAGAIN, errno.EINTR, errno.EIO, errno.ENOSPC, errno.EDQUOT, errno.ESTALE, errno.EBUSY,
-    errno.ETIMEDOUT, errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.EPROTO, errno.ENOLCK,
-    errno.ECONNABORTED, errno.ETXTBSY,
-})
+PASSING = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EIO,
+        errno.ENOSPC,
+        errno.EDQUOT,
+        errno.ESTALE,
+        errno.EBUSY,
+        errno.ETIMEDOUT,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EHOSTUNREACH,
+        errno.EPROTO,
+        errno.ENOLCK,
+        errno.ECONNABORTED,
+        errno.ETXTBSY,
+    }
+)
 
 
 class Startup:
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -1,4 +1,5 @@
 """What the decision module remembers, as plain records; it decides nothing and holds no tuned value."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -186,8 +187,9 @@
     began_at = ends_at - cls.deadline_s if dated_back else now
     wanted_at = began_at + cls.wanted_s + cls.stretch * message.cost_hint_s
     key = message.key if cls.in_order else None
-    return Job(message.ref, message.destination, cls, key, now, ends_at, min(wanted_at, ends_at),
-               worth=cls.worth)
+    return Job(
+        message.ref, message.destination, cls, key, now, ends_at, min(wanted_at, ends_at), worth=cls.worth
+    )
 
 
 class Book:
--- a/willownotch/usage/book.py
+++ b/willownotch/usage/book.py
@@ -9,6 +9,7 @@
 takes its place in one step. A torn tail is tolerated, damage is said, and what follows a gap in a life's
 versions is left out: versions have to stand for the same rows here as at the others.
 """
+
 from __future__ import annotations
 
 import threading
@@ -78,7 +79,7 @@
     found, at = [], 0
     while at + HEAD.size <= len(data):
         size, checksum = HEAD.unpack_from(data, at)
-        body = data[at + HEAD.size:at + HEAD.size + size]
+        body = data[at + HEAD.size : at + HEAD.size + size]
         if size > FRAME_MOST or len(body) < size or xxh3_64_intdigest(body) != checksum:
             break
         try:
@@ -144,8 +145,9 @@
             self.say(f"{name}: the last {rest} bytes cannot be read")
         return records
 
-    def _apply(self, records: Iterable[Record], lives: dict[int, Life], settled: Settled,
-               contiguous: bool) -> None:
+    def _apply(
+        self, records: Iterable[Record], lives: dict[int, Life], settled: Settled, contiguous: bool
+    ) -> None:
         gaps = set()
         for record in records:
             if isinstance(record, LifeRecord):
@@ -161,8 +163,10 @@
                         continue
                     if contiguous and row.version != life.upto + 1:
                         gaps.add(record.life)
-                        self.say(f"counts from version {life.upto + 1} of a former life are missing: "
-                                 "what follows is left out")
+                        self.say(
+                            f"counts from version {life.upto + 1} of a former life are missing: "
+                            "what follows is left out"
+                        )
                         continue
                     life.put(row)
 
@@ -177,8 +181,9 @@
         """Count messages by tenant, class and sort, and write it down by one write. An error is said and
         kept: counts go on in memory."""
         with self.lock:
-            rows = tuple(self.tally.count(now, tenant_key(tenant), cls, sort)
-                         for tenant, cls, sort in counted)
+            rows = tuple(
+                self.tally.count(now, tenant_key(tenant), cls, sort) for tenant, cls, sort in counted
+            )
             for row in rows:
                 self.rows.put(row)
             if self.broken:
@@ -225,9 +230,16 @@
                 present = LifeRecord(self.life.id, self.life.name, self.life.closed)
                 self._append(frame(present))
                 self.broken = ""
-            data = b"".join(frame(r) for r in [
-                *(r for life in lives for r in _records_of(life)), present, *_pieces(self.life.id, own),
-                *_settled(settled), BaseRecord(old_number + 1)])
+            data = b"".join(
+                frame(r)
+                for r in [
+                    *(r for life in lives for r in _records_of(life)),
+                    present,
+                    *_pieces(self.life.id, own),
+                    *_settled(settled),
+                    BaseRecord(old_number + 1),
+                ]
+            )
             self._write_base(new, data)
             self.files.replace(new, base)
         except OSError as fault:
@@ -280,7 +292,7 @@
 
 def _pieces(life: int, rows: list[Row]) -> Iterable[RowRecord]:
     for at in range(0, len(rows), PIECE):
-        yield RowRecord(life, tuple(rows[at:at + PIECE]))
+        yield RowRecord(life, tuple(rows[at : at + PIECE]))
 
 
 def _records_of(life: Life) -> Iterable[Record]:
@@ -291,4 +303,4 @@
 def _settled(settled: Settled) -> Iterable[SettledRecord]:
     lives, rows = sorted(settled.lives.items()), [(*key, counts) for key, counts in settled.rows.items()]
     for at in range(0, max(len(lives), len(rows)), PIECE):
-        yield SettledRecord(tuple(lives[at:at + PIECE]), tuple(rows[at:at + PIECE]))
+        yield SettledRecord(tuple(lives[at : at + PIECE]), tuple(rows[at : at + PIECE]))
--- a/willownotch/usage/core.py
+++ b/willownotch/usage/core.py
@@ -16,6 +16,7 @@
 answer for half of `gone` takes a new life, and hands on nothing it held before; the others fold a life that
 they have not heard of for all of `gone`.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
@@ -163,8 +164,9 @@
 
     # Exchange
 
-    def exchange(self, now: float, peers: Sequence[tuple[str, Address]],
-                 known: Iterable[str] = ()) -> list[Send]:
+    def exchange(
+        self, now: float, peers: Sequence[tuple[str, Address]], known: Iterable[str] = ()
+    ) -> list[Send]:
         """Ask a few of those that are there; `known` are all that may still hold counts, also the silent
         ones."""
         self._members = {name for name, _ in peers} | set(known)
@@ -176,15 +178,28 @@
         if not peers or self.own.closed:  # an ask would show that this life goes on
             return []
         held = sorted((life.id, life.upto) for life in self.lives.values() if not life.stale)
-        parts = [held[at:at + LIVES] for at in range(0, len(held), LIVES)]
+        parts = [held[at : at + LIVES] for at in range(0, len(held), LIVES)]
         candidate = (self._candidate.digest, self._candidate.have) if self._candidate else (0, 0)
         sends = []
         for _, address in self.random.sample(list(peers), min(self.settings.fanout, len(peers))):
             self._turn = (self._turn + 1) % len(parts)
             low = parts[self._turn][0][0] if self._turn else 0
             high = parts[self._turn + 1][0][0] - 1 if self._turn + 1 < len(parts) else TOP
-            sends.append(Send(address, Ask(self.name, self.own.id, round(now * 1e6), low, high,
-                                           tuple(parts[self._turn]), self.settled.digest, candidate)))
+            sends.append(
+                Send(
+                    address,
+                    Ask(
+                        self.name,
+                        self.own.id,
+                        round(now * 1e6),
+                        low,
+                        high,
+                        tuple(parts[self._turn]),
+                        self.settled.digest,
+                        candidate,
+                    ),
+                )
+            )
         return sends
 
     def receive(self, now: float, address: Address, message: Message) -> list[Send]:
@@ -218,8 +233,11 @@
         tells = self._settled_for(ask)
         packer = Packer(self.name, ask, tells, self.settings.pieces)
         held = dict(ask.held)
-        wanted = [life for life in self.lives.values()
-                  if ask.low <= life.id <= ask.high and not life.stale and life.id != ask.life]
+        wanted = [
+            life
+            for life in self.lives.values()
+            if ask.low <= life.id <= ask.high and not life.stale and life.id != ask.life
+        ]
         self.random.shuffle(wanted)
         # The end of a life comes after the counts of the one that followed it.
         wanted.sort(key=lambda life: (life is not self.own, life.closed))
@@ -369,8 +387,11 @@
         """Fold the lives that are over and that every instance holds as it is held here."""
         if not (self.lone or self._answered_at is not None):
             return  # others may hold more
-        over = [life for life in self.lives.values()
-                if life is not self.own and not life.stale and self._over(now, life)]
+        over = [
+            life
+            for life in self.lives.values()
+            if life is not self.own and not life.stale and self._over(now, life)
+        ]
         if not over:
             return
         askers = {name: self._current.get(name) for name in self._members}
@@ -396,8 +417,11 @@
         if chunk.digest == self.settled.digest:
             return
         known = self._candidate
-        if known is None or known.digest != chunk.digest and (
-                known.complete() or now - known.touched > CANDIDATE_S):
+        if (
+            known is None
+            or known.digest != chunk.digest
+            and (known.complete() or now - known.touched > CANDIDATE_S)
+        ):
             self._candidate = known = Candidate(chunk.digest, chunk.total, now)
         done = known.take(now, chunk)
         if any(number == self.own.id for number, _ in chunk.lives):
@@ -460,8 +484,9 @@
             lines.append(Line(*key, tuple(self._interval(now, key, sort, complete) for sort in Sort), *rates))
         ages = [(life.age(now), life.name) for life in self.lives.values() if life is not self.own]
         oldest = max(ages, default=(0.0, self.name))
-        return Answer(tuple(lines), len(self.lives), left_out, len(self.settled.lives), *oldest,
-                      self.unheard())
+        return Answer(
+            tuple(lines), len(self.lives), left_out, len(self.settled.lives), *oldest, self.unheard()
+        )
 
     def rates(self, keys: Iterable[Key]) -> tuple[float, list[float]]:
         """Peak rates over some tenants and classes, messages a second: the own one, and one for each other
@@ -485,8 +510,11 @@
             return False
         version = row.version
         held = life.rows.get(row.key)
-        if held is not None and row.version > held.version and any(
-                new < old for new, old in zip(row.counts, held.counts, strict=True)):
+        if (
+            held is not None
+            and row.version > held.version
+            and any(new < old for new, old in zip(row.counts, held.counts, strict=True))
+        ):
             return False
     return True
 
@@ -513,8 +541,17 @@
             whole = at == len(rows)
             if size <= self._room and (taken or whole):
                 upto = life.upto if whole else taken[-1].version
-                self._parts.append(Part(life.id, name, life.closed and whole, after, upto,
-                                        age_ms if whole else None, tuple(taken)))
+                self._parts.append(
+                    Part(
+                        life.id,
+                        name,
+                        life.closed and whole,
+                        after,
+                        upto,
+                        age_ms if whole else None,
+                        tuple(taken),
+                    )
+                )
                 self._room -= size
                 after = upto
                 if whole:
--- a/willownotch/usage/estimate.py
+++ b/willownotch/usage/estimate.py
@@ -14,6 +14,7 @@
 nothing is heard of the instance: then the count is above the interval until the next exchange. It says
 nothing of an instance that nobody here has ever heard of.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -34,8 +35,12 @@
 
     def __add__(self, other: Interval) -> Interval:
         """Of two instances together: the bounds add up, and the oldest age counts."""
-        return Interval(self.count + other.count, self.low + other.low, self.high + other.high,
-                        max(self.age_s, other.age_s))
+        return Interval(
+            self.count + other.count,
+            self.low + other.low,
+            self.high + other.high,
+            max(self.age_s, other.age_s),
+        )
 
     def holds(self, truth: int) -> bool:
         """Whether a value lies inside."""
--- a/willownotch/usage/layer.py
+++ b/willownotch/usage/layer.py
@@ -1,4 +1,5 @@
 """The counts as a layer of the peers: when to exchange, and with whom."""
+
 from __future__ import annotations
 
 from willownotch.peers.core import Membership, Send
@@ -29,8 +30,9 @@
         self._due = now + span * self.usage.random.uniform(1 - JITTER, 1 + JITTER)
         if membership.leaving:
             return []
-        return self.usage.exchange(now, there(membership),
-                                   silent(membership, now, settings.gone.total_seconds()))
+        return self.usage.exchange(
+            now, there(membership), silent(membership, now, settings.gone.total_seconds())
+        )
 
     def receive(self, now: float, address: Address, message: Message) -> list[Send]:
         """An ask or an answer."""
--- a/willownotch/usage/limits.py
+++ b/willownotch/usage/limits.py
@@ -10,6 +10,7 @@
 After the way that distributed rate limiting is split by demand (Raghavan and others, 2007, "flow proportional
 share"), with the upper end in place of an estimate.
 """
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -38,8 +39,9 @@
     return by_load * loaded + (1 - by_load) / members
 
 
-def allowance(limit: int, counted: Interval, own_rate: float, other_rates: Sequence[float],
-              by_load: float = 0.5) -> Allowance:
+def allowance(
+    limit: int, counted: Interval, own_rate: float, other_rates: Sequence[float], by_load: float = 0.5
+) -> Allowance:
     """How many more messages this instance may let through before the fleet could be over its limit.
 
     `limit` and `counted` are of one span, in messages; rates are messages a second.
--- a/willownotch/usage/service.py
+++ b/willownotch/usage/service.py
@@ -1,5 +1,6 @@
 """Counting in a running sender: its own counts in the folder, the replicated state, and answers to
 questions."""
+
 from __future__ import annotations
 
 import secrets
@@ -68,19 +69,30 @@
 class Counting:
     """The counts of one sender. The edge's thread runs the state; any thread may count and ask."""
 
-    def __init__(self, settings: UsageSettings, name: str, lone: bool, folder: Path, files: Files,
-                 space: Space, say: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        settings: UsageSettings,
+        name: str,
+        lone: bool,
+        folder: Path,
+        files: Files,
+        space: Space,
+        say: Callable[[str], None],
+    ) -> None:
         now = time.monotonic()
         self.say = say
         self.book = Book(folder, files, space, say)
         lives, settled = self.book.read()
-        self.usage = Usage(name, secrets.randbits(LIFE_BITS) or 1, settings, Random(secrets.randbits(64)),
-                           now)
+        self.usage = Usage(
+            name, secrets.randbits(LIFE_BITS) or 1, settings, Random(secrets.randbits(64)), now
+        )
         self.usage.lone = lone
         self.usage.load([life for life in lives if life.name == name], settled)
         former = max(lives, key=lambda life: life.upto, default=None)
-        self.book.begin(Life(self.usage.own.id, name),
-                        Tally(settings.rows, former=former.rows if former else None, now=now))
+        self.book.begin(
+            Life(self.usage.own.id, name),
+            Tally(settings.rows, former=former.rows if former else None, now=now),
+        )
         self.layer = Exchanges(self.usage, now)
         self.lock = threading.Lock()  # the edge's, once there is one
         self.tell: Callable[[dict[str, float]], None] | None = None  # the decisions, of parts of quotas
@@ -93,8 +105,11 @@
     def _former(self) -> list[Life]:
         """Copies of the former lives of this name."""
         own = self.usage.own
-        return [Life(life.id, life.name, life.closed, life.upto, dict(life.rows))
-                for life in self.usage.lives.values() if life.name == own.name and life is not own]
+        return [
+            Life(life.id, life.name, life.closed, life.upto, dict(life.rows))
+            for life in self.usage.lives.values()
+            if life.name == own.name and life is not own
+        ]
 
     def counted(self, messages: Iterable[tuple[str, str, str]]) -> None:
         """Messages by tenant, class and what became of them, just written to the journal; any thread."""
@@ -170,12 +185,28 @@
             self._drain(now)
             found = self.usage.answer(now, tenant, most)
             counters = dict(self.usage.counters)
-        lines = [LineView(line.tenant.decode("utf-8", "backslashreplace"), line.cls,
-                          {sort.name.lower(): _view(line.counts[sort]) for sort in Sort},
-                          round(line.short_rate, 3), round(line.long_rate, 3)) for line in found.lines]
-        return UsageView(self.usage.name, lines, found.left_out, found.lives, found.settled,
-                         None if found.oldest_s == inf else round(found.oldest_s, 3), found.oldest,
-                         list(found.unheard), counters, self.book.broken)
+        lines = [
+            LineView(
+                line.tenant.decode("utf-8", "backslashreplace"),
+                line.cls,
+                {sort.name.lower(): _view(line.counts[sort]) for sort in Sort},
+                round(line.short_rate, 3),
+                round(line.long_rate, 3),
+            )
+            for line in found.lines
+        ]
+        return UsageView(
+            self.usage.name,
+            lines,
+            found.left_out,
+            found.lives,
+            found.settled,
+            None if found.oldest_s == inf else round(found.oldest_s, 3),
+            found.oldest,
+            list(found.unheard),
+            counters,
+            self.book.broken,
+        )
 
 
 def _view(interval: Interval) -> IntervalView:
--- a/willownotch/usage/settings.py
+++ b/willownotch/usage/settings.py
@@ -1,4 +1,5 @@
 """The `usage` block of the settings file. Off unless `count yes`; needs the `peers` block to reach others."""
+
 from __future__ import annotations
 
 from datetime import timedelta
--- a/willownotch/usage/settled.py
+++ b/willownotch/usage/settled.py
@@ -6,6 +6,7 @@
 one's place, which is how who comes new gets it. A folded life is remembered by its number, and never counted
 again.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
--- a/willownotch/usage/simulated.py
+++ b/willownotch/usage/simulated.py
@@ -3,6 +3,7 @@
 The members, their counts and the folders are the real cores; only the network, the time and the load are made
 up, all from one seed.
 """
+
 from __future__ import annotations
 
 import copy
@@ -42,8 +43,13 @@
 class Fleet:
     """Instances on a bad network. `truth` is what was counted, all in all, by tenant and class."""
 
-    def __init__(self, seed: int, weather: Weather | None = None, settings: UsageSettings | None = None,
-                 peers: PeersSettings | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        weather: Weather | None = None,
+        settings: UsageSettings | None = None,
+        peers: PeersSettings | None = None,
+    ) -> None:
         self.net = Network(seed, weather, peers)
         self.random, self.settings = Random(seed + 1), settings or UsageSettings()
         self.running: dict[str, Instance] = {}
@@ -59,18 +65,30 @@
         """An instance's own clock."""
         return self.net.now + self.net.offsets[name]
 
-    def start(self, name: str, seeds: tuple[str, ...] = (), folder: Folder | None = None,
-              offset: float = 0.0, claims: str | None = None) -> Usage:
+    def start(
+        self,
+        name: str,
+        seeds: tuple[str, ...] = (),
+        folder: Folder | None = None,
+        offset: float = 0.0,
+        claims: str | None = None,
+    ) -> Usage:
         """Start an instance with a folder, an empty one if none is given."""
         now = self.net.now + offset
-        usage = Usage(claims or name, self.random.getrandbits(LIFE_BITS), self.settings,
-                      Random(self.random.getrandbits(64)), now)
+        usage = Usage(
+            claims or name,
+            self.random.getrandbits(LIFE_BITS),
+            self.settings,
+            Random(self.random.getrandbits(64)),
+            now,
+        )
         folder = copy.deepcopy(folder) if folder else Folder()
         usage.lone = not seeds
         usage.load(folder.lives, folder.settled)
         former = max(folder.lives, key=lambda life: life.upto, default=None)
         self.running[name] = Instance(
-            usage, Tally(self.settings.rows, former=former.rows if former else None, now=now))
+            usage, Tally(self.settings.rows, former=former.rows if former else None, now=now)
+        )
         self.net.add(name, seeds, offset, layers=(Exchanges(usage, now),), claims=claims)
         return usage
 
--- a/willownotch/usage/tally.py
+++ b/willownotch/usage/tally.py
@@ -1,4 +1,5 @@
 """This instance's own counts, as they are made: each count gives the row that replaces the one before."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -16,8 +17,13 @@
     on until this life has its own.
     """
 
-    def __init__(self, most: int, rows: Mapping[Key, Row] | None = None,
-                 former: Mapping[Key, Row] | None = None, now: float = 0.0) -> None:
+    def __init__(
+        self,
+        most: int,
+        rows: Mapping[Key, Row] | None = None,
+        former: Mapping[Key, Row] | None = None,
+        now: float = 0.0,
+    ) -> None:
         self.most, self.rows = most, dict(rows or {})
         self.version = max((row.version for row in self.rows.values()), default=0)
         self._former = {key: row.peak for key, row in (former or {}).items() if row.peak}
@@ -39,6 +45,7 @@
         if self._former and now >= self._former_until:
             self._former.clear()
         self.version += 1
-        row = self.rows[key] = Row(*key, self.version, tuple(counts),
-                                   min(COUNT_MOST, max(peak.milli(), self._former.get(key, 0))))
+        row = self.rows[key] = Row(
+            *key, self.version, tuple(counts), min(COUNT_MOST, max(peak.milli(), self._former.get(key, 0)))
+        )
         return row
--- a/willownotch/usage/windows.py
+++ b/willownotch/usage/windows.py
@@ -1,4 +1,5 @@
 """Rates over spans: a few samples of a running total, on the asker's own clock."""
+
 from __future__ import annotations
 
 from collections import deque
--- a/willownotch/usage/wire.py
+++ b/willownotch/usage/wire.py
@@ -1,4 +1,5 @@
 """What instances say to each other of their counts. Plain values; bytes by msgspec's msgpack."""
+
 from __future__ import annotations
 
 from enum import IntEnum
