--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 test: $(VENV)/built
 	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/python -m pytest $(PARALLEL)
 
 # The exhaustive sweeps that CI takes a sample of.
