--- a/tests/keeping.py
+++ b/tests/keeping.py
@@ -29,8 +29,8 @@
 
     def put(self, item):
         self.items.append(item)
-        if self.work is not None and hasattr(item, "ticket"):
-            while any(hasattr(i, "ticket") for i in self.items):
+        if self.work is not None and hasattr(item, "pending"):
+            while any(hasattr(i, "pending") for i in self.items):
                 self.work()
 
     def get(self, block=True, timeout=None):
--- a/tests/test_bodies_store.py
+++ b/tests/test_bodies_store.py
@@ -23,7 +23,7 @@
 from willownotch.files.faulty import Fault, Faulty, Kind
 from willownotch.interface import Outcome
 from willownotch.journal.records import Ended, Noticed, Taken
-from willownotch.net.ticket import Ticket
+from willownotch.net.pending import PendingReply
 
 LONG = bool(os.environ.get("WILLOWNOTCH_LONG"))
 NO_SPACE = Fault(Kind.NO_SPACE, "append", "bodies-*")
@@ -326,7 +326,7 @@
     def test_no_hand_in_waits_for_the_disk_longer_than_its_client_would(self):
         rig = self.rig(write_patience=timedelta(milliseconds=90))
         for patience, most in [(200, 90), (40, 40)]:
-            with mock.patch.object(Ticket, "wait", autospec=True, return_value=None) as wait:
+            with mock.patch.object(PendingReply, "wait", autospec=True, return_value=None) as wait:
                 taken = Taken("a", 7, "fee", "acme", rig.clock.now(), body=b"x" * 9000)
                 rig.bodies.keep(taken, timedelta(milliseconds=patience))
             self.assertEqual(wait.call_args[0][1], timedelta(milliseconds=most))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,15 +16,17 @@
 from willownotch.interface import Outcome
 from willownotch.journal.records import Entry, Opened, Taken
 from willownotch.life import Standing
+from willownotch.net import client_side, http, registry
 from willownotch.net import config as configs
-from willownotch.net import http, north, registry
+from willownotch.net.client_connections import Client, Stage, Stages
+from willownotch.net.client_side import ClientSide
 from willownotch.net.clock import Clock
+from willownotch.net.events import Answer, HandIn, Verdict
 from willownotch.net.log import Log
-from willownotch.net.north import Client, North, Stage, Stages
-from willownotch.net.owner import Answer, HandIn, Owner, Verdict
+from willownotch.net.owner import Owner
+from willownotch.net.pending import PendingReply
 from willownotch.net.registry import Notice, Notices, Platform, Registry
 from willownotch.net.south import BEGIN_LATE, Idle, Relay, South
-from willownotch.net.ticket import Ticket
 
 REQUEST = http.write_request(
     "POST",
@@ -72,20 +74,20 @@
         self.handed, self.answer = [], threading.Event()
         self.answer.set()
         bodies = SimpleNamespace(keep=lambda taken, left, last=False: taken)
-        self.north = North(config(), clock, Log(clock), self, bodies, start, Standing())
-        start("listener", self.north.run)
+        self.client_side = ClientSide(config(), clock, Log(clock), self, bodies, start, Standing())
+        start("listener", self.client_side.run)
 
     def post(self, item):
         if isinstance(item, HandIn):
-            assert item.ticket.claim()
+            assert item.pending.claim()
             self.handed.append(item)
-            start("owner", lambda: (self.answer.wait(PATIENCE), item.ticket.settle(Answer(Verdict.TAKEN))))
+            start("owner", lambda: (self.answer.wait(PATIENCE), item.pending.settle(Answer(Verdict.TAKEN))))
 
     def connect(self):
         """A connection, and what is known of it on the other side."""
-        before = set(self.north._clients)
-        sock = socket.create_connection(("127.0.0.1", self.north.port), PATIENCE)
-        return sock, until(lambda: self.north._clients - before).pop()
+        before = set(self.client_side._clients)
+        sock = socket.create_connection(("127.0.0.1", self.client_side.port), PATIENCE)
+        return sock, until(lambda: self.client_side._clients - before).pop()
 
     def resting(self):
         """One on which a request has been answered."""
@@ -100,7 +102,7 @@
 def clients():
     found = Clients()
     yield found
-    found.north.listener.close()
+    found.client_side.listener.close()
 
 
 @pytest.mark.parametrize("cut", [False, True])
@@ -115,8 +117,8 @@
         return found
 
     monkeypatch.setattr(Client, "waits", crossed)
-    North._end(client, cut=cut)
-    until(lambda: client not in clients.north._clients)
+    ClientSide._end(client, cut=cut)
+    until(lambda: client not in clients.client_side._clients)
     assert [item.taken.ref for item in clients.handed] == ["a1"]
     sock.close()
 
@@ -128,7 +130,7 @@
         sock.sendall(REQUEST.replace(b"a1", b"a2"))
         until(lambda: not client.waits())
         monkeypatch.setattr(client, "lock", threading.Lock())
-        North._end(client)
+        ClientSide._end(client)
     assert client.ending and not client.shut
     answer = rest(sock)
     assert b"202 Accepted" in answer and b"Connection: close" in answer
@@ -153,7 +155,7 @@
     sock, client = clients.connect()
     sock.sendall(REQUEST + REQUEST.replace(b"a1", b"a2"))
     until(lambda: clients.handed)
-    North._end(client)
+    ClientSide._end(client)
     clients.answer.set()
     assert rest(sock).count(b"202 Accepted") == 2
 
@@ -164,13 +166,13 @@
     closed, seen = socket.socket.close, []
 
     def looked(self):
-        known = client in clients.north._clients
+        known = client in clients.client_side._clients
         closed(self)
         seen.append(known)
 
     monkeypatch.setattr(socket.socket, "close", looked)
-    with clients.north._room:
-        North._end(client)
+    with clients.client_side._room:
+        ClientSide._end(client)
     sock.shutdown(socket.SHUT_RDWR)
     until(lambda: seen)
     assert seen == [False]
@@ -197,11 +199,11 @@
         def ending(self, value):
             self._ending = value
 
-    real = clients.north._room.wait
-    monkeypatch.setattr(north, "Client", Looked)
-    monkeypatch.setattr(clients.north._room, "wait", lambda span=None: waits.append(span) or real(span))
-    clients.north.most = 100
-    address, socks = ("127.0.0.1", clients.north.port), []
+    real = clients.client_side._room.wait
+    monkeypatch.setattr(client_side, "Client", Looked)
+    monkeypatch.setattr(clients.client_side._room, "wait", lambda span=None: waits.append(span) or real(span))
+    clients.client_side.most = 100
+    address, socks = ("127.0.0.1", clients.client_side.port), []
     for count in range(1, 141):
         socks.append(socket.create_connection(address, PATIENCE))
         until(lambda count=count: len(made) == count)
@@ -248,7 +250,7 @@
     half.sendall(REQUEST[:-3])
     until(lambda: reading.stage is Stage.READING)
     resting, _ = clients.connect()
-    stopping = threading.Thread(target=clients.north.stop, args=(timedelta(milliseconds=150),))
+    stopping = threading.Thread(target=clients.client_side.stop, args=(timedelta(milliseconds=150),))
     stopping.start()
     assert rest(resting) == b""  # seen before anything else is over
     assert b"503 Service Unavailable" in rest(half)
@@ -257,7 +259,7 @@
     for sock in (asking, half, resting):
         sock.close()
     stopping.join(PATIENCE)
-    until(lambda: not clients.north._clients)
+    until(lambda: not clients.client_side._clients)
     assert len(clients.handed) == 1
 
 
@@ -302,10 +304,10 @@
     owner._recovered = [Entry(known, 0)]
     answers = []
     for ref, more in (("a1", {}), ("a2", {}), ("a1", {"destination": 8})):
-        ticket = Ticket()
+        pending = PendingReply()
         taken = msgspec.structs.replace(known, ref=ref, **more)
-        owner._take(HandIn(taken, ticket), clock.now(), [], [], [])
-        answers.append(ticket.wait(SPAN, SPAN).verdict)
+        owner._take(HandIn(taken, pending), clock.now(), [], [], [])
+        answers.append(pending.wait(SPAN, SPAN).verdict)
     assert answers == [Verdict.TAKEN, Verdict.BACK_OFF, Verdict.BACK_OFF]
 
 
@@ -519,4 +521,4 @@
     from willownotch import cli
     from willownotch.net.owner import KILL_AFTER
 
-    assert cli.LAST_REQUESTS + cli.LAST_READS + north.PATIENCE < KILL_AFTER
+    assert cli.LAST_REQUESTS + cli.LAST_READS + client_side.PATIENCE < KILL_AFTER
--- a/tests/test_mesh_sockets.py
+++ b/tests/test_mesh_sockets.py
@@ -185,7 +185,7 @@
 def test_questions_that_cannot_be_answered_are_told_so(meshed):
     fleet = meshed(1)
     for question, about, wanted in (
-        ("nothing", {}, "allowed: peers, usage"),
+        ("nothing", {}, "allowed: counters, peers, usage"),
         ("usage", {"x": "1"}, "unknown word"),
         ("usage", {"lines": "many"}, "no whole number"),
     ):
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -21,14 +21,15 @@
 from willownotch.life import Standing
 from willownotch.net import bulk, http
 from willownotch.net import config as configs
+from willownotch.net.client_requests import RefusedError, read_message
 from willownotch.net.clock import Clock, millis
+from willownotch.net.events import Answer, Verdict
 from willownotch.net.journal import Journal, JournalFullError
 from willownotch.net.log import MOST, Log
-from willownotch.net.north import RefusedError, read_message
-from willownotch.net.owner import Answer, Owner, Verdict
+from willownotch.net.owner import Owner
+from willownotch.net.pending import PendingReply
 from willownotch.net.registry import Host, Hosts, News
 from willownotch.net.south import Relay, South, read_load, read_outcome, read_wait
-from willownotch.net.ticket import Ticket
 
 ENDS = datetime(2026, 12, 1, 12, 0, tzinfo=UTC)
 
@@ -236,9 +237,9 @@
             with self.subTest(change), self.assertRaises(RefusedError):
                 self.read(**change)
 
-    def test_a_ticket_is_settled_by_one_side_only(self):
+    def test_a_pending_reply_is_settled_by_one_side_only(self):
         """A message whose client was turned away must not be taken on afterwards, nor the reverse."""
-        left, taken = Ticket(), Ticket()
+        left, taken = PendingReply(), PendingReply()
         self.assertIsNone(left.wait(timedelta(0), timedelta(0)))
         self.assertFalse(left.claim())
         self.assertTrue(taken.claim())
--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -13,8 +13,8 @@
 from toys import PATIENCE, ROOT, SETTINGS, Discovery, Host, Sender, until
 
 from willownotch.net import http
+from willownotch.net.client_side import ClientSide
 from willownotch.net.config import read_config
-from willownotch.net.north import North
 
 FIN_CROSSED = b"\x05"  # the state FIN-WAIT-2: the other side's kernel has seen the end
 
@@ -258,9 +258,9 @@
         for memory in (32, 192):
             limits = {"sockets": 1024, "disk_mb": 3, "memory_mb": memory}
             config = read_config(json.dumps({**text, "limits": limits}).encode(), {})
-            north = North(config, None, None, None, None, None, None)
-            north.listener.close()
-            found.append(north.most)
+            client_side = ClientSide(config, None, None, None, None, None, None)
+            client_side.listener.close()
+            found.append(client_side.most)
         self.assertEqual(found, [200, 384])
 
     def test_bad_requests_in_a_row_are_read_ever_more_slowly(self):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -147,18 +147,18 @@
 
     def test_a_peer_that_dies_or_hangs_at_any_step_takes_nothing(self):
         self.out("status")
-        for step in ("hello", "estate", "torn"):
+        for step in ("hello", "state", "torn"):
             with self.subTest(step=step):
                 link = self.ask(version())
                 if step != "hello":
-                    self.assertIs(link.receive(None).kind, Kind.ESTATE)
+                    self.assertIs(link.receive(None).kind, Kind.STATE)
                 if step == "torn":
                     link.sock.sendall(HEAD.pack(MAGIC, Kind.TOOK, 0, 9) + b"half")
                 link.close()
                 until(lambda: "all goes on here" in "".join(self.sender.lines[-3:]))
                 self.assertEqual(self.sender.hand_in()[1].status, 202)
         hung = self.ask(version())
-        self.assertIs(hung.receive(None).kind, Kind.ESTATE)
+        self.assertIs(hung.receive(None).kind, Kind.STATE)
         before = len(self.sender.lines)
         until(lambda: any("all goes on here" in line for line in self.sender.lines[before:]))
         self.host.held.set()
@@ -237,7 +237,7 @@
         b"x" * HEAD.size,
         HEAD.pack(MAGIC, 99, 0, 0),
         HEAD.pack(MAGIC, Kind.CLIENT, 1, 0),
-        HEAD.pack(MAGIC, Kind.ESTATE, 0, 1 << 31),
+        HEAD.pack(MAGIC, Kind.STATE, 0, 1 << 31),
     ):
         with pytest.raises(BadFrameError):
             Frames().feed(bad, [])
@@ -259,7 +259,7 @@
 
 
 def test_a_request_is_passed_on_as_it_was():
-    from willownotch.net.north import again
+    from willownotch.net.client_requests import rewrite_request
 
     for raw in (
         b"POST /api?thread=k HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nhi",
@@ -269,7 +269,7 @@
         one, two = http.Parser(answer=False), http.Parser(answer=False)
         one.feed(raw)
         head, body = one.next()
-        two.feed(again(head, body, b"GET /more HTTP/1.1\r\nHost: a\r\n\r\n"))
+        two.feed(rewrite_request(head, body, b"GET /more HTTP/1.1\r\nHost: a\r\n\r\n"))
         passed, same = two.next()
         assert (passed.method, passed.target, same) == (head.method, head.target, body)
         assert passed.keeps_alive() == head.keeps_alive()
@@ -279,7 +279,7 @@
 
 def test_a_request_at_the_bounds_of_a_head_can_be_passed_on():
     """Written again it has a space and a line more than it came with: it was answered 431 by the next one."""
-    from willownotch.net.north import again
+    from willownotch.net.client_requests import rewrite_request
 
     lines = b"".join(b"x%d:%s\r\n" % (n, b"v" * 157) for n in range(99))
     bare = b"POST /api HTTP/1.1\r\n" + lines + b"Transfer-Encoding:chunked\r\n"
@@ -289,11 +289,11 @@
     one.feed(raw)
     head, body = one.next()
     two.slack = http.REWRITTEN_SLACK
-    two.feed(again(head, body, b""))
+    two.feed(rewrite_request(head, body, b""))
     passed, same = two.next()
     assert same == body == b"hi" and passed.headers["x98"] == "v" * 157
     plain = http.Parser(answer=False)
-    plain.feed(again(head, body, b""))
+    plain.feed(rewrite_request(head, body, b""))
     with pytest.raises(http.BadMessageError):
         plain.next()
 
@@ -305,10 +305,11 @@
     from toys import SETTINGS
 
     from willownotch.life import Standing
+    from willownotch.net.client_connections import Stage
+    from willownotch.net.client_side import ClientSide
     from willownotch.net.clock import Clock
     from willownotch.net.config import read_config
     from willownotch.net.log import Log
-    from willownotch.net.north import North, Stage
 
     config = read_config(
         json.dumps(
@@ -323,7 +324,7 @@
         begun.set()
         return allowed.wait(PATIENCE)
 
-    north = North(
+    client_side = ClientSide(
         config,
         clock,
         Log(clock),
@@ -335,17 +336,17 @@
     with socket.create_server(("127.0.0.1", 0)) as server:
         theirs = socket.create_connection(server.getsockname())
         ours, _ = server.accept()
-    north.adopt(ours, b"", None, 1)
-    until(lambda: any(client.stage is Stage.IDLE for client in north._clients))
-    north.redirect(elsewhere)
-    giving = threading.Thread(target=north.give)
+    client_side.adopt(ours, b"", None, 1)
+    until(lambda: any(client.stage is Stage.IDLE for client in client_side._clients))
+    client_side.redirect(elsewhere)
+    giving = threading.Thread(target=client_side.give)
     giving.start()
-    assert begun.wait(PATIENCE) and north.present() == 1
+    assert begun.wait(PATIENCE) and client_side.present() == 1
     allowed.set()
     giving.join(PATIENCE)
-    assert north.present() == 0
+    assert client_side.present() == 0
     theirs.close()
-    north.listener.close()
+    client_side.listener.close()
 
 
 def test_time_is_counted_as_in_the_process_before():
--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -13,22 +13,23 @@
 import pytest
 from toys import PATIENCE, ROOT, SETTINGS, Discovery, Host, Sender, until
 
-from willownotch.handover import giver as predecessor
 from willownotch.handover import passing, wire
-from willownotch.handover.giver import Giver
+from willownotch.handover import predecessor as predecessor_module
 from willownotch.handover.lock import FolderLock
+from willownotch.handover.messages import Adopted, Client
 from willownotch.handover.passing import ClientPassing
-from willownotch.handover.taker import Heir, Legacy, Taker
-from willownotch.handover.told import Adopted, Client
+from willownotch.handover.predecessor import Predecessor
+from willownotch.handover.successor import Inherited, PredecessorLink, Successor
 from willownotch.handover.version import version
 from willownotch.handover.wire import HEAD, LOCK_WANTED, MAGIC, BadFrameError, Frame, Frames, Kind, Link
 from willownotch.life import Event, Standing
 from willownotch.net import http
+from willownotch.net.client_connections import Stage
+from willownotch.net.client_side import ClientSide
 from willownotch.net.clock import Clock
 from willownotch.net.config import read_config
+from willownotch.net.events import Answer, HandIn, HandOver, Verdict
 from willownotch.net.log import Log
-from willownotch.net.north import North, Stage
-from willownotch.net.owner import Answer, HandIn, HandOver, Verdict
 
 CONFIG = read_config(
     json.dumps(
@@ -59,20 +60,20 @@
         self.log = Log(self.clock, "t0", stream=open(os.devnull, "w", encoding="utf-8"))  # noqa: SIM115
         self.standing.tell(Event.LISTED, self.clock.now())
         self.verdict = verdict
-        self.north = North(CONFIG, self.clock, self.log, self, self, start, self.standing)
+        self.client_side = ClientSide(CONFIG, self.clock, self.log, self, self, start, self.standing)
 
     def post(self, item):
         """The owner's queue."""
         if isinstance(item, HandIn):
-            item.ticket.claim()
-            item.ticket.settle(Answer(self.verdict))
+            item.pending.claim()
+            item.pending.settle(Answer(self.verdict))
 
     def keep(self, taken, patience, last=False):
         """The body store's: all bodies stay in memory."""
         return taken
 
     def close(self):
-        self.north.listener.close()
+        self.client_side.listener.close()
         self.log.stream.close()
 
 
@@ -83,6 +84,17 @@
     made.close()
 
 
+def link_to(rig, sock):
+    """The new process's side of a link."""
+    return PredecessorLink(Inherited(Link(sock), None, None, []), rig.log, rig, None, rig.client_side)
+
+
+def predecessor_of(rig, folder, standing, owner, south=None):
+    """The old process's side, with parts that are made up."""
+    lock = FolderLock(folder)
+    return Predecessor(folder, lock, rig.clock, rig.log, standing, owner, south, rig.client_side, None, start)
+
+
 def request(ref="1", more=()):
     return http.write_request(
         "POST",
@@ -111,28 +123,28 @@
 
 def test_a_request_that_nobody_takes_is_answered_503_with_a_close(rig):
     """The other process is gone, or does not read: whoever has read a request owes it an answer."""
-    rig.north.redirect(lambda *_: False)
+    rig.client_side.redirect(lambda *_: False)
     theirs, ours = pair()
-    assert rig.north.adopt(ours, b"", None, 1)
+    assert rig.client_side.adopt(ours, b"", None, 1)
     theirs.sendall(request())
     head = answer_of(theirs)
     assert (head.status, head.keeps_alive()) == (503, False) and float(head.headers["retry-after"]) > 0
     assert theirs.recv(1) == b""
     theirs.close()
-    until(lambda: not rig.north._clients)
+    until(lambda: not rig.client_side._clients)
 
 
 def test_a_connection_that_is_passed_on_again_is_not_shut_by_who_had_it(rig):
     """Evidence 1: adopted in one upgrade and passed on in the next, it was shut down at its next request."""
     taken = []
-    rig.north.redirect(lambda sock, *_: bool(taken.append(sock.dup())) or True)
+    rig.client_side.redirect(lambda sock, *_: bool(taken.append(sock.dup())) or True)
     theirs, ours = pair()
-    assert rig.north.adopt(ours, b"", None, 1)
-    until(lambda: any(client.stage is Stage.IDLE for client in rig.north._clients) or taken)
-    rig.north.give()
+    assert rig.client_side.adopt(ours, b"", None, 1)
+    until(lambda: any(client.stage is Stage.IDLE for client in rig.client_side._clients) or taken)
+    rig.client_side.give()
     until(lambda: taken)
     theirs.sendall(request())  # wakes the thread that had it
-    until(lambda: not rig.north._clients)
+    until(lambda: not rig.client_side._clients)
     taken[0].sendall(http.write_answer(202))
     assert answer_of(theirs).status == 202
     theirs.close()
@@ -145,17 +157,17 @@
     def __init__(self):
         self.forward = lambda item: self.dropped.append(item)
         self.dropped, self.seen = [], []
-        self.north = None
+        self.client_side = None
 
     def post(self, order):
         assert isinstance(order, HandOver)
         start("owner", lambda: self._hand_over(order))
 
     def _hand_over(self, order):
-        order.ticket.claim()
-        order.ticket.settle(type("State", (), {"owed": []})())
+        order.pending.claim()
+        order.pending.settle(type("State", (), {"owed": []})())
         order.decided.get()
-        self.seen.append((self.forward, self.north._elsewhere))
+        self.seen.append((self.forward, self.client_side._elsewhere))
 
 
 def test_what_is_let_go_by_the_owner_has_where_to_go(rig, tmp_path, monkeypatch):
@@ -169,10 +181,10 @@
             {"kept": lambda self: [], "waits": {}, "leave": lambda self: None, "outside": lambda self: 0},
         )(),
     )
-    owner.north = rig.north
+    owner.client_side = rig.client_side
     bodies = type("Bodies", (), {"freeze": lambda self: None, "thaw": lambda self, halted=False: None})()
     monkeypatch.setattr("willownotch.handover.pickled.write", lambda state: b"state")
-    giver = Giver(
+    predecessor = Predecessor(
         tmp_path,
         FolderLock(tmp_path),
         rig.clock,
@@ -180,7 +192,7 @@
         rig.standing,
         owner,
         south,
-        rig.north,
+        rig.client_side,
         bodies,
         start,
     )
@@ -188,11 +200,11 @@
     other.send(Kind.HELLO, version())
     other.send(Kind.TOOK, LOCK_WANTED)
     before = owner.forward
-    assert giver._asked(Link(ours))
+    assert predecessor._asked(Link(ours))
     until(lambda: owner.seen)
     ((forward, elsewhere),) = owner.seen
     assert forward is not before and elsewhere is not None
-    assert other.receive(PATIENCE_SPAN).kind is Kind.ESTATE
+    assert other.receive(PATIENCE_SPAN).kind is Kind.STATE
     given = other.receive(PATIENCE_SPAN)
     assert given.kind is Kind.GIVEN and len(given.fds) == 1
     theirs.close()
@@ -266,32 +278,32 @@
         Frame(Kind.CLIENT, b"abc", (), truncated=True),
         Frame(Kind.CLIENT, b"abc", (7,)),
     ]
-    state = HEAD.pack(MAGIC, Kind.ESTATE, 3, 0)
-    assert Frames().feed(state, [4, 5], truncated=True) == [Frame(Kind.ESTATE, b"", (4, 5), truncated=True)]
+    state = HEAD.pack(MAGIC, Kind.STATE, 3, 0)
+    assert Frames().feed(state, [4, 5], truncated=True) == [Frame(Kind.STATE, b"", (4, 5), truncated=True)]
     with pytest.raises(BadFrameError):
-        Taker._read(None, Frame(Kind.PLAIN, b"", (), truncated=True))
+        Successor._read(None, Frame(Kind.PLAIN, b"", (), truncated=True))
 
 
 def test_a_client_that_cannot_be_taken_is_answered_by_who_has_read_its_request(rig):
     """The new process has no descriptor or no thread left: it says so, and nothing is shut there."""
     ours, theirs = socket.socketpair(socket.AF_UNIX)
     passes = ClientPassing(Link(ours), rig.clock, rig.log)
-    heir = Heir(Legacy(Link(theirs), None, None, []), rig.log, rig, None, rig.north)
+    predecessor_link = link_to(rig, theirs)
     client, server = pair()
     found = []
     start("pass", lambda: found.append(passes.pass_on(server, request(), None, 0)))
-    frame = heir.link.receive(PATIENCE_SPAN)
+    frame = predecessor_link.link.receive(PATIENCE_SPAN)
     for descriptor in frame.fds:
         os.close(descriptor)
-    heir._adopt(Frame(frame.kind, frame.data, (), truncated=True))
+    predecessor_link._adopt(Frame(frame.kind, frame.data, (), truncated=True))
     said = passes.link.receive(PATIENCE_SPAN)
     assert said.kind is Kind.NOT_ADOPTED
     passes.answered(wire_number(said), False)
     until(lambda: found)
     assert found == [False]
-    rig.north.start = no_thread
+    rig.client_side.start = no_thread
     start("pass", lambda: found.append(passes.pass_on(server, request(), None, 0)))
-    heir._adopt(heir.link.receive(PATIENCE_SPAN))
+    predecessor_link._adopt(predecessor_link.link.receive(PATIENCE_SPAN))
     said = passes.link.receive(PATIENCE_SPAN)
     assert said.kind is Kind.NOT_ADOPTED
     passes.answered(wire_number(said), False)
@@ -332,10 +344,10 @@
     import msgspec
 
     ours, theirs = socket.socketpair(socket.AF_UNIX)
-    heir = Heir(Legacy(Link(theirs), None, None, []), rig.log, rig, None, rig.north)
+    predecessor_link = link_to(rig, theirs)
     client, server = pair()
     old = msgspec.msgpack.encode([b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n", None, 0])
-    heir._adopt(Frame(Kind.CLIENT, old, (server.detach(),)))
+    predecessor_link._adopt(Frame(Kind.CLIENT, old, (server.detach(),)))
     assert answer_of(client).status == 200
     ours.setblocking(False)
     with pytest.raises(BlockingIOError):
@@ -497,7 +509,7 @@
     chain.out("status")
     link = ask(chain)
     late = ask(chain)  # in the backlog: one is dealt with after the other
-    assert link.receive(PATIENCE_SPAN).kind is Kind.ESTATE
+    assert link.receive(PATIENCE_SPAN).kind is Kind.STATE
     link.send(Kind.TOOK)
     assert link.receive(PATIENCE_SPAN).kind is Kind.GIVEN
     began = time.monotonic()
@@ -528,16 +540,14 @@
         call_off_remote = call_off_by
 
     owner, south = Recorder(), Recorder()
-    giver = Giver(
-        tmp_path, FolderLock(tmp_path), rig.clock, rig.log, rig.standing, owner, south, rig.north, None, start
-    )
-    giver._take(Frame(Kind.CALL_OFF, msgspec.msgpack.encode(["m1", 3])))
+    predecessor = predecessor_of(rig, tmp_path, rig.standing, owner, south)
+    predecessor._take(Frame(Kind.CALL_OFF, msgspec.msgpack.encode(["m1", 3])))
     assert owner.calls == south.calls == [("m1", 3)]
 
 
 def test_a_process_that_could_not_be_asked_at_first_can_be_asked_later(rig, tmp_path, monkeypatch):
     """One failure at its start left it without any upgrade for good."""
-    monkeypatch.setattr(predecessor, "LISTEN_AGAIN", wire.RETRY_TIME)
+    monkeypatch.setattr(predecessor_module, "LISTEN_AGAIN", wire.RETRY_TIME)
     real, failures = os.open, []
 
     def failing(path, *arguments, **more):
@@ -547,10 +557,8 @@
         return real(path, *arguments, **more)
 
     monkeypatch.setattr(os, "open", failing)
-    giver = Giver(
-        tmp_path, FolderLock(tmp_path), rig.clock, rig.log, Standing(), rig, None, rig.north, None, start
-    )
-    start("upgrade", giver.run)
+    predecessor = predecessor_of(rig, tmp_path, Standing(), rig)
+    start("upgrade", predecessor.run)
     until(lambda: (tmp_path / "handover").exists())
     assert len(failures) == 3
     with socket.socket(socket.AF_UNIX) as sock:
--- a/willownotch/bodies/store.py
+++ b/willownotch/bodies/store.py
@@ -28,7 +28,7 @@
 from willownotch.interface import MessageClass, Outcome
 from willownotch.net.clock import Clock, seconds
 from willownotch.net.log import Log
-from willownotch.net.ticket import Ticket
+from willownotch.net.pending import PendingReply
 
 PREFIX, OLD_PREFIX = "bodies-", "body-"
 SEGMENT_LEAST, SEGMENT_MOST = 64 * 1024, 8 * 1024 * 1024  # bytes of a file, where the settings leave it open
@@ -66,7 +66,7 @@
     taken: TakenBody  # without its body
     body: bytes
     checksum: int
-    ticket: Ticket[Place | str]
+    pending: PendingReply[Place | str]
     size: int = 0
 
     def __post_init__(self) -> None:
@@ -272,14 +272,14 @@
                 self._room_ran_out(admission.reason)
         if admission.verdict is Verdict.KEEP:
             bare = msgspec.structs.replace(taken, body=b"")
-            put = Put(bare, taken.body, checksum(taken.body), Ticket())
+            put = Put(bare, taken.body, checksum(taken.body), PendingReply())
             self._queue.put(put)
-            found = put.ticket.wait(min(patience, self.settings.write_patience), CLAIMED_PATIENCE)
+            found = put.pending.wait(min(patience, self.settings.write_patience), CLAIMED_PATIENCE)
             if isinstance(found, Place):
                 return msgspec.structs.replace(bare, place=found)
             put.body = b""  # should it still be in the queue
             reason = found or "the disk did not take its body in time"
-            if not put.ticket.abandoned:
+            if not put.pending.abandoned:
                 self._unused(taken, size)
             admission = plan.after_failure(self.plans[taken.message_class], reason)
             if found == NO_ROOM and not last:
@@ -582,12 +582,12 @@
     def _put(self, put: Put) -> None:
         """Write one body and answer who waits for it."""
         taken, body, found = put.taken, put.body, "nobody waits for it"
-        if put.ticket.abandoned:
+        if put.pending.abandoned:
             self._unused(taken, put.size)
             return
         self._stuck.clear()
         try:
-            found = self._write(taken.ref, body, put.checksum, lambda: not put.ticket.abandoned)
+            found = self._write(taken.ref, body, put.checksum, lambda: not put.pending.abandoned)
         except OSError as fault:
             self._refused, self._blocked_until = True, self.clock.now() + PAUSE
             found = f"the disk refused its body ({fault.strerror or fault})"
@@ -595,9 +595,9 @@
             if isinstance(found, Place):
                 self._refused = False
                 self._look()
-            elif not put.ticket.abandoned:
+            elif not put.pending.abandoned:
                 self._room_ran_out(found)
-        if not put.ticket.claim():
+        if not put.pending.claim():
             self._unused(taken, put.size)
             if isinstance(found, Place):
                 with self._lock:
@@ -606,7 +606,7 @@
         if isinstance(found, Place):
             with self._lock:
                 self._remember(found, taken.destination, body)
-        put.ticket.settle(found)
+        put.pending.settle(found)
 
     def _write(
         self,
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -21,32 +21,31 @@
 from willownotch.blocks import Blocks
 from willownotch.bodies.store import Bodies
 from willownotch.files.layer import REAL, Files
-from willownotch.handover.giver import Giver
 from willownotch.handover.lock import FolderLock
-from willownotch.handover.taker import Heir, Taker
+from willownotch.handover.predecessor import Predecessor
+from willownotch.handover.successor import PredecessorLink, Successor
 from willownotch.life import Event, Standing
 from willownotch.management import edge as management
 from willownotch.management.calls import Calls
 from willownotch.net import config as configs
 from willownotch.net import journal as journals
 from willownotch.net import memory, timebase
+from willownotch.net.client_side import BACKLOG, ClientSide
 from willownotch.net.clock import Clock, seconds
-from willownotch.net.folder import open_folder
-from willownotch.net.listening import listen
-from willownotch.net.log import Log
-from willownotch.net.north import BACKLOG, North
-from willownotch.net.owner import (
-    KILL_AFTER,
+from willownotch.net.events import (
     BodyLost,
     ExpiredBook,
     LostBook,
-    Owner,
     Retune,
     SharedNews,
     Stop,
     TenantParts,
     TookOver,
 )
+from willownotch.net.folder import open_folder
+from willownotch.net.listening import listen
+from willownotch.net.log import Log
+from willownotch.net.owner import KILL_AFTER, Owner
 from willownotch.net.registry import Hosts, Notices, Platform, Registry
 from willownotch.net.sockets import RETRIES
 from willownotch.net.south import South
@@ -61,7 +60,7 @@
 STACK = 256 * 1024  # bytes for each thread: nothing here recurses
 STOP_AFTER = timedelta(seconds=5)  # from SIGTERM to an end of its own, where no SIGKILL has come
 # From SIGTERM, and for what is being read then: SIGKILL may come `KILL_AFTER` on, and what has been read by
-# then is to have its answer, which takes `north.PATIENCE` at the most.
+# then is to have its answer, which takes `client_side.PATIENCE` at the most.
 LAST_REQUESTS, LAST_READS = KILL_AFTER - timedelta(milliseconds=700), timedelta(milliseconds=300)
 LAST_RELAYS = timedelta(seconds=20)  # to finish what runs, at the end
 MEGABYTE = 1_000_000
@@ -299,7 +298,7 @@
     clock = Clock()
     timebase.restore_early(clock, config.state, files)
     log = Log(clock, config.name)
-    standing, threads, legacy = Standing(), Threads(log), None
+    standing, threads, inherited = Standing(), Threads(log), None
     standing.changed = lambda before, after, event: log.say(
         "state", f"{before.value} to {after.value}: {event.value}, process {os.getpid()}"
     )
@@ -316,21 +315,21 @@
             threads.start("management", operators.run, forever=True)
             log.say("start", f"operators are answered at {config.management[0]}:{operators.port}")
         lock = startup.attempt("the folder's lock", lambda: FolderLock(config.state))
-        taker = Taker(config.state, lock, clock, log)
-        legacy = startup.attempt("the folder's lock", lambda: taker.take(startup.stopped))
-        estate = legacy.estate if legacy else None
-        if estate is not None:
-            clock.adopt(estate.clock)
+        taker = Successor(config.state, lock, clock, log)
+        inherited = startup.attempt("the folder's lock", lambda: taker.take(startup.stopped))
+        state = inherited.state if inherited else None
+        if state is not None:
+            clock.adopt(state.clock)
             origin_unwritten = timebase.keep(clock, config.state, files, log)
-            fresh, (config, _) = config, configs.retuned(estate.config, config)
+            fresh, (config, _) = config, configs.retuned(state.config, config)
             config = msgspec.structs.replace(config, management=fresh.management, limits=fresh.limits)
         # Bound before the folder is touched: a process of a version without the lock may still serve there.
         listener = (
-            legacy.listener
-            if legacy
+            inherited.listener
+            if inherited
             else startup.attempt("the address for clients", lambda: listen(config.listen, BACKLOG))
         )
-        if estate is None:
+        if state is None:
             origin_unwritten = startup.attempt(
                 "the folder", lambda: timebase.restore(clock, config.state, files, log), None
             )
@@ -346,17 +345,17 @@
                 config.settings.classes,
                 blocks.bodies,
                 config.limits.memory_mb,
-                estate.live if estate else None,
+                state.live if state else None,
             ),
             None,
         )
         hosts = Hosts(tuple(kind.name for kind in config.settings.kinds), config.zones, clock, log)
         owner = Owner(config, clock, log, journal, hosts, bodies, standing, bool(blocks.shared.judgements))
         owner.lost_bodies = lost
-        north = North(config, clock, log, owner, bodies, threads.start, standing, listener)
+        client_side = ClientSide(config, clock, log, owner, bodies, threads.start, standing, listener)
         mesh, channel = startup.attempt(
             "addresses of the mesh",
-            lambda: open_mesh(config, blocks, files, journal, log, succeeds=legacy is not None),
+            lambda: open_mesh(config, blocks, files, journal, log, succeeds=inherited is not None),
         )
     except InterruptedError:  # SIGTERM while another process held the folder: nothing was begun
         log.say("end", "ended before anything was taken over")
@@ -365,7 +364,7 @@
         print(f"willownotch: cannot start: {fault}", file=sys.stderr)
         sys.stderr.flush()
         os._exit(FAULTY)  # operators may be answered already, and a thread of theirs is no reason to stay
-    calls.empty = lambda: threads.start("drain", north.empty)
+    calls.empty = lambda: threads.start("drain", client_side.empty)
     for fault in journal.faults:
         log.say("journal", fault)
     bodies.turned_away = owner.turned_away
@@ -393,18 +392,18 @@
             os._exit(FAULTY)
 
     registry = Registry(config, platform, log, clock, owner.post)
-    if estate is not None:
-        south.adopt(estate.waits, legacy.idle)
-        if estate.discovery == config.discovery:  # else its versions say nothing
-            registry.index = estate.list_index
-    if legacy is not None:
-        heir = Heir(legacy, log, owner, south, north)
-        owner.call_off = lambda relay: (heir if relay.remote else south).call_off(relay)
+    if state is not None:
+        south.adopt(state.waits, inherited.idle)
+        if state.discovery == config.discovery:  # else its versions say nothing
+            registry.index = state.list_index
+    if inherited is not None:
+        predecessor_link = PredecessorLink(inherited, log, owner, south, client_side)
+        owner.call_off = lambda relay: (predecessor_link if relay.remote else south).call_off(relay)
 
     def retuned(fresh: configs.Config) -> None:
         """By the owner, in the round from which the settings hold."""
         bodies.retune(fresh.settings.classes)
-        north.retune(fresh)
+        client_side.retune(fresh)
         south.retune(fresh)
         if following is not None:
             following.holds(fresh)
@@ -415,7 +414,7 @@
 
     def take_reloads() -> None:
         held = blocks
-        if legacy is not None:  # the file may have changed after this process had read it
+        if inherited is not None:  # the file may have changed after this process had read it
             reloads.read_file()
         while True:  # also while the sender ends: its notices follow the platform to the last
             signal.sigwait({signal.SIGHUP})
@@ -428,10 +427,10 @@
         mesh.start(threads.start)
     if channel is not None:
         threads.start("control", channel.run)
-    if estate is not None:
-        owner.adopt(estate)  # at once: clients may be answered from here on
-    if legacy is not None:
-        threads.start("legacy", heir.run)
+    if state is not None:
+        owner.adopt(state)  # at once: clients may be answered from here on
+    if inherited is not None:
+        threads.start("predecessor", predecessor_link.run)
     if origin_unwritten is not None:
         threads.start("clock", origin_unwritten)
     threads.start("reload", take_reloads, forever=True)
@@ -441,18 +440,20 @@
     threads.start("owner", owner.run, forever=True)
     threads.start("watch", registry.run, forever=True)
     threads.start("notices", notices.run, forever=True)
-    threads.start("listener", north.run, forever=True)
-    giver = Giver(config.state, lock, clock, log, standing, owner, south, north, bodies, threads.start)
-    if legacy is not None:
-        giver.predecessor_gone = heir.gone.is_set
+    threads.start("listener", client_side.run, forever=True)
+    predecessor = Predecessor(
+        config.state, lock, clock, log, standing, owner, south, client_side, bodies, threads.start
+    )
+    if inherited is not None:
+        predecessor.predecessor_gone = predecessor_link.gone.is_set
     if mesh is not None:  # its addresses are the next process's
-        giver.released.append(mesh.stop)
+        predecessor.released.append(mesh.stop)
     if following is not None:
-        giver.released.append(following.stop)
+        predecessor.released.append(following.stop)
     # Custody stays with a process: the next one claims it, as any other sender would.
     if keeper is None:
-        threads.start("upgrade", giver.run)
-    log.say("start", f"listening on {config.listen[0]}:{north.port}, journal in {config.state}")
+        threads.start("upgrade", predecessor.run)
+    log.say("start", f"listening on {config.listen[0]}:{client_side.port}, journal in {config.state}")
     told = signal.sigwait(signals)
     if told == signal.SIGTERM:
         standing.tell(Event.STOP, clock.now())  # no hand-over begins from now on
@@ -463,7 +464,7 @@
         owner.post(Stop())
         told = signal.sigtimedwait(signals, seconds(LAST_REQUESTS))
         log.say("stop", "clients are let go, before a kill leaves their requests without an answer")
-        north.stop(LAST_READS)
+        client_side.stop(LAST_READS)
         if told is None:  # what is held goes on: the longer, the less is left for the next process
             signal.sigtimedwait(signals, seconds(STOP_AFTER - LAST_REQUESTS))
         for number in signals:  # whoever asks a third time does not want to wait
--- a/willownotch/handover/passing.py
+++ b/willownotch/handover/passing.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from willownotch.handover.told import Client
+from willownotch.handover.messages import Client
 from willownotch.handover.wire import Kind, Link
 from willownotch.net.clock import Clock, seconds
 from willownotch.net.log import Log
--- a/willownotch/handover/pickled.py
+++ b/willownotch/handover/pickled.py
@@ -1,13 +1,13 @@
-"""An estate as bytes, read back with care. Loaded only when one is handed over."""
+"""An state as bytes, read back with care. Loaded only when one is handed over."""
 
 from __future__ import annotations
 
 import io
 import pickle
 
-from willownotch.handover.estate import Estate
+from willownotch.handover.state import HandoverState
 
-# Whatever else a pickle names is refused: these and our own classes are all that an estate is made of.
+# Whatever else a pickle names is refused: these and our own classes are all that an state is made of.
 ALLOWED = {
     ("builtins", "set"),
     ("builtins", "frozenset"),
@@ -28,24 +28,24 @@
 class _Reader(pickle.Unpickler):
     def find_class(self, module: str, name: str) -> type:
         if (module, name) not in ALLOWED and not module.startswith(OURS):
-            raise pickle.UnpicklingError(f"{module}.{name} is no part of an estate")
+            raise pickle.UnpicklingError(f"{module}.{name} is no part of an state")
         found = super().find_class(module, name)
         if module.startswith(OURS) and not isinstance(found, type):
             raise pickle.UnpicklingError(f"{module}.{name} is no class")
         return found
 
 
-def write(estate: Estate) -> bytes:
+def write(state: HandoverState) -> bytes:
     """As bytes."""
-    return pickle.dumps(estate, protocol=5)
+    return pickle.dumps(state, protocol=5)
 
 
-def read(data: bytes) -> Estate:
+def read(data: bytes) -> HandoverState:
     """Read back; `ValueError` if it is none."""
     try:
         found = _Reader(io.BytesIO(data)).load()
     except Exception as fault:  # a pickle that is off can raise anything
-        raise ValueError(f"the estate cannot be read: {fault}") from None
-    if not isinstance(found, Estate):
-        raise ValueError("the estate is none")
+        raise ValueError(f"the state cannot be read: {fault}") from None
+    if not isinstance(found, HandoverState):
+        raise ValueError("the state is none")
     return found
--- a/willownotch/handover/giver.py
+++ b/willownotch/handover/predecessor.py
@@ -15,17 +15,18 @@
 
 from willownotch.bodies.store import Bodies
 from willownotch.handover.lock import FolderLock
+from willownotch.handover.messages import Adopted, CallOff, Withdrawn, call_ended
 from willownotch.handover.passing import ClientPassing
-from willownotch.handover.told import Adopted, CallOff, Withdrawn, call_ended
 from willownotch.handover.version import version
 from willownotch.handover.wire import LOCK_WANTED, BadFrameError, Frame, Kind, Link, address
 from willownotch.life import Event, Standing
+from willownotch.net.client_side import ClientSide
 from willownotch.net.clock import Clock, millis, seconds
+from willownotch.net.events import Flush, HandOver, Withdraw
 from willownotch.net.log import Log
-from willownotch.net.north import North
-from willownotch.net.owner import Flush, HandOver, Owner, Withdraw
+from willownotch.net.owner import Owner
+from willownotch.net.pending import PendingReply
 from willownotch.net.south import RelayEnded, South
-from willownotch.net.ticket import Ticket
 
 ASK_TIME = timedelta(seconds=1)  # for the other process's question
 STAND_TIME = timedelta(seconds=2)  # until the owner stands still between two rounds
@@ -40,7 +41,7 @@
 BACKLOG = 16
 
 
-class Giver:
+class Predecessor:
     """Waits for a process that asks. `leave` ends this one."""
 
     def __init__(
@@ -52,12 +53,12 @@
         standing: Standing,
         owner: Owner,
         south: South,
-        north: North,
+        client_side: ClientSide,
         bodies: Bodies,
         start: Callable[[str, Callable[[], None]], None],
     ) -> None:
         self.folder, self.lock, self.clock, self.log, self.standing = folder, lock, clock, log, standing
-        self.owner, self.south, self.north, self.bodies = owner, south, north, bodies
+        self.owner, self.south, self.client_side, self.bodies = owner, south, client_side, bodies
         self.start = start
         self._version = version()  # of what runs here, whatever the files say by then
         self._pause = threading.Event()  # never set: a wait of a moment
@@ -141,25 +142,25 @@
         )
         if not same:
             self.south.finish(FINISH_TIME)
-        order, given = HandOver(Ticket(), queue.SimpleQueue()), False
+        order, given = HandOver(PendingReply(), queue.SimpleQueue()), False
         began = self.clock.now()
         self.bodies.freeze()
         self.owner.post(order)
         try:
-            estate = order.ticket.wait(STAND_TIME, STAND_TIME)
-            if estate is None:
+            state = order.pending.wait(STAND_TIME, STAND_TIME)
+            if state is None:
                 link.send(Kind.NOT_NOW)
             else:
                 self.log.say(
                     "state",
                     f"the state stands still after {self._since(began)} ms: "
-                    f"{len(estate.owed)} messages, {self.north.present()} clients",
+                    f"{len(state.owed)} messages, {self.client_side.present()} clients",
                 )
-                given = self._gave(link, estate if same else None)
+                given = self._gave(link, state if same else None)
         finally:
             if given:  # before anybody is let go: what is handed on from now on has where to go
                 self.owner.forward = self._forwarder(link)
-                self.north.redirect(self._passing.pass_on)
+                self.client_side.redirect(self._passing.pass_on)
             self.bodies.thaw(halted=given)
             order.decided.put(given)
             if not given:
@@ -174,20 +175,20 @@
     def _since(self, began: datetime) -> int:
         return millis(self.clock.now() - began)
 
-    def _gave(self, link: Link, estate) -> bool:
+    def _gave(self, link: Link, state) -> bool:
         """Send everything; whether the other process has it. After the last frame it is never taken back."""
-        listener = self.north.listener.fileno()
+        listener = self.client_side.listener.fileno()
         try:
-            if estate is None:
+            if state is None:
                 link.send(Kind.PLAIN, fds=(listener,))
             else:
                 from willownotch.handover import pickled
 
                 idle = self.south.kept()[:KEPT_MOST]
-                estate.waits = dict(self.south.waits)
-                estate.idle = [(number, kept.since) for number, kept in idle]
+                state.waits = dict(self.south.waits)
+                state.idle = [(number, kept.since) for number, kept in idle]
                 link.send(
-                    Kind.ESTATE, pickled.write(estate), (listener, *(kept.sock.fileno() for _, kept in idle))
+                    Kind.STATE, pickled.write(state), (listener, *(kept.sock.fileno() for _, kept in idle))
                 )
             answer = link.receive(TOOK_TIME)
             if answer is None or answer.kind is not Kind.TOOK:
@@ -219,12 +220,12 @@
     def _away(self, began: datetime) -> None:
         """Everything is the other one's. Nothing that fails here may keep the rest from being given."""
         self._carry_out(self._let_go_of_lock, self.south.leave)
-        clients = self.north.give()
+        clients = self.client_side.give()
         self.standing.tell(Event.GIVEN, self.clock.now())  # only now may this process say no
         self.log.say(
             "upgrade",
             f"given away; {self.south.outside()} calls are out and are finished here; "
-            f"{clients} idle clients passed on, {self.north.present()} still here, "
+            f"{clients} idle clients passed on, {self.client_side.present()} still here, "
             f"{self._since(began)} ms",
         )
 
@@ -266,7 +267,7 @@
         return self.south.outside() + self.owner.remote_calls()
 
     def _finished(self) -> bool:
-        return self.predecessor_gone() and not self._calls_out() and not self.north.present()
+        return self.predecessor_gone() and not self._calls_out() and not self.client_side.present()
 
     def _leave(self, link: Link) -> None:
         """End the process once all calls have ended and all clients are gone from here.
@@ -280,7 +281,7 @@
             if self._gone.wait(seconds(LOOK)):
                 self.log.say("upgrade", f"ends with {self._calls_out()} calls out, which may have run")
                 ends = min(ends, self.clock.now() + ANSWER_TIME)
-                if not self.north.present():
+                if not self.client_side.present():
                     break
                 self._pause.wait(seconds(LOOK))
         flush = Flush(threading.Event())
--- a/willownotch/handover/estate.py
+++ b/willownotch/handover/state.py
@@ -36,7 +36,7 @@
 
 
 @dataclass
-class Estate:
+class HandoverState:
     """Everything, as of the moment between two rounds."""
 
     config: Config
--- a/willownotch/handover/taker.py
+++ b/willownotch/handover/successor.py
@@ -13,15 +13,16 @@
 
 import msgspec
 
-from willownotch.handover.estate import Estate
 from willownotch.handover.lock import FolderLock
-from willownotch.handover.told import Adopted, CallEnded, CallOff, Client, Withdrawn
+from willownotch.handover.messages import Adopted, CallEnded, CallOff, Client, Withdrawn
+from willownotch.handover.state import HandoverState
 from willownotch.handover.version import version
 from willownotch.handover.wire import LOCK_WANTED, BadFrameError, Frame, Kind, Link, address
+from willownotch.net.client_side import ClientSide
 from willownotch.net.clock import Clock, seconds
+from willownotch.net.events import RemoteEnded, Withdraw
 from willownotch.net.log import Log
-from willownotch.net.north import North
-from willownotch.net.owner import Owner, RemoteEnded, Withdraw
+from willownotch.net.owner import Owner
 from willownotch.net.south import Idle, Relay, South
 
 ANSWER_TIME = timedelta(seconds=6)  # for the old one to finish what it must and to pack everything
@@ -30,29 +31,29 @@
 
 
 @dataclass
-class Legacy:
-    """What was handed over. Without an estate the journal tells all."""
+class Inherited:
+    """What was handed over. Without an state the journal tells all."""
 
     link: Link
     listener: socket.socket
-    estate: Estate | None
+    state: HandoverState | None
     idle: list[tuple[int, Idle]]
 
 
-class Taker:
+class Successor:
     """Gets hold of the folder, one way or the other."""
 
     def __init__(self, folder: Path, lock: FolderLock, clock: Clock, log: Log) -> None:
         self.folder, self.lock, self.clock, self.log = folder, lock, clock, log
 
-    def take(self, stopped: Callable[[], bool]) -> Legacy | None:
+    def take(self, stopped: Callable[[], bool]) -> Inherited | None:
         """Wait until this process holds the lock; with what was handed over, if anything was."""
         while not self.lock.take():
             if stopped():
                 raise InterruptedError
             try:
-                if (legacy := self._ask()) is not None:
-                    return legacy
+                if (inherited := self._ask()) is not None:
+                    return inherited
                 why = "not yet"
             except (OSError, ValueError) as fault:
                 why = str(fault) or type(fault).__name__
@@ -60,7 +61,7 @@
             time.sleep(seconds(AGAIN))
         return None
 
-    def _ask(self) -> Legacy | None:
+    def _ask(self) -> Inherited | None:
         """One try. What came with it is dropped unless the old one has said that it is ours."""
         folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         sock = socket.socket(socket.AF_UNIX)
@@ -72,7 +73,7 @@
             frame = link.receive(ANSWER_TIME)
             if frame is None or frame.kind is Kind.NOT_NOW:
                 return None
-            legacy, frame = self._read(link, frame), None  # its sockets close themselves from here on
+            inherited, frame = self._read(link, frame), None  # its sockets close themselves from here on
             link.send(Kind.TOOK, LOCK_WANTED)
             word = link.receive(ANSWER_TIME)
             if word is None or word.kind is not Kind.GIVEN:
@@ -85,7 +86,7 @@
                     raise TimeoutError("the lock was not let go")
                 time.sleep(0.002)
             link = None
-            return legacy
+            return inherited
         finally:
             os.close(folder)
             for fd in frame.fds if frame is not None else ():
@@ -94,32 +95,40 @@
                 link.close()
 
     @staticmethod
-    def _read(link: Link, frame: Frame) -> Legacy:
+    def _read(link: Link, frame: Frame) -> Inherited:
         if frame.truncated or not frame.fds:
             raise BadFrameError("descriptors did not arrive: there are too few for this process")
         if frame.kind is Kind.PLAIN:
-            return Legacy(link, socket.socket(fileno=frame.fds[0]), None, [])
-        if frame.kind is not Kind.ESTATE:
+            return Inherited(link, socket.socket(fileno=frame.fds[0]), None, [])
+        if frame.kind is not Kind.STATE:
             raise BadFrameError(f"{frame.kind.name} is no answer to this")
         from willownotch.handover import pickled
 
-        estate = pickled.read(frame.data)
-        if len(estate.idle) != len(frame.fds) - 1:
-            raise BadFrameError("connections of the estate are missing")
+        state = pickled.read(frame.data)
+        if len(state.idle) != len(frame.fds) - 1:
+            raise BadFrameError("connections of the state are missing")
         listener, *kept = [socket.socket(fileno=fd) for fd in frame.fds]
-        return Legacy(
+        return Inherited(
             link,
             listener,
-            estate,
-            [(number, Idle(sock, since)) for (number, since), sock in zip(estate.idle, kept, strict=True)],
+            state,
+            [(number, Idle(sock, since)) for (number, since), sock in zip(state.idle, kept, strict=True)],
         )
 
 
-class Heir:
+class PredecessorLink:
     """Goes on hearing the old process until it ends: clients, and the ends of its calls."""
 
-    def __init__(self, legacy: Legacy, log: Log, owner: Owner, south: South, north: North) -> None:
-        self.link, self.log, self.owner, self.south, self.north = legacy.link, log, owner, south, north
+    def __init__(
+        self, inherited: Inherited, log: Log, owner: Owner, south: South, client_side: ClientSide
+    ) -> None:
+        self.link, self.log, self.owner, self.south, self.client_side = (
+            inherited.link,
+            log,
+            owner,
+            south,
+            client_side,
+        )
         self.gone = threading.Event()  # the old process has ended, and all that it sent was taken
 
     def call_off(self, relay: Relay) -> None:
@@ -152,7 +161,7 @@
             if not frame.fds:
                 raise OSError("no descriptor is free for it")
             sock = socket.socket(fileno=frame.fds[0])
-            if self.north.adopt(sock, client.request, client.arrived, client.asked, client.read_at):
+            if self.client_side.adopt(sock, client.request, client.arrived, client.asked, client.read_at):
                 kind = Kind.ADOPTED
         except OSError as fault:
             self.log.say("upgrade", f"a client of the process before was not taken: {fault}")
--- a/willownotch/handover/version.py
+++ b/willownotch/handover/version.py
@@ -1,4 +1,4 @@
-"""What two processes must have in common to hand an estate over."""
+"""What two processes must have in common to hand an state over."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
     "control.py",
     "state.py",
     "interface.py",
-    "handover/estate.py",
+    "handover/state.py",
     "handover/pickled.py",
     "net/config.py",
     "journal/records.py",
@@ -22,7 +22,7 @@
 
 @functools.cache
 def version() -> bytes:
-    """A checksum of the sources of all that an estate is made of, as they were when first asked for."""
+    """A checksum of the sources of all that an state is made of, as they were when first asked for."""
     root, digest = Path(__file__).parents[1], hashlib.blake2b(digest_size=16)
     for name in NAMES:
         digest.update((root / name).read_bytes())
--- a/willownotch/handover/wire.py
+++ b/willownotch/handover/wire.py
@@ -33,8 +33,8 @@
 
     HELLO = 1  # new to old: the version that asks
     NOT_NOW = 2  # old to new: ask again
-    ESTATE = 3  # old to new: everything; the listening socket and kept connections come along
-    PLAIN = 4  # old to new: the same without an estate: start from the journal
+    STATE = 3  # old to new: everything; the listening socket and kept connections come along
+    PLAIN = 4  # old to new: the same without an state: start from the journal
     TOOK = 5  # new to old: it is read, and can be used; with `LOCK_WANTED` it takes the lock as a descriptor
     GIVEN = 6  # old to new: it is yours from now on; the descriptor that holds the lock, if it was wanted
     CLIENT = 7  # old to new: a client's connection, and the request that it has made, if any
--- a/willownotch/lab/prices/trace.py
+++ b/willownotch/lab/prices/trace.py
@@ -11,6 +11,7 @@
 import sys
 import threading
 import time
+from datetime import datetime
 from pathlib import Path
 
 import msgspec
@@ -19,7 +20,7 @@
 from willownotch import interface as face
 from willownotch.journal.records import Taken
 from willownotch.lab.prices import lines
-from willownotch.net.north import North, Reply
+from willownotch.net.client_side import ClientSide, Reply
 from willownotch.net.owner import Owner
 from willownotch.net.registry import Platform
 from willownotch.net.south import Relay, South
@@ -30,10 +31,10 @@
     os.write(2, lines.write(line).encode() + b"\n")
 
 
-class TracedNorth(North):
+class TracedClientSide(ClientSide):
     """Tells what comes, and what it is answered."""
 
-    def _hand_in(self, taken: Taken) -> Reply:
+    def _hand_in(self, taken: Taken, read_at: datetime) -> Reply:
         self.owner.handed.add(taken.ref)
         now, left = time.time(), (taken.ends_at - self.clock.now()).total_seconds()
         say(
@@ -41,7 +42,7 @@
                 now, taken.ref, taken.message_class, taken.tenant, taken.destination, taken.again, left
             )
         )
-        reply = super()._hand_in(taken)
+        reply = super()._hand_in(taken, read_at)
         say(lines.Answered(time.time(), taken.ref, reply.status))
         return reply
 
@@ -125,7 +126,12 @@
 
 def main() -> int:
     """Serve, traced."""
-    cli.North, cli.Owner, cli.South, cli.Platform = TracedNorth, TracedOwner, TracedSouth, TracedPlatform
+    cli.ClientSide, cli.Owner, cli.South, cli.Platform = (
+        TracedClientSide,
+        TracedOwner,
+        TracedSouth,
+        TracedPlatform,
+    )
     try:
         raw = msgspec.json.decode(Path(os.environ["LB_CONFIG"]).read_bytes(), type=dict[str, msgspec.Raw])
         say(lines.Started(time.time(), raw["settings"]))
--- a/willownotch/net/north.py
+++ b/willownotch/net/client_side.py
@@ -1,21 +1,17 @@
-"""The north side: clients hand messages in here, each connection on a small thread of its own."""
+"""The client side: clients hand messages in here, each connection on a small thread of its own."""
 
 from __future__ import annotations
 
 import errno
-import itertools
-import re
 import select
 import socket
 import threading
 import traceback
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
-from enum import Enum
 from typing import Protocol
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import urlsplit
 
 import msgspec
 
@@ -25,36 +21,29 @@
 from willownotch.journal.records import Taken
 from willownotch.life import Standing
 from willownotch.net import http, sockets
+from willownotch.net.client_connections import SILENT_TIME, Client, Stage, Stages, clients_most
+from willownotch.net.client_requests import RefusedError, read_message, rewrite_request
 from willownotch.net.clock import NONE, Clock, millis, seconds
 from willownotch.net.config import Config
+from willownotch.net.events import HandIn, MakeRoom, Verdict, Withdraw
 from willownotch.net.listening import listen
 from willownotch.net.log import Log
-from willownotch.net.owner import HandIn, MakeRoom, Owner, Verdict, Withdraw
+from willownotch.net.owner import Owner
+from willownotch.net.pending import PendingReply
 from willownotch.net.rules import Rules
-from willownotch.net.south import idle_most
-from willownotch.net.ticket import Ticket
 
 PATIENCE = timedelta(milliseconds=250)  # a client waits 400 ms: what is not taken up by then is turned away
 PATIENCE_LEAST = timedelta(milliseconds=50)  # for what the process before had read, and had no time for
 CLAIMED_PATIENCE = timedelta(seconds=5)  # for what is being decided then: it may be owed already
 IDLE_TIME = timedelta(seconds=3)  # between requests: some clients ask once and stay for good
 REQUEST_TIME = timedelta(seconds=2)  # from connecting, and from a later request's first byte, to its last
-SILENT_TIME = timedelta(milliseconds=100)  # at the bound, who connects and says nothing so long makes room
-SLOW_TIME = timedelta(seconds=1)  # and so does a request that takes longer than this
-ANSWER_TIME = timedelta(seconds=2)
 LINGER_TIME, LINGER_MOST = timedelta(milliseconds=300), 256 * 1024  # read on before a close; bytes
 STOP_LOOK = timedelta(milliseconds=25)
 DRAIN_LOOK, SILENT_DRAIN = timedelta(milliseconds=100), timedelta(milliseconds=800)  # while it is emptied
 BAD_PAUSE, BAD_PAUSE_MOST = timedelta(milliseconds=10), timedelta(milliseconds=500)  # doubles with each
 DROPPED_TIME = timedelta(seconds=1)  # messages of a class that is dropped may be on their way for so long
 RETRY = timedelta(milliseconds=500)  # told where nothing better is known
-OTHERS = 32  # descriptors for files, discovery and the listener
-MOST = 384  # client connections, whatever the descriptors allow: each has a thread
-BASE_MB, CLIENT_MB = 24.0, 0.04  # of memory, for all that is no client connection, and for each that is
 BACKLOG = 512
-ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
-WHOLE = re.compile(r"[0-9]{1,9}\Z")
-DEST = re.compile(r"(?:^|[;,\s])dest=([0-9]{1,9})(?:$|[;,\s])")
 
 
 class MovedError(Exception):
@@ -75,61 +64,6 @@
         """Any thread may call; it takes no longer than a client waits, unless the other process has it."""
 
 
-class RefusedError(ValueError):
-    """A request that is none of ours, with the status that says so."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-def read_message(head: http.Head, body: bytes, arrived: datetime, config: Config) -> Taken:
-    """A hand-in as the core knows it. Its time runs from the client's sending, its first byte here."""
-    headers, settings = head.headers, config.settings
-    ref, name, tenant = (headers.get(h, "") for h in ("request-id", "request-class", "tenant"))
-    cls = config.rules.get(name)
-    left, idempotency = headers.get("request-timeout-ms", ""), headers.get("idempotency-key")
-    dest = DEST.search(headers.get("x-consignee", ""))
-    keys = parse_qs(urlsplit(head.target).query).get("thread", [])
-    faults = [
-        (not ID.match(ref), "Request-Id is missing or unreadable"),
-        (cls is None, f"unknown class {name!r}"),
-        (
-            bool(settings.tenants) and tenant not in [t.name for t in settings.tenants],
-            f"unknown tenant {tenant!r}",
-        ),
-        (not WHOLE.match(left) or int(left) == 0, "Request-Timeout-Ms is not a whole number above 0"),
-        (dest is None, "X-Consignee names no dest"),
-        (idempotency is not None and not ID.match(idempotency), "Idempotency-Key is unreadable"),
-        (len(keys) > 1 or any(len(key) > 256 for key in keys), "more than one key, or too long a one"),
-    ]
-    for wrong, text in faults:
-        if wrong:
-            raise RefusedError(400, text)
-    return Taken(
-        ref=ref,
-        destination=int(dest[1]),
-        message_class=name,
-        tenant=tenant,
-        ends_at=arrived + timedelta(milliseconds=int(left)),
-        key=keys[0] if keys and cls.in_order else None,
-        idempotency_key=idempotency,
-        again="client-retry" in headers,
-        body=body,
-        at=arrived,
-        rules=cls,
-    )
-
-
-def again(head: http.Head, body: bytes, more: bytes) -> bytes:
-    """A request as it can be read once more, and what came behind it."""
-    framing = ("host", "content-length", "transfer-encoding", "expect", "connection")
-    headers = [(name, value) for name, value in head.headers.items() if name not in framing]
-    headers += [] if head.keeps_alive() else [("Connection", "close")]
-    whole = body if body or head.method == "POST" else None
-    return http.write_request(head.method, head.target, head.headers.get("host", ""), headers, whole) + more
-
-
 @dataclass(slots=True)
 class Reply:
     """What a client is answered. `taken` is the message taken on by it, withdrawn if it cannot be told."""
@@ -138,114 +72,10 @@
     body: bytes = b""
     headers: list[tuple[str, str]] = field(default_factory=list)
     taken: str | None = None
-    ticket: Ticket | None = None
-
-
-class Stage(Enum):
-    """What a client connection is at. At the bound, the earlier ones here make room first."""
-
-    LEAVING = 0  # our side is ended: only read on lest a reset eat the last answer
-    SILENT = 1  # connected, and no byte has come yet
-    IDLE = 2  # between two requests
-    READING = 3  # part of a request has come
-    ANSWERING = 4  # never ended to make room
-
-
-# How long a client may be at a stage before it is the one to make room, the first to go first.
-PATIENCES = {Stage.LEAVING: NONE, Stage.SILENT: SILENT_TIME, Stage.IDLE: NONE, Stage.READING: SLOW_TIME}
-
+    pending: PendingReply | None = None
 
-class Stages:
-    """The clients at each stage that may make room, who has been there longest first.
 
-    At the bound every connection that comes asks for one: hundreds must not be looked at each time.
-    """
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()  # held for a few steps; no other is taken under it
-        self._lines: dict[Stage, OrderedDict[Client, None]] = {stage: OrderedDict() for stage in PATIENCES}
-
-    def move(self, client: Client, stage: Stage, now: datetime) -> None:
-        """A client has come to a stage."""
-        with self._lock:
-            self._leave(client)
-            client.stage, client.since = stage, now
-            if stage in self._lines and not client.ending:
-                self._lines[stage][client] = None
-
-    def leave(self, client: Client) -> None:
-        """It makes room, or is gone."""
-        with self._lock:
-            self._leave(client)
-
-    def _leave(self, client: Client) -> None:
-        if client.stage in self._lines:
-            self._lines[client.stage].pop(client, None)
-
-    def idlest(self, now: datetime) -> Client | None:
-        """Who makes room, and is not asked again; None if nobody has been at a stage for long enough."""
-        with self._lock:
-            for stage, line in self._lines.items():
-                while line and next(iter(line)).ending:  # for another reason
-                    line.popitem(last=False)
-                if line and now - next(iter(line)).since >= PATIENCES[stage]:
-                    return line.popitem(last=False)[0]
-        return None
-
-
-class Client:
-    """One client connection. `number` names it in the log of its process."""
-
-    _numbers = itertools.count(1)
-
-    def __init__(self, sock: socket.socket, now: datetime, stages: Stages | None = None) -> None:
-        self.number = next(self._numbers)
-        self.sock, self.opened, self.since = sock, now, now  # since when it is at its stage
-        self.stage, self.asked, self.bad = Stage.SILENT, 0, 0  # requests read whole; bad ones in a row
-        self.ending = False  # it makes room, or the sender stops: the request that it has is its last
-        self.shut = False  # nothing that comes from now on is read as a request: the client sees the end
-        self.why = "ended by the client"  # or why it is closed here
-        self.told = False  # something was written on it, which a reset could eat
-        self.lock = threading.Lock()  # held while bytes are taken off it, it is ended, or it goes elsewhere
-        self.moved = False  # another process reads it from now on
-        self.passed = False  # and has got it
-        self.shared = False  # the process before this one may still have it open, too
-        self.arrived: datetime | None = None  # of a request that came with it, when its first byte came
-        self.read_at: datetime | None = None  # and when it had been read whole, in the process before
-        self.poll = select.poll()
-        self.poll.register(sock, select.POLLIN)
-        sock.settimeout(seconds(ANSWER_TIME))
-        self.stages = stages or Stages()  # all clients' where it is one of many
-        self.at(Stage.SILENT, now)
-
-    def readable(self, patience: timedelta) -> bool:
-        """Wait until something has come, or the connection has ended."""
-        return bool(sockets.wait(self.poll, max(1, millis(patience))))
-
-    def waits(self) -> bool:
-        """Whether it rests and nothing has come that could be a request. Any thread may ask."""
-        poll = select.poll()  # one object serves one thread at a time
-        poll.register(self.sock, select.POLLIN)
-        return self.stage in (Stage.SILENT, Stage.IDLE) and not sockets.wait(poll, 0)
-
-    def write(self, data: bytes) -> None:
-        """Write an answer."""
-        self.told = True
-        sockets.send_all(self.sock, data)
-
-    def at(self, stage: Stage, now: datetime) -> None:
-        """It has come to a stage."""
-        self.stages.move(self, stage, now)
-
-
-def clients_most(config: Config) -> int:
-    """How many client connections descriptors and memory allow."""
-    south = config.settings.slots + idle_most(config)
-    memory = int((config.limits.memory_mb - BASE_MB) / CLIENT_MB)
-    return max(8, min(MOST, config.limits.sockets - south - OTHERS, memory))
-
-
-class North:
+class ClientSide:
     """The listener and the connections it has taken."""
 
     def __init__(
@@ -312,7 +142,7 @@
                 failures += 1
 
     @staticmethod
-    def _end(client: Client, why: str, cut: bool = False) -> None:
+    def _end(client: Client, why: str = "ended here", cut: bool = False) -> None:
         """Take no request after the one that it has. One that rests is shut; `cut`: also one that reads.
         For who holds the lock of all clients.
 
@@ -367,7 +197,7 @@
         with self._room:
             self._clients.add(client)
         try:
-            self.start("north", lambda: self._serve(client, data))
+            self.start("client", lambda: self._serve(client, data))
         except RuntimeError as fault:  # it is ended unread
             client.why = "no thread"
             self.log.say("accept", f"no thread for a connection: {fault}")
@@ -540,7 +370,7 @@
             client.bad = 0
             client.asked += 1
         except MovedError:
-            self._pass_on(client, again(head, body, bytes(parser.buffer)), arrived, read_at)
+            self._pass_on(client, rewrite_request(head, body, bytes(parser.buffer)), arrived, read_at)
             reply = self._back_off(RETRY, "not passed on")  # and its last answer here
             client.ending = True
         except RefusedError as fault:
@@ -570,7 +400,7 @@
                 f"{f' for {reply.taken}, withdrawn' if reply.taken else ''}: {fault}",
             )
             if reply.taken is not None:
-                self.owner.post(Withdraw(reply.taken, reply.ticket))
+                self.owner.post(Withdraw(reply.taken, reply.pending))
             return False
         if client.bad and not last:
             # The same thing again as soon as it is turned away: it must not cost the others their share.
@@ -660,18 +490,18 @@
                 f"back-off answer to {taken.ref} for destination {taken.destination}: " f"{found.reason}",
             )
             return self._back_off(RETRY, "no room for its body")
-        taken, ticket = found, Ticket()
-        self.owner.post(HandIn(taken, ticket))
-        answer = ticket.wait(due - self.clock.now(), CLAIMED_PATIENCE)
+        taken, pending = found, PendingReply()
+        self.owner.post(HandIn(taken, pending))
+        answer = pending.wait(due - self.clock.now(), CLAIMED_PATIENCE)
         if answer is not None and answer.verdict is Verdict.MOVED:
             raise MovedError
-        if answer is None and ticket.claimed:
+        if answer is None and pending.claimed:
             raise RuntimeError(f"{taken.ref} was taken up and never decided")
         if answer is None:
             self.log.say("late", f"{taken.ref} was not taken up in time: back-off answer")
             return self._back_off(RETRY, "not taken up in time")
         if answer.verdict is Verdict.TAKEN:
-            return Reply(202, taken=taken.ref, ticket=ticket)
+            return Reply(202, taken=taken.ref, pending=pending)
         if answer.verdict is Verdict.CONFLICT:
             raise RefusedError(409, f"{taken.ref} is the id of another message")
         if answer.verdict is Verdict.BACK_OFF:
@@ -686,8 +516,8 @@
         """The message with its body where it stands until it is over, others making room if they must."""
         found = self.bodies.keep(taken, due - self.clock.now())
         if isinstance(found, Admission) and found.verdict is BodyVerdict.DROP_FIRST:
-            ticket: Ticket[bool] = Ticket()
-            self.owner.post(MakeRoom(msgspec.structs.replace(taken, body=b""), found, ticket))
-            if ticket.wait(due - self.clock.now(), CLAIMED_PATIENCE):
+            pending: PendingReply[bool] = PendingReply()
+            self.owner.post(MakeRoom(msgspec.structs.replace(taken, body=b""), found, pending))
+            if pending.wait(due - self.clock.now(), CLAIMED_PATIENCE):
                 found = self.bodies.keep(taken, due - self.clock.now(), last=True)
         return found
--- a/willownotch/net/log.py
+++ b/willownotch/net/log.py
@@ -39,6 +39,13 @@
         self._lock = threading.Lock()
         self._spent: dict[str, tuple[datetime, int]] = {}
 
+    def _writable(self) -> bool:
+        """Whether a line can be written at once; said of it, nothing may fail here."""
+        try:
+            return self._pipe is None or bool(self._pipe.poll(0))
+        except OSError:
+            return True  # not known for the moment: mostly it can
+
     def say(self, sort: str, text: str) -> None:
         """One line: time, sender, sort, text."""
         now = self.clock.now()
@@ -51,7 +58,7 @@
             self._spent[sort] = (began, count + 1)
             if count >= MOST:
                 return
-            if self._pipe is not None and not self._pipe.poll(0):
+            if not self._writable():
                 self.counters.add("log line lost", "nobody reads them")  # a write would wait for good
                 return
             more = f" ({kept_back} more such lines were kept back)" if kept_back and count == 0 else ""
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -1,7 +1,7 @@
 """The one thread that owns the decision module: a queue in, timers in a heap, actions out.
 
 A message comes in by `HandIn` and goes out by exactly one ending. Nothing here knows how either travels: a
-second protocol hands in the same `Taken`, waits on the same `Ticket` and keeps the same rules.
+second protocol hands in the same `Taken`, waits on the same `PendingReply` and keeps the same rules.
 """
 
 from __future__ import annotations
@@ -14,29 +14,49 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
 from datetime import UTC, datetime, timedelta
-from enum import Enum
 from itertools import islice
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from willownotch import interface as face
-from willownotch.bodies.plan import Admission, Candidate, ending
+from willownotch.bodies.plan import Candidate, ending
 from willownotch.bodies.store import Bodies, content
 from willownotch.control import RAN, Controller
-from willownotch.handover.estate import Estate, Out, OwedMessage
+from willownotch.handover.state import HandoverState, Out, OwedMessage
 from willownotch.journal import records as kept_records
 from willownotch.journal.records import Closed, Ended, Entry, Record, Taken
 from willownotch.life import Event, Standing
 from willownotch.net import bulk, http
 from willownotch.net.clock import NONE, Clock, millis, seconds, span
 from willownotch.net.config import Config, ListNews
+from willownotch.net.events import (
+    Answer,
+    BodyLost,
+    Copied,
+    ExpiredBook,
+    Flush,
+    HandIn,
+    HandOver,
+    Item,
+    LostBook,
+    MakeRoom,
+    MayTell,
+    Noticed,
+    RemoteEnded,
+    Retune,
+    SharedNews,
+    TenantParts,
+    TookOver,
+    Verdict,
+    Withdraw,
+)
 from willownotch.net.journal import Journal, JournalFullError
 from willownotch.net.log import Log
+from willownotch.net.pending import PendingReply
 from willownotch.net.registry import Hosts, Notice
 from willownotch.net.rules import class_of
 from willownotch.net.south import END_MARGIN, Relay, RelayEnded
-from willownotch.net.ticket import Ticket
 from willownotch.state import Ran
 
 if TYPE_CHECKING:
@@ -59,152 +79,6 @@
 ROUND_SHARE, GAP_MOST = 3, timedelta(milliseconds=40)  # x the last round's time from its start to the next's
 
 
-class Verdict(Enum):
-    """The answer to a client's hand-in."""
-
-    TAKEN = "taken"
-    BACK_OFF = "back off"
-    FAILED = "failed"
-    CONFLICT = "conflict"  # the id is another message's
-    MOVED = "moved"  # another process decides now: it is to have the request
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A verdict, and how long to stay away."""
-
-    verdict: Verdict
-    retry: timedelta = NONE
-    reason: str = "decided"  # of a rejection, as it is counted
-
-
-@dataclass(slots=True)
-class HandIn:
-    """A message from a client, read whole and found valid."""
-
-    taken: Taken
-    ticket: Ticket[Answer]
-
-
-@dataclass(slots=True)
-class MakeRoom:
-    """A hand-in's body finds room only if others end. Answered with whether they did."""
-
-    taken: Taken
-    admission: Admission
-    ticket: Ticket[bool]
-
-
-@dataclass(slots=True)
-class BodyLost:
-    """The body of a message was found missing or damaged."""
-
-    ref: str
-
-
-@dataclass(slots=True)
-class Withdraw:
-    """The client was gone before it could hear that its message was taken on; `ticket` was its wait."""
-
-    ref: str
-    ticket: Ticket | None
-
-
-@dataclass(slots=True)
-class Noticed:
-    """These messages' notices were answered."""
-
-    refs: list[str]
-
-
-@dataclass(slots=True)
-class TenantParts:
-    """This sender's parts of tenants' quotas, by name, as counted over all senders."""
-
-    parts: dict[str, float]
-
-
-@dataclass(slots=True)
-class HandOver:
-    """Another process asks for everything: stand still between two rounds, and go by what is decided."""
-
-    ticket: Ticket[Estate | None]
-    decided: queue.SimpleQueue[bool]  # whether it has been given away
-
-
-@dataclass(slots=True)
-class RemoteEnded:
-    """A call that the process before this one had out has ended, or `gone`: with it, all that were left."""
-
-    ref: str = ""
-    number: int = 0
-    ended: RelayEnded | None = None
-    gone: bool = False
-
-
-@dataclass(slots=True)
-class SharedNews:
-    """What other senders share: parts of budgets, or what they have found of endpoints."""
-
-    found: Parts | Findings
-
-
-@dataclass(slots=True)
-class Copied:
-    """Others hold a message, so its client may be told; or (not `ok`) too few do, and it is turned away."""
-
-    ref: str
-    ticket: Ticket | None
-    ok: bool
-
-
-@dataclass(slots=True)
-class MayTell:
-    """Others hold a message's end: its notice may go out."""
-
-    ref: str
-
-
-@dataclass(slots=True)
-class TookOver:
-    """A book is this sender's from now on, with what was found in its copies."""
-
-    won: Won
-
-
-@dataclass(slots=True)
-class LostBook:
-    """A book is another sender's: nothing in it may be sent or ended here."""
-
-    lost: Lost
-
-
-@dataclass(slots=True)
-class ExpiredBook:
-    """Messages of a book that nobody could be made owner of, at their deadlines."""
-
-    expired: Expired
-
-
-@dataclass(slots=True)
-class Flush:
-    """All that was posted before this has been dealt with."""
-
-    done: threading.Event
-
-
-@dataclass(slots=True)
-class Retune:
-    """A new configuration, read whole and found sound."""
-
-    config: Config
-
-
-@dataclass(slots=True)
-class Stop:
-    """SIGTERM has come."""
-
-
 @dataclass(slots=True)
 class Owed:
     """A message in the module's hands, its relays counted as the module counts them."""
@@ -213,8 +87,8 @@
     count: int = 0
     out: dict[int, Relay] = field(default_factory=dict)
     over: bool = False
-    ticket: Ticket | None = None  # until its client has its answer
-    by: Ticket | None = None  # of the hand-in that it was taken on by
+    pending: PendingReply | None = None  # until its client has its answer
+    by: PendingReply | None = None  # of the hand-in that it was taken on by
     confirmed: bool = False  # another hand-in of it was answered: a failed first answer withdraws nothing
     unwritten: bool = False  # its record could not be written: its client was turned away
     copying: bool = False  # its client waits until others hold it
@@ -236,29 +110,6 @@
     return keyed + sorted((e for e in entries if e.taken.key is None), key=lambda e: e.taken.ends_at)
 
 
-Item = (
-    HandIn
-    | MakeRoom
-    | BodyLost
-    | Withdraw
-    | RelayEnded
-    | RemoteEnded
-    | ListNews
-    | Noticed
-    | TenantParts
-    | HandOver
-    | SharedNews
-    | Copied
-    | MayTell
-    | TookOver
-    | LostBook
-    | ExpiredBook
-    | Flush
-    | Retune
-    | Stop
-)
-
-
 class Owner:
     """Owns the module. All that sockets have to say reaches it through `post`."""
 
@@ -347,25 +198,25 @@
 
     def _stand_still(self, order: HandOver) -> bool:
         """Hand out everything and change nothing until it is decided; whether it is another's now."""
-        if self._recovered is not None or not order.ticket.claim():
-            order.ticket.settle(None)
+        if self._recovered is not None or not order.pending.claim():
+            order.pending.settle(None)
             return False
         self.journal.freeze()
         try:
-            estate = self._estate()
+            state = self._state()
         except Exception as fault:  # nothing is given away, and nothing has changed
             self.log.say("error", f"the state could not be put together: {type(fault).__name__}: {fault}")
-            estate = None
-        order.ticket.settle(estate)
+            state = None
+        order.pending.settle(state)
         if order.decided.get():
             self.journal.give()
             return True
         self.journal.thaw()
         return False
 
-    def _estate(self) -> Estate:
+    def _state(self) -> HandoverState:
         gated = {relay for line in self._gated.values() for relay in line}
-        return Estate(
+        return HandoverState(
             config=self.config,
             clock=self.clock.origin(),
             controller=self.controller,
@@ -397,12 +248,12 @@
         """Another process decides: whatever still comes in is for it."""
         while True:
             item = self._inbox.get()
-            if isinstance(item, HandIn) and item.ticket.claim():
-                item.ticket.settle(Answer(Verdict.MOVED))
-            elif isinstance(item, MakeRoom) and item.ticket.claim():
-                item.ticket.settle(False)
+            if isinstance(item, HandIn) and item.pending.claim():
+                item.pending.settle(Answer(Verdict.MOVED))
+            elif isinstance(item, MakeRoom) and item.pending.claim():
+                item.pending.settle(False)
             elif isinstance(item, HandOver):
-                item.ticket.settle(None)
+                item.pending.settle(None)
             elif isinstance(item, RelayEnded | Withdraw):
                 self.forward(item)
             elif isinstance(item, RemoteEnded):
@@ -424,18 +275,18 @@
         if relay is not None and relay.remote:
             self.call_off(relay)
 
-    def adopt(self, estate: Estate) -> None:
+    def adopt(self, state: HandoverState) -> None:
         """Go on with what another process has handed over, as if it had been this one's all the time.
 
         Called once, before `run` and before any client is served.
         """
         self._recovered, self._listed = None, True
-        self.controller, self._ended, self._unwritten = estate.controller, estate.ended, estate.unwritten
-        self.hosts.adopt(estate.hosts)
-        self.list_index = estate.list_index
-        for when, label in estate.timers:
+        self.controller, self._ended, self._unwritten = state.controller, state.ended, state.unwritten
+        self.hosts.adopt(state.hosts)
+        self.list_index = state.list_index
+        for when, label in state.timers:
             heapq.heappush(self._timers, (when, next(self._order), label))
-        for known in estate.owed:
+        for known in state.owed:
             owed = self._owed[known.taken.ref] = Owed(known.taken, known.count, over=known.over)
             owed.confirmed, owed.unwritten = known.confirmed, known.unwritten
             self._open += not owed.over
@@ -455,7 +306,7 @@
                     self._gate(relay)
                 else:  # should the other process say nothing: hung, or held up
                     heapq.heappush(self._timers, (out.ends_at + REMOTE_GRACE, next(self._order), relay))
-        for taken, ended in estate.unanswered:
+        for taken, ended in state.unanswered:
             self._owe_notice(taken, ended)
         for ref in self.lost_bodies:
             self.post(BodyLost(ref))
@@ -465,7 +316,7 @@
             f"taken over: {self._open} messages owed, {remote} calls out in the process "
             f"before, {len(self._unanswered)} notices unanswered",
         )
-        self._round([Retune(self.config)] if estate.config.settings != self.settings else [])
+        self._round([Retune(self.config)] if state.config.settings != self.settings else [])
 
     def _next_items(self) -> list[Item]:
         """What has come in; waits for the first of it, or for the next timer."""
@@ -555,14 +406,14 @@
         self._dropped.clear()
         for item in items:
             if isinstance(item, MakeRoom):
-                item.ticket.settle(True)
+                item.pending.settle(True)
         for ref, ended in ends.items():
             owed = self._owed[ref]
             if owed.copying:  # nothing was promised yet
                 self._answer_end(owed, ended)
-            elif owed.ticket is None:
+            elif owed.pending is None:
                 self._owe_notice(owed.taken, ended)
-            self._forget(owed, now, remember=ended.outcome == "given_up" and owed.ticket is None)
+            self._forget(owed, now, remember=ended.outcome == "given_up" and owed.pending is None)
         for action in actions:
             self._act(action, now)
         for relays in self._calls():
@@ -630,7 +481,7 @@
         elif isinstance(item, Withdraw):
             owed = self._owed.get(item.ref)
             # Only who handed it in may: the id alone is known to anybody.
-            if owed is not None and owed.by is item.ticket and not owed.over and not owed.confirmed:
+            if owed is not None and owed.by is item.pending and not owed.over and not owed.confirmed:
                 records.append(Ended(item.ref, "withdrawn"))
                 events.append(face.Withdrawn(item.ref))
                 self._forget(owed, now)
@@ -697,7 +548,7 @@
         self, item: HandIn, now: datetime, events: list[face.Event], records: list[Record], fresh: list[Owed]
     ) -> None:
         taken = item.taken
-        if not item.ticket.claim():
+        if not item.pending.claim():
             self.bodies.discard(taken)
             return
         if self.shared is not None:
@@ -710,11 +561,11 @@
         found = next((e.taken for e in self._recovered or () if e.taken.ref == taken.ref), None)
         if found is not None and same_message(taken, found):  # turned away, it would come under another id
             self.bodies.discard(taken)
-            item.ticket.settle(Answer(Verdict.TAKEN))
+            item.pending.settle(Answer(Verdict.TAKEN))
             return
         if self._ended.get(taken.ref, now) > now:
             self.bodies.discard(taken)
-            item.ticket.settle(Answer(Verdict.TAKEN))
+            item.pending.settle(Answer(Verdict.TAKEN))
             return
         mark = self.custody.mark(taken.message_class) if self.custody is not None else None
         # What was handed back may come again under its id, but not while a relay or its notice is still out.
@@ -732,13 +583,13 @@
         if refusal is not None:
             sort, why = refusal
             self.bodies.discard(taken)
-            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF, sort))
+            item.pending.settle(Answer(Verdict.BACK_OFF, BACK_OFF, sort))
             text = f"back-off answer to {taken.ref} for destination {taken.destination}"
             self.log.say(sort, f"{text}: {why}, {self._open} of {self.settings.holding_room} held")
             return
         if mark:
             taken = msgspec.structs.replace(taken, custody=mark)
-        owed = self._owed[taken.ref] = Owed(taken, ticket=item.ticket, by=item.ticket)
+        owed = self._owed[taken.ref] = Owed(taken, pending=item.pending, by=item.pending)
         self._open += 1
         fresh.append(owed)
         records.append(taken)
@@ -762,7 +613,7 @@
         for owed in islice(self._owed.values(), LOOKED_AT):
             taken = owed.taken
             plan = plans.get(taken.message_class)
-            if plan is None or not plan.own.drop or owed.over or owed.out or owed.ticket is not None:
+            if plan is None or not plan.own.drop or owed.over or owed.out or owed.pending is not None:
                 continue
             dest = taken.destination
             if dest not in next_s:
@@ -772,7 +623,7 @@
 
     def _make_room(self, item: MakeRoom, now: datetime, events: list[face.Event]) -> None:
         """End what may be dropped, so that a body worth more finds room."""
-        if not item.ticket.claim():
+        if not item.pending.claim():
             return
         admission, taken = item.admission, item.taken
         chosen = self.bodies.victims(
@@ -824,12 +675,12 @@
         """An id that is open: the same message, its connection closed under it, or a stranger's."""
         if not same_message(item.taken, known.taken):
             self.log.say("conflict", f"{item.taken.ref} is open with another content, answered 409")
-            item.ticket.settle(Answer(Verdict.CONFLICT))
-        elif known.ticket is not None:  # not decided yet: to be told what the first is told would be a guess
-            item.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF, "its id is being decided"))
+            item.pending.settle(Answer(Verdict.CONFLICT))
+        elif known.pending is not None:  # not decided yet: to be told what the first is told would be a guess
+            item.pending.settle(Answer(Verdict.BACK_OFF, BACK_OFF, "its id is being decided"))
         else:
             known.confirmed = True
-            item.ticket.settle(Answer(Verdict.TAKEN))
+            item.pending.settle(Answer(Verdict.TAKEN))
 
     def _message(self, taken: Taken, now: datetime, past: tuple[face.PastAttempt, ...] = ()) -> face.Message:
         return face.Message(
@@ -973,9 +824,9 @@
             # What was owed before is told as it ends; that it ended is written as soon as there is room.
             self._unwritten = [r for r in records if r.ref not in unwritten]
             for owed in [self._owed[ref] for ref in unwritten if ref in self._owed]:
-                if owed.ticket is not None:
-                    owed.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF, "journal not written"))
-                    owed.ticket = None
+                if owed.pending is not None:
+                    owed.pending.settle(Answer(Verdict.BACK_OFF, BACK_OFF, "journal not written"))
+                    owed.pending = None
                 owed.unwritten = True
                 self.bodies.discard(owed.taken)
                 self.post(Withdraw(owed.taken.ref, owed.by))
@@ -984,50 +835,50 @@
         """Answer the clients of this round."""
         for owed in fresh:
             ended = ends.get(owed.taken.ref)
-            if owed.ticket is None:
+            if owed.pending is None:
                 continue
             if ended is not None:
                 self._answer_end(owed, ended)
             elif owed.taken.custody is not None and self.custody is not None:
                 self._await_copies(owed)
             else:
-                owed.ticket.settle(Answer(Verdict.TAKEN))
-                owed.ticket = None
+                owed.pending.settle(Answer(Verdict.TAKEN))
+                owed.pending = None
 
     @staticmethod
     def _answer_end(owed: Owed, ended: Ended) -> None:
         """Tell a client, who waits, what became of its message."""
         if ended.outcome == "handed_back":
             retry = timedelta(milliseconds=ended.retry_in_ms) if ended.retry_in_ms else BACK_OFF
-            owed.ticket.settle(Answer(Verdict.BACK_OFF, retry))
+            owed.pending.settle(Answer(Verdict.BACK_OFF, retry))
         else:
-            owed.ticket.settle(Answer(Verdict.FAILED))
+            owed.pending.settle(Answer(Verdict.FAILED))
 
     def _await_copies(self, owed: Owed) -> None:
         """Its client is told, and its relays begin, once others hold the message."""
-        ref, ticket, owed.copying = owed.taken.ref, owed.ticket, True
+        ref, pending, owed.copying = owed.taken.ref, owed.pending, True
         since = self.clock.now() - (owed.taken.at or self.clock.now())
         patience = max(COPY_LEAST, min(self.custody.settings.patience, COPY_MOST - since))
-        self.custody.wait(owed.taken.custody, patience, True, lambda ok: self.post(Copied(ref, ticket, ok)))
+        self.custody.wait(owed.taken.custody, patience, True, lambda ok: self.post(Copied(ref, pending, ok)))
 
     def _copied(self, item: Copied, now: datetime, events: list[face.Event], records: list[Record]) -> None:
         owed = self._owed.get(item.ref)
-        if owed is None or not owed.copying or owed.by is not item.ticket:
+        if owed is None or not owed.copying or owed.by is not item.pending:
             return
         owed.copying, parked, owed.parked = False, owed.parked, []
         if item.ok and not owed.over:
-            owed.ticket.settle(Answer(Verdict.TAKEN))
+            owed.pending.settle(Answer(Verdict.TAKEN))
             for relay in parked:
                 self._launch(relay)
         else:
             for relay in parked:
                 self.post(RelayEnded(relay, face.Outcome.NOT_SENT, now - relay.begun_at))
             if not owed.over:
-                owed.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+                owed.pending.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
                 records.append(Ended(item.ref, "withdrawn"))
                 events.append(face.Withdrawn(item.ref))
                 self._forget(owed, now)
-        owed.ticket = None
+        owed.pending = None
 
     def _owe_notice(self, taken: Taken, ended: Ended) -> None:
         """Tell the platform. The next relay of its key waits until that is answered."""
@@ -1121,8 +972,8 @@
             owed = self._owed.get(ref)
             if owed is not None and not owed.over:
                 if owed.copying:
-                    owed.ticket.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
-                    owed.copying, owed.ticket = False, None
+                    owed.pending.settle(Answer(Verdict.BACK_OFF, BACK_OFF))
+                    owed.copying, owed.pending = False, None
                     for relay in owed.parked:
                         self.post(RelayEnded(relay, face.Outcome.NOT_SENT, now - relay.begun_at))
                 events.append(face.Withdrawn(ref))
--- a/willownotch/net/ticket.py
+++ b/willownotch/net/pending.py
@@ -12,7 +12,7 @@
 T = TypeVar("T")
 
 
-class Ticket(Generic[T]):
+class PendingReply(Generic[T]):
     """Either who answers claims it in time or who waits abandons it, never both."""
 
     def __init__(self) -> None:
