--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -315,8 +315,8 @@
             threads.start("management", operators.run, forever=True)
             log.say("start", f"operators are answered at {config.management[0]}:{operators.port}")
         lock = startup.attempt("the folder's lock", lambda: FolderLock(config.state))
-        taker = Successor(config.state, lock, clock, log)
-        inherited = startup.attempt("the folder's lock", lambda: taker.take(startup.stopped))
+        successor = Successor(config.state, lock, clock, log)
+        inherited = startup.attempt("the folder's lock", lambda: successor.take(startup.stopped))
         state = inherited.state if inherited else None
         if state is not None:
             clock.adopt(state.clock)
--- a/willownotch/handover/version.py
+++ b/willownotch/handover/version.py
@@ -22,7 +22,7 @@
 
 @functools.cache
 def version() -> bytes:
-    """A checksum of the sources of all that an state is made of, as they were when first asked for."""
+    """A checksum of the sources that the handed over state is made of, as they were when first asked for."""
     root, digest = Path(__file__).parents[1], hashlib.blake2b(digest_size=16)
     for name in NAMES:
         digest.update((root / name).read_bytes())
