--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -3,6 +3,7 @@
 import errno
 import json
 import os
+import select
 import signal
 import socket
 import subprocess
@@ -23,7 +24,7 @@
 from willownotch.handover.version import version
 from willownotch.handover.wire import HEAD, LOCK_WANTED, MAGIC, BadFrameError, Frame, Frames, Kind, Link
 from willownotch.life import Event, Standing
-from willownotch.net import http
+from willownotch.net import http, sockets
 from willownotch.net.client_connections import Stage
 from willownotch.net.client_side import ClientSide
 from willownotch.net.clock import Clock
@@ -666,3 +667,21 @@
     assert int(done.stdout) > 1000
     for descriptor in (reading, writing):
         os.close(descriptor)
+
+
+def test_an_interrupted_poll_is_not_taken_for_a_full_pipe_or_a_silent_client(monkeypatch):
+    """With no time left an interrupted poll gives nothing: the line with the operators' address was lost
+    (soak, seed 304)."""
+
+    class Interrupted:
+        def __init__(self):
+            self.calls = 0
+
+        def poll(self, timeout_ms):
+            self.calls += 1
+            return [] if self.calls == 1 else [(2, select.POLLOUT)]
+
+    log = Log(Clock())
+    log._pipe = Interrupted()
+    assert log._writable()
+    assert sockets.wait(Interrupted(), 0) == [(2, select.POLLOUT)]
--- a/willownotch/net/log.py
+++ b/willownotch/net/log.py
@@ -13,6 +13,7 @@
 from willownotch.net.counters import Counters
 
 PERIOD = timedelta(seconds=1)
+FULL_POLLS, FULL_MS = 3, 1  # until a pipe counts as full
 MOST = 5  # lines of one sort in a period
 
 
@@ -42,7 +43,8 @@
     def _writable(self) -> bool:
         """Whether a line can be written at once; said of it, nothing may fail here."""
         try:
-            return self._pipe is None or bool(self._pipe.poll(0))
+            # A poll that was interrupted gives nothing: a full pipe does so again and again.
+            return self._pipe is None or any(self._pipe.poll(FULL_MS) for _ in range(FULL_POLLS))
         except OSError:
             return True  # not known for the moment: mostly it can
 
--- a/willownotch/net/sockets.py
+++ b/willownotch/net/sockets.py
@@ -88,7 +88,9 @@
     """As `poll.poll`; where the kernel is short of memory, nothing is ready for a moment."""
     for attempt in range(TRIES):
         try:
-            return poll.poll(timeout_ms)
+            found = poll.poll(timeout_ms)
+            # Interrupted with no time left it gives nothing, whatever there is.
+            return found if found or timeout_ms != 0 else poll.poll(0)
         except OSError as fault:
             if fault.errno not in MOMENTARY or attempt + 1 == TRIES:
                 raise
