--- a/willownotch/net/log.py
+++ b/willownotch/net/log.py
@@ -36,6 +36,7 @@
     def __init__(self, clock: Clock, name: str = "-", stream=None) -> None:
         self.clock, self.name, self.stream = clock, name, stream
         self.counters = Counters()  # of lines by sort, those kept back too, and of what others count here
+        self._full = False  # nobody read it when a line was last due
         self._pipe = pipe_of_stderr() if stream is None else None
         self._lock = threading.Lock()
         self._spent: dict[str, tuple[datetime, int]] = {}
@@ -44,7 +45,9 @@
         """Whether a line can be written at once; said of it, nothing may fail here."""
         try:
             # A poll that was interrupted gives nothing: a full pipe does so again and again.
-            return self._pipe is None or any(self._pipe.poll(FULL_MS) for _ in range(FULL_POLLS))
+            polls = 1 if self._full else FULL_POLLS
+            self._full = self._pipe is not None and not any(self._pipe.poll(FULL_MS) for _ in range(polls))
+            return not self._full
         except OSError:
             return True  # not known for the moment: mostly it can
 
