Have the link between two processes outlast a wait and a read that fail for a moment

The soak's result now has what the processes said where a rule was broken, and leaves no sender behind when it is ended.

--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -714,3 +714,37 @@
     until(lambda: chain.sender.port)
     chain.sender.ready()
     until(lambda: chain.sender.hand_in("extra")[1].status == 202)
+
+
+def test_a_link_outlasts_a_wait_and_a_read_that_fail_for_a_moment(monkeypatch):
+    """ENOMEM in a wait for room on the link ended it, with all connections on their way (soak, seed 327)."""
+    ours, theirs = socket.socketpair(socket.AF_UNIX)
+    link, failures = Link(ours), []
+
+    class Short:
+        def register(self, *_):
+            pass
+
+        def poll(self, timeout_ms):
+            failures.append(timeout_ms)
+            if len(failures) < 3:
+                raise OSError(errno.ENOMEM, "no memory")
+            return [(1, select.POLLOUT)]
+
+    monkeypatch.setattr(wire.select, "poll", Short)
+    link._wait_writable(0.1)
+    assert len(failures) == 3
+    monkeypatch.undo()
+    recv_fds, reads = socket.recv_fds, []
+
+    def failing(*arguments):
+        reads.append(1)
+        if len(reads) < 3:
+            raise OSError(errno.ENOBUFS, "no memory")
+        return recv_fds(*arguments)
+
+    monkeypatch.setattr(socket, "recv_fds", failing)
+    Link(theirs).send(Kind.GIVEN)
+    assert link.receive(PATIENCE_SPAN).kind is Kind.GIVEN and len(reads) == 3
+    link.close()
+    theirs.close()
--- a/willownotch/handover/wire.py
+++ b/willownotch/handover/wire.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from struct import Struct
 
+from willownotch.net import sockets
 from willownotch.net.clock import seconds
 
 HEAD = Struct("<4sBBI")
@@ -166,7 +167,7 @@
     def _wait_writable(self, wait_s: float) -> None:
         waiting = select.poll()
         waiting.register(self.sock, select.POLLOUT)
-        waiting.poll(max(1, int(wait_s * 1000)))
+        sockets.wait(waiting, max(1, int(wait_s * 1000)))
 
     def _break(self) -> None:
         self.broken = True
@@ -179,12 +180,15 @@
         """The next frame; None at the connection's end. `TimeoutError` if nothing comes in time."""
         while not self._ready:
             self.sock.settimeout(None if patience is None else seconds(patience))
-            data, fds, flags, _ = socket.recv_fds(self.sock, READ, DESCRIPTORS)
+            data, fds, flags, _ = sockets.again("recvmsg", self._receive)
             if not data:
                 return None
             self._ready += self._frames.feed(data, fds, bool(flags & socket.MSG_CTRUNC))
         return self._ready.popleft()
 
+    def _receive(self) -> tuple[bytes, list[int], int, object]:
+        return socket.recv_fds(self.sock, READ, DESCRIPTORS)
+
     def close(self) -> None:
         """End the connection."""
         self.broken = True
--- a/willownotch/lab/soak/__main__.py
+++ b/willownotch/lab/soak/__main__.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
@@ -29,8 +30,19 @@
     return found
 
 
+def processes_of(report: Report) -> dict[str, list[str]]:
+    """What the processes said, by their names and times."""
+    found = {}
+    began = report.records.began
+    for life in report.records.lifetimes:
+        times = {name: round(at - began, 3) for name in TIMES if (at := getattr(life, name)) is not None}
+        found[f"n{life.sender} process {life.number} {times}"] = life.lines
+    return found
+
+
 def play_seed(seconds: float, senders: int | None, program: Path, seed: int) -> Report:
     """One seed, in a process of its own where several are played beside one another."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that no sender is left behind
     return play(draw(seed, seconds, senders), program)
 
 
@@ -45,6 +57,7 @@
         "broken": report.rules(),
         "texts": [f"{b.rule}: {b.text}" for b in report.broken[:10]],
         "seconds": round(report.seconds, 1),
+        "processes": processes_of(report) if report.broken else {},
     }
 
 
@@ -76,14 +89,8 @@
         for report in pool.map(partial(play_seed, seconds, senders, program), seeds_of(seeds)):
             print(report.text(), flush=True)
             if lines:
-                began = report.records.began
-                for life in report.records.lifetimes:
-                    times = {
-                        name: round(at - began, 3)
-                        for name in TIMES
-                        if (at := getattr(life, name)) is not None
-                    }
-                    print(f"--- n{life.sender} process {life.number} {times}", *life.lines, sep="\n")
+                for name, said in processes_of(report).items():
+                    print(f"--- {name}", *said, sep="\n")
                 print(*report.records.actions, sep="\n")
             rows.append(row(report))
     if path is not None:
--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -136,7 +136,18 @@
             )
         elif ref in ends and ends[ref] > due:
             found.append(Broken("late ending", f"n{request.sender} {ref} ended {ends[ref] - due:.3f} s late"))
-    found += [Broken("refused and sent", call.ref) for call in records.calls if call.ref in refused]
+    for call in records.calls:
+        if call.ref in refused:
+            asked = next(r for r in records.requests if r.ref == call.ref)
+            began = records.began
+            found.append(
+                Broken(
+                    "refused and sent",
+                    f"n{asked.sender} {call.ref} written at {asked.written - began:.3f}, answered {asked.status} "
+                    f"at {asked.ended - began:.3f} on a {'kept' if asked.reused else 'new'} connection, called "
+                    f"at {call.began - began:.3f}: {call.status}",
+                )
+            )
     return found
 
 
--- a/willownotch/net/sockets.py
+++ b/willownotch/net/sockets.py
@@ -11,9 +11,12 @@
 import select
 import socket
 import time
+from collections.abc import Callable
+from typing import TypeVar
 
 from willownotch.net.counters import Counters
 
+T = TypeVar("T")
 TRIES = 4
 RETRIES = Counters()  # of this process, by call and error
 RETRY_S = 0.002  # between tries, doubling
@@ -47,18 +50,24 @@
 ACCEPT_AGAIN = MOMENTARY | {errno.ECONNABORTED}
 
 
-def receive(sock: socket.socket, size: int) -> bytes:
-    """As `recv`. `TimeoutError` without an `errno` is the socket's own time-out, which is told at once."""
+def again(call: str, make: Callable[[], T]) -> T:
+    """What a call gives, made again where it failed for a moment. `TimeoutError` without an `errno` is the
+    socket's own time-out, which is told at once."""
     for attempt in range(TRIES):
         try:
-            return sock.recv(size)
+            return make()
         except OSError as fault:
             if fault.errno not in MOMENTARY or attempt + 1 == TRIES:
                 raise
-            _pause("recv", fault, attempt)
+            _pause(call, fault, attempt)
     raise AssertionError("unreachable")
 
 
+def receive(sock: socket.socket, size: int) -> bytes:
+    """As `recv`."""
+    return again("recv", lambda: sock.recv(size))
+
+
 def _pause(call: str, fault: OSError, attempt: int) -> None:
     RETRIES.add(f"{call} again", errno.errorcode[fault.errno])
     time.sleep(RETRY_S * 2**attempt)
@@ -85,17 +94,10 @@
 
 
 def wait(poll: select.poll, timeout_ms: int | None) -> list[tuple[int, int]]:
-    """As `poll.poll`; where the kernel is short of memory, nothing is ready for a moment."""
-    for attempt in range(TRIES):
-        try:
-            found = poll.poll(timeout_ms)
-            # Interrupted with no time left it gives nothing, whatever there is.
-            return found if found or timeout_ms != 0 else poll.poll(0)
-        except OSError as fault:
-            if fault.errno not in MOMENTARY or attempt + 1 == TRIES:
-                raise
-            _pause("poll", fault, attempt)
-    raise AssertionError("unreachable")
+    """As `poll.poll`."""
+    found = again("poll", lambda: poll.poll(timeout_ms))
+    # Interrupted with no time left it gives nothing, whatever there is.
+    return found if found or timeout_ms != 0 else poll.poll(0)
 
 
 def without_delay(sock: socket.socket) -> None:
