--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -143,9 +143,9 @@
             found.append(
                 Broken(
                     "refused and sent",
-                    f"n{asked.sender} {call.ref} written at {asked.written - began:.3f}, answered {asked.status} "
-                    f"at {asked.ended - began:.3f} on a {'kept' if asked.reused else 'new'} connection, called "
-                    f"at {call.began - began:.3f}: {call.status}",
+                    f"n{asked.sender} {call.ref} written at {asked.written - began:.3f}, answered "
+                    f"{asked.status} at {asked.ended - began:.3f} on a {'kept' if asked.reused else 'new'} "
+                    f"connection, called at {call.began - began:.3f}: {call.status}",
                 )
             )
     return found
