--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -748,3 +748,16 @@
     assert link.receive(PATIENCE_SPAN).kind is Kind.GIVEN and len(reads) == 3
     link.close()
     theirs.close()
+
+
+def test_a_connection_that_came_with_a_request_is_never_passed_on_without_it(rig):
+    """Between two upgrades: adopted, and its thread not begun yet, it was passed on as one that rests."""
+    begun, passed = [], []
+    rig.client_side.start = lambda name, work: begun.append(work)
+    theirs, ours = pair()
+    assert rig.client_side.adopt(ours, request("7"), None, 1)
+    rig.client_side.redirect(lambda sock, data, *_: bool(passed.append(data)) or True)
+    assert rig.client_side.give() == 0
+    begun[0]()
+    assert len(passed) == 1 and b"request-id: 7" in passed[0]
+    theirs.close()
--- a/willownotch/net/client_side.py
+++ b/willownotch/net/client_side.py
@@ -215,6 +215,8 @@
         """Go on with a client of the process before this one; whether it is served here from now on."""
         client = Client(sock, self.clock.now(), self._stages)
         client.asked, client.shared, client.arrived, client.read_at = asked, True, arrived, read_at
+        if request:  # before anybody can take it for one that rests, and pass it on without its request
+            client.at(Stage.READING, client.since)
         if self._welcome(client, request):
             return True
         client.moved = True  # it is the other process's still
