--- a/tests/toys.py
+++ b/tests/toys.py
@@ -15,51 +15,17 @@
 
 from willownotch.journal import records
 from willownotch.lab.faults import shim
+from willownotch.lab.soak.processes import SETTINGS as FLEET_SETTINGS
 from willownotch.net import http, journal
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 10.0  # s; no test waits on a condition for longer
 
 SETTINGS = {
-    "services": [
-        {
-            "name": "order",
-            "credit": 1.0,
-            "promiseS": 2.5,
-            "hardLimitS": 16.0,
-            "lateShare": 0.3,
-            "idempotency": "keyed",
-            "group": "all",
-            "memorySpanS": 15.0,
-        },
-        {"name": "status", "credit": 1.0, "promiseS": 2.5, "hardLimitS": 28.0, "idempotency": "safe"},
-        {
-            "name": "fee",
-            "credit": 3.0,
-            "promiseS": 2.0,
-            "hardLimitS": 20.0,
-            "idempotency": "unsafe",
-            "oneAtATime": True,
-        },
-    ],
-    "models": ["haulier"],
+    **FLEET_SETTINGS,
     "orgs": [{"name": "acme", "quotaPerS": 50.0}],
-    "peersTotal": 1,
-    "familyInfo": {"slots": 6, "decay": "even", "kindBatch": [1], "separateRoutes": [False]},
-    "policyLimits": {
-        "maxOpen": 40,
-        "maxAttempts": 12,
-        "connectTimeoutS": 1.0,
-        "keepaliveS": 5.0,
-        "maxRetryAfterS": 2.0,
-        "mayCancel": True,
-        "retryAfter": True,
-        "secondCopies": True,
-    },
-    "rules": {"coldShare": 0.2, "coldS": 10.0, "fallMultiple": 2.0, "fallS": 2.0, "keyQuietS": 0.3},
-    "callers": {"marksRetry": True},
-    "weightKind": "rough",
-    "zones": ["here"],
+    "familyInfo": {**FLEET_SETTINGS["familyInfo"], "slots": 6},
+    "policyLimits": {**FLEET_SETTINGS["policyLimits"], "maxOpen": 40, "maxAttempts": 12},
 }
 
 
