Count a member out whose address another process has taken

Found by tests/test_peers_story.py: formatted sources draw other stories (the cases are derived from each test's text), and one of them kills m4, m1 and starts m1 anew. peers/core.py `_hear_of_namesake` set the former process's state to DEAD without counting it out, so that size() was one too high for good.

--- a/willownotch/peers/core.py
+++ b/willownotch/peers/core.py
@@ -404,6 +404,7 @@
             return  # a rumour of one that is not known here any more
         if member.state > State.SUSPECT or rumour.address == member.address:
             # It was gone, or its place has been taken: an address is one process's at a time.
+            self._size -= member.state <= State.SUSPECT
             member.uid, member.state, member.incarnation = rumour.uid, State.DEAD, -1
             self._change(member, rumour, why)
             return
