--- a/tests/test_controlplane_page.py
+++ b/tests/test_controlplane_page.py
@@ -54,7 +54,7 @@
 
 
 def test_every_sort_of_line_is_told():
-    sorts = set(re.findall(r"say\(\"([a-z]+)\"", source("member"))) | {"end", "dead", "reload"}
+    sorts = set(re.findall(r"say\(\s*\"([a-z]+)\"", source("member"))) | {"end", "dead", "reload"}
     assert {"agreement", "apart", "commit", "folder", "nack", "refused", "voters"} <= sorts
     for sort in sorts:
         assert re.search(rf"^\| `{sort}`|^\| `peers`, `{sort}`", PAGE, re.M), sort
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -224,10 +224,8 @@
         """Go by these settings from now on; what is in hand keeps its class, a tenant what is left to it."""
         self.settings = self.book.settings = settings
         self.strange, self.parts = min(c.wanted_s for c in settings.classes), {}  # patience; counted parts
-        self.shares = {
-            t.name: self.shares.get(t.name, Bucket(t.quota_per_s * TENANT_BURST_S, 0.0))
-            for t in settings.tenants
-        }
+        fresh = {t.name: Bucket(t.quota_per_s * TENANT_BURST_S, 0.0) for t in settings.tenants}
+        self.shares = {name: self.shares.get(name, bucket) for name, bucket in fresh.items()}
         for route in self.book.routes.values() if settings.listed_rates else ():
             route.unit.told_limit = route.unit.told_limit or route.entry.rate
 
