Have a test wait until the sender has read that a host is gone

The test waits for the old connection's end now, which the change causes; what it wants is as before.

--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -158,7 +158,9 @@
         sender = self.sender()
         sender.hand_in()
         sender.settled()
+        kept = self.host.socks[-1]
         self.discovery.change(0, self.host, "Gone")
+        until(lambda: kept.fileno() < 0)  # the sender has read it, and ended the connection
         self.discovery.change(1, self.host, "Ready")
         until(lambda: sender.hand_in()[1].status == 202)
         until(lambda: len(self.host.calls) > 1)
