--- a/willownotch/handover/predecessor.py
+++ b/willownotch/handover/predecessor.py
@@ -99,7 +99,7 @@
         while link is None:
             link = self._next_asked()
         self._sock.close()  # who asks from now on is refused at once, and asks the new process
-        self.start("leave", lambda: self._leave(link))
+        self.start("leave", self._leave)
         self._hear(link)
         threading.Event().wait()  # `_leave` ends the process
 
@@ -269,7 +269,7 @@
     def _finished(self) -> bool:
         return self.predecessor_gone() and not self._calls_out() and not self.client_side.present()
 
-    def _leave(self, link: Link) -> None:
+    def _leave(self) -> None:
         """End the process once all calls have ended and all clients are gone from here.
 
         Without the other process nobody can be told of a call's end: the next one finds in the journal that
--- a/willownotch/lab/soak/endpoints.py
+++ b/willownotch/lab/soak/endpoints.py
@@ -74,15 +74,6 @@
                 except OSError:
                     pass  # it has ended
 
-    def end_connections(self) -> None:
-        """Reset what is open, and go on."""
-        with self._lock:
-            for sock in self._open:
-                try:
-                    sock.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass  # it has ended
-
 
 class Endpoint(Server):
     """A partner's endpoint: records each call, and answers by the weather of the moment."""
--- a/willownotch/lab/soak/processes.py
+++ b/willownotch/lab/soak/processes.py
@@ -250,11 +250,9 @@
         self.wait_ready(self.start())
 
     def _hold(self) -> None:
-        began = time.monotonic()
         self._signal(signal.SIGSTOP)
         time.sleep(HOLD_MOST_S)
         self._signal(signal.SIGCONT)
-        self.life.held.append((began, time.monotonic()))
 
     def _quiesce(self) -> None:
         self.life.drained_at.append(time.monotonic())
--- a/willownotch/lab/soak/records.py
+++ b/willownotch/lab/soak/records.py
@@ -77,7 +77,6 @@
     killed_at: float | None = None  # SIGKILL by the harness
     succeeded_at: float | None = None  # when the process after it was started beside it
     drained_at: list[float] = field(default_factory=list)  # `quiesce`
-    held: list[tuple[float, float]] = field(default_factory=list)  # SIGSTOP to SIGCONT
     ended: float | None = None
     code: int | None = None
     lines: list[str] = field(default_factory=list)
--- a/willownotch/net/timebase.py
+++ b/willownotch/net/timebase.py
@@ -68,8 +68,15 @@
         found = read_origin(files, folder)
     except OSError:
         return  # `restore` tries it again
-    if continues(found, read_boot_id(), time.monotonic()):
-        clock.adopt((found.time, found.monotonic_s))
+    _go_on(clock, found)
+
+
+def _go_on(clock: Clock, origin: Origin | None) -> bool:
+    """Have a clock go on from there if it may; whether it does."""
+    if not continues(origin, read_boot_id(), time.monotonic()):
+        return False
+    clock.adopt((origin.time, origin.monotonic_s))
+    return True
 
 
 def restore(clock: Clock, folder: Path, files: Files, log: Log) -> Callable[[], None] | None:
@@ -78,9 +85,8 @@
     What has still to be done where the file could not be written, for a thread; `OSError` if it could not be
     read.
     """
-    boot, found = read_boot_id(), read_origin(files, folder)
-    if continues(found, boot, time.monotonic()):
-        clock.adopt((found.time, found.monotonic_s))
+    found = read_origin(files, folder)
+    if _go_on(clock, found):
         step = datetime.now(UTC) - clock.now()
         if abs(step) >= STEP_TOLD:
             log.say(
