--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -387,8 +387,12 @@
                 unit.period_at, unit.costs = now, []  # an outage says nothing of what is usual
                 # What answered this lately was no outage (slow calls, a full table of connections): no ramp.
                 cold = now - route.last_ok >= RECENT_S
+                out_s = now - route.failing_at
                 self._turn(route, failing=False, cold=cold)
-                self.out.append(face.Log(f"endpoint {route.entry.number} answers again, ramp: {cold}"))
+                said = f"answers again after {out_s:.1f} s, slow start: {cold}"
+                if cold:
+                    said += f", counted from {now - route.back_at:.1f} s ago"
+                self._say(route, said)
             route.last_ok = now
             success(unit, event.took_s, now, event.room_left, even_part(unit, self.settings))
         if outcome in (Outcome.DELIVERED, Outcome.CALLED_OFF, Outcome.NOT_SENT):
@@ -410,7 +414,12 @@
         route.failed_at = now if outcome is Outcome.UNREACHABLE else inf
         if route.sick >= SICK and not route.failing:
             self._turn(route, failing=True)
-            self.out.append(face.Log(f"endpoint {route.entry.number} judged failing ({outcome.value})"))
+            self._say(route, f"judged failing ({outcome.value}), last answer {now - route.last_ok:.1f} s ago")
+
+    def _say(self, route: Route, text: str) -> None:
+        """A line on an endpoint."""
+        number = route.entry.number
+        self.out.append(face.Log(f"endpoint {number} {text}", number))
 
     def _overdue(self) -> None:
         """Silence: hanging calls bring no outcome, so the age of an unanswered one counts as evidence."""
@@ -597,6 +606,7 @@
             return inf
         if route.back_at is not None and self.now >= route.back_at + self.settings.rules.cold_s:
             route.back_at = None
+            self._say(route, f"is taken for warm, {len(dest.held)} messages are held for its destination")
         ramp = route.next_at if route.failing or route.back_at is not None else -inf
         return max(unit.wait_until, unit.next_at if unit.pace < inf else -inf, ramp)
 
@@ -620,4 +630,7 @@
         # Cutting an unsafe call short loses it for good; the others get longer with each try.
         patience = max(2 * self._patience(route.unit), job.cls.wanted_s) * 2 ** (len(job.tainted()) - 1)
         patience = inf if job.cls.effect is Effect.UNSAFE else patience
-        self.out.append(face.Send(job.ref, route.entry.number, min(job.ends_at - self.now, patience)))
+        phase = face.CallPhase.TRIAL if route.failing else face.CallPhase.ORDINARY
+        phase = face.CallPhase.SLOW_START if route.back_at is not None else phase
+        time_out_s = min(job.ends_at - self.now, patience)
+        self.out.append(face.Send(job.ref, route.entry.number, time_out_s, phase))
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -47,6 +47,14 @@
     NOT_SENT = "not sent"
 
 
+class CallPhase(Enum):
+    """In which state of its endpoint an attempt was sent."""
+
+    ORDINARY = "ordinary"
+    TRIAL = "trial"  # the endpoint is failing: one at a time, to see whether it is back
+    SLOW_START = "slow start"  # it may be cold
+
+
 class Readiness(Enum):
     """What the list says of an endpoint."""
 
@@ -303,6 +311,7 @@
     ref: str
     endpoint: int
     time_out_s: float
+    phase: CallPhase = CallPhase.ORDINARY
 
 
 @dataclass(slots=True, frozen=True)
@@ -370,9 +379,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Log:
-    """A line for the operators."""
+    """A line for the operators, on one endpoint or on none."""
 
     text: str
+    endpoint: int | None = None
 
 
 Event = (
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -909,10 +909,16 @@
             if host is not None:
                 self.shared.found(time.monotonic(), host.name, action.works)
         elif isinstance(action, face.Log):
-            self.log.say("module", action.text)
+            self._log_of_module(action)
         elif not isinstance(action, face.Refuse | face.Fail):
             self.log.say("module", f"no way to carry out {type(action).__name__} here")
 
+    def _log_of_module(self, action: face.Log) -> None:
+        """A line of the module's, with the name that others know the endpoint by."""
+        host = self.hosts.by_number.get(action.endpoint) if action.endpoint is not None else None
+        about = f" ({host.name}, destination {host.destination})" if host is not None else ""
+        self.log.say("module", action.text + about)
+
     def _send(self, action: face.Send, now: datetime) -> None:
         owed, host = self._owed[action.ref], self.hosts.by_number.get(action.endpoint)
         ends_at = min(now + span(action.time_out_s), owed.taken.ends_at - END_MARGIN)
@@ -928,6 +934,7 @@
         )
         owed.count += 1
         owed.out[relay.number] = relay
+        self.log.counters.add("attempt sent", action.phase.value)
         if host is None or owed.unwritten:  # it left the list in this very round
             self.post(RelayEnded(relay, face.Outcome.NOT_SENT))
         elif owed.copying:
