--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -446,6 +446,7 @@
         self.assertEqual(sender.exchange(sender.request("GET", "/health/ready")).status, 503)
         self.discovery.change(0, self.host, "Ready")
         sender.ready()
+        self.discovery.listener.close()  # a new watch would be told an empty list
         self.discovery.tell("{nonsense")
         until(lambda: any("watch: broken off" in line for line in sender.lines))
         self.assertEqual(sender.hand_in()[1].status, 202)
