--- a/willownotch/lab/soak/clients.py
+++ b/willownotch/lab/soak/clients.py
@@ -16,6 +16,7 @@
 BODY_MOST, LARGE_BODY_MOST = 400, 60_000  # bytes
 PAUSE_EACH_S = 0.0006  # between two requests of a client, for each other client of the run
 CLASSES = ("order", "status", "fee")
+COLD_LEFT_S = 10.0  # what is held in an outage of the cold destination waits for its return
 
 
 class Client:
@@ -30,6 +31,8 @@
         random: Random,
         stop: threading.Event,
         others: int = 0,
+        destination: int = DESTINATION,
+        pause_s: float | None = None,
     ) -> None:
         self.records, self.sender, self.address, self.number = records, sender, address, number
         self.random, self.stop = random, stop
@@ -37,6 +40,9 @@
         self.pieces = random.random() < 0.3
         # Many that never pause would measure this process, not the senders.
         self.pause_s = random.choice((0.002, 0.01, 0.03, 0.2)) + PAUSE_EACH_S * others
+        if pause_s is not None:
+            self.pause_s = pause_s
+        self.destination = destination
         self.key = f"k{sender}-{number}" if random.random() < 0.3 else None
         self._sock: socket.socket | None = None
         self._count, self._rested = 0, 0.0
@@ -62,7 +68,7 @@
         large = self.random.random() < 0.02
         size = self.random.randint(0, LARGE_BODY_MOST if large else BODY_MOST)
         body = (ref.encode() * (size // 16 + 1))[:size]
-        left_s = self.random.choice((1.5, 4.0, 8.0))
+        left_s = self.random.choice((1.5, 4.0, 8.0)) if self.destination == DESTINATION else COLD_LEFT_S
         with self.records.lock:
             self.records.contents[ref] = Content(body, f"i{ref}")
         headers = [
@@ -70,7 +76,7 @@
             ("Request-Class", cls),
             ("Tenant", "acme"),
             ("Request-Timeout-Ms", str(int(left_s * 1000))),
-            ("X-Consignee", f"dest={DESTINATION}"),
+            ("X-Consignee", f"dest={self.destination}"),
             ("Idempotency-Key", f"i{ref}"),
         ]
         target = f"/api?thread={self.key}" if self.key else "/api"
--- a/willownotch/lab/soak/endpoints.py
+++ b/willownotch/lab/soak/endpoints.py
@@ -17,7 +17,8 @@
 RESET = struct.pack("ii", 1, 0)
 WATCH_S = 2.0  # between two lines of a watch
 HANG_S = 30.0
-DESTINATION = 7
+BIND_AGAIN_S = 0.01
+DESTINATION, COLD_DESTINATION = 7, 9
 
 
 class Server:
@@ -32,15 +33,41 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
+        listener = self.listener
         while not self.closing.is_set():
             try:
-                sock, _ = self.listener.accept()
+                sock, _ = listener.accept()
             except OSError:
                 return
             with self._lock:
                 self._open.add(sock)
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
+    def stop_listening(self) -> None:
+        """Refuse connections, and end those that are open."""
+        # Shut down first: a thread that waits in accept would keep the socket open.
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self._end_connections()
+
+    def listen_again(self) -> None:
+        """Take connections at the same address as before."""
+        while not self.closing.is_set():
+            try:
+                self.listener = socket.create_server(self.address, backlog=256)
+                break
+            except OSError:
+                self.closing.wait(BIND_AGAIN_S)  # a connection of the machine has the port for a moment
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _end_connections(self) -> None:
+        with self._lock:
+            for sock in self._open:
+                try:
+                    sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass  # it has ended
+
     def _serve(self, sock: socket.socket) -> None:
         parser = http.Parser(answer=False)
         try:
@@ -67,12 +94,7 @@
         """End it, with all its connections."""
         self.closing.set()
         self.listener.close()
-        with self._lock:
-            for sock in self._open:
-                try:
-                    sock.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass  # it has ended
+        self._end_connections()
 
 
 class Endpoint(Server):
@@ -137,23 +159,36 @@
 class Platform(Server):
     """Discovery's list with its watch, and the notices of ended messages."""
 
-    def __init__(self, records: Records, endpoints: list[tuple[str, int]], up: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        records: Records,
+        endpoints: list[tuple[str, int]],
+        up: Callable[[], bool],
+        cold: tuple[str, int] | None = None,
+        cold_rate: float = 0.0,
+    ) -> None:
         self.records, self.up = records, up
         self.entries = [
-            {
-                "name": f"s-{number:04x}",
-                "address": f"{host}:{port}",
-                "zone": "here",
-                "type": "haulier",
-                "group": DESTINATION,
-                "status": "Ready",
-                "weight": 100.0,
-                "since_ms": 0,
-            }
-            for number, (host, port) in enumerate(endpoints)
+            self._entry(f"s-{number:04x}", address, DESTINATION, 100.0)
+            for number, address in enumerate(endpoints)
         ]
+        if cold is not None:
+            self.entries.append(self._entry("s-cold", cold, COLD_DESTINATION, cold_rate))
         super().__init__()
 
+    @staticmethod
+    def _entry(name: str, address: tuple[str, int], destination: int, rate: float) -> dict:
+        return {
+            "name": name,
+            "address": f"{address[0]}:{address[1]}",
+            "zone": "here",
+            "type": "haulier",
+            "group": destination,
+            "status": "Ready",
+            "weight": rate,
+            "since_ms": 0,
+        }
+
     def answer(self, sock: socket.socket, head: http.Head, body: bytes) -> bool:
         """See `Server`."""
         if head.method == "POST":
--- a/willownotch/lab/soak/plan.py
+++ b/willownotch/lab/soak/plan.py
@@ -6,7 +6,9 @@
 from enum import Enum
 from random import Random
 
+from willownotch.interface import Rules
 from willownotch.lab.faults.shim import SHORT, SLOW, CallFault
+from willownotch.lab.recovery.case import OutageKind
 
 KILL_AFTER_S = 3.7  # from SIGTERM to SIGKILL: the earliest that the pages allow
 RESTART_AFTER_S = 0.6  # from SIGKILL to the next start
@@ -22,6 +24,7 @@
     UPGRADE_TWICE = "upgrade on an upgrade"
     RESTART = "SIGTERM, SIGKILL, start"
     KILL = "SIGKILL, start"
+    LOSE = "SIGKILL, the folder emptied, start"
     RELOAD = "SIGHUP"
     HOLD = "SIGSTOP, SIGCONT"
     DRAIN = "quiesce, resume"
@@ -53,6 +56,51 @@
     discovery_up: bool = True
 
 
+@dataclass(frozen=True)
+class ColdOutage:
+    """A span in which the cold destination is out, in seconds from the beginning."""
+
+    from_s: float
+    to_s: float
+    kind: OutageKind
+
+
+@dataclass(frozen=True)
+class ColdPlan:
+    """A destination that fails and returns cold, and the traffic for it."""
+
+    limit_per_s: float  # of all senders together; its capacity is more
+    outages: tuple[ColdOutage, ...]
+    load: float = 0.8  # x the limit
+    tells_limit: bool = True
+    capacity: float = 1.2  # x the limit
+    clients: int = 2  # of each sender
+    cold_share: float = 0.2
+    cold_s: float = 10.0
+    fall_multiple: float = 2.0
+    fall_s: float = 2.0
+
+    def budget(self, since_s: float) -> float:
+        """The calls that the settings allow in a window that begins so long after the return."""
+        share = min(1.0, self.cold_share + (1 - self.cold_share) * since_s / self.cold_s)
+        return self.fall_multiple * self.capacity * self.limit_per_s * share * self.fall_s
+
+    def rules(self) -> Rules:
+        """Its figures, as a sender reads them."""
+        return Rules(
+            cold_share=self.cold_share,
+            cold_s=self.cold_s,
+            fall_multiple=self.fall_multiple,
+            fall_s=self.fall_s,
+        )
+
+    def describe(self) -> str:
+        """One line."""
+        outages = ", ".join(f"{o.kind.value} {o.from_s:.1f}-{o.to_s:.1f} s" for o in self.outages)
+        told = "told" if self.tells_limit else "not told"
+        return f"cold destination, limit {self.limit_per_s:.0f} {told}, load {self.load:.1f}: {outages}"
+
+
 @dataclass(frozen=True)
 class Plan:
     """One run."""
@@ -67,15 +115,17 @@
     weather: tuple[Weather, ...]
     call_faults: tuple[CallFault, ...]
     clock_steps_s: tuple[float, ...]  # of the wall clock, for the processes of a sender in turn
+    cold: ColdPlan | None = None
 
     def describe(self) -> str:
         """One line."""
         steps = ", ".join(f"{s.at_s:.1f} s n{s.sender} {s.action.value}" for s in self.steps)
         faults = " ".join(fault.text() for fault in self.call_faults) or "none"
+        cold = f"; {self.cold.describe()}" if self.cold is not None else ""
         return (
             f"seed {self.seed}: {self.senders} senders x {self.clients} clients + {self.idle} idle, "
             f"{self.endpoints} endpoints; {steps}; system calls: {faults}; "
-            f"clock steps: {self.clock_steps_s}"
+            f"clock steps: {self.clock_steps_s}{cold}"
         )
 
 
--- a/willownotch/lab/soak/processes.py
+++ b/willownotch/lab/soak/processes.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -62,6 +63,22 @@
     "weightKind": "rough",
     "zones": ["here"],
 }
+
+
+def settings_of(plan: Plan) -> dict:
+    """The settings of a plan's senders."""
+    rules = plan.cold.rules() if plan.cold is not None else None
+    if rules is None:
+        return SETTINGS
+    figures = {
+        "coldShare": rules.cold_share,
+        "coldS": rules.cold_s,
+        "fallMultiple": rules.fall_multiple,
+        "fallS": rules.fall_s,
+    }
+    return {**SETTINGS, "peersTotal": plan.senders, "rules": {**SETTINGS["rules"], **figures}}
+
+
 PORT_FIRST, PORT_SHARE, PORT_PARTS = 16000, 160, 100  # a part for each process that plays
 MANAGED = re.compile(r"operators are answered at ([\d.]+):(\d+)")
 
@@ -103,7 +120,7 @@
                     "discovery": discovery,
                     "seed": f"{plan.seed:x}{number}",
                     "limits": {"sockets": 384, "disk_mb": 8, "memory_mb": 96},
-                    "settings": SETTINGS,
+                    "settings": settings_of(plan),
                 }
             ),
             encoding="utf-8",
@@ -190,6 +207,7 @@
                 Action.UPGRADE_TWICE: self._upgrade_twice,
                 Action.RESTART: self._restart,
                 Action.KILL: self._kill,
+                Action.LOSE: self._lose,
                 Action.RELOAD: lambda: self._signal(signal.SIGHUP),
                 Action.HOLD: self._hold,
                 Action.DRAIN: self._drain,
@@ -241,14 +259,20 @@
         time.sleep(RESTART_AFTER_S)
         self.wait_ready(self.start())
 
-    def _kill(self) -> None:
+    def _kill(self, lose_folder: bool = False) -> None:
         life, process = self.life, self.process
         life.meant_to_end, life.killed_at = True, time.monotonic()
         self._signal(signal.SIGKILL)
         process.wait()
+        if lose_folder:
+            life.folder_lost_at = time.monotonic()
+            shutil.rmtree(self.state, ignore_errors=True)
         time.sleep(RESTART_AFTER_S)
         self.wait_ready(self.start())
 
+    def _lose(self) -> None:
+        self._kill(lose_folder=True)
+
     def _hold(self) -> None:
         self._signal(signal.SIGSTOP)
         time.sleep(HOLD_MOST_S)
--- a/willownotch/lab/soak/records.py
+++ b/willownotch/lab/soak/records.py
@@ -65,6 +65,17 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Fall:
+    """The cold destination fell under the calls of one window."""
+
+    since_s: float  # from its return to the window's end
+    calls: int
+    granted: float
+    aware: float  # the share of them from senders that may have seen a call fail there
+    by_sender: dict[int, int]
+
+
 @dataclass(slots=True)
 class Lifetime:
     """One process of a sender."""
@@ -75,6 +86,7 @@
     ready: float | None = None
     stop_at: float | None = None  # SIGTERM
     killed_at: float | None = None  # SIGKILL by the harness
+    folder_lost_at: float | None = None  # and with the folder all that was owed
     succeeded_at: float | None = None  # when the process after it was started beside it
     drained_at: list[float] = field(default_factory=list)  # `quiesce`
     ended: float | None = None
@@ -96,6 +108,8 @@
     lifetimes: list[Lifetime] = field(default_factory=list)
     struck: dict[str, int] = field(default_factory=dict)  # system calls that failed
     actions: list[str] = field(default_factory=list)
+    falls: list[Fall] = field(default_factory=list)
+    fullest: float = -1.0  # the fullest window of the slow starts: calls over what is granted, as a part of N
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def __getstate__(self) -> dict:
--- a/willownotch/lab/soak/run.py
+++ b/willownotch/lab/soak/run.py
@@ -12,7 +12,8 @@
 
 from willownotch.lab.faults.proxy import Proxy, Trouble
 from willownotch.lab.soak.clients import Client, IdleCrowd
-from willownotch.lab.soak.endpoints import Endpoint, Platform
+from willownotch.lab.soak.cold import ColdEndpoint
+from willownotch.lab.soak.endpoints import COLD_DESTINATION, Endpoint, Platform
 from willownotch.lab.soak.plan import Plan, Step, Weather
 from willownotch.lab.soak.processes import ROOT, SenderProcesses
 from willownotch.lab.soak.records import Ending, Records
@@ -51,6 +52,8 @@
             "processes": len(self.records.lifetimes),
             "failed system calls": sum(self.records.struck.values()),
         }
+        if self.plan.cold is not None:
+            found["fullest cold window over its budget, % of N"] = int(100 * self.records.fullest)
         return found
 
     def text(self) -> str:
@@ -69,8 +72,13 @@
         self.plan, self.records, self.began = plan, Records(), time.monotonic()
         self.endpoints = [Endpoint(self.records, self.weather, plan.seed + n) for n in range(plan.endpoints)]
         self.proxies = [Proxy(endpoint.address, plan.seed + n) for n, endpoint in enumerate(self.endpoints)]
+        self.cold = ColdEndpoint(self.records, plan.cold, plan.senders, plan.seed) if plan.cold else None
         self.platform = Platform(
-            self.records, [proxy.address for proxy in self.proxies], lambda: self.weather().discovery_up
+            self.records,
+            [proxy.address for proxy in self.proxies],
+            lambda: self.weather().discovery_up,
+            self.cold.address if self.cold else None,
+            plan.cold.limit_per_s if plan.cold else 0.0,
         )
         discovery = f"127.0.0.1:{self.platform.address[1]}"
         self.senders = [
@@ -91,6 +99,8 @@
             for sender, life in lives:
                 sender.wait_ready(life)
             self.began = self.records.began = time.monotonic()
+            if self.cold is not None:
+                self.cold.start(self.began)
             clients = self._clients()
             for client in clients:
                 client.thread.start()
@@ -113,8 +123,9 @@
             now = time.monotonic()
             for sender in self.senders:
                 sender.close()
-            for server in (*self.proxies, *self.endpoints, self.platform):
-                server.close()
+            for server in (*self.proxies, *self.endpoints, self.platform, self.cold):
+                if server is not None:
+                    server.close()
         broken = judge(self.records, now)
         return Report(self.plan, self.records, broken, time.monotonic() - played)
 
@@ -133,10 +144,31 @@
                 )
                 for n in range(self.plan.clients)
             ]
+            found += self._cold_clients(sender)
             if self.plan.idle:
                 found.append(IdleCrowd(sender.address, self.plan.idle, self.stop))
         return found
 
+    def _cold_clients(self, sender: SenderProcesses) -> list[Client]:
+        """Clients whose messages go to the cold destination, at the load that the plan has together."""
+        cold = self.plan.cold
+        if cold is None:
+            return []
+        every_s = cold.clients * self.plan.senders / (cold.load * cold.limit_per_s)
+        return [
+            Client(
+                self.records,
+                sender.number,
+                sender.address,
+                n,
+                Random(self.plan.seed * 6101 + sender.number * 211 + n),
+                self.stop,
+                destination=COLD_DESTINATION,
+                pause_s=every_s,
+            )
+            for n in range(self.plan.clients, self.plan.clients + cold.clients)
+        ]
+
     def _steps(self, sender: SenderProcesses) -> None:
         for step in [s for s in self.plan.steps if s.sender == sender.number]:
             self._step(sender, step)
--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -19,6 +19,7 @@
 NEW_UNTIL_S = 0.4  # from SIGTERM on, no front sends new connections any more
 KILL_MARGIN_S = 0.05  # before a kill: what was written then can have met it
 MEMORY_SPAN_S = 15.0  # of the keyed class
+AWARE_MOST = 2 / 3  # of the calls under which a cold destination falls
 NEVER_RAN = (429, 503)
 BAD_LINE = re.compile(r"\S+Z \S+ (?:error|dead): |Traceback")
 
@@ -33,7 +34,13 @@
 
 def judge(records: Records, now: float) -> list[Broken]:
     """Everything that was broken by the time `now`, when the run had ended."""
-    return [*_requests(records), *_endings(records, now), *_calls(records), *_processes(records)]
+    return [
+        *_requests(records),
+        *_endings(records, now),
+        *_calls(records),
+        *_processes(records),
+        *_falls(records),
+    ]
 
 
 def _windows(records: Records, sender: int) -> list[tuple[float, float]]:
@@ -113,7 +120,12 @@
     ]:
         ends[ref] = min(at, ends.get(ref, at))
     found = []
+    lost_at: dict[int, float] = defaultdict(float)
+    for life in records.lifetimes:
+        lost_at[life.sender] = max(lost_at[life.sender], life.folder_lost_at or 0.0)
     for ref, request in accepted.items():
+        if request.began <= lost_at[request.sender]:
+            continue  # what it owed went with its folder
         slack = LOAD_SLACK_S + 2 * records.late_s  # once for the end, once for what it is counted from
         due = request.written + request.left_s + END_SLACK_S + slack
         for began, ended in _windows(records, request.sender):
@@ -181,6 +193,20 @@
     return found
 
 
+def _falls(records: Records) -> list[Broken]:
+    """A cold destination fell, over two thirds of it by senders that could have known."""
+    return [
+        Broken(
+            "cold endpoint",
+            f"fell {fall.since_s:.2f} s after its return: {fall.calls} calls in a window of at most "
+            f"{fall.granted:.1f}, {fall.aware:.0%} by senders that had seen the outage; by sender: "
+            f"{fall.by_sender}",
+        )
+        for fall in records.falls
+        if fall.aware > AWARE_MOST
+    ]
+
+
 def _processes(records: Records) -> list[Broken]:
     found = []
     for life in records.lifetimes:
