--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -29,7 +29,7 @@
 from willownotch.management.calls import Calls
 from willownotch.net import config as configs
 from willownotch.net import journal as journals
-from willownotch.net import memory, timebase
+from willownotch.net import memory, slow_start_file, timebase
 from willownotch.net.client_side import BACKLOG, ClientSide
 from willownotch.net.clock import Clock, seconds
 from willownotch.net.events import (
@@ -338,7 +338,7 @@
             "the folder",
             lambda: open_folder(
                 config.state,
-                int(config.limits.disk_mb * MEGABYTE) - CLOCK_BYTES,
+                int(config.limits.disk_mb * MEGABYTE) - CLOCK_BYTES - slow_start_file.RESERVED_BYTES,
                 files,
                 clock,
                 log,
@@ -352,6 +352,7 @@
         hosts = Hosts(tuple(kind.name for kind in config.settings.kinds), config.zones, clock, log)
         owner = Owner(config, clock, log, journal, hosts, bodies, standing, bool(blocks.shared.judgements))
         owner.lost_bodies = lost
+        owner.slow_starts = slow_start_file.SlowStartFile(config.state, files, clock, log)
         client_side = ClientSide(config, clock, log, owner, bodies, threads.start, standing, listener)
         mesh, channel = startup.attempt(
             "addresses of the mesh",
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -12,6 +12,7 @@
 
 from willownotch import interface as face
 from willownotch.interface import Effect, Group, Outcome
+from willownotch.slow_start import TOGETHER_LEAST, Calls, SlowStart, State, Traffic
 from willownotch.state import Book, Bucket, Call, Destination, Fading, Job, Ran, Route, Unit, follow, job_of
 
 TICK_S = 0.02  # s; no timer is set nearer than this: short against any time wanted of a message
@@ -34,10 +35,9 @@
 USED_UP = 0.05  # share of a limit: all of it goes as it is
 ROOM_LEFT = 0.5  # share of a limit: with less left, others would be refused what is sent faster
 JITTER = (0.5, 1.5)  # x a gap between calls, so that senders refused together do not come back together
-TOGETHER_LEAST = 1.0  # calls a second that all senders together send at the least, paced or as trials
 ROUGH = 2 / 3  # x a listed rate, which may be half too high, until an answer tells the limit
-SPARE, SPARE_TOLD = 1.25, 2.0  # x the cold share of what is usual; of a limit that answers tell
-AWARE, TRIAL_MOST = 3.0, 4.0  # senders a second that learn of an outage at least; trials a second at most
+SHUT_REFUSALS = 3  # with no call taken between them, and over RECENT_S, they are no limit's
+CERTAIN = 2.0  # x the patience with an endpoint that is not known: failing for longer than that, it is out
 ROOM_FULL, DEST_ROOM = 0.9, 0.5  # share of the holding room: all held work; what waits for one destination
 TIGHT_CALLS, SPARSE = 100, 1.0  # calls closing theirs after a refused connection, at units under so many a s
 TENANT_BURST_S, ARRIVALS_S = 2.0, 10.0  # s of a quota that may come at once; s that traffic is averaged over
@@ -218,6 +218,10 @@
         self.now, self.out, self.sick_calls, self.free_at, self.stops_at = 0.0, [], 0, -inf, inf
         self.due, self.wake_at = inf, -inf  # when there is something to look at; the timer that is set
         self.arrivals, self.reuses, self.drops = Fading(ARRIVALS_S), Fading(ARRIVALS_S), Fading(ARRIVALS_S)
+        self.remembered: dict[int, face.SlowStartRecord] | None = (
+            None  # of endpoints that no list has named yet
+        )
+        self.alive_at = -inf  # when the process before this one was last known to watch
         self.list_at, self.list_fails = -inf, 0  # when to ask for the list again; failures in a row
 
     def _tune(self, settings: face.Settings) -> None:
@@ -242,8 +246,9 @@
         self._give_up()
         self._dispatch()
         # A timer may ring a hair before its time by the caller's clock: one that near counts as rung.
-        if self.book.jobs and not now + TICK_S / 4 < self.wake_at <= self.due:
-            self.wake_at = max(self.due, now + TICK_S)
+        due = max(self.due, now + TICK_S)
+        if self.book.jobs and not now + TICK_S / 4 < self.wake_at <= due:
+            self.wake_at = due
             self.out.append(face.Wake(self.wake_at - now, TICK_LABEL))
         return self.out
 
@@ -254,8 +259,14 @@
             self._message(event)
         elif isinstance(event, face.EndpointList):
             self.list_fails = 0
+            known = {entry.number for entry in event.entries if entry.number in self.book.routes}
             for route in self.book.update(event, self.now):
                 route.unit.told_limit = route.unit.told_limit or route.entry.rate * self.settings.listed_rates
+                if route.entry.number not in known:
+                    self._listed(route)
+        elif isinstance(event, face.Remembered):
+            self.remembered = {record.endpoint: record for record in event.records}
+            self.alive_at = -inf if event.alive_at is None else event.alive_at
         elif isinstance(event, face.ListFailed) and self.list_at == inf:
             # All senders fail together: they ask again apart, one call each, before they are deemed told.
             wait = min(LIST_AGAIN_S * 2**self.list_fails, self.settings.rules.ask_within_s / 2)
@@ -275,11 +286,45 @@
         elif isinstance(event, face.Stopping):
             self.stops_at = self.now + event.after_s
 
+    def _listed(self, route: Route) -> None:
+        """An endpoint is new here: what the process before knew of it goes on, else it may be cold."""
+        if self.remembered is None:
+            return
+        record = self.remembered.pop(route.entry.number, None)
+        if record is not None:
+            route.slow_start = SlowStart.restore(record)
+            route.last_ok = record.last_answer
+            self.book.destinations[route.entry.destination].restore_demand(record.usual, self.now)
+            if record.limit and not route.unit.mean_limit:
+                route.unit.told_limit = route.unit.mean_limit = record.limit
+            route.unit.pace = min(route.unit.pace, record.pace)
+            self._space(route, self.random.random())
+        elif self.now - self.alive_at > RECENT_S:
+            route.slow_start.assume(self.now, self.settings.rules)
+
+    def slow_starts(self) -> face.Remembered:
+        """What a process after this one has to know of endpoints that are not healthy, or are paced."""
+        records, known = [], True
+        for route in self.book.routes.values():
+            slow_start, unit = route.slow_start, route.unit
+            if slow_start.state is State.HEALTHY and unit.pace == inf:
+                continue
+            if slow_start.assumed:  # nothing to hand on, but that nothing is known
+                known = known and slow_start.warm_at <= self.now
+                continue
+            usual = self.book.destinations[route.entry.destination].wanted(self.now)
+            usual = min(usual, slow_start.delivered_before or inf)
+            limit = unit.mean_limit or 0.0
+            records.append(slow_start.record(route.entry.number, route.last_ok, usual, limit, unit.pace))
+        return face.Remembered(tuple(records), self.now if known else None)
+
     def _message(self, message: face.Message) -> None:
         # Short patience at a first hand-in is no lost time: only what comes again has been on its way.
         back = message.again or not self.settings.again_is_marked
         job = job_of(message, message.rules or self.settings.classes[message.message_class], self.now, back)
         self.arrivals.add(1.0, self.now)
+        if not message.again and not message.past:
+            self.book.destinations.setdefault(message.destination, Destination()).add_demand(self.now)
         quotas = ARRIVALS_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
         part = max(1 / self.settings.senders, min(1.0, self.arrivals.at(self.now) / quotas))
         for tenant in self.settings.tenants[message.tenant : message.tenant + 1]:
@@ -310,7 +355,8 @@
         call.route.unit.wait_until = max(call.route.unit.wait_until, self.now + event.wait_s)
         # A long wait is an outage, no limit's span: it ends for all at once, where all is cold then.
         for route in self.book.alike(call.route) if event.wait_s > RECENT_S else ():
-            route.failing, route.back_at, route.failed_at = False, route.unit.wait_until, inf
+            route.slow_start.recover(self.now, self.settings.rules, route.unit.wait_until)
+            route.slow_start.unreachable_at = inf
             self._space(route, self.random.random())
         if not call.heard and (not call.judged or event.outcome is Outcome.DELIVERED):
             if call.judged and call.idle_s is not None:
@@ -318,7 +364,7 @@
                 call.route.lost = max(0.0, call.route.lost - 1.0)
             self._reused(call, event.outcome)
             if event.outcome is not Outcome.BROKEN or call.idle_s is None:
-                self._evidence(call.route, event)
+                self._evidence(call.route, event, call.idle_s is not None)
         call.heard = call.judged = True
         if event.outcome in (Outcome.DELIVERED, Outcome.ERROR, Outcome.TURNED_AWAY):
             call.route.idle_at = self.now
@@ -344,13 +390,18 @@
 
     def _turn(self, route: Route, failing: bool, phase: float | None = None, cold: bool = True) -> None:
         """A verdict, or a return; it is told to the others unless it came from one of them."""
-        # It came back at some time since the last connection failed: halfway is right for all together.
-        since = max(route.failed_at, route.failing_at)  # an older failure says nothing of this outage
-        back_at = min(self.now, (since + self.now) / 2) if phase is None else self.now
-        route.failing, route.back_at = failing, back_at if cold and not failing else None
-        if route.back_at is not None and phase is None:
-            route.unit.pace = inf  # it was cut as the outage began: now its ramp says how fast
-        route.failing_at, route.sick = (self.now, SICK) if failing else (route.failing_at, FAIL_STEP / 2)
+        slow_start, now = route.slow_start, self.now
+        route.sick = SICK if failing else FAIL_STEP / 2
+        if failing:
+            slow_start.fail(now, route.unit.mean_rate or 0.0)
+        elif cold:
+            slow_start.recover(
+                now, self.settings.rules, slow_start.date_return(now) if phase is None else now
+            )
+            if phase is None:
+                route.unit.pace = inf  # it was cut as the outage began: now its slow start says how fast
+        else:
+            slow_start.clear()
         self._space(route, phase)
         # With a call in many seconds each sender would else find an outage and its end out for itself.
         if self.settings.may_tell and phase is None:
@@ -374,8 +425,10 @@
             self.drops.add(-call.route.lost, self.now)
             call.route.lost = 0.0
 
-    def _evidence(self, route: Route, event: face.AttemptEnded | face.ProbeEnded) -> None:
-        """What one call or probe tells of its route and unit."""
+    def _evidence(
+        self, route: Route, event: face.AttemptEnded | face.ProbeEnded, reused: bool = False
+    ) -> None:
+        """What one call or probe tells of its route and unit; `reused`: its connection had been idle."""
         unit, now, outcome, step = route.unit, self.now, event.outcome, FAIL_STEP
         if event.limit_per_s:
             told(unit, event.limit_per_s, event.room_left, self.settings)
@@ -387,12 +440,13 @@
                 unit.period_at, unit.costs = now, []  # an outage says nothing of what is usual
                 # What answered this lately was no outage (slow calls, a full table of connections): no ramp.
                 cold = now - route.last_ok >= RECENT_S
-                out_s = now - route.failing_at
+                out_s = now - route.slow_start.failing_since
                 self._turn(route, failing=False, cold=cold)
                 said = f"answers again after {out_s:.1f} s, slow start: {cold}"
                 if cold:
                     said += f", counted from {now - route.back_at:.1f} s ago"
                 self._say(route, said)
+            route.slow_start.answer(now, self.settings.rules)
             route.last_ok = now
             success(unit, event.took_s, now, event.room_left, even_part(unit, self.settings))
         if outcome in (Outcome.DELIVERED, Outcome.CALLED_OFF, Outcome.NOT_SENT):
@@ -402,16 +456,23 @@
             bare = route.last_ok < unit.refused_at and (unit.mean_rate or 0.0) < SPARSE
             bound = bool(event.limit_per_s) and event.room_left is not None and event.room_left < ROOM_LEFT
             step = 0.0 if bound else FAIL_STEP if bare else FULL_STEP  # a limit told as used up is no outage
+            route.refusals = 1 if route.refused_since < route.last_ok else route.refusals + 1
+            route.refused_since = now if route.refusals == 1 else route.refused_since
+            # A pace that refusals cut makes them rare: it is shut all the same if none of some gets through.
+            if not bound and route.refusals >= SHUT_REFUSALS and now - route.refused_since >= RECENT_S:
+                step = SICK
             refused(unit, now, self.settings, bound, out=route.failing)
             self._space(route)
         else:
             unit.failed_at = now
             # With hardly a call no second one tells in time. A call without answer may be a slow one.
             long = outcome is Outcome.UNREACHABLE and event.took_s >= LONG_S
-            step = SICK if long and (unit.mean_rate or 0.0) < SPARSE else step
+            # Nor where nothing was answered lately: many senders with a call each would go on at full pace.
+            alone = not reused and (now - route.last_ok >= RECENT_S or route.slow_start.assumed)
+            step = SICK if alone or (long and (unit.mean_rate or 0.0) < SPARSE) else step
         route.sick += step * (1 - route.sick)
         # Only a connection that fails dates an outage: what is slow or turns away never was out for certain.
-        route.failed_at = now if outcome is Outcome.UNREACHABLE else inf
+        route.slow_start.unreachable_at = now if outcome is Outcome.UNREACHABLE else inf
         if route.sick >= SICK and not route.failing:
             self._turn(route, failing=True)
             self._say(route, f"judged failing ({outcome.value}), last answer {now - route.last_ok:.1f} s ago")
@@ -433,7 +494,8 @@
                     call.judged = True
                     self._reused(call, Outcome.TIMED_OUT)
                     route.trial = None if route.trial is call else route.trial
-                    self._evidence(route, face.ProbeEnded(route.entry.number, Outcome.TIMED_OUT, 0.0))
+                    silent = face.ProbeEnded(route.entry.number, Outcome.TIMED_OUT, 0.0)
+                    self._evidence(route, silent, call.idle_s is not None)
 
     def _free_slot(self) -> None:
         """No slot free, work held: call off silent calls; unsafe ones, lost by it, once past their time."""
@@ -461,35 +523,34 @@
         return OVERDUE * unit.expected if unit.expected < inf else self.strange
 
     def _space(self, route: Route, phase: float | None = None) -> None:
-        """When the next call may go: under a pace, as a trial while failing, or in a return's ramp, from the
-        cold share of what is usual here or, with hardly a call, of the little that all who know may send."""
-        rules, unit, now, gap = self.settings.rules, route.unit, self.now, self.random.uniform(*JITTER)
+        """When the next call may go: under a pace, as a trial while failing, or in slow start."""
+        unit, now, gap = route.unit, self.now, self.random.uniform(*JITTER)
         unit.next_at = now + gap / unit.pace if unit.pace < inf else unit.next_at
-        if not route.failing and route.back_at is None:
-            return
-        peers = max(1, sum(r.serving() for r in self.book.alike(route)))
-        # The even part of a limit at the least: what a ramp lets through tells nothing of what is usual, few
-        # calls tell little. Who tells a limit has more capacity than that; a listed rate may be all of it.
-        mean, part = (unit.mean_rate or 0.0) / peers, even_part(unit, self.settings) / peers
-        spare, learn = SPARE, AWARE
-        if unit.mean_limit is None:
-            part *= ROUGH
-        elif route.failed_at < inf:  # it was gone, and is not merely slow or full
-            spare = min(SPARE_TOLD, rules.fall_multiple)  # more brings down what a limit says nothing of
-            learn = max(AWARE, unit.told_limit / peers)  # one by each call, which fails at once
-        ended = now if route.failing else route.back_at
-        start, slope = max(now, ended), (1 - rules.cold_share) / rules.cold_s
-        share = rules.cold_share + slope * (start - ended)
-        # By notes all know of a return; without, as many as called there since.
-        known_s = ended - route.failing_at if route.failing or not self.settings.may_tell else inf
-        least = TOGETHER_LEAST / min(self.settings.senders, 1.0 + learn * known_s) * share / rules.cold_share
-        if route.failing:
-            route.next_at = now + gap / max(least, min(TRIAL_MOST, share * max(mean, spare * part)))
-            return
-        # The share grows while a sender with few calls waits for its next: solved for one call's worth.
-        rate = max(least, min(1.0, SPARE * share) * mean, min(1.0, spare * share) * part)  # within its limit
-        rise, calls = slope / share, (gap if phase is None else phase) / rate
-        route.next_at = start + (sqrt(1 + 2 * rise * calls) - 1) / rise
+        if route.slow_start.state is not State.HEALTHY:
+            route.slow_start.charge(now, gap if phase is None else phase)
+            route.slow_start.plan(now, self._calls(route))
+
+    def _calls(self, route: Route) -> Calls:
+        """What bounds the calls of all senders to one endpoint."""
+        settings, peers = self.settings, self._peers(route)
+        return Calls(self._traffic(route, peers), settings.rules, settings.senders, peers, settings.may_tell)
+
+    def _peers(self, route: Route) -> int:
+        """Endpoints that share a limit with this one, itself among them."""
+        return max(1, sum(r.serving() for r in self.book.alike(route)))
+
+    def _traffic(self, route: Route, peers: int) -> Traffic:
+        """What is known of the calls to one endpoint: what is wanted, but no more than was delivered before
+        the outage, and the even part of a limit. What is delivered in a slow start only follows that."""
+        unit, dest, slow_start = route.unit, self.book.destinations[route.entry.destination], route.slow_start
+        usual = min(dest.wanted(self.now), slow_start.delivered_before or inf) / peers
+        fair, told = even_part(unit, self.settings) / peers, unit.mean_limit is not None
+        fleet = max(unit.told_limit / peers, self.settings.senders * usual)
+        # What is slow answers within that time, if late; what is full answers some.
+        out_s = (self.now if route.failing else slow_start.answered_at) - slow_start.failing_since
+        certain = slow_start.unreachable_at < inf or out_s >= CERTAIN * self.strange
+        # A listed rate may be half too high.
+        return Traffic(usual, fair if told else ROUGH * fair, fleet, told, certain)
 
     def _ranked(self, dests: list[Destination]) -> list[Job]:
         """Held jobs, most worth still to be won first, oldest first among equals."""
@@ -558,7 +619,8 @@
             # Cut off by the sender's own end it could never go again: better after the restart.
             if job.cls.effect is Effect.UNSAFE and self.now + self._patience(route.unit) > self.stops_at:
                 continue
-            sound = not route.failing and route.back_at is None  # else no full calls: they weigh much more
+            # Else no full calls: they weigh much more.
+            sound = route.slow_start.state in (State.HEALTHY, State.SETTLING)
             if number in opened and opened[number].left < kind.batch and sound:
                 best = route
                 break
@@ -604,11 +666,12 @@
         together = max(1, int((DEST_SHARE if route.failing else SICK_SHARE) * slots))
         if (dest.sick and self.sick_calls >= together) or (route.failing and route.trial is not None):
             return inf
-        if route.back_at is not None and self.now >= route.back_at + self.settings.rules.cold_s:
-            route.back_at = None
+        if route.slow_start.stale(self.now):
+            route.slow_start.plan(self.now, self._calls(route))
+        if route.slow_start.advance(self.now, len(dest.held)):
             self._say(route, f"is taken for warm, {len(dest.held)} messages are held for its destination")
-        ramp = route.next_at if route.failing or route.back_at is not None else -inf
-        return max(unit.wait_until, unit.next_at if unit.pace < inf else -inf, ramp)
+        paced = unit.next_at if unit.pace < inf else -inf
+        return max(unit.wait_until, paced, route.slow_start.ready_at())
 
     def _send(self, job: Job, route: Route, dest: Destination, opened: dict[int, Call]) -> None:
         """Start an attempt, in the open call of this round if it has room, else in a new one."""
--- a/willownotch/handover/version.py
+++ b/willownotch/handover/version.py
@@ -8,6 +8,7 @@
 
 NAMES = (
     "control.py",
+    "slow_start.py",
     "state.py",
     "interface.py",
     "handover/state.py",
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -185,6 +185,40 @@
     """A subscription or a request for the list failed, or the subscription broke."""
 
 
+@dataclass(slots=True, frozen=True)
+class SlowStartRecord:
+    """What a process knew of an endpoint that was not healthy, or was paced: it outlasts the process.
+
+    Times are seconds on the caller's clock; `usual` and `limit` are calls a second, 0 where none is known.
+    """
+
+    endpoint: int
+    state: str
+    failing_since: float
+    unreachable_at: float
+    returned_at: float
+    answered_at: float
+    warm_at: float
+    assumed: bool
+    unknown: bool
+    last_answer: float
+    usual: float
+    limit: float
+    pace: float  # infinite where none is kept
+
+
+@dataclass(slots=True, frozen=True)
+class Remembered:
+    """What the process before this one knew of endpoints; told before the first list.
+
+    `alive_at` is when it last said so, None where nothing is known: then any endpoint may be cold. A sender
+    that is never told this takes the endpoints of its lists for healthy.
+    """
+
+    records: tuple[SlowStartRecord, ...]
+    alive_at: float | None
+
+
 @dataclass(slots=True, frozen=True)
 class PastAttempt:
     """An attempt from before a restart. Its outcome will not come; `may_have_run` is all that is known."""
@@ -387,6 +421,7 @@
 
 Event = (
     EndpointList
+    | Remembered
     | ListFailed
     | Message
     | Withdrawn
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -57,6 +57,7 @@
 from willownotch.net.pending import PendingReply
 from willownotch.net.registry import Hosts, Notice
 from willownotch.net.rules import class_of
+from willownotch.net.slow_start_file import SlowStartFile
 from willownotch.net.south import END_MARGIN, Relay, RelayEnded
 from willownotch.state import Ran
 
@@ -136,6 +137,7 @@
         self.shared: Shared | None = None  # where budgets and judgements are shared
         self._parts: Parts | None = None  # of budgets, as last told
         self.custody: Keeper | None = None  # where messages are copied to other senders
+        self.slow_starts: SlowStartFile | None = None  # where they outlast the process
         self.stopped_at: datetime | None = None
         self._inbox: queue.SimpleQueue[Item] = queue.SimpleQueue()
         self._timers: list[tuple[datetime, int, int | Relay]] = []
@@ -339,6 +341,9 @@
     def _recover(self) -> None:
         """Notices that are unanswered go out at once; owed messages wait a moment for the list."""
         self._recovered, lost = [], set(self.lost_bodies)
+        if self.slow_starts is not None:
+            known = self.slow_starts.read(self.hosts.number)
+            self.controller.handle(self.clock.module_s(self.clock.now()), [known])
         if self.shared is not None:
             self.shared.configure({t.name: t.quota_per_s for t in self.settings.tenants})
         for entry in list(self.journal.live.values()):
@@ -414,6 +419,8 @@
             self._act(action, now)
         for relays in self._calls():
             self.submit(*relays)
+        if self.slow_starts is not None and self.slow_starts.due(now):
+            self.slow_starts.write(self.controller.slow_starts(), self.hosts.name, now)
         self._took = self.clock.now() - now
 
     def _heard_news(self, items: list[Item]) -> bool:
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -97,6 +97,11 @@
             self._gone[name] = self.clock.now()  # until the list has it
         return self._numbers[name]
 
+    def name(self, number: int) -> str | None:
+        """The name of a host that the list has."""
+        host = self.by_number.get(number)
+        return host.name if host is not None else None
+
     def number_listed(self, name: str) -> int | None:
         """The number of a host that the list has; None for any other."""
         number = self._numbers.get(name)
--- /dev/null
+++ b/willownotch/net/slow_start_file.py
@@ -0,0 +1,118 @@
+"""What a sender knows of endpoints that may be cold, kept in the folder that lasts.
+
+Without it a process that is started in an outage, or in a slow start, takes the endpoint for healthy. The
+file is replaced whole, once a second at the most; its time tells the next process how long nobody watched.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from pathlib import Path
+
+import msgspec
+
+from willownotch.files.layer import Files
+from willownotch.files.replacing import replace_file
+from willownotch.interface import Remembered, SlowStartRecord
+from willownotch.net.clock import NONE, Clock
+from willownotch.net.log import Log
+
+NAME = "slow-start"
+EVERY = timedelta(seconds=1)
+BYTES_MOST = 16 * 1024  # some 140 endpoints: the file is small against any folder's limit
+RESERVED_BYTES = 2 * BYTES_MOST  # of the folder, for the file and the one that replaces it
+STATES_FIRST = ("failing", "recovering", "settling", "healthy")  # what is kept where not all has room
+
+
+class Row(msgspec.Struct, array_like=True):
+    """An endpoint by its name, which outlasts numbers."""
+
+    name: str
+    record: SlowStartRecord
+
+
+class Kept(msgspec.Struct, array_like=True):
+    """The file's content. Times inside rows are the module's seconds, `alive_s` is `alive_at` in these."""
+
+    alive_at: datetime
+    alive_s: float
+    rows: list[Row]
+    complete: bool = True  # endpoints that are not named were healthy
+
+
+class SlowStartFile:
+    """Reads what the process before left, and writes what this one knows."""
+
+    def __init__(self, folder: Path, files: Files, clock: Clock, log: Log) -> None:
+        self._path, self._files, self._clock, self._log = folder / NAME, files, clock, log
+        self._written_at: datetime | None = None
+        self._failing = False
+
+    def read(self, number_of: Callable[[str], int]) -> Remembered:
+        """What the process before knew, on this process's clock; nothing where it cannot be read."""
+        try:
+            kept = msgspec.msgpack.decode(self._files.read_whole(self._path), type=Kept)
+        except FileNotFoundError:
+            return Remembered((), None)
+        except (OSError, msgspec.MsgspecError) as fault:
+            self._log.say("slow start", f"what was known of endpoints cannot be read: {fault}")
+            return Remembered((), None)
+        now = self._clock.now()
+        away = now - kept.alive_at
+        if away < NONE:  # another boot, with the wall clock set back: its times mean nothing here
+            return Remembered((), None)
+        shift = self._clock.module_s(kept.alive_at) - kept.alive_s
+        records = tuple(_moved(row.record, number_of(row.name), shift) for row in kept.rows)
+        names = ", ".join(f"{row.name} {row.record.state}" for row in kept.rows[:10])
+        self._log.say(
+            "slow start",
+            f"{len(records)} endpoints were known not to be healthy {away.total_seconds():.1f} s ago: "
+            f"{names or 'none'}",
+        )
+        return Remembered(records, self._clock.module_s(kept.alive_at) if kept.complete else None)
+
+    def due(self, now: datetime) -> bool:
+        """Whether it is time to write."""
+        return self._written_at is None or now - self._written_at >= EVERY
+
+    def write(self, known: Remembered, name_of: Callable[[int], str | None], now: datetime) -> None:
+        """Replace the file. Where that fails the next one is tried: the old one is only older."""
+        self._written_at = now
+        named = [(name_of(record.endpoint), record) for record in known.records]
+        rows = [Row(name, record) for name, record in named if name is not None]
+        rows.sort(key=lambda row: STATES_FIRST.index(row.record.state))
+        data = self._encode(rows, known.alive_at is not None, now)
+        while len(data) > BYTES_MOST:
+            rows = rows[: len(rows) // 2]
+            data = self._encode(rows, False, now)
+        try:
+            replace_file(self._files, self._path, data)
+        except OSError as fault:
+            if not self._failing:
+                self._log.say("slow start", f"what is known of endpoints cannot be written: {fault}")
+            self._failing = True
+        else:
+            self._failing = False
+
+    def _encode(self, rows: list[Row], complete: bool, now: datetime) -> bytes:
+        return msgspec.msgpack.encode(Kept(now, self._clock.module_s(now), rows, complete))
+
+
+def _moved(record: SlowStartRecord, number: int, shift: float) -> SlowStartRecord:
+    """A record with this process's number of the endpoint, and its times on this process's clock."""
+    return SlowStartRecord(
+        number,
+        record.state,
+        record.failing_since + shift,
+        record.unreachable_at + shift,
+        record.returned_at + shift,
+        record.answered_at + shift,
+        record.warm_at + shift,
+        record.assumed,
+        record.unknown,
+        record.last_answer + shift,
+        record.usual,
+        record.limit,
+        record.pace,
+    )
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -17,6 +17,10 @@
     Readiness,
     Settings,
 )
+from willownotch.slow_start import SlowStart, State
+
+DEMAND_S = 10.0  # what is wanted of a destination is averaged over so long
+DEMAND_LEAST_S = 1.0  # the first message tells no higher rate than one in this
 
 
 class Ran(Enum):
@@ -98,23 +102,32 @@
 
 @dataclass(slots=True, eq=False)
 class Route:
-    """An endpoint as seen from here: its entry, its health and its return ramp."""
+    """An endpoint as seen from here: its entry, its health and its slow start."""
 
     entry: Endpoint
     unit: Unit
     last_ok: float
-    next_at: float = -inf  # the next call that trials and ramp let go
+    slow_start: SlowStart = field(default_factory=SlowStart)
     calls: dict[Call, None] = field(default_factory=dict)
     trial: Call | None = None
     sick: float = 0.0
-    failing: bool = False
-    failing_at: float = -inf  # start of the last outage as seen from here
-    failed_at: float = inf  # the last failed connection; inf where what failed last was none, or nothing did
-    back_at: float | None = None  # end of the last outage, as far as is known here
+    refusals: int = 0  # since the last answer, and since when
+    refused_since: float = -inf
     last_sent: float = -inf
     lost: float = 0.0  # calls counted as lost on idle connections here, unless it turns out otherwise
     idle_at: float = -inf  # since when a connection may be open and idle
 
+    @property
+    def failing(self) -> bool:
+        """Whether it is taken for out."""
+        return self.slow_start.state is State.FAILING
+
+    @property
+    def back_at(self) -> float | None:
+        """The assumed end of its last outage while its calls are bound by that."""
+        bound = self.slow_start.state in (State.RECOVERING, State.SETTLING)
+        return self.slow_start.returned_at if bound else None
+
     def serving(self) -> bool:
         """Whether the list lets new work go there."""
         return self.entry.readiness is Readiness.SERVING
@@ -179,6 +192,26 @@
     unit: Unit | None = None  # what its endpoints share, unless they are routes apart
     calls: int = 0
     sick: bool = False  # as of the last dispatch
+    demand: Fading | None = None  # messages that were handed in for it the first time
+    demand_since: float = 0.0
+
+    def wanted(self, now: float) -> float:
+        """Messages a second that were handed in for it lately."""
+        if self.demand is None:
+            return 0.0
+        seen = 1.0 - exp(-max(DEMAND_LEAST_S, now - self.demand_since) / self.demand.over_s)
+        return self.demand.at(now) / (self.demand.over_s * seen)
+
+    def restore_demand(self, per_s: float, now: float) -> None:
+        """Go on from what a process before this one was handed."""
+        if self.demand is None:
+            self.demand, self.demand_since = Fading(DEMAND_S, per_s * DEMAND_S, now), -inf
+
+    def add_demand(self, now: float) -> None:
+        """One more was handed in."""
+        if self.demand is None:
+            self.demand, self.demand_since = Fading(DEMAND_S), now
+        self.demand.add(1.0, now)
 
 
 def job_of(message: Message, cls: MessageClass, now: float, dated_back: bool) -> Job:
