--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,290 @@
+"""Slow start of one sender: its states, what bounds its calls, and what outlasts the process."""
+
+from dataclasses import replace
+from datetime import timedelta
+from io import StringIO
+from math import inf
+
+import msgspec
+import pytest
+from helpers import SAFE, Sender, sends
+
+from willownotch.files.layer import REAL
+from willownotch.interface import (
+    Endpoint,
+    EndpointList,
+    Note,
+    Outcome,
+    Remembered,
+    Rules,
+    SlowStartRecord,
+    Timer,
+    Wake,
+)
+from willownotch.net.clock import Clock
+from willownotch.net.log import Log
+from willownotch.net.slow_start_file import BYTES_MOST, NAME, Kept, SlowStartFile
+from willownotch.slow_start import Calls, SlowStart, State, Traffic
+
+RULES = Rules(cold_share=0.2, cold_s=10.0)
+FAILING = SlowStartRecord(1, "failing", -6.0, inf, -inf, -inf, -inf, False, False, -7.0, 2.0, 0.0, inf)
+
+
+def slow_start(sender, number=1):
+    return sender.control.book.routes[number].slow_start
+
+
+def listed(*numbers, whole=True):
+    return EndpointList(tuple(Endpoint(n, 1, 0, 0) for n in numbers), whole)
+
+
+def calls(usual=0.0, fair=0.0, fleet=0.0, senders=1, **more):
+    return Calls(Traffic(usual, fair, fleet, **more), RULES, senders)
+
+
+def out_for(sender, seconds, outcome=Outcome.UNREACHABLE):
+    """Keep the endpoint out, with work waiting."""
+    ends = sender.now + seconds
+    while sender.now < ends:
+        for sent in sends(sender.step(Timer(1), after=0.05)):
+            sender.step(sender.ended(sent, outcome))
+
+
+def answered(sender, seconds, fresh=0):
+    """The times of all calls, each answered at once, with so many new messages in each step."""
+    times, ends = [], sender.now + seconds
+    while sender.now < ends:
+        out = sender.step(Timer(1), *[sender.message(SAFE) for _ in range(fresh)], after=0.05)
+        while out := sends(out):
+            times += [sender.now] * len(out)
+            out = sender.step(*[sender.ended(sent, Outcome.DELIVERED) for sent in out])
+    return times
+
+
+def test_a_backlog_is_not_let_go_at_the_end_of_a_slow_start():
+    """All senders did so together, each at a date of its own: 253 calls in a second that took 132."""
+    sender = Sender(slots=40, holding_room=1000)
+    sender.serve(40)
+    usual = sender.control.book.routes[1].unit.mean_rate
+    sender.fail()
+    out_for(sender, 6.0)
+    sender.step(*[sender.message(SAFE) for _ in range(300)])
+    times = answered(sender, 22.0)
+    back = times[0]
+    for begin in range(8, 20):
+        count = sum(back + begin <= at < back + begin + 1 for at in times)
+        assert count <= 1.25 * usual * (1 + 0.08 * max(0, begin - 9)) + 3, begin
+    assert len(times) > 80  # and it goes on growing
+
+
+def test_a_slow_start_ends_once_nothing_waits():
+    sender = Sender()
+    sender.serve(40)
+    sender.fail()
+    out_for(sender, 6.0)
+    assert slow_start(sender).state is State.FAILING
+    answered(sender, 12.0)
+    sender.step(sender.message(SAFE), after=2.0)
+    assert slow_start(sender).state is State.HEALTHY
+
+
+def test_an_endpoint_is_warm_so_long_after_its_first_answer_not_after_the_assumed_return():
+    start = SlowStart()
+    start.fail(0.0, 1.0)
+    start.unreachable_at = 10.0
+    assert start.date_return(16.0) == 13.0
+    start.recover(16.0, RULES, 13.0)
+    assert not start.advance(25.9, 0) and start.state is State.RECOVERING
+    assert start.advance(26.0, 0) and start.state is State.HEALTHY
+
+
+@pytest.mark.parametrize("outcome", [Outcome.UNREACHABLE, Outcome.ERROR, Outcome.BROKEN])
+def test_one_failed_call_is_an_outage_where_nothing_was_answered_lately(outcome):
+    """45 senders with a call each in an outage all went on at full pace."""
+    sender = Sender(senders=45, keepalive_s=5.0)
+    sender.serve(3)
+    sent = sends(sender.step(sender.message(SAFE), after=6.0))  # on a new connection: the others are closed
+    out = sender.step(sender.ended(sent[0], outcome))
+    assert slow_start(sender).state is State.FAILING
+    assert sends(out) == []
+
+
+def test_one_failed_call_among_answers_is_none():
+    sender = Sender(senders=45)
+    sender.serve(20)
+    sent = sends(sender.step(sender.message(SAFE), after=0.1))
+    sender.step(sender.ended(sent[0], Outcome.ERROR))
+    assert slow_start(sender).state is State.HEALTHY
+
+
+def test_refusals_with_no_call_taken_between_them_are_an_outage():
+    """The pace that they cut made them too rare to be judged, and was back at full within some calls."""
+    sender = Sender(senders=45, slots=40)
+    sender.serve(20)
+    sent = sends(sender.step(sender.message(SAFE), after=0.1))
+    while sender.now < 15.0 and slow_start(sender).state is State.HEALTHY:
+        out = sender.step(*[sender.ended(s, Outcome.TURNED_AWAY) for s in sent], Timer(1), after=0.2)
+        sent = sends(out)
+    assert slow_start(sender).state is State.FAILING
+    assert sender.now < 15.0
+
+
+def test_refusals_of_a_limit_that_is_told_are_none():
+    sender = Sender(senders=45, slots=40)
+    sender.serve(20)
+    sent = sends(sender.step(sender.message(SAFE), after=0.1))
+    for _ in range(60):
+        ended = [sender.ended(s, Outcome.TURNED_AWAY, limit_per_s=5.0, room_left=0.0) for s in sent]
+        sent = sends(sender.step(*ended, Timer(1), after=0.2))
+    assert slow_start(sender).state is State.HEALTHY
+
+
+def test_the_next_call_follows_what_becomes_known_while_it_is_waited_for():
+    """Planned once, by a process that knew nothing yet, the next call was 11 s away whatever came in."""
+    start = SlowStart()
+    start.assume(0.0, RULES)
+    start.charge(0.0, 1.0)
+    start.plan(0.0, calls(senders=45))
+    late = start.next_at
+    start.plan(2.0, calls(usual=2.0, senders=45))
+    assert 2.0 <= start.next_at < 4.0 < late
+
+
+def test_many_wake_ups_are_asked_for_by_one_timer():
+    """Each event before a near one asked for another timer, and each that rang asked again."""
+    sender = Sender(slots=400, holding_room=1000)
+    sender.step(sender.message(SAFE))
+    unit = sender.control.book.routes[1].unit
+    unit.pace, unit.next_at = 80.0, 0.01
+    sender.step(*[sender.message(SAFE) for _ in range(300)], after=0.001)
+    asked = [a for _ in range(10) for a in sender.step(Timer(1), after=0.0005) if isinstance(a, Wake)]
+    assert len(asked) <= 1
+
+
+# What is known of endpoints
+
+
+def restarted(*events, senders=12):
+    sender = Sender(rows=(), senders=senders)
+    sender.step(*events)
+    return sender
+
+
+def test_a_process_goes_on_with_an_outage_that_the_one_before_had_met():
+    sender = restarted(Remembered((FAILING,), 0.0), listed(1))
+    assert slow_start(sender).state is State.FAILING
+    assert sends(sender.step(*[sender.message(SAFE) for _ in range(10)])) == []
+
+
+def test_a_process_goes_on_with_a_slow_start():
+    recovering = replace(FAILING, state="recovering", returned_at=-2.0, answered_at=-1.0, warm_at=9.0)
+    sender = restarted(Remembered((recovering,), 0.0), listed(1))
+    times = answered(sender, 3.0, fresh=1)
+    assert slow_start(sender).state is State.RECOVERING
+    assert 1 <= len(times) <= 3 * 1.25 * 0.6 * 2.0 + 2
+
+
+@pytest.mark.parametrize(
+    "alive_at,state", [(None, State.RECOVERING), (-3.0, State.RECOVERING), (-1.0, State.HEALTHY)]
+)
+def test_endpoints_that_nobody_watched_may_be_cold(alive_at, state):
+    sender = restarted(Remembered((), alive_at), listed(1))
+    assert slow_start(sender).state is state
+
+
+def test_an_endpoint_that_is_new_on_the_list_may_be_cold():
+    sender = restarted(Remembered((), -1.0), listed(1))
+    sender.step(listed(2, whole=False), after=30.0)
+    assert (slow_start(sender, 1).state, slow_start(sender, 2).state) == (State.HEALTHY, State.RECOVERING)
+
+
+def test_a_failed_call_ends_what_was_only_assumed():
+    sender = restarted(Remembered((), None), listed(1))
+    sent = sends(sender.step(sender.message(SAFE)))
+    sender.step(sender.ended(sent[0], Outcome.UNREACHABLE))
+    assert slow_start(sender).state is State.FAILING
+
+
+def test_the_first_answer_dates_what_is_only_assumed():
+    start = SlowStart()
+    start.assume(0.0, RULES)
+    start.answer(4.0, RULES)
+    start.answer(6.0, RULES)
+    assert (start.returned_at, start.warm_at) == (4.0, 14.0)
+
+
+def test_what_is_healthy_is_not_recorded_and_what_is_assumed_only_as_unknown():
+    sender = restarted(Remembered((), None), listed(1))
+    assert sender.control.slow_starts() == Remembered((), None)
+    sender.step(at=20.0)
+    assert sender.control.slow_starts() == Remembered((), 20.0)
+
+
+def test_a_state_comes_back_as_it_was_recorded():
+    sender = Sender(senders=12)
+    sender.serve(20)
+    sender.fail()
+    out_for(sender, 3.0)
+    known = sender.control.slow_starts()
+    other = restarted(known, listed(1))
+    before, after = slow_start(sender), slow_start(other)
+    assert after.state is State.FAILING
+    assert (after.failing_since, after.unreachable_at) == (before.failing_since, before.unreachable_at)
+
+
+def test_a_note_starts_a_slow_start_of_its_own():
+    sender = Sender(may_tell=True)
+    sender.serve(5)
+    sender.step(Note(1, works=False), after=3.0)
+    sender.step(Note(1, works=True), after=1.0)
+    assert slow_start(sender).state is State.RECOVERING
+
+
+# The file
+
+
+class Stepped(Clock):
+    """A clock that is moved by hand, as one of another boot would."""
+
+    def step(self, seconds):
+        self._began += timedelta(seconds=seconds)
+
+
+def kept_file(folder, clock, files=REAL):
+    return SlowStartFile(folder, files, clock, Log(clock, stream=StringIO()))
+
+
+def test_the_file_has_names_and_times_that_the_next_process_reads(tmp_path):
+    clock = Clock()
+    kept_file(tmp_path, clock).write(Remembered((FAILING,), 0.0), {1: "s-one"}.get, clock.now())
+    found = kept_file(tmp_path, clock).read({"s-one": 8}.get)
+    assert found.records[0].endpoint == 8
+    assert found.records[0].failing_since == pytest.approx(-6.0)
+    assert found.records[0].unreachable_at == inf
+    assert found.alive_at == pytest.approx(clock.module_s(clock.now()), abs=1.0)
+
+
+def test_times_of_another_boot_are_moved_and_those_after_now_mean_nothing(tmp_path):
+    clock, later, earlier = Clock(), Stepped(), Stepped()
+    kept_file(tmp_path, clock).write(Remembered((FAILING,), 0.0), {1: "s-one"}.get, clock.now())
+    later.step(60.0)
+    assert kept_file(tmp_path, later).read(lambda name: 1).records[0].failing_since < -60.0
+    earlier.step(-60.0)
+    assert kept_file(tmp_path, earlier).read(lambda name: 1) == Remembered((), None)
+
+
+@pytest.mark.parametrize("data", [b"", b"\x93", b"nonsense", msgspec.msgpack.encode([1, 2, 3])])
+def test_a_file_that_cannot_be_read_leaves_everything_unknown(tmp_path, data):
+    (tmp_path / NAME).write_bytes(data)
+    assert kept_file(tmp_path, Clock()).read(lambda name: 1) == Remembered((), None)
+
+
+def test_the_file_stays_small_and_says_that_it_is_not_complete(tmp_path):
+    clock = Clock()
+    many = tuple(replace(FAILING, endpoint=n) for n in range(3200))
+    kept_file(tmp_path, clock).write(Remembered(many, 0.0), lambda n: f"s-{n:08x}", clock.now())
+    data = (tmp_path / NAME).read_bytes()
+    assert len(data) <= BYTES_MOST
+    kept = msgspec.msgpack.decode(data, type=Kept)
+    assert len(kept.rows) >= 50 and not kept.complete
+    assert kept_file(tmp_path, clock).read(lambda name: 1).alive_at is None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,8 +3,8 @@
 import pytest
 
 from willownotch.lab.faults.shim import CallFault
-from willownotch.lab.soak.plan import Action, Plan, Step, Weather, draw
-from willownotch.lab.soak.records import Call, Content, Ending, Lifetime, Notice, Records, Request
+from willownotch.lab.soak.plan import Action, Plan, Step, Weather, draw, draw_cold
+from willownotch.lab.soak.records import Call, Content, Ending, Fall, Lifetime, Notice, Records, Request
 from willownotch.lab.soak.run import play
 from willownotch.lab.soak.verdict import judge
 
@@ -73,6 +73,13 @@
     assert not report.broken, report.text()
 
 
+@pytest.mark.parametrize("seed", [1, 3])
+def test_a_short_soak_beside_a_cold_destination_breaks_no_rule(seed):
+    report = play(draw_cold(seed, senders=6))
+    assert not report.broken, report.text()
+    assert report.records.fullest > -1.0, report.text()  # its slow start was seen
+
+
 def test_a_seed_draws_the_same_plan_each_time():
     assert draw(7) == draw(7) and draw(7) != draw(8)
 
@@ -162,6 +169,23 @@
     assert rules(found) == expected
 
 
+def fall(aware):
+    return Fall(1.0, 50, 47.9, aware, {0: 30, 1: 20})
+
+
+def test_a_fall_breaks_the_rule_where_two_thirds_of_it_knew():
+    assert rules(records(falls=[fall(aware=0.7)])) == ["cold endpoint"]
+    assert rules(records(falls=[fall(aware=0.6)])) == []
+
+
+def test_what_a_lost_folder_owed_is_nobodys():
+    lost = Lifetime(0, 0, -1.0, ready=-0.5, killed_at=2.0, ended=2.0, meant_to_end=True, folder_lost_at=2.1)
+    again = Lifetime(0, 1, 3.0, ready=4.0)
+    assert rules(records(calls=[], lifetimes=[lost, again])) == []
+    lost.folder_lost_at = None
+    assert rules(records(calls=[], lifetimes=[lost, again])) == ["no ending"]
+
+
 def test_a_request_that_meets_a_kill_is_not_lost():
     found = records(requests=[request(Ending.ENDED, 0, began=99.99, written=99.99, ended=100.0)], calls=[])
     assert rules(found) == []
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -298,7 +298,7 @@
             if record.limit and not route.unit.mean_limit:
                 route.unit.told_limit = route.unit.mean_limit = record.limit
             route.unit.pace = min(route.unit.pace, record.pace)
-            self._space(route, self.random.random())
+            self._space(route)  # how long was waited is lost: all that were restarted wait anew
         elif self.now - self.alive_at > RECENT_S:
             route.slow_start.assume(self.now, self.settings.rules)
 
--- a/willownotch/lab/soak/__main__.py
+++ b/willownotch/lab/soak/__main__.py
@@ -1,5 +1,7 @@
 """Play seeds by hand: `python -m willownotch.lab.soak --seeds 1-50 --seconds 12 --json FILE`.
 
+Fleets beside a destination that returns cold: `--cold`.
+
 One seed again, with the processes' lines: `python -m willownotch.lab.soak --seeds 17 --lines`.
 """
 
@@ -14,7 +16,7 @@
 import click
 import msgspec
 
-from willownotch.lab.soak.plan import draw
+from willownotch.lab.soak.plan import draw, draw_cold
 from willownotch.lab.soak.processes import ROOT
 from willownotch.lab.soak.run import Report, play
 
@@ -40,10 +42,10 @@
     return found
 
 
-def play_seed(seconds: float, senders: int | None, program: Path, seed: int) -> Report:
+def play_seed(seconds: float, senders: int | None, cold: bool, program: Path, seed: int) -> Report:
     """One seed, in a process of its own where several are played beside one another."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that no sender is left behind
-    return play(draw(seed, seconds, senders), program)
+    return play(draw_cold(seed, senders) if cold else draw(seed, seconds, senders), program)
 
 
 def row(report: Report) -> dict:
@@ -65,6 +67,7 @@
 @click.option("--seeds", default="1-5", show_default=True, help="Which, as 3, 1-50 or 1,4,9.")
 @click.option("--seconds", default=12.0, show_default=True, help="How long each is under load.")
 @click.option("--beside", default=1, show_default=True, help="How many are played at the same time.")
+@click.option("--cold", is_flag=True, help="Fleets beside a destination that fails and returns cold.")
 @click.option("--senders", type=int, help="How many senders, in place of the drawn number.")
 @click.option("--json", "path", type=click.Path(path_type=Path), help="Where the results go.")
 @click.option(
@@ -79,6 +82,7 @@
     seconds: float,
     beside: int,
     senders: int | None,
+    cold: bool,
     path: Path | None,
     program: Path,
     lines: bool,
@@ -86,7 +90,7 @@
     """Play whole senders with faults drawn from seeds; exit code 1 if a rule was broken."""
     rows = []
     with ProcessPoolExecutor(beside) as pool:
-        for report in pool.map(partial(play_seed, seconds, senders, program), seeds_of(seeds)):
+        for report in pool.map(partial(play_seed, seconds, senders, cold, program), seeds_of(seeds)):
             print(report.text(), flush=True)
             if lines:
                 for name, said in processes_of(report).items():
--- a/willownotch/lab/soak/plan.py
+++ b/willownotch/lab/soak/plan.py
@@ -251,3 +251,55 @@
         if random.random() < 0.4
         else (),
     )
+
+
+COLD_FLEETS = (2, 4, 8, 12, 20, 30, 45)
+COLD_ACTIONS = (Action.KILL, Action.KILL, Action.RESTART, Action.LOSE, Action.UPGRADE, Action.UPGRADE_TWICE)
+UNTIL_END_S = 2.0  # beyond the slow start
+
+
+def draw_cold(seed: int, senders: int | None = None) -> Plan:
+    """A run of a seed beside a cold destination: its outages, and what is done to senders around them."""
+    random = Random(f"cold {seed}")
+    count = senders or random.choice(COLD_FLEETS)
+    begin, length = random.uniform(2.0, 5.0), random.choice((3.0, 6.0, 12.0)) * random.uniform(0.8, 1.2)
+    outages = [ColdOutage(begin, begin + length, random.choice(list(OutageKind)))]
+    if random.random() < 0.2:
+        again = outages[0].to_s + random.uniform(0.5, 4.0)
+        outages.append(ColdOutage(again, again + random.uniform(2.0, 5.0), random.choice(list(OutageKind))))
+    cold = ColdPlan(
+        random.choice((6.0, 20.0, 60.0)),
+        tuple(outages),
+        load=random.choice((0.5, 0.8, 1.2)),
+        tells_limit=random.random() < 0.6,
+        clients=1 if count > 12 else 2,
+        cold_s=random.choice((4.0, 10.0)),
+        fall_s=random.choice((1.0, 2.0)),
+    )
+    returned = outages[-1].to_s
+    steps = []
+    for _ in range(random.choice((0, 1, 1, 2))):
+        action = random.choice(COLD_ACTIONS)
+        at = random.choice(
+            (
+                random.uniform(begin, returned),  # in the outage
+                returned - random.uniform(0.0, 1.0),
+                returned + random.uniform(0.0, cold.cold_s),  # in the slow start
+                returned + cold.cold_s - random.uniform(0.0, 1.0),  # at its end
+            )
+        )
+        share = random.choice((0.1, 0.5, 1.0)) if count <= 12 else random.choice((0.1, 0.3))
+        steps += [Step(at, n, action) for n in range(count) if random.random() < share]
+    return Plan(
+        seed,
+        returned + cold.cold_s + UNTIL_END_S,
+        count,
+        0 if count > 12 else 1,
+        0,
+        2,
+        tuple(sorted(steps, key=lambda step: step.at_s)),
+        (Weather(0.0),),
+        draw_call_faults(random, returned) if random.random() < 0.3 else (),
+        (),
+        cold,
+    )
--- a/willownotch/slow_start.py
+++ b/willownotch/slow_start.py
@@ -235,6 +235,7 @@
             record.returned_at,
             record.answered_at,
             record.warm_at,
+            delivered_before=record.usual,
             assumed=record.assumed,
             unknown=record.unknown,
         )
