--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -1,39 +1,39 @@
 """All decisions of willownotch. Types, events and actions stand in `willownotch/interface.py`.
 
 The ordinary path is the high-percentile concurrency limit (docs/design.md): calls in flight stay under F x
-min cost x max rate. Exceptions: pace (`refused`), health (`_evidence`), silence (`_overdue`), trials and
-return ramp (`_space`), distrusted connections (`_reused`). `willownotch/state.py` has what is remembered.
+min cost x max rate (`concurrency_limit.py`). Exceptions: pace (`pacing.py`), slow start and trials
+(`slow_start.py`), health (`_evidence`), silence (`_overdue`), distrusted connections (`_reused`).
+`willownotch/state.py` has what is remembered.
 """
 
 from __future__ import annotations
 
 import random
-from math import inf, log, sqrt
+from math import inf, log
 
 from willownotch import interface as face
+from willownotch.concurrency_limit import (
+    EXPECTED_FACTOR,
+    FAST_STEP,
+    M_EVERY,
+    PERIOD_S,
+    RECENT_S,
+    ROOM_LEFT,
+    TICK_S,
+    TOP,
+    admits,
+    slow,
+    success,
+    window,
+)
 from willownotch.interface import Effect, Group, Outcome
+from willownotch.pacing import PACE_GAP_S, even_part, refused, told
 from willownotch.slow_start import TOGETHER_LEAST, Calls, SlowStart, State, Traffic
 from willownotch.state import Book, Bucket, Call, Destination, Fading, Job, Ran, Route, Unit, follow, job_of
 
-TICK_S = 0.02  # s; no timer is set nearer than this: short against any time wanted of a message
-PERIOD_S = 1.0  # s; the design feeds its averages once a second
-SLOW_STEP, FAST_STEP = 0.01, 0.1  # the design's averages: the far side of an extreme moves tenfold slower
-M_KEEP, M_EVERY, M_LAST = 0.9, 10, 30  # the design: M's smoothing; every 10 successes the last 30's maximum
-LIGHT, EXPECTED_FACTOR = 0.5, 2.0  # the design: no load under half of expected, which is twice the calm p99
-CALM_LEAST, CALM_MOST = 20, 200  # latencies that a p99 needs to mean anything, and that are kept
-CUT_EVERY, CUT_STEP, TOP = 200, 8.0, 256.0  # the design's period of cuts; a step is 1/32 of the range
-MIDDLE_PASS, MIDDLE_TO_TOP = 0.5, 0.1  # the design's aims for the cuts
 DEST_SHARE, SICK_SHARE = 0.75, 0.5  # share of slots: one destination; a slow or failing one, or all of these
 FAIL_STEP, FULL_STEP, SICK = 0.4, 0.1, 0.6  # two failures in a row pass SICK, or nine refusals
-RECENT_S, OVERDUE = 2.0, 1.5  # s that an outcome is news; x expected: so old an unanswered call has failed
-PACE_CUT, PACE_GROW = 0.6, 1.08  # x pace at a refusal, at a success: balances at one refusal in eight
-PACE_GAP_S, PACE_DONE = 0.5, 3.0  # s: refusals this near are one burst; x max rate: such a pace says nothing
-PACE_BACK, PACE_EVEN = 1.5, 0.6  # x pace at a success with room left, up to the even part; x that: its least
-PACE_TOLD = 0.9  # x the part of a told limit that a pace starts at: refused calls may use it up too
-FELL = 0.67  # x the mean of a told limit: more than its noise, so that calls meet a lower limit
-PACE_OVER, PACE_TRIES = 2.0, 4.0  # a pace starts at so much x mean rate, or calls in the shortest deadline
-USED_UP = 0.05  # share of a limit: all of it goes as it is
-ROOM_LEFT = 0.5  # share of a limit: with less left, others would be refused what is sent faster
+OVERDUE = 1.5  # x expected: so old an unanswered call has failed
 JITTER = (0.5, 1.5)  # x a gap between calls, so that senders refused together do not come back together
 ROUGH = 2 / 3  # x a listed rate, which may be half too high, until an answer tells the limit
 SHUT_REFUSALS = 3  # with no call taken between them, and over RECENT_S, they are no limit's
@@ -73,126 +73,6 @@
     return route in (None, first.route) or job.cls.group is Group.ALL or near
 
 
-def even_part(unit: Unit, settings: face.Settings) -> float:
-    """What each sender gets of a told limit if all get the same."""
-    return unit.told_limit / settings.senders
-
-
-def own_part(unit: Unit, settings: face.Settings) -> float:
-    """Of the limit as told now, the even part, or what this sender used of it before if that is more."""
-    left = min(1.0, unit.told_limit / unit.mean_limit) if unit.mean_limit else 1.0
-    return max(even_part(unit, settings), left * (unit.mean_rate or 0.0))
-
-
-def told_start(settings: face.Settings) -> float:
-    """What a pace on a told limit starts at, x the own part: of few senders one may have far more to send."""
-    return PACE_TOLD * (1 + 1 / settings.senders)
-
-
-def told(unit: Unit, limit: float, room: float | None, settings: face.Settings) -> None:
-    """Take a limit from an answer. One that fell or is used up paces: refused calls would only hold it so."""
-    unit.told_limit = limit
-    unit.mean_limit = follow(unit.mean_limit, limit, FAST_STEP, FAST_STEP)
-    if unit.pace == inf and (limit < FELL * unit.mean_limit or (room is not None and room < USED_UP)):
-        unit.pace = told_start(settings) * own_part(unit, settings)
-
-
-def success(unit: Unit, took: float, now: float, room: float | None = None, even: float = 0.0) -> None:
-    """Feed the design's cost, rate and M with one call."""
-    if now - unit.period_at >= PERIOD_S:
-        close_period(unit, now)
-    unit.costs.append(took)
-    # A slow pace has few successes to grow by: seconds without refusal count too, while room is left if told.
-    idle = (now - max(unit.refused_at, unit.grown_at)) / PERIOD_S
-    unit.pace *= PACE_GROW ** (1.0 if room is not None and room < ROOM_LEFT else max(1.0, idle))
-    if room is not None and room >= ROOM_LEFT and unit.pace < even:
-        unit.pace = min(even, PACE_BACK * unit.pace)  # no sender takes from others by that
-    unit.grown_at = now
-    unit.last.append(took)
-    del unit.last[:-M_LAST]
-    unit.since += 1
-    if unit.since >= M_EVERY:
-        unit.since = 0
-        unit.maxima.append(max(unit.last))
-
-
-def close_period(unit: Unit, now: float) -> None:
-    """Close one of the design's periods. It lasts to the next success: few calls are no high rate."""
-    span = max(TICK_S, now - unit.period_at)  # a unit may be new in this very round
-    step = 1 - (1 - FAST_STEP) ** (span / PERIOD_S)
-    unit.mean_rate = follow(unit.mean_rate, len(unit.costs) / span, step, step)
-    if unit.costs:
-        unit.min_cost = follow(unit.min_cost, sum(unit.costs) / len(unit.costs), SLOW_STEP, FAST_STEP)
-        unit.max_rate = follow(unit.max_rate, len(unit.costs) / PERIOD_S, FAST_STEP, SLOW_STEP)
-        if max(unit.failed_at, unit.refused_at) < unit.period_at and not slow(unit):
-            unit.calm = (unit.calm + unit.costs)[-CALM_MOST:]
-            if len(unit.calm) >= CALM_LEAST:
-                unit.expected = EXPECTED_FACTOR * sorted(unit.calm)[int(0.99 * (len(unit.calm) - 1))]
-    if unit.maxima:
-        unit.measured = follow(unit.measured, sum(unit.maxima) / len(unit.maxima), 1 - M_KEEP, 1 - M_KEEP)
-    if unit.pace > PACE_DONE * (unit.max_rate or inf):
-        unit.pace = inf
-    unit.costs, unit.maxima, unit.period_at = [], [], now
-
-
-def slow(unit: Unit) -> bool:
-    """M has passed expected."""
-    return unit.measured is not None and unit.measured > unit.expected
-
-
-def window(unit: Unit, now: float) -> float:
-    """F x min cost x max rate; binds once M passes expected or calls fail, never below one."""
-    binds = slow(unit) or now - unit.failed_at < RECENT_S
-    if not binds or None in (unit.max_rate, unit.measured) or unit.measured < LIGHT * unit.expected:
-        return inf
-    ratio = unit.expected / unit.measured
-    return max(1.0, (ratio if ratio > 1 else sqrt(ratio)) * unit.min_cost * unit.max_rate)
-
-
-def admits(unit: Unit, job: Job, now: float, limit: float | None = None) -> bool:
-    """The design's cuts: at or above upper a job has room under twice the window, else under once."""
-    top = job.priority >= unit.upper
-    room = unit.calls < (window(unit, now) if limit is None else limit) * (2 if top else 1)
-    if not job.judged:
-        job.judged = True
-        unit.seen += 1
-        unit.top += top
-        if unit.lower <= job.priority < unit.upper:
-            unit.passed += room
-            unit.missed += not room
-        if unit.seen >= CUT_EVERY:
-            step_cuts(unit)
-    return room
-
-
-def step_cuts(unit: Unit) -> None:
-    """Half the middle band shall pass, a tenth as many as the top; with no misses the cuts drift back."""
-    unit.upper = min(unit.upper, TOP)
-    if unit.missed:
-        unit.lower += CUT_STEP if unit.passed < MIDDLE_PASS * (unit.passed + unit.missed) else -CUT_STEP
-        unit.upper += -CUT_STEP if unit.passed > MIDDLE_TO_TOP * unit.top else CUT_STEP
-    else:
-        unit.lower -= CUT_STEP
-        unit.upper += CUT_STEP
-    unit.lower = max(0.0, min(unit.lower, TOP - CUT_STEP))
-    unit.upper = max(unit.lower + CUT_STEP, min(unit.upper, TOP))
-    unit.seen = unit.top = unit.passed = unit.missed = 0
-
-
-def refused(unit: Unit, now: float, settings: face.Settings, bound: bool = False, out: bool = False) -> None:
-    """Fast refusals leave F infinite: pace the unit by its mean rate. `bound`: by a told limit; `out`: no."""
-    unit.refused_at = now
-    if now - unit.cut_at >= PACE_GAP_S and not out:
-        unit.cut_at = now
-        if unit.pace == inf:
-            # Where the limit is told, its fair part; else tries while the held message is worth something.
-            least = PACE_TRIES / min(cls.deadline_s for cls in settings.classes)
-            over = told_start(settings) / PACE_CUT if unit.told_limit else PACE_OVER
-            unit.pace = max(0.0 if unit.told_limit else least, over * own_part(unit, settings))
-        floor = max(TOGETHER_LEAST / settings.senders, PACE_EVEN * bound * even_part(unit, settings))
-        unit.pace = max(floor, PACE_CUT * unit.pace)
-
-
 def sick(dest: Destination) -> bool:
     """Slow, failing or silent anywhere; M itself never rises while nothing is answered."""
     silent = any(call.judged and not call.heard for r in dest.routes.values() for call in r.calls)
@@ -300,7 +180,8 @@
             route.unit.pace = min(route.unit.pace, record.pace)
             self._space(route)  # how long was waited is lost: all that were restarted wait anew
         elif self.now - self.alive_at > RECENT_S:
-            route.slow_start.assume(self.now, self.settings.rules)
+            fair = self._traffic(route, self._peers(route)).fair
+            route.slow_start.assume(self.now, self.settings.rules, fair)
 
     def slow_starts(self) -> face.Remembered:
         """What a process after this one has to know of endpoints that are not healthy, or are paced."""
@@ -620,7 +501,7 @@
             if job.cls.effect is Effect.UNSAFE and self.now + self._patience(route.unit) > self.stops_at:
                 continue
             # Else no full calls: they weigh much more.
-            sound = route.slow_start.state in (State.HEALTHY, State.SETTLING)
+            sound = route.slow_start.assumed or route.slow_start.state in (State.HEALTHY, State.SETTLING)
             if number in opened and opened[number].left < kind.batch and sound:
                 best = route
                 break
--- a/willownotch/handover/version.py
+++ b/willownotch/handover/version.py
@@ -8,6 +8,8 @@
 
 NAMES = (
     "control.py",
+    "concurrency_limit.py",
+    "pacing.py",
     "slow_start.py",
     "state.py",
     "interface.py",
--- a/willownotch/lab/experiment/cases.py
+++ b/willownotch/lab/experiment/cases.py
@@ -13,7 +13,16 @@
 
 ROOT = Path(__file__).parents[2]
 # What a result hangs on: the policies and the model.
-CODE = ("control.py", "state.py", "interface.py", "lab/model/*.py", "lab/load/plan.py")
+CODE = (
+    "control.py",
+    "concurrency_limit.py",
+    "pacing.py",
+    "slow_start.py",
+    "state.py",
+    "interface.py",
+    "lab/model/*.py",
+    "lab/load/plan.py",
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/willownotch/slow_start.py
+++ b/willownotch/slow_start.py
@@ -72,6 +72,7 @@
     left: float = 0.0  # calls' worth of time until then
     counted_at: float = -inf  # as of when
     assumed_at: float = inf  # when that was said of it
+    burst: float = 0.0  # calls that may go without a wait
     delivered_before: float = 0.0  # calls a second before the outage; 0 where none are known
     assumed: bool = False  # nothing was seen of an outage, and nothing says that there was none
     unknown: bool = False  # this process has found nothing usual there yet, and so may all others
@@ -89,11 +90,13 @@
         self.answered_at = max(now, returned_at)
         self.warm_at = self.answered_at + rules.cold_s
 
-    def assume(self, now: float, rules: Rules) -> None:
-        """Nothing is known of it: it may have returned this very moment."""
+    def assume(self, now: float, rules: Rules, fair: float) -> None:
+        """Nothing is known of it: it may have returned this very moment. `fair` is as in `Traffic`."""
         self.recover(now, rules, now)
         self.failing_since, self.unreachable_at, self.assumed, self.unknown = -inf, inf, True, True
         self.assumed_at = now
+        # One window's part may come at once: the rule counts windows, and a first burst is no backlog.
+        self.burst = min(SPARE_TOLD, rules.fall_multiple) * rules.cold_share * fair * rules.fall_s
 
     def answer(self, now: float, rules: Rules) -> None:
         """A call was answered. Where nothing is known, the first answer dates a return."""
@@ -133,7 +136,9 @@
 
     def charge(self, now: float, calls: float) -> None:
         """A call goes: the next one may after so many calls' worth of time. `plan` says when that is."""
-        self.left, self.counted_at, self.planned_at = calls, now, -inf
+        free = self.state is not State.FAILING and self.burst >= 1.0
+        self.burst -= free
+        self.left, self.counted_at, self.planned_at = 0.0 if free else calls, now, -inf
 
     def stale(self, now: float) -> bool:
         """Whether its plan is so old that more may be known by now."""
