--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -183,7 +183,7 @@
     """Each of hundreds of held messages had it worked out anew; ends and answers came late for it."""
     sender = Sender()
     asked = []
-    monkeypatch.setattr(control, "window", lambda unit, now: asked.append(unit) or 1.0)
+    monkeypatch.setattr("willownotch.control.window", lambda unit, now: asked.append(unit) or 1.0)
     out = sender.step(*[sender.message() for _ in range(40)], after=0.1)
     assert (len(sends(out)), len(asked)) == (1, 1)
 
--- a/willownotch/slow_start.py
+++ b/willownotch/slow_start.py
@@ -183,7 +183,9 @@
         if self.state is State.FAILING:
             return rules.cold_share
         slope = (1 - rules.cold_share) / rules.cold_s
-        return min(1.0, rules.cold_share + slope * max(0.0, at - self.returned_at))
+        # A window's budget is that of its begin: what is sent in its mean must not be ahead of that.
+        since = at - self.returned_at - rules.fall_s / 2
+        return min(1.0, rules.cold_share + slope * max(0.0, since))
 
     def _growth(self, at: float, rules: Rules) -> float:
         """How far the bound has grown beyond what is usual, as fast as before, since it is surely warm."""
