--- /dev/null
+++ b/tests/test_slow_start_cases.py
@@ -0,0 +1,30 @@
+"""The rule on cold endpoints as a property of drawn fleets: `python -m willownotch.lab.recovery --cases
+0-1000`.
+
+A seed draws the senders, the limit (told, kept, listed or not at all), the load, outages of all kinds and
+lengths, one or two in a row, seen by all or by half, who is restarted or upgraded when, with a folder or
+without, who is held, how many endpoints fail. No window of a slow start may have more calls than it
+grants, two thirds of them by senders that had seen a call fail.
+"""
+
+import pytest
+
+from willownotch.lab.recovery.case import draw
+from willownotch.lab.recovery.play import play
+
+CASES, BLOCK = 100, 10
+# Of the cases 0 to 399, those that still break the rule.
+STILL_OVER = (196, 230, 282)
+
+
+@pytest.mark.parametrize("first", range(0, CASES, BLOCK))
+def test_no_drawn_fleet_brings_a_cold_destination_down(first):
+    results = [play(draw(seed)) for seed in range(first, first + BLOCK)]
+    print("\n".join(result.text() for result in results))
+    broken = [result.text() for result in results if result.broken]
+    assert not broken, "\n".join(broken)
+
+
+def test_cases_that_are_not_mended_yet():
+    broken = [result.text() for result in (play(draw(seed)) for seed in STILL_OVER) if result.broken]
+    assert not broken, "\n".join(broken)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -349,7 +349,9 @@
             # With hardly a call no second one tells in time. A call without answer may be a slow one.
             long = outcome is Outcome.UNREACHABLE and event.took_s >= LONG_S
             # Nor where nothing was answered lately: many senders with a call each would go on at full pace.
-            alone = not reused and (now - route.last_ok >= RECENT_S or route.slow_start.assumed)
+            # What resets a connection is there, or crashed: the next call, on a new one, tells.
+            alone = not reused and outcome is not Outcome.BROKEN
+            alone = alone and (now - route.last_ok >= RECENT_S or route.slow_start.assumed)
             step = SICK if alone or (long and (unit.mean_rate or 0.0) < SPARSE) else step
         route.sick += step * (1 - route.sick)
         # Only a connection that fails dates an outage: what is slow or turns away never was out for certain.
--- a/willownotch/lab/recovery/destination.py
+++ b/willownotch/lab/recovery/destination.py
@@ -56,7 +56,7 @@
     case: Case
     calls: list[tuple[float, int, bool]] = field(default_factory=list)  # time, sender, whether it was aware
     delivered: list[float] = field(default_factory=list)
-    aware: set[int] = field(default_factory=set)
+    aware: set[int] = field(default_factory=set)  # senders that saw a call fail in the last outage
 
     def __post_init__(self) -> None:
         """Fill its allowance."""
@@ -79,7 +79,7 @@
         if endpoint <= self.case.failing_endpoints:
             self.calls.append((now, sender, sender in self.aware))
         if out is not None:
-            return self._fails(sender, out)
+            return self._fails(sender, out, now)
         took = self.random.uniform(*TOOK_S)
         if not self.case.tells_limit:
             self.delivered.append(now)
@@ -96,10 +96,15 @@
         outcome = Outcome.DELIVERED if takes else Outcome.TURNED_AWAY
         return Reply(outcome, took if takes else 0.01, max(0.0, self.left) / limit, limit)
 
-    def _fails(self, sender: int, out: Outage) -> Reply:
+    def learns(self, sender: int, sent_at: float) -> None:
+        """A sender has learned that its call failed. An outage before the last one tells nothing of it."""
+        if sent_at >= max(outage.from_s for outage in self.case.outages):
+            self.aware.add(sender)
+
+    def _fails(self, sender: int, out: Outage, now: float) -> Reply:
         if out.kind is OutageKind.HANG:
             return Reply(Outcome.TIMED_OUT, None)
-        self.aware.add(sender)
+        self.learns(sender, now)
         return Reply(OUTCOMES[out.kind], 0.02)
 
     def windows(self) -> list[Window]:
--- a/willownotch/lab/recovery/play.py
+++ b/willownotch/lab/recovery/play.py
@@ -45,6 +45,7 @@
 TRIES, COME_BACK_S, KEEPALIVE_S = 12, 2.0, 5.0
 AGAIN_S = (0.39, 1.7)  # until a client hands in again what was refused, or lost with its sender
 AGAIN_MOST = 3
+AWARE_MOST = 2 / 3  # of the calls under which a destination falls
 AFTER_S = 4.0  # played beyond the slow start
 
 
@@ -98,6 +99,11 @@
         """Whether no window had more calls than its budget grants."""
         return self.worst.over <= 0
 
+    @property
+    def broken(self) -> bool:
+        """Whether a window is over its budget, two thirds of it by senders that had seen a failure."""
+        return not self.kept and self.worst.aware > AWARE_MOST
+
     def text(self) -> str:
         """The worst window, what was used of the slow start, and the case."""
         return (
@@ -157,7 +163,8 @@
         back = case.returned_s
         delivered = sum(back <= at < back + case.cold_s for at in self.destination.delivered)
         offered = min(1.0, case.load) * case.limit_per_s * case.cold_s
-        worst = max(windows, key=lambda window: window.over)
+        # A window that breaks the rule goes before a fuller one that does not.
+        worst = max(windows, key=lambda window: (window.over > 0 and window.aware > AWARE_MOST, window.over))
         return Result(case, worst, delivered, offered, self.late, self.total)
 
     def _at(self, when: float, act: Any, *arguments: Any) -> None:
@@ -281,7 +288,7 @@
             self.late += self.now - wanted > CLASSES[out.handed.message_class].wanted_s
             self._forget(sender, out.handed.ref)
         elif event.outcome is Outcome.TIMED_OUT:
-            self.destination.aware.add(sender.number)
+            self.destination.learns(sender.number, out.sent_at)
         self._deliver(sender, generation, event)
 
     # Clients
