--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -88,6 +88,33 @@
     assert slow_start(sender).state is State.HEALTHY
 
 
+@pytest.mark.parametrize("outcome", [Outcome.UNREACHABLE, Outcome.ERROR, Outcome.BROKEN])
+def test_a_failure_in_a_slow_start_neither_passes_unseen_nor_ends_it(outcome):
+    """The next answer came within 2 s of the one before: that was no outage, and the slow start was over."""
+    sender = Sender(slots=40)
+    sender.serve(40)
+    sender.fail()
+    out_for(sender, 6.0)
+    sender.step(*[sender.message(SAFE) for _ in range(30)])
+    answered(sender, 2.0)
+    assert slow_start(sender).state is State.RECOVERING
+    out = []
+    while not out:
+        out = sends(sender.step(Timer(1), after=0.05))
+    slow_start(sender).unreachable_at = inf
+    for call in list(sender.control.book.routes[1].calls):
+        call.idle_s = None  # on a new connection
+    sender.step(sender.ended(out[0], outcome))
+    assert slow_start(sender).state is State.FAILING
+    sender.control.book.routes[1].last_ok = sender.now  # another call's answer, just before
+    out = []
+    while not out:
+        out = sends(sender.step(Timer(1), after=0.05))
+        sender.control.book.routes[1].last_ok = sender.now
+    sender.step(sender.ended(out[0], Outcome.DELIVERED))
+    assert slow_start(sender).state is State.RECOVERING
+
+
 def test_an_endpoint_is_warm_so_long_after_its_first_answer_not_after_the_assumed_return():
     start = SlowStart()
     start.fail(0.0, 1.0)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -282,7 +282,7 @@
             if phase is None:
                 route.unit.pace = inf  # it was cut as the outage began: now its slow start says how fast
         else:
-            slow_start.clear()
+            slow_start.resume()
         self._space(route, phase)
         # With a call in many seconds each sender would else find an outage and its end out for itself.
         if self.settings.may_tell and phase is None:
@@ -350,8 +350,9 @@
             long = outcome is Outcome.UNREACHABLE and event.took_s >= LONG_S
             # Nor where nothing was answered lately: many senders with a call each would go on at full pace.
             # What resets a connection is there, or crashed: the next call, on a new one, tells.
-            alone = not reused and outcome is not Outcome.BROKEN
-            alone = alone and (now - route.last_ok >= RECENT_S or route.slow_start.assumed)
+            lately = now - route.last_ok < RECENT_S or outcome is Outcome.BROKEN
+            # In a slow start one is enough: it is out again, or was never back.
+            alone = not reused and (not lately or route.slow_start.state is not State.HEALTHY)
             step = SICK if alone or (long and (unit.mean_rate or 0.0) < SPARSE) else step
         route.sick += step * (1 - route.sick)
         # Only a connection that fails dates an outage: what is slow or turns away never was out for certain.
--- a/willownotch/slow_start.py
+++ b/willownotch/slow_start.py
@@ -73,6 +73,7 @@
     counted_at: float = -inf  # as of when
     assumed_at: float = inf  # when that was said of it
     burst: float = 0.0  # calls that may go without a wait
+    before: State = State.HEALTHY  # the state that a failure has ended
     delivered_before: float = 0.0  # calls a second before the outage; 0 where none are known
     assumed: bool = False  # nothing was seen of an outage, and nothing says that there was none
     unknown: bool = False  # this process has found nothing usual there yet, and so may all others
@@ -81,6 +82,8 @@
         """Calls fail, where so many a second were delivered lately."""
         if self.state is State.HEALTHY:  # else the bound itself kept them few
             self.delivered_before = delivered
+        if self.state is not State.FAILING:
+            self.before = self.state
         self.state, self.failing_since, self.assumed = State.FAILING, now, False
 
     def recover(self, now: float, rules: Rules, returned_at: float) -> None:
@@ -104,8 +107,12 @@
             self.returned_at = self.answered_at = now
             self.warm_at = now + rules.cold_s
 
+    def resume(self) -> None:
+        """It was not out, only slow or full: a slow start that was going on before goes on."""
+        self.state = self.before
+
     def clear(self) -> None:
-        """It was not out, or is warm and nothing waits for it."""
+        """It is warm, and nothing waits for it."""
         self.state, self.assumed, self.unknown = State.HEALTHY, False, False
 
     def date_return(self, now: float) -> float:
