--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -147,6 +147,17 @@
     assert slow_start(sender).state is State.FAILING
 
 
+def test_a_late_answer_of_the_silent_call_itself_is_no_return():
+    """Each slow call at a destination with few was taken for an outage: 14 s of slow start for it."""
+    sender = Sender(senders=45, keepalive_s=5.0)
+    sender.serve(3)
+    sent = sends(sender.step(sender.message(SAFE), after=6.0))
+    sender.tick(2.1)
+    assert slow_start(sender).state is State.FAILING
+    sender.step(sender.ended(sent[0], Outcome.DELIVERED, took=2.2), after=0.1)
+    assert slow_start(sender).state is State.HEALTHY
+
+
 def test_one_failed_call_among_answers_is_none():
     sender = Sender(senders=45)
     sender.serve(20)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -320,7 +320,10 @@
             if route.failing:
                 unit.period_at, unit.costs = now, []  # an outage says nothing of what is usual
                 # What answered this lately was no outage (slow calls, a full table of connections): no ramp.
-                cold = now - route.last_ok >= RECENT_S
+                # Nor was the one that a late answer comes from, of a call that had been given up as silent.
+                took, since = event.took_s, now - route.slow_start.failing_since
+                late = since < took < CERTAIN * self.strange
+                cold = now - route.last_ok >= RECENT_S and not late
                 out_s = now - route.slow_start.failing_since
                 self._turn(route, failing=False, cold=cold)
                 said = f"answers again after {out_s:.1f} s, slow start: {cold}"
