--- a/willownotch/lab/soak/cold.py
+++ b/willownotch/lab/soak/cold.py
@@ -14,13 +14,12 @@
 from random import Random
 
 from willownotch.lab.recovery.destination import granted
-from willownotch.lab.soak.endpoints import Server
+from willownotch.lab.soak.endpoints import Server, wait_until_given_up
 from willownotch.lab.soak.plan import ColdPlan, OutageKind
 from willownotch.lab.soak.records import Call, Fall, Records
 from willownotch.net import http
 
 TOOK_S = (0.02, 0.12)  # a call, from and to
-HANG_S = 30.0
 LIMIT_BURST_S = 1.0  # of the limit: so much may come at once
 LOOK_S = 0.02
 
@@ -132,11 +131,7 @@
         if kind is OutageKind.REFUSED:
             return self._write(sock, call, 503, ())
         if kind is OutageKind.HANG:
-            sock.settimeout(HANG_S)
-            try:
-                sock.recv(1, socket.MSG_PEEK)  # until the sender gives the call up
-            except OSError:
-                pass
+            wait_until_given_up(sock)
         call.ended = time.monotonic()
         return False
 
--- a/willownotch/lab/soak/endpoints.py
+++ b/willownotch/lab/soak/endpoints.py
@@ -21,6 +21,15 @@
 DESTINATION, COLD_DESTINATION = 7, 9
 
 
+def wait_until_given_up(sock: socket.socket) -> None:
+    """Hang on a call until its sender stops waiting for it."""
+    sock.settimeout(HANG_S)
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        pass
+
+
 class Server:
     """Takes connections on a port of its own, a thread for each."""
 
@@ -147,11 +156,7 @@
         return False
 
     def _hang(self, sock: socket.socket, call: Call) -> bool:
-        sock.settimeout(HANG_S)
-        try:
-            sock.recv(1, socket.MSG_PEEK)  # until the sender gives the call up
-        except OSError:
-            pass
+        wait_until_given_up(sock)
         call.ended = time.monotonic()
         return False
 
