--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -115,6 +115,24 @@
     assert slow_start(sender).state is State.RECOVERING
 
 
+def test_a_silent_call_in_a_slow_start_is_no_second_outage():
+    """What is cold is slow: each slow start began anew with the first call that it kept waiting."""
+    sender = Sender(slots=40)
+    sender.serve(40)
+    sender.fail()
+    out_for(sender, 6.0)
+    sender.step(*[sender.message(SAFE) for _ in range(30)])
+    answered(sender, 2.0)
+    route, out = sender.control.book.routes[1], []
+    while not out:
+        out = sends(sender.step(Timer(1), after=0.05))
+    for call in list(route.calls):
+        call.idle_s = None
+    route.last_ok = sender.now
+    sender.step(sender.ended(out[0], Outcome.TIMED_OUT))
+    assert slow_start(sender).state is State.RECOVERING
+
+
 def test_an_endpoint_is_warm_so_long_after_its_first_answer_not_after_the_assumed_return():
     start = SlowStart()
     start.fail(0.0, 1.0)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -354,8 +354,9 @@
             # Nor where nothing was answered lately: many senders with a call each would go on at full pace.
             # What resets a connection is there, or crashed: the next call, on a new one, tells.
             lately = now - route.last_ok < RECENT_S or outcome is Outcome.BROKEN
-            # In a slow start one is enough: it is out again, or was never back.
-            alone = not reused and (not lately or route.slow_start.state is not State.HEALTHY)
+            # In a slow start one is enough, it is out again; but what is cold may be silent for long.
+            again = route.slow_start.state is not State.HEALTHY and outcome is not Outcome.TIMED_OUT
+            alone = not reused and (not lately or again)
             step = SICK if alone or (long and (unit.mean_rate or 0.0) < SPARSE) else step
         route.sick += step * (1 - route.sick)
         # Only a connection that fails dates an outage: what is slow or turns away never was out for certain.
