--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -355,3 +355,23 @@
     kept = msgspec.msgpack.decode(data, type=Kept)
     assert len(kept.rows) >= 50 and not kept.complete
     assert kept_file(tmp_path, clock).read(lambda name: 1).alive_at is None
+
+
+def test_no_window_has_more_than_its_beginning_allows():
+    """With a slow start of 4 s and windows of 1 s the share grows by a third until a window's middle."""
+    rules = Rules(cold_share=0.2, cold_s=4.0, fall_multiple=2.0, fall_s=1.0)
+    start = SlowStart()
+    start.fail(-9.0, 60.0)
+    start.unreachable_at = 0.0
+    start.recover(0.0, rules, 0.0)
+    bound = Calls(Traffic(60.0, 60.0, 60.0, told=True, certain=True), rules, 1)
+    now, times = 0.0, []
+    while now < 4.0:
+        start.charge(now, 1.0)
+        start.plan(now, bound)
+        now = start.next_at
+        times.append(now)
+    for begin in (0.1 * n for n in range(30)):
+        count = sum(begin <= at < begin + 1.0 for at in times)
+        # Its capacity is a fifth more than the limit that it tells, as in the fleets of the other tests.
+        assert count <= 2.0 * 1.2 * 60.0 * (0.2 + 0.8 * begin / 4.0) + 1, begin
