Test, failing: what the old process answers 503 was not begun by the new one

Seen by reading every place that answers 503 for a request with an id: in an upgrade the old process answers 503 for a request it has passed on when the link ends before the new one says that it has it, and the new one says so only after it has begun to serve.

--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 from toys import PATIENCE, ROOT, SETTINGS, Discovery, Host, Sender, until
@@ -761,3 +762,48 @@
     begun[0]()
     assert len(passed) == 1 and b"request-id: 7" in passed[0]
     theirs.close()
+
+
+class DiesBeforeItsAnswer(Link):
+    """The new process's end of a link: it ends in the moment in which it would say that it has a client."""
+
+    def send(self, kind, data=b"", fds=(), patience=wire.BEGIN_TIME):
+        if kind is Kind.ADOPTED:
+            self.sock.shutdown(socket.SHUT_RDWR)
+            raise BrokenPipeError(errno.EPIPE, "the process is gone")
+        super().send(kind, data, fds, patience)
+
+
+def test_a_request_that_the_old_process_answers_503_was_not_begun_by_the_new_one(rig):
+    """A client was told 503, that its message had not been accepted, and the message was sent all the same.
+
+    In an upgrade the old process passes a client on with the request that it has read, and answers 503 itself
+    where the new one does not say that it has it. The new process began to serve the client first and said
+    so afterwards. Where it ended in between (killed, or the middle one of three), the message was in the
+    journal or with a process after it, while the old one saw the end of the link alone and took the client
+    for not passed on: "the other process did not take its request, answered 503". Here the new process's
+    owner has the message in each play, and the old one is told to answer 503.
+    """
+    ours, theirs = socket.socketpair(socket.AF_UNIX)
+    passes = ClientPassing(Link(ours), rig.clock, rig.log)
+    successor = Rig(Verdict.TAKEN)
+    handed = []
+    successor.client_side.owner = SimpleNamespace(
+        post=lambda item: (handed.append(item), successor.post(item))
+    )
+    link = Inherited(DiesBeforeItsAnswer(theirs), None, None, [])
+    predecessor_link = PredecessorLink(link, rig.log, successor, None, successor.client_side)
+    client, server = pair()
+    found = []
+    start("pass", lambda: found.append(passes.pass_on(server, request(), None, 0)))
+    predecessor_link._adopt(predecessor_link.link.receive(PATIENCE_SPAN))
+    assert passes.link.receive(PATIENCE_SPAN) is None
+    passes.end()
+    until(lambda: found and not successor.client_side._clients)
+    assert found == [False]  # so the old process answers 503
+    assert not handed
+    server.sendall(http.write_answer(503))  # the connection is whole
+    assert answer_of(client).status == 503
+    for sock in (ours, theirs, client, server):
+        sock.close()
+    successor.close()
