Confirm a passed-on client before its request is begun, not after

Callers saw 503 for a message that was sent all the same. Now the thread that serves a client confirms it before it reads any of its request, and leaves the client alone where that cannot be told: what is not confirmed was not begun. The line on a request that was not taken names its id.

--- a/willownotch/handover/successor.py
+++ b/willownotch/handover/successor.py
@@ -156,23 +156,34 @@
     def _adopt(self, frame: Frame) -> None:
         """Go on with a client, or say that it cannot be done: then the old process answers it."""
         client = msgspec.msgpack.decode(frame.data, type=Client)
-        kind, sock = Kind.NOT_ADOPTED, None
+        told = bool(client.number and client.request)  # an idle client's old process waits for no answer
+        confirm = (lambda: self._tell(Kind.ADOPTED, client.number)) if told else None
+        adopted, sock = False, None
         try:
             if not frame.fds:
                 raise OSError("no descriptor is free for it")
             sock = socket.socket(fileno=frame.fds[0])
-            if self.client_side.adopt(sock, client.request, client.arrived, client.asked, client.read_at):
-                kind = Kind.ADOPTED
+            adopted = self.client_side.adopt(
+                sock, client.request, client.arrived, client.asked, client.read_at, confirm
+            )
         except OSError as fault:
             self.log.say("upgrade", f"a client of the process before was not taken: {fault}")
             if sock is None:
                 for descriptor in frame.fds:
                     os.close(descriptor)
-        if client.number and client.request:
-            try:
-                self.link.send(kind, msgspec.msgpack.encode(Adopted(client.number)))
-            except OSError:
-                pass  # it is gone: `run` says so
+        if told and not adopted:
+            self._tell(Kind.NOT_ADOPTED, client.number)
+
+    def _tell(self, kind: Kind, number: int) -> bool:
+        """Tell the old process what became of a client; whether it will hear that."""
+        try:
+            self.link.send(kind, msgspec.msgpack.encode(Adopted(number)))
+        except OSError as fault:
+            self.log.say(
+                "upgrade", f"the process before was not told {kind.name} of client {number}: {fault}"
+            )
+            return False
+        return True
 
     def _take(self, frame: Frame) -> None:
         if frame.kind is Kind.CLIENT:
--- a/willownotch/net/client_side.py
+++ b/willownotch/net/client_side.py
@@ -192,12 +192,12 @@
         if not self._welcome(client):
             self._leave(client)
 
-    def _welcome(self, client: Client, data: bytes = b"") -> bool:
+    def _welcome(self, client: Client, data: bytes = b"", confirm: Callable[[], bool] | None = None) -> bool:
         """Serve a connection, on which so much has come already; False if there is no thread for it."""
         with self._room:
             self._clients.add(client)
         try:
-            self.start("client", lambda: self._serve(client, data))
+            self.start("client", lambda: self._serve(client, data, confirm))
         except RuntimeError as fault:  # it is ended unread
             client.why = "no thread"
             self.log.say("accept", f"no thread for a connection: {fault}")
@@ -211,13 +211,18 @@
         arrived: datetime | None,
         asked: int,
         read_at: datetime | None = None,
+        confirm: Callable[[], bool] | None = None,
     ) -> bool:
-        """Go on with a client of the process before this one; whether it is served here from now on."""
+        """Go on with a client of the process before this one; False if there is no thread for it.
+
+        `confirm` is called before anything of it is read, and tells the process before that it is served
+        here; where it gives False, the client is that process's still.
+        """
         client = Client(sock, self.clock.now(), self._stages)
         client.asked, client.shared, client.arrived, client.read_at = asked, True, arrived, read_at
         if request:  # before anybody can take it for one that rests, and pass it on without its request
             client.at(Stage.READING, client.since)
-        if self._welcome(client, request):
+        if self._welcome(client, request, confirm):
             return True
         client.moved = True  # it is the other process's still
         self._leave(client)
@@ -265,13 +270,15 @@
         )
         return passed
 
-    def _pass_on(self, client: Client, request: bytes, arrived: datetime, read_at: datetime) -> None:
+    def _pass_on(
+        self, client: Client, ref: str, request: bytes, arrived: datetime, read_at: datetime
+    ) -> None:
         """Have the other process answer a request that was read here; what it cannot take is refused."""
         if self._move(client, request, arrived, read_at):
             raise MovedError
         self.log.say(
             "upgrade",
-            f"connection {client.number}: the other process did not take its request, " "answered 503",
+            f"connection {client.number}: the other process did not take {ref}, answered 503",
         )
 
     def empty(self) -> None:
@@ -301,8 +308,12 @@
                     self.log.say("crowded", f"{self.most} client connections: the idlest ends")
                 self._room.wait(seconds(SILENT_TIME) / 4)
 
-    def _serve(self, client: Client, data: bytes = b"") -> None:
+    def _serve(self, client: Client, data: bytes = b"", confirm: Callable[[], bool] | None = None) -> None:
         try:
+            # Not later: the process before answers 503 for what it has not been told to be served here.
+            if confirm is not None and not confirm():
+                client.moved, client.why = True, "left to the process before"
+                return
             sockets.without_delay(client.sock)
             parser = http.Parser(answer=False)
             if data:
@@ -372,7 +383,8 @@
             client.bad = 0
             client.asked += 1
         except MovedError:
-            self._pass_on(client, rewrite_request(head, body, bytes(parser.buffer)), arrived, read_at)
+            ref = head.headers.get("request-id", "its request")
+            self._pass_on(client, ref, rewrite_request(head, body, bytes(parser.buffer)), arrived, read_at)
             reply = self._back_off(RETRY, "not passed on")  # and its last answer here
             client.ending = True
         except RefusedError as fault:
