Take an error on an upgrade's link for no proof that the other process is gone

On an error the link is ended both ways, so that nothing more can be confirmed, what was confirmed is read, and only if that fails too are the clients left to the other process, without a 503 and with a log line. Test: both cases fail with the old reading of the link.

--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -807,3 +807,65 @@
     for sock in (ours, theirs, client, server):
         sock.close()
     successor.close()
+
+
+def test_a_link_that_fails_for_the_old_process_tells_nothing_of_what_the_new_one_serves(rig, tmp_path):
+    """An error on the link is no end of the other process: it may serve what it has confirmed unheard.
+
+    The old process took any error for the other one's end, and answered 503 for the clients on their way.
+    What was confirmed before is read all the same; where even that fails, the client is left to the other.
+    """
+    for readable in (True, False):
+        ours, theirs = socket.socketpair(socket.AF_UNIX)
+        passes = ClientPassing(Link(ours), rig.clock, rig.log)
+        client, server = pair()
+        found = []
+        start(
+            "pass", lambda to=found, by=passes, sock=server: to.append(by.pass_on(sock, request(), None, 0))
+        )
+        other = Link(theirs)
+        frame = other.receive(PATIENCE_SPAN)
+        other.send(Kind.ADOPTED, wire_data(frame))
+        if not readable:
+            theirs.sendall(b"no frame of a hand-over" * 2)
+        else:
+            passes.link.receive = failing_once(passes.link.receive)
+        predecessor = predecessor_of(rig, tmp_path, Standing(), rig)
+        predecessor._passing = passes if readable else Unheard(passes)
+        predecessor._hear(passes.link)
+        until(lambda to=found: to)
+        assert found == [True], readable
+        with pytest.raises(OSError):
+            other.send(Kind.ADOPTED, wire_data(frame))  # nothing more can be confirmed
+        for descriptor in frame.fds:
+            os.close(descriptor)
+        for sock in (ours, theirs, client, server):
+            sock.close()
+
+
+class Unheard:
+    """Passing whose confirmations are lost on the way."""
+
+    def __init__(self, passes):
+        self.end = passes.end
+
+    def answered(self, number, adopted):
+        """Nothing is heard of it."""
+
+
+def failing_once(receive):
+    """As `receive`, but for an error at the first call."""
+    failures = [OSError(errno.ENOBUFS, "no buffer space")]
+
+    def receive_or_fail(patience):
+        if failures:
+            raise failures.pop()
+        return receive(patience)
+
+    return receive_or_fail
+
+
+def wire_data(frame):
+    import msgspec
+
+    return msgspec.msgpack.encode(Adopted(msgspec.msgpack.decode(frame.data, type=Client).number))
--- a/willownotch/handover/passing.py
+++ b/willownotch/handover/passing.py
@@ -80,10 +80,17 @@
             pending.adopted = adopted
             pending.answered.set()
 
-    def end(self) -> None:
-        """The other process is gone: it answers none of those that are on their way."""
+    def end(self, certain: bool = True) -> None:
+        """The other process is not heard any more. What it has not confirmed it has not begun to serve.
+
+        `certain`: all that it confirmed was read. Otherwise it may serve any of those that are on their way,
+        and this process answers none of them.
+        """
         with self._lock:
             self._over, left = True, list(self._pending.values())
             self._pending.clear()
         for pending in left:
+            pending.adopted = not certain
             pending.answered.set()
+        if left and not certain:
+            self.log.say("upgrade", f"{len(left)} clients are left to the other process: it may serve them")
--- a/willownotch/handover/predecessor.py
+++ b/willownotch/handover/predecessor.py
@@ -244,15 +244,25 @@
 
     def _hear(self, link: Link) -> None:
         """Carry out what the other process asks for, until it is gone."""
-        why = "it has ended"
+        fault = certain = self._take_all(link)
+        if fault is not None:
+            # It cannot confirm any further client from here on. What it confirmed before is read still.
+            link.shut()
+            certain = self._take_all(link)
+        self._passing.end(certain is None)
+        self._gone.set()
+        self.log.say("upgrade", f"the other process is not heard any more: {fault or 'it has ended'}")
+
+    def _take_all(self, link: Link) -> str | None:
+        """Take frames until the link's end; what went wrong, if it was none."""
         try:
             while (frame := link.receive(None)) is not None:
                 self._take(frame)
+        except ConnectionResetError:
+            return None  # it has ended with frames unread; its own were read before
         except (OSError, ValueError) as fault:
-            why = str(fault)
-        self._passing.end()
-        self._gone.set()
-        self.log.say("upgrade", f"the other process is not heard any more: {why}")
+            return str(fault) or type(fault).__name__
+        return None
 
     def _take(self, frame: Frame) -> None:
         decode = msgspec.msgpack.decode
--- a/willownotch/handover/wire.py
+++ b/willownotch/handover/wire.py
@@ -137,10 +137,10 @@
         except TimeoutError:
             if not sent:
                 raise
-            self._break()
+            self.shut()
             raise BrokenPipeError(errno.EPIPE, "half a frame was written") from None
         except OSError:
-            self._break()
+            self.shut()
             raise
         finally:
             self._lock.release()
@@ -169,7 +169,8 @@
         waiting.register(self.sock, select.POLLOUT)
         sockets.wait(waiting, max(1, int(wait_s * 1000)))
 
-    def _break(self) -> None:
+    def shut(self) -> None:
+        """End it both ways. What the other side had sent by then can be received still."""
         self.broken = True
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
