--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -40,6 +40,10 @@
     """The folder's limit does not allow this record."""
 
 
+class JournalUnsureError(OSError):
+    """Part of a write may be in the file: the next process may find these records all the same."""
+
+
 class JournalGivenError(JournalFullError):
     """Another process writes the journal now."""
 
