--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -34,6 +34,7 @@
 )
 
 NAME, NEW_NAME = "journal", "journal.new"
+CUT_TRIES = 3  # to cut off what a failed write has left, before the file is written anew instead
 
 
 class JournalFullError(RuntimeError):
@@ -211,19 +212,35 @@
             self.counting(counted)
 
     def _append(self, data: bytes) -> None:
-        """One write. Of one that failed nothing stays: what follows it could not be told from damage."""
+        """One write. Of one that failed nothing stays: what follows it could not be told from damage, and
+        what it was for is refused."""
         written = 0
         try:
             written = self.files.append(self._file, data)
             if written < len(data):
                 raise OSError(f"only {written} of {len(data)} bytes were written")
             self.size += written
-        except OSError:
+        except OSError as fault:
+            if not self._cut_off():
+                raise JournalUnsureError(f"{fault}, and what was written could not be cut off") from fault
+            raise
+
+    def _cut_off(self) -> bool:
+        """Remove what a failed write has left; whether it is surely gone."""
+        for _ in range(CUT_TRIES):
             try:
                 self.files.truncate(self._file, self.size)
+                return True
             except OSError:
-                self._torn = True
-            raise
+                continue
+        self._torn = True
+        try:
+            if self.files.size(self.path) <= self.size:
+                return True
+            self._rewrite()
+        except OSError:
+            return False
+        return True
 
     def _tell(self, record: Record, old: Taken | None, new: Taken | None) -> None:
         """Tell the body store what became of a body."""
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -51,7 +51,7 @@
     Verdict,
     Withdraw,
 )
-from willownotch.net.journal import Journal, JournalFullError
+from willownotch.net.journal import Journal, JournalFullError, JournalUnsureError
 from willownotch.net.log import Log
 from willownotch.net.owner_replication import BACK_OFF, REMEMBERED, ReplicationMixin
 from willownotch.net.pending import PendingReply
@@ -822,13 +822,20 @@
             self.journal.append(records)
         except (OSError, JournalFullError) as fault:
             # Nothing new may be promised on a record that is not there; endings are still told.
-            self.log.say("journal", f"{len(records)} records could not be written: {fault}")
             unwritten = {r.ref for r in records if isinstance(r, Taken)}
+            # A record that is perhaps in the file is the next process's message: no 503 may be told for it.
+            unsure = isinstance(fault, JournalUnsureError)
+            answer = Answer(Verdict.FAILED) if unsure else Answer(Verdict.BACK_OFF, BACK_OFF, "not written")
+            self.log.say(
+                "journal",
+                f"{len(records)} records could not be written: {fault}; "
+                f"{'failed' if unsure else 'turned away'}: {', '.join(sorted(unwritten)) or 'no message'}",
+            )
             # What was owed before is told as it ends; that it ended is written as soon as there is room.
             self._unwritten = [r for r in records if r.ref not in unwritten]
             for owed in [self._owed[ref] for ref in unwritten if ref in self._owed]:
                 if owed.pending is not None:
-                    owed.pending.settle(Answer(Verdict.BACK_OFF, BACK_OFF, "journal not written"))
+                    owed.pending.settle(answer)
                     owed.pending = None
                 owed.unwritten = True
                 self.bodies.discard(owed.taken)
