Test, failing: a client that leaves in an upgrade does not end the processes' link

The log of the old process has the closed descriptor of a client (Errno 9), then the link's end, 33 idle clients that were not passed on, and the 503; the new one's has the same message accepted, its 202 unwritable. Both tests fail.

--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -869,3 +869,65 @@
     import msgspec
 
     return msgspec.msgpack.encode(Adopted(msgspec.msgpack.decode(frame.data, type=Client).number))
+
+
+class LeavesFirst:
+    """A client's lock: who asks for it first finds that the client has just left, its socket closed."""
+
+    def __init__(self, lock, leave):
+        self.lock, self.leave = lock, leave
+
+    def __enter__(self):
+        leave, self.leave = self.leave, lambda: None
+        leave()
+        self.lock.acquire()
+
+    def __exit__(self, *fault):
+        self.lock.release()
+
+
+def test_a_client_that_leaves_while_the_idle_ones_are_passed_on_leaves_the_link_good(rig):
+    """A client was told 503, and its message was sent all the same (soak, seed 108, three upgrades deep).
+
+    The old process passes its idle clients on. One of them ended just then, and its descriptor was closed: "a
+    connection could not be passed on: [Errno 9] Bad file descriptor". That error ended the link of the two
+    processes: "[Errno 32] the link to the other process is over", once for each client that was left. The
+    one request on its way had been accepted by the new process; the old one took the end of the link for the
+    end of that process, and answered 503 itself, 4 ms before "202 could not be written for 000020000000016c,
+    withdrawn: [Errno 32] Broken pipe", and 19 ms before the message was called.
+    """
+    ours, theirs = socket.socketpair(socket.AF_UNIX)
+    passes, other = ClientPassing(Link(ours), rig.clock, rig.log), Link(theirs)
+    (leaving, leaves), (staying, stays) = pair(), pair()
+    assert rig.client_side.adopt(leaves, b"", None, 1)
+    first = until(lambda: [c for c in rig.client_side._clients if c.stage is Stage.IDLE])[0]
+    assert rig.client_side.adopt(stays, b"", None, 1)
+    until(lambda: [c for c in rig.client_side._clients if c is not first and c.stage is Stage.IDLE])
+
+    def leave():
+        leaving.close()
+        until(lambda: first not in rig.client_side._clients)
+
+    first.lock = LeavesFirst(first.lock, leave)
+    rig.client_side.redirect(passes.pass_on)
+    rig.client_side.give()
+    frame = other.receive(PATIENCE_SPAN)
+    assert frame.kind is Kind.CLIENT and len(frame.fds) == 1
+    assert not passes.link.broken
+    for descriptor in frame.fds:
+        os.close(descriptor)
+    for sock in (ours, theirs, staying):
+        sock.close()
+
+
+def test_a_descriptor_that_cannot_be_passed_does_not_end_the_link():
+    ours, theirs = socket.socketpair(socket.AF_UNIX)
+    link = Link(ours)
+    with pytest.raises(OSError):
+        link.send(Kind.CLIENT, b"a", (-1,))
+    link.send(Kind.CLIENT, b"b", (ours.fileno(),))
+    frame = Link(theirs).receive(PATIENCE_SPAN)
+    assert frame.data == b"b" and len(frame.fds) == 1
+    os.close(frame.fds[0])
+    link.close()
+    theirs.close()
