Pass no client on that is being closed, and keep the link where a descriptor is closed

Callers saw 503 for a message that was sent all the same, 202s that could not be written, and resets of connections. The old process passes idle clients on while one of them ends by itself; its socket was closed between the look at its stage and the send, and sendmsg failed with EBADF. Every error but a shortage ended the link, so 33 idle clients and the one request on its way went wrong together: the new process had accepted that request, the old one answered 503. A client that is being closed is marked under its own lock before anything else and is never passed on; that also closes the way to hand over the descriptor of another connection that took its number. A closed descriptor with no byte written leaves the link good.

--- a/willownotch/handover/wire.py
+++ b/willownotch/handover/wire.py
@@ -119,7 +119,8 @@
     def send(
         self, kind: Kind, data: bytes = b"", fds: tuple[int, ...] = (), patience: timedelta = BEGIN_TIME
     ) -> None:
-        """Send one frame whole. After `TimeoutError` nothing was written; another `OSError` ends the link."""
+        """Send one frame whole. `TimeoutError`, or `EBADF` for a descriptor of it that is closed: nothing was
+        written, and the link stays good; another `OSError` ends it."""
         if len(fds) > DESCRIPTORS:
             raise ValueError("too many descriptors for a frame")
         whole = memoryview(HEAD.pack(MAGIC, kind, len(fds), len(data)) + data)
@@ -139,8 +140,10 @@
                 raise
             self.shut()
             raise BrokenPipeError(errno.EPIPE, "half a frame was written") from None
-        except OSError:
-            self.shut()
+        except OSError as fault:
+            # A descriptor that is closed is its owner's fault, and ends nothing: no byte was written.
+            if sent or fault.errno != errno.EBADF or self.sock.fileno() == -1:
+                self.shut()
             raise
         finally:
             self._lock.release()
--- a/willownotch/net/client_connections.py
+++ b/willownotch/net/client_connections.py
@@ -89,6 +89,7 @@
         self.why = "ended by the client"  # or why it is closed here
         self.told = False  # something was written on it, which a reset could eat
         self.lock = threading.Lock()  # held while bytes are taken off it, it is ended, or it goes elsewhere
+        self.gone = False  # it is being closed here: nobody may pass it on any more
         self.moved = False  # another process reads it from now on
         self.passed = False  # and has got it
         self.shared = False  # the process before this one may still have it open, too
--- a/willownotch/net/client_side.py
+++ b/willownotch/net/client_side.py
@@ -257,7 +257,7 @@
         read_at: datetime | None = None,
     ) -> bool:
         """Let another process go on with a connection, and with what it has asked; whether it does."""
-        if client.moved or (client.ending and not request):
+        if client.gone or client.moved or (client.ending and not request):
             return client.moved
         client.moved = True
         passed = self._elsewhere is not None and self._elsewhere(
@@ -333,6 +333,9 @@
 
     def _leave(self, client: Client) -> None:
         """The one way in which a connection is closed."""
+        # Whoever passes idle clients on would hand over a closed descriptor, or the next connection's.
+        with client.lock:
+            client.gone = True
         self.log.counters.add("connection closed", client.why)
         if client.told and not client.moved:
             self._part(client)
