Read a bad frame as doubt, and wait for a listening predecessor in its test

What was confirmed together with bytes that are no frame is lost, so the end of the link proves nothing then; it did in one of two reads, by how the bytes arrived. test_a_process_that_could_not_be_asked_at_first_can_be_asked_later waited for the socket's path, which is there before the process listens, and was refused once beside six workers: it waits for a connection now, and asserts the same.

--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -547,6 +547,17 @@
     assert owner.calls == south.calls == [("m1", 3)]
 
 
+def connected(path):
+    """A connection to a process that listens there; None while it does not: the path is there before that."""
+    sock = socket.socket(socket.AF_UNIX)
+    try:
+        sock.connect(str(path))
+    except OSError:
+        sock.close()
+        return None
+    return sock
+
+
 def test_a_process_that_could_not_be_asked_at_first_can_be_asked_later(rig, tmp_path, monkeypatch):
     """One failure at its start left it without any upgrade for good."""
     monkeypatch.setattr(predecessor_module, "LISTEN_AGAIN", wire.RETRY_TIME)
@@ -561,10 +572,8 @@
     monkeypatch.setattr(os, "open", failing)
     predecessor = predecessor_of(rig, tmp_path, Standing(), rig)
     start("upgrade", predecessor.run)
-    until(lambda: (tmp_path / "handover").exists())
-    assert len(failures) == 3
-    with socket.socket(socket.AF_UNIX) as sock:
-        sock.connect(str(tmp_path / "handover"))
+    with until(lambda: connected(tmp_path / "handover")) as sock:
+        assert len(failures) == 3
         link = Link(sock)
         link.send(Kind.HELLO, version())
         assert link.receive(PATIENCE_SPAN).kind is Kind.NOT_NOW  # it is not ready
--- a/willownotch/handover/predecessor.py
+++ b/willownotch/handover/predecessor.py
@@ -244,16 +244,19 @@
 
     def _hear(self, link: Link) -> None:
         """Carry out what the other process asks for, until it is gone."""
-        fault = certain = self._take_all(link)
-        if fault is not None:
+        fault = self._take_all(link)
+        certain = fault is None
+        if isinstance(fault, OSError):
             # It cannot confirm any further client from here on. What it confirmed before is read still.
             link.shut()
-            certain = self._take_all(link)
-        self._passing.end(certain is None)
+            certain = self._take_all(link) is None
+        elif fault is not None:  # what was in the bytes that are no frame is lost
+            link.shut()
+        self._passing.end(certain)
         self._gone.set()
         self.log.say("upgrade", f"the other process is not heard any more: {fault or 'it has ended'}")
 
-    def _take_all(self, link: Link) -> str | None:
+    def _take_all(self, link: Link) -> Exception | None:
         """Take frames until the link's end; what went wrong, if it was none."""
         try:
             while (frame := link.receive(None)) is not None:
@@ -261,7 +264,7 @@
         except ConnectionResetError:
             return None  # it has ended with frames unread; its own were read before
         except (OSError, ValueError) as fault:
-            return str(fault) or type(fault).__name__
+            return fault
         return None
 
     def _take(self, frame: Frame) -> None:
