Lend kept connections to the next process, so that none is closed while it is sent

Found by reading, not seen. They are taken out first, come back if the other process does not take over, and are closed after it has.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -522,3 +522,21 @@
     from willownotch.net.owner import KILL_AFTER
 
     assert cli.LAST_REQUESTS + cli.LAST_READS + client_side.PATIENCE < KILL_AFTER
+
+
+def test_a_connection_that_goes_to_another_process_is_not_closed_here_meanwhile(calls):
+    """Kept connections go to the other process by their descriptors' numbers. One that was closed here
+    between the look and the send ended the hand-over, or its number was another connection's by then."""
+    theirs, ours = calls.kept()
+    [(number, lent)] = calls.south.lend(5)
+    theirs.close()  # nothing here looks at it any more: a call goes on a connection of its own
+    assert calls.south.lend(5) == [] and calls.make()[1] is Outcome.DELIVERED
+    assert (number, lent.sock.fileno()) == (1, ours.fileno()) and ours.fileno() != -1
+    calls.south.adopt({}, [(number, lent)])
+    until(lambda: len(calls.south.lend(5)) == 2)
+
+
+def test_no_more_connections_are_lent_than_are_asked_for(calls):
+    for _ in range(3):
+        calls.south.adopt({}, [(1, Idle(socket.socket(), calls.now()))])
+    assert len(calls.south.lend(2)) == 2 and len(calls.south.lend(2)) == 1
--- a/willownotch/handover/predecessor.py
+++ b/willownotch/handover/predecessor.py
@@ -17,6 +17,7 @@
 from willownotch.handover.lock import FolderLock
 from willownotch.handover.messages import Adopted, CallOff, Withdrawn, call_ended
 from willownotch.handover.passing import ClientPassing
+from willownotch.handover.state import HandoverState
 from willownotch.handover.version import version
 from willownotch.handover.wire import LOCK_WANTED, BadFrameError, Frame, Kind, Link, address
 from willownotch.life import Event, Standing
@@ -26,7 +27,7 @@
 from willownotch.net.log import Log
 from willownotch.net.owner import Owner
 from willownotch.net.pending import PendingReply
-from willownotch.net.south import RelayEnded, South
+from willownotch.net.south import Idle, RelayEnded, South
 
 ASK_TIME = timedelta(seconds=1)  # for the other process's question
 STAND_TIME = timedelta(seconds=2)  # until the owner stands still between two rounds
@@ -175,30 +176,41 @@
     def _since(self, began: datetime) -> int:
         return millis(self.clock.now() - began)
 
-    def _gave(self, link: Link, state) -> bool:
+    def _gave(self, link: Link, state: HandoverState | None) -> bool:
         """Send everything; whether the other process has it. After the last frame it is never taken back."""
-        listener = self.client_side.listener.fileno()
+        lent = self.south.lend(KEPT_MOST) if state is not None else []
+        given = False
         try:
-            if state is None:
-                link.send(Kind.PLAIN, fds=(listener,))
-            else:
-                from willownotch.handover import pickled
-
-                idle = self.south.kept()[:KEPT_MOST]
-                state.waits = dict(self.south.waits)
-                state.idle = [(number, kept.since) for number, kept in idle]
-                link.send(
-                    Kind.STATE, pickled.write(state), (listener, *(kept.sock.fileno() for _, kept in idle))
-                )
-            answer = link.receive(TOOK_TIME)
-            if answer is None or answer.kind is not Kind.TOOK:
-                return False
-            self._passing = ClientPassing(link, self.clock, self.log)
-            self._lock_passed = answer.data == LOCK_WANTED
-            link.send(Kind.GIVEN, fds=(self.lock.fileno(),) if self._lock_passed else ())
+            given = self._sent(link, state, lent)
         except Exception as fault:  # also what cannot be packed: it all stays here
             self.log.say("upgrade", f"the hand-over broke off: {fault or type(fault).__name__}")
+        finally:
+            # Until here no thread could close them: a closed one's number may be another connection's.
+            if given:
+                for _, idle in lent:
+                    idle.sock.close()
+            elif lent:
+                self.south.adopt({}, lent)
+        return given
+
+    def _sent(self, link: Link, state: HandoverState | None, lent: list[tuple[int, Idle]]) -> bool:
+        """Send it all, and the word that it is the other process's now; whether that one has taken it."""
+        listener = self.client_side.listener.fileno()
+        if state is None:
+            link.send(Kind.PLAIN, fds=(listener,))
+        else:
+            from willownotch.handover import pickled
+
+            state.waits = dict(self.south.waits)
+            state.idle = [(number, idle.since) for number, idle in lent]
+            descriptors = (listener, *(idle.sock.fileno() for _, idle in lent))
+            link.send(Kind.STATE, pickled.write(state), descriptors)
+        answer = link.receive(TOOK_TIME)
+        if answer is None or answer.kind is not Kind.TOOK:
             return False
+        self._passing = ClientPassing(link, self.clock, self.log)
+        self._lock_passed = answer.data == LOCK_WANTED
+        link.send(Kind.GIVEN, fds=(self.lock.fileno(),) if self._lock_passed else ())
         return True
 
     @staticmethod
--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -282,10 +282,19 @@
         with self._lock:
             return self._busy
 
-    def kept(self) -> list[tuple[int, Idle]]:
-        """The connections kept without a relay, by host."""
+    def lend(self, most: int) -> list[tuple[int, Idle]]:
+        """Kept connections for another process, by host: none of them is used or closed here from now on.
+
+        They come back by `adopt`, or are closed by who has them once the other process has them too.
+        """
+        lent: list[tuple[int, Idle]] = []
         with self._lock:
-            return [(number, idle) for number, line in self._idle.items() for idle in line]
+            for number, line in list(self._idle.items()):
+                while line and len(lent) < most:
+                    lent.append((number, line.pop(0)))
+                if not line:
+                    del self._idle[number]
+        return lent
 
     def leave(self) -> None:
         """Close them all: another process has them."""
