--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -180,7 +180,12 @@
         type(
             "South",
             (),
-            {"kept": lambda self: [], "waits": {}, "leave": lambda self: None, "outside": lambda self: 0},
+            {
+                "lend": lambda self, most: [],
+                "waits": {},
+                "leave": lambda self: None,
+                "outside": lambda self: 0,
+            },
         )(),
     )
     owner.client_side = rig.client_side
