Answer failed, not 503, for an id that may not run again and may be running

One more place that answered 503 for a message that was sent: an id that comes again while an attempt of its first hand-in is still out, or whose end is given up and not told yet, was turned away as not free. Where its class may not run twice it is answered as failed, which invites no hand-in under another id. Found by reading every 503; test fails without the change.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,7 +15,7 @@
 
 from willownotch.interface import Outcome
 from willownotch.journal.records import Entry, Opened, Taken
-from willownotch.life import Standing
+from willownotch.life import Event, Standing
 from willownotch.net import client_side, http, registry
 from willownotch.net import config as configs
 from willownotch.net.client_connections import Client, Stage, Stages
@@ -23,7 +23,7 @@
 from willownotch.net.clock import Clock
 from willownotch.net.events import Answer, HandIn, Verdict
 from willownotch.net.log import Log
-from willownotch.net.owner import Owner
+from willownotch.net.owner import Owed, Owner
 from willownotch.net.pending import PendingReply
 from willownotch.net.registry import Notice, Notices, Platform, Registry
 from willownotch.net.south import BEGIN_LATE, Idle, Relay, South
@@ -311,6 +311,27 @@
     assert answers == [Verdict.TAKEN, Verdict.BACK_OFF, Verdict.BACK_OFF]
 
 
+@pytest.mark.parametrize(
+    ("message_class", "verdict"), [("fee", Verdict.FAILED), ("status", Verdict.BACK_OFF)]
+)
+def test_an_id_whose_attempt_is_still_out_is_not_turned_away_where_it_may_not_run_again(
+    message_class, verdict
+):
+    """Withdrawn while its attempt was out (its 202 could not be written), it came again on a new connection
+    and was answered 503: its client would have handed it in under another id, for a second run."""
+    clock, standing = Clock(), Standing()
+    standing.tell(Event.LISTED, clock.now())
+    hosts, bodies = SimpleNamespace(listed=lambda dest: True), SimpleNamespace(discard=lambda taken: None)
+    owner = Owner(config(), clock, Log(clock), None, hosts, bodies, standing)
+    owner._recovered = None
+    taken = Taken("a1", 7, message_class, "acme", clock.now() + SPAN)
+    relay = Relay(taken, 0, 1, None, clock.now(), clock.now() + SPAN)
+    owner._owed["a1"] = Owed(taken, count=1, out={0: relay}, over=True)
+    pending = PendingReply()
+    owner._take(HandIn(taken, pending), clock.now(), [], [], [])
+    assert pending.wait(SPAN, SPAN).verdict is verdict
+
+
 class Gate(socket.socket):
     """A socket that has something happen right before it connects."""
 
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -580,6 +580,11 @@
             (self._open >= self.settings.holding_room, "full", "the holding room is used up"),
             (mark is False, "custody", "too few copies of it can be had"),
         ]
+        if lasting and self._may_have_run(taken):  # 503 would invite a second run under another id
+            self.bodies.discard(taken)
+            item.pending.settle(Answer(Verdict.FAILED))
+            self.log.say("conflict", f"{taken.ref} was handed in before and may have run: failed")
+            return
         refusal = next(((sort, why) for wrong, sort, why in faults if wrong), None)
         if refusal is None and not self._record_fits(taken, fresh, now, events):
             refusal = "full", "the disk is used up"
@@ -598,6 +603,13 @@
         records.append(taken)
         events.append(self._message(taken, now))
 
+    def _may_have_run(self, taken: Taken) -> bool:
+        """Whether an id that is over, and not forgotten yet, is one that may not run again and may have."""
+        if self._repeatable(taken):
+            return False
+        known, ended = self._owed.get(taken.ref), self._unanswered.get(taken.ref, (None, None))[1]
+        return (known is not None and bool(known.out)) or (ended is not None and ended.outcome == "given_up")
+
     def _record_fits(self, taken: Taken, fresh: list[Owed], now: datetime, events: list[face.Event]) -> bool:
         """Whether a message's record has room, if need be at the cost of what may be dropped."""
         wanted = [*(owed.taken for owed in fresh), taken]
