Test, failing: what a slow start may cost beside sound endpoints and in drawn fleets

Every test of the slow start bounded it from above; these bound it from below. Beside a sound endpoint nothing is refused and all is delivered in time (new, with and without folder, new on the list; 1, 5, 50 senders; limit told, listed, none), where a handful of senders may send more than is offered nine tenths of that is delivered, and drawn fleets deliver nine tenths of what is offered and fits their windows without chance. The list takes a test's name for all its cases.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -35,8 +35,8 @@
 
 
 def names(what, nodeid):
-    """Whether the first part of an entry is that test, or that test with a command behind a comma."""
-    return what == nodeid or what.startswith(f"{nodeid},")
+    """Whether an entry's first part, up to a command behind a comma, is that test or all its cases."""
+    return any(what == test or what.startswith(f"{test},") for test in (nodeid, nodeid.partition("[")[0]))
 
 
 def pytest_collection_modifyitems(items):
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -17,4 +17,6 @@
 def test_an_entry_means_the_test_it_names_and_no_longer_one():
     assert names("tests/x.py::t[a, b], seed 3", "tests/x.py::t[a, b]")
     assert names("tests/x.py::t", "tests/x.py::t")
+    assert names("tests/x.py::t, seed 3", "tests/x.py::t[a]")
+    assert not names("tests/x.py::t[b]", "tests/x.py::t[a]")
     assert not names("tests/x.py::test_longer", "tests/x.py::test")
--- /dev/null
+++ b/tests/test_slow_start_floor.py
@@ -0,0 +1,158 @@
+"""What a slow start may cost: bounds from below, beside those from above in the other tests.
+
+A new process beside one endpoint that never failed accepted 53 of 150 messages, 58 after a kill without its
+folder: with nothing known of the endpoint it took it for cold, held its messages back at a fifth of what was
+usual for 14 s, its holding room filled, and the rest was answered 503. The version without the bound
+accepted all 150. No test noticed, since every test of the slow start bounded it from above. In fleets of a
+handful of senders the rule grants more for chance (three roots and three) than is sent there at all, and
+none of that was used: of what was offered in drawn slow starts 0.892 was delivered, 0.8 with 45 senders.
+"""
+
+import threading
+import time
+
+import pytest
+from helpers import SAFE, Sender, answers, sends
+from toys import PATIENCE, Discovery, Host, until
+from toys import Sender as Process
+
+from willownotch.interface import Endpoint, EndpointList, Outcome, Remembered, Timer
+from willownotch.lab.recovery.case import Case, Outage, OutageKind, draw
+from willownotch.lab.recovery.play import play
+
+CLIENTS, EACH, GAP_S = 6, 25, 0.01
+MESSAGES = CLIENTS * EACH
+TOOK_S = 0.005  # a call
+LIMIT = 60.0  # of all senders, a second, where one is told or listed
+DELIVERED_BY_S = SAFE.wanted_s
+
+
+def listed(number, rate):
+    return EndpointList((Endpoint(number, number, 0, 0, rate=rate),), whole=False)
+
+
+def burst(sender, dest, told):
+    """All clients hand in, the endpoint answers each call; how many were refused, and when the last went."""
+    calls, refused, late = [], 0, []
+    began, given = sender.now, 0
+    while sender.now < began + DELIVERED_BY_S + 1.0:
+        events = [Timer(1)]
+        if given < EACH and sender.now >= began + given * GAP_S:
+            events += [sender.message(SAFE, dest) for _ in range(CLIENTS)]
+            given += 1
+        done = [call for call in calls if call[0] <= sender.now]
+        calls = [call for call in calls if call[0] > sender.now]
+        limit = {"limit_per_s": LIMIT, "room_left": 1.0} if told else {}
+        events += [sender.ended(sent, Outcome.DELIVERED, took=TOOK_S, **limit) for _, sent in done]
+        late += [sent for at, sent in done if sender.now - began > DELIVERED_BY_S]
+        out = sender.step(*events, after=0.001)
+        refused += len(answers(out))
+        calls += [(sender.now + TOOK_S, sent) for sent in sends(out)]
+    return refused, len(late), len(sender.control.book.jobs)
+
+
+STARTS = {
+    "new, or back without its folder": Remembered((), None),
+    "back with its folder": Remembered((), -1.0),
+    "back with its folder after a while": Remembered((), -5.0),
+}
+
+
+@pytest.mark.parametrize("senders", [1, 5, 50])
+@pytest.mark.parametrize("limit", ["told", "listed", "none"])
+@pytest.mark.parametrize("start", STARTS)
+def test_a_process_serves_a_sound_endpoint_from_its_start(start, limit, senders):
+    sender = Sender(rows=(), slots=6, holding_room=40, senders=senders, listed_rates=limit == "listed")
+    rate = LIMIT if limit == "listed" else 0.0
+    sender.step(STARTS[start])
+    sender.step(listed(1, rate))
+    assert burst(sender, 1, limit == "told") == (0, 0, 0)
+
+
+@pytest.mark.parametrize("senders", [1, 5, 50])
+@pytest.mark.parametrize("limit", ["told", "listed", "none"])
+def test_a_sound_endpoint_that_is_new_on_the_list_is_served_at_once(limit, senders):
+    sender = Sender(rows=(), slots=6, holding_room=40, senders=senders, listed_rates=limit == "listed")
+    rate = LIMIT if limit == "listed" else 0.0
+    sender.step(Remembered((), -1.0))
+    sender.step(listed(1, rate))
+    sender.step(listed(2, rate), after=30.0)
+    assert burst(sender, 2, limit == "told") == (0, 0, 0)
+
+
+def hand_in_all(sender):
+    """Six clients, 25 messages each, 10 ms apart; how many were accepted."""
+    accepted = []
+
+    def client(number):
+        with sender.connect() as sock:
+            for n in range(EACH):
+                ref = f"{number:08x}{n:04x}{len(accepted) % 0xFFFF:04x}"
+                if sender.exchange(sender.message(ref=ref), sock).status == 202:
+                    accepted.append(ref)
+                time.sleep(GAP_S)
+
+    threads = [threading.Thread(target=client, args=(n,)) for n in range(CLIENTS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(3 * PATIENCE)
+    return accepted
+
+
+@pytest.mark.parametrize("restart", ["new", "with its folder", "without its folder"])
+def test_a_process_accepts_and_delivers_beside_an_endpoint_that_never_failed(restart):
+    host = Host()
+    discovery = Discovery([host])
+    sender = Process(discovery)
+    try:
+        sender.ready()
+        if restart != "new":
+            sender.process.kill()
+            sender.process.wait(PATIENCE)
+            if restart == "without its folder":
+                for path in sorted(sender.state.iterdir()):
+                    path.unlink()
+            sender.start()
+            sender.ready()
+        accepted = hand_in_all(sender)
+        # The pages' share of the plainest policy on a calm day; it refuses nothing here.
+        assert len(accepted) >= 0.95 * MESSAGES, len(accepted)
+        until(lambda: set(accepted) <= set(host.refs()))
+    finally:
+        sender.close()
+        discovery.close()
+        host.close()
+
+
+# Slow starts that are due
+
+HANDFUL = {
+    "4 senders": Case(0, senders=4, limit_per_s=4.0, enforces=False),
+    "6 senders": Case(0, senders=6, limit_per_s=6.0, enforces=False),
+    "8 senders, hanging": Case(
+        0, senders=8, limit_per_s=6.0, enforces=False, outages=(Outage(0.0, 11.7, OutageKind.HANG),)
+    ),
+    "6 senders, listed": Case(0, senders=6, limit_per_s=6.0, tells_limit=False, listed=1.0),
+}
+
+
+@pytest.mark.parametrize("name", HANDFUL)
+def test_a_handful_of_senders_use_what_the_rule_grants_to_chance(name):
+    """Where a window may have more calls than are offered in it, nine in ten of these are delivered."""
+    case = HANDFUL[name]
+    results = [play(Case(**{**vars(case), "seed": seed})) for seed in range(1, 6)]
+    assert all(result.kept for result in results), "\n".join(r.text() for r in results if not r.kept)
+    assert sum(r.delivered for r in results) >= 0.9 * sum(r.grantable for r in results), "\n".join(
+        result.text() for result in results
+    )
+
+
+DRAWN = range(0, 100)
+
+
+def test_drawn_fleets_deliver_nine_tenths_of_what_could_go_in_their_slow_starts():
+    """Of what is offered, or of what the settings allow a window without chance, where that is less."""
+    results = [play(draw(seed)) for seed in DRAWN]
+    share = sum(min(1.0, r.delivered / max(1.0, r.grantable)) for r in results) / len(results)
+    assert share >= 0.9, share
--- a/willownotch/lab/recovery/play.py
+++ b/willownotch/lab/recovery/play.py
@@ -31,7 +31,7 @@
     Wake,
 )
 from willownotch.lab.recovery.case import Case, Restart
-from willownotch.lab.recovery.destination import Destination, Window
+from willownotch.lab.recovery.destination import STEP_S, Destination, Window
 from willownotch.state import Ran
 
 CLASSES = (
@@ -93,6 +93,7 @@
     offered: float  # what could have been delivered in it, at the destination's pace
     late: int  # messages delivered after their wanted time, of all
     total: int
+    grantable: float = 0.0  # messages that were offered in the slow start and fit into its windows' budgets
 
     @property
     def kept(self) -> bool:
@@ -165,7 +166,17 @@
         offered = min(1.0, case.load) * case.limit_per_s * case.cold_s
         # A window that breaks the rule goes before a fuller one that does not.
         worst = max(windows, key=lambda window: (window.over > 0 and window.aware > AWARE_MOST, window.over))
-        return Result(case, worst, delivered, offered, self.late, self.total)
+        return Result(case, worst, delivered, offered, self.late, self.total, self._grantable(windows))
+
+    def _grantable(self, windows: list[Window]) -> float:
+        """What is offered in the slow start, but no more than each window's settings allow without chance."""
+        rules, case = self.case.rules, self.case
+        a_window = min(1.0, case.load) * case.limit_per_s * rules.fall_s
+        part = case.failing_endpoints / case.endpoints
+        one_each = windows[:: round(rules.fall_s / STEP_S)]
+        bound = sum(min(a_window * part, window.expected) for window in one_each)
+        whole = case.cold_s / (len(one_each) * rules.fall_s)  # the last windows are cut off
+        return whole * (bound + (1 - part) * a_window * len(one_each))
 
     def _at(self, when: float, act: Any, *arguments: Any) -> None:
         heapq.heappush(self._events, (when, next(self._order), act, arguments))
