Hold nothing back at an endpoint of which nothing is known until something speaks for an outage

What would tell an outage nobody saw here is that clients hand in again what was lost or refused in it, or that a call fails: from then on it is bound as before, dated from the start.

--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -204,6 +204,9 @@
         back = message.again or not self.settings.again_is_marked
         job = job_of(message, message.rules or self.settings.classes[message.message_class], self.now, back)
         self.arrivals.add(1.0, self.now)
+        if message.again and message.destination in self.book.destinations:
+            for route in self.book.destinations[message.destination].routes.values():
+                route.slow_start.doubt()
         if not message.again and not message.past:
             self.book.destinations.setdefault(message.destination, Destination()).add_demand(self.now)
         quotas = ARRIVALS_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
@@ -335,6 +338,7 @@
             success(unit, event.took_s, now, event.room_left, even_part(unit, self.settings))
         if outcome in (Outcome.DELIVERED, Outcome.CALLED_OFF, Outcome.NOT_SENT):
             return
+        route.slow_start.doubt()
         if outcome is Outcome.TURNED_AWAY:
             # At a limit some calls get through; where none of many does, or of a sparse one's few, it's shut.
             bare = route.last_ok < unit.refused_at and (unit.mean_rate or 0.0) < SPARSE
--- a/willownotch/slow_start.py
+++ b/willownotch/slow_start.py
@@ -77,6 +77,7 @@
     delivered_before: float = 0.0  # calls a second before the outage; 0 where none are known
     assumed: bool = False  # nothing was seen of an outage, and nothing says that there was none
     unknown: bool = False  # this process has found nothing usual there yet, and so may all others
+    doubted: bool = False  # something speaks for an outage of what is only assumed to be cold
 
     def fail(self, now: float, delivered: float) -> None:
         """Calls fail, where so many a second were delivered lately."""
@@ -97,10 +98,18 @@
         """Nothing is known of it: it may have returned this very moment. `fair` is as in `Traffic`."""
         self.recover(now, rules, now)
         self.failing_since, self.unreachable_at, self.assumed, self.unknown = -inf, inf, True, True
+        self.doubted = False
         self.assumed_at = now
         # One window's part may come at once: the rule counts windows, and a first burst is no backlog.
         self.burst = min(SPARE_TOLD, rules.fall_multiple) * rules.cold_share * fair * rules.fall_s
 
+    def doubt(self) -> None:
+        """Messages come again, or calls fail: where nothing is known there may have been an outage.
+
+        Until then what is only assumed to be cold is not held back: mostly it never was out.
+        """
+        self.doubted = True
+
     def answer(self, now: float, rules: Rules) -> None:
         """A call was answered. Where nothing is known, the first answer dates a return."""
         if self.assumed and self.answered_at == self.assumed_at:
@@ -139,7 +148,9 @@
 
     def ready_at(self) -> float:
         """When the next call may go."""
-        return -inf if self.state is State.HEALTHY else self.next_at
+        if self.state is State.HEALTHY or (self.assumed and not self.doubted):
+            return -inf
+        return self.next_at
 
     def charge(self, now: float, calls: float) -> None:
         """A call goes: the next one may after so many calls' worth of time. `plan` says when that is."""
