Look at a connection again where the look failed for a moment

Callers were answered 503 beside a sound endpoint: the look before a call's first byte took any error of recv for the connection's end, and a new connection then counted as one that could not be made, two of which are an outage. The look is made again as every other recv is.

--- a/willownotch/net/south.py
+++ b/willownotch/net/south.py
@@ -585,7 +585,7 @@
         """Whether nothing has come on an idle connection: its end would have, or an answer too many."""
         try:
             sock.setblocking(False)
-            sock.recv(1, socket.MSG_PEEK)
+            sockets.again("recv", lambda: sock.recv(1, socket.MSG_PEEK))
         except BlockingIOError:
             return True
         except OSError:
