Use what the rule grants a window in slow starts, by each sender's certain part of it

Where a limit is told or listed all know the same N; a whole number of calls each in any window is certain, of a fraction one more each less two deviations of their sum. Counted by destination, by the answer's date, with 0.15 s for calls that leave late; messages that join a call to what is cold count too. After a return that all hear of at once the first call is still planned apart.

--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -28,7 +28,7 @@
 )
 from willownotch.interface import Effect, Group, Outcome
 from willownotch.pacing import PACE_GAP_S, even_part, refused, told
-from willownotch.slow_start import TOGETHER_LEAST, Calls, SlowStart, State, Traffic
+from willownotch.slow_start import LATE_S, TOGETHER_LEAST, Calls, SlowStart, State, Traffic
 from willownotch.state import Book, Bucket, Call, Destination, Fading, Job, Ran, Route, Unit, follow, job_of
 
 DEST_SHARE, SICK_SHARE = 0.75, 0.5  # share of slots: one destination; a slow or failing one, or all of these
@@ -338,7 +338,6 @@
             success(unit, event.took_s, now, event.room_left, even_part(unit, self.settings))
         if outcome in (Outcome.DELIVERED, Outcome.CALLED_OFF, Outcome.NOT_SENT):
             return
-        route.slow_start.doubt()
         if outcome is Outcome.TURNED_AWAY:
             # At a limit some calls get through; where none of many does, or of a sparse one's few, it's shut.
             bare = route.last_ok < unit.refused_at and (unit.mean_rate or 0.0) < SPARSE
@@ -359,7 +358,7 @@
             # What resets a connection is there, or crashed: the next call, on a new one, tells.
             lately = now - route.last_ok < RECENT_S or outcome is Outcome.BROKEN
             # In a slow start one is enough, it is out again; but what is cold may be silent for long.
-            again = route.slow_start.state is not State.HEALTHY and outcome is not Outcome.TIMED_OUT
+            again = route.slow_start.binds and outcome is not Outcome.TIMED_OUT
             alone = not reused and (not lately or again)
             step = SICK if alone or (long and (unit.mean_rate or 0.0) < SPARSE) else step
         route.sick += step * (1 - route.sick)
@@ -422,10 +421,27 @@
             route.slow_start.charge(now, gap if phase is None else phase)
             route.slow_start.plan(now, self._calls(route))
 
+    @staticmethod
+    def _sound(route: Route) -> bool:
+        """Whether a call may be filled up with messages: where it is cold they weigh much more."""
+        return route.slow_start.assumed or route.slow_start.state in (State.HEALTHY, State.SETTLING)
+
+    def _count_cold(self, route: Route) -> None:
+        """What goes to an endpoint that may be cold counts in every window that it falls into."""
+        if route.slow_start.state is State.HEALTHY:
+            return
+        unit = route.unit
+        oldest = self.now - self.settings.rules.fall_s - LATE_S
+        unit.cold_calls.append(self.now)
+        while unit.cold_calls[0] < oldest:
+            unit.cold_calls.popleft()
+
     def _calls(self, route: Route) -> Calls:
         """What bounds the calls of all senders to one endpoint."""
         settings, peers = self.settings, self._peers(route)
-        return Calls(self._traffic(route, peers), settings.rules, settings.senders, peers, settings.may_tell)
+        cold = max(1, sum(r.slow_start.state is not State.HEALTHY for r in self.book.alike(route)))
+        traffic = self._traffic(route, peers)
+        return Calls(traffic, settings.rules, settings.senders, peers, settings.may_tell, min(cold, peers))
 
     def _peers(self, route: Route) -> int:
         """Endpoints that share a limit with this one, itself among them."""
@@ -511,9 +527,7 @@
             # Cut off by the sender's own end it could never go again: better after the restart.
             if job.cls.effect is Effect.UNSAFE and self.now + self._patience(route.unit) > self.stops_at:
                 continue
-            # Else no full calls: they weigh much more.
-            sound = route.slow_start.assumed or route.slow_start.state in (State.HEALTHY, State.SETTLING)
-            if number in opened and opened[number].left < kind.batch and sound:
+            if number in opened and opened[number].left < kind.batch and self._sound(route):
                 best = route
                 break
             drawn, even = self.random.random(), self.random.random()
@@ -560,10 +574,10 @@
             return inf
         if route.slow_start.stale(self.now):
             route.slow_start.plan(self.now, self._calls(route))
-        if route.slow_start.advance(self.now, len(dest.held)):
+        if route.slow_start.advance(self.now, len(dest.held), unit.cold_calls):
             self._say(route, f"is taken for warm, {len(dest.held)} messages are held for its destination")
         paced = unit.next_at if unit.pace < inf else -inf
-        return max(unit.wait_until, paced, route.slow_start.ready_at())
+        return max(unit.wait_until, paced, route.slow_start.ready_at(unit.cold_calls))
 
     def _send(self, job: Job, route: Route, dest: Destination, opened: dict[int, Call]) -> None:
         """Start an attempt, in the open call of this round if it has room, else in a new one."""
@@ -581,6 +595,8 @@
             self.sick_calls += dest.sick
             route.trial = call if route.failing else None
             self._space(route)
+        if not call.left or not self._sound(route):
+            self._count_cold(route)
         self.book.join(job, call)
         # Cutting an unsafe call short loses it for good; the others get longer with each try.
         patience = max(2 * self._patience(route.unit), job.cls.wanted_s) * 2 ** (len(job.tainted()) - 1)
--- a/willownotch/slow_start.py
+++ b/willownotch/slow_start.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
-from math import inf, log
+from math import floor, inf, log, sqrt
 
 from willownotch.interface import Rules, SlowStartRecord
 
@@ -24,6 +25,9 @@
 STEPS = 16  # of the solution for the next call, in the time that an endpoint takes to get warm
 PLAN_AGAIN_S = 0.25  # what is known grows while a call is waited for
 HORIZON = 4  # x that time: as far as it looks
+LATE_S = 0.15  # a call may leave so long after its decision, and nearer to the next one
+SMALL_BUDGET = 30.0  # calls of a window; below it the rule grants more to chance
+CHANCE = 2.0  # standard deviations that the sum of all senders keeps below a window's budget
 
 
 class State(Enum):
@@ -35,6 +39,29 @@
     SETTLING = "settling"  # surely warm: the bound goes on growing until nothing waits for it
 
 
+def granted(expected: float, exact: bool = True) -> float:
+    """The calls of a window that the rule lets pass, where the settings allow so many to be expected.
+
+    `exact`: all senders know the same figure. Else it is each one's own, and only the form without a step
+    keeps the mean of what they take below what their mean allows.
+    """
+    small = exact and expected < SMALL_BUDGET
+    return expected + (3 * sqrt(expected) + 3 if small else 2 * sqrt(expected) + 2)
+
+
+def part_of(calls: float, senders: int) -> float:
+    """How many of a window's calls each sender may take, at any time of its own, so that all keep to them.
+
+    A whole number each is certain. Of a fraction one more is sent by some and not by others: the deviation
+    of that sum stays free. 0 where there is less than one call for each: then chance needs all the room.
+    """
+    part = calls / senders
+    if part < 1.0:
+        return 0.0
+    fraction = part - floor(part)
+    return max(float(floor(part)), part - CHANCE * sqrt(fraction * (1 - fraction) / senders))
+
+
 @dataclass(frozen=True, slots=True)
 class Traffic:
     """What is known of the calls to one endpoint, a second."""
@@ -55,6 +82,7 @@
     senders: int
     peers: int = 1  # endpoints that share the limit with this one
     notes: bool = False  # all hear of an outage and of its end, not only those that call there
+    cold: int = 1  # of those endpoints, how many may be cold
 
 
 @dataclass(slots=True)
@@ -74,17 +102,20 @@
     assumed_at: float = inf  # when that was said of it
     burst: float = 0.0  # calls that may go without a wait
     before: State = State.HEALTHY  # the state that a failure has ended
+    assumed_before: bool = False  # and whether that was only assumed
     delivered_before: float = 0.0  # calls a second before the outage; 0 where none are known
     assumed: bool = False  # nothing was seen of an outage, and nothing says that there was none
     unknown: bool = False  # this process has found nothing usual there yet, and so may all others
     doubted: bool = False  # something speaks for an outage of what is only assumed to be cold
+    window_calls: int = 0  # calls that may go in any `window_s`; 0: they go as planned
+    window_s: float = 0.0
 
     def fail(self, now: float, delivered: float) -> None:
         """Calls fail, where so many a second were delivered lately."""
         if self.state is State.HEALTHY:  # else the bound itself kept them few
             self.delivered_before = delivered
         if self.state is not State.FAILING:
-            self.before = self.state
+            self.before, self.assumed_before = self.state, self.assumed
         self.state, self.failing_since, self.assumed = State.FAILING, now, False
 
     def recover(self, now: float, rules: Rules, returned_at: float) -> None:
@@ -104,7 +135,7 @@
         self.burst = min(SPARE_TOLD, rules.fall_multiple) * rules.cold_share * fair * rules.fall_s
 
     def doubt(self) -> None:
-        """Messages come again, or calls fail: where nothing is known there may have been an outage.
+        """Messages come again: where nothing is known they may have met an outage.
 
         Until then what is only assumed to be cold is not held back: mostly it never was out.
         """
@@ -116,9 +147,14 @@
             self.returned_at = self.answered_at = now
             self.warm_at = now + rules.cold_s
 
+    @property
+    def binds(self) -> bool:
+        """Whether it holds calls back: not what is assumed to be cold with nothing that speaks for it."""
+        return self.state is not State.HEALTHY and (self.doubted or not self.assumed)
+
     def resume(self) -> None:
-        """It was not out, only slow or full: a slow start that was going on before goes on."""
-        self.state = self.before
+        """It was not out, only slow or full: what it was taken for before goes on."""
+        self.state, self.assumed = self.before, self.assumed_before
 
     def clear(self) -> None:
         """It is warm, and nothing waits for it."""
@@ -133,23 +169,28 @@
         since = max(self.unreachable_at, self.failing_since)
         return min(now, (since + now) / 2)
 
-    def advance(self, now: float, waiting: int) -> bool:
-        """Go on with time, with so many messages waiting; whether it is healthy by that.
+    def advance(self, now: float, waiting: int, recent: Sequence[float] = ()) -> bool:
+        """Go on with time, with so many messages waiting; whether it is healthy by that. `recent` is as in
+        `ready_at`.
 
         The bound ends when it holds nothing back, never with a backlog behind it: all senders would let go
         of theirs together.
         """
         if self.state is State.RECOVERING and now >= self.warm_at:
             self.state = State.SETTLING
-        if self.state is State.SETTLING and waiting <= 1 and self.next_at <= now:
+        if self.state is State.SETTLING and waiting <= 1 and self.ready_at(recent) <= now:
             self.clear()
             return True
         return False
 
-    def ready_at(self) -> float:
-        """When the next call may go."""
-        if self.state is State.HEALTHY or (self.assumed and not self.doubted):
+    def ready_at(self, recent: Sequence[float] = ()) -> float:
+        """When the next call may go. `recent`: the last calls to what may be cold of its destination."""
+        if not self.binds:
             return -inf
+        # A return that all hear of at once is followed by first calls that are planned apart.
+        begun = bool(recent) and recent[-1] >= self.returned_at
+        if begun and self.window_calls and self.state is not State.FAILING:
+            return recent[-self.window_calls] + self.window_s if len(recent) >= self.window_calls else -inf
         return self.next_at
 
     def charge(self, now: float, calls: float) -> None:
@@ -177,6 +218,22 @@
                 break
             at, left = at + step, left - worth
         self.next_at = at
+        self._plan_window(now, calls)
+
+    def _plan_window(self, now: float, calls: Calls) -> None:
+        """Count calls by windows where this sender's part of a budget is more than the rate gives."""
+        self.window_calls = 0
+        if self.state is State.FAILING:
+            return
+        rules, traffic = calls.rules, calls.traffic
+        share = self._share_for_certain(now, rules)
+        scale = calls.senders * calls.cold * share * rules.fall_s
+        part = part_of(granted(rules.fall_multiple * scale * traffic.fair), calls.senders)
+        part *= self._growth(now, rules)
+        if part < max(1.0, calls.cold * rules.fall_s * self._rate(now, calls)):
+            return
+        self.window_calls = floor(part)
+        self.window_s = (rules.fall_s + LATE_S) * self.window_calls / part
 
     def _worth(self, at: float, span: float, calls: Calls) -> float:
         """The calls that may go in a span from `at` on, short against the time that it takes to get warm."""
@@ -205,6 +262,11 @@
         since = at - self.returned_at - rules.fall_s / 2
         return min(1.0, rules.cold_share + slope * max(0.0, since))
 
+    def _share_for_certain(self, at: float, rules: Rules) -> float:
+        """The part of its capacity that it had for certain a window ago: it had returned by its answer."""
+        slope = (1 - rules.cold_share) / rules.cold_s
+        return min(1.0, rules.cold_share + slope * max(0.0, at - self.answered_at - rules.fall_s))
+
     def _growth(self, at: float, rules: Rules) -> float:
         """How far the bound has grown beyond what is usual, as fast as before, since it is surely warm."""
         slope = (1 - rules.cold_share) / rules.cold_s
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -96,6 +96,7 @@
     failed_at: float = -inf
     refused_at: float = -inf
     wait_until: float = -inf
+    cold_calls: deque[float] = field(default_factory=deque)  # times of the last ones to what may be cold
     told_limit: float = 0.0
     mean_limit: float | None = None  # of those that answers told
 
