--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -227,6 +227,9 @@
     ],
 }
 CLIENTS, REQUESTS = 6, 25
+# The endpoint is sound: nothing is turned away for its sake. What has no record is, where the folder fails.
+ACCEPTED_LEAST = {"folder": 0.25}
+SOUND_LEAST = 0.95
 
 
 @pytest.mark.parametrize("kind", SERVICE)
@@ -264,7 +267,7 @@
         lambda: set(accepted) <= set(world.host.refs()) | {n["message"] for n in world.discovery.notices},
         2 * PATIENCE,
     )
-    assert len(accepted) > CLIENTS * REQUESTS // 4, len(accepted)
+    assert len(accepted) > ACCEPTED_LEAST.get(kind, SOUND_LEAST) * CLIENTS * REQUESTS, len(accepted)
     assert shim.struck(sender.struck)
 
 
