Keep few senders to windows alone, and fleets without a record to their part

Windows let a burst go and then the rate, which is dated earlier, so both added up; and a process without a record was not bound at all. Windows are counted for fewer than ten senders now, where chance has more room than one of them sends; from ten on a process without any record keeps to its part of a known limit, as before; what was sent before a message came again is counted; a trial waits for the window that its destination's other endpoints share; the first failure at an endpoint that never answered is a verdict, and the next call tells at once. What may be sent again is a module of its own; test_list_changes ends every call that goes out, since two may now go at once, and asserts the same.

--- a/tests/test_list_changes.py
+++ b/tests/test_list_changes.py
@@ -64,7 +64,9 @@
     def play(outcome, **told):
         out = sends(sender.step(sender.message(dest=5), after=0.5))
         sent = out or sends(sender.step(Timer(1), after=5.0))
-        sender.step(sender.ended(sent[0], outcome, **told), after=0.1)
+        more = sends(sender.step(sender.ended(sent[0], outcome, **told), after=0.1))
+        while outcome is Outcome.DELIVERED and more:  # what was held, too: a call that is out keeps its route
+            more = sends(sender.step(*[sender.ended(call, outcome) for call in more], after=0.1))
 
     found, route = {}, sender.control.book.routes[5]
     found["drained"] = walked_by(counts, lambda: sender.step(news(Readiness.DRAINING), after=1.0))
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -26,9 +26,10 @@
     success,
     window,
 )
-from willownotch.interface import Effect, Group, Outcome
+from willownotch.interface import Effect, Outcome
 from willownotch.pacing import PACE_GAP_S, even_part, refused, told
-from willownotch.slow_start import LATE_S, TOGETHER_LEAST, Calls, SlowStart, State, Traffic
+from willownotch.repeats import RAN, may_refuse, may_send
+from willownotch.slow_start import FEW_SENDERS, LATE_S, TOGETHER_LEAST, Calls, SlowStart, State, Traffic
 from willownotch.state import Book, Bucket, Call, Destination, Fading, Job, Ran, Route, Unit, follow, job_of
 
 DEST_SHARE, SICK_SHARE = 0.75, 0.5  # share of slots: one destination; a slow or failing one, or all of these
@@ -45,33 +46,6 @@
 LONG_S, NEW_COSTS = 1.0, 0.02  # s without connection: no full table; least cost of a new one, x a message
 LIST_AGAIN_S, TICK_LABEL, LIST_LABEL = 1.0, 1, 2  # s until a failed list call is tried again; timers
 
-# The one table of what an outcome proves an attempt to have done.
-UNSEEN = (Outcome.TURNED_AWAY, Outcome.UNREACHABLE, Outcome.NOT_SENT)
-RAN = {outcome: Ran.NEVER if outcome in UNSEEN else Ran.MAYBE for outcome in Outcome}
-
-
-def may_refuse(job: Job) -> bool:
-    """Whether handing it back is harmless: nothing ran, or a repeat does nothing anywhere."""
-    known = job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL and not job.outstanding()
-    return known or job.cls.effect is Effect.SAFE or not job.tainted()
-
-
-def may_send(job: Job, route: Route | None, now: float, settings: face.Settings) -> bool:
-    """Whether one more attempt, or a second copy, is allowed at this route (at any, for None)."""
-    if not job.attempts:
-        return True
-    spent = len(job.attempts) >= (job.cls.attempts or settings.max_attempts)
-    if spent or job.outstanding() > settings.second_copies:
-        return False
-    risky = job.tainted()
-    if not risky or job.cls.effect is Effect.SAFE:
-        return True
-    first = risky[0][0]
-    if job.cls.effect is Effect.UNSAFE or now > first.sent_at + job.cls.memory_s - TICK_S:
-        return False
-    near = job.cls.group is Group.ZONE and route and route.entry.zone == first.route.entry.zone
-    return route in (None, first.route) or job.cls.group is Group.ALL or near
-
 
 def sick(dest: Destination) -> bool:
     """Slow, failing or silent anywhere; M itself never rises while nothing is answered."""
@@ -102,6 +76,7 @@
             None  # of endpoints that no list has named yet
         )
         self.alive_at = -inf  # when the process before this one was last known to watch
+        self.unrecorded_since = -inf  # begin of this process, where none before it has left a record
         self.list_at, self.list_fails = -inf, 0  # when to ask for the list again; failures in a row
 
     def _tune(self, settings: face.Settings) -> None:
@@ -147,6 +122,7 @@
         elif isinstance(event, face.Remembered):
             self.remembered = {record.endpoint: record for record in event.records}
             self.alive_at = -inf if event.alive_at is None else event.alive_at
+            self.unrecorded_since = self.now if event.alive_at is None else -inf
         elif isinstance(event, face.ListFailed) and self.list_at == inf:
             # All senders fail together: they ask again apart, one call each, before they are deemed told.
             wait = min(LIST_AGAIN_S * 2**self.list_fails, self.settings.rules.ask_within_s / 2)
@@ -183,6 +159,13 @@
             fair = self._traffic(route, self._peers(route)).fair
             route.slow_start.assume(self.now, self.settings.rules, fair)
 
+    def _doubt_unrecorded(self, route: Route) -> None:
+        """A process without a record may have lost it in an outage, with many others: it keeps to its part
+        of a known limit. One of a few senders, or one that knows of no limit, has no such part."""
+        part_known = self.settings.senders >= FEW_SENDERS and route.unit.told_limit > 0
+        if part_known and self.now - self.unrecorded_since < self.settings.rules.cold_s:
+            route.slow_start.doubt(len(route.unit.cold_calls))
+
     def slow_starts(self) -> face.Remembered:
         """What a process after this one has to know of endpoints that are not healthy, or are paced."""
         records, known = [], True
@@ -206,7 +189,7 @@
         self.arrivals.add(1.0, self.now)
         if message.again and message.destination in self.book.destinations:
             for route in self.book.destinations[message.destination].routes.values():
-                route.slow_start.doubt()
+                route.slow_start.doubt(len(route.unit.cold_calls))
         if not message.again and not message.past:
             self.book.destinations.setdefault(message.destination, Destination()).add_demand(self.now)
         quotas = ARRIVALS_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
@@ -276,6 +259,7 @@
         """A verdict, or a return; it is told to the others unless it came from one of them."""
         slow_start, now = route.slow_start, self.now
         route.sick = SICK if failing else FAIL_STEP / 2
+        unheard = slow_start.unheard
         if failing:
             slow_start.fail(now, route.unit.mean_rate or 0.0)
         elif cold:
@@ -287,6 +271,8 @@
         else:
             slow_start.resume()
         self._space(route, phase)
+        if failing and unheard:  # its first call failed: mostly that one alone, and the next one tells
+            slow_start.next_at = now
         # With a call in many seconds each sender would else find an outage and its end out for itself.
         if self.settings.may_tell and phase is None:
             self.out.append(face.Tell(route.entry.number, not failing))
@@ -358,7 +344,8 @@
             # What resets a connection is there, or crashed: the next call, on a new one, tells.
             lately = now - route.last_ok < RECENT_S or outcome is Outcome.BROKEN
             # In a slow start one is enough, it is out again; but what is cold may be silent for long.
-            again = route.slow_start.binds and outcome is not Outcome.TIMED_OUT
+            known = route.slow_start.binds or route.slow_start.unheard
+            again = known and outcome is not Outcome.TIMED_OUT
             alone = not reused and (not lately or again)
             step = SICK if alone or (long and (unit.mean_rate or 0.0) < SPARSE) else step
         route.sick += step * (1 - route.sick)
@@ -418,6 +405,7 @@
         unit, now, gap = route.unit, self.now, self.random.uniform(*JITTER)
         unit.next_at = now + gap / unit.pace if unit.pace < inf else unit.next_at
         if route.slow_start.state is not State.HEALTHY:
+            self._doubt_unrecorded(route)
             route.slow_start.charge(now, gap if phase is None else phase)
             route.slow_start.plan(now, self._calls(route))
 
@@ -441,7 +429,8 @@
         settings, peers = self.settings, self._peers(route)
         cold = max(1, sum(r.slow_start.state is not State.HEALTHY for r in self.book.alike(route)))
         traffic = self._traffic(route, peers)
-        return Calls(traffic, settings.rules, settings.senders, peers, settings.may_tell, min(cold, peers))
+        cold = min(cold, peers)
+        return Calls(traffic, settings.rules, settings.senders, peers, settings.may_tell, cold)
 
     def _peers(self, route: Route) -> int:
         """Endpoints that share a limit with this one, itself among them."""
@@ -577,7 +566,12 @@
         if route.slow_start.advance(self.now, len(dest.held), unit.cold_calls):
             self._say(route, f"is taken for warm, {len(dest.held)} messages are held for its destination")
         paced = unit.next_at if unit.pace < inf else -inf
-        return max(unit.wait_until, paced, route.slow_start.ready_at(unit.cold_calls))
+        ready = max(unit.wait_until, paced, route.slow_start.ready_at(unit.cold_calls))
+        if route.failing:  # a trial is a call of the destination that its other endpoints share
+            ready = max(
+                [ready, *(r.slow_start.window_ready_at(unit.cold_calls) for r in self.book.alike(route))]
+            )
+        return ready
 
     def _send(self, job: Job, route: Route, dest: Destination, opened: dict[int, Call]) -> None:
         """Start an attempt, in the open call of this round if it has room, else in a new one."""
--- a/willownotch/lab/model/baselines.py
+++ b/willownotch/lab/model/baselines.py
@@ -15,8 +15,9 @@
 from math import inf, sqrt
 
 from willownotch import interface as face
-from willownotch.control import RAN, Controller
+from willownotch.control import Controller
 from willownotch.interface import Effect, Outcome, Readiness
+from willownotch.repeats import RAN
 from willownotch.state import Ran
 
 TICK_S, LABEL = 0.02, 1
--- a/willownotch/lab/recovery/play.py
+++ b/willownotch/lab/recovery/play.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any
 
-from willownotch.control import RAN, Controller
+from willownotch.control import Controller
 from willownotch.interface import (
     AttemptEnded,
     CallOff,
@@ -32,6 +32,7 @@
 )
 from willownotch.lab.recovery.case import Case, Restart
 from willownotch.lab.recovery.destination import STEP_S, Destination, Window
+from willownotch.repeats import RAN
 from willownotch.state import Ran
 
 CLASSES = (
--- a/willownotch/net/owner.py
+++ b/willownotch/net/owner.py
@@ -22,7 +22,7 @@
 from willownotch import interface as face
 from willownotch.bodies.plan import Candidate, ending
 from willownotch.bodies.store import Bodies, content
-from willownotch.control import RAN, Controller
+from willownotch.control import Controller
 from willownotch.handover.state import HandoverState, Out, OwedMessage
 from willownotch.journal import records as kept_records
 from willownotch.journal.records import Closed, Ended, Entry, Record, Taken
@@ -59,6 +59,7 @@
 from willownotch.net.rules import class_of
 from willownotch.net.slow_start_file import SlowStartFile
 from willownotch.net.south import END_MARGIN, Relay, RelayEnded
+from willownotch.repeats import RAN
 from willownotch.state import Ran
 
 if TYPE_CHECKING:
--- a/willownotch/slow_start.py
+++ b/willownotch/slow_start.py
@@ -27,6 +27,7 @@
 HORIZON = 4  # x that time: as far as it looks
 LATE_S = 0.15  # a call may leave so long after its decision, and nearer to the next one
 SMALL_BUDGET = 30.0  # calls of a window; below it the rule grants more to chance
+FEW_SENDERS = 10  # below it, what the rule grants to chance is more than one sender's calls
 CHANCE = 2.0  # standard deviations that the sum of all senders keeps below a window's budget
 
 
@@ -39,14 +40,11 @@
     SETTLING = "settling"  # surely warm: the bound goes on growing until nothing waits for it
 
 
-def granted(expected: float, exact: bool = True) -> float:
-    """The calls of a window that the rule lets pass, where the settings allow so many to be expected.
-
-    `exact`: all senders know the same figure. Else it is each one's own, and only the form without a step
-    keeps the mean of what they take below what their mean allows.
-    """
-    small = exact and expected < SMALL_BUDGET
-    return expected + (3 * sqrt(expected) + 3 if small else 2 * sqrt(expected) + 2)
+def granted(expected: float) -> float:
+    """The calls of a window that the rule lets pass, where the settings allow so many to be expected."""
+    if expected < SMALL_BUDGET:
+        return expected + 3 * sqrt(expected) + 3
+    return expected + 2 * sqrt(expected) + 2
 
 
 def part_of(calls: float, senders: int) -> float:
@@ -134,19 +132,27 @@
         # One window's part may come at once: the rule counts windows, and a first burst is no backlog.
         self.burst = min(SPARE_TOLD, rules.fall_multiple) * rules.cold_share * fair * rules.fall_s
 
-    def doubt(self) -> None:
+    def doubt(self, sent: int) -> None:
         """Messages come again: where nothing is known they may have met an outage.
 
-        Until then what is only assumed to be cold is not held back: mostly it never was out.
+        Until then what is only assumed to be cold is not held back: mostly it never was out. The calls that
+        were sent meanwhile are counted from the assumed return on.
         """
+        if self.assumed and not self.doubted:
+            self.left, self.counted_at, self.planned_at, self.burst = float(sent), self.returned_at, -inf, 0.0
         self.doubted = True
 
     def answer(self, now: float, rules: Rules) -> None:
         """A call was answered. Where nothing is known, the first answer dates a return."""
-        if self.assumed and self.answered_at == self.assumed_at:
+        if self.unheard:
             self.returned_at = self.answered_at = now
             self.warm_at = now + rules.cold_s
 
+    @property
+    def unheard(self) -> bool:
+        """Whether nothing is known of it but its place on the list: no call was answered yet."""
+        return self.assumed and self.answered_at == self.assumed_at
+
     @property
     def binds(self) -> bool:
         """Whether it holds calls back: not what is assumed to be cold with nothing that speaks for it."""
@@ -189,10 +195,16 @@
             return -inf
         # A return that all hear of at once is followed by first calls that are planned apart.
         begun = bool(recent) and recent[-1] >= self.returned_at
-        if begun and self.window_calls and self.state is not State.FAILING:
-            return recent[-self.window_calls] + self.window_s if len(recent) >= self.window_calls else -inf
+        if begun and self.state is not State.FAILING and self.window_calls:
+            return self.window_ready_at(recent)
         return self.next_at
 
+    def window_ready_at(self, recent: Sequence[float]) -> float:
+        """When the window that is counted has room for one more call; at once where none is."""
+        if self.window_calls and len(recent) >= self.window_calls:
+            return recent[-self.window_calls] + self.window_s
+        return -inf
+
     def charge(self, now: float, calls: float) -> None:
         """A call goes: the next one may after so many calls' worth of time. `plan` says when that is."""
         free = self.state is not State.FAILING and self.burst >= 1.0
@@ -223,7 +235,7 @@
     def _plan_window(self, now: float, calls: Calls) -> None:
         """Count calls by windows where this sender's part of a budget is more than the rate gives."""
         self.window_calls = 0
-        if self.state is State.FAILING:
+        if self.state is State.FAILING or calls.senders >= FEW_SENDERS:
             return
         rules, traffic = calls.rules, calls.traffic
         share = self._share_for_certain(now, rules)
