Read what has arrived before the load generator gives anything up by its clock

The generator looked at its clock before its connections: held up for longer than the time for an answer, it counted answers that had arrived as none, so its figures lied whenever the machine was busy. What has arrived by a moment is read before anything is given up as of that moment.

--- a/willownotch/lab/load/edge.py
+++ b/willownotch/lab/load/edge.py
@@ -72,7 +72,13 @@
     def run(self) -> Record:
         """Send all of it, and wait for the answers as long as is set."""
         while not self.generator.done():
-            self._act(self.generator.tick(self.now()))
+            # What has arrived by a moment is read before anything is given up as of that moment: this process
+            # may have been held up for longer than an answer may take.
+            now = self.now()
+            if (due := self.generator.due()) is not None and due <= now:
+                for key, _ in self.selector.select(0):
+                    self._event(key.data)
+            self._act(self.generator.tick(now))
             due = self.generator.due()
             wait = 0.1 if due is None else max(0.0, (due - SPIN_US - self.now()) / 1e6)
             for number, (key, _) in enumerate(self.selector.select(wait)):
