--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,7 +17,7 @@
 from willownotch.interface import Outcome
 from willownotch.journal.records import Entry, Opened, Taken
 from willownotch.life import Event, Standing
-from willownotch.net import client_side, http, registry
+from willownotch.net import client_side, http, registry, sockets
 from willownotch.net import config as configs
 from willownotch.net.client_connections import Client, Stage, Stages
 from willownotch.net.client_side import ClientSide
@@ -579,3 +579,17 @@
     assert South._quiet(looked_at) and failures == []
     failures += [ConnectionResetError(errno.ECONNRESET, "reset")]
     assert not South._quiet(looked_at)
+
+
+def test_a_look_that_finds_nothing_at_first_is_made_again_whatever_fails_for_a_moment():
+    """A sender ended: "OSError: [Errno 12] Cannot allocate memory" in the second look of a poll that waits
+    for nothing (soak, seed 35). The first was made again where it failed for a moment, the second was not."""
+    found = [[], OSError(errno.ENOMEM, "no memory"), [(3, 1)]]
+
+    def look(timeout):
+        result = found.pop(0)
+        if isinstance(result, OSError):
+            raise result
+        return result
+
+    assert sockets.wait(SimpleNamespace(poll=look), 0) == [(3, 1)]
--- a/willownotch/net/sockets.py
+++ b/willownotch/net/sockets.py
@@ -97,7 +97,7 @@
     """As `poll.poll`."""
     found = again("poll", lambda: poll.poll(timeout_ms))
     # Interrupted with no time left it gives nothing, whatever there is.
-    return found if found or timeout_ms != 0 else poll.poll(0)
+    return found if found or timeout_ms != 0 else again("poll", lambda: poll.poll(0))
 
 
 def without_delay(sock: socket.socket) -> None:
