--- a/willownotch/slow_start.py
+++ b/willownotch/slow_start.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
-from math import floor, inf, log, sqrt
+from math import ceil, floor, inf, log, sqrt
 
 from willownotch.interface import Rules, SlowStartRecord
 
@@ -244,7 +244,7 @@
         part *= self._growth(now, rules)
         if part < max(1.0, calls.cold * rules.fall_s * self._rate(now, calls)):
             return
-        self.window_calls = floor(part)
+        self.window_calls = ceil(part)  # of a fraction one more, and the window longer for it
         self.window_s = (rules.fall_s + LATE_S) * self.window_calls / part
 
     def _worth(self, at: float, span: float, calls: Calls) -> float:
