Count repeats.py among what two processes must have in common

What may be sent again moved out of control.py into repeats.py, and with it out of the checksum that tells a hand-over whether both processes decide alike: a version that differs there alone would have been handed the whole state. Found on reading the change.

--- a/willownotch/handover/version.py
+++ b/willownotch/handover/version.py
@@ -10,6 +10,7 @@
     "control.py",
     "concurrency_limit.py",
     "pacing.py",
+    "repeats.py",
     "slow_start.py",
     "state.py",
     "interface.py",
