Compute an endpoint's share after its return in one place

The slope and its bound stood in _share and again in _share_for_certain; the count of cold endpoints was bounded in two steps around another line.

--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -427,10 +427,11 @@
     def _calls(self, route: Route) -> Calls:
         """What bounds the calls of all senders to one endpoint."""
         settings, peers = self.settings, self._peers(route)
-        cold = max(1, sum(r.slow_start.state is not State.HEALTHY for r in self.book.alike(route)))
-        traffic = self._traffic(route, peers)
-        cold = min(cold, peers)
-        return Calls(traffic, settings.rules, settings.senders, peers, settings.may_tell, cold)
+        cold = sum(r.slow_start.state is not State.HEALTHY for r in self.book.alike(route))
+        cold = min(max(1, cold), peers)
+        return Calls(
+            self._traffic(route, peers), settings.rules, settings.senders, peers, settings.may_tell, cold
+        )
 
     def _peers(self, route: Route) -> int:
         """Endpoints that share a limit with this one, itself among them."""
--- a/willownotch/slow_start.py
+++ b/willownotch/slow_start.py
@@ -47,6 +47,12 @@
     return expected + 2 * sqrt(expected) + 2
 
 
+def share_after(since_s: float, rules: Rules) -> float:
+    """The part of its capacity that an endpoint has so long after its return."""
+    slope = (1 - rules.cold_share) / rules.cold_s
+    return min(1.0, rules.cold_share + slope * max(0.0, since_s))
+
+
 def part_of(calls: float, senders: int) -> float:
     """How many of a window's calls each sender may take, at any time of its own, so that all keep to them.
 
@@ -269,15 +275,12 @@
         """The part of its capacity that it has."""
         if self.state is State.FAILING:
             return rules.cold_share
-        slope = (1 - rules.cold_share) / rules.cold_s
         # A window's budget is that of its begin: what is sent in its mean must not be ahead of that.
-        since = at - self.returned_at - rules.fall_s / 2
-        return min(1.0, rules.cold_share + slope * max(0.0, since))
+        return share_after(at - self.returned_at - rules.fall_s / 2, rules)
 
     def _share_for_certain(self, at: float, rules: Rules) -> float:
         """The part of its capacity that it had for certain a window ago: it had returned by its answer."""
-        slope = (1 - rules.cold_share) / rules.cold_s
-        return min(1.0, rules.cold_share + slope * max(0.0, at - self.answered_at - rules.fall_s))
+        return share_after(at - self.answered_at - rules.fall_s, rules)
 
     def _growth(self, at: float, rules: Rules) -> float:
         """How far the bound has grown beyond what is usual, as fast as before, since it is surely warm."""
