Keep what members hold of a book until its new owner has it

Cause: a majority of witnesses grants a term, and the new owner took what it had heard within a lease for the contents of the book, also nothing.

Without them an owner goes on asking up to a quarter of the time to the first deadline. Ids that only keepers know are told at their deadlines. Keepers follow the owner's replica set, which they knew from the first list only.

Why it works: nobody drops a message before an owner has written it, and no owner acts on a log that may lack one while waiting can still help.

--- a/tests/test_replica_parts.py
+++ b/tests/test_replica_parts.py
@@ -14,8 +14,8 @@
 from willownotch.journal.records import AcceptedMessage, Custody, MessageEnded, RelayStarted, frame
 from willownotch.links.transport import MAX_FRAME_BYTES
 from willownotch.peers.seal import Seal
-from willownotch.replica import copies, core, wire
-from willownotch.replica.books import Follower, OwnedBook, Stage
+from willownotch.replica import copies, core, takeover, wire
+from willownotch.replica.books import FetchAnswer, Follower, OwnedBook, Stage
 from willownotch.replica.copies import Copy
 from willownotch.replica.placement import ranked, witnesses
 from willownotch.replica.settings import ReplicaSettings
@@ -69,6 +69,48 @@
     assert (found.version, found.replicas) == (1, ("b", "c"))  # as recorded for the owner before
 
 
+@pytest.mark.parametrize(
+    ("claims", "wanted"),  # owner, process, term and whether it was given up unused; the terms granted before
+    [
+        ([("a", 1, 1, False), ("a", 1, 1, False)], (0, 0)),  # a renewal
+        ([("a", 1, 1, False), ("a", 2, 2, False)], (1, 0)),  # its next process
+        ([("a", 1, 1, False), ("b", 2, 2, False), ("a", 3, 3, False)], (2, 2)),
+        ([("a", 1, 1, False), ("b", 2, 2, True), ("a", 3, 3, False)], (1, 1)),  # it never acted at term 2
+        ([("a", 1, 1, False), ("b", 2, 2, True), ("b", 2, 2, False), ("a", 3, 3, False)], (2, 2)),
+    ],
+)
+def test_a_witness_tells_the_terms_that_it_granted_before(claims, wanted):
+    register, now = TermRegister(0.0, 1.0), 0.0
+    for owner, uid, term, unused in claims:
+        now += 2.0
+        config = BookConfig(owner, uid, 0, (), ("b", "c", "d"))
+        answer, _ = register.claim(now, Claim(owner, "book", term, config, 1000, 1, unused, False, unused))
+    assert (answer.previous_term, answer.previous_member_term) == wanted
+
+
+def fetched(owner_term, previous_terms):
+    config = BookConfig("a", 2, 1, ("b", "c"), ("b", "c", "d"))
+    owned = OwnedBook("book", 5, config)
+    owned.previous_terms = previous_terms
+    owned.fetch_answers["e"] = FetchAnswer((owner_term, 3), True, True, 1, owner_term=owner_term)
+    owned.fetch_answers["e"].received_parts[0] = ()
+    return takeover.choose_contents(owned, "a", 1).whole
+
+
+def test_a_journal_is_whole_only_if_a_majority_knows_of_no_owner_since():
+    assert fetched(3, {"b": (3, 3), "c": (2, 2)})
+    assert not fetched(3, {"b": (3, 3)})
+    assert not fetched(3, {"b": (3, 3), "c": (4, 4)})
+    assert not fetched(0, {"b": (0, 0), "c": (0, 0)})  # a replica's copy, which may lack records
+
+
+def test_a_witness_of_an_older_version_vouches_for_no_journal():
+    old = wire.encode(Granted("b", "book", 5, 1, 1, ("b", "c")))[:-2]  # without the terms granted before
+    old = bytes([0x90 | (old[0] & 0x0F) - 2]) + old[1:]
+    granted = wire.decode(old)
+    assert not fetched(3, {"b": (granted.previous_term, granted.previous_member_term), "c": (3, 3)})
+
+
 def append(term, previous, *records):
     return Append("a", "book", term, previous, tuple(map(frame, records)), NOW)
 
--- a/tests/test_replica_sockets.py
+++ b/tests/test_replica_sockets.py
@@ -199,3 +199,54 @@
     assert found.returncode == 0
     assert "HOLDS COPY OF" in found.stdout
     assert "i0/" in found.stdout
+
+
+def replicas_of(fleet, n):
+    """Returns the numbers of the senders that hold copies of the messages of sender `n`."""
+    return {int(r["name"][1:]) for b in fleet.custody(n)["books"] if b["messages"] for r in b["replicas"]}
+
+
+def test_a_restarted_owner_whose_replicas_are_not_heard_delivers_its_fees(make_fleet):
+    # Its witnesses tell that nobody owned the book in between, so its journal is whole.
+    fleet = make_fleet()
+    refs = fleet.accept(0, 3, cls="fee")
+    unheard = {f"i{n}" for n in replicas_of(fleet, 0)}
+    fleet.relay.conditions = Conditions(cut=lambda a, b: a in unheard and b not in unheard)
+    fleet.restart(0)
+    until(fleet.takeovers, PATIENCE)
+    fleet.start_serving()
+    until(lambda: set(refs) <= set(fleet.host.refs()), PATIENCE)
+    fleet.relay.conditions = Conditions()
+    fleet.assert_delivered_once(refs)
+    assert not fleet.discovery.notices
+
+
+def test_a_takeover_that_hears_no_copy_leaves_them_to_be_heard_later(make_fleet):
+    # Two witnesses without a copy fenced the owner off, and its messages were forgotten wherever they lay.
+    fleet = make_fleet(9)
+    owner, holders, book = next(found for n in range(9) if (found := current_book(fleet, n)))
+    refs = fleet.accept(owner, 4)
+    fleet.relay.conditions = Conditions(cut=lambda a, b: a in holders and b not in holders)
+    others = [n for n in range(9) if f"i{n}" not in holders]
+    until(lambda: any(claims(fleet, n, book) for n in others), PATIENCE)
+    fleet.relay.conditions = Conditions()
+    fleet.start_serving()
+    fleet.assert_delivered_once(refs)
+    assert not fleet.discovery.notices
+
+
+def current_book(fleet, n):
+    """Returns a sender's number, the members that hold its current book, and the book, if a majority of its
+    witnesses holds none of it."""
+    found = fleet.custody(n)
+    for book in found["books"]:
+        holders = {f"i{n}"} | {replica["name"] for replica in book["replicas"]}
+        free = [witness for witness in book["witnesses"] if witness not in holders]
+        if book["book"] == found["current"] and len(free) > len(book["witnesses"]) // 2:
+            return n, holders, book["book"]
+    return None
+
+
+def claims(fleet, n, book):
+    """Whether a sender owns a book, or collects its contents."""
+    return any(b["book"] == book and b["stage"] != "claiming" for b in fleet.custody(n)["books"])
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -38,6 +38,7 @@
     BookAcquired,
     BookExpired,
     BookLost,
+    LateEntriesFound,
     SettingsUpdate,
     SharedStateUpdate,
     Stop,
@@ -412,6 +413,7 @@
             bodies.read,
         )
         custody_service.on_acquired = lambda acquired: decision_loop.post(BookAcquired(acquired))
+        custody_service.on_late_entries = lambda late: decision_loop.post(LateEntriesFound(late))
         custody_service.on_lost = lambda lost: decision_loop.post(BookLost(lost))
         custody_service.on_expired = lambda expired: decision_loop.post(BookExpired(expired))
         try:
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -41,6 +41,7 @@
     Flush,
     HandIn,
     HandOver,
+    LateEntriesFound,
     MakeRoom,
     NoticeReplicated,
     NoticesAnswered,
@@ -512,6 +513,8 @@
                 self.notify(Notice(item.ref, ended.outcome, ended.retry_in_ms))
         elif isinstance(item, BookAcquired):
             self._take_over(item.acquired, now, events)
+        elif isinstance(item, LateEntriesFound):
+            self._take_in_late(item.late, now, events)
         elif isinstance(item, BookLost):
             self._lose_book(item.lost, now, events)
         elif isinstance(item, BookExpired):
--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from willownotch.net.decision_loop import Delivery
-    from willownotch.replica.core import Acquired, Expired, Lost
+    from willownotch.replica.core import Acquired, Expired, LateEntries, Lost
 
 DEFAULT_RETRY_AFTER = timedelta(milliseconds=500)  # told with a rejection for which the module gave no time
 # How long a client waits for copies: at least this long, and at most this long since its message came.
@@ -88,17 +88,10 @@
         ]
         new_entries = [entry for ref, entry in found.items() if ref not in known]
         uncertain = [
-            e for e in new_entries if e.ended is None and not acquired.is_complete(e.message.custody.acks)
+            entry
+            for entry in [*new_entries, *kept.values()]
+            if entry.ended is None and not acquired.is_complete(entry.message.custody.acks)
         ]
-        orphans = [
-            ref
-            for ref in acquired.refs
-            if ref not in kept
-            and ref not in self._outstanding
-            and ref not in self._ended_ids
-            and ref not in self._unanswered_notices
-        ]
-        orphans = [] if acquired.is_complete(1) else orphans
         try:
             adopted = [
                 *(MessageEnded(ref, "withdrawn") for ref in local),
@@ -117,25 +110,15 @@
             acquired, {entry.message.ref: entry.message.ends_at for entry in new_entries}
         )
         self.custody.discard(acquired.book, known)
-        ends = {ref: now + timedelta(milliseconds=acquired.refs[ref]) for ref in orphans}
         more: list[Record] = [r for entry in kept.values() for r in entry.records()]
         more += [journal_records.RelayStarted(e.message.ref, e.count(), now, UNKNOWN_HOST) for e in uncertain]
-        more += [
-            AcceptedMessage(ref, 0, "", "", at, custody=journal_records.Custody(acquired.book, 1))
-            for ref, at in ends.items()
-        ]
-        more += [MessageEnded(ref, "given_up") for ref in orphans]
         self._write(more)
         entries = [
             self.journal.live[ref]
-            for ref in [*(e.message.ref for e in new_entries), *kept, *orphans]
+            for ref in [*(e.message.ref for e in new_entries), *kept]
             if ref in self.journal.live
         ]
-        outstanding = [entry for entry in entries if self._can_continue(entry)]
-        if self._recovered is not None:
-            self._recovered += outstanding
-        else:
-            events += [self._restore(entry, now) for entry in outstanding]
+        outstanding = self._continue_entries(entries, now, events)
         completeness = (
             "no accepted message is missing"
             if acquired.is_complete(1)
@@ -152,6 +135,42 @@
             f"{len(outstanding)} messages, {len(entries) - len(outstanding)} final outcomes; {completeness}",
         )
 
+    def _continue_entries(self, entries: list[Entry], now: datetime, events: list[api.Event]) -> list[Entry]:
+        """Continue the deliveries of acquired entries; return those that are still to be delivered."""
+        outstanding = [entry for entry in entries if self._can_continue(entry)]
+        if self._recovered is not None:
+            self._recovered += outstanding
+        else:
+            events += [self._restore(entry, now) for entry in outstanding]
+        return outstanding
+
+    def _take_in_late(self, late: LateEntries, now: datetime, events: list[api.Event]) -> None:
+        """Continue deliveries that the takeover of a book did not bring. Each may have been executed."""
+        settled, added = [], []
+        for entry in late.entries:
+            ref = entry.message.ref
+            if ref in self._outstanding or ref in self._ended_ids or ref in self._unanswered_notices:
+                settled.append(ref)
+                continue
+            records = [*entry.records()]
+            if entry.ended is None:
+                mark = journal_records.RelayStarted(ref, entry.count(), now, UNKNOWN_HOST)
+                records.append(mark)
+            try:
+                self.journal.append(records)
+            except (OSError, JournalFullError) as fault:
+                self.log.say("custody", f"{ref} of {late.book} cannot be written yet: {fault}")
+                break
+            added.append(self.journal.live[ref])
+        if settled:
+            self.custody.settle_late(late.book, settled)
+        outstanding = self._continue_entries(added, now, events)
+        self.log.say(
+            "custody",
+            f"{late.book}: {late.source} held {len(outstanding)} messages and "
+            f"{len(added) - len(outstanding)} final outcomes that the takeover did not bring",
+        )
+
     def _lose_book(self, lost: Lost, now: datetime, events: list[api.Event]) -> None:
         """Drop the messages of a book that another sender owns now; they are neither sent nor ended here."""
         local = self._in_book(lost.book)
--- a/willownotch/net/events.py
+++ b/willownotch/net/events.py
@@ -18,7 +18,7 @@
 from willownotch.net.pending import PendingReply
 
 if TYPE_CHECKING:
-    from willownotch.replica.core import Acquired, Expired, Lost
+    from willownotch.replica.core import Acquired, Expired, LateEntries, Lost
     from willownotch.shared.service import BudgetParts, EndpointFindings
 
 
@@ -143,6 +143,13 @@
     acquired: Acquired
 
 
+@dataclass(slots=True)
+class LateEntriesFound:
+    """Messages of an owned book that a member held and the takeover did not bring."""
+
+    late: LateEntries
+
+
 @dataclass(slots=True)
 class BookLost:
     """Another sender owns a book now: its messages may be neither sent nor ended here."""
@@ -191,6 +198,7 @@
     | ReplicationEnded
     | NoticeReplicated
     | BookAcquired
+    | LateEntriesFound
     | BookLost
     | BookExpired
     | Flush
--- a/willownotch/replica/books.py
+++ b/willownotch/replica/books.py
@@ -12,6 +12,7 @@
 from datetime import datetime, timedelta
 from enum import Enum
 
+from willownotch.journal.records import Entry
 from willownotch.replica.placement import majority
 from willownotch.replica.wire import LOG_START, BookConfig, Granted, Position, Refused
 
@@ -72,6 +73,8 @@
     clock_offset: timedelta = timedelta(0)  # this clock minus the member's; smallest value seen
     received_parts: dict[int, tuple[tuple[int, bytes], ...]] = field(default_factory=dict)
     refs: dict[str, int] = field(default_factory=dict)
+    owner_term: int = 0  # as in `Contents`
+    unheard: tuple[str, ...] = ()
 
     def is_complete(self) -> bool:
         """Whether all parts have arrived."""
@@ -82,7 +85,8 @@
     """Stages of taking ownership."""
 
     CLAIMING = "claiming"  # asking the witnesses, until a majority grants the term
-    FETCHING = "fetching"  # collecting the contents, if the book was another sender's or process's
+    # Collecting the contents, if the book was another sender's or process's.
+    FETCHING = "fetching"
     ADOPTING = "adopting"  # writing the contents into the journal
     OWNED = "owned"
 
@@ -119,6 +123,14 @@
     former_owner: tuple[str, int] = ("", 0)  # last known owner and its process, before this one
     contested: bool = False  # a witness granted this term or a higher one to another member
     proposal_sent_at: float = -1e9  # when witnesses were last asked to record the proposed set
+    # By witness: the highest terms granted before this one to another process, and to another member.
+    previous_terms: dict[str, tuple[int, int]] = field(default_factory=dict)
+    highest_copied: dict[int, int] = field(default_factory=dict)  # by W: record that had W copies once
+    fetch_began_at: float = 0.0
+    known_refs: set[str] = field(default_factory=set)  # ids that were in the log at any time in this term
+    orphan_refs: dict[str, float] = field(default_factory=dict)  # ids without contents, and their deadlines
+    heard: set[str] = field(default_factory=set)  # members whose late answers are in the log
+    late_refs: dict[str, set[str]] = field(default_factory=dict)  # by member: its ids not yet in the log
 
     def leased(self, now: float) -> bool:
         """Whether the owner may act on the book at this time."""
@@ -195,6 +207,13 @@
             sum(map(answers, replicas)) >= wanted for replicas in self.replica_sets()
         )
 
+    def is_promised(self, order: int, entry: Entry) -> bool:
+        """Whether an entry of the journal may have been promised: it was taken over, or had enough copies."""
+        ref, mark = entry.message.ref, entry.message.custody
+        if order <= self.base_position[1] or ref in self.known_refs or mark is None:
+            return True
+        return order <= self.highest_copied.get(mark.acks, -1)
+
     def position(self, number: int) -> Position:
         """Returns the position of a record."""
         return (self.term, number) if number > self.base_position[1] else self.base_position
@@ -261,6 +280,7 @@
         if found is None or granted.term != self.term:
             return False
         found.granted.add(granted.source)
+        self.previous_terms[granted.source] = granted.previous_term, granted.previous_member_term
         if len(found.granted) < majority(len(self.config.witnesses)):
             return False
         until = found.sent_at + span * (1 - MAX_CLOCK_DRIFT)
--- a/willownotch/replica/copies.py
+++ b/willownotch/replica/copies.py
@@ -108,6 +108,7 @@
     partial_fill: PartialFill | None = None
     heard_at: float = 0.0
     reported_refs: set[str] = field(default_factory=set)  # ids reported as given up while there was no owner
+    owner_term: int = 0  # term at which this member owned the book, if this is what its journal held then
 
     def entries(self) -> list[Ordered]:
         """Returns the entries in the book's order."""
@@ -134,7 +135,7 @@
         new_frames = append.frames[held:]
         if new_frames:
             self.add_frames(new_frames, (append.term, self.position[1] + len(new_frames)))
-        self.confirmed = True
+        self.confirmed, self.owner_term = True, 0
 
     def add_frames(self, frames: Iterable[bytes], position: Position) -> None:
         """Applies records that bring the copy to a position."""
@@ -177,6 +178,7 @@
             for entry in partial_fill.received_parts[part]
         )
         self.position, self.partial_fill, self.confirmed = fill.position, None, True
+        self.owner_term = 0
         return True
 
     def put_entries(self, entries: Iterable[tuple[int, bytes]]) -> None:
--- a/willownotch/replica/core.py
+++ b/willownotch/replica/core.py
@@ -10,13 +10,13 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 from random import Random
 
 import msgspec
 
 from willownotch.journal.records import Entry
-from willownotch.replica import copies, wire
+from willownotch.replica import copies, takeover, wire
 from willownotch.replica.books import MIN_RESEND_S, FetchAnswer, Follower, OwnedBook, Stage, resend_delay_s
 from willownotch.replica.copies import Copy, Ordered
 from willownotch.replica.ids import IdIndex, IdLog
@@ -32,6 +32,8 @@
 FILL_RETRY_S = 1.0  # from the last part to the restart of an unacknowledged fill
 ORPHAN_COPY_KEEP_S = 60.0  # that a copy without an owner is kept after its last deadline
 ID_HOLDER_COUNT = 2  # members without a copy that know a book's ids
+EARLY_SHARE = 0.25  # of the time to the first deadline that an owner waits for whole contents
+INCOMPLETE_BOOK_KEEP_S = 3600.0  # for which a book that may lack messages is kept open for them
 MAX_CLOSED_BOOKS = 256  # closed books remembered for replicas that missed the closing
 TICK_S = 0.05  # between two ticks
 
@@ -74,8 +76,9 @@
 class Acquired:
     """This sender has become a book's owner; `on_adopted` is called once the entries are in the journal.
 
-    `replicas_answered` of `replicas_asked` replicas sent what they hold. `refs` are outstanding ids that id
-    holders know and no answer contains, with ms until their deadlines.
+    `replicas_answered` of `replicas_asked` replicas sent what they hold. `whole` says that the entries
+    include every promised message; else more may follow as `LateEntries`, and ids that only id holders know
+    are reported as `Expired` at their deadlines.
     """
 
     book: str
@@ -84,12 +87,27 @@
     entries: tuple[Ordered, ...]
     replicas_answered: int
     replicas_asked: int
-    refs: dict[str, int]
     previous_owner: str
+    whole: bool = False
 
     def is_complete(self, wanted: int) -> bool:
         """Whether the entries include every message that had `wanted` copies."""
-        return self.replicas_answered >= self.replicas_asked - wanted + 1 and self.replicas_answered > 0
+        return self.whole or (
+            self.replicas_answered >= self.replicas_asked - wanted + 1 and self.replicas_answered > 0
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class LateEntries:
+    """Messages that a member had of a book after its new owner began without them; each may have run.
+
+    The owner writes them to its journal as new records of the book, or calls `on_late_settled` for those that
+    it needs no more.
+    """
+
+    book: str
+    source: str
+    entries: tuple[Entry, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,7 +136,7 @@
     text: str
 
 
-Action = Send | StoreTerm | StoreCopy | StoreBook | Acquired | Lost | Expired | Report
+Action = Send | StoreTerm | StoreCopy | StoreBook | Acquired | LateEntries | Lost | Expired | Report
 Snapshot = Callable[[str], tuple[int, list[tuple[int, Entry]]]]  # by book: number of its last record, entries
 
 
@@ -181,6 +199,7 @@
         if owned is None:
             return -1
         copied, ids = owned.copied_up_to(wanted), self._id_logs.get(book)
+        owned.highest_copied[wanted] = max(copied, owned.highest_copied.get(wanted, -1))
         limit = (
             ids.promise_limit(self.now, self.settings.patience.total_seconds() / 2)
             if ids is not None
@@ -241,6 +260,8 @@
         owned.open.update(opened)
         for ref in ended:
             owned.open.pop(ref, None)
+        if owned.config.unheard:
+            self._settle_late(owned, opened)
         for name in owned.replica_names():
             self._send_records(owned, name)
         ids = self._id_logs.setdefault(book, IdLog())
@@ -257,6 +278,9 @@
         if owned is not None and owned.stage is Stage.ADOPTING:
             owned.stage = Stage.OWNED
             owned.open = dict(refs)
+            owned.known_refs = set(refs)
+            for ref, at in owned.orphan_refs.items():
+                owned.open[ref] = self._wall + timedelta(seconds=at - self.now)
             self._id_logs[book] = IdLog(1)  # id holders get the acquired ids as a whole list
             if book in self.copies:
                 self._drop_copy(book)
@@ -278,7 +302,9 @@
     def on_copy_not_stored(self, now: float, book: str) -> list[Action]:
         """A copy could not be stored: drops it, and accepts no new one for one second."""
         self.now = max(self.now, now)
-        if self.copies.pop(book, None) is not None:
+        copy = self.copies.get(book)
+        if copy is not None and not copy.owner_term:  # one that was this sender's journal stays in memory
+            del self.copies[book]
             self._full_until[book] = self.now + 1.0
             self._emit(StoreCopy(book, None))
         return self._drain_actions()
@@ -338,10 +364,12 @@
             self._emit(StoreTerm(keep))
         answer = msgspec.structs.replace(answer, source=self.name)
         if isinstance(answer, wire.Granted) and claim.source != self.name and claim.book in self.id_indexes:
+            index = self.id_indexes[claim.book]
+            index.heard_at = self.now
             if claim.closed:
                 del self.id_indexes[claim.book]
-            else:
-                self.id_indexes[claim.book].heard_at = self.now
+            elif claim.config.version > index.config.version:  # its replicas have changed
+                index.config = claim.config
         self._send(claim.source, answer)
 
     # As an id holder
@@ -377,14 +405,15 @@
                 self._lose(owned, term, source)
             elif owned.stage is not Stage.CLAIMING:
                 return None
-        return copy
+        elif book in self._former_books and term > self._former_books[book][1]:
+            self._lose_former_book(book, term, source)
+        return self.copies.get(book)
 
     def _on_append(self, append: wire.Append) -> None:
-        known = self.copies.get(append.book)
         copy = self._copy_for_owner(append.book, append.term, append.source)
         if copy is None:
             if (
-                known is not None
+                append.book in self.copies
                 or append.book in self.owned
                 or self._full_until.get(append.book, 0.0) > self.now
             ):
@@ -437,10 +466,9 @@
         )
 
     def _on_fill(self, fill: wire.Fill) -> None:
-        known = self.copies.get(fill.book)
         copy = self._copy_for_owner(fill.book, fill.term, fill.source)
         if copy is None:
-            if known is not None or fill.book in self.owned:
+            if fill.book in self.copies or fill.book in self.owned:
                 return
             if self._full_until.get(fill.book, 0.0) > self.now:
                 return
@@ -457,9 +485,8 @@
             self._send_behind(copy, fill.source)
 
     def _on_fetch(self, fetch: wire.Fetch) -> None:
-        known = self.copies.get(fetch.book)
         copy = self._copy_for_owner(fetch.book, fetch.term, fetch.source)
-        if (copy is None and known is not None) or fetch.book in self.owned:
+        if (copy is None and fetch.book in self.copies) or fetch.book in self.owned:
             return
         index = self.id_indexes.get(fetch.book)
         refs = tuple((ref, round((at - self.now) * 1000)) for ref, at in index.refs.items()) if index else ()
@@ -491,6 +518,8 @@
                     piece,
                     self._wall,
                     refs if n == 0 else (),
+                    copy.owner_term,
+                    copy.config.unheard,
                 ),
             )
 
@@ -553,12 +582,17 @@
             return self._reclaim(owned)  # the claim fails if that member keeps the lease
         if refused.closed or other:
             self._lose(owned, refused.term, refused.owner)
-            return self._record_new_owner(book, refused)
+            self._record_new_owner(book, refused)
+            copy = self.copies.get(book)
+            if copy is not None and copy.owner_term:  # the new owner may be waiting for it
+                self._send_behind(copy, refused.owner)
+            return
         if refused.term >= owned.term and (refused.owner, refused.uid) != (self.name, self.uid):
             owned.contested = True
             if refused.round_number in owned.rounds:
                 owned.rounds[refused.round_number].granted_others.add(refused.source)
-            if owned.stage is Stage.CLAIMING and owned.majority_impossible(refused.round_number):
+            undecided = owned.stage in (Stage.CLAIMING, Stage.FETCHING)
+            if undecided and owned.majority_impossible(refused.round_number):
                 self._withdraw_claim(owned, refused.left_ms / 1000)
             elif (
                 owned.stage is Stage.OWNED
@@ -576,15 +610,16 @@
         Another member may own it or have owned it, so it is claimed like any book without an owner, and its
         content is fetched from the copies.
         """
+        refs_at = dict(owned.open)
         self._lose(owned, owned.term, self.name)
-        refs = {ref: self.now + (at - self._wall).total_seconds() for ref, at in owned.open.items()}
+        refs = {ref: self.now + (at - self._wall).total_seconds() for ref, at in refs_at.items()}
         self._former_books[owned.book] = owned.config, owned.term
         self.id_indexes[owned.book] = IdIndex(owned.config, owned.term, self.now, refs)
         self._emit(StoreBook(owned.book, owned.config, owned.term))
 
     def _withdraw_claim(self, owned: OwnedBook, wait: float) -> None:
         """Gives up a claim: releases what witnesses granted, and tries again later."""
-        self._claim(owned, release=True)
+        self._claim(owned, release=True, unused=owned.stage in (Stage.CLAIMING, Stage.FETCHING))
         self._drop_owned(owned.book)
         self._claim_times[owned.book] = self.now + wait + self._random_pause()
 
@@ -607,6 +642,14 @@
             copy.config = msgspec.structs.replace(copy.config, owner="", uid=0)
 
     def _lose(self, owned: OwnedBook, term: int, owner: str) -> None:
+        """Another member was granted a book. What the journal holds of it stays as a copy until the new owner
+        needs it no more."""
+        if owned.stage is Stage.OWNED:
+            self.copies[owned.book] = self._copy_of_owned(owned)
+            self._emit(StoreCopy(owned.book, self.copies[owned.book]))
+        elif owned.book in self._former_books:
+            self._keep_former_journal(owned.book)
+            self._emit(StoreCopy(owned.book, self.copies[owned.book]))
         self._drop_owned(owned.book)
         self._highest_terms[owned.book] = max(self._highest_terms.get(owned.book, 0), term)
         if self.current == owned.book:
@@ -616,6 +659,37 @@
         self._emit(StoreBook(owned.book, None))
         self._emit(Lost(owned.book, term, owner))
 
+    def _lose_former_book(self, book: str, term: int, owner: str) -> None:
+        """Another member owns a book of this sender's former process, which this process has not claimed."""
+        self._keep_former_journal(book)
+        self._emit(StoreCopy(book, self.copies[book]))
+        self._highest_terms[book] = max(self._highest_terms.get(book, 0), term)
+        del self._former_books[book]
+        self.id_indexes.pop(book, None)
+        self._emit(StoreBook(book, None))
+        self._emit(Lost(book, term, owner))
+
+    def _copy_of_owned(self, owned: OwnedBook) -> Copy:
+        """Returns a copy of what the journal holds of an owned book, without messages that nobody was
+        promised: their clients are answered that they were rejected."""
+        last, entries = self.snapshot(owned.book)
+        promised = [(order, entry) for order, entry in entries if owned.is_promised(order, entry)]
+        changed = len(promised) < len(entries) or last != owned.last
+        copy = takeover.copy_of_journal(
+            owned.book, owned.config, owned.term, owned.position(owned.last), promised, changed
+        )
+        copy.heard_at = self.now
+        return copy
+
+    def _keep_former_journal(self, book: str) -> None:
+        """Makes a copy of what a former process left in the journal of a book, unless there is one."""
+        if book not in self.copies:
+            config, term = self._former_books[book]
+            last, entries = self.snapshot(book)
+            copy = takeover.copy_of_journal(book, config, term, (term, last), entries, True)
+            copy.heard_at = self.now
+            self.copies[book] = copy
+
     def _on_acked(self, acked: wire.Acked) -> None:
         owned = self.owned.get(acked.book)
         follower = owned.followers.get(acked.source) if owned is not None else None
@@ -638,6 +712,9 @@
 
     def _on_behind(self, behind: wire.Behind) -> None:
         owned = self.owned.get(behind.book)
+        if owned is not None and self._needs_contents(owned, behind):
+            self._send(behind.source, wire.Fetch(self.name, owned.book, owned.term))
+            return
         if owned is None or owned.stage is not Stage.OWNED or behind.source not in owned.replica_names():
             if behind.book in self._closed_books or (owned is not None and owned.stage is Stage.OWNED):
                 term = owned.term if owned is not None else behind.term
@@ -659,6 +736,17 @@
                 return
             self._begin_fill(owned, follower, behind)
 
+    def _needs_contents(self, owned: OwnedBook, behind: wire.Behind) -> bool:
+        """Whether this owner has to take in what a member holds before the member may drop or replace it."""
+        if owned.stage is not Stage.OWNED:
+            return owned.stage is Stage.FETCHING
+        if not owned.config.unheard or behind.source in owned.heard:
+            return False
+        if behind.position == LOG_START:
+            self._mark_heard(owned, behind.source)
+            return False
+        return behind.position[0] < owned.term and behind.position != owned.base_position
+
     def _begin_fill(self, owned: OwnedBook, follower: Follower, behind: wire.Behind) -> None:
         """Starts to send a replica the ranges that differ, as the book is now."""
         last, entries = self.snapshot(owned.book)  # the journal may be ahead of the core
@@ -744,10 +832,12 @@
         """Renews the lease, resends to replicas that lag, and replaces silent ones."""
         if owned.next_claim_at <= self.now:
             self._claim(owned)
-        if owned.stage is Stage.FETCHING:
+        if owned.stage is Stage.FETCHING and owned.next_fetch_at <= self.now:
             self._fetch_on(owned)
+        self._expire_orphans(owned)
         if owned.stage is not Stage.OWNED:
             return
+        self._fetch_late(owned)
         for name in owned.replica_names():
             follower = self._follower(owned, name)
             if follower.pending_fill:
@@ -770,7 +860,8 @@
                 )
                 self._update_placement()
         self._change_replicas(owned)
-        if not owned.open and not owned.accepts_messages and owned.proposed is None:
+        awaited = owned.config.unheard and self.now - owned.created_at <= INCOMPLETE_BOOK_KEEP_S
+        if not owned.open and not owned.accepts_messages and owned.proposed is None and not awaited:
             self._close(owned)
 
     def _close(self, owned: OwnedBook) -> None:
@@ -828,6 +919,8 @@
         for name in old:
             if name not in owned.config.replicas and name != self.name:
                 owned.followers.pop(name, None)
+                if name in owned.config.unheard:
+                    continue  # it may hold what this owner lacks
                 self._send(name, wire.Close(self.name, owned.book, owned.term))
         self._emit(StoreBook(owned.book, owned.config, owned.term))
         for name in owned.config.replicas:
@@ -891,7 +984,9 @@
     def _random_pause(self) -> float:
         return self.random.uniform(0.1, 0.5) * self._lease_s()
 
-    def _claim(self, owned: OwnedBook, release: bool = False, closed: bool = False) -> None:
+    def _claim(
+        self, owned: OwnedBook, release: bool = False, closed: bool = False, unused: bool = False
+    ) -> None:
         """Sends a round of claims to all witnesses; repeated for as long as the book is owned."""
         held = self.now < owned.lease_until
         owned.next_claim_at = self.now + (self._lease_s() / 3 if held else min(0.2, self._lease_s() / 3))
@@ -902,7 +997,15 @@
             config = msgspec.structs.replace(config, version=0, replicas=())
         number = owned.begin_round(self.now, config.version)
         claim = wire.Claim(
-            self.name, owned.book, owned.term, config, round(self._lease_s() * 1000), number, release, closed
+            self.name,
+            owned.book,
+            owned.term,
+            config,
+            round(self._lease_s() * 1000),
+            number,
+            release,
+            closed,
+            unused,
         )
         for name in owned.config.witnesses:
             if name == self.name:
@@ -979,6 +1082,17 @@
         owned = self.owned.get(book)
         return owned is None or owned.stage is Stage.CLAIMING
 
+    def _expire_orphans(self, owned: OwnedBook) -> None:
+        """Reports messages of a book without whole contents that reached their deadlines and of which only
+        the ids are known."""
+        expired = tuple(ref for ref, at in owned.orphan_refs.items() if at <= self.now)
+        if expired and owned.stage in (Stage.FETCHING, Stage.OWNED):
+            for ref in expired:
+                del owned.orphan_refs[ref]
+                owned.open.pop(ref, None)
+            owned.known_refs.update(expired)
+            self._emit(Expired(owned.book, (), expired))
+
     def _expire_copy(self, copy: Copy) -> None:
         """Reports messages of an orphaned copy that reached their deadlines, since no owner will end them."""
         by = copy.clock_offset or copies.NO_TIME
@@ -1033,76 +1147,126 @@
 
     def _begin_fetch(self, owned: OwnedBook) -> None:
         owned.stage = Stage.FETCHING
-        owned.fetch_deadline = self.now + self._lease_s()
-        copy = self.copies.get(owned.book)
+        owned.fetch_began_at, owned.fetch_deadline = self.now, self.now + self._lease_s()
+        book = owned.book
+        if book in self._former_books:
+            self._keep_former_journal(book)
+        copy = self.copies.get(book)
         if copy is not None:
             copy.term = max(copy.term, owned.term)
-            self._emit(StoreCopy(owned.book, copy))
-            pieces = list(copies.split_parts(self._packed(copy)))
-            owned.fetch_answers[self.name] = FetchAnswer(
-                copy.position, copy.confirmed, True, len(pieces), received_parts=dict(enumerate(pieces))
+            if book not in self._former_books:
+                self._emit(StoreCopy(book, copy))
+            owned.fetch_answers[self.name] = takeover.copy_answer(
+                copy, list(copies.split_parts(self._packed(copy)))
             )
-        if (index := self.id_indexes.get(owned.book)) is not None:
-            answer = owned.fetch_answers.setdefault(
-                self.name, FetchAnswer(LOG_START, False, False, 1, received_parts={0: ()})
-            )
-            answer.refs = {ref: round((at - self.now) * 1000) for ref, at in index.refs.items()}
+        if (index := self.id_indexes.get(book)) is not None:
+            owned.orphan_refs.update(index.refs)
         self._fetch_on(owned)
 
     def _fetch_on(self, owned: OwnedBook) -> None:
-        """Asks members that have not answered. Goes on with the answers at hand once all present replicas
-        have answered or the deadline has passed."""
-        asked = sorted({*owned.config.replicas, *owned.config.witnesses} - {self.name})
-        missing = [
-            name
-            for name in asked
-            if name not in owned.fetch_answers or not owned.fetch_answers[name].is_complete()
-        ]
+        """Takes over the contents if no more are to be waited for, else asks members that have not answered.
+
+        Whole contents wait only for replicas that are present, and no longer than a lease. Others also wait
+        for a share of the time to the first deadline, in which a member that was cut off may come back.
+        """
+        former_owner = owned.former_owner[0]
+        holders = {*owned.config.replicas, former_owner} - {self.name, ""}
+        complete = takeover.complete_answers(owned)
+        contents = takeover.choose_contents(owned, self.name, self._least_acks())
+        missing = sorted({*holders, *owned.config.witnesses} - {self.name} - set(complete))
         expected = [name for name in missing if name in self.peers and name in owned.config.replicas]
-        if not expected or self.now >= owned.fetch_deadline:
-            self._acquire(owned)
+        waited = self.now >= owned.fetch_deadline
+        if contents.whole and (waited or not expected):
+            self._acquire(owned, contents)
+        elif not contents.whole and waited and self._has_waited_for_absent(owned, contents, holders):
+            if contents.base is not None or owned.orphan_refs:
+                self._acquire(owned, contents)
+            else:
+                self._abandon(owned)
         elif self.now >= owned.next_fetch_at:
             owned.next_fetch_at = self.now + max(MIN_RESEND_S, self._lease_s() / 8)
             for name in missing:
                 self._send(name, wire.Fetch(self.name, owned.book, owned.term))
 
+    def _least_acks(self) -> int:
+        return min(self.settings.ack_levels(), default=1)
+
+    def _has_waited_for_absent(
+        self, owned: OwnedBook, contents: takeover.Contents, holders: set[str]
+    ) -> bool:
+        """Whether an owner without whole contents may begin with those that it has."""
+        if holders <= set(takeover.complete_answers(owned)):
+            return True  # nobody is left to ask
+        entries = takeover.read_entries(contents.base) if contents.base is not None else []
+        if not entries:
+            return not owned.orphan_refs
+        if any(entry.ended is not None for _, entry in entries):
+            return True  # a notice is owed
+        first = min(entry.message.ends_at for _, entry in entries)
+        left = (first - self._wall).total_seconds()
+        waited = self.now - owned.fetch_began_at
+        return waited >= EARLY_SHARE * (waited + left)
+
+    def _abandon(self, owned: OwnedBook) -> None:
+        """Gives up a book of which this member knows no message; members that hold some will claim it."""
+        book = owned.book
+        self.id_indexes.pop(book, None)
+        if book in self.copies:
+            self._drop_copy(book)
+        if self._former_books.pop(book, None) is not None:
+            self._emit(StoreBook(book, None))
+        self._withdraw_claim(owned, 0.0)
+
     def _on_contents(self, contents: wire.Contents) -> None:
         owned = self.owned.get(contents.book)
-        if owned is None or owned.term != contents.term or owned.stage is not Stage.FETCHING:
+        if owned is None or owned.term != contents.term:
             return
-        answer, clock_offset = owned.fetch_answers.get(contents.source), self._wall - contents.sender_time
+        if owned.stage is not Stage.FETCHING and (
+            owned.stage is not Stage.OWNED or not owned.config.unheard or contents.source in owned.heard
+        ):
+            return
+        answer = self._collect_answer(owned, contents)
+        if not answer.is_complete():
+            return
+        for ref, left_ms in answer.refs.items():
+            if owned.stage is Stage.FETCHING:
+                owned.orphan_refs.setdefault(ref, self.now + left_ms / 1000)
+        if owned.stage is Stage.FETCHING:
+            self._fetch_on(owned)
+        else:
+            self._take_in_late(owned, contents.source, answer)
+
+    def _collect_answer(self, owned: OwnedBook, contents: wire.Contents) -> FetchAnswer:
+        """Adds one part to a member's answer."""
+        clock_offset = self._wall - contents.sender_time
+        answer = owned.fetch_answers.get(contents.source)
         if answer is None or (answer.position, answer.parts) != (contents.position, contents.parts):
-            answer = FetchAnswer(
-                contents.position, contents.confirmed, contents.has_copy, contents.parts, clock_offset
+            answer = owned.fetch_answers[contents.source] = FetchAnswer(
+                contents.position,
+                contents.confirmed,
+                contents.has_copy,
+                contents.parts,
+                clock_offset,
+                owner_term=contents.owner_term,
+                unheard=contents.unheard,
             )
-            owned.fetch_answers[contents.source] = answer
         answer.clock_offset = min(answer.clock_offset, clock_offset)
         answer.received_parts[contents.part] = contents.entries
         answer.refs.update(contents.refs)
-        if answer.is_complete():
-            self._fetch_on(owned)
+        return answer
 
-    def _acquire(self, owned: OwnedBook) -> None:
-        """Takes over the copy with the highest position, which has all promised messages if enough replicas
-        answered."""
-        complete = {name: a for name, a in owned.fetch_answers.items() if a.is_complete()}
-        confirmed = [
-            a for name, a in complete.items() if a.has_copy and a.confirmed and name in owned.config.replicas
-        ]
-        best = max((a for a in complete.values() if a.has_copy), key=lambda a: a.position, default=None)
-        refs: dict[str, int] = {}
-        for answer in complete.values():
-            refs.update(answer.refs)
+    def _acquire(self, owned: OwnedBook, contents: takeover.Contents) -> None:
+        """Begins the ownership with these contents."""
         entries: list[Ordered] = []
-        if best is not None:
-            owned.base_position, owned.last = best.position, best.position[1]
-            for part in sorted(best.received_parts):
-                entries += [
-                    (order, copies.shift_times(entry, best.clock_offset))
-                    for order, data in best.received_parts[part]
-                    if (entry := copies.unpack(data)) is not None
-                ]
+        if contents.base is not None:
+            owned.base_position, owned.last = contents.base.position, contents.base.position[1]
+            entries = takeover.read_entries(contents.base)
+        unheard = takeover.members_without_answer(owned, self.name, contents)
+        owned.config = msgspec.structs.replace(owned.config, unheard=unheard)
         known = {entry.message.ref for _, entry in entries}
+        owned.orphan_refs = {
+            ref: at for ref, at in owned.orphan_refs.items() if ref not in known and not contents.whole
+        }
         owned.stage, owned.fetch_answers = Stage.ADOPTING, {}
         previous_owner = (
             self.copies[owned.book].config.owner
@@ -1110,20 +1274,67 @@
             else (self.id_indexes[owned.book].config.owner if owned.book in self.id_indexes else self.name)
         )
         self.id_indexes.pop(owned.book, None)
-        refs = {ref: left for ref, left in refs.items() if ref not in known}
         self._emit(
             Acquired(
                 owned.book,
                 owned.term,
                 owned.last,
                 tuple(entries),
-                len(confirmed),
+                contents.confirmed_replicas,
                 len(owned.config.replicas),
-                refs,
                 previous_owner,
+                contents.whole,
             )
         )
 
+    # Contents that arrive after a takeover
+
+    def _fetch_late(self, owned: OwnedBook) -> None:
+        """Asks members that may hold messages which the log lacks."""
+        if owned.config.unheard and owned.next_fetch_at <= self.now:
+            owned.next_fetch_at = self.now + max(MIN_RESEND_S, self._lease_s() / 2)
+            for name in owned.config.unheard:
+                self._send(name, wire.Fetch(self.name, owned.book, owned.term))
+
+    def _take_in_late(self, owned: OwnedBook, source: str, answer: FetchAnswer) -> None:
+        """Hands on the messages of a late answer that the log lacks."""
+        entries = takeover.late_entries(owned, answer) if answer.has_copy else []
+        if not entries:
+            self._mark_heard(owned, source)
+            return
+        owned.late_refs[source] = {entry.message.ref for entry in entries}
+        del owned.fetch_answers[source]
+        self._emit(LateEntries(owned.book, source, tuple(entries)))
+
+    def on_late_settled(self, now: float, book: str, refs: Iterable[str]) -> list[Action]:
+        """The owner needs no more of late messages: they are known to it by other means."""
+        self.now = max(self.now, now)
+        owned = self.owned.get(book)
+        if owned is not None:
+            self._settle_late(owned, refs)
+        return self._drain_actions()
+
+    def _settle_late(self, owned: OwnedBook, refs: Iterable[str]) -> None:
+        """These ids are in the log; members of which all are need not be heard any more."""
+        refs = set(refs)
+        owned.known_refs |= refs
+        for ref in refs:
+            owned.orphan_refs.pop(ref, None)
+        for source, awaited in list(owned.late_refs.items()):
+            awaited -= refs
+            if not awaited:
+                self._mark_heard(owned, source)
+
+    def _mark_heard(self, owned: OwnedBook, source: str) -> None:
+        """All that a member held is in the log, so it may drop or replace its copy."""
+        owned.heard.add(source)
+        owned.late_refs.pop(source, None)
+        owned.fetch_answers.pop(source, None)
+        if source in owned.config.unheard:
+            unheard = tuple(name for name in owned.config.unheard if name != source)
+            owned.config = msgspec.structs.replace(owned.config, unheard=unheard)
+            self._emit(StoreBook(owned.book, owned.config, owned.term))
+
     # Id holders, as an owner
 
     def _choose_id_holders(self, owned: OwnedBook) -> list[str]:
--- a/willownotch/replica/service.py
+++ b/willownotch/replica/service.py
@@ -148,6 +148,7 @@
         self.entries: Callable[[Callable[[], int]], tuple[int, list[Entry]]] = lambda number: (number(), [])
         self.peers: Callable[[], dict[str, tuple[int, tuple[str, int]]]] = dict
         self.on_acquired: Callable[[cores.Acquired], None] = lambda acquired: None
+        self.on_late_entries: Callable[[cores.LateEntries], None] = lambda late: None
         self.on_lost: Callable[[cores.Lost], None] = lambda lost: None
         self.on_expired: Callable[[cores.Expired], None] = lambda expired: None
         self.counts: Counter[str] = Counter()
@@ -261,6 +262,10 @@
         """All entries of an acquired book are in the journal."""
         self._inbox.put(lambda: self.core.on_adopted(time.monotonic(), acquired.book, refs))
 
+    def settle_late(self, book: str, refs: list[str]) -> None:
+        """This sender has late messages already, or has ended them."""
+        self._inbox.put(lambda: self.core.on_late_settled(time.monotonic(), book, refs))
+
     def decline_adoption(self, book: str) -> None:
         """The journal has no space for an acquired book."""
         self._inbox.put(lambda: self.core.on_adoption_declined(time.monotonic(), book))
@@ -314,6 +319,8 @@
             if mark is not None and mark.book in self.store.books:
                 left = (entry.message.ends_at - self.now()).total_seconds()
                 outstanding.setdefault(mark.book, {})[ref] = left
+                order = self._order.setdefault(mark.book, {})
+                order[ref] = len(order) + 1
         self.core.restore(
             self.store.terms.values(), self.store.copies.values(), self.store.books, outstanding
         )
@@ -406,6 +413,9 @@
                 elif isinstance(action, cores.Acquired):
                     self.counts["taken over"] += 1
                     self.on_acquired(action)
+                elif isinstance(action, cores.LateEntries):
+                    self.counts["late"] += len(action.entries)
+                    self.on_late_entries(action)
                 elif isinstance(action, cores.Lost):
                     self._lose(action)
                 elif isinstance(action, cores.Expired):
@@ -489,6 +499,7 @@
                         entry.ended,
                     )
                 entries.append((orders[entry.message.ref], entry))
+        last = max([last, *orders.values()])  # a former process's records are not counted
         return last, sorted(entries, key=lambda pair: pair[0])
 
     def stop(self) -> None:
--- a/willownotch/replica/simulated.py
+++ b/willownotch/replica/simulated.py
@@ -91,7 +91,8 @@
             for ref, entry in self.disk.live.items()
             if entry.message.custody.book == book
         ]
-        return self.last.get(book, 0), sorted(found, key=lambda pair: pair[0])
+        last = max([self.last.get(book, 0), *(order for order, _ in found)])
+        return last, sorted(found, key=lambda pair: pair[0])
 
     def write(self, book: str, records: list[Record]) -> int:
         """Writes records of one book to the journal and replicates them; returns the last one's number."""
@@ -194,6 +195,8 @@
                     self.disk.books[action.book] = action.config, action.term
             elif isinstance(action, cores.Acquired):
                 self._acquire(action)
+            elif isinstance(action, cores.LateEntries):
+                self._take_in_late(action)
             elif isinstance(action, cores.Lost):
                 self.lost.append(action.book)
                 self._forget(action.book)
@@ -213,18 +216,35 @@
         self.fleet.holders.setdefault((acquired.book, acquired.term), []).append(self.name)
         self._forget(acquired.book)
         self.last[acquired.book] = acquired.last
+        uncertain = []
         for order, entry in acquired.entries:
             ref = entry.message.ref
             if not acquired.is_complete(entry.message.custody.acks) and entry.ended is None:
-                entry.started[entry.count()] = RelayStarted(
-                    ref, entry.count(), self.fleet.wall(self.name), "?"
-                )
+                uncertain.append(entry)
             self.disk.live[ref], self.disk.order[ref] = entry, order
             if entry.ended is not None:
                 self.pending_ends[ref] = acquired.book, acquired.last
         self.fleet.adopted[acquired.book] = (acquired.term, [e.message.ref for _, e in acquired.entries])
         refs = {e.message.ref: e.message.ends_at for _, e in acquired.entries}
         self.carry_out(self.core.on_adopted(self.fleet.now, acquired.book, refs))
+        for entry in uncertain:
+            ref = entry.message.ref
+            mark = RelayStarted(ref, entry.count(), self.fleet.wall(self.name), "?")
+            self.write(acquired.book, [mark])
+
+    def _take_in_late(self, late: cores.LateEntries) -> None:
+        for entry in late.entries:
+            ref = entry.message.ref
+            if ref in self.disk.live:
+                continue
+            records = [*entry.records()]
+            if entry.ended is None:
+                records.append(RelayStarted(ref, entry.count(), self.fleet.wall(self.name), "?"))
+            at = self.write(late.book, records)
+            if entry.ended is not None:
+                self.pending_ends[ref] = late.book, at
+        refs = [entry.message.ref for entry in late.entries]
+        self.carry_out(self.core.on_late_settled(self.fleet.now, late.book, refs))
 
 
 def write_copy(copy: Copy) -> bytes:
@@ -236,14 +256,15 @@
             copy.term,
             copy.position,
             [[order, b"".join(map(frame, entry.records()))] for order, entry in copy.entries()],
+            copy.owner_term,
         ]
     )
 
 
 def read_copy(data: bytes) -> Copy:
     """Decodes a copy."""
-    book, config, term, position, entries = msgspec.msgpack.decode(data)
-    copy = Copy(book, msgspec.convert(config, BookConfig), term, tuple(position))
+    book, config, term, position, entries, owner_term = msgspec.msgpack.decode(data)
+    copy = Copy(book, msgspec.convert(config, BookConfig), term, tuple(position), owner_term=owner_term)
     copy.put_entries(entries)
     return copy
 
--- a/willownotch/replica/store.py
+++ b/willownotch/replica/store.py
@@ -34,6 +34,7 @@
     term: int
     position: Position
     entries: tuple[tuple[int, bytes], ...]
+    owner_term: int = 0
 
 
 class CopyAppend(msgspec.Struct, tag="more", frozen=True, array_like=True):
@@ -138,10 +139,13 @@
         elif isinstance(record, CopyRemoved):
             self.copies.pop(record.book, None)
         elif isinstance(record, CopySnapshot):
-            copy = self.copies[record.book] = Copy(record.book, record.config, record.term, record.position)
+            copy = self.copies[record.book] = Copy(
+                record.book, record.config, record.term, record.position, owner_term=record.owner_term
+            )
             copy.put_entries(record.entries)
         elif (copy := self.copies.get(record.book)) is not None:
             copy.add_frames(record.frames, record.position)
+            copy.owner_term = 0
 
     def forget(self, books: list[str]) -> None:
         """Drops terms that no member will claim again; they leave the file with the next rewrite."""
@@ -175,7 +179,7 @@
     @staticmethod
     def _snapshot(copy: Copy) -> CopySnapshot:
         entries = tuple((order, copies.pack(entry)) for order, entry in copy.entries())
-        return CopySnapshot(copy.book, copy.config, copy.term, copy.position, entries)
+        return CopySnapshot(copy.book, copy.config, copy.term, copy.position, entries, copy.owner_term)
 
     def _append(self, data: bytes) -> bool:
         try:
--- a/willownotch/replica/terms.py
+++ b/willownotch/replica/terms.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from willownotch.lease.register import GrantRequest, GrantTable
-from willownotch.replica.wire import BookConfig, Claim, Granted, Refused
+from willownotch.replica.wire import UNKNOWN_TERM, BookConfig, Claim, Granted, Refused
 
 MAX_BOOKS = 8192  # above this, closed books are dropped, then finished ones, oldest first
 KEEP_FINISHED_S = 3600.0  # after the end of a book's last lease
@@ -24,6 +24,9 @@
     term: int
     config: BookConfig
     closed: bool = False
+    previous_term: int = UNKNOWN_TERM  # highest term granted before to another process
+    previous_member_term: int = UNKNOWN_TERM  # highest term granted before to another member
+    unused: bool = False  # its owner gave the term up without having acted
 
 
 class TermRegister:
@@ -45,7 +48,7 @@
         """Returns the reply to a claim, and the term to store before the reply is sent (None: nothing
         changed)."""
         config = claim.config
-        held = self.terms.get(claim.book) or Term(claim.book, 0, NO_OWNER)
+        held = self.terms.get(claim.book) or Term(claim.book, 0, NO_OWNER, False, 0, 0)
         wanted = GrantRequest(
             claim.term, config.owner, config.uid, claim.lease_ms / 1000, claim.release, claim.closed
         )
@@ -67,9 +70,24 @@
             config = msgspec.structs.replace(
                 config, version=held.config.version, replicas=held.config.replicas
             )
-        granted_term = self.terms[claim.book] = Term(claim.book, claim.term, config, claim.closed)
+        same_process = (held.config.owner, held.config.uid) == (config.owner, config.uid)
+        last_used = held.previous_term if held.unused else held.term
+        previous = held.previous_term if same_process else last_used
+        previous_member = held.previous_member_term if held.config.owner == config.owner else last_used
+        granted_term = self.terms[claim.book] = Term(
+            claim.book, claim.term, config, claim.closed, previous, previous_member, claim.unused
+        )
         self._trim(now)
-        granted = Granted("", claim.book, claim.term, claim.round_number, config.version, config.replicas)
+        granted = Granted(
+            "",
+            claim.book,
+            claim.term,
+            claim.round_number,
+            config.version,
+            config.replicas,
+            previous,
+            previous_member,
+        )
         return granted, granted_term if granted_term != held else None
 
     def finished_books(self, now: float) -> list[str]:
--- a/willownotch/replica/wire.py
+++ b/willownotch/replica/wire.py
@@ -14,6 +14,7 @@
 
 Position = tuple[int, int]  # position in a book's log: term and number of the last record
 LOG_START: Position = (0, 0)
+UNKNOWN_TERM = -1  # from a witness that does not tell its earlier grants
 
 
 class BookConfig(msgspec.Struct, frozen=True, array_like=True):
@@ -25,6 +26,8 @@
     version: int  # version of the replica set
     replicas: tuple[str, ...]
     witnesses: tuple[str, ...]
+    # Members that may hold messages which the log lacks: an owner took it over without hearing from them.
+    unheard: tuple[str, ...] = ()
 
 
 class Claim(msgspec.Struct, tag=1, frozen=True, array_like=True):
@@ -38,6 +41,7 @@
     round_number: int  # number of the claim round, repeated in the reply
     release: bool = False
     closed: bool = False  # the book is empty and takes no more messages
+    unused: bool = False  # with `release`: the claimant has not acted on the book at this term
 
 
 class Granted(msgspec.Struct, tag=2, frozen=True, array_like=True):
@@ -49,6 +53,8 @@
     round_number: int
     version: int
     replicas: tuple[str, ...]
+    previous_term: int = UNKNOWN_TERM  # highest term granted here to another process, before this one
+    previous_member_term: int = UNKNOWN_TERM  # the same, to another member
 
 
 class Refused(msgspec.Struct, tag=3, frozen=True, array_like=True):
@@ -143,6 +149,8 @@
     entries: tuple[tuple[int, bytes], ...]
     sender_time: datetime  # by the clock that the entries' times refer to
     refs: tuple[tuple[str, int], ...] = ()  # from an id holder: outstanding ids, ms until their deadlines
+    owner_term: int = 0  # the term at which the member owned the book, if this is what its journal held
+    unheard: tuple[str, ...] = ()  # as in the copy's `BookConfig`
 
 
 class Close(msgspec.Struct, tag=11, frozen=True, array_like=True):
