Fill a replica whose next record the owner's log no longer has

The book's replica set stays between two versions.

Cause: a member that joined the set stood at the position at which the owner's term began (record 4 of 10). The records behind it had been trimmed, since all replicas of that time had them. The owner asked it at that very position; it confirmed, and neither records nor a fill followed.

Change: an owner whose log does not lead on from there asks at its last record. The replica tells that it is behind, with its digests, and is filled.

--- a/tests/test_custody_stories.py
+++ b/tests/test_custody_stories.py
@@ -38,6 +38,11 @@
     assert broken_stories(range(first, first + STORIES_A_TEST), wider, proportions) == []
 
 
+def test_a_replica_whose_next_record_is_no_longer_in_the_log_is_brought_up_to_date():
+    # A member that joined the set at the log's first position confirmed it again and again.
+    assert outcome(109, wider=True, proportions="stalls") == (109, "")
+
+
 def test_a_restarted_owner_keeps_its_journal_while_its_replicas_are_not_heard():
     # The owner took over the empty contents that it heard, and forgot the message that its journal had.
     story = Story()
--- a/willownotch/replica/core.py
+++ b/willownotch/replica/core.py
@@ -826,7 +826,9 @@
     def _probe(self, owned: OwnedBook, name: str) -> None:
         """Asks a replica for its position; this also shows the replica that the owner is alive."""
         follower = self._follower(owned, name)
-        self._send_append(owned, follower, follower.sent if follower.acked is not None else owned.last, ())
+        # Asked at a record that the log no longer leads on from, a replica would confirm it and stay there.
+        known = follower.acked is not None and owned.has_records_after(follower.sent)
+        self._send_append(owned, follower, follower.sent if known else owned.last, ())
 
     def _maintain(self, owned: OwnedBook) -> None:
         """Renews the lease, resends to replicas that lag, and replaces silent ones."""
