Give a repeat of an undecided message the answer of the first hand-in

Change: the repeat waits with the first hand-in and gets its answer. If that is 202, a first client that is gone no longer withdraws the message.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,6 +15,7 @@
 import pytest
 from harness import PATIENCE, SETTINGS, Discovery, Host, Sender, until
 
+from willownotch.files.space import Space
 from willownotch.interface import Outcome
 from willownotch.journal.records import AcceptedMessage, Entry, RelayStarted
 from willownotch.lifecycle import Event, SharedLifecycle
@@ -25,7 +26,8 @@
 from willownotch.net.clock import Clock
 from willownotch.net.decision_loop import DecisionLoop, Delivery
 from willownotch.net.endpoint_side import MAX_START_DELAY, EndpointSide, IdleConnection, Relay
-from willownotch.net.events import Answer, HandIn, Verdict
+from willownotch.net.events import Answer, HandIn, Verdict, Withdraw
+from willownotch.net.journal import Journal
 from willownotch.net.log import Log
 from willownotch.net.pending import PendingReply
 from willownotch.net.registry import EndpointListWatcher, Notice, NoticeSender, Platform
@@ -340,6 +342,25 @@
     assert pending.wait(SPAN, SPAN).verdict is verdict
 
 
+def test_a_repeat_of_an_undecided_message_gets_the_answer_of_the_first_hand_in(tmp_path):
+    # It was answered 503, and the message was sent for the first hand-in.
+    clock, lifecycle = Clock(), SharedLifecycle()
+    lifecycle.tell(Event.LISTED, clock.now())
+    hosts = SimpleNamespace(listed=lambda dest: True, by_number={})
+    journal = Journal(tmp_path, Space(1 << 20))
+    journal.open()
+    bodies = SimpleNamespace(discard=lambda message: None)
+    decision_loop = DecisionLoop(config(), clock, Log(clock), journal, hosts, bodies, lifecycle)
+    decision_loop._recovered = None
+    message = AcceptedMessage("a1", 7, "fee", "acme", clock.now() + SPAN)
+    items = [HandIn(message, PendingReply()) for _ in range(2)]
+    decision_loop._round(items)
+    decided = [item.pending.wait(SPAN, SPAN).verdict for item in items]
+    assert decided == [Verdict.ACCEPTED, Verdict.ACCEPTED]
+    decision_loop._process_item(Withdraw("a1", items[0].pending), clock.now(), [], records := [], [])
+    assert records == []  # the repeat's client has its 202
+
+
 class HookedSocket(socket.socket):
     """A socket with a hook that runs right before it connects."""
 
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -88,12 +88,21 @@
     active_relays: dict[int, Relay] = field(default_factory=dict)
     over: bool = False
     pending: PendingReply | None = None  # None once its client has been answered
+    repeats: list[PendingReply] = field(default_factory=list)  # hand-ins of the same message meanwhile
     accepted_by: PendingReply | None = None  # the reply of the hand-in that started it
     confirmed: bool = False  # a repeated hand-in was answered 202: a failed first answer must not withdraw it
     unwritten: bool = False  # its record could not be written and its client was rejected
     replicating: bool = False  # its client is answered once other senders hold a copy
     held_relays: list[Relay] = field(default_factory=list)  # relays that wait for those copies
 
+    def answer(self, answer: Answer) -> None:
+        """Answer the client that waits, and all that handed the same message in meanwhile."""
+        self.pending.settle(answer)
+        for pending in self.repeats:
+            pending.settle(answer)
+            self.confirmed = self.confirmed or answer.verdict is Verdict.ACCEPTED
+        self.repeats = []
+
 
 def same_message(one: AcceptedMessage, other: AcceptedMessage) -> bool:
     """Whether two hand-ins under one id are the same message. The time left differs and is not compared."""
@@ -797,8 +806,8 @@
         if not same_message(item.message, existing.message):
             self.log.say("conflict", f"{item.message.ref} is outstanding with other content: answered 409")
             item.pending.settle(Answer(Verdict.CONFLICT))
-        elif existing.pending is not None:  # not decided yet, so the answer to the first hand-in is unknown
-            item.pending.settle(Answer(Verdict.REJECTED, DEFAULT_RETRY_AFTER, "its id is being decided"))
+        elif existing.pending is not None:  # 503 would be wrong if the first hand-in is accepted after it
+            existing.repeats.append(item.pending)
         else:
             existing.confirmed = True
             item.pending.settle(Answer(Verdict.ACCEPTED))
@@ -984,7 +993,7 @@
             self._unwritten_records = [r for r in records if r.ref not in unwritten]
             for delivery in [self._outstanding[ref] for ref in unwritten if ref in self._outstanding]:
                 if delivery.pending is not None:
-                    delivery.pending.settle(answer)
+                    delivery.answer(answer)
                     delivery.pending = None
                 delivery.unwritten = True
                 self.bodies.discard(delivery.message)
@@ -1001,7 +1010,7 @@
             elif delivery.message.custody is not None and self.custody is not None:
                 self._await_copies(delivery)
             else:
-                delivery.pending.settle(Answer(Verdict.ACCEPTED))
+                delivery.answer(Answer(Verdict.ACCEPTED))
                 delivery.pending = None
 
     @staticmethod
@@ -1009,9 +1018,9 @@
         """Answer a waiting client with the final outcome of its message."""
         if ended.outcome == "handed_back":
             retry = timedelta(milliseconds=ended.retry_in_ms) if ended.retry_in_ms else DEFAULT_RETRY_AFTER
-            delivery.pending.settle(Answer(Verdict.REJECTED, retry))
+            delivery.answer(Answer(Verdict.REJECTED, retry))
         else:
-            delivery.pending.settle(Answer(Verdict.FAILED))
+            delivery.answer(Answer(Verdict.FAILED))
 
     def _send_notice(self, message: AcceptedMessage, ended: MessageEnded) -> None:
         """Notify the platform of a final outcome. The next relay of its key waits for the answer."""
--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -49,14 +49,14 @@
             return
         delivery.replicating, held_relays, delivery.held_relays = False, delivery.held_relays, []
         if item.ok and not delivery.over:
-            delivery.pending.settle(Answer(Verdict.ACCEPTED))
+            delivery.answer(Answer(Verdict.ACCEPTED))
             for relay in held_relays:
                 self._launch(relay)
         else:
             for relay in held_relays:
                 self.post(RelayEnded(relay, api.Outcome.NOT_SENT, now - relay.begun_at))
             if not delivery.over:
-                delivery.pending.settle(Answer(Verdict.REJECTED, DEFAULT_RETRY_AFTER))
+                delivery.answer(Answer(Verdict.REJECTED, DEFAULT_RETRY_AFTER))
                 records.append(MessageEnded(item.ref, "withdrawn"))
                 events.append(api.Withdrawn(item.ref))
                 self._forget(delivery, now)
@@ -181,7 +181,7 @@
             delivery = self._outstanding.get(ref)
             if delivery is not None and not delivery.over:
                 if delivery.replicating:
-                    delivery.pending.settle(Answer(Verdict.REJECTED, DEFAULT_RETRY_AFTER))
+                    delivery.answer(Answer(Verdict.REJECTED, DEFAULT_RETRY_AFTER))
                     delivery.replicating, delivery.pending = False, None
                     for relay in delivery.held_relays:
                         self.post(RelayEnded(relay, api.Outcome.NOT_SENT, now - relay.begun_at))
