Answer a message without copies 503 only once its withdrawal is recorded

If the copies did not come, or another sender took the book over, its client was answered 503 first and the withdrawal written at the end of the round. A process killed in between, or a disk that refused that write before a kill, left the message to the next process, which sent it: answered 503 and sent.

Change: these clients are answered after the round's write; 503 if the withdrawal is recorded, 500 if the disk refused it, since the next process may send the message then.

--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -16,11 +16,11 @@
 from willownotch.files.faulty import Fault, Faulty, Kind
 from willownotch.files.layer import REAL
 from willownotch.files.space import Space
-from willownotch.journal.records import AcceptedMessage, replay
+from willownotch.journal.records import AcceptedMessage, Custody, replay
 from willownotch.lifecycle import Event, SharedLifecycle
 from willownotch.net.clock import Clock
 from willownotch.net.decision_loop import DecisionLoop
-from willownotch.net.events import HandIn, Verdict
+from willownotch.net.events import HandIn, ReplicationEnded, Verdict
 from willownotch.net.journal import NAME, NEW_NAME, Journal, JournalUncertainError
 from willownotch.net.log import Log
 from willownotch.net.pending import PendingReply
@@ -37,6 +37,17 @@
     return journal
 
 
+def listed_loop(journal):
+    """A decision loop that has a list of endpoints, and nothing left to recover."""
+    lifecycle, clock = SharedLifecycle(), Clock()
+    lifecycle.tell(Event.LISTED, clock.now())
+    hosts = SimpleNamespace(listed=lambda dest: True, by_number={})
+    bodies = SimpleNamespace(discard=lambda message: None)
+    decision_loop = DecisionLoop(config(), clock, Log(clock), journal, hosts, bodies, lifecycle)
+    decision_loop._recovered = None
+    return decision_loop
+
+
 def messages(*refs):
     ends_at = Clock().now() + timedelta(seconds=9)
     return [AcceptedMessage(ref, 7, "fee", "acme", ends_at) for ref in refs]
@@ -81,18 +92,35 @@
     assert not isinstance(raised.value, JournalUncertainError)
 
 
+@pytest.mark.parametrize(("faults", "verdict"), [([], Verdict.REJECTED), ([SHORT_WRITE], Verdict.FAILED)])
+def test_a_message_without_copies_is_answered_503_only_once_its_withdrawal_is_recorded(
+    tmp_path, faults, verdict
+):
+    # It was answered first: a process that was killed then left the message to the next one, which sent it.
+    active, found = [], []
+    journal = open_journal(tmp_path, active)
+    decision_loop = listed_loop(journal)
+    decision_loop.custody = SimpleNamespace(
+        custody_for=lambda name: Custody("book", 1), notify_when_copied=lambda *more: None
+    )
+    decision_loop.custody.settings = SimpleNamespace(patience=SPAN)
+    (message,) = messages("a")
+    hand_in = HandIn(message, PendingReply())
+    decision_loop._round([hand_in])
+    assert recovered(tmp_path) == ["a"]
+    hand_in.pending.settle = lambda answer: found.append((answer.verdict, recovered(tmp_path)))
+    active += faults
+    decision_loop._round([ReplicationEnded("a", hand_in.pending, False)])
+    assert found == [(verdict, ["a"] if faults else [])]
+
+
 @pytest.mark.parametrize(
     ("faults", "verdict"),
     [([SHORT_WRITE], Verdict.REJECTED), ([SHORT_WRITE, NO_TRUNCATE, NO_REWRITE], Verdict.FAILED)],
 )
 def test_a_client_gets_503_only_if_its_message_is_certainly_not_recorded(tmp_path, faults, verdict):
-    lifecycle, clock, active = SharedLifecycle(), Clock(), []
-    lifecycle.tell(Event.LISTED, clock.now())
-    hosts = SimpleNamespace(listed=lambda dest: True, by_number={})
-    bodies = SimpleNamespace(discard=lambda message: None)
-    journal = open_journal(tmp_path, active)
-    decision_loop = DecisionLoop(config(), clock, Log(clock), journal, hosts, bodies, lifecycle)
-    decision_loop._recovered = None
+    active = []
+    decision_loop = listed_loop(open_journal(tmp_path, active))
     active += faults
     items = [HandIn(message, PendingReply()) for message in messages("a", "b", "c", "d")]
     decision_loop._round(items)
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -176,6 +176,8 @@
         self._outstanding_count = 0  # messages without a final outcome
         self._new_relays: list[Relay] = []  # decided on in this round
         self._unwritten_records: list[Record] = []  # refused by the disk
+        # Recorded, not copied in time and withdrawn in this round; their clients wait.
+        self._rejected_when_written: list[Delivery] = []
         self._ended_without_body: list[tuple[Delivery, MessageEnded]] = []  # in this round
 
     def _settings_of(self, config: Config) -> api.Settings:
@@ -448,6 +450,7 @@
         actions = self.controller.handle(self.clock.module_s(now), events) if events else []
         ends = self._final_outcomes(actions, records, new_deliveries)
         self._write(records)
+        self._answer_withdrawn()
         self._answer_clients(new_deliveries, ends)
         for delivery, ended in self._ended_without_body:
             self._send_notice(delivery.message, ended)
--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -56,12 +56,26 @@
             for relay in held_relays:
                 self.post(RelayEnded(relay, api.Outcome.NOT_SENT, now - relay.begun_at))
             if not delivery.over:
-                delivery.answer(Answer(Verdict.REJECTED, DEFAULT_RETRY_AFTER))
+                self._rejected_when_written.append(delivery)
                 records.append(MessageEnded(item.ref, "withdrawn"))
                 events.append(api.Withdrawn(item.ref))
                 self._forget(delivery, now)
+                return
         delivery.pending = None
 
+    def _answer_withdrawn(self) -> None:
+        """Answer the clients of messages that were recorded, and withdrawn since.
+
+        503 only once the withdrawal is recorded: before, a process that starts after a kill would send them.
+        """
+        unwritten = {record.ref for record in self._unwritten_records}
+        for delivery in self._rejected_when_written:
+            written = delivery.message.ref not in unwritten
+            rejected = Answer(Verdict.REJECTED, DEFAULT_RETRY_AFTER, "custody")
+            delivery.answer(rejected if written else Answer(Verdict.FAILED))
+            delivery.pending = None
+        self._rejected_when_written.clear()
+
     def _in_book(self, book: str) -> dict[str, Entry]:
         """The journal's live entries of a book, by id."""
         return {
@@ -181,8 +195,8 @@
             delivery = self._outstanding.get(ref)
             if delivery is not None and not delivery.over:
                 if delivery.replicating:
-                    delivery.answer(Answer(Verdict.REJECTED, DEFAULT_RETRY_AFTER))
-                    delivery.replicating, delivery.pending = False, None
+                    self._rejected_when_written.append(delivery)
+                    delivery.replicating = False
                     for relay in delivery.held_relays:
                         self.post(RelayEnded(relay, api.Outcome.NOT_SENT, now - relay.begun_at))
                 events.append(api.Withdrawn(ref))
