Remember over a kill which ids ended for good

Seen by callers: a client whose 202 was lost with a killed process repeated its message at the next one. Where the message had been delivered before the kill, it was accepted again and run again; for a class that must not run twice that is the worst case. A real sender, killed and upgraded in turn, ran a fee three times.

--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -16,12 +16,19 @@
 from willownotch.files.faulty import Fault, Faulty, Kind
 from willownotch.files.layer import REAL
 from willownotch.files.space import Space
-from willownotch.journal.records import AcceptedMessage, Custody, replay
+from willownotch.journal.records import AcceptedMessage, Custody, MessageEnded, NoticeAnswered, replay
 from willownotch.lifecycle import Event, SharedLifecycle
 from willownotch.net.clock import Clock
 from willownotch.net.decision_loop import DecisionLoop
 from willownotch.net.events import HandIn, ReplicationEnded, Verdict
-from willownotch.net.journal import NAME, NEW_NAME, Journal, JournalUncertainError
+from willownotch.net.journal import (
+    MAX_FINISHED_IDS,
+    MAX_FINISHED_SHARE,
+    NAME,
+    NEW_NAME,
+    Journal,
+    JournalUncertainError,
+)
 from willownotch.net.log import Log
 from willownotch.net.pending import PendingReply
 
@@ -58,6 +65,31 @@
     return list(replay(REAL.read_whole(folder / NAME))[0])
 
 
+def test_ids_that_ended_for_good_are_known_after_a_kill_and_after_rewrites(tmp_path):
+    journal = open_journal(tmp_path, [])
+    journal.append(messages("delivered", "given up", "handed back", "withdrawn", "again", "owed"))
+    journal.append([MessageEnded("delivered", "delivered"), MessageEnded("again", "delivered")])
+    journal.append([MessageEnded("given up", "given_up"), NoticeAnswered("given up")])
+    journal.append([MessageEnded("handed back", "handed_back"), NoticeAnswered("handed back")])
+    journal.append([MessageEnded("withdrawn", "withdrawn"), *messages("again")])
+    for _ in range(3):  # each process rewrites the file as it opens it
+        journal = open_journal(tmp_path, [])
+        assert list(journal.finished) == ["delivered", "given up"]
+        assert list(journal.live) == ["owed", "again"]
+
+
+def test_finished_ids_leave_the_space_of_the_journal_to_what_is_live(tmp_path):
+    journal = Journal(tmp_path, Space(20_000))
+    journal.open()
+    for n in range(600):
+        journal.append(messages(f"r{n}"))
+        journal.append([MessageEnded(f"r{n}", "delivered")])
+    assert len(journal.finished) == MAX_FINISHED_IDS
+    journal.compact()
+    assert journal.size <= MAX_FINISHED_SHARE * 20_000
+    assert 0 < len(open_journal(tmp_path, []).finished) < MAX_FINISHED_IDS
+
+
 @pytest.mark.parametrize("more", [[], [NO_TRUNCATE], [NO_REWRITE]])
 def test_a_partial_write_is_not_found_by_the_next_process(tmp_path, more):
     faults = []
--- a/tests/test_net_sockets.py
+++ b/tests/test_net_sockets.py
@@ -392,6 +392,18 @@
         self.assertEqual((refs.count(out), [r for r in refs if r in rest]), (1, rest))
         self.assertEqual(self.host.calls[-1][2] if refs[-1] == again else b"q" * 5000, b"q" * 5000)
 
+    def test_a_message_delivered_before_a_kill_is_not_run_again_for_its_repeat(self):
+        # Its client had no 202 and repeated it at the next process, which sent it again.
+        sender = self.sender(known=self.discovery.known())
+        ref, _ = sender.hand_in("fee", ref="once")
+        sender.settled()
+        for again in (sender.restart, sender.restart, sender.upgrade, sender.restart):
+            again()
+            self.assertEqual(sender.hand_in("fee", ref="once")[1].status, 202)
+        sender.hand_in("fee", ref="other")
+        until(lambda: "other" in self.host.refs())
+        self.assertEqual(self.host.refs(), [ref, "other"])
+
     def test_an_unanswered_notice_is_sent_again_by_the_next_process(self):
         sender = self.sender(known=self.discovery.known())
         self.discovery.ignores_notices = True
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -359,6 +359,7 @@
                 blocks.bodies,
                 config.limits.memory_mb,
                 state.live if state else None,
+                state.ended if state else (),
             ),
             None,
         )
--- a/willownotch/journal/records.py
+++ b/willownotch/journal/records.py
@@ -217,18 +217,38 @@
         yield lost
 
 
-def replay(data: bytes) -> tuple[dict[str, Entry], int]:
-    """Return the live entries that a file's bytes describe, in order, and the number of damaged bytes."""
+def replay(data: bytes, finished: dict[str, None] | None = None) -> tuple[dict[str, Entry], int]:
+    """Return the live entries that a file's bytes describe, in order, and the number of damaged bytes.
+
+    Ids of messages that ended for good are added to `finished`, oldest first.
+    """
     live: dict[str, Entry] = {}
     damaged = 0
     for item in read_frames(data):
         if isinstance(item, int):
             damaged += item
-        else:
-            apply(live, item)
+            continue
+        if finished is not None:
+            note_finished(finished, live.get(item.ref), item)
+        apply(live, item)
     return live, damaged
 
 
+def note_finished(finished: dict[str, None], entry: Entry | None, record: Record) -> None:
+    """Update the ids that must not be accepted again by a record of the message that stands in `entry`.
+
+    A message that was withdrawn or handed back may be handed in again.
+    """
+    if isinstance(record, AcceptedMessage):
+        finished.pop(record.ref, None)
+        return
+    ended = entry.ended if entry is not None else None
+    delivered = isinstance(record, MessageEnded) and record.outcome == "delivered"
+    given_up = isinstance(record, NoticeAnswered) and ended is not None and ended.outcome == "given_up"
+    if delivered or given_up:
+        finished[record.ref] = None
+
+
 def apply(live: dict[str, Entry], record: Record) -> int:
     """Update the live entries by one record; return the change in reserved bytes."""
     entry = live.get(record.ref)
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -384,6 +384,8 @@
         """Restore the state from the journal. Unanswered notices are sent at once; outstanding messages wait
         briefly for the list of endpoints."""
         self._recovered, lost = [], set(self.lost_bodies)
+        remember_until = self.clock.now() + REMEMBER_TIME
+        self._ended_ids.update(dict.fromkeys(self.journal.finished, remember_until))
         if self.slow_starts is not None:
             slow_starts = self.slow_starts.read(self.hosts.number)
             self.controller.handle(self.clock.module_s(self.clock.now()), [slow_starts])
--- a/willownotch/net/folder.py
+++ b/willownotch/net/folder.py
@@ -26,10 +26,12 @@
     settings: BodiesSettings,
     memory_mb: float = 192.0,
     live: dict[str, Entry] | None = None,
+    finished: Iterable[str] = (),
 ) -> tuple[Journal, Bodies, list[str]]:
     """The journal and the body store, and the ids of messages whose body was not found.
 
-    `live` is the journal's content as another process handed it over; nothing is read then. Raises `OSError`.
+    `live` is the journal's content as another process handed it over, and `finished` the ids that it knows to
+    have ended; nothing is read then. Raises `OSError`.
     """
     space = Space(disk_bytes, settings.journal_share)
     journal = Journal(folder, space, files)
@@ -37,7 +39,7 @@
         if live is None:
             journal.open(clock.now())
         else:
-            journal.adopt(live)
+            journal.adopt(live, finished)
         bodies = Bodies(folder, files, space, clock, log, classes, settings, memory_mb)
         lost = bodies.open([entry.message for entry in journal.live.values() if entry.ended is None])
     except OSError:
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -28,12 +28,15 @@
     apply,
     bytes_to_reserve,
     frame,
+    note_finished,
     rebase_future_times,
     relay_record_bytes,
     replay,
 )
 
 NAME, NEW_NAME = "journal", "journal.new"
+MAX_FINISHED_IDS = 512  # remembered for the next process, newest
+MAX_FINISHED_SHARE = 0.25  # of the space that is left beside the live records, for these ids
 TRUNCATE_TRIES = 3  # to truncate what a failed write left, before the file is rewritten instead
 
 
@@ -86,6 +89,7 @@
         # Called with (book, record) in the order of the journal, to replicate the records.
         self.shipping: Callable[[list[tuple[str, Record]]], None] | None = None
         self.live: dict[str, Entry] = {}
+        self.finished: dict[str, None] = {}  # ids of messages that ended for good, oldest first
         self.live_size = 0  # bytes of the live records and of all that may still follow them
         self.size = 0  # of the file, in bytes
         self.faults: list[str] = []  # problems found on opening, as text for the log
@@ -106,7 +110,8 @@
         except FileNotFoundError:
             data = b""
             self.faults.append("no journal found: starting with no outstanding messages")
-        self.live, damaged = replay(data)
+        self.live, damaged = replay(data, self.finished)
+        self._trim_finished()
         if now is not None:
             shifted = sum(rebase_future_times(entry, now) for entry in self.live.values())
             if shifted:
@@ -118,10 +123,14 @@
         del data
         self._rewrite_or_defer()
 
-    def adopt(self, live: dict[str, Entry]) -> None:
-        """Continue with the live entries of another process. The file is rewritten, since it may be torn."""
+    def adopt(self, live: dict[str, Entry], finished: Iterable[str] = ()) -> None:
+        """Continue with another process's live entries, and the ids that it knows to have ended for good.
+
+        The file is rewritten, since it may be torn.
+        """
         self.files.make_folder(self.folder)
-        self.live = live
+        self.live, self.finished = live, dict.fromkeys(finished)
+        self._trim_finished()
         self.live_size = sum(entry.size() for entry in self.live.values())
         self.size = self.live_size  # a stand-in for the old file's size until the rewrite
         self._rewrite_or_defer()
@@ -203,6 +212,7 @@
             self._append(data)
             for record in records:
                 before = self.live.get(record.ref)
+                note_finished(self.finished, before, record)
                 old = before.message if before else None
                 self.live_size += apply(self.live, record)
                 after = self.live.get(record.ref)
@@ -217,6 +227,7 @@
                     shipped.append((message.custody.book, record))
             if shipped and self.shipping is not None:
                 self.shipping(shipped)
+            self._trim_finished()
             self.space.set_journal_size(self.size, self.live_size)
         if counted:
             self.counting(counted)
@@ -270,6 +281,7 @@
         """Write the live records into a new file that atomically replaces the old one."""
         new = self.folder / NEW_NAME
         data = b"".join(frame(r) for entry in self.live.values() for r in entry.records())
+        data = self._finished_frames(len(data)) + data
         file = self.files.create(new)
         try:
             self.files.append_all(file, data)
@@ -287,6 +299,25 @@
         self._close(old)
         self.space.set_journal_size(self.size, self.live_size)
 
+    def _trim_finished(self) -> None:
+        while len(self.finished) > MAX_FINISHED_IDS:
+            del self.finished[next(iter(self.finished))]
+
+    def _finished_frames(self, live_bytes: int) -> bytes:
+        """The records of the newest finished ids that fit beside the live ones, oldest first.
+
+        A process that starts after a kill answers a repeated hand-in of these as it would have here.
+        """
+        left = MAX_FINISHED_SHARE * (self.space.max_journal_size(self.live_size) - live_bytes)
+        frames: list[bytes] = []
+        for ref in reversed(self.finished):
+            data = frame(MessageEnded(ref, "delivered"))
+            left -= len(data)
+            if left < 0:
+                break
+            frames.append(data)
+        return b"".join(reversed(frames))
+
     def _close(self, file: int) -> None:
         """Close a descriptor. Errors are ignored: it is closed all the same, and an error says nothing about
         data that has been read back."""
