Soak: tell by the kernel which process had a connection that ended without an answer

Whether the connection was the killed process's was inferred from times.

Change: after the first answer on a kept connection the harness asks /proc which process has the server's end. A request on it is excused only if every process that had it was killed before the request was written and had no successor; the times alone excuse nothing more than before. A broken rule names the process.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,12 @@
 """The soak of whole senders, short and with fixed seeds; its verdict on records that are made up."""
 
+import os
+import socket
+
 import pytest
 
 from willownotch.lab.faults.shim import CallFault
+from willownotch.lab.soak import connections
 from willownotch.lab.soak.plan import Action, Conditions, Plan, Step, draw, draw_cold
 from willownotch.lab.soak.records import (
     NONE_COUNTED,
@@ -201,6 +205,32 @@
     assert rules(found) == []
 
 
+def test_a_request_on_a_connection_of_a_killed_process_is_not_lost_by_the_next_one():
+    # Its client had rested for longer than the restart took: nobody read what it wrote.
+    killed = Lifetime(0, 0, -1.0, ready=-0.5, killed_at=8.0, ended=8.0, meant_to_end=True)
+    again = Lifetime(0, 1, 8.6, ready=9.0)
+
+    def found(*holders):
+        ended = request(Ending.ENDED, 0, began=9.1, written=9.1, ended=9.1, reused=True, holders=holders)
+        return rules(records(requests=[ended], calls=[], lifetimes=[killed, again]))
+
+    assert found(0) == []
+    assert found(1) == found(0, 1) == found() == ["lost request"]
+    killed.succeeded_at = 7.0  # it may have passed the connection on
+    assert found(0) == ["lost request"]
+
+
+def test_the_process_that_has_a_connection_is_found():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+        ports = listener.getsockname()[1], client.getsockname()[1]
+        with accepted, client:
+            assert connections.holders(*ports, [os.getpid(), os.getppid()]) == [os.getpid()]
+            assert connections.holders(ports[1], ports[0], []) == []
+        assert connections.holders(*ports, [os.getpid()]) == []
+
+
 def test_weather_and_steps_are_drawn_inside_the_run():
     for seed in range(50):
         plan = draw(seed)
--- a/willownotch/lab/soak/clients.py
+++ b/willownotch/lab/soak/clients.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from random import Random
 
 from willownotch.lab.soak.endpoints import DESTINATION
@@ -33,6 +34,7 @@
         others: int = 0,
         destination: int = DESTINATION,
         pause_s: float | None = None,
+        holders: Callable[[int], tuple[int, ...]] = lambda port: (),
     ) -> None:
         self.records, self.sender, self.address, self.number = records, sender, address, number
         self.random, self.stop = random, stop
@@ -44,7 +46,9 @@
             self.pause_s = pause_s
         self.destination = destination
         self.key = f"k{sender}-{number}" if random.random() < 0.3 else None
+        self.find_holders = holders  # by the local port of a connection: the processes that have it
         self._sock: socket.socket | None = None
+        self._holders: tuple[int, ...] = ()
         self._count, self._rested = 0, 0.0
         self.thread = threading.Thread(target=self._run, daemon=True)
 
@@ -122,10 +126,13 @@
                     reused,
                     rested,
                     left_s,
+                    self._holders if reused else (),
                 )
             )
         if ending is not Ending.ANSWERED or last or not self.kept:
             self._close()
+        elif not reused:
+            self._holders = self.find_holders(self._sock.getsockname()[1])
         return ending is Ending.ANSWERED
 
     def _write(self, data: bytes) -> None:
--- a/willownotch/lab/soak/processes.py
+++ b/willownotch/lab/soak/processes.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from willownotch.lab.faults import shim
+from willownotch.lab.soak import connections
 from willownotch.lab.soak.plan import HOLD_MOST_S, KILL_AFTER_S, RESTART_AFTER_S, Action, Plan
 from willownotch.lab.soak.records import Lifetime, Records
 from willownotch.net import http
@@ -185,6 +186,12 @@
             time.sleep(0.02)
         return False
 
+    def holders(self, client_port: int) -> tuple[int, ...]:
+        """The numbers of the processes that have the connection from a client's local port."""
+        running = {process.pid: life.number for life, process in list(self.processes) if life.ended is None}
+        found = connections.holders(self.address[1], client_port, running)
+        return tuple(running[pid] for pid in found)
+
     def ask(self, life: Lifetime, call: str) -> str:
         """Make an operator's call; empty without an answer."""
         found = next((m for line in life.lines[:20] if (m := MANAGED.search(line))), None)
--- a/willownotch/lab/soak/records.py
+++ b/willownotch/lab/soak/records.py
@@ -34,6 +34,7 @@
     reused: bool = False  # the connection had carried a request before
     rested_s: float = 0.0  # how long it had been idle
     left_s: float = 0.0  # the time that the message was given
+    holders: tuple[int, ...] = ()  # processes that had the connection after its first answer; empty: unknown
 
 
 @dataclass(frozen=True, slots=True)
--- a/willownotch/lab/soak/run.py
+++ b/willownotch/lab/soak/run.py
@@ -143,6 +143,7 @@
                     Random(self.plan.seed * 7919 + sender.number * 101 + n),
                     self.stop,
                     self.plan.clients * self.plan.senders,
+                    holders=sender.holders,
                 )
                 for n in range(self.plan.clients)
             ]
@@ -167,6 +168,7 @@
                 self.stop,
                 destination=COLD_DESTINATION,
                 pause_s=every_s,
+                holders=sender.holders,
             )
             for n in range(self.plan.clients, self.plan.clients + cold.clients)
         ]
--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -88,7 +88,11 @@
             and request.ended <= ended
             for stop, ended in stops[request.sender]
         )
-        if not crossing and not _rested(request, drains[request.sender]):
+        if (
+            not crossing
+            and not _rested(request, drains[request.sender])
+            and not _killed_with_its_process(request, records)
+        ):
             began = records.began
             found.append(
                 Broken(
@@ -96,12 +100,26 @@
                     f"n{request.sender} {request.ref} written at "
                     f"{request.written - began:.3f}, {request.ending.value} at "
                     f"{request.ended - began:.3f}, on a {'kept' if request.reused else 'new'} "
-                    f"connection",
+                    f"connection{f' of process {request.holders}' if request.holders else ''}",
                 )
             )
     return found
 
 
+def _killed_with_its_process(request: Request, records: Records) -> bool:
+    """Whether all processes that had its connection were killed before it was written, with no successor."""
+    having = [
+        life for life in records.lifetimes if life.sender == request.sender and life.number in request.holders
+    ]
+    return bool(having) and all(
+        life.succeeded_at is None
+        and life.killed_at is not None
+        and life.ended is not None
+        and life.ended <= request.written
+        for life in having
+    )
+
+
 def _rested(request: Request, drains: list[float]) -> bool:
     """Whether its connection had been idle for so long that the sender may have been about to end it."""
     drained = any(at <= request.ended <= at + DRAIN_MOST_S for at in drains)
