Recovery laboratory: count further messages of a call as the rule does, not as calls

Traced: the judge counted every message as a call. Case 9 sends 17 messages in calls that weigh 14.75 where 15.9 are granted; 153: 110 and 66.5 of 107; 346: 67 and 26.5 of 60.4; 42: 25 and 23.5 of 17.8, which stays over.

--- a/willownotch/lab/recovery/play.py
+++ b/willownotch/lab/recovery/play.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from dataclasses import dataclass, field
 from itertools import count
 from math import exp
@@ -109,7 +110,7 @@
     def text(self) -> str:
         """The worst window, what was used of the slow start, and the case."""
         return (
-            f"{self.worst.over:+.2f} of N at {self.worst.from_s:.1f} s ({self.worst.calls} calls, N "
+            f"{self.worst.over:+.2f} of N at {self.worst.from_s:.1f} s ({self.worst.calls:g} calls, N "
             f"{self.worst.expected:.1f}, {self.worst.aware:.0%} aware); delivered {self.delivered} of "
             f"{self.offered:.0f}; {self.case.describe()}"
         )
@@ -228,9 +229,12 @@
             self._at(self.now + restart.down_s, self._start, sender)
 
     def _handle(self, sender: SimulatedSender, events: list[Event]) -> None:
+        messages: Counter[int] = Counter()  # sent to each endpoint by this reply, which share calls
         for action in sender.controller.handle(self.now, events):
             if isinstance(action, Send):
-                self._send(sender, action)
+                further = messages[action.endpoint] % self.case.batch > 0
+                messages[action.endpoint] += 1
+                self._send(sender, action, further)
             elif isinstance(action, SetTimer):
                 self._at(
                     self.now + action.after_s, self._deliver, sender, sender.generation, Timer(action.label)
@@ -260,12 +264,12 @@
 
     # Attempts
 
-    def _send(self, sender: SimulatedSender, action: Send) -> None:
+    def _send(self, sender: SimulatedSender, action: Send, further: bool) -> None:
         handed = sender.owed[action.ref]
         outs = sender.attempts.setdefault(action.ref, [])
         out = Out(handed, len(outs), action.endpoint, self.now)
         outs.append(out)
-        reply = self.destination.call(sender.number, action.endpoint, self.now)
+        reply = self.destination.call(sender.number, action.endpoint, self.now, further)
         if reply.after_s is None or reply.after_s > action.time_out_s:
             self._ends(sender, out, Outcome.TIMED_OUT, action.time_out_s)
         else:
