Peers: report a move with the address before it

Seen: the log line "moved: from A" named the new address. Cause: the event was made after the member's address had been replaced. Found by reading; the test fails before (port 8 in place of 7) and passes after.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -224,6 +224,18 @@
     assert {r.name for p in pieces for r in p.rumours} >= {r.name for r in whole}
 
 
+def test_a_move_is_reported_with_the_address_before():
+    # The event named the new address.
+    member = Membership("me", ("10.0.0.1", 1), 1, PeersSettings(), Random(1))
+    member.start(0.0)
+    reported = []
+    for at, port in enumerate((7, 8)):
+        known = Rumour("a", State.ALIVE, at, 5, "10.0.0.1", port, "a")
+        reported += member.receive(float(at), ("10.0.0.1", port), Sync("a", False, (known,)))
+    moves = [e.why for e in reported if isinstance(e, MembershipEvent) and e.change is Change.MOVED]
+    assert moves == [f"from {('10.0.0.1', 7)}"]
+
+
 @settings(max_examples=200)
 @given(
     st.lists(
--- a/willownotch/peers/core.py
+++ b/willownotch/peers/core.py
@@ -387,12 +387,12 @@
             self._begin_suspicion(member, rumour)
 
     def _update_member(self, member: Member, rumour: Rumour, why: str) -> None:
-        old_state, moved = member.state, rumour.address != member.address
+        old_state, old_address = member.state, member.address
         self._alive_count += (rumour.state <= State.SUSPECT) - (old_state <= State.SUSPECT)
         member.incarnation, member.state, member.address = rumour.incarnation, rumour.state, rumour.address
         self._rumours.add(rumour)
-        if moved:
-            self._report(member, Change.MOVED, f"from {member.address}")
+        if rumour.address != old_address:
+            self._report(member, Change.MOVED, f"from {old_address}")
         if old_state is member.state and old_state is not State.SUSPECT:
             return
         member.since, member.why = self.now, why
