Wait until the asked member has the second change before its entries are compared

Listed: test_a_conflicting_change... failed once, the entries of one member lacked the second change. Traced by a run that stops that member (SIGSTOP) during the second change: the change is committed by the other two, and the member, asked right after it goes on, answers revision 1 with {'data/a': 1}; a moment later revision 2 with both. A change is told as committed by a majority, and a member answers with what it has committed itself, as its reply's revision says.

Change: the test waits for revision 2 at that member, then compares the same entries: a member that never gets the change still fails it.

--- a/tests/test_controlplane_member.py
+++ b/tests/test_controlplane_member.py
@@ -166,6 +166,7 @@
     found = other.config("set", "data/a", "3", "--expect", "0")
     assert found.returncode == 1 and "lost to revision 1" in found.stderr
     assert other.change(0, {"data/b": 3})["revision"] == 2  # other keys do not conflict
+    fleet.wait_revision(2, [one])  # a majority has committed it, and this member may not belong to that
     assert one.ask("entries")["entries"] == {"data/a": 1, "data/b": 3}
 
 
