Open the hand-over socket before readiness is answered

Cause: the socket was opened by a thread that started after the one that answers clients; a process that is told ready could be asked for a hand-over some ms too early. It did not come in 25 starts beside load; with 0.3 s of sleep in that thread the test fails each time (FileNotFoundError), and with the change and the same sleep it passes. A second process retries, so callers saw at most a later upgrade.

Change: the socket is opened before clients are accepted; if that fails the thread tries again, as before.

--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -477,7 +477,6 @@
     threads.start("owner", decision_loop.run, forever=True)
     threads.start("watch", registry.run, forever=True)
     threads.start("notices", notices.run, forever=True)
-    threads.start("listener", client_side.run, forever=True)
     predecessor = Predecessor(
         config.state,
         lock,
@@ -497,6 +496,9 @@
     if following is not None:
         predecessor.release_steps.append(following.stop)
     # Custody is not handed over: the next process claims it, as any other sender would.
+    if custody_service is None:
+        predecessor.listen()  # before readiness is answered: an upgrade may be asked for at once then
+    threads.start("listener", client_side.run, forever=True)
     if custody_service is None:
         threads.start("upgrade", predecessor.run)
     log.say("start", f"listening on {config.listen[0]}:{client_side.port}, journal in {config.state}")
--- a/willownotch/handover/predecessor.py
+++ b/willownotch/handover/predecessor.py
@@ -99,7 +99,7 @@
 
     def run(self) -> None:
         """Answer requests until the state is handed over; then end the process once its work is done."""
-        while not self.listen():
+        while self._sock is None and not self.listen():
             self._pause.wait(seconds(LISTEN_RETRY_DELAY))
         link = None
         while link is None:
