--- a/tests/test_custody_stories.py
+++ b/tests/test_custody_stories.py
@@ -1,4 +1,4 @@
-"""Hundreds of drawn stories of custody: fixed seeds, seeds of the commit under test, and one found before."""
+"""Hundreds of drawn stories of custody: fixed seeds, seeds of the version under test, and some of before."""
 
 from __future__ import annotations
 
@@ -16,8 +16,8 @@
 
 @cache
 def first_fresh_seed() -> int:
-    """Returns a seed that differs from commit to commit, so that a commit's verdict is always the same."""
-    found = subprocess.run(("git", "rev-parse", "HEAD"), cwd=ROOT, capture_output=True, text=True)
+    """Returns a seed that changes with each committed change of the program, and only with these."""
+    found = subprocess.run(("git", "rev-parse", "HEAD:willownotch"), cwd=ROOT, capture_output=True, text=True)
     return 10**6 + zlib.crc32(found.stdout.strip().encode()) if found.returncode == 0 else 10**6
 
 
