--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -11,11 +11,11 @@
 import msgspec
 
 from willownotch import interface as api
-from willownotch.journal import records as journal_records
 from willownotch.journal.records import AcceptedMessage, Custody, Entry, MessageEnded, Record
+from willownotch.net.adoption import may_have_run_marks, plan_adoption
 from willownotch.net.endpoint_side import RelayEnded
 from willownotch.net.events import Answer, ReplicationEnded, Verdict
-from willownotch.net.journal import JournalFullError
+from willownotch.net.journal import Adoption, JournalFullError
 
 if TYPE_CHECKING:
     from willownotch.net.decision_loop import Delivery
@@ -25,7 +25,6 @@
 # How long a client waits for copies: at least this long, and at most this long since its message came.
 MIN_COPY_WAIT, MAX_COPY_WAIT = timedelta(milliseconds=10), timedelta(milliseconds=320)
 REMEMBER_TIME = timedelta(seconds=15)  # for which finished ids are kept, to recognise repeated hand-ins
-UNKNOWN_HOST = "?"  # the host of a call that may have been made according to the copies
 
 
 class ReplicationMixin:
@@ -89,69 +88,24 @@
         return ref in self._outstanding or ref in self._ended_ids or ref in self._unanswered_notices
 
     def _take_over(self, acquired: Acquired, now: datetime, events: list[api.Event]) -> None:
-        """Continue the deliveries of a book that another sender, or a former process of this one, owned."""
-        local = self._in_book(acquired.book)
-        found = {entry.message.ref: entry for _, entry in acquired.entries}
-        # An entry that only this folder has is kept only if the copies that answered cannot rule out that it
-        # is still outstanding.
-        kept = {
-            ref: e
-            for ref, e in local.items()
-            if ref not in found
-            and ref not in acquired.ended
-            and not acquired.is_complete(e.message.custody.acks)
-        }
-        late = {
-            entry.message.ref: entry
-            for entry in acquired.late
-            if not self._is_known(entry.message.ref) and entry.message.ref not in kept
-        }
-        known = [ref for ref in found if self._is_known(ref)]
-        new_entries = [entry for ref, entry in found.items() if ref not in known]
-        uncertain = [
-            entry
-            for entry in [*new_entries, *kept.values()]
-            if entry.ended is None and not acquired.is_complete(entry.message.custody.acks)
-        ]
-        uncertain += [entry for entry in late.values() if entry.ended is None]
-        kept |= late
+        """Continue the deliveries of a book that another sender, or a former process of this one, owned.
+
+        If the disk refuses the messages, none is taken over, and this sender keeps what it had of the book.
+        """
+        plan = plan_adoption(acquired, self._in_book(acquired.book), self._is_known, now)
         try:
-            adopted = [
-                *(MessageEnded(ref, "withdrawn") for ref in local),
-                *(record for entry in new_entries for record in entry.records()),
-            ]
-            if adopted:
-                self.journal.append(adopted, adopted=True)
+            self.journal.adopt_entries(
+                Adoption(plan.removed, plan.copied, plan.new, lambda: self.custody.begin_adoption(acquired))
+            )
         except (OSError, JournalFullError) as fault:
             self.log.say(
                 "custody", f"{acquired.book} was not taken over, as the journal cannot hold it: {fault}"
             )
             self.custody.decline_adoption(acquired.book)
             return
-        self._write_unreplicated(acquired, new_entries, kept, uncertain, now)
-        self.custody.discard(acquired.book, [*known, *acquired.ended])
-        self._continue_book(acquired, [*(e.message.ref for e in new_entries), *kept], now, events)
-
-    def _write_unreplicated(
-        self,
-        acquired: Acquired,
-        new_entries: list[Entry],
-        kept: dict[str, Entry],
-        uncertain: list[Entry],
-        now: datetime,
-    ) -> None:
-        """Write what the copies of an acquired book lack as new records of it, and begin the ownership.
-
-        Entries in `uncertain` may have been executed.
-        """
-        self.custody.begin_adoption(acquired)
-        more: list[Record] = [r for entry in kept.values() for r in entry.records()]
-        more += [journal_records.RelayStarted(e.message.ref, e.count(), now, UNKNOWN_HOST) for e in uncertain]
-        self._write(more)
-        # Only once all is written, since this sender's own copy is dropped then.
-        self.custody.adoption_written(
-            acquired, {e.message.ref: e.message.ends_at for e in [*new_entries, *kept.values()]}
-        )
+        self.custody.adoption_written(acquired, plan.deadlines)
+        self.custody.discard(acquired.book, [*plan.known, *acquired.ended])
+        self._continue_book(acquired, list(plan.deadlines), now, events)
 
     def _continue_book(
         self, acquired: Acquired, refs: list[str], now: datetime, events: list[api.Event]
@@ -192,24 +146,19 @@
         Those that a former owner ended are withdrawn without a notice: it has reported their ends.
         """
         self._withdraw_ended(late, now, events)
-        settled, added = [], []
-        for entry in late.entries:
-            ref = entry.message.ref
-            if self._is_known(ref):
-                settled.append(ref)
-                continue
-            records = [*entry.records()]
-            if entry.ended is None:
-                mark = journal_records.RelayStarted(ref, entry.count(), now, UNKNOWN_HOST)
-                records.append(mark)
-            try:
-                self.journal.append(records)
-            except (OSError, JournalFullError) as fault:
-                self.log.say("custody", f"{ref} of {late.book} cannot be written yet: {fault}")
-                break
-            added.append(self.journal.live[ref])
+        settled = [entry.message.ref for entry in late.entries if self._is_known(entry.message.ref)]
         if settled:
             self.custody.settle_late(late.book, settled)
+        new = [entry for entry in late.entries if entry.message.ref not in settled]
+        records = [
+            record for entry in new for record in (*entry.records(), *may_have_run_marks([entry], now))
+        ]
+        try:
+            self.journal.adopt_entries(Adoption(new=tuple(records), survives_kill=True))
+        except (OSError, JournalFullError) as fault:
+            self.log.say("custody", f"what {late.source} held of {late.book} cannot be written yet: {fault}")
+            return  # its holder is asked again
+        added = [self.journal.live[entry.message.ref] for entry in new]
         outstanding = self._continue_entries(added, now, events)
         self.log.say(
             "custody",
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -9,6 +9,7 @@
 
 import threading
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from datetime import datetime
 from pathlib import Path
 from typing import Protocol
@@ -78,6 +79,21 @@
         """Does nothing."""
 
 
+@dataclass(frozen=True, slots=True)
+class Adoption:
+    """The records by which messages of a book that another sender owned enter the journal: all, or none."""
+
+    removed: tuple[str, ...] = ()  # ids of live entries that the others replace
+    copied: tuple[Record, ...] = ()  # neither counted nor replicated, as they were when first written
+    new: tuple[Record, ...] = ()  # counted and replicated, behind the copied ones
+    begin: Callable[[], None] = lambda: None  # called between the write and the replication of the new ones
+    survives_kill: bool = False  # a kill in the middle of the write, too, leaves all in the file or none
+
+    def records(self) -> list[Record]:
+        """Return all records in the order in which they are applied."""
+        return [*(MessageEnded(ref, "withdrawn") for ref in self.removed), *self.copied, *self.new]
+
+
 class Journal:
     """The live entries, in the order in which they were accepted, and their file. Thread-safe."""
 
@@ -165,11 +181,34 @@
         """Whether these messages can be accepted, too, without the folder ever exceeding its limit."""
         return self.space.records_fit(self.live_size + sum(map(bytes_to_reserve, messages)))
 
-    def append(self, records: Iterable[Record], adopted: bool = False) -> None:
-        """Append these records, in this order, by one write. `adopted` ones are neither counted nor
-        replicated, since that was done when they were first written."""
+    def append(self, records: Iterable[Record]) -> None:
+        """Append these records, in this order, by one write."""
         records = list(records)
-        self._write(records, b"".join(map(frame, records)), adopted)
+        data = b"".join(map(frame, records))
+        with self._lock:
+            self._append_whole(records, data)
+            counted = self._apply_all(records)
+        self._count(counted)
+
+    def adopt_entries(self, adoption: Adoption) -> None:
+        """Write messages that another sender owned. A refused write changes no live entry.
+
+        The whole file is replaced where a kill in the middle of an append would do harm: old entries removed
+        and new ones missing, or a message without the mark that it may have run.
+        """
+        records = adoption.records()
+        with self._lock:
+            if adoption.removed or adoption.survives_kill:
+                self._replace_file(records)
+            elif records:
+                self._append_whole(records, b"".join(map(frame, records)))
+            else:
+                self._check_not_handed_over()
+            copied = len(records) - len(adoption.new)
+            self._apply_all(records[:copied], replicated=False)
+            adoption.begin()
+            counted = self._apply_all(records[copied:])
+        self._count(counted)
 
     def entries(self, number: Callable[[], int]) -> tuple[int, list[Entry]]:
         """The result of `number` and copies of the live entries in order, as of the same moment."""
@@ -190,46 +229,65 @@
         if self._handed_over:
             raise JournalHandedOverError("another process writes the journal now")
 
-    def _write(self, records: list[Record], data: bytes, adopted: bool = False) -> None:
-        """Append encoded records and apply them to the live entries. `JournalFullError` if they do not fit.
+    def _append_whole(self, records: list[Record], data: bytes) -> None:
+        """Append encoded records to the file. `JournalFullError` if they do not fit."""
+        self._check_not_handed_over()
+        # The file may only grow as long as a rewritten one still fits beside it.
+        max_size = self.space.max_journal_size(self.live_size)
+        if isinstance(records[0], RelayStarted) and max_size < self.live_size + relay_record_bytes(
+            records[0].ref
+        ):
+            raise JournalFullError("the remaining space is reserved for final outcomes")
+        if self._tail_uncertain or self.size + len(data) > max_size:
+            self._rewrite()
+            if self.size + len(data) > max_size:
+                raise JournalFullError(f"{self.size} bytes are live, {len(data)} more do not fit")
+        self._append(data)
+
+    def _replace_file(self, records: list[Record]) -> None:
+        """Replace the file by one that has these records applied. `JournalFullError` if it does not fit."""
+        self._check_not_handed_over()
+        live = dict(self.live)  # each of these records belongs to an entry that begins anew, or ends
+        for record in records:
+            apply(live, record)
+        size = sum(len(frame(record)) for entry in live.values() for record in entry.records())
+        if size > self.space.max_journal_size(self.size):
+            self._rewrite()
+        if size > self.space.max_journal_size(self.size):
+            raise JournalFullError(f"{self.size} bytes are live, {size} beside them do not fit")
+        self._rewrite(live)
+
+    def _apply_all(self, records: list[Record], replicated: bool = True) -> list[tuple[str, str, str]]:
+        """Apply written records to the live entries; return what is to be counted of them.
 
-        Records that are not `adopted` are also counted and passed on for replication.
+        Records that are not `replicated` are neither passed on for replication nor counted.
         """
         counted: list[tuple[str, str, str]] = []
         shipped: list[tuple[str, Record]] = []
-        with self._lock:
-            self._check_not_handed_over()
-            # The file may only grow as long as a rewritten one still fits beside it.
-            max_size = self.space.max_journal_size(self.live_size)
-            if isinstance(records[0], RelayStarted) and max_size < self.live_size + relay_record_bytes(
-                records[0].ref
-            ):
-                raise JournalFullError("the remaining space is reserved for final outcomes")
-            if self._tail_uncertain or self.size + len(data) > max_size:
-                self._rewrite()
-                if self.size + len(data) > max_size:
-                    raise JournalFullError(f"{self.size} bytes are live, {len(data)} more do not fit")
-            self._append(data)
-            for record in records:
-                before = self.live.get(record.ref)
-                note_finished(self.finished, before, record)
-                old = before.message if before else None
-                self.live_size += apply(self.live, record)
-                after = self.live.get(record.ref)
-                self._notify_bodies(record, old, after.message if after else None)
-                message = record if isinstance(record, AcceptedMessage) else old
-                if adopted or message is None:
-                    continue
-                if self.counting is not None and isinstance(record, AcceptedMessage | MessageEnded):
-                    event = "taken" if isinstance(record, AcceptedMessage) else record.outcome
-                    counted.append((message.tenant, message.message_class, event))
-                if message.custody is not None and not isinstance(record, BodyMoved):
-                    shipped.append((message.custody.book, record))
-            if shipped and self.shipping is not None:
-                self.shipping(shipped)
-            self._trim_finished()
-            self.space.set_journal_size(self.size, self.live_size)
-        if counted:
+        for record in records:
+            before = self.live.get(record.ref)
+            note_finished(self.finished, before, record)
+            old = before.message if before else None
+            self.live_size += apply(self.live, record)
+            after = self.live.get(record.ref)
+            self._notify_bodies(record, old, after.message if after else None)
+            message = record if isinstance(record, AcceptedMessage) else old
+            if not replicated or message is None:
+                continue
+            if isinstance(record, AcceptedMessage | MessageEnded):
+                event = "taken" if isinstance(record, AcceptedMessage) else record.outcome
+                counted.append((message.tenant, message.message_class, event))
+            if message.custody is not None and not isinstance(record, BodyMoved):
+                shipped.append((message.custody.book, record))
+        if shipped and self.shipping is not None:
+            self.shipping(shipped)
+        self._trim_finished()
+        self.space.set_journal_size(self.size, self.live_size)
+        return counted
+
+    def _count(self, counted: list[tuple[str, str, str]]) -> None:
+        """Report accepted and ended messages to be counted, without the lock."""
+        if counted and self.counting is not None:
             self.counting(counted)
 
     def _append(self, data: bytes) -> None:
@@ -277,10 +335,12 @@
         if isinstance(record, AcceptedMessage):
             self.bodies.body_recorded(record)
 
-    def _rewrite(self) -> None:
-        """Write the live records into a new file that atomically replaces the old one."""
+    def _rewrite(self, live: dict[str, Entry] | None = None) -> None:
+        """Write the records of these entries, by default the live ones, into a new file that atomically
+        replaces the old one."""
         new = self.folder / NEW_NAME
-        data = b"".join(frame(r) for entry in self.live.values() for r in entry.records())
+        live = self.live if live is None else live
+        data = b"".join(frame(r) for entry in live.values() for r in entry.records())
         data = self._finished_frames(len(data)) + data
         file = self.files.create(new)
         try:
