Drop refused withdrawals of messages whose book comes back

What callers would see: a message without an end. A sender that lost a book withdrew its messages; the disk refused the record, which was kept to be written later.

Cause: a take-over writes past the records that wait for the disk, and only the loss of a book dropped those of its messages.

--- a/tests/test_adoption_faults.py
+++ b/tests/test_adoption_faults.py
@@ -18,10 +18,10 @@
 from willownotch.lifecycle import Event, SharedLifecycle
 from willownotch.net.clock import Clock
 from willownotch.net.decision_loop import DecisionLoop
-from willownotch.net.events import BookAcquired, LateEntriesFound
+from willownotch.net.events import BookAcquired, BookLost, LateEntriesFound
 from willownotch.net.journal import NAME, NEW_NAME
 from willownotch.net.log import Log
-from willownotch.replica.actions import Acquired, LateEntries
+from willownotch.replica.actions import Acquired, LateEntries, Lost
 
 BOOK = "lost/1"
 KINDS = [Kind.NO_SPACE, Kind.IO_ERROR, Kind.SHORT]
@@ -217,3 +217,17 @@
     disk.heal()
     loop._round([LateEntriesFound(late)])  # its holder is asked again
     assert summary(disk.journal.live) == disk.found() == wanted
+
+
+def test_a_withdrawal_that_the_disk_refused_does_not_end_a_book_that_came_back(tmp_path):
+    # The withdrawal was kept for later and written behind the adoption, whose messages were gone then.
+    disk = Disk(tmp_path)
+    loop = make_loop(disk.journal)
+    loop._round([BookAcquired(acquired())])
+    disk.faults[:] = [Fault(Kind.NO_SPACE, "append", NAME)]
+    loop._round([BookLost(Lost(BOOK, 3, "n5"))])
+    disk.heal()
+    loop.custody.adopted.clear()
+    loop._round([BookAcquired(acquired())])
+    loop._round([])
+    assert set(loop.custody.adopted) == set(disk.found()) == set(ALL)
--- a/willownotch/net/adoption.py
+++ b/willownotch/net/adoption.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from datetime import datetime
 from typing import TYPE_CHECKING
@@ -38,12 +38,14 @@
 def plan_adoption(
     acquired: Acquired,
     local: dict[str, Entry],
+    withdrawn: Collection[str],
     is_known: Callable[[str], bool],
     now: datetime,
 ) -> AdoptionPlan:
     """Plan the adoption of a book of which the journal has the entries `local`.
 
-    `is_known` tells whether this sender delivers a message already, or has ended it.
+    Those that were `withdrawn` are only removed. `is_known` tells whether this sender delivers a message
+    already, or has ended it.
     """
     found = {entry.message.ref: entry for _, entry in acquired.entries}
     # An entry that only this folder has is kept only if the copies that answered cannot rule out that it is
@@ -52,6 +54,7 @@
         entry
         for ref, entry in local.items()
         if ref not in found
+        and ref not in withdrawn
         and ref not in acquired.ended
         and not acquired.is_complete(entry.message.custody.acks)
     ]
--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from datetime import datetime, timedelta
 from typing import TYPE_CHECKING
 
@@ -92,7 +93,8 @@
 
         If the disk refuses the messages, none is taken over, and this sender keeps what it had of the book.
         """
-        plan = plan_adoption(acquired, self._in_book(acquired.book), self._is_known, now)
+        local = self._in_book(acquired.book)
+        plan = plan_adoption(acquired, local, self._refused_withdrawals(), self._is_known, now)
         try:
             self.journal.adopt_entries(
                 Adoption(plan.removed, plan.copied, plan.new, lambda: self.custody.begin_adoption(acquired))
@@ -103,10 +105,23 @@
             )
             self.custody.decline_adoption(acquired.book)
             return
+        self._drop_unwritten(plan.deadlines)
         self.custody.adoption_written(acquired, plan.deadlines)
         self.custody.discard(acquired.book, [*plan.known, *acquired.ended])
         self._continue_book(acquired, list(plan.deadlines), now, events)
 
+    def _refused_withdrawals(self) -> set[str]:
+        """The ids of messages that were withdrawn here, though the disk has refused to record it so far."""
+        return {
+            record.ref
+            for record in self._unwritten_records
+            if isinstance(record, MessageEnded) and record.outcome == "withdrawn"
+        }
+
+    def _drop_unwritten(self, refs: Collection[str]) -> None:
+        """Drop records of these messages that the disk refused and that would still be written later."""
+        self._unwritten_records = [record for record in self._unwritten_records if record.ref not in refs]
+
     def _continue_book(
         self, acquired: Acquired, refs: list[str], now: datetime, events: list[api.Event]
     ) -> None:
@@ -158,6 +173,7 @@
         except (OSError, JournalFullError) as fault:
             self.log.say("custody", f"what {late.source} held of {late.book} cannot be written yet: {fault}")
             return  # its holder is asked again
+        self._drop_unwritten([entry.message.ref for entry in new])
         added = [self.journal.live[entry.message.ref] for entry in new]
         outstanding = self._continue_entries(added, now, events)
         self.log.say(
@@ -195,7 +211,7 @@
         """Drop the messages of a book that another sender owns now; they are neither sent nor ended here."""
         local = self._in_book(lost.book)
         self._recovered = self._recovered and [e for e in self._recovered if e.message.ref not in local]
-        self._unwritten_records = [r for r in self._unwritten_records if r.ref not in local]
+        self._drop_unwritten(local)
         notices = sum(self._withdraw(ref, entry, now, events) for ref, entry in local.items())
         if local:
             self._write([MessageEnded(ref, "withdrawn") for ref in local])
