Keep what a member had of a book that its disk refused, and play refusing disks in simulated time

Cause: as it began to write, the core dropped the list of ids that it held, and replaced the book's configuration, which claims and releases tell the witnesses. Change: configuration and ids change once the contents are written; a declined term is released as unused.

The simulation had no disk that fails. A declined owner is no holder of its term there: it never acted, and witnesses that lost their folders may grant it again.

--- a/tests/custody_scenes.py
+++ b/tests/custody_scenes.py
@@ -139,6 +139,30 @@
         scene.fleet.start(second)
 
 
+def claim_with_older_copy(seed: int) -> tuple[Scene, str, list[str]]:
+    """Has a member claim the book whose copy is of an earlier term and alone has the message "last".
+
+    Returns the scene, that member, and the stalled replicas of the last owner.
+    """
+    scene = promise(seed, copies=2, acks=1, count=2, deadline=30.0)
+    fleet, (other, keeper) = scene.fleet, scene.replicas
+    fleet.cut = lambda source, target: "n0" in (source, target) and other in (source, target)
+    fleet.senders["n0"].accept("last", 1, 30.0)
+    fleet.until(lambda: "last" in fleet.promised, max_s=0.5)
+    scene.refs.append("last")
+    fleet.cut = lambda source, target: False
+    second = begin_second_owner(scene, [keeper])
+    give_up(scene, second, ["m0"])
+    later = scene.replicas_of(second)
+    for name in later:
+        fleet.stall(name)
+    meet_fate(scene, second, "lost")
+    for name in ("n0", second):  # machines in their places, so that a majority of witnesses is there
+        fleet.start(name)
+    scene.resume([keeper])
+    return scene, keeper, list(later)
+
+
 def play(seed: int, fate: str) -> Scene:
     """Plays one scene to its end, at which all members are back and every deadline is over."""
     random = Random(f"{seed} {fate}")
--- a/tests/custody_stories.py
+++ b/tests/custody_stories.py
@@ -11,6 +11,7 @@
 from functools import partial
 from random import Random
 
+from disk_stories import LONGEST_REFUSAL_S, MOST_REFUSED_WRITES, DiskStory, WiderDiskStory
 from test_replica_story import NAMES, Story, Wider
 
 PROPORTIONS = {  # how often each step is drawn, by the name of the proportions
@@ -58,6 +59,20 @@
         "heal": 1,
         "machines_are_lost": 1,
     },
+    "disks": {
+        "hand_in": 6,
+        "send": 3,
+        "give_some_up": 3,
+        "time_passes": 5,
+        "stall": 2,
+        "resume": 2,
+        "restart": 3,
+        "cut": 2,
+        "heal": 2,
+        "machines_are_lost": 2,
+        "disk_refuses_writes": 4,
+        "disk_refuses_for": 3,
+    },
 }
 STEPS = 30
 MOST_LOST = 2  # machines that one step may name
@@ -77,6 +92,11 @@
         return {"part": set(random.sample(NAMES, random.randint(1, 3))), "one_way": random.random() < 0.5}
     if step == "heal":
         return {"loss": random.choice([0.0, 0.2])}
+    if step == "disk_refuses_writes":
+        after, count = random.randint(1, 6), random.randint(1, MOST_REFUSED_WRITES)
+        return {"name": random.choice(NAMES), "after": after, "count": count}
+    if step == "disk_refuses_for":
+        return {"name": random.choice(NAMES), "span": random.choice([0.2, 1.0, LONGEST_REFUSAL_S])}
     if step == "machines_are_lost":
         return {"gone": set(random.sample(NAMES, random.randint(1, MOST_LOST)))}
     return {}
@@ -94,7 +114,10 @@
     """Plays one story to its end; raises `AssertionError` where a rule of custody is broken."""
     random = Random(seed)
     weights = PROPORTIONS[proportions]
-    story = Wider() if wider else Story()
+    if proportions == "disks":
+        story = WiderDiskStory() if wider else DiskStory()
+    else:
+        story = Wider() if wider else Story()
     story.begin(seed=seed)
     for _ in range(STEPS):
         (step,) = random.choices(list(weights), list(weights.values()))
--- a/tests/test_custody_ends.py
+++ b/tests/test_custody_ends.py
@@ -5,7 +5,17 @@
 from datetime import timedelta
 
 import pytest
-from custody_scenes import FATES, NAMES, begin_second_owner, finish, give_up, meet_fate, outcome, promise
+from custody_scenes import (
+    FATES,
+    NAMES,
+    begin_second_owner,
+    claim_with_older_copy,
+    finish,
+    give_up,
+    meet_fate,
+    outcome,
+    promise,
+)
 from test_custody_stories import first_fresh_seed
 
 from willownotch.replica.books import Stage
@@ -140,25 +150,10 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_new_owner_keeps_what_only_its_own_copy_of_an_earlier_term_has(seed):
     # It began with the newer log, and dropped its own copy with a message that no other member had.
-    scene = promise(seed, copies=2, acks=1, count=2, deadline=30.0)
-    fleet, (other, keeper) = scene.fleet, scene.replicas
-    fleet.cut = lambda source, target: "n0" in (source, target) and other in (source, target)
-    fleet.senders["n0"].accept("last", 1, 30.0)
-    fleet.until(lambda: "last" in fleet.promised, max_s=0.5)
-    scene.refs.append("last")
-    fleet.cut = lambda source, target: False
-    second = begin_second_owner(scene, [keeper])
-    give_up(scene, second, ["m0"])
-    later = scene.replicas_of(second)
-    for name in later:
-        fleet.stall(name)
-    meet_fate(scene, second, "lost")
-    for name in ("n0", second):  # machines in their places, so that a majority of witnesses is there
-        fleet.start(name)
-    scene.resume([keeper])
-    fleet.until(lambda: scene.stage(keeper) is Stage.FETCHING)
+    scene, keeper, later = claim_with_older_copy(seed)
+    scene.fleet.until(lambda: scene.stage(keeper) is Stage.FETCHING)
     scene.resume(later)
-    fleet.until(lambda: scene.owner() == keeper)
+    scene.fleet.until(lambda: scene.owner() == keeper)
     assert one_end_each(scene) == {}
 
 
--- a/willownotch/replica/books.py
+++ b/willownotch/replica/books.py
@@ -127,6 +127,7 @@
     next_fetch_at: float = 0.0  # when members that have not answered are asked again
     fetch_deadline: float = 0.0
     former_owner: tuple[str, int] = ("", 0)  # last known owner and its process, before this one
+    adopted_config: BookConfig | None = None  # takes the place of `config` once the contents are written
     contested: bool = False  # a witness granted this term or a higher one to another member
     proposal_sent_at: float = -1e9  # when witnesses were last asked to record the proposed set
     # By witness: the highest terms granted before this one to another process, and to another member.
--- a/willownotch/replica/core.py
+++ b/willownotch/replica/core.py
@@ -29,6 +29,7 @@
 from willownotch.replica.wire import FIRST_TERM, BookConfig
 
 TICK_S = 0.05  # between two ticks
+DECLINED_BOOK_WAIT_LEASES = 4  # before a book that the disk refused is claimed again
 
 
 class CustodyCore(
@@ -145,6 +146,8 @@
         owned = self.owned.get(book)
         if owned is not None and owned.stage is Stage.ADOPTING:
             owned.stage = Stage.OWNED
+            owned.config = owned.adopted_config
+            self.id_indexes.pop(book, None)
             owned.open = dict(refs)
             owned.known_refs |= set(refs)
             for ref, at in owned.orphan_refs.items():
@@ -160,13 +163,14 @@
         return self._drain_actions()
 
     def on_adoption_declined(self, now: float, book: str) -> list[Action]:
-        """The journal has no space for an acquired book: releases it to other members."""
+        """The disk refused an acquired book: releases it to other members, and claims it later.
+
+        What this member had of the book stays as it was, since it has not acted on it at this term.
+        """
         self.now = max(self.now, now)
         owned = self.owned.get(book)
-        if owned is not None:
-            self._drop_owned(book)
-            self._claim(owned, release=True)
-            self._claim_times[book] = self.now + 4 * self._lease_s()
+        if owned is not None and owned.stage is Stage.ADOPTING:
+            self._withdraw_claim(owned, DECLINED_BOOK_WAIT_LEASES * self._lease_s())
         return self._drain_actions()
 
     def on_copy_not_stored(self, now: float, book: str) -> list[Action]:
--- a/willownotch/replica/roles/acquisition.py
+++ b/willownotch/replica/roles/acquisition.py
@@ -153,7 +153,7 @@
             owned.ended_refs = takeover.read_ended(contents.base)
             history = takeover.extend_history(contents.base)
         unheard = takeover.members_without_answer(owned, self.name, contents)
-        owned.config = msgspec.structs.replace(
+        owned.adopted_config = msgspec.structs.replace(
             owned.config, unheard=unheard, history=history, holds_all=takeover.holds_all(contents)
         )
         known = owned.known_refs = {entry.message.ref for _, entry in entries}
@@ -171,7 +171,6 @@
             if owned.book in self.copies
             else (self.id_indexes[owned.book].config.owner if owned.book in self.id_indexes else self.name)
         )
-        self.id_indexes.pop(owned.book, None)
         self._emit(
             Acquired(
                 owned.book,
--- a/willownotch/replica/roles/claims.py
+++ b/willownotch/replica/roles/claims.py
@@ -49,7 +49,7 @@
 
     def _withdraw_claim(self, owned: OwnedBook, wait: float) -> None:
         """Gives up a claim: releases what witnesses granted, and tries again later."""
-        self._claim(owned, release=True, unused=owned.stage in (Stage.CLAIMING, Stage.FETCHING))
+        self._claim(owned, release=True, unused=owned.stage is not Stage.OWNED)
         self._drop_owned(owned.book)
         self._claim_times[owned.book] = self.now + wait + self._random_pause()
 
--- a/willownotch/replica/simulated.py
+++ b/willownotch/replica/simulated.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from random import Random
@@ -50,7 +50,10 @@
 
 @dataclass
 class Disk:
-    """State that survives the process."""
+    """State that survives the process, and when writes to it fail.
+
+    Writes of the journal are numbered from 1. Those in `refused_writes` fail, and all before `refuses_until`.
+    """
 
     terms: dict[str, Term] = field(default_factory=dict)
     copies: dict[str, bytes] = field(default_factory=dict)  # encoded
@@ -58,6 +61,14 @@
     ended: dict[str, set[str]] = field(default_factory=dict)  # by book
     live: dict[str, Entry] = field(default_factory=dict)
     order: dict[str, int] = field(default_factory=dict)
+    write_count: int = 0
+    refused_writes: Container[int] = ()
+    refuses_until: float = 0.0
+
+    def accepts_write(self, now: float) -> bool:
+        """Counts a write; returns whether it succeeds."""
+        self.write_count += 1
+        return now >= self.refuses_until and self.write_count not in self.refused_writes
 
 
 @dataclass
@@ -97,6 +108,7 @@
         self.final_records: list[FinalRecord] = []  # that do not have their copies yet
         self.expiring: set[str] = set()  # ids in `pending_ends` of which only the id was known
         self.lost: list[str] = []
+        self.unwritten: list[tuple[str, list[Record]]] = []  # refused by the disk, with their books
         outstanding: dict[str, dict[str, float]] = {}
         for ref, entry in disk.live.items():
             left = (entry.message.ends_at - fleet.wall(name)).total_seconds()
@@ -119,8 +131,48 @@
         last = max([self.last.get(book, 0), *(order for order, _ in found)])
         return last, sorted(found, key=lambda pair: pair[0])
 
-    def write(self, book: str, records: list[Record]) -> int:
-        """Writes records of one book to the journal and replicates them; returns the last one's number."""
+    def write(self, book: str, records: list[Record]) -> int | None:
+        """Writes records of one book to the journal; returns the last one's number, None if it is refused."""
+        if not self.write_kept() or not self.disk.accepts_write(self.fleet.now):
+            return None
+        return self.apply_written(book, records)
+
+    def write_or_keep(self, book: str, records: list[Record]) -> bool:
+        """Writes records, or keeps them until the disk accepts writes again; returns whether it did."""
+        if self.write(book, records) is not None:
+            return True
+        self.unwritten.append((book, records))
+        return False
+
+    def write_kept(self) -> bool:
+        """Writes the records that were refused before; returns whether none is left."""
+        if not self.unwritten:
+            return True
+        if not self.disk.accepts_write(self.fleet.now):
+            return False
+        kept, self.unwritten = self.unwritten, []
+        for book, records in kept:
+            at = self.apply_written(book, records)
+            refs = {record.ref for record in records}
+            self.pending_ends.update({ref: (book, at) for ref in refs & self.pending_ends.keys()})
+            for final in self.final_records:
+                final.at = at if final.ref in refs else final.at
+        return True
+
+    def _drop_kept(self, refs: Container[str]) -> None:
+        """Drops records of messages that the disk refused."""
+        self.unwritten = [
+            (book, left)
+            for book, records in self.unwritten
+            if (left := [record for record in records if record.ref not in refs])
+        ]
+
+    def _is_kept(self, ref: str) -> bool:
+        """Whether a record of a message waits for the disk."""
+        return any(record.ref == ref for _, records in self.unwritten for record in records)
+
+    def apply_written(self, book: str, records: list[Record]) -> int:
+        """Applies records that are in the journal and replicates them; returns the last one's number."""
         opened, over = {}, []
         for record in records:
             self.last[book] = self.last.get(book, 0) + 1
@@ -149,7 +201,10 @@
             body=b"body of " + ref.encode(),
             custody=Custody(book, wanted),
         )
-        self.waiting[ref] = book, self.write(book, [message])
+        at = self.write(book, [message])
+        if at is None:
+            return False
+        self.waiting[ref] = book, at
         return True
 
     def begin_call(self, ref: str) -> None:
@@ -161,14 +216,22 @@
             return  # its class must not run twice
         number, book = entry.count(), entry.message.custody.book
         at = self.write(book, [RelayStarted(ref, number, self.fleet.wall(self.name), "h")])
-        self.pending_calls.append(PendingCall(ref, number, at, book))
+        if at is not None:
+            self.pending_calls.append(PendingCall(ref, number, at, book))
 
     def give_up(self, ref: str) -> None:
         """Ends a message; its notice is sent once the end is copied."""
         entry = self.disk.live.get(ref)
-        if entry is not None and entry.ended is None and self.may_act(ref) and ref not in self.waiting:
+        if entry is None or entry.ended is not None or not self.may_act(ref) or ref in self.waiting:
+            return
+        if not self._is_kept(ref):
             book = entry.message.custody.book
-            self.pending_ends[ref] = book, self.write(book, [self._new_end(ref)])
+            self._end(book, [self._new_end(ref)])
+
+    def _end(self, book: str, records: list[Record]) -> None:
+        """Writes the end of a message; its notice waits for the disk, and for copies of the last record."""
+        self.write_or_keep(book, records)
+        self.pending_ends[records[-1].ref] = book, self.last.get(book, 0)
 
     def _new_end(self, ref: str) -> MessageEnded:
         """Returns the record of a new end, with a number by which it is known wherever it is reported."""
@@ -176,13 +239,16 @@
         return MessageEnded(ref, "given_up", self.fleet.end_count)
 
     def _write_final(self, book: str, ended: MessageEnded, acks: int) -> None:
-        self.final_records.append(FinalRecord(ended.ref, book, self.write(book, [ended]), acks))
+        self.write_or_keep(book, [ended])
+        self.final_records.append(FinalRecord(ended.ref, book, self.last.get(book, 0), acks))
 
     def _settle_copied(self) -> None:
         """Counts messages as settled whose final records have their copies."""
         waiting = []
         for final in self.final_records:
-            if self.core.copied_up_to(final.book, final.acks) >= final.at:
+            if self._is_kept(final.ref):
+                waiting.append(final)
+            elif self.core.copied_up_to(final.book, final.acks) >= final.at:
                 self.fleet.settled.add(final.ref)
             elif final.book in self.core.owned:
                 waiting.append(final)
@@ -191,6 +257,7 @@
     def finish_copied(self) -> None:
         """Finishes promises, calls and notices that waited for copies and have them."""
         now = self.fleet.now
+        self.write_kept()
         for ref, (book, at) in list(self.waiting.items()):
             entry = self.disk.live.get(ref)
             if (
@@ -209,13 +276,17 @@
             ):
                 self.pending_calls.remove(call)
                 self.fleet.calls.setdefault(call.ref, []).append((self.name, now))
-                self.write(call.book, [RelayFailed(call.ref, call.number, True)])
+                self.write_or_keep(call.book, [RelayFailed(call.ref, call.number, True)])
                 acks = entry.message.custody.acks
                 self._write_final(call.book, MessageEnded(call.ref, "delivered"), acks)
         for ref, (book, at) in list(self.pending_ends.items()):
             entry = self.disk.live.get(ref)
             wanted = entry.message.custody.acks if entry is not None else 1
-            if self.core.leased(book, now) and self.core.copied_up_to(book, wanted) >= at:
+            if (
+                not self._is_kept(ref)
+                and self.core.leased(book, now)
+                and self.core.copied_up_to(book, wanted) >= at
+            ):
                 del self.pending_ends[ref]
                 told = self.fleet.expired if ref in self.expiring else self.fleet.told
                 told.setdefault(ref, []).append(self.name)
@@ -264,10 +335,15 @@
             del self.disk.live[ref]
             self.disk.order.pop(ref, None)
             self.waiting.pop(ref, None)
+        self.unwritten = [(kept, records) for kept, records in self.unwritten if kept != book]
         self.pending_calls = [call for call in self.pending_calls if call.book != book]
         self.pending_ends = {ref: end for ref, end in self.pending_ends.items() if end[0] != book}
 
     def _acquire(self, acquired: Acquired) -> None:
+        """Writes an acquired book to the journal by one write, or declines it."""
+        if not self.disk.accepts_write(self.fleet.now):
+            self.carry_out(self.core.on_adoption_declined(self.fleet.now, acquired.book))
+            return
         self.fleet.holders.setdefault((acquired.book, acquired.term), []).append(self.name)
         self._forget(acquired.book)
         self.last[acquired.book] = acquired.last
@@ -283,42 +359,50 @@
         for entry in uncertain:
             ref = entry.message.ref
             mark = RelayStarted(ref, entry.count(), self.fleet.wall(self.name), "?")
-            self.write(acquired.book, [mark])
-        for entry in acquired.late:
-            self._write_late(acquired.book, entry)
+            self.apply_written(acquired.book, [mark])
+        self._apply_late(acquired.book, acquired.late)
         added = [entry for _, entry in acquired.entries] + list(acquired.late)
         refs = {entry.message.ref: entry.message.ends_at for entry in added}
         self.carry_out(self.core.on_adopted(self.fleet.now, acquired.book, refs))
         self._discard(acquired.book, acquired.ended)
 
     def _discard(self, book: str, refs: Iterable[str]) -> None:
-        """Writes that ids have ended, whether or not the journal has them."""
+        """Replicates that ids have ended, and writes it for those that the journal has."""
         for ref in refs:
             self.pending_ends.pop(ref, None)
-            self.write(book, [MessageEnded(ref, "withdrawn")])
+            if ref in self.disk.live:
+                self.write_or_keep(book, [MessageEnded(ref, "withdrawn")])
+            else:
+                self.apply_written(book, [MessageEnded(ref, "withdrawn")])
 
     def _end_expired_ids(self, expired: Expired) -> None:
         for ref in expired.refs:
             mark = Custody(expired.book, expired.acks)
             message = AcceptedMessage(ref, 0, "", "", self.fleet.wall(self.name), custody=mark)
             self.expiring.add(ref)
-            at = self.write(expired.book, [message, self._new_end(ref)])
-            self.pending_ends[ref] = expired.book, at
-
-    def _write_late(self, book: str, entry: Entry) -> None:
-        ref = entry.message.ref
-        records = [*entry.records()]
-        if entry.ended is None:
-            records.append(RelayStarted(ref, entry.count(), self.fleet.wall(self.name), "?"))
-        at = self.write(book, records)
-        if entry.ended is not None:
-            self.pending_ends[ref] = book, at
+            if self.write(expired.book, [message, self._new_end(ref)]) is None:  # reported without a record
+                self.apply_written(expired.book, [MessageEnded(ref, "withdrawn")])
+            self.pending_ends[ref] = expired.book, self.last.get(expired.book, 0)
+
+    def _apply_late(self, book: str, entries: Iterable[Entry]) -> None:
+        """Applies written entries that a book lacked; each message may have run."""
+        for entry in entries:
+            ref = entry.message.ref
+            records = [*entry.records()]
+            if entry.ended is None:
+                records.append(RelayStarted(ref, entry.count(), self.fleet.wall(self.name), "?"))
+            at = self.apply_written(book, records)
+            if entry.ended is not None:
+                self.pending_ends[ref] = book, at
 
     def _take_in_late(self, late: LateEntries) -> None:
+        """Writes late entries by one write; if it is refused, their holder is asked again."""
         self._discard(late.book, late.ended)
-        for entry in late.entries:
-            if entry.message.ref not in self.disk.live:
-                self._write_late(late.book, entry)
+        new = [entry for entry in late.entries if entry.message.ref not in self.disk.live]
+        if new and not self.disk.accepts_write(self.fleet.now):
+            return
+        self._drop_kept({entry.message.ref for entry in new})
+        self._apply_late(late.book, new)
         refs = [entry.message.ref for entry in late.entries]
         self.carry_out(self.core.on_late_settled(self.fleet.now, late.book, refs))
 
