Hold a replicated message's notice until the disk has its end

What callers would see: a message told as given up and sent, or told again, by the next owner. docs/replica.md promises that the end has W copies before the notice goes; where the disk refused the record of the end, nothing was there to copy, the wait counted the records before it, and the notice went at once. The sender killed then, its successor knew of no end.

Cause: `_send_notice` waits for copies of the records written so far; a refused one is not among them. Change: such a notice waits until its record is written, as long as it would wait for copies (the deadline and the patience), and then for copies. Messages that are not replicated are told at once, as before.

--- a/tests/test_adoption_faults.py
+++ b/tests/test_adoption_faults.py
@@ -231,3 +231,28 @@
     loop._round([BookAcquired(acquired())])
     loop._round([])
     assert set(loop.custody.adopted) == set(disk.found()) == set(ALL)
+
+
+def test_the_notice_of_a_replicated_message_waits_until_its_end_is_recorded(tmp_path):
+    # It was sent at once: the successor of a sender that was killed then had no record of the end.
+    disk = Disk(tmp_path)
+    loop = make_loop(disk.journal)
+    loop.custody.adoption_written = lambda *more: disk.faults.append(Fault(Kind.NO_SPACE, "append", NAME))
+    fee = entry("copied", message_class="fee")  # it may have run, and must not run twice: it is given up
+    loop._round([BookAcquired(acquired(entries=((1, fee),), late=()))])
+    assert list(loop._unanswered_notices) == ["copied"]
+    assert loop.custody.waits == []
+    disk.heal()
+    loop._round([])
+    assert replay(REAL.read_whole(tmp_path / NAME))[0]["copied"].ended.outcome == "given_up"
+    assert len(loop.custody.waits) == 1
+
+
+def test_the_notice_of_a_replicated_message_is_sent_in_the_end_though_the_disk_refuses_its_record(tmp_path):
+    disk = Disk(tmp_path)
+    loop = make_loop(disk.journal)
+    loop.custody.adoption_written = lambda *more: disk.faults.append(Fault(Kind.NO_SPACE, "append", NAME))
+    fee = entry("copied", message_class="fee")
+    loop._round([BookAcquired(acquired(entries=((1, fee),), late=()))])
+    loop._release_written_notices(fee.message.ends_at + timedelta(seconds=2))
+    assert len(loop.custody.waits) == 1
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -176,6 +176,8 @@
         self._outstanding_count = 0  # messages without a final outcome
         self._new_relays: list[Relay] = []  # decided on in this round
         self._unwritten_records: list[Record] = []  # refused by the disk
+        # By id: notices of replicated messages whose ends are among these, and until when they wait for it.
+        self._notices_to_write: dict[str, datetime] = {}
         # Recorded, not copied in time and withdrawn in this round; their clients wait.
         self._rejected_when_written: list[Delivery] = []
         self._ended_without_body: list[tuple[Delivery, MessageEnded]] = []  # in this round
@@ -452,6 +454,7 @@
         actions = self.controller.handle(self.clock.module_s(now), events) if events else []
         ends = self._final_outcomes(actions, records, new_deliveries)
         self._write(records)
+        self._release_written_notices(now)
         self._answer_withdrawn()
         self._answer_clients(new_deliveries, ends)
         for delivery, ended in self._ended_without_body:
@@ -1035,11 +1038,8 @@
             self._key_blockers.setdefault(message.key, set()).add(ref)
         if message.custody is None or self.custody is None:
             self.notify(Notice(ref, ended.outcome, ended.retry_in_ms))
-            return
-        left = max(ZERO, message.ends_at - self.clock.now()) + self.custody.settings.patience
-        self.custody.notify_when_copied(
-            message.custody, left, False, lambda ok: self.post(NoticeReplicated(ref)) if ok else None
-        )
+        else:
+            self._send_replicated_notice(message)
 
     def _notice_answered(self, ref: str, records: list[Record]) -> None:
         """Record that the platform has answered the notice of a message, and unblock its key."""
--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -14,8 +14,9 @@
 from willownotch import interface as api
 from willownotch.journal.records import AcceptedMessage, Custody, Entry, MessageEnded, Record
 from willownotch.net.adoption import may_have_run_marks, plan_adoption
+from willownotch.net.clock import ZERO
 from willownotch.net.endpoint_side import RelayEnded
-from willownotch.net.events import Answer, ReplicationEnded, Verdict
+from willownotch.net.events import Answer, NoticeReplicated, ReplicationEnded, Verdict
 from willownotch.net.journal import Adoption, JournalFullError
 
 if TYPE_CHECKING:
@@ -76,6 +77,37 @@
             delivery.pending = None
         self._rejected_when_written.clear()
 
+    def _send_replicated_notice(self, message: AcceptedMessage) -> None:
+        """Notify the platform of an end once it is recorded and enough other senders hold a copy.
+
+        If the disk refuses the record, the notice waits for it as long as it would wait for copies.
+        """
+        left = max(ZERO, message.ends_at - self.clock.now()) + self.custody.settings.patience
+        if any(record.ref == message.ref for record in self._unwritten_records):
+            self._notices_to_write[message.ref] = self.clock.now() + left
+        else:
+            self._notify_when_copied(message, left)
+
+    def _notify_when_copied(self, message: AcceptedMessage, patience: timedelta) -> None:
+        """Notify the platform once the records written so far have enough copies."""
+        ref = message.ref
+        self.custody.notify_when_copied(
+            message.custody, patience, False, lambda ok: self.post(NoticeReplicated(ref)) if ok else None
+        )
+
+    def _release_written_notices(self, now: datetime) -> None:
+        """Send the notices whose ends the disk has accepted since, or has refused for too long."""
+        if not self._notices_to_write:
+            return
+        unwritten = {record.ref for record in self._unwritten_records}
+        for ref, latest in list(self._notices_to_write.items()):
+            if ref in unwritten and now < latest:
+                continue
+            del self._notices_to_write[ref]
+            message, _ = self._unanswered_notices.get(ref, (None, None))
+            if message is not None:
+                self._notify_when_copied(message, max(ZERO, latest - now))
+
     def _in_book(self, book: str) -> dict[str, Entry]:
         """The journal's live entries of a book, by id."""
         return {
