--- a/tests/test_adoption_faults.py
+++ b/tests/test_adoption_faults.py
@@ -14,6 +14,7 @@
 
 from willownotch.files.faulty import Fault, Kind
 from willownotch.files.layer import REAL
+from willownotch.files.space import Space
 from willownotch.journal.records import AcceptedMessage, Custody, Entry, MessageEnded, RelayStarted, replay
 from willownotch.lifecycle import Event, SharedLifecycle
 from willownotch.net.clock import Clock
@@ -21,7 +22,9 @@
 from willownotch.net.events import BookAcquired, BookLost, LateEntriesFound
 from willownotch.net.journal import NAME, NEW_NAME
 from willownotch.net.log import Log
-from willownotch.replica.actions import Acquired, LateEntries, Lost
+from willownotch.replica.actions import Acquired, LateEntries, Lost, StoreDisowned
+from willownotch.replica.service import CustodyService
+from willownotch.replica.settings import ReplicaSettings
 
 BOOK = "lost/1"
 KINDS = [Kind.NO_SPACE, Kind.IO_ERROR, Kind.SHORT]
@@ -64,7 +67,7 @@
     def is_of_former_process(self, mark):
         return False
 
-    def is_of_unfinished_adoption(self, mark):
+    def is_disowned(self, mark):
         return False
 
 
@@ -256,3 +259,60 @@
     loop._round([BookAcquired(acquired(entries=((1, fee),), late=()))])
     loop._release_written_notices(fee.message.ends_at + timedelta(seconds=2))
     assert len(loop.custody.waits) == 1
+
+
+class Process:
+    """The parts of a sender that take books over, on a folder that outlasts them."""
+
+    def __init__(self, folder, faults=()):
+        self.faults = []
+        self.journal = open_journal(folder, self.faults)
+        self.faults += faults
+        self.loop = make_loop(self.journal)
+        space = Space(1 << 20)
+        transport = SimpleNamespace(send=lambda to, message: None, addresses={})
+        self.custody = CustodyService(
+            ReplicaSettings(),
+            "n1",
+            7,
+            transport,
+            folder / "replica",
+            REAL,
+            space,
+            1 << 20,
+            print,
+            Clock().now,
+        )
+        (folder / "replica").mkdir(exist_ok=True)
+        self.custody.entries = self.journal.entries
+        self.loop.custody, self.loop._recovered = self.custody, []
+        self.custody.on_acquired = lambda acquired: self.loop._round([BookAcquired(acquired)])
+        self.custody.open(self.journal.live, self.journal.finished)
+        self.loop._recover()
+
+
+@pytest.mark.parametrize("refused", [False, True], ids=["", "and the disk refuses their removal first"])
+def test_a_process_killed_before_it_owned_a_book_leaves_no_message_of_it_to_the_next_one(tmp_path, refused):
+    # The next process took them for messages of its own, and sent them beside the book's owner.
+    process = Process(tmp_path)
+    process.custody._carry_out([StoreDisowned(BOOK), acquired()])
+    assert set(summary(process.journal.live)) == set(ALL)
+    # The first one's custody thread has not gone on: it was killed.
+    following = Process(tmp_path, [Fault(Kind.NO_SPACE, "create", NEW_NAME)] * refused)
+    assert following.loop._recovered == []
+    assert set(summary(following.journal.live)) == (set(ALL) if refused else set())
+    following.faults.clear()
+    following.loop._round([])
+    assert summary(following.journal.live) == {}
+    assert not following.loop._outstanding
+    assert not following.loop._unanswered_notices
+
+
+def test_a_book_whose_adoption_is_not_on_record_is_not_taken_over(tmp_path):
+    process = Process(tmp_path)
+    process.custody.store.write = lambda actions: False
+    declined = []
+    process.custody.core.on_adoption_declined = lambda now, book: declined.append(book) or []
+    process.custody._carry_out([StoreDisowned(BOOK), acquired()])
+    assert declined == [BOOK]
+    assert summary(process.journal.live) == {}
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -393,7 +393,10 @@
             self.controller.handle(self.clock.module_s(self.clock.now()), [slow_starts])
         if self.shared is not None:
             self.shared.configure({t.name: t.quota_per_s for t in self.settings.tenants})
+        disowned = self._discard_disowned() if self.custody is not None else ()
         for entry in list(self.journal.live.values()):
+            if entry.message.ref in disowned:
+                continue  # the disk refused their removal, which is tried again
             if entry.message.custody is not None:
                 if self.custody is not None and self.custody.is_of_former_process(entry.message.custody):
                     continue  # another sender may own its book by now: claimed first
--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -142,6 +142,28 @@
         self.custody.discard(acquired.book, [*plan.known, *acquired.ended])
         self._continue_book(acquired, list(plan.deadlines), now, events)
 
+    def _discard_disowned(self) -> list[str]:
+        """Drop the messages of books that a former process did not own when it ended; return their ids.
+
+        It was about to own them, and whoever owns them now has them from the copies.
+        """
+        refs = [
+            ref
+            for ref, entry in self.journal.live.items()
+            if entry.message.custody is not None and self.custody.is_disowned(entry.message.custody)
+        ]
+        if not refs:
+            return refs
+        self.log.say(
+            "custody", f"{len(refs)} messages of books that this sender did not own are dropped here"
+        )
+        try:
+            self.journal.adopt_entries(Adoption(removed=tuple(refs)))
+        except (OSError, JournalFullError) as fault:
+            self.log.say("journal", f"{len(refs)} dropped messages stay in the journal for now: {fault}")
+            self._unwritten_records += [MessageEnded(ref, "withdrawn") for ref in refs]
+        return refs
+
     def _refused_withdrawals(self) -> set[str]:
         """The ids of messages that were withdrawn here, though the disk has refused to record it so far."""
         return {
--- a/willownotch/replica/actions.py
+++ b/willownotch/replica/actions.py
@@ -46,6 +46,16 @@
     term: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreDisowned:
+    """Stores that what the journal has of a book, or will have, is not this sender's to deliver.
+
+    It holds until `StoreBook` names this sender as the owner.
+    """
+
+    book: str
+
+
 @dataclass(frozen=True, slots=True)
 class StoreEnded:
     """Stores that ids of a book that this sender owns have ended."""
@@ -126,6 +136,6 @@
     text: str
 
 
-Stored = StoreTerm | StoreCopy | StoreBook | StoreEnded
+Stored = StoreTerm | StoreCopy | StoreBook | StoreDisowned | StoreEnded
 Action = Send | Stored | Acquired | LateEntries | Lost | Expired | Report
 Snapshot = Callable[[str], tuple[int, list[tuple[int, Entry]]]]  # by book: number of its last record, entries
--- a/willownotch/replica/core.py
+++ b/willownotch/replica/core.py
@@ -153,10 +153,10 @@
             for ref, at in owned.orphan_refs.items():
                 owned.open[ref] = self._wall + timedelta(seconds=at - self.now)
             self._id_logs[book] = IdLog(1)  # id holders get the acquired ids as a whole list
-            if book in self.copies:
-                self._drop_copy(book)
             self._former_books.pop(book, None)
             self._emit(StoreBook(book, owned.config, owned.term))
+            if book in self.copies:
+                self._drop_copy(book)
             if owned.ended_refs:
                 self._emit(StoreEnded(book, tuple(owned.ended_refs)))
             self._update_placement()
--- a/willownotch/replica/roles/acquisition.py
+++ b/willownotch/replica/roles/acquisition.py
@@ -9,7 +9,7 @@
 
 from willownotch.journal.records import Entry
 from willownotch.replica import copies, takeover, wire
-from willownotch.replica.actions import Acquired, Action, LateEntries, StoreBook, StoreCopy
+from willownotch.replica.actions import Acquired, Action, LateEntries, StoreBook, StoreCopy, StoreDisowned
 from willownotch.replica.books import MIN_RESEND_S, FetchAnswer, OwnedBook, Stage
 from willownotch.replica.copies import Ordered
 from willownotch.replica.ids import IdLog
@@ -171,6 +171,9 @@
             if owned.book in self.copies
             else (self.id_indexes[owned.book].config.owner if owned.book in self.id_indexes else self.name)
         )
+        # Until its book is taken over, the journal of a former process counts.
+        if owned.book not in self._former_books:
+            self._emit(StoreDisowned(owned.book))
         self._emit(
             Acquired(
                 owned.book,
--- a/willownotch/replica/service.py
+++ b/willownotch/replica/service.py
@@ -163,6 +163,9 @@
         self.on_lost: Callable[[Lost], None] = lambda lost: None
         self.on_expired: Callable[[Expired], None] = lambda expired: None
         self.counts: Counter[str] = Counter()
+        self._disowned_books: frozenset[str] = (
+            frozenset()
+        )  # of a former process, which may have left messages
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
         self._lock = threading.Lock()  # guards the fields below
         self._changed = threading.Condition(self._lock)
@@ -329,6 +332,9 @@
         bring messages.
         """
         self.store.open()
+        in_journal = {entry.message.custody.book for entry in live.values() if entry.message.custody}
+        self.store.disowned_books &= in_journal
+        self._disowned_books = frozenset(self.store.disowned_books)
         outstanding: dict[str, dict[str, float]] = {}
         for ref, entry in live.items():
             mark = entry.message.custody
@@ -349,6 +355,10 @@
         """Whether a message is in a book of a former process that this process has not acquired yet."""
         return mark is not None and mark.book in self.store.books
 
+    def is_disowned(self, mark: Custody) -> bool:
+        """Whether a message was left in the journal by a former process that did not own its book."""
+        return mark.book in self._disowned_books
+
     def post(self, message: wire.Message) -> None:
         """Queues a received frame."""
         self._inbox.put(message)
@@ -428,6 +438,8 @@
                         self.transport.send(action.to, action.message)
                 elif isinstance(action, Report):
                     self.say(action.text)
+                elif isinstance(action, Acquired) and not kept:
+                    more += self.core.on_adoption_declined(time.monotonic(), action.book)
                 elif isinstance(action, Acquired):
                     self.counts["taken over"] += 1
                     self.on_acquired(action)
--- a/willownotch/replica/store.py
+++ b/willownotch/replica/store.py
@@ -16,7 +16,7 @@
 from willownotch.files.layer import Files
 from willownotch.files.space import Space, round_to_blocks
 from willownotch.journal.records import FRAME
-from willownotch.replica.actions import StoreBook, StoreCopy, Stored, StoreEnded, StoreTerm
+from willownotch.replica.actions import StoreBook, StoreCopy, Stored, StoreDisowned, StoreEnded, StoreTerm
 from willownotch.replica.copies import Copy
 from willownotch.replica.terms import Term
 from willownotch.replica.wire import BookConfig, Position
@@ -72,7 +72,13 @@
     refs: tuple[str, ...]
 
 
-Record = CopySnapshot | CopyAppend | CopyRemoved | TermRecord | BookRecord | EndedRecord
+class DisownedRecord(msgspec.Struct, tag="disowned", frozen=True, array_like=True):
+    """What the journal has of a book is not this sender's to deliver; an earlier version skips it."""
+
+    book: str
+
+
+Record = CopySnapshot | CopyAppend | CopyRemoved | TermRecord | BookRecord | EndedRecord | DisownedRecord
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Record).decode
 
@@ -116,6 +122,7 @@
         self.terms: dict[str, Term] = {}
         self.books: dict[str, tuple[BookConfig, int]] = {}
         self.ended: dict[str, set[str]] = {}  # by book in `books`, its ids that ended since its first term
+        self.disowned_books: set[str] = set()  # of which the journal may have messages
         self.copies: dict[str, Copy] = {}  # shared with the core after it has restored them
         self.size = self.live_bytes = 0
         self._file = -1
@@ -144,6 +151,8 @@
             self._set_book(record.book, record.config, record.term)
         elif isinstance(record, EndedRecord):
             self._add_ended(record.book, record.refs)
+        elif isinstance(record, DisownedRecord):
+            self.disowned_books.add(record.book)
         elif isinstance(record, CopyRemoved):
             self.copies.pop(record.book, None)
         elif isinstance(record, CopySnapshot):
@@ -156,6 +165,7 @@
             copy.owner_term = 0
 
     def _set_book(self, book: str, config: BookConfig | None, term: int) -> None:
+        self.disowned_books.discard(book)
         if config is None:
             self.books.pop(book, None)
             self.ended.pop(book, None)
@@ -186,6 +196,9 @@
             elif isinstance(action, StoreEnded):
                 self._add_ended(action.book, action.refs)
                 records.append(EndedRecord(action.book, action.refs))
+            elif isinstance(action, StoreDisowned):
+                self.disowned_books.add(action.book)
+                records.append(DisownedRecord(action.book))
             elif action.copy is None:
                 self.copies.pop(action.book, None)
                 records.append(CopyRemoved(action.book))
@@ -233,6 +246,7 @@
         records: list[Record] = [TermRecord(term) for term in self.terms.values()]
         records += [BookRecord(book, config, term) for book, (config, term) in self.books.items()]
         records += [EndedRecord(book, tuple(sorted(refs))) for book, refs in self.ended.items()]
+        records += [DisownedRecord(book) for book in sorted(self.disowned_books)]
         records += [self._snapshot(copy) for copy in self.copies.values()]
         data = b"".join(map(encode_record, records))
         grown = round_to_blocks(len(data))
