--- a/tests/test_adoption_sockets.py
+++ b/tests/test_adoption_sockets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import signal
+
 import harness
 import pytest
 from custody_fleet import PATIENCE, CustodyFleet
@@ -78,6 +80,28 @@
     assert not fleet.discovery.notices
 
 
+def test_a_sender_killed_right_after_it_lost_a_book_sends_no_message_of_it_after_its_restart(fleet):
+    # Its folder named the book no more, and its journal still had the messages.
+    refs = fleet.accept(0, 4)
+    book = next(b["book"] for b in fleet.custody(0)["books"] if b["messages"])
+    fleet.senders[0].process.send_signal(signal.SIGSTOP)
+    until(fleet.takeovers, PATIENCE)
+    fleet.fail(f"stall {APPEND}", among=[0])
+    fleet.senders[0].process.send_signal(signal.SIGCONT)
+    until(lambda: all(b["book"] != book for b in fleet.custody(0)["books"]), PATIENCE)
+    assert fleet.journal_ids(0) == set(refs)
+    fleet.senders[0].process.kill()
+    fleet.senders[0].process.wait(harness.PATIENCE)
+    fleet.start_serving()
+    until(lambda: set(refs) <= set(fleet.host.refs()), PATIENCE)
+    fleet.senders[0].fail("")
+    fleet.senders[0].start()
+    fleet.register_address(0)
+    fleet.wait_ready([0])
+    fleet.assert_delivered_once(refs)
+    assert not fleet.discovery.notices
+
+
 def test_a_sender_killed_before_it_owned_a_book_sends_no_message_of_it_after_its_restart(fleet):
     # Its journal had the messages and its folder did not say that they were another sender's.
     refs = fleet.accept(0, 4)
--- a/willownotch/replica/roles/ownership.py
+++ b/willownotch/replica/roles/ownership.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from willownotch.replica import takeover, wire
-from willownotch.replica.actions import Lost, StoreBook, StoreCopy
+from willownotch.replica.actions import Lost, StoreBook, StoreCopy, StoreDisowned
 from willownotch.replica.books import OwnedBook, Stage
 from willownotch.replica.copies import Copy
 from willownotch.replica.ids import IdIndex
@@ -138,6 +138,7 @@
         if self._former_books.pop(owned.book, None) is not None:
             self.id_indexes.pop(owned.book, None)
         self._emit(StoreBook(owned.book, None))
+        self._emit(StoreDisowned(owned.book))  # until the journal has its messages no more
         self._emit(Lost(owned.book, term, owner))
 
     def _lose_former_book(self, book: str, term: int, owner: str) -> None:
@@ -148,6 +149,7 @@
         del self._former_books[book]
         self.id_indexes.pop(book, None)
         self._emit(StoreBook(book, None))
+        self._emit(StoreDisowned(book))  # until the journal has its messages no more
         self._emit(Lost(book, term, owner))
 
     def _copy_of_owned(self, owned: OwnedBook) -> Copy:
