--- a/tests/test_custody_ends.py
+++ b/tests/test_custody_ends.py
@@ -274,6 +274,24 @@
     fleet.until(lambda: any(s.core.leased(book, fleet.now) for s in fleet.senders.values()), max_s=10.0)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_owner_ends_no_ids_whose_ends_its_contents_have_seen(seed):
+    # The id holders had missed the ends, and the new owner took their lists for messages that it lacked.
+    scene = promise(seed, copies=2, acks=1, count=3, deadline=20.0)
+    fleet = scene.fleet
+    holders = [name for name in NAMES if scene.book in fleet.senders[name].core.id_indexes]
+    fleet.cut = lambda source, target: source == "n0" and target in holders
+    for ref in scene.refs:
+        fleet.senders["n0"].give_up(ref)
+    fleet.until(lambda: set(scene.refs) <= set(fleet.told))
+    fleet.run(0.1)
+    fleet.stall(scene.replicas[1])
+    fleet.kill("n0", disk=True)
+    fleet.cut = lambda source, target: False
+    fleet.run(30.0)
+    assert one_end_each(scene) == {}
+
+
 def wrong_scenes(seeds, fate):
     return [(seed, what) for seed in seeds if (what := outcome(seed, fate)[1])]
 
