Count ends in place of posts where a test wants each end told once

What was seen: test_a_new_owner_sends_the_unanswered_notices_of_a_lost_one failed once beside load with three notices of the one handed_back.

The test counted posts.

Change: an end is told once if one sender posts it, each further time on another connection, with the same outcome. Two senders, two outcomes or two posts on one connection are two ends.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -11,6 +11,8 @@
 import tempfile
 import threading
 import time
+from collections import Counter
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from willownotch.journal import records
@@ -102,11 +104,39 @@
         return [head.headers["request-id"] for _, head, _ in self.calls]
 
 
+@dataclass(frozen=True)
+class NoticePost:
+    """One notice as the platform received it; a sender posts one that is not answered in time again."""
+
+    at_s: float
+    caller: str | None  # the sender, if it has an address of its own
+    port: int  # of the sender's end of the connection
+    notice: dict
+
+
+def told_ends(posts):
+    """The (id, outcome) of each end that the platform was told, as often as it was told it.
+
+    A sender closes a connection on which it was not answered in time, and repeats the notice on another one:
+    that is one end. Two posts on one connection are two ends, and so are posts of two senders.
+    """
+    counts = Counter(
+        (post.notice["message"], post.notice["outcome"], post.caller, post.port) for post in posts
+    )
+    ends = Counter()
+    for (ref, outcome, caller, _), count in counts.items():
+        ends[ref, outcome, caller] = max(count, ends[ref, outcome, caller])
+    return sorted((ref, outcome) for ref, outcome, _ in ends.elements())
+
+
 class Discovery(Server):
     """A fake discovery service: the list of endpoints, the watch for changes, and notices."""
 
     def __init__(self, hosts=()):
         self.notices, self.unanswered_notices, self.ignores_notices = [], [], False
+        self.doors = []
+        self.posts = []  # of all notices that were answered, however late
+        self.answers_late_s = []  # how late the next posts of notices are read
         self.watch_queues = []  # what each watch is to be sent
         self.first_watch_queue = queue.SimpleQueue()  # of the first watch, filled before it begins
         self.watched = []  # the request targets of all watches
@@ -130,12 +160,15 @@
     def known(self):
         return {"index": self.index, "snapshot": True, "endpoints": self.entries}
 
-    def answer(self, head, body, sock):
+    def answer(self, head, body, sock, caller=None):
         if head.method == "POST":
             notices = [json.loads(line) for line in body.splitlines()]
+            post = NoticePost(time.monotonic(), caller, sock.getpeername()[1], {})
+            time.sleep(self.answers_late_s.pop(0) if self.answers_late_s else 0.0)
             if self.ignores_notices:
                 self.unanswered_notices += notices
                 return None
+            self.posts += [replace(post, notice=notice) for notice in notices]
             self.notices += notices
             return http.write_answer(204)
         self.watched.append(head.target)
@@ -147,6 +180,15 @@
         while True:
             self.chunk(sock, updates.get())
 
+    def door(self, caller):
+        """An address of this service for one sender alone."""
+        self.doors.append(DiscoveryDoor(self, f"{caller}, started as number {len(self.doors)}"))
+        return self.doors[-1]
+
+    def close(self):
+        for server in [*self.doors, super()]:
+            server.close()
+
     def tell(self, text):
         """Send a line to all watches. Watches that have ended keep a queue that nobody reads."""
         for updates in self.watch_queues or [self.first_watch_queue]:
@@ -170,6 +212,17 @@
         )
 
 
+class DiscoveryDoor(Server):
+    """An address of a discovery service that one sender alone uses, so that its calls are known by it."""
+
+    def __init__(self, discovery, caller):
+        self.discovery, self.caller = discovery, caller
+        super().__init__()
+
+    def answer(self, head, body, sock):
+        return self.discovery.answer(head, body, sock, self.caller)
+
+
 class Sender:
     """The program in a process of its own, with a state folder that is kept over restarts."""
 
