Wait for a slow platform's answers to notices as long as its last one took

What callers saw: nothing lost. What the platform saw: each notice of each sender two or three times while it answered slowly, and the outcomes later, since each of these calls was given up.

Cause: every call began anew with a timeout of 150 ms, whatever the last answers had taken. Change: it begins with twice the time that the last answer took, at least 150 ms (half of the 300 ms after which a message is lost; a platform that answers at once sees no change) and at most 1 s.

--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -460,6 +461,7 @@
 
     def __init__(self, platform: Platform, log: Log, on_answered: Callable[[list[str]], None]) -> None:
         self.platform, self.log, self.on_answered = platform, log, on_answered
+        self._last_answer_time = timedelta(0)  # that the last answer took
         self._queue: queue.SimpleQueue[Notice] = queue.SimpleQueue()
         self._sock: socket.socket | None = None
         self._host_header = ""
@@ -477,10 +479,16 @@
             self._send(notices)
 
     def _send(self, notices: list[Notice]) -> None:
-        """Send notices in one call, again and again until it is answered."""
-        backoff, timeout = Backoff(), NOTICE_TIMEOUT
+        """Send notices in one call, again and again until it is answered.
+
+        A platform whose last answer was slow is given twice that time at once: asked again before it has
+        answered, it would only be slower.
+        """
+        backoff = Backoff()
+        timeout = min(MAX_NOTICE_TIMEOUT, max(NOTICE_TIMEOUT, 2 * self._last_answer_time))
         while True:
             reused, moves = self._sock is not None, self.platform.moves
+            began = time.monotonic()
             try:
                 status = self._exchange(notices, timeout)
             except (OSError, http.BadMessageError) as fault:
@@ -490,6 +498,7 @@
                     continue
                 self.log.say("notice", f"not answered, retrying: {fault or type(fault).__name__}")
             else:
+                self._last_answer_time = timedelta(seconds=time.monotonic() - began)
                 if 200 <= status < 300:
                     return self.on_answered([notice.message for notice in notices])
                 if status == 400:
