--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,7 +24,8 @@
 from willownotch.net.client_connections import Client, Stage, StageQueues
 from willownotch.net.client_side import ClientSide
 from willownotch.net.clock import Clock
-from willownotch.net.decision_loop import DecisionLoop, Delivery
+from willownotch.net.decision_loop import DecisionLoop
+from willownotch.net.delivery import Delivery
 from willownotch.net.endpoint_side import MAX_START_DELAY, EndpointSide, IdleConnection, Relay
 from willownotch.net.events import Answer, HandIn, Verdict, Withdraw
 from willownotch.net.journal import Journal
--- a/tests/test_restarted.py
+++ b/tests/test_restarted.py
@@ -7,7 +7,7 @@
 
 from willownotch.interface import Endpoint, EndpointList, Fail, Outcome, PastAttempt, Refuse, Stopping, Timer
 from willownotch.journal.records import AcceptedMessage, Entry
-from willownotch.net.decision_loop import soonest_first
+from willownotch.net.delivery import soonest_first
 
 
 class Restarted(unittest.TestCase):
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -12,25 +12,25 @@
 import threading
 import time
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
-from itertools import islice
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from willownotch import interface as api
-from willownotch.bodies.plan import Candidate, outcome_without_body
-from willownotch.bodies.store import Bodies, size_and_checksum
+from willownotch.bodies.store import Bodies
 from willownotch.control import Controller
-from willownotch.handover.state import HandoverState, OutstandingCall, OutstandingMessage
 from willownotch.journal import records as journal_records
 from willownotch.journal.records import AcceptedMessage, Entry, MessageEnded, Record, RelayFailed
 from willownotch.lifecycle import Event, SharedLifecycle
 from willownotch.net import bulk, http
 from willownotch.net.clock import ZERO, Clock, millis, seconds, span
 from willownotch.net.config import Config, ListUpdate
+from willownotch.net.decision_loop_bodies import BodiesMixin
+from willownotch.net.decision_loop_handover import HandoverMixin
 from willownotch.net.decision_loop_replication import DEFAULT_RETRY_AFTER, REMEMBER_TIME, ReplicationMixin
+from willownotch.net.delivery import Delivery, same_message, soonest_first
 from willownotch.net.endpoint_side import DEADLINE_MARGIN, Relay, RelayEnded
 from willownotch.net.events import (
     Answer,
@@ -56,7 +56,6 @@
 )
 from willownotch.net.journal import Journal, JournalFullError, JournalUncertainError
 from willownotch.net.log import Log
-from willownotch.net.pending import PendingReply
 from willownotch.net.registry import Hosts, Notice
 from willownotch.net.rules import class_of
 from willownotch.net.slow_start_file import SlowStartFile
@@ -69,62 +68,15 @@
 
 FIRST_LIST_TIMEOUT = timedelta(milliseconds=300)  # for which recovered messages wait for a list of endpoints
 KILL_AFTER = timedelta(milliseconds=3500)  # earliest SIGKILL after SIGTERM, less a margin
-REMOTE_CALL_GRACE = timedelta(seconds=1)  # after a call's deadline, for the previous process to report it
 MAX_ITEMS_PER_ROUND = 256
 SPARE_FORECASTS = 64  # forecasts kept for unlisted destinations before they are purged
 MAX_BULK_CALL_BYTES = http.MAX_BODY_BYTES  # of one call, whatever batch size its destination kind allows
-MAX_MESSAGES_SCANNED = 2000  # outstanding messages examined in one search for space
 WRITE_RETRY_DELAY = timedelta(milliseconds=500)  # between attempts to write records that the disk refused
 # Time between the starts of two rounds: this many times the last round's duration, within a bound.
 ROUND_GAP_FACTOR, MAX_ROUND_GAP = 3, timedelta(milliseconds=40)
 
 
-@dataclass(slots=True)
-class Delivery:
-    """The delivery of one accepted message, with its relays numbered as the decision module numbers them."""
-
-    message: AcceptedMessage
-    relay_count: int = 0  # started so far; the number of the next one
-    active_relays: dict[int, Relay] = field(default_factory=dict)
-    over: bool = False
-    pending: PendingReply | None = None  # None once its client has been answered
-    repeats: list[PendingReply] = field(default_factory=list)  # hand-ins of the same message meanwhile
-    accepted_by: PendingReply | None = None  # the reply of the hand-in that started it
-    confirmed: bool = False  # a repeated hand-in was answered 202: a failed first answer must not withdraw it
-    unwritten: bool = False  # its record could not be written and its client was rejected
-    replicating: bool = False  # its client is answered once other senders hold a copy
-    held_relays: list[Relay] = field(default_factory=list)  # relays that wait for those copies
-
-    def answer(self, answer: Answer) -> None:
-        """Answer the client that waits, and all that handed the same message in meanwhile."""
-        self.pending.settle(answer)
-        for pending in self.repeats:
-            pending.settle(answer)
-            self.confirmed = self.confirmed or answer.verdict is Verdict.ACCEPTED
-        self.repeats = []
-
-
-def same_message(one: AcceptedMessage, other: AcceptedMessage) -> bool:
-    """Whether two hand-ins under one id are the same message. The time left differs and is not compared."""
-    fields = ("destination", "message_class", "tenant", "key", "idempotency_key")
-    return all(getattr(one, name) == getattr(other, name) for name in fields) and (
-        one.body == other.body
-        if one.place is None is other.place
-        else size_and_checksum(one) == size_and_checksum(other)
-    )
-
-
-def soonest_first(entries: list[Entry]) -> list[Entry]:
-    """Recovered messages in the order in which the decision module receives them, earliest deadline first.
-
-    All come in one round, and the module breaks ties by position. Messages with a key come first and keep the
-    journal's order, which is the order of their key.
-    """
-    keyed = [entry for entry in entries if entry.message.key is not None]
-    return keyed + sorted((e for e in entries if e.message.key is None), key=lambda e: e.message.ends_at)
-
-
-class DecisionLoop(ReplicationMixin):
+class DecisionLoop(BodiesMixin, HandoverMixin, ReplicationMixin):
     """Runs the decision module. Other threads reach it only through `post` and the methods that say so."""
 
     def __init__(
@@ -218,148 +170,6 @@
                 if isinstance(order, HandOver) and self._pause_for_handover(order):
                     self._forward_items()
 
-    def _pause_for_handover(self, order: HandOver) -> bool:
-        """Hand out the whole state and change nothing until the take-over is decided.
-
-        Returns whether the other process has taken over.
-        """
-        if self._recovered is not None or not order.pending.claim():
-            order.pending.settle(None)
-            return False
-        self.journal.freeze()
-        try:
-            state = self._handover_state()
-        except Exception as fault:  # the hand-over is declined, and nothing has changed
-            self.log.say("error", f"cannot assemble the hand-over state: {type(fault).__name__}: {fault}")
-            state = None
-        order.pending.settle(state)
-        if order.decided.get():
-            self.journal.hand_over()
-            return True
-        self.journal.thaw()
-        return False
-
-    def _handover_state(self) -> HandoverState:
-        """All that the next process needs to continue, while no round is running."""
-        blocked = {relay for relays in self._blocked_relays.values() for relay in relays}
-        return HandoverState(
-            config=self.config,
-            clock=self.clock.origin(),
-            controller=self.controller,
-            hosts=self.hosts.state(),
-            live=self.journal.live,
-            ended=self._ended_ids,
-            unwritten=self._unwritten_records,
-            timers=[(when, target) for when, _, target in self._timers if not isinstance(target, Relay)],
-            outstanding=[
-                OutstandingMessage(
-                    delivery.message,
-                    delivery.relay_count,
-                    delivery.over,
-                    delivery.confirmed,
-                    delivery.unwritten,
-                    [
-                        OutstandingCall(r.number, r.endpoint, r.host, r.begun_at, r.ends_at, r in blocked)
-                        for r in delivery.active_relays.values()
-                    ],
-                )
-                for delivery in self._outstanding.values()
-            ],
-            unanswered=list(self._unanswered_notices.values()),
-            discovery=self.config.discovery,
-            list_index=self.list_index,
-        )
-
-    def _forward_items(self) -> None:
-        """Pass everything that still comes in to the process that has taken over. Never returns."""
-        while True:
-            item = self._inbox.get()
-            if isinstance(item, HandIn) and item.pending.claim():
-                item.pending.settle(Answer(Verdict.MOVED))
-            elif isinstance(item, MakeRoom) and item.pending.claim():
-                item.pending.settle(False)
-            elif isinstance(item, HandOver):
-                item.pending.settle(None)
-            elif isinstance(item, RelayEnded | Withdraw):
-                self.forward(item)
-            elif isinstance(item, RemoteEnded):
-                # From the previous process, which still makes calls and does not know the next one.
-                for ended in self._remote_ended(item, self.clock.now()):
-                    self._outstanding[ended.relay.message.ref].active_relays.pop(ended.relay.number, None)
-                    self.forward(ended)
-            elif isinstance(item, Flush):
-                item.done.set()
-
-    def remote_calls(self) -> int:
-        """How many calls the previous process is still making. Thread-safe."""
-        return sum(
-            relay.remote
-            for delivery in list(self._outstanding.values())
-            for relay in list(delivery.active_relays.values())
-        )
-
-    def cancel_remote(self, ref: str, number: int) -> None:
-        """Have the previous process cancel a call, if it is one of its own. Thread-safe."""
-        delivery = self._outstanding.get(ref)
-        relay = delivery.active_relays.get(number) if delivery is not None else None
-        if relay is not None and relay.remote:
-            self.cancel(relay)
-
-    def adopt(self, state: HandoverState) -> None:
-        """Continue from the state that the previous process handed over.
-
-        Called once, before `run` and before any client is served.
-        """
-        self._recovered, self._has_list = None, True
-        self.controller, self._ended_ids, self._unwritten_records = (
-            state.controller,
-            state.ended,
-            state.unwritten,
-        )
-        self.hosts.adopt(state.hosts)
-        self.list_index = state.list_index
-        for when, label in state.timers:
-            heapq.heappush(self._timers, (when, next(self._timer_order), label))
-        for known in state.outstanding:
-            delivery = self._outstanding[known.message.ref] = Delivery(
-                known.message, known.count, over=known.over
-            )
-            delivery.confirmed, delivery.unwritten = known.confirmed, known.unwritten
-            self._outstanding_count += not delivery.over
-            for call in known.active_relays:
-                relay = Relay(
-                    known.message,
-                    call.number,
-                    call.endpoint,
-                    call.host,
-                    call.begun_at,
-                    call.ends_at,
-                    remote=not call.gated,
-                    repeatable=self._repeatable(known.message),
-                )
-                delivery.active_relays[call.number] = relay
-                if call.gated:
-                    self._block_relay(relay)
-                else:  # in case the previous process hangs and never reports its end
-                    heapq.heappush(
-                        self._timers, (call.ends_at + REMOTE_CALL_GRACE, next(self._timer_order), relay)
-                    )
-        for message, ended in state.unanswered:
-            self._send_notice(message, ended)
-        for ref in self.lost_bodies:
-            self.post(BodyLost(ref))
-        remote = sum(
-            relay.remote
-            for delivery in self._outstanding.values()
-            for relay in delivery.active_relays.values()
-        )
-        self.log.say(
-            "upgrade",
-            f"taken over: {self._outstanding_count} messages owed, {remote} calls out in the process "
-            f"before, {len(self._unanswered_notices)} notices unanswered",
-        )
-        self._round([SettingsUpdate(self.config)] if state.config.settings != self.settings else [])
-
     def _next_items(self) -> list[QueueItem]:
         """The items of the next round. Blocks until there is one or a timer is due."""
         due = self._timers[0][0] if self._timers else None
@@ -709,109 +519,6 @@
             ended is not None and ended.outcome == "given_up"
         )
 
-    def _record_fits(
-        self, message: AcceptedMessage, new_deliveries: list[Delivery], now: datetime, events: list[api.Event]
-    ) -> bool:
-        """Whether a message's record fits into the journal, if necessary after dropping other messages."""
-        wanted = [*(delivery.message for delivery in new_deliveries), message]
-        if self.journal.fits(wanted):
-            return True
-        candidates = [c for c in self._drop_candidates() if self._outstanding[c.ref].message.body]
-        need = journal_records.bytes_to_reserve(message)
-        for candidate in self.bodies.victims(message.message_class, need, candidates, inline=True):
-            self._drop_message(candidate, message, now, events)
-        return self.journal.fits(wanted)
-
-    def _drop_candidates(self) -> list[Candidate]:
-        """Messages that may be dropped to free space: of a class that allows it, with their client answered
-        and no relay in progress."""
-        plans, found, expected_wait_s = self.bodies.plans, [], {}
-        for delivery in islice(self._outstanding.values(), MAX_MESSAGES_SCANNED):
-            message = delivery.message
-            plan = plans.get(message.message_class)
-            if (
-                plan is None
-                or not plan.body_settings.drop
-                or delivery.over
-                or delivery.active_relays
-                or delivery.pending is not None
-            ):
-                continue
-            destination = message.destination
-            if destination not in expected_wait_s:
-                expected_wait_s[destination] = self.bodies.expected_wait_s(destination)
-            found.append(
-                Candidate(
-                    message.ref,
-                    message.message_class,
-                    destination,
-                    message.body_size(),
-                    expected_wait_s[destination],
-                )
-            )
-        return found
-
-    def _make_room(self, item: MakeRoom, now: datetime, events: list[api.Event]) -> None:
-        """End messages that may be dropped, so that a more valuable body can be stored."""
-        if not item.pending.claim():
-            return
-        admission, message = item.admission, item.message
-        chosen = self.bodies.victims(
-            message.message_class,
-            admission.bytes_needed,
-            [c for c in self._drop_candidates() if self._outstanding[c.ref].message.place],
-            admission.destination,
-        )
-        for candidate in chosen:
-            self._drop_message(candidate, message, now, events)
-
-    def _drop_message(
-        self, candidate: Candidate, message: AcceptedMessage, now: datetime, events: list[api.Event]
-    ) -> None:
-        """End a message to free the space of its body for `message`."""
-        self._end_without_body(
-            self._outstanding[candidate.ref],
-            f"of {candidate.size} bytes makes room for {message.message_class} " f"{message.ref}",
-            now,
-            events,
-        )
-
-    def _end_without_body(
-        self,
-        delivery: Delivery,
-        reason: str,
-        now: datetime,
-        events: list[api.Event],
-        last: RelayEnded | None = None,
-    ) -> None:
-        """End a message whose body is gone, at once and with a notice.
-
-        Its record is written right away, since messages accepted in this round may need the space. `last` is
-        the relay's end that brought this about, if any: that relay is judged by its outcome, not by its
-        journal record, which does not say yet how it ended.
-        """
-        ref, entry = delivery.message.ref, self.journal.live.get(delivery.message.ref)
-        number = last.relay.number if last is not None else -1
-        ran = (
-            bool(delivery.active_relays)
-            or entry is None
-            or any(entry.may_have_run(n) for n in range(entry.count()) if n != number)
-        )
-        ran = ran or (last is not None and RAN_BY_OUTCOME[last.outcome] is not Ran.NEVER)
-        ended = self._end_record(delivery.message, ran)
-        self.log.say("dropped", f"{ref} {ended.outcome}: its body {reason}")
-        self._write([ended])
-        events.append(api.Withdrawn(ref))
-        self._ended_without_body.append((delivery, ended))
-        self._forget(delivery, now, remember=ended.outcome == "given_up")
-
-    def _end_record(self, message: AcceptedMessage, ran: bool) -> MessageEnded:
-        """The final outcome of a message without a body. `ran`: it may have been executed."""
-        outcome = outcome_without_body(self._class_of_message(message).idempotency, ran)
-        limit = span(self.settings.max_retry_after_s)
-        retry = millis(min(limit, self.bodies.settings.come_back)) if outcome == "handed_back" else 0
-        return MessageEnded(message.ref, outcome, retry or None)
-
     def _hand_in_repeat(self, item: HandIn, existing: Delivery) -> None:
         """Answer a hand-in of an id that is outstanding: a repeat of the same message, or a conflict."""
         if not same_message(item.message, existing.message):
@@ -855,35 +562,6 @@
         self._outstanding_count += 1
         return self._message_event(entry.message, now, tuple(past))
 
-    def _remote_ended(self, item: RemoteEnded, now: datetime) -> list[RelayEnded]:
-        """The ends of calls that the previous process reports.
-
-        Calls that it never reported before it exited may have been executed.
-        """
-        if item.gone:
-            left = [
-                relay
-                for delivery in self._outstanding.values()
-                for relay in delivery.active_relays.values()
-                if relay.remote
-            ]
-            if left:
-                self.log.say(
-                    "upgrade",
-                    f"the previous process exited with {len(left)} calls in progress: they may "
-                    "have been executed",
-                )
-            return [RelayEnded(relay, api.Outcome.BROKEN, now - relay.begun_at) for relay in left]
-        relay = (
-            self._outstanding[item.ref].active_relays.get(item.number)
-            if item.ref in self._outstanding
-            else None
-        )
-        if relay is None or not relay.remote:
-            return []
-        item.ended.relay = relay
-        return [item.ended]
-
     def _relay_ended(
         self, ended: RelayEnded, now: datetime, events: list[api.Event], records: list[Record]
     ) -> None:
@@ -940,17 +618,6 @@
             else:
                 events.append(api.Timer(target))
 
-    def _give_up_remote(self, relay: Relay, now: datetime) -> None:
-        """Stop waiting for the previous process to report a call's end, which blocks a slot and its key."""
-        delivery = self._outstanding.get(relay.message.ref)
-        if delivery is not None and delivery.active_relays.get(relay.number) is relay:
-            self.log.say(
-                "upgrade",
-                f"the previous process has not told the end of attempt {relay.number} of "
-                f"{relay.message.ref}: it may have been executed",
-            )
-            self.post(RelayEnded(relay, api.Outcome.TIMED_OUT, now - relay.begun_at))
-
     def _final_outcomes(
         self, actions: list[api.Action], records: list[Record], new_deliveries: list[Delivery]
     ) -> dict[str, MessageEnded]:
--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -20,7 +20,7 @@
 from willownotch.net.journal import Adoption, JournalFullError
 
 if TYPE_CHECKING:
-    from willownotch.net.decision_loop import Delivery
+    from willownotch.net.delivery import Delivery
     from willownotch.replica.actions import Acquired, Expired, LateEntries, Lost
 
 DEFAULT_RETRY_AFTER = timedelta(milliseconds=500)  # told with a rejection for which the module gave no time
