--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -219,11 +219,11 @@
         if settled:
             self.custody.settle_late(late.book, settled)
         new = [entry for entry in late.entries if entry.message.ref not in settled]
-        records = [
-            record for entry in new for record in (*entry.records(), *may_have_run_marks([entry], now))
-        ]
+        records = [record for entry in new for record in entry.records()]
+        records += may_have_run_marks(new, now)
         try:
-            self.journal.adopt_entries(Adoption(new=tuple(records), survives_kill=True))
+            if records:
+                self.journal.adopt_entries(Adoption(new=tuple(records), survives_kill=True))
         except (OSError, JournalFullError) as fault:
             self.log.say("custody", f"what {late.source} held of {late.book} cannot be written yet: {fault}")
             return  # its holder is asked again
--- a/willownotch/net/journal.py
+++ b/willownotch/net/journal.py
@@ -274,7 +274,7 @@
             message = record if isinstance(record, AcceptedMessage) else old
             if not replicated or message is None:
                 continue
-            if isinstance(record, AcceptedMessage | MessageEnded):
+            if self.counting is not None and isinstance(record, AcceptedMessage | MessageEnded):
                 event = "taken" if isinstance(record, AcceptedMessage) else record.outcome
                 counted.append((message.tenant, message.message_class, event))
             if message.custody is not None and not isinstance(record, BodyMoved):
@@ -286,8 +286,8 @@
         return counted
 
     def _count(self, counted: list[tuple[str, str, str]]) -> None:
-        """Report accepted and ended messages to be counted, without the lock."""
-        if counted and self.counting is not None:
+        """Report accepted and ended messages to be counted. Called without the lock."""
+        if counted:
             self.counting(counted)
 
     def _append(self, data: bytes) -> None:
--- a/willownotch/replica/roles/ownership.py
+++ b/willownotch/replica/roles/ownership.py
@@ -135,10 +135,12 @@
         self._highest_terms[owned.book] = max(self._highest_terms.get(owned.book, 0), term)
         if self.current == owned.book:
             self.current = None
-        if self._former_books.pop(owned.book, None) is not None:
+        is_former = self._former_books.pop(owned.book, None) is not None
+        if is_former:
             self.id_indexes.pop(owned.book, None)
         self._emit(StoreBook(owned.book, None))
-        self._emit(StoreDisowned(owned.book))  # until the journal has its messages no more
+        if is_former or owned.stage in (Stage.ADOPTING, Stage.OWNED):  # the journal still has its messages
+            self._emit(StoreDisowned(owned.book))
         self._emit(Lost(owned.book, term, owner))
 
     def _lose_former_book(self, book: str, term: int, owner: str) -> None:
@@ -149,7 +151,7 @@
         del self._former_books[book]
         self.id_indexes.pop(book, None)
         self._emit(StoreBook(book, None))
-        self._emit(StoreDisowned(book))  # until the journal has its messages no more
+        self._emit(StoreDisowned(book))  # the journal still has its messages
         self._emit(Lost(book, term, owner))
 
     def _copy_of_owned(self, owned: OwnedBook) -> Copy:
--- a/willownotch/replica/service.py
+++ b/willownotch/replica/service.py
@@ -163,9 +163,7 @@
         self.on_lost: Callable[[Lost], None] = lambda lost: None
         self.on_expired: Callable[[Expired], None] = lambda expired: None
         self.counts: Counter[str] = Counter()
-        self._disowned_books: frozenset[str] = (
-            frozenset()
-        )  # of a former process, which may have left messages
+        self._disowned_books: frozenset[str] = frozenset()  # in the journal that a former process left
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
         self._lock = threading.Lock()  # guards the fields below
         self._changed = threading.Condition(self._lock)
