Compare a new owner's own copy with the log's history as before

The configuration with the log's history takes effect only once the contents are written, and what the own copy has beyond that history is chosen before: a copy of an earlier term brought back what had ended in it. Change: the history is asked of the owned book, which knows the one to come.

--- a/tests/test_custody_stories.py
+++ b/tests/test_custody_stories.py
@@ -43,6 +43,11 @@
     assert outcome(109, wider=True, proportions="stalls") == (109, "")
 
 
+def test_a_new_owners_own_copy_brings_back_nothing_that_the_log_has_seen_end():
+    # Its copy was compared with the log's history before that was known: a delivered message ended again.
+    assert outcome(2810919221, wider=False, proportions="stalls") == (2810919221, "")
+
+
 def test_a_restarted_owner_keeps_its_journal_while_its_replicas_are_not_heard():
     # The owner took over the empty contents that it heard, and forgot the message that its journal had.
     story = Story()
--- a/willownotch/replica/books.py
+++ b/willownotch/replica/books.py
@@ -146,6 +146,10 @@
         """Whether the owner may act on the book at this time."""
         return self.stage is Stage.OWNED and now < self.lease_until
 
+    def history(self) -> tuple[Position, ...]:
+        """Returns the positions at which the former terms of the log that this owner begins with ended."""
+        return (self.adopted_config or self.config).history
+
     def replica_sets(self) -> list[tuple[str, ...]]:
         """Returns the replica sets that must each hold W copies.
 
--- a/willownotch/replica/takeover.py
+++ b/willownotch/replica/takeover.py
@@ -156,6 +156,6 @@
     journal is a log's end, and a restarted process numbers its entries anew.
     """
     entries = read_entries(answer)
-    shared = 0 if answer.owner_term else dict(owned.config.history).get(answer.position[0], 0)
+    shared = 0 if answer.owner_term else dict(owned.history()).get(answer.position[0], 0)
     known = owned.known_refs | owned.ended_refs
     return [entry for order, entry in entries if order > shared and entry.message.ref not in known]
