Wait for both replicas where a test takes the owner and one of them away

Cause: the test's premise. It loses the owner and kills the member that takes over, one of the two replicas; where only that one had the messages yet (one copy is promised), the next owner rightly waits for it to come back. The trace shows the other replica's copy without messages and the owner collecting. Change: the test waits until both replicas have all records, and its messages have nearly the time that their classes allow. The check is as it was.

--- a/tests/test_adoption_sockets.py
+++ b/tests/test_adoption_sockets.py
@@ -14,6 +14,7 @@
 from willownotch.net import journal
 from willownotch.replica import store
 
+LEFT_MS, FEE_LEFT_MS = 27_000, 19_000  # nearly as long as their classes allow: longer than a held take-over
 APPEND, REWRITE = f"append {journal.NAME}", f"create {journal.NEW_NAME}"
 
 
@@ -32,6 +33,11 @@
         """The running senders that write a book to their journals."""
         return [n for n in self.running() if any(b["stage"] == "adopting" for b in self.custody(n)["books"])]
 
+    def all_copied(self, n):
+        """Whether each replica of a sender's messages has all of them."""
+        books = [book for book in self.custody(n)["books"] if book["messages"]]
+        return bool(books) and all(replica["lag"] == 0 for book in books for replica in book["replicas"])
+
     def journal_ids(self, n):
         """The ids that a process which starts on a sender's folder would find."""
         return set(records.replay(REAL.read_whole(self.senders[n].state / journal.NAME))[0])
@@ -50,7 +56,7 @@
 
 @pytest.mark.parametrize("fault", [f"no-space {APPEND}", f"io-error {APPEND}", f"short {APPEND}"])
 def test_a_book_that_disks_refuse_is_taken_over_once_they_accept_it(fleet, fault):
-    refs = fleet.accept(0, 4)
+    refs = fleet.accept(0, 4, left=LEFT_MS)
     fleet.fail(fault, among=range(1, 5))
     fleet.lose_machines(0)
     until(lambda: declined(fleet), PATIENCE)
@@ -65,7 +71,7 @@
 
 @pytest.mark.parametrize("kind", ["no-space", "io-error"])
 def test_a_restarted_owner_whose_disk_refuses_its_book_leaves_it_to_others(fleet, kind):
-    refs = fleet.accept(0, 4, cls="fee")
+    refs = fleet.accept(0, 4, cls="fee", left=FEE_LEFT_MS)
     until(lambda: not any(book["below"] for book in fleet.custody(0)["books"]), PATIENCE)
     fleet.fail(f"{kind} {REWRITE}", among=[0])
     fleet.senders[0].process.kill()
@@ -82,7 +88,7 @@
 
 def test_a_sender_killed_right_after_it_lost_a_book_sends_no_message_of_it_after_its_restart(fleet):
     # Its folder named the book no more, and its journal still had the messages.
-    refs = fleet.accept(0, 4)
+    refs = fleet.accept(0, 4, left=LEFT_MS)
     book = next(b["book"] for b in fleet.custody(0)["books"] if b["messages"])
     fleet.senders[0].process.send_signal(signal.SIGSTOP)
     until(fleet.takeovers, PATIENCE)
@@ -104,7 +110,8 @@
 
 def test_a_sender_killed_before_it_owned_a_book_sends_no_message_of_it_after_its_restart(fleet):
     # Its journal had the messages and its folder did not say that they were another sender's.
-    refs = fleet.accept(0, 4)
+    refs = fleet.accept(0, 4, left=LEFT_MS)
+    until(lambda: fleet.all_copied(0), PATIENCE)  # two of the three that hold them are gone for a while
     fleet.fail(f"stall {APPEND}", among=range(1, 5))
     fleet.lose_machines(0)
     taker = until(fleet.adopting, PATIENCE)[0]
