Count each post of a notice as an end unless its sender had given it up

Cause: the count of ends took a second end that one sender tells on a later connection for a repeat, though the first post was answered in time; the check before it counted both. Change: the stand-in looks whether the sender has closed the connection before the answer is written, as one does that was not answered in time. Such a post is a repeat's forerunner and no end; every other post is one. That is the count from before but for these.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -11,7 +11,6 @@
 import tempfile
 import threading
 import time
-from collections import Counter
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -110,23 +109,26 @@
 
     at_s: float
     caller: str | None  # the sender, if it has an address of its own
-    connection: int  # on which it came; a port may be used again by a later one
+    given_up: bool  # the sender had closed the connection before the answer was written
     notice: dict
 
 
+def given_up(sock):
+    """Whether the other side has closed a connection, as a sender does that was not answered in time."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def told_ends(posts):
     """The (id, outcome) of each end that the platform was told, as often as it was told it.
 
-    A sender closes a connection on which it was not answered in time, and repeats the notice on another one:
-    that is one end. Two posts on one connection are two ends, and so are posts of two senders.
+    A post that its sender had given up before the answer was written is none: the sender repeats it.
     """
-    counts = Counter(
-        (post.notice["message"], post.notice["outcome"], post.caller, post.connection) for post in posts
-    )
-    ends = Counter()
-    for (ref, outcome, caller, _), count in counts.items():
-        ends[ref, outcome, caller] = max(count, ends[ref, outcome, caller])
-    return sorted((ref, outcome) for ref, outcome, _ in ends.elements())
+    return sorted((post.notice["message"], post.notice["outcome"]) for post in posts if not post.given_up)
 
 
 class Discovery(Server):
@@ -163,12 +165,12 @@
     def answer(self, head, body, sock, caller=None):
         if head.method == "POST":
             notices = [json.loads(line) for line in body.splitlines()]
-            post = NoticePost(time.monotonic(), caller, id(sock), {})
+            post = NoticePost(time.monotonic(), caller, False, {})
             time.sleep(self.answers_late_s.pop(0) if self.answers_late_s else 0.0)
             if self.ignores_notices:
                 self.unanswered_notices += notices
                 return None
-            self.posts += [replace(post, notice=notice) for notice in notices]
+            self.posts += [replace(post, notice=notice, given_up=given_up(sock)) for notice in notices]
             self.notices += notices
             return http.write_answer(204)
         self.watched.append(head.target)
