--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -184,6 +184,25 @@
     assert rules(found) == expected
 
 
+def keyed_messages(second_called_at, first_status=200):
+    """Two accepted messages of one key; the first is called at 1.1 s for 0.1 s and has a notice at 2 s."""
+    return records(
+        requests=[request(key="k"), request(key="k", ref="n", began=1.05, written=1.05, ended=1.1)],
+        contents={"m": Content(b"x", "im"), "n": Content(b"x", "im")},
+        calls=[call(first_status), call(ref="n", began=second_called_at)],
+        notices=[Notice("m", "given_up", 2.0)],
+    )
+
+
+def test_a_message_of_a_key_sent_before_the_end_of_the_one_before_is_out_of_turn():
+    assert rules(keyed_messages(1.3)) == rules(keyed_messages(2.1, first_status=503)) == []
+    assert rules(keyed_messages(1.15)) == rules(keyed_messages(1.9, first_status=503)) == ["out of turn"]
+
+
+def test_bytes_that_no_client_asked_for_break_a_rule():
+    assert rules(records(surplus=["n0 client 1: b'HTTP/1.1 202'"])) == ["second answer"]
+
+
 def fall(aware):
     return Fall(1.0, 50, 47.9, aware, {0: 30, 1: 20})
 
--- a/willownotch/lab/soak/clients.py
+++ b/willownotch/lab/soak/clients.py
@@ -100,6 +100,7 @@
             ending = Ending.REFUSED_CONNECTION
         else:
             ending = Ending.UNWRITTEN
+            self._check_quiet()
             try:
                 self._write(data)
                 written, ending = time.monotonic(), Ending.ENDED
@@ -135,6 +136,19 @@
             self._holders = self.find_holders(self._sock.getsockname()[1])
         return ending is Ending.ANSWERED
 
+    def _check_quiet(self) -> None:
+        """Record bytes that came without a request: a second answer, or one to nothing that was asked."""
+        self._sock.settimeout(0.0)
+        try:
+            surplus = self._sock.recv(http.READ_BYTES, socket.MSG_PEEK)
+        except OSError:
+            return  # nothing has come, or the connection is broken
+        finally:
+            self._sock.settimeout(ANSWER_S)
+        if surplus:
+            with self.records.lock:
+                self.records.surplus.append(f"n{self.sender} client {self.number}: {surplus[:80]!r}")
+
     def _write(self, data: bytes) -> None:
         if not self.pieces:
             self._sock.sendall(data)
@@ -152,6 +166,9 @@
                 raise ConnectionResetError("the connection ended")
             self._sock.settimeout(max(0.001, ends - time.monotonic()))
             parser.feed(self._sock.recv(http.READ_BYTES))
+        if parser.begun:
+            with self.records.lock:
+                self.records.surplus.append(f"n{self.sender} client {self.number}: {bytes(parser.buffer)!r}")
         return found[0].status, not found[0].keeps_alive()
 
 
--- a/willownotch/lab/soak/endpoints.py
+++ b/willownotch/lab/soak/endpoints.py
@@ -86,7 +86,7 @@
                     if not (data := sock.recv(http.READ_BYTES)):
                         return
                     parser.feed(data)
-                if not self.answer(sock, *found):
+                if not self.answer(sock, *found) or not found[0].keeps_alive():
                     return
         except (OSError, http.BadMessageError):
             pass  # a call that was not read whole has not run
@@ -168,11 +168,11 @@
         self,
         records: Records,
         endpoints: list[tuple[str, int]],
-        up: Callable[[], bool],
+        conditions: Callable[[], Conditions],
         cold: tuple[str, int] | None = None,
         cold_rate: float = 0.0,
     ) -> None:
-        self.records, self.up = records, up
+        self.records, self.conditions, self.random = records, conditions, Random(len(endpoints))
         self.entries = [
             self._entry(f"s-{number:04x}", address, DESTINATION, 100.0)
             for number, address in enumerate(endpoints)
@@ -197,16 +197,31 @@
     def answer(self, sock: socket.socket, head: http.Head, body: bytes) -> bool:
         """See `Server`."""
         if head.method == "POST":
-            now = time.monotonic()
-            with self.records.lock:
-                for line in body.splitlines():
-                    told = json.loads(line)
-                    self.records.notices.append(Notice(told["message"], told["outcome"], now))
-            sock.sendall(http.write_answer(204))
-            return True
+            return self._answer_notices(sock, body)
         if not self.up():
             self.closing.wait(1.0)
             return False
+        return self._watch(sock)
+
+    def up(self) -> bool:
+        """Whether discovery answers now."""
+        return self.conditions().discovery_up
+
+    def _answer_notices(self, sock: socket.socket, body: bytes) -> bool:
+        """Take notices, or refuse them behind a second copy of an earlier answer."""
+        if self.random.random() < self.conditions().notice_share:
+            sock.sendall(http.write_answer(204) + http.write_answer(503))
+            return True
+        now = time.monotonic()
+        with self.records.lock:
+            for line in body.splitlines():
+                told = json.loads(line)
+                self.records.notices.append(Notice(told["message"], told["outcome"], now))
+        sock.sendall(http.write_answer(204))
+        return True
+
+    def _watch(self, sock: socket.socket) -> bool:
+        """Send the list, and empty lines for as long as discovery is up."""
         whole = json.dumps({"index": 1, "snapshot": True, "endpoints": self.entries}) + "\n"
         sock.sendall(http.write_head("HTTP/1.1 200 OK", [("Transfer-Encoding", "chunked")]))
         while not self.closing.is_set():
--- a/willownotch/lab/soak/plan.py
+++ b/willownotch/lab/soak/plan.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from random import Random
 
 from willownotch.interface import Rules
+from willownotch.lab.faults.answers import AnswerFault
 from willownotch.lab.faults.shim import SHORT, SLOW, CallFault
 from willownotch.lab.recovery.case import OutageKind
 
@@ -54,6 +55,9 @@
     hang: float = 0.0  # a call that is not answered
     break_pieces: float = 0.0  # pieces lost by the proxy, and their connections with them
     discovery_up: bool = True
+    answer_faults: tuple[AnswerFault, ...] = ()  # one of them befalls each answer that is struck
+    answer_share: float = 0.0  # of the answers that are struck
+    notice_share: float = 0.0  # of the notices answered 503 behind a second copy of an earlier 204
 
 
 @dataclass(frozen=True)
@@ -122,10 +126,12 @@
         steps = ", ".join(f"{s.at_s:.1f} s n{s.sender} {s.action.value}" for s in self.steps)
         faults = " ".join(fault.text() for fault in self.call_faults) or "none"
         cold = f"; {self.cold.describe()}" if self.cold is not None else ""
+        struck = sorted({fault.name for span in self.conditions for fault in span.answer_faults})
+        answers = f"; answers: {' '.join(struck)}" if struck else ""
         return (
             f"seed {self.seed}: {self.senders} senders x {self.clients} clients + {self.idle} idle, "
             f"{self.endpoints} endpoints; {steps}; system calls: {faults}; "
-            f"clock steps: {self.clock_steps_s}{cold}"
+            f"clock steps: {self.clock_steps_s}{cold}{answers}"
         )
 
 
@@ -205,6 +211,23 @@
     return (*found, Conditions(seconds))
 
 
+def draw_answer_faults(seed: int, spans: tuple[Conditions, ...]) -> tuple[Conditions, ...]:
+    """Strike answers in half of the spans but the first and the last. Drawn apart from all else of a seed."""
+    random = Random(f"answers {seed}")
+    struck = [
+        replace(
+            span,
+            answer_faults=tuple(random.sample(list(AnswerFault), random.choice((1, 2, 4)))),
+            answer_share=random.choice((0.02, 0.1, 0.2)),
+            notice_share=random.choice((0.0, 0.2)),
+        )
+        if random.random() < 0.5
+        else span
+        for span in spans[1:-1]
+    ]
+    return (spans[0], *struck, spans[-1])
+
+
 def draw_steps(random: Random, senders: int, seconds: float) -> tuple[Step, ...]:
     """What is done to each sender: signals come in series, one on another."""
     found = []
@@ -245,7 +268,7 @@
         0 if large or random.random() < 0.6 else IDLE_CROWD,
         random.randint(2, 6),
         steps,
-        draw_weather(random, seconds),
+        draw_answer_faults(seed, draw_weather(random, seconds)),
         draw_call_faults(random, seconds),
         tuple(random.choice((0.0, 0.0, 3600.0, -3600.0, 7.0)) for _ in range(4))
         if random.random() < 0.4
--- a/willownotch/lab/soak/records.py
+++ b/willownotch/lab/soak/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -111,6 +112,8 @@
     notices: list[Notice] = field(default_factory=list)
     lifetimes: list[Lifetime] = field(default_factory=list)
     struck: dict[str, int] = field(default_factory=dict)  # system calls that failed
+    struck_answers: Counter[str] = field(default_factory=Counter)  # by fault
+    surplus: list[str] = field(default_factory=list)  # bytes that clients got beyond their answers
     actions: list[str] = field(default_factory=list)
     falls: list[Fall] = field(default_factory=list)
     fullest: float = (
--- a/willownotch/lab/soak/run.py
+++ b/willownotch/lab/soak/run.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from random import Random
 
+from willownotch.lab.faults.answers import AnswerFault, AnswerProxy
 from willownotch.lab.faults.proxy import Proxy, Trouble
 from willownotch.lab.soak.clients import Client, IdleCrowd
 from willownotch.lab.soak.cold import ColdEndpoint
@@ -51,6 +52,7 @@
             "notices": len(self.records.notices),
             "processes": len(self.records.lifetimes),
             "failed system calls": sum(self.records.struck.values()),
+            "answers struck": sum(self.records.struck_answers.values()),
         }
         if self.plan.cold is not None:
             found["fullest cold window over its budget, % of N"] = int(100 * self.records.fullest)
@@ -73,12 +75,15 @@
         self.endpoints = [
             Endpoint(self.records, self.conditions, plan.seed + n) for n in range(plan.endpoints)
         ]
-        self.proxies = [Proxy(endpoint.address, plan.seed + n) for n, endpoint in enumerate(self.endpoints)]
+        self.draws, self.draws_lock = Random(f"struck {plan.seed}"), threading.Lock()
+        self.answer_proxies = self._answer_proxies()
+        targets = self.answer_proxies or self.endpoints
+        self.proxies = [Proxy(target.address, plan.seed + n) for n, target in enumerate(targets)]
         self.cold = ColdEndpoint(self.records, plan.cold, plan.senders, plan.seed) if plan.cold else None
         self.platform = Platform(
             self.records,
             [proxy.address for proxy in self.proxies],
-            lambda: self.conditions().discovery_up,
+            self.conditions,
             self.cold.address if self.cold else None,
             plan.cold.limit_per_s if plan.cold else 0.0,
         )
@@ -88,6 +93,23 @@
         ]
         self.stop, self.settling = threading.Event(), False
 
+    def _answer_proxies(self) -> list[AnswerProxy]:
+        """One in front of each endpoint, if the plan strikes answers at all."""
+        if not any(span.answer_faults for span in self.plan.conditions):
+            return []
+        return [
+            AnswerProxy(endpoint.address, self._answer_fault, self.plan.seed + n)
+            for n, endpoint in enumerate(self.endpoints)
+        ]
+
+    def _answer_fault(self) -> AnswerFault | None:
+        """What befalls the next answer, drawn as the conditions of the moment have it."""
+        span = self.conditions()
+        with self.draws_lock:
+            if not span.answer_faults or self.draws.random() >= span.answer_share:
+                return None
+            return self.draws.choice(span.answer_faults)
+
     def conditions(self) -> Conditions:
         """The plan's, as of now."""
         at = time.monotonic() - self.began
@@ -125,9 +147,12 @@
             now = time.monotonic()
             for sender in self.senders:
                 sender.close()
-            for server in (*self.proxies, *self.endpoints, self.platform, self.cold):
+            for server in (*self.proxies, *self.answer_proxies, *self.endpoints, self.platform, self.cold):
                 if server is not None:
                     server.close()
+            for proxy in self.answer_proxies:
+                for fault, count in proxy.struck.items():
+                    self.records.struck_answers[fault.name] += count
         broken = judge(self.records, now)
         return Report(self.plan, self.records, broken, time.monotonic() - played)
 
--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -38,6 +38,8 @@
         *_requests(records),
         *_endings(records, now),
         *_calls(records),
+        *_order(records),
+        *(Broken("second answer", text) for text in records.surplus),
         *_processes(records),
         *_falls(records),
     ]
@@ -211,6 +213,44 @@
     return found
 
 
+def _order(records: Records) -> list[Broken]:
+    """Accepted messages of a key are sent one at a time: each once the one before it has its end."""
+    lost_at = {
+        life.sender: life.folder_lost_at for life in records.lifetimes if life.folder_lost_at is not None
+    }
+    ends: dict[str, float] = {}
+    first_calls: dict[str, float] = {}
+    for at, ref in [
+        *((call.ended, call.ref) for call in records.calls if call.status == 200),
+        *((notice.at, notice.ref) for notice in records.notices),
+    ]:
+        ends[ref] = min(at, ends.get(ref, at))
+    for call in records.calls:
+        first_calls[call.ref] = min(call.began, first_calls.get(call.ref, call.began))
+    by_key: dict[tuple[int, str], list[Request]] = defaultdict(list)
+    for request in sorted(records.requests, key=lambda request: request.written):
+        kept = request.began > lost_at.get(request.sender, 0.0)
+        if request.key is not None and request.status in (200, 202) and kept:
+            by_key[request.sender, request.key].append(request)
+    found = []
+    for (sender, key), requests in by_key.items():
+        open_until, before = 0.0, ""  # the latest end of the messages so far
+        for request in requests:
+            first = first_calls.get(request.ref)
+            if first is not None and first < open_until:
+                found.append(
+                    Broken(
+                        "out of turn",
+                        f"n{sender} {request.ref} of {key} sent at {first - records.began:.3f}, "
+                        f"{before} was not over then",
+                    )
+                )
+            end = ends.get(request.ref, float("inf"))
+            if end > open_until:
+                open_until, before = end, request.ref
+    return found
+
+
 def _falls(records: Records) -> list[Broken]:
     """A cold destination fell, over two thirds of it by senders that could have known."""
     return [
