Make each call on a connection of its own and believe only what the endpoint ends

A second copy of an earlier answer on a kept connection was read as the answer of the call that was out, and from then on each call read its predecessor's.

Cause: HTTP/1.1 ties an answer to a call by its place on the connection alone. The look before the first byte sees nothing that comes behind it, and the copies came 0 to 5 ms behind the call.

Change: a call goes alone on a new connection, asks for `Connection: close`, and is read to the end that the endpoint writes. One whole answer, or several that agree, and then that end count. Answers that differ, damage, surplus bytes, a reset, or no end within 0.5 s of the first byte prove nothing: may have run. A status line with 200 alone no longer counts: it may be torn from another answer. An end that only looks like one (shut down here by a call-off; a path error that the kernel reports once) is told apart. Each surplus answer has a log line (`answer`) and a counter, each call's connection a counter.

Tests: test_answer_stream (drawn streams: no bytes in front of a whole answer pass for it), test_answer_reading, test_answer_faults. Rewritten tests: those that wanted a kept connection now want one for each call, ended with it; rows in which a damaged 200 was a delivery now want a notice; a host that does not end its connection proves nothing; two tests of lending idle connections gave way to one that no connection outlives its call and one that an older process's are closed.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -47,6 +47,7 @@
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.connections = 0
+        self.ends_connections = True  # behind an answer, where the request asks for that
         self.socks = []
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -72,6 +73,8 @@
                 if data is None:
                     return
                 sock.sendall(data)
+                if self.ends_connections and not found[0].keeps_alive():
+                    return
         except OSError:
             pass
         finally:
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -393,11 +393,7 @@
     )
     platform = Platform(config.discovery)
     notices = NoticeSender(platform, log, decision_loop.notices_answered)
-    decision_loop.submit, decision_loop.cancel, decision_loop.close_idle = (
-        endpoint_side.submit,
-        endpoint_side.cancel,
-        endpoint_side.close_idle,
-    )
+    decision_loop.submit, decision_loop.cancel = endpoint_side.submit, endpoint_side.cancel
     decision_loop.notify = notices.post
     if mesh is not None and mesh.shared is not None:
         decision_loop.shared, mesh.shared.tell = (
@@ -426,7 +422,7 @@
 
     registry = EndpointListWatcher(config, platform, log, clock, decision_loop.post)
     if state is not None:
-        endpoint_side.adopt(state.waits, inherited.idle)
+        endpoint_side.waits.update(state.waits)
         if state.discovery == config.discovery:  # another service counts other versions
             registry.index = state.list_index
     if inherited is not None:
--- a/willownotch/handover/messages.py
+++ b/willownotch/handover/messages.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from willownotch.interface import Outcome
-from willownotch.net.endpoint_side import RelayEnded
+from willownotch.net.attempts import RelayEnded
 
 
 class CallEnded(msgspec.Struct, array_like=True):
--- a/willownotch/handover/predecessor.py
+++ b/willownotch/handover/predecessor.py
@@ -21,10 +21,11 @@
 from willownotch.handover.version import version
 from willownotch.handover.wire import LOCK_WANTED, BadFrameError, Frame, Kind, Link, address
 from willownotch.lifecycle import Event, SharedLifecycle
+from willownotch.net.attempts import RelayEnded
 from willownotch.net.client_side import ClientSide
 from willownotch.net.clock import Clock, millis, seconds
 from willownotch.net.decision_loop import DecisionLoop
-from willownotch.net.endpoint_side import EndpointSide, IdleConnection, RelayEnded
+from willownotch.net.endpoint_side import EndpointSide
 from willownotch.net.events import Flush, HandOver, Withdraw
 from willownotch.net.log import Log
 from willownotch.net.pending import PendingReply
@@ -37,7 +38,6 @@
 CLIENT_ANSWER_TIMEOUT = timedelta(milliseconds=500)  # for clients still here, once the other process is gone
 POLL_INTERVAL, ACCEPT_RETRY_DELAY = timedelta(milliseconds=50), timedelta(milliseconds=100)
 LISTEN_RETRY_DELAY = timedelta(seconds=1)
-MAX_IDLE_CONNECTIONS = 200  # to endpoints, handed over
 PEER_CREDENTIALS = Struct("3i")
 BACKLOG = 16
 
@@ -189,24 +189,13 @@
 
     def _hand_over(self, link: Link, state: HandoverState | None) -> bool:
         """Send the state; return whether the other process has it. After the last frame that is final."""
-        lent = self.endpoint_side.lend(MAX_IDLE_CONNECTIONS) if state is not None else []
-        handed_over = False
         try:
-            handed_over = self._send_all(link, state, lent)
+            return self._send_all(link, state)
         except Exception as fault:  # includes a state that cannot be encoded: this process keeps it
             self.log.say("upgrade", f"the hand-over failed: {fault or type(fault).__name__}")
-        finally:
-            # They stay open until here: a closed descriptor's number may be reused for another connection.
-            if handed_over:
-                for _, idle in lent:
-                    idle.sock.close()
-            elif lent:
-                self.endpoint_side.adopt({}, lent)
-        return handed_over
+            return False
 
-    def _send_all(
-        self, link: Link, state: HandoverState | None, lent: list[tuple[int, IdleConnection]]
-    ) -> bool:
+    def _send_all(self, link: Link, state: HandoverState | None) -> bool:
         """Send the state and, once it was read, HANDED_OVER; return whether it was read."""
         listener = self.client_side.listener.fileno()
         if state is None:
@@ -215,9 +204,7 @@
             from willownotch.handover import pickled
 
             state.waits = dict(self.endpoint_side.waits)
-            state.idle = [(number, idle.since) for number, idle in lent]
-            descriptors = (listener, *(idle.sock.fileno() for _, idle in lent))
-            link.send(Kind.STATE, pickled.write(state), descriptors)
+            link.send(Kind.STATE, pickled.write(state), (listener,))
         answer = link.receive(STATE_READ_TIMEOUT)
         if answer is None or answer.kind is not Kind.STATE_READ:
             return False
@@ -244,7 +231,7 @@
 
     def _after_hand_over(self, started_at: datetime) -> None:
         """Release and pass on what remains. A failure of one step must not prevent the others."""
-        self._run_steps(self._release_lock, self.endpoint_side.leave)
+        self._run_steps(self._release_lock)
         clients = self.client_side.pass_on_idle()
         self.lifecycle.tell(Event.HANDED_OVER, self.clock.now())  # only now may this process reject requests
         self.log.say(
--- a/willownotch/handover/state.py
+++ b/willownotch/handover/state.py
@@ -52,4 +52,5 @@
     discovery: tuple[str, int]
     list_index: int
     waits: dict[int, datetime] = field(default_factory=dict)
-    idle: list[tuple[int, datetime]] = field(default_factory=list)  # idle connections, as sent, by host
+    # Connections to endpoints that came with the state. Older processes send some, and expect the field.
+    idle: list[tuple[int, datetime]] = field(default_factory=list)
--- a/willownotch/handover/successor.py
+++ b/willownotch/handover/successor.py
@@ -18,10 +18,11 @@
 from willownotch.handover.state import HandoverState
 from willownotch.handover.version import version
 from willownotch.handover.wire import LOCK_WANTED, BadFrameError, Frame, Kind, Link, address
+from willownotch.net.attempts import Relay
 from willownotch.net.client_side import ClientSide
 from willownotch.net.clock import Clock, seconds
 from willownotch.net.decision_loop import DecisionLoop
-from willownotch.net.endpoint_side import EndpointSide, IdleConnection, Relay
+from willownotch.net.endpoint_side import EndpointSide
 from willownotch.net.events import RemoteEnded, Withdraw
 from willownotch.net.log import Log
 
@@ -37,7 +38,6 @@
     link: Link
     listener: socket.socket
     state: HandoverState | None
-    idle: list[tuple[int, IdleConnection]]
 
 
 class Successor:
@@ -102,7 +102,7 @@
         if frame.truncated or not frame.fds:
             raise BadFrameError("descriptors did not arrive, as this process has too few free ones")
         if frame.kind is Kind.LISTENER_ONLY:
-            return ReceivedHandover(link, socket.socket(fileno=frame.fds[0]), None, [])
+            return ReceivedHandover(link, socket.socket(fileno=frame.fds[0]), None)
         if frame.kind is not Kind.STATE:
             raise BadFrameError(f"{frame.kind.name} is not a valid answer to HELLO")
         from willownotch.handover import pickled
@@ -110,16 +110,10 @@
         state = pickled.read(frame.data)
         if len(state.idle) != len(frame.fds) - 1:
             raise BadFrameError("the state came without some of its connections")
-        listener, *idle_socks = [socket.socket(fileno=fd) for fd in frame.fds]
-        return ReceivedHandover(
-            link,
-            listener,
-            state,
-            [
-                (number, IdleConnection(sock, since))
-                for (number, since), sock in zip(state.idle, idle_socks, strict=True)
-            ],
-        )
+        listener, *kept = [socket.socket(fileno=fd) for fd in frame.fds]
+        for sock in kept:  # an older process passes on connections that it has used
+            sock.close()
+        return ReceivedHandover(link, listener, state)
 
 
 class PredecessorLink:
--- a/willownotch/lab/prices/trace.py
+++ b/willownotch/lab/prices/trace.py
@@ -20,9 +20,11 @@
 from willownotch import interface as api
 from willownotch.journal.records import AcceptedMessage
 from willownotch.lab.prices import lines
+from willownotch.net.attempts import Relay
 from willownotch.net.client_side import ClientSide, Reply
 from willownotch.net.decision_loop import DecisionLoop
-from willownotch.net.endpoint_side import EndpointSide, Relay
+from willownotch.net.endpoint_connections import EndpointConnections
+from willownotch.net.endpoint_side import EndpointSide
 from willownotch.net.registry import Platform
 
 
@@ -110,15 +112,21 @@
         return actions
 
 
+class TracedConnections(EndpointConnections):
+    """Tells of connections to endpoints."""
+
+    def open(self, relay: Relay) -> socket.socket | None:
+        """As `EndpointConnections` has it."""
+        say(lines.Connected(time.time(), "endpoint"))
+        return super().open(relay)
+
+
 class TracedEndpointSide(EndpointSide):
-    """Tells of new connections to endpoints."""
-
-    def _connection(self, relay: Relay) -> socket.socket | None:
-        try:
-            return super()._connection(relay)
-        finally:
-            if not relay.reused:
-                say(lines.Connected(time.time(), "endpoint"))
+    """Makes its calls on traced connections."""
+
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.connections = TracedConnections(self.config, self.clock, self.log)
 
 
 class TracedPlatform(Platform):
--- a/willownotch/lab/twin/servers.py
+++ b/willownotch/lab/twin/servers.py
@@ -32,6 +32,7 @@
         self.world, self.sock, self.heard, self.gone = world, sock, heard, gone
         self.parser = http.Parser(answer=answer)
         self.open = True
+        self.ends_with_answer = False  # the last request said so
         sock.setblocking(False)
         world.watch(sock, self._ready)
 
@@ -46,6 +47,7 @@
             if data:
                 self.parser.feed(data)
                 while self.open and (found := self.parser.next()) is not None:
+                    self.ends_with_answer = not found[0].keeps_alive()
                     self.heard(self, *found)
         except http.BadMessageError:
             data = b""
@@ -59,6 +61,12 @@
         except OSError:
             self.close()
 
+    def answer(self, data: bytes) -> None:
+        """Write an answer, and end the connection if the request asked for that."""
+        self.send(data)
+        if self.ends_with_answer:
+            self.close()
+
     def close(self, reset: bool = False) -> None:
         """End it; with a reset if asked for."""
         if not self.open:
@@ -141,13 +149,13 @@
             headers.append(("Server-Load", f"x0={answer.room_left:.3f},x1={answer.limit_per_s:.3f}"))
         if answer.outcome is Outcome.DELIVERED:
             self.delivered(ref)
-            peer.send(http.write_answer(200, headers))
+            peer.answer(http.write_answer(200, headers))
         elif answer.outcome is Outcome.ERROR:
-            peer.send(http.write_answer(500, headers))
+            peer.answer(http.write_answer(500, headers))
         elif answer.outcome is Outcome.REJECTED:
             if answer.wait_s:
                 headers.append(("Retry-After", f"{answer.wait_s:.3f}"))
-            peer.send(http.write_answer(503, headers))
+            peer.answer(http.write_answer(503, headers))
         else:
             peer.close(reset=True)
 
@@ -174,7 +182,7 @@
 
     def _heard(self, peer: Peer, head: http.Head, body: bytes) -> None:
         if head.method == "POST":
-            peer.send(http.write_answer(204))
+            peer.answer(http.write_answer(204))
             for line in body.splitlines():
                 notice = json.loads(line)
                 self.noticed(notice["message"], notice["outcome"], notice.get("retry_in_ms", 0) / 1000)
--- a/willownotch/net/client_connections.py
+++ b/willownotch/net/client_connections.py
@@ -13,7 +13,6 @@
 from willownotch.net import sockets
 from willownotch.net.clock import ZERO, millis, seconds
 from willownotch.net.config import Config
-from willownotch.net.endpoint_side import max_idle_connections
 
 SILENT_TIMEOUT = timedelta(milliseconds=100)  # at the limit, a new connection may stay silent for so long
 SLOW_REQUEST_TIMEOUT = timedelta(seconds=1)  # at the limit, a request may take so long to arrive
@@ -132,8 +131,7 @@
 
 def max_client_connections(config: Config) -> int:
     """How many client connections are allowed by the limits on descriptors and memory."""
-    endpoint_descriptors = config.settings.slots + max_idle_connections(config)
     by_memory = int((config.limits.memory_mb - BASE_MEMORY_MB) / MEMORY_PER_CLIENT_MB)
     return max(
-        8, min(MAX_CLIENTS, config.limits.sockets - endpoint_descriptors - OTHER_DESCRIPTORS, by_memory)
+        8, min(MAX_CLIENTS, config.limits.sockets - config.settings.slots - OTHER_DESCRIPTORS, by_memory)
     )
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -187,7 +187,7 @@
     settings: api.Settings
     zones: tuple[str, ...]
     connect_timeout: timedelta
-    keepalive: timedelta
+    keepalive: timedelta  # not used; a process of an older version that takes over reads it
     period: timedelta
     management: tuple[str, int] | None = None  # address of the management interface; none without it
     rules: dict[str, Rules] = {}  # by class, for messages accepted from now on
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -25,13 +25,13 @@
 from willownotch.journal.records import AcceptedMessage, Entry, MessageEnded, Record, RelayFailed
 from willownotch.lifecycle import Event, SharedLifecycle
 from willownotch.net import bulk, http
+from willownotch.net.attempts import DEADLINE_MARGIN, Relay, RelayEnded
 from willownotch.net.clock import ZERO, Clock, millis, seconds, span
 from willownotch.net.config import Config, ListUpdate
 from willownotch.net.decision_loop_bodies import BodiesMixin
 from willownotch.net.decision_loop_handover import HandoverMixin
 from willownotch.net.decision_loop_replication import DEFAULT_RETRY_AFTER, REMEMBER_TIME, ReplicationMixin
 from willownotch.net.delivery import Delivery, same_message, soonest_first
-from willownotch.net.endpoint_side import DEADLINE_MARGIN, Relay, RelayEnded
 from willownotch.net.events import (
     Answer,
     BodyLost,
@@ -98,7 +98,6 @@
         self._index_names()
         self.submit: Callable[..., None] = lambda *relays: None  # all of them in one call
         self.cancel: Callable[[Relay], None] = lambda relay: None
-        self.close_idle: Callable[[int], None] = lambda number: None
         self.notify: Callable[[Notice], None] = lambda notice: None
         # To the process that has taken over.
         self.forward: Callable[[RelayEnded | Withdraw], None] = lambda item: None
@@ -314,12 +313,10 @@
         elif isinstance(item, Flush):
             item.done.set()
         elif isinstance(item, ListUpdate):
-            endpoint_list, unusable = self.hosts.read(item)
+            endpoint_list, _ = self.hosts.read(item)
             self.list_index = item.index
             self._has_list = self._has_list or bool(endpoint_list.entries)
             events.append(endpoint_list)
-            for number in unusable:
-                self.close_idle(number)
             if len(self.bodies.forecasts) > 2 * len(self.hosts.by_number) + SPARE_FORECASTS:
                 self.bodies.forget_destinations({host.destination for host in self.hosts.by_number.values()})
         elif isinstance(item, NoticesAnswered):
@@ -759,15 +756,13 @@
             )
             if relay is not None:
                 self.cancel(relay)
-        elif isinstance(action, api.CloseIdle):
-            self.close_idle(action.endpoint)
         elif isinstance(action, api.PublishJudgement) and self.shared is not None:
             host = self.hosts.by_number.get(action.endpoint)
             if host is not None:
                 self.shared.found(time.monotonic(), host.name, action.works)
         elif isinstance(action, api.Log):
             self._log_from_module(action)
-        elif not isinstance(action, api.Refuse | api.Fail):
+        elif not isinstance(action, api.Refuse | api.Fail | api.CloseIdle):  # no connection is kept
             self.log.say("module", f"action {type(action).__name__} is not supported")
 
     def _log_from_module(self, action: api.Log) -> None:
--- a/willownotch/net/decision_loop_bodies.py
+++ b/willownotch/net/decision_loop_bodies.py
@@ -9,9 +9,9 @@
 from willownotch.bodies.plan import Candidate, outcome_without_body
 from willownotch.journal import records as journal_records
 from willownotch.journal.records import AcceptedMessage, MessageEnded
+from willownotch.net.attempts import RelayEnded
 from willownotch.net.clock import millis, span
 from willownotch.net.delivery import Delivery
-from willownotch.net.endpoint_side import RelayEnded
 from willownotch.net.events import MakeRoom
 from willownotch.repeats import RAN_BY_OUTCOME
 from willownotch.state import Ran
--- a/willownotch/net/decision_loop_handover.py
+++ b/willownotch/net/decision_loop_handover.py
@@ -7,8 +7,8 @@
 
 from willownotch import interface as api
 from willownotch.handover.state import HandoverState, OutstandingCall, OutstandingMessage
+from willownotch.net.attempts import Relay, RelayEnded
 from willownotch.net.delivery import Delivery
-from willownotch.net.endpoint_side import Relay, RelayEnded
 from willownotch.net.events import (
     Answer,
     BodyLost,
--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -14,8 +14,8 @@
 from willownotch import interface as api
 from willownotch.journal.records import AcceptedMessage, Custody, Entry, MessageEnded, Record
 from willownotch.net.adoption import may_have_run_marks, plan_adoption
+from willownotch.net.attempts import RelayEnded
 from willownotch.net.clock import ZERO
-from willownotch.net.endpoint_side import RelayEnded
 from willownotch.net.events import Answer, NoticeReplicated, ReplicationEnded, Verdict
 from willownotch.net.journal import Adoption, JournalFullError
 
--- a/willownotch/net/delivery.py
+++ b/willownotch/net/delivery.py
@@ -6,7 +6,7 @@
 
 from willownotch.bodies.store import size_and_checksum
 from willownotch.journal.records import AcceptedMessage, Entry
-from willownotch.net.endpoint_side import Relay
+from willownotch.net.attempts import Relay
 from willownotch.net.events import Answer, Verdict
 from willownotch.net.pending import PendingReply
 
--- a/willownotch/net/events.py
+++ b/willownotch/net/events.py
@@ -12,9 +12,9 @@
 from willownotch.bodies.plan import Admission
 from willownotch.handover.state import HandoverState
 from willownotch.journal.records import AcceptedMessage
+from willownotch.net.attempts import RelayEnded
 from willownotch.net.clock import ZERO
 from willownotch.net.config import Config, ListUpdate
-from willownotch.net.endpoint_side import RelayEnded
 from willownotch.net.pending import PendingReply
 
 if TYPE_CHECKING:
--- a/willownotch/net/http.py
+++ b/willownotch/net/http.py
@@ -40,6 +40,8 @@
 # The reason phrase must not hold a second status line: part of one may have come before the call was made,
 # and the line of the real answer is then appended to it.
 STATUS_LINE = re.compile(rb"HTTP/1\.(\d) (\d{3})(?: (?![^\r\n]*HTTP/1\.)[^\r\n]*)?\Z")
+# In a header's value or a body it may be the beginning of an answer behind one that broke off.
+EMBEDDED_STATUS_LINE = re.compile(rb"HTTP/1\.\d (\d{3})")
 INVALID_VALUE_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
--- a/willownotch/net/sockets.py
+++ b/willownotch/net/sockets.py
@@ -50,14 +50,24 @@
 ROUTE_ERRORS = frozenset(
     {errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ENETDOWN, errno.EHOSTDOWN, errno.ETIMEDOUT}
 )
+# Of the path or the peer: the connection may be over, although the kernel reports that only once.
+PATH_ERRORS = ROUTE_ERRORS | {errno.EPROTO}
+TCP_CLOSE_WAIT = 8  # state of a connection whose peer has ended it (Linux, tcp_states.h)
 # Of one connection that is already gone, or transient: the next one can be accepted at once.
 ACCEPT_RETRY_ERRORS = TRANSIENT_ERRORS | {errno.ECONNABORTED}
 
 
-def retry_transient(call: str, make: Callable[[], T]) -> T:
+def ignore_error(fault: OSError) -> None:
+    """Do nothing about a transient error."""
+
+
+def retry_transient(
+    call: str, make: Callable[[], T], on_error: Callable[[OSError], None] = ignore_error
+) -> T:
     """The result of `make`, repeated after transient errors; `call` names it in the counters.
 
-    A `TimeoutError` without an `errno` is the socket's own time-out, and is raised at once.
+    `on_error` is told each of these errors. A `TimeoutError` without an `errno` is the socket's own time-out,
+    and is raised at once.
     """
     for attempt in range(MAX_TRIES):
         try:
@@ -65,13 +75,25 @@
         except OSError as fault:
             if fault.errno not in TRANSIENT_ERRORS or attempt + 1 == MAX_TRIES:
                 raise
+            on_error(fault)
             _wait_before_retry(call, fault, attempt)
     raise AssertionError("unreachable")
 
 
-def receive(sock: socket.socket, size: int) -> bytes:
-    """`recv`, repeated after transient errors."""
-    return retry_transient("recv", lambda: sock.recv(size))
+def receive(sock: socket.socket, size: int, on_error: Callable[[OSError], None] = ignore_error) -> bytes:
+    """`recv`, repeated after transient errors, which `on_error` is told."""
+    return retry_transient("recv", lambda: sock.recv(size), on_error)
+
+
+def closed_by_peer(sock: socket.socket) -> bool:
+    """Whether a connection that has no more to read was ended by its peer, in order.
+
+    One that broke with an error reads as ended, too, once the error has been reported.
+    """
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE_WAIT
+    except OSError:
+        return False
 
 
 def _wait_before_retry(call: str, fault: OSError, attempt: int) -> None:
