--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,6 +26,7 @@
 from willownotch.lifecycle import Event, SharedLifecycle
 from willownotch.net import client_side, http, registry, sockets
 from willownotch.net import config as configs
+from willownotch.net import notices as notices_module
 from willownotch.net.attempts import Relay
 from willownotch.net.client_connections import Client, Stage, StageQueues
 from willownotch.net.client_side import ClientSide
@@ -37,8 +38,9 @@
 from willownotch.net.events import Answer, HandIn, Verdict, Withdraw
 from willownotch.net.journal import Journal
 from willownotch.net.log import Log
+from willownotch.net.notices import Notice, NoticeSender
 from willownotch.net.pending import PendingReply
-from willownotch.net.registry import EndpointListWatcher, Notice, NoticeSender, Platform
+from willownotch.net.registry import EndpointListWatcher, Platform
 
 REQUEST = http.write_request(
     "POST",
@@ -440,7 +442,7 @@
 def test_a_notice_on_a_silent_connection_is_sent_again_on_another_at_once(monkeypatch):
     """It waited a second for the answer before it was sent again: twice the time that a notice may be
     late."""
-    monkeypatch.setattr(registry, "MAX_NOTICE_TIMEOUT", 10 * SPAN)
+    monkeypatch.setattr(notices_module, "MAX_NOTICE_TIMEOUT", 10 * SPAN)
     discovery, clock, answered = DeafDiscovery(), Clock(), []
     platform = Platform(("127.0.0.1", discovery.listener.getsockname()[1]))
     notices = NoticeSender(platform, Log(clock), answered.extend)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from willownotch.net import registry
+from willownotch.net import notices
 from willownotch.net.clock import seconds
-from willownotch.net.registry import MAX_NOTICE_TIMEOUT, NOTICE_TIMEOUT, Notice, NoticeSender
+from willownotch.net.notices import MAX_NOTICE_TIMEOUT, NOTICE_TIMEOUT, Notice, NoticeSender
 
 NOTICES = 8
 
@@ -19,7 +19,7 @@
         platform = SimpleNamespace(moves=0, pause=lambda span, moves: None)
         super().__init__(platform, SimpleNamespace(say=lambda *line: None), self.answered.extend)
         clock = SimpleNamespace(monotonic=lambda: self.now_s)
-        monkeypatch.setattr(registry, "time", clock, raising=False)
+        monkeypatch.setattr(notices, "time", clock, raising=False)
 
     def _exchange(self, notices, timeout):
         self.posts += 1
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -47,7 +47,8 @@
 from willownotch.net.folder import open_folder
 from willownotch.net.listening import listen
 from willownotch.net.log import Log
-from willownotch.net.registry import EndpointListWatcher, Hosts, NoticeSender, Platform
+from willownotch.net.notices import NoticeSender
+from willownotch.net.registry import EndpointListWatcher, Hosts, Platform
 from willownotch.net.sockets import RETRIES
 from willownotch.startup import Startup
 
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -56,7 +56,8 @@
 )
 from willownotch.net.journal import Journal, JournalFullError, JournalUncertainError
 from willownotch.net.log import Log
-from willownotch.net.registry import Hosts, Notice
+from willownotch.net.notices import Notice
+from willownotch.net.registry import Hosts
 from willownotch.net.rules import class_of
 from willownotch.net.slow_start_file import SlowStartFile
 from willownotch.repeats import RAN_BY_OUTCOME
