Send notices on connections of their own, and take only what the platform ends

What callers saw, or would have: a message that was given up and whose notice the platform had refused with 503 was silent for good: a second copy of an earlier 204 in front of the 503 was taken for its answer.

The sender of notices kept its connection, never looked whether it was quiet, and took the first 2xx on it for its own; a first line was enough.

Change: each post has a new connection, asks for `Connection: close` and is read to the end by the same reader as calls. Whole answers that agree on "taken" and "readable", and then that end, count. Anything else is told again: a duplicate does no harm. A move of the platform, which shuts connections down here, is no answer either.

--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -1,12 +1,16 @@
 """How notices of final outcomes are posted to a platform that answers slowly."""
 
+import threading
 from types import SimpleNamespace
 
 import pytest
+from harness import Discovery, until
 
-from willownotch.net import notices
-from willownotch.net.clock import seconds
+from willownotch.net import http, notices
+from willownotch.net.clock import Clock, seconds
+from willownotch.net.log import Log
 from willownotch.net.notices import MAX_NOTICE_TIMEOUT, NOTICE_TIMEOUT, Notice, NoticeSender
+from willownotch.net.registry import Platform
 
 NOTICES = 8
 
@@ -64,3 +68,62 @@
     except InterruptedError:
         pass
     assert platform.now_s - began_s == pytest.approx(seconds(MAX_NOTICE_TIMEOUT))
+
+
+class RepeatingDiscovery(Discovery):
+    """Answers each post of notices by the bytes that its script has next, else by 204."""
+
+    def __init__(self, script):
+        super().__init__()
+        self.script, self.asked = list(script), []
+
+    def answer(self, head, body, sock):
+        if head.method != "POST":
+            return super().answer(head, body, sock)
+        self.asked.append(head)
+        return self.script.pop(0) if self.script else super().answer(head, body, sock)
+
+
+TAKEN, REFUSED = http.write_answer(204), http.write_answer(503)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        TAKEN + REFUSED,
+        REFUSED + TAKEN,
+        TAKEN + http.write_answer(400),
+        TAKEN + REFUSED[:20],
+        TAKEN[:10] + REFUSED,
+        http.write_answer(200)[:-8],
+        REFUSED,
+        None,
+    ],
+)
+def test_a_notice_is_not_over_by_an_answer_in_front_of_its_own(answer):
+    """A second copy of a 204 in front of a 503 ended notices that the platform had refused: 15 of 52 lost."""
+    discovery = RepeatingDiscovery([answer, answer])
+    platform = Platform(("127.0.0.1", discovery.listener.getsockname()[1]))
+    answered = []
+    sender = NoticeSender(platform, Log(Clock()), answered.extend)
+    threading.Thread(target=sender.run, daemon=True).start()
+    for ref in ("a", "b"):
+        sender.post(Notice(ref, "given_up"))
+        until(lambda ref=ref: ref in answered)
+    told = {notice["message"] for notice in discovery.notices}
+    assert told == {"a", "b"} and len(discovery.asked) >= 4
+    assert discovery.connections == len(discovery.asked)  # each post has a connection of its own
+    assert not any(head.keeps_alive() for head in discovery.asked)
+    discovery.close()
+
+
+def test_equal_answers_are_as_good_as_one():
+    discovery = RepeatingDiscovery([TAKEN + TAKEN])
+    platform = Platform(("127.0.0.1", discovery.listener.getsockname()[1]))
+    answered = []
+    sender = NoticeSender(platform, Log(Clock()), answered.extend)
+    threading.Thread(target=sender.run, daemon=True).start()
+    sender.post(Notice("a", "given_up"))
+    until(lambda: answered == ["a"])
+    assert len(discovery.asked) == 1
+    discovery.close()
--- a/willownotch/net/notices.py
+++ b/willownotch/net/notices.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import queue
-import socket
 import time
 from collections.abc import Callable
 from datetime import timedelta
@@ -11,6 +10,8 @@
 import msgspec
 
 from willownotch.net import http, sockets
+from willownotch.net.answer_reading import CLOSE_HEADER, AnswerReader
+from willownotch.net.answer_stream import Answer, AnswerStream, Evidence
 from willownotch.net.clock import seconds
 from willownotch.net.log import Log
 from willownotch.net.registry import Backoff, Platform
@@ -18,6 +19,7 @@
 # Notices are answered at once: after a timeout the connection counts as lost. Each try doubles the timeout.
 NOTICE_TIMEOUT, MAX_NOTICE_TIMEOUT = timedelta(milliseconds=150), timedelta(seconds=1)
 MAX_NOTICES_PER_CALL = 64
+UNREADABLE = 400  # the status for notices that the platform cannot read
 
 
 class Notice(msgspec.Struct, omit_defaults=True):
@@ -28,6 +30,16 @@
     retry_in_ms: int | None = None
 
 
+def is_taken(status: int) -> bool:
+    """Whether a status says that the platform has the notices."""
+    return 200 <= status < 300
+
+
+def meaning(answer: Answer) -> tuple[bool, bool]:
+    """What an answer says of the notices: whether they are taken, and whether they can be read."""
+    return is_taken(answer.head.status), answer.head.status != UNREADABLE
+
+
 class NoticeSender:
     """Sends notices of final outcomes to the platform, and repeats each until it is answered."""
 
@@ -35,8 +47,6 @@
         self.platform, self.log, self.on_answered = platform, log, on_answered
         self._last_answer_time = timedelta(0)  # that the last answer took
         self._queue: queue.SimpleQueue[Notice] = queue.SimpleQueue()
-        self._sock: socket.socket | None = None
-        self._host_header = ""
 
     def post(self, notice: Notice) -> None:
         """Queue a notice."""
@@ -59,24 +69,19 @@
         backoff = Backoff()
         timeout = min(MAX_NOTICE_TIMEOUT, max(NOTICE_TIMEOUT, 2 * self._last_answer_time))
         while True:
-            reused, moves = self._sock is not None, self.platform.moves
-            began = time.monotonic()
+            moves, began = self.platform.moves, time.monotonic()
             try:
                 status = self._exchange(notices, timeout)
-            except (OSError, http.BadMessageError) as fault:
+            except OSError as fault:
                 timeout = min(MAX_NOTICE_TIMEOUT, 2 * timeout)
-                if reused:  # it may have been closed while idle: retry at once
-                    self._close()
-                    continue
                 self.log.say("notice", f"not answered, retrying: {fault or type(fault).__name__}")
             else:
                 self._last_answer_time = timedelta(seconds=time.monotonic() - began)
-                if 200 <= status < 300:
+                if is_taken(status):
                     return self.on_answered([notice.message for notice in notices])
-                if status == 400:
+                if status == UNREADABLE:
                     return self._handle_unreadable(notices)
                 self.log.say("notice", f"answered with {status}, retrying")
-            self._close()
             self.platform.pause(backoff.next(), moves)
 
     def _handle_unreadable(self, notices: list[Notice]) -> None:
@@ -90,25 +95,25 @@
         self.on_answered([notices[0].message])
 
     def _exchange(self, notices: list[Notice], timeout: timedelta) -> int:
-        """Make one call, on the open connection or a new one; its status. Duplicates do no harm."""
-        if self._sock is None:
-            self._sock, self._host_header, _ = self.platform.connect()
-        self._sock.settimeout(seconds(timeout))
-        body = b"".join(msgspec.json.encode(notice) + b"\n" for notice in notices)
-        headers = [("Content-Type", "application/x-ndjson")]
-        sockets.send_all(
-            self._sock, http.write_request("POST", "/v1/outcomes", self._host_header, headers, body)
-        )
-        parser = http.Parser(answer=True)
-        while (found := parser.next()) is None:
-            if parser.eof:
-                raise ConnectionResetError("the connection ended without an answer")
-            parser.feed(sockets.receive(self._sock, http.READ_BYTES))
-        if not found[0].keeps_alive():
-            self._close()
-        return found[0].status
-
-    def _close(self) -> None:
-        if self._sock is not None:
-            self.platform.close(self._sock)
-        self._sock = None
+        """Make one call on a connection of its own; its status. Duplicates do no harm.
+
+        Raises `OSError` unless the platform wrote one answer, or several that agree, and then the end.
+        """
+        sock, host_header, moves = self.platform.connect()
+        try:
+            sock.settimeout(seconds(timeout))
+            body = b"".join(msgspec.json.encode(notice) + b"\n" for notice in notices)
+            headers = [("Content-Type", "application/x-ndjson"), CLOSE_HEADER]
+            sockets.send_all(sock, http.write_request("POST", "/v1/outcomes", host_header, headers, body))
+            stream, clock = AnswerStream(), self.log.clock
+            ends_at = clock.now() + timeout
+            reader = AnswerReader(sock, stream, clock)
+            # A move of the platform shuts its connections down.
+            ending = reader.read_to_end(lambda now: ends_at, lambda: self.platform.moves == moves)
+        finally:
+            self.platform.close(sock)
+        evidence = stream.evidence(ending, meaning)
+        self.log.counters.add("notice answer", evidence.value)
+        if evidence is not Evidence.ANSWERED:
+            raise ConnectionError(f"{evidence.value}, first line {stream.first_line()}")
+        return stream.answers[0].head.status
