Break off a watch on which an older version comes behind a newer one

What callers saw, or would have: calls went to an endpoint that had been listed as Terminating.

A watch's line is taken for news by its place alone. A second copy of an earlier line brought back what it had listed, and the next watch asked from that version.

Change: within a watch a lower version ends it, and the next one asks from the version that is known. At the beginning of a watch a lower version may also be a platform that counts anew: changes are never taken then, a whole list is taken if two watches in a row begin with one; the second is made at once. After a move of discovery versions begin anew, as before. ListVersions decides this without sockets; log lines and a counter (`list`, `stale`) say it.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -426,7 +426,7 @@
 
     start("watch", once)
     assert isinstance(until(lambda: ended)[0], registry.SilentError)
-    assert (len(updates), watch.index) == (1, 1)
+    assert (len(updates), watch.versions.index) == (1, 1)
     discovery.close()
 
 
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -425,7 +425,7 @@
     if state is not None:
         endpoint_side.waits.update(state.waits)
         if state.discovery == config.discovery:  # another service counts other versions
-            registry.index = state.list_index
+            registry.versions.index = state.list_index
     if inherited is not None:
         predecessor_link = PredecessorLink(inherited, log, decision_loop, endpoint_side, client_side)
         decision_loop.cancel = lambda relay: (predecessor_link if relay.remote else endpoint_side).cancel(
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -16,6 +16,7 @@
 from willownotch.net import http, sockets
 from willownotch.net.clock import Clock, seconds
 from willownotch.net.config import Config, ConfigError, ListedEndpoint, ListUpdate, read_address
+from willownotch.net.list_versions import ListVersions, StaleListError, UnconfirmedListError
 from willownotch.net.log import Log
 
 # A sender that can reach discovery must know a change of the list 6 s later: soon after that nothing more may
@@ -372,7 +373,8 @@
         on_update: Callable[[ListUpdate], None],
     ) -> None:
         self.platform, self.log, self.clock, self.on_update = platform, log, clock, on_update
-        self.index, self._index_moves = config.known.index if config.known else 0, platform.moves
+        self.versions = ListVersions(config.known.index if config.known else 0)
+        self._index_moves = platform.moves
         self.first_data_timeout = (
             SERVICE_FIRST_DATA_TIMEOUT if config.shared_discovery else AGENT_FIRST_DATA_TIMEOUT
         )
@@ -390,6 +392,11 @@
                 reason, max_delay = str(fault), min(max_delay, MAX_RETRY_DELAY_AFTER_SILENCE)
             except BusyError as fault:
                 reason, max_delay = str(fault), MAX_RETRY_DELAY_BUSY
+            except StaleListError as fault:
+                self.log.counters.add("list", "stale")
+                reason = str(fault)
+                if isinstance(fault, UnconfirmedListError):
+                    max_delay = timedelta(0)  # asked again at once, and at most once
             except (OSError, http.BadMessageError, msgspec.DecodeError, UnicodeDecodeError) as fault:
                 reason = str(fault) or type(fault).__name__
             self.log.say("watch", f"broken off, the last list is kept: {reason}")
@@ -400,14 +407,16 @@
         sock, host_header, moves = self.platform.connect()
         if moves != self._index_moves:
             # The versions of one agent mean nothing to another: asking from one could skip changes.
-            self.index, self._index_moves = 0, moves
+            self.versions.forget()
+            self._index_moves = moves
             self._backoff.reset()
+        self.versions.begin_watch()
         try:
             # Only complete lines count as data: a connection that trickles bytes is as silent as an idle one.
             asked_at, has_data = self.clock.now(), False
             due = asked_at + self.first_data_timeout
             sock.settimeout(seconds(self.first_data_timeout))
-            target = f"/registry/instances?watch=1&from={self.index}"
+            target = f"/registry/instances?watch=1&from={self.versions.index}"
             sockets.send_all(sock, http.write_request("GET", target, host_header, ()))
             parser, decoder = http.Parser(answer=True, stream=True), WatchDecoder()
             while not parser.eof:
@@ -438,6 +447,6 @@
             self.platform.close(sock)
 
     def _deliver(self, update: ListUpdate) -> None:
-        """Pass an update on, and remember its index, from which the next watch continues."""
-        self.index = update.index
+        """Pass an update on, and remember its version, from which the next watch continues."""
+        self.versions.take(update)
         self.on_update(update)
