End a connection of the load generator on which more came than was asked for

A second answer in one segment was kept and told as the answer of the next request on the connection, and each request from then on by its predecessor's: of five requests four were counted as accepted and one as turned away, where the target had accepted five.

--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -412,6 +412,26 @@
         target.close()
 
 
+class AnsweringTwice(Answering):
+    """Answers the first request twice at once, and others as it should."""
+
+    def answer(self, head, body, sock):
+        self.asked += 1
+        return http.write_answer(202) + http.write_answer(503) if self.asked == 1 else http.write_answer(202)
+
+
+def test_a_second_answer_is_not_taken_for_the_next_requests():
+    # Each request on the connection was told by the answer of the one before it.
+    target = AnsweringTwice(None)
+    try:
+        address = Target("127.0.0.1", int(target.address.rsplit(":", 1)[1]), 1, 10**7)
+        record = run(even([n * 20_000 for n in range(5)]), address)
+        assert record.count("taken") == target.asked == 5
+        assert target.connections == 2
+    finally:
+        target.close()
+
+
 class AnsweringTogether(Answering):
     """Answers nobody before all have asked, and reads the first request late."""
 
--- a/willownotch/lab/load/edge.py
+++ b/willownotch/lab/load/edge.py
@@ -146,11 +146,9 @@
             head = found[0]
             found_wait = WAIT.match(head.headers.get("retry-after", ""))
             wait = round(1e6 * float(found_wait[0])) if found_wait else None
-            self._act(
-                self.generator.answered(
-                    self.now(), connection.number, head.status, head.keeps_alive() and not ended, wait
-                )
-            )
+            # Surplus bytes would be taken for the answer of the next request.
+            keeps = head.keeps_alive() and not ended and not connection.parser.begun
+            self._act(self.generator.answered(self.now(), connection.number, head.status, keeps, wait))
         elif ended:
             self._lose(connection)
 
