Have the soak's proxy reset connections as a reset, not as an orderly end

An answer that was not the call's own, in front of such an end, cannot be told from an honest one.

Change: the proxy aborts connections, also while another thread reads from them. An unasked answer is no longer joined with an orderly end in place of the call's own for the same reason; a reset takes its place.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from willownotch.lab.faults.proxy import Proxy, Trouble, abort
 from willownotch.lab.faults.shim import CallFault
 from willownotch.lab.soak import connections
 from willownotch.lab.soak.plan import Action, Conditions, Plan, Step, draw, draw_cold
@@ -269,6 +270,25 @@
         assert connections.holders(*ports, [os.getpid()]) == []
 
 
+@pytest.mark.parametrize("by_proxy", [False, True], ids=["by the endpoint", "by the proxy"])
+def test_a_reset_passes_the_proxy_as_a_reset(by_proxy):
+    # It came as an orderly end, which proves what was read before it (seed 843: a message was lost).
+    with socket.create_server(("127.0.0.1", 0)) as server, contextlib.ExitStack() as stack:
+        proxy = Proxy(server.getsockname(), 1)
+        stack.callback(proxy.close)
+        client = stack.enter_context(socket.create_connection(proxy.address))
+        endpoint = stack.enter_context(server.accept()[0])
+        endpoint.sendall(b"answer")
+        assert client.recv(100) == b"answer"
+        if by_proxy:
+            proxy.trouble = Trouble(reset=1.0)
+            endpoint.sendall(b"more")
+        else:
+            abort(endpoint)
+        with pytest.raises(ConnectionResetError):
+            client.recv(100)
+
+
 def test_weather_and_steps_are_drawn_inside_the_run():
     for seed in range(50):
         plan = draw(seed)
--- a/willownotch/lab/faults/answers.py
+++ b/willownotch/lab/faults/answers.py
@@ -7,20 +7,17 @@
 
 from __future__ import annotations
 
-import ctypes
 import socket
-import struct
 import threading
 import time
 from collections.abc import Callable
 from enum import Enum
 from random import Random
 
+from willownotch.lab.faults.proxy import abort
 from willownotch.net import http
 
 CONNECT_TIMEOUT_S = 1.0
-UNSPECIFIED_ADDRESS = struct.pack("=H14x", socket.AF_UNSPEC)  # connecting to it aborts (Linux, connect(2))
-LIBC = ctypes.CDLL(None, use_errno=True)
 COPY_DELAY_S = 0.003  # of a copy behind the call that it is taken for the answer of
 OWN_ANSWER_DELAY_S = 0.08  # of a call's own answer behind such a copy
 MAX_COPY_DELAY_S = 0.12  # of a copy behind the answer that it repeats
@@ -73,11 +70,6 @@
     return data, parser.eof
 
 
-def abort(sock: socket.socket) -> None:
-    """Send a reset at once, also while another thread reads from the socket, which a close would wait for."""
-    LIBC.connect(sock.fileno(), UNSPECIFIED_ADDRESS, len(UNSPECIFIED_ADDRESS))
-
-
 class AnswerProxy:
     """Stands in front of one address. `fault` says what befalls the next call's answer, if anything.
 
@@ -154,6 +146,7 @@
         self.proxy, self.client, self.server = proxy, client, server
         self.last_answer = b""  # on this connection
         self._write_lock = threading.Lock()
+        self._unasked = False  # an answer that nobody asked for is written
         self._fault: AnswerFault | None = None
         self._copied = b""
         self._own_answer_at = 0.0  # not before, on the monotonic clock
@@ -161,7 +154,8 @@
 
     def run(self) -> None:
         """Carry the connection until both sides have ended."""
-        if self.proxy.fault() is AnswerFault.UNASKED:
+        self._unasked = self.proxy.fault() is AnswerFault.UNASKED
+        if self._unasked:
             threading.Thread(target=self._write_unasked, daemon=True).start()
         calls = threading.Thread(target=self._carry_calls, daemon=True)
         calls.start()
@@ -213,6 +207,9 @@
         fault = self.proxy.fault()
         if fault is AnswerFault.UNASKED or (fault in COPIES and not copied):
             fault = None
+        # Nobody can tell another call's answer and then an orderly end from an honest one.
+        if fault is AnswerFault.NO_ANSWER and self._unasked:
+            fault = AnswerFault.RESET
         self._fault, self._copied, self._rest_of_copy, self._own_answer_at = fault, copied, b"", 0.0
         if fault is not None:
             self.proxy.count(fault)
