Send a notice again at once where a connection or this machine fails for a moment

Traced in the senders' lines: a socket that was missing for a moment (ENOMEM) and a post without an answer each waited for the growing pauses, which a kept connection had skipped after its first failure.

Change: the first post without an answer is repeated at once on another connection, as before; what this machine lacks for a moment (socket, port, route) is asked for three times, 10 ms apart, for watches too.

--- a/willownotch/net/notices.py
+++ b/willownotch/net/notices.py
@@ -64,9 +64,10 @@
         """Send notices in one call, again and again until it is answered.
 
         A platform whose last answer was slow is given twice that time at once: asked again before it has
-        answered, it would only be slower.
+        answered, it would only be slower. Without an answer the notices are sent again at once, on another
+        connection, and after that with growing pauses.
         """
-        backoff = Backoff()
+        backoff, lost_connections = Backoff(), 0
         timeout = min(MAX_NOTICE_TIMEOUT, max(NOTICE_TIMEOUT, 2 * self._last_answer_time))
         while True:
             moves, began = self.platform.moves, time.monotonic()
@@ -75,6 +76,9 @@
             except OSError as fault:
                 timeout = min(MAX_NOTICE_TIMEOUT, 2 * timeout)
                 self.log.say("notice", f"not answered, retrying: {fault or type(fault).__name__}")
+                lost_connections += 1
+                if lost_connections == 1:
+                    continue
             else:
                 self._last_answer_time = timedelta(seconds=time.monotonic() - began)
                 if is_taken(status):
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -24,6 +24,8 @@
 LIST_CHANGE_GRACE = timedelta(seconds=6)
 SILENCE_TIMEOUT = timedelta(seconds=3)  # a watch sends a line every 2 s; 50% more is allowed
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
+# A socket, a port or a route may be missing for a moment.
+MAX_CONNECT_TRIES, SHORTAGE_RETRY_DELAY = 3, timedelta(milliseconds=10)
 # An agent on this machine answers at once and at no cost, and senders are expected to know what it knows, so
 # it is asked often. A service shared by all senders answers them one by one, and with 503 after a long wait.
 AGENT_FIRST_DATA_TIMEOUT, SERVICE_FIRST_DATA_TIMEOUT = timedelta(milliseconds=500), timedelta(seconds=2)
@@ -320,10 +322,20 @@
         return True
 
     def connect(self) -> tuple[socket.socket, str, int]:
-        """Open a connection to the current address.
+        """Open a connection to the current address; what this machine lacks for a moment is waited for.
 
         Returns the socket, the value of its Host header, and the number of moves so far.
         """
+        for _ in range(MAX_CONNECT_TRIES - 1):
+            try:
+                return self._connect_once()
+            except OSError as fault:
+                if fault.errno not in sockets.LOCAL_SHORTAGES | sockets.ROUTE_ERRORS:
+                    raise
+                self.pause(SHORTAGE_RETRY_DELAY, self.moves)
+        return self._connect_once()
+
+    def _connect_once(self) -> tuple[socket.socket, str, int]:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         with self._changed:
             self._connections.add(sock)
