--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -34,13 +34,14 @@
 from willownotch.net.decision_loop import DecisionLoop
 from willownotch.net.delivery import Delivery
 from willownotch.net.endpoint_connections import EndpointConnections
-from willownotch.net.endpoint_side import MAX_START_DELAY, EndpointSide
+from willownotch.net.endpoint_side import EndpointSide
 from willownotch.net.events import Answer, HandIn, Verdict, Withdraw
 from willownotch.net.journal import Journal
 from willownotch.net.log import Log
 from willownotch.net.notices import Notice, NoticeSender
 from willownotch.net.pending import PendingReply
 from willownotch.net.registry import EndpointListWatcher, Platform
+from willownotch.net.start_conditions import MAX_START_DELAY
 
 REQUEST = http.write_request(
     "POST",
@@ -487,8 +488,8 @@
 
 CHANGES = {
     "drained": lambda calls: calls.hosts.clear(),
-    "waiting": lambda calls: calls.endpoint_side.wait(7, SPAN),
-    "stopped": lambda calls: setattr(calls.endpoint_side, "stopping", True),
+    "waiting": lambda calls: calls.endpoint_side.conditions.wait(7, SPAN),
+    "stopped": lambda calls: setattr(calls.endpoint_side.conditions, "stopping", True),
     "cancelled": lambda calls: calls.endpoint_side.cancel_by_id("a1", 0),
 }
 
@@ -503,7 +504,7 @@
 
 def test_after_sigterm_an_unrepeatable_relay_starts_only_if_decided_since_and_at_once(calls):
     """One decided on before the stop, or started much later, could be cut off by the kill and be lost."""
-    calls.endpoint_side.stopping = True
+    calls.endpoint_side.conditions.stopping = True
     table = [
         ({"repeatable": True}, Outcome.DELIVERED),
         ({"repeatable": False}, Outcome.NOT_SENT),
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -486,8 +486,8 @@
         endpoint_side = EndpointSide(config, clock, None, None, None, hosts, None, None)
         for n in hosts:
             clock.at += timedelta(seconds=1)
-            endpoint_side.wait(n, timedelta(seconds=2))
-        self.assertLessEqual(len(endpoint_side.waits), 3)
+            endpoint_side.conditions.wait(n, timedelta(seconds=2))
+        self.assertLessEqual(len(endpoint_side.conditions.waits), 3)
 
 
 class Rounds(unittest.TestCase):
--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -192,7 +192,7 @@
             "EndpointSide",
             (),
             {
-                "waits": {},
+                "conditions": SimpleNamespace(waits={}),
                 "calls_in_progress": lambda self: 0,
             },
         )(),
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -423,7 +423,7 @@
 
     registry = EndpointListWatcher(config, platform, log, clock, decision_loop.post)
     if state is not None:
-        endpoint_side.waits.update(state.waits)
+        endpoint_side.conditions.waits.update(state.waits)
         if state.discovery == config.discovery:  # another service counts other versions
             registry.versions.index = state.list_index
     if inherited is not None:
@@ -505,7 +505,7 @@
     if lifecycle.wait_handed_over():  # the process ends by itself once its calls have ended
         threading.Event().wait()
     if received == signal.SIGTERM:
-        endpoint_side.stopping = True
+        endpoint_side.conditions.stopping = True
         decision_loop.post(Stop())
         received = signal.sigtimedwait(signals, seconds(CLIENT_STOP_DELAY))
         log.say("stop", "clients are let go: a kill would leave their requests without an answer")
--- a/willownotch/handover/predecessor.py
+++ b/willownotch/handover/predecessor.py
@@ -203,7 +203,7 @@
         else:
             from willownotch.handover import pickled
 
-            state.waits = dict(self.endpoint_side.waits)
+            state.waits = dict(self.endpoint_side.conditions.waits)
             link.send(Kind.STATE, pickled.write(state), (listener,))
         answer = link.receive(STATE_READ_TIMEOUT)
         if answer is None or answer.kind is not Kind.STATE_READ:
--- a/willownotch/handover/successor.py
+++ b/willownotch/handover/successor.py
@@ -194,7 +194,7 @@
         elif frame.kind is Kind.ENDED:
             call = msgspec.msgpack.decode(frame.data, type=CallEnded)
             if call.wait:
-                self.endpoint_side.wait(call.destination, call.wait)
+                self.endpoint_side.conditions.wait(call.destination, call.wait)
             self.decision_loop.post(RemoteEnded(call.ref, call.number, call.as_relay_ended()))
         elif frame.kind is Kind.WITHDRAWN:
             self.decision_loop.post(Withdraw(msgspec.msgpack.decode(frame.data, type=Withdrawn).ref, None))
--- a/willownotch/net/endpoint_side.py
+++ b/willownotch/net/endpoint_side.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING
 
 from willownotch.bodies.store import Bodies, BodyLostError
-from willownotch.interface import Idempotency, Outcome
+from willownotch.interface import Outcome
 from willownotch.journal.records import RelayStarted
 from willownotch.net import answers, bulk, http
 from willownotch.net.answer_reading import CLOSE_HEADER
@@ -28,6 +28,7 @@
 from willownotch.net.journal import Journal, JournalFullError, JournalHandedOverError
 from willownotch.net.log import Log
 from willownotch.net.registry import Host
+from willownotch.net.start_conditions import StartConditions
 
 if TYPE_CHECKING:
     import socket
@@ -36,10 +37,6 @@
 
 MAX_REPLICATION_WAIT = timedelta(seconds=1)  # for other senders to store a relay's record
 DISK_ERROR_DELAY = timedelta(seconds=1)  # before the end of a relay that a disk error prevented is reported
-# After SIGTERM, the longest time from the decision on a relay to its start: the kill comes this much later
-# than the module assumes.
-MAX_START_DELAY = timedelta(milliseconds=200)
-DEDUP_WINDOW_MARGIN = timedelta(milliseconds=20)  # kept of the window, for the call to reach its host
 
 
 class EndpointSide:
@@ -59,11 +56,10 @@
         self.config, self.clock, self.log, self.journal, self.hosts = config, clock, log, journal, hosts
         self.bodies = bodies
         self.ended, self.start = ended, start
-        self.waits: dict[int, datetime] = {}  # by destination: end of its Retry-After
+        self.conditions = StartConditions(clock, journal, hosts)
         self._queue: queue.SimpleQueue[list[Relay]] = queue.SimpleQueue()  # the relays of one call each
         self._lock = threading.Lock()
         self._call_ended = threading.Condition(self._lock)
-        self.stopping = False  # SIGTERM was received
         self._closing = False
         self._held_calls: list[list[Relay]] = []  # calls not started because of `_closing`
         self._worker_count = 0
@@ -150,17 +146,9 @@
         )
         if ended.wait:
             # Seen by the other workers at once: the decision loop may already have handed out more relays.
-            self.wait(relay.host.destination, ended.wait)
+            self.conditions.wait(relay.host.destination, ended.wait)
         self.ended(ended)
 
-    def wait(self, destination: int, wait: timedelta) -> None:
-        """Start no relays to a destination for this time. Expired entries are purged."""
-        now = self.clock.now()
-        with self._lock:
-            for number in [n for n, until in self.waits.items() if until <= now]:
-                del self.waits[number]
-            self.waits[destination] = max(now + wait, self.waits.get(destination, now))
-
     def finish(self, timeout: timedelta) -> None:
         """Start no more calls, and wait for those in progress for `timeout` at most."""
         deadline = self.clock.now() + timeout
@@ -203,13 +191,13 @@
         except OSError:
             outcome = Outcome.NOT_SENT if relay.cancelled else Outcome.UNREACHABLE
             return RelayEnded(relay, outcome)
-        if sock is None or self._must_not_start(relay):
+        if sock is None or self.conditions.forbid(relay):
             if sock is not None:
                 self.connections.close(relay, sock)
             return RelayEnded(relay, Outcome.NOT_SENT)
         if not self._record_start(sock, relay):
             return RelayEnded(relay, Outcome.NOT_SENT)
-        if self._must_not_start(relay):  # writing and replicating the record took time
+        if self.conditions.forbid(relay):  # writing and replicating the record took time
             self.connections.close(relay, sock)
             return RelayEnded(relay, Outcome.NOT_SENT)
         if self._was_answered_early(relay, sock):
@@ -285,7 +273,7 @@
         sendable = [
             relay
             for relay in left
-            if sock is not None and not relay.reported and not self._must_not_start(relay)
+            if sock is not None and not relay.reported and not self.conditions.forbid(relay)
         ]
         for relay in left:
             if relay not in sendable:
@@ -294,7 +282,7 @@
             if not sendable and sock is not None:
                 self.connections.close(left[0], sock)
             return [RelayEnded(relay, Outcome.NOT_SENT) for relay in sendable]
-        if stopped := [r for r in sendable if self._must_not_start(r)]:
+        if stopped := [r for r in sendable if self.conditions.forbid(r)]:
             for relay in stopped:  # writing and replicating the record took time
                 self._report(RelayEnded(relay, Outcome.NOT_SENT))
             sendable = [relay for relay in sendable if relay not in stopped]
@@ -363,50 +351,6 @@
         """Delay the report of a disk error. Reported at once, it would use up the message's attempts."""
         self._never_set.wait(seconds(max(ZERO, min(DISK_ERROR_DELAY, relay.ends_at - self.clock.now()))))
 
-    def _must_not_start(self, relay: Relay) -> bool:
-        """Whether a relay must not be started any more: the list, waits, time and a stop may have changed
-        since it was decided on.
-
-        Checked before the record is written, to save it, and again before the first byte.
-        """
-        host, now = self.hosts.get(relay.host.number), self.clock.now()
-        if self._past_dedup_window(relay, now):
-            return True
-        waits = self.waits.get(relay.host.destination)
-        return (
-            relay.cancelled
-            or host is None
-            or not host.serving
-            or host.address != relay.host.address
-            or (waits is not None and now < waits)
-            or now >= relay.ends_at
-            # The module assumes that its decisions are carried out at once. A relay that is started later, or
-            # was decided on before the stop was known, could still be in progress at the kill and be lost.
-            or (
-                self.stopping
-                and not relay.repeatable
-                and (not relay.stopping or now - relay.begun_at > MAX_START_DELAY)
-            )
-        )
-
-    def _past_dedup_window(self, relay: Relay, now: datetime) -> bool:
-        """Whether the window in which the destination drops repeats may have ended.
-
-        It starts with the first attempt that may have been executed. The module checked it when it decided,
-        but setting up a connection can take longer than a short window.
-        """
-        rules, entry = relay.message.rules, self.journal.live.get(relay.message.ref)
-        if rules is None or rules.idempotency is not Idempotency.KEYED or entry is None:
-            return False
-        others = [
-            started.at
-            for number, started in list(entry.started.items())
-            if number != relay.number and entry.may_have_run(number)
-        ]
-        return bool(others) and (
-            now > min(others) + timedelta(seconds=rules.dedup_window_s) - DEDUP_WINDOW_MARGIN
-        )
-
     def _exchange(self, relay: Relay, sock: socket.socket, body: list[bytes]) -> RelayEnded:
         """Make a call with one message."""
         headers = [("Request-Id", relay.message.ref)]
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -121,7 +121,8 @@
     def read(self, update: ListUpdate) -> tuple[api.EndpointList, list[int]]:
         """Apply an update of the list.
 
-        Returns the module's event, and the numbers of hosts that have left or changed. An entry that is invalid is logged and leaves its host as it was.
+        Returns the module's event, and the numbers of hosts that have left or changed. An entry that is
+        invalid is logged and leaves its host as it was.
         """
         entries, before = [], {}
         for listed in update.endpoints:
