Keep at most sixteen answers of a connection

By reading: what comes behind a first answer is read for half a second now, and a peer that goes on answering would have filled the memory with it. More than sixteen answers count as damage and are not kept. test_a_peer_that_goes_on_answering_fills_no_memory failed without the bound (800 kept); with it the tests of streams, reading and notices pass.

--- a/tests/test_answer_stream.py
+++ b/tests/test_answer_stream.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from willownotch.net import answers, http
-from willownotch.net.answer_stream import AnswerStream, Ending, Evidence
+from willownotch.net.answer_stream import MAX_ANSWERS, AnswerStream, Ending, Evidence
 
 OK, BUSY = http.write_answer(200), http.write_answer(503)
 LOADED = http.write_answer(200, [("Server-Load", "x0=0.4,x1=25")], b"body")
@@ -79,6 +79,15 @@
     assert read(data, ending)[1] is expected
 
 
+def test_a_peer_that_goes_on_answering_fills_no_memory():
+    stream = AnswerStream()
+    for _ in range(50 * MAX_ANSWERS):
+        stream.feed(LOADED)
+    assert len(stream.answers) == MAX_ANSWERS
+    stream.feed(b"")
+    assert stream.ended and stream.evidence(Ending.BY_PEER, answers.meaning) is Evidence.DAMAGED
+
+
 @st.composite
 def spoilt_streams(draw):
     """Copies of answers, whole or in part, and the request's own answer behind them."""
--- a/willownotch/net/answer_stream.py
+++ b/willownotch/net/answer_stream.py
@@ -18,6 +18,7 @@
 from willownotch.net import http
 
 FIRST_LINE_BYTES = 80  # of what came, in log lines
+MAX_ANSWERS = 16  # that are kept of one connection; a peer that goes on writing must not fill the memory
 
 
 class Evidence(Enum):
@@ -68,13 +69,16 @@
 
     def feed(self, data: bytes) -> None:
         """Add bytes; none are the end that the peer has written."""
-        self.first_bytes = (self.first_bytes + data)[:FIRST_LINE_BYTES]
+        if len(self.first_bytes) < FIRST_LINE_BYTES:
+            self.first_bytes = (self.first_bytes + data)[:FIRST_LINE_BYTES]
         if self.damage:
             self._parser.eof = self._parser.eof or not data
             return
         self._parser.feed(data)
         try:
             while (found := self._parser.next()) is not None:
+                if len(self.answers) == MAX_ANSWERS:
+                    raise http.BadMessageError(400, "too many answers")
                 self.answers.append(Answer(*found))
         except http.BadMessageError as fault:
             self.damage = str(fault)
