--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -18,6 +19,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -29,6 +31,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 KEYS = f"1 {'5d' * 32}\n"
 
+_given_ports: set[int] = set()
 SETTINGS = json.loads((ROOT / "examples/config.json").read_text(encoding="utf-8"))["settings"]
 
 
@@ -51,15 +54,23 @@
 
 
 def free_port(host: str = "127.0.0.1") -> int:
-    """A port of a loopback address that is free for TCP and UDP now."""
-    for _ in range(100):
+    """A port of a loopback address that is free for TCP and UDP now.
+
+    It lies below the range that connections are given ports from: a program that is started again has to find
+    it free.
+    """
+    for _ in range(1000):
+        port = random.randrange(12_000, 32_000)
+        if port in _given_ports:
+            continue
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind((host, 0))
             try:
-                udp.bind(tcp.getsockname())
+                tcp.bind((host, port))
+                udp.bind((host, port))
             except OSError:
                 continue
-            return tcp.getsockname()[1]
+            _given_ports.add(port)
+            return port
     raise CouldNotRunError("no free port")
 
 
@@ -340,8 +351,9 @@
     try:
         broken = case(place, record, processes)
         code = BROKEN if broken else HELD
-    except (CouldNotRunError, OSError, subprocess.SubprocessError) as fault:
-        record.say(f"could not run: {type(fault).__name__}: {fault}")
+    except Exception as fault:  # whatever it is, it says nothing about the rule
+        where = "".join(traceback.format_exception(fault)) if not isinstance(fault, CouldNotRunError) else ""
+        record.say(f"could not run: {type(fault).__name__}: {fault} {where}".rstrip())
         code = COULD_NOT_RUN
     finally:
         for process in processes:
