--- a/willownotch/lab/soak/__main__.py
+++ b/willownotch/lab/soak/__main__.py
@@ -16,7 +16,8 @@
 import click
 import msgspec
 
-from willownotch.lab.soak.plan import draw, draw_cold
+from willownotch.lab.soak.crowd import CrowdKind
+from willownotch.lab.soak.plan import Plan, draw, draw_cold, pressure
 from willownotch.lab.soak.processes import ROOT
 from willownotch.lab.soak.run import Report, play
 
@@ -42,10 +43,10 @@
     return found
 
 
-def play_seed(seconds: float, senders: int | None, cold: bool, program: Path, seed: int) -> Report:
-    """One seed, in a process of its own where several are played beside one another."""
+def play_plan(program: Path, plan: Plan) -> Report:
+    """One plan, in a process of its own where several are played beside one another."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that no sender is left behind
-    return play(draw_cold(seed, senders) if cold else draw(seed, seconds, senders), program)
+    return play(plan, program)
 
 
 def row(report: Report) -> dict:
@@ -69,6 +70,9 @@
 @click.option("--beside", default=1, show_default=True, help="How many are played at the same time.")
 @click.option("--cold", is_flag=True, help="Fleets beside a destination that fails and returns cold.")
 @click.option("--senders", type=int, help="How many senders, in place of the drawn number.")
+@click.option("--crowd", type=click.Choice([kind.value for kind in CrowdKind]), help="One sender beside it.")
+@click.option("--count", default=600, show_default=True, help="How many clients the crowd has.")
+@click.option("--memory", default=32.0, show_default=True, help="The sender's memory beside a crowd, in MB.")
 @click.option("--json", "path", type=click.Path(path_type=Path), help="Where the results go.")
 @click.option(
     "--program",
@@ -83,14 +87,23 @@
     beside: int,
     senders: int | None,
     cold: bool,
+    crowd: str | None,
+    count: int,
+    memory: float,
     path: Path | None,
     program: Path,
     lines: bool,
 ) -> None:
     """Play whole senders with faults drawn from seeds; exit code 1 if a rule was broken."""
+
+    def plan_of(seed: int) -> Plan:
+        if crowd is not None:
+            return pressure(CrowdKind(crowd), count, memory, seed=seed)
+        return draw_cold(seed, senders) if cold else draw(seed, seconds, senders)
+
     rows = []
     with ProcessPoolExecutor(beside) as pool:
-        for report in pool.map(partial(play_seed, seconds, senders, cold, program), seeds_of(seeds)):
+        for report in pool.map(partial(play_plan, program), map(plan_of, seeds_of(seeds))):
             print(report.text(), flush=True)
             if lines:
                 for name, said in processes_of(report).items():
--- a/willownotch/lab/soak/plan.py
+++ b/willownotch/lab/soak/plan.py
@@ -10,6 +10,7 @@
 from willownotch.lab.faults.answers import AnswerFault
 from willownotch.lab.faults.shim import SHORT, SLOW, CallFault
 from willownotch.lab.recovery.case import OutageKind
+from willownotch.lab.soak.crowd import CrowdKind
 
 KILL_AFTER_S = 3.7  # from SIGTERM to SIGKILL: the earliest that the pages allow
 RESTART_AFTER_S = 0.6  # from SIGKILL to the next start
@@ -105,6 +106,24 @@
         return f"cold destination, limit {self.limit_per_s:.0f} {told}, load {self.load:.1f}: {outages}"
 
 
+@dataclass(frozen=True)
+class CrowdPlan:
+    """Clients of each sender that never finish a request, in a span of seconds from the beginning."""
+
+    kind: CrowdKind
+    count: int
+    from_s: float = 0.0
+    to_s: float = 8.0
+
+
+@dataclass(frozen=True)
+class Machine:
+    """What a sender's process may use."""
+
+    memory_mb: float = 96.0
+    sockets: int = 384
+
+
 @dataclass(frozen=True)
 class Plan:
     """One run."""
@@ -120,6 +139,9 @@
     call_faults: tuple[CallFault, ...]
     clock_steps_s: tuple[float, ...]  # of the wall clock, for the processes of a sender in turn
     cold: ColdPlan | None = None
+    crowd: CrowdPlan | None = None
+    machine: Machine = Machine()
+    pause_s: float | None = None  # of each client between two requests; drawn if None
 
     def describe(self) -> str:
         """One line."""
@@ -128,6 +150,12 @@
         cold = f"; {self.cold.describe()}" if self.cold is not None else ""
         struck = sorted({fault.name for span in self.conditions for fault in span.answer_faults})
         answers = f"; answers: {' '.join(struck)}" if struck else ""
+        if self.crowd is not None:
+            crowd = self.crowd
+            answers += (
+                f"; crowd: {crowd.count} {crowd.kind.value} {crowd.from_s:.1f}-{crowd.to_s:.1f} s, "
+                f"{self.machine.memory_mb:g} MB, {self.machine.sockets} descriptors"
+            )
         return (
             f"seed {self.seed}: {self.senders} senders x {self.clients} clients + {self.idle} idle, "
             f"{self.endpoints} endpoints; {steps}; system calls: {faults}; "
@@ -326,3 +354,33 @@
         (),
         cold,
     )
+
+
+PRESSURE_S = 8.0
+PRESSURE_PAUSE_S = 0.1  # together the clients stay below the listed limit
+
+
+def pressure(
+    kind: CrowdKind,
+    count: int,
+    memory_mb: float,
+    steps: tuple[Step, ...] = (),
+    seed: int = 1,
+    seconds: float = PRESSURE_S,
+) -> Plan:
+    """One sender with sound endpoints, eight sound clients, and a crowd beside them."""
+    return Plan(
+        seed,
+        seconds,
+        1,
+        8,
+        0,
+        3,
+        steps,
+        (Conditions(0.0),),
+        (),
+        (),
+        crowd=CrowdPlan(kind, count, to_s=seconds) if count else None,
+        machine=Machine(memory_mb, 1024),
+        pause_s=PRESSURE_PAUSE_S,
+    )
--- a/willownotch/lab/soak/processes.py
+++ b/willownotch/lab/soak/processes.py
@@ -81,6 +81,8 @@
 
 
 PORT_FIRST, PORT_SHARE, PORT_PARTS = 16000, 160, 100  # a part for each process that plays
+PEAK_MEMORY = re.compile(r"^VmHWM:\s+(\d+) kB", re.MULTILINE)
+BYTES_PER_MB = 1_000_000
 MANAGED = re.compile(r"operators are answered at ([\d.]+):(\d+)")
 
 
@@ -120,7 +122,11 @@
                     "listen": f"127.0.0.1:{self.address[1]}",
                     "discovery": discovery,
                     "seed": f"{plan.seed:x}{number}",
-                    "limits": {"sockets": 384, "disk_mb": 8, "memory_mb": 96},
+                    "limits": {
+                        "sockets": plan.machine.sockets,
+                        "disk_mb": 8,
+                        "memory_mb": plan.machine.memory_mb,
+                    },
                     "settings": settings_of(plan),
                 }
             ),
@@ -136,6 +142,7 @@
     def start(self) -> Lifetime:
         """Start the program; the one that runs, if any, goes on."""
         life = Lifetime(self.number, len(self.processes), time.monotonic())
+        life.memory_mb = self.plan.machine.memory_mb
         env = {
             "PATH": os.environ["PATH"],
             "LB_CONFIG": str(self.config),
@@ -186,6 +193,17 @@
             time.sleep(0.02)
         return False
 
+    def watch_memory(self) -> None:
+        """Record the peak resident memory of the running processes. It only grows, so it is read at times."""
+        for life, process in list(self.processes):
+            if life.ended is None:
+                try:
+                    status = Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
+                except OSError:
+                    continue  # it has ended
+                if found := PEAK_MEMORY.search(status):
+                    life.peak_mb = max(life.peak_mb, int(found[1]) * 1024 / BYTES_PER_MB)
+
     def holders(self, client_port: int) -> tuple[int, ...]:
         """The numbers of the processes that have the connection from a client's local port."""
         running = {process.pid: life.number for life, process in list(self.processes) if life.ended is None}
--- a/willownotch/lab/soak/records.py
+++ b/willownotch/lab/soak/records.py
@@ -95,6 +95,8 @@
     code: int | None = None
     lines: list[str] = field(default_factory=list)
     meant_to_end: bool = False
+    peak_mb: float = 0.0  # resident memory, as last read
+    memory_mb: float = float("inf")  # its limit
 
 
 NONE_COUNTED = -10.0  # below what any window can come to
--- a/willownotch/lab/soak/run.py
+++ b/willownotch/lab/soak/run.py
@@ -12,6 +12,7 @@
 
 from willownotch.lab.faults.answers import AnswerFault, AnswerProxy
 from willownotch.lab.faults.proxy import Proxy, Trouble
+from willownotch.lab.soak import crowd
 from willownotch.lab.soak.clients import Client, IdleCrowd
 from willownotch.lab.soak.cold import ColdEndpoint
 from willownotch.lab.soak.endpoints import COLD_DESTINATION, Endpoint, Platform
@@ -22,6 +23,8 @@
 
 SETTLE_S = 12.0  # after the last request, for all endings: longer than any message is given, and a restart
 HEARTBEAT_S = 0.005
+IN_TIME_S = 0.4  # for which a client waits
+MEMORY_EVERY_S = 0.1
 JITTER_S = 0.002  # of the way to endpoints
 
 
@@ -43,10 +46,14 @@
         requests = self.records.requests
         answered = [r for r in requests if r.ending is Ending.ANSWERED]
         found = dict(Counter(r.ending.value for r in requests))
+        in_time = sum(r.ended - r.began <= IN_TIME_S for r in answered)
         found |= {
+            "answered in time, %": int(100 * in_time / len(requests)) if requests else 0,
             "202": sum(r.status == 202 for r in answered),
             "503": sum(r.status == 503 for r in answered),
             "answered after 0.4 s": sum(r.ended - r.written > 0.4 for r in answered),
+            "slowest answer, ms": int(1000 * max((r.ended - r.began for r in answered), default=0.0)),
+            "peak memory, MB": round(max((x.peak_mb for x in self.records.lifetimes), default=0.0), 1),
             "the harness late by at most, ms": int(self.records.late_s * 1000),
             "calls": len(self.records.calls),
             "notices": len(self.records.notices),
@@ -130,7 +137,10 @@
                 client.thread.start()
             threads = [threading.Thread(target=self._steps, args=(sender,)) for sender in self.senders]
             threads.append(threading.Thread(target=self._change_proxy))
+            if self.plan.crowd is not None:
+                threads.append(threading.Thread(target=self._trouble))
             threading.Thread(target=self._measure_lateness, daemon=True).start()
+            threading.Thread(target=self._measure_memory, daemon=True).start()
             for thread in threads:
                 thread.start()
             for thread in threads:
@@ -168,6 +178,7 @@
                     Random(self.plan.seed * 7919 + sender.number * 101 + n),
                     self.stop,
                     self.plan.clients * self.plan.senders,
+                    pause_s=self.plan.pause_s,
                     holders=sender.holders,
                 )
                 for n in range(self.plan.clients)
@@ -221,6 +232,23 @@
             for proxy in self.proxies:
                 proxy.trouble = Trouble(jitter_s=JITTER_S, reset=conditions.break_pieces)
 
+    def _trouble(self) -> None:
+        """Run the plan's crowd at each sender."""
+        plan = self.plan.crowd
+        if self.stop.wait(max(0.0, self.began + plan.from_s - time.monotonic())):
+            return
+        crowds = [
+            crowd.start(sender.address, plan.kind, plan.count, plan.to_s - plan.from_s, self.plan.seed)
+            for sender in self.senders
+        ]
+        for process in crowds:
+            process.wait()
+
+    def _measure_memory(self) -> None:
+        while not self.stop.wait(MEMORY_EVERY_S):
+            for sender in self.senders:
+                sender.watch_memory()
+
     def _measure_lateness(self) -> None:
         """How late this process itself is: its threads share one interpreter and the machine."""
         while not self.stop.is_set() or self.settling:
--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -274,6 +274,8 @@
         elif life.code not in (None, 0) and life.killed_at is None:
             found.append(Broken("crash", f"{name} ended with {life.code}: {life.lines[-3:]}"))
         found += [Broken("bad line", f"{name}: {line}") for line in life.lines if BAD_LINE.match(line)]
+        if life.peak_mb > life.memory_mb:
+            found.append(Broken("memory", f"{name} had {life.peak_mb:.1f} MB of {life.memory_mb:g}"))
         found += _ready(life, name, records)
     return found
 
