Give up no stuck calls by the answers of a destination that has no endpoint left

Callers saw all senders end with status 70 within a second, and again 0.4 to 0.6 s after each start, until a message's time was up. Cause: _cancel_stuck asked for the latest answer of a destination's routes; the list had taken the last one away, and max() of nothing raised in each round.

Such a destination has answered nobody since the call was sent, so its calls are not called dead by that comparison (-inf).

--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -382,17 +382,21 @@
             least = job.cls.wanted_s if job.cls.idempotency is Idempotency.UNSAFE else 0.0
             for number, (call, ran) in enumerate(job.attempts):
                 out = ran is Ran.OUTSTANDING and not call.has_outcome
-                # A slow route still answers other calls; one that hangs has answered none since.
-                hangs = out and call.counted and call.route.failing and call.route.last_ok < call.sent_at
-                # The destination answers others: this call's connection is dead and would keep its slot.
-                usual = max(
-                    STUCK_FACTOR * max(call.route.pool.recent, default=inf), self._silence_s(call.route.pool)
-                )
-                answered = max(r.last_ok for r in self.store.destinations[job.dest].routes.values())
-                stuck = out and call.sent_at < min(answered, self.now - usual)
-                if (hangs or stuck) and self.now > call.sent_at + least:
+                if out and self.now > call.sent_at + least and self._gets_no_answer(job, call):
                     self.out.append(api.CancelAttempt(job.ref, number))
 
+    def _gets_no_answer(self, job: Job, call: Call) -> bool:
+        """Whether a call in flight is given up for a waiting message: others have been answered since."""
+        # A slow route still answers other calls; one that hangs has answered none since.
+        hangs = call.counted and call.route.failing and call.route.last_ok < call.sent_at
+        # The destination answers others: this call's connection is dead and would keep its slot.
+        pool = call.route.pool
+        usual = max(STUCK_FACTOR * max(pool.recent, default=inf), self._silence_s(pool))
+        # The list may have taken all endpoints of the destination away since the call was sent.
+        routes = self.store.destinations[job.dest].routes.values()
+        answered = max((route.last_ok for route in routes), default=-inf)
+        return hangs or call.sent_at < min(answered, self.now - usual)
+
     def _silence_s(self, pool: Pool) -> float:
         """How long a call may stay unanswered before that counts as a failure, in seconds."""
         if pool.expected == inf and len(pool.recent) >= M_EVERY:
