--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -13,9 +13,7 @@
 
 from willownotch import interface as api
 from willownotch.concurrency_limit import (
-    EXPECTED_FACTOR,
     FAST_STEP,
-    M_EVERY,
     MAX_PRIORITY,
     PERIOD_S,
     RECENT_S,
@@ -29,12 +27,12 @@
 from willownotch.interface import Idempotency, Outcome
 from willownotch.pacing import PACE_GAP_S, even_share, record_limit, record_refusal
 from willownotch.repeats import RAN_BY_OUTCOME, may_refuse, may_send
+from willownotch.silence import gets_no_answer, silence_s
 from willownotch.slow_start import FEW_SENDERS, MIN_FLEET_PER_S, SEND_LAG_S, Bounds, SlowStart, State, Traffic
 from willownotch.state import Bucket, Call, Destination, FadingSum, Job, Pool, Ran, Route, Store, ewma, job_of
 
 DEST_SHARE, DEGRADED_SHARE = 0.75, 0.5  # of the slots: one destination; a degraded one, or all of these
 FAILURE_STEP, REFUSAL_STEP, FAILING_SCORE = 0.4, 0.1, 0.6  # reached by two failures or nine refusals
-OVERDUE_FACTOR = 1.5  # x expected latency: a call unanswered for longer counts as failed
 JITTER = (0.5, 1.5)  # x a gap between calls, so that senders refused together do not return together
 LISTED_RATE_SHARE = 2 / 3  # x a listed rate, which may be half too high, until an answer reports the limit
 OUTAGE_REFUSALS = 3  # so many with no success between, over at least RECENT_S, are an outage and not a limit
@@ -42,7 +40,6 @@
 HELD_SHARE, DEST_HELD_SHARE = 0.9, 0.5  # of the holding room: all held messages; those for one destination
 CLOSE_CALLS, SPARSE_PER_S = 100, 1.0  # calls that close idle connections after a refused one, if so sparse
 TENANT_BURST_S, MEAN_S = 2.0, 10.0  # of a quota that may be used at once; time that traffic is averaged over
-STUCK_FACTOR = 2.0  # x the longest recent latency: a call overtaken by others for so long gets no answer
 REFUSE_S, MIN_HANDSHAKE_COST = 1.0, 0.02  # a full connection table refuses sooner; x a message's worth
 LIST_RETRY_S, TICK_TIMER, LIST_TIMER = 1.0, 1, 2  # first delay before a failed list call is retried; timers
 
@@ -380,28 +377,15 @@
         self.cancel_at = self.due = self.now + PACE_GAP_S  # the outcome of a cancellation takes some time
         for job in self.store.jobs.values():
             least = job.cls.wanted_s if job.cls.idempotency is Idempotency.UNSAFE else 0.0
+            routes = self.store.destinations[job.dest].routes.values()
             for number, (call, ran) in enumerate(job.attempts):
-                out = ran is Ran.OUTSTANDING and not call.has_outcome
-                if out and self.now > call.sent_at + least and self._gets_no_answer(job, call):
+                out = ran is Ran.OUTSTANDING and not call.has_outcome and self.now > call.sent_at + least
+                if out and gets_no_answer(call, routes, self.now, self.default_silence_s):
                     self.out.append(api.CancelAttempt(job.ref, number))
 
-    def _gets_no_answer(self, job: Job, call: Call) -> bool:
-        """Whether a call in flight is given up for a waiting message: others have been answered since."""
-        # A slow route still answers other calls; one that hangs has answered none since.
-        hangs = call.counted and call.route.failing and call.route.last_ok < call.sent_at
-        # The destination answers others: this call's connection is dead and would keep its slot.
-        pool = call.route.pool
-        usual = max(STUCK_FACTOR * max(pool.recent, default=inf), self._silence_s(pool))
-        # The list may have taken all endpoints of the destination away since the call was sent.
-        routes = self.store.destinations[job.dest].routes.values()
-        answered = max((route.last_ok for route in routes), default=-inf)
-        return hangs or call.sent_at < min(answered, self.now - usual)
-
     def _silence_s(self, pool: Pool) -> float:
         """How long a call may stay unanswered before that counts as a failure, in seconds."""
-        if pool.expected == inf and len(pool.recent) >= M_EVERY:
-            return min(self.default_silence_s, OVERDUE_FACTOR * EXPECTED_FACTOR * max(pool.recent))
-        return OVERDUE_FACTOR * pool.expected if pool.expected < inf else self.default_silence_s
+        return silence_s(pool, self.default_silence_s)
 
     def _schedule_next(self, route: Route, phase: float | None = None) -> None:
         """Set when the next call may go: under a pace, as a trial while failing, or in a slow start."""
