Build the fault shim on arm64, which has neither rename nor unlink as system calls

The shim's effect on a start, a folder and a wall clock is tested by test_system_calls.py and test_soak.py.

--- a/willownotch/lab/faults/shim.c
+++ b/willownotch/lab/faults/shim.c
@@ -275,14 +275,14 @@
     int effect = below(old) ? strike("rename") : 0;
     if (effect > 0)
         FAIL(effect);
-    return syscall(SYS_rename, old, new);
+    return syscall(SYS_renameat, AT_FDCWD, old, AT_FDCWD, new);
 }
 
 int unlink(const char *path) {
     int effect = below(path) ? strike("unlink") : 0;
     if (effect > 0)
         FAIL(effect);
-    return syscall(SYS_unlink, path);
+    return syscall(SYS_unlinkat, AT_FDCWD, path, 0);
 }
 
 int flock(int fd, int operation) {
