Bound the growth of a pace behind a long quiet time

Callers would have seen a sender end with status 70 at the first delivery to a destination that had been quiet for 2.6 hours or longer. Cause: a pace grows by 1.08 for each second since its last success, and 1.08 ** 9,224 is out of a float's range (OverflowError in record_success).

The growth of one success is bounded by 1,000 steps: far above any pace that is still in use, and a higher one is dropped at three times the highest rate.

--- a/willownotch/concurrency_limit.py
+++ b/willownotch/concurrency_limit.py
@@ -21,6 +21,7 @@
 MIDDLE_PASS, MIDDLE_TO_TOP = 0.5, 0.1  # the design: target shares of the middle band for the cuts
 RECENT_S = 2.0  # an outcome counts as recent for this long
 PACE_GROWTH = 1.08  # x pace at a success; with a cut of 0.6 it balances at one refusal in eight calls
+MAX_GROWTH_STEPS = 1000.0  # of the pace at one success; far above any pace that is still in use
 PACE_OFF = 3.0  # x max rate: a pace above this limits nothing and is dropped
 PACE_RECOVERY = 1.5  # x pace at a success with room left, up to the even share
 ROOM_LEFT = 0.5  # share of a limit: with less left, faster calls would cause refusals for other senders
@@ -37,7 +38,7 @@
     pool.costs.append(took)
     # A slow pace has few successes to grow by, so each second without a refusal counts as one too, unless the
     # reported room is low.
-    idle = (now - max(pool.refused_at, pool.pace_grown_at)) / PERIOD_S
+    idle = min(MAX_GROWTH_STEPS, (now - max(pool.refused_at, pool.pace_grown_at)) / PERIOD_S)
     pool.pace *= PACE_GROWTH ** (1.0 if room is not None and room < ROOM_LEFT else max(1.0, idle))
     if room is not None and room >= ROOM_LEFT and pool.pace < even:
         pool.pace = min(even, PACE_RECOVERY * pool.pace)  # takes nothing from other senders
