--- a/benchmarks/capacity/list_watch.py
+++ b/benchmarks/capacity/list_watch.py
@@ -23,7 +23,8 @@
 from willownotch.net.clock import Clock
 from willownotch.net.config import ListedEndpoint, ListUpdate
 from willownotch.net.log import Log
-from willownotch.net.registry import MAX_WATCH_LIST_BYTES, Hosts, WatchDecoder
+from willownotch.net.registry import Hosts
+from willownotch.net.watch_decoder import MAX_WATCH_LIST_BYTES, WatchDecoder
 
 SEED, DESTINATIONS, RATE, CHANGES = 12, 60_000, 121.0, 4.2
 WHY = "4.2 changes a second: 1,260 outages of 10 minutes in the mean, begun and ended"
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -37,7 +37,8 @@
 from willownotch.net.journal import Journal, JournalFullError
 from willownotch.net.log import MOST, Log
 from willownotch.net.pending import PendingReply
-from willownotch.net.registry import Host, Hosts, WatchDecoder
+from willownotch.net.registry import Host, Hosts
+from willownotch.net.watch_decoder import WatchDecoder
 
 ENDS = datetime(2026, 12, 1, 12, 0, tzinfo=UTC)
 
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -15,9 +15,10 @@
 from willownotch import interface as api
 from willownotch.net import http, sockets
 from willownotch.net.clock import Clock, seconds
-from willownotch.net.config import Config, ConfigError, ListedEndpoint, ListUpdate, read_address
+from willownotch.net.config import Config, ListedEndpoint, ListUpdate, read_address
 from willownotch.net.list_versions import ListVersions, StaleListError, UnconfirmedListError
 from willownotch.net.log import Log
+from willownotch.net.watch_decoder import MAX_WATCH_LIST_BYTES, PartialUpdate, WatchDecoder
 
 # A sender that can reach discovery must know a change of the list 6 s later: soon after that nothing more may
 # be sent to an endpoint that is gone. Within that time a silent watch has to be detected and replaced.
@@ -40,7 +41,8 @@
 # A service that is down refuses at once. An overloaded one answers late, and its clients have to spread out.
 MAX_RETRY_DELAY_BUSY, BUSY_RESPONSE_TIME = timedelta(seconds=30), timedelta(milliseconds=300)
 GONE_RETENTION = timedelta(seconds=60)  # for which a host that left the list keeps its number
-MAX_WATCH_LIST_BYTES = 4 << 20
+LIST_MEMORY_SHARE = 1 / 32  # of the process's memory, for the text of one list
+BYTES_PER_MB = 1_000_000
 READINESS_BY_STATUS = {
     "Ready": api.Readiness.SERVING,
     "Terminating": api.Readiness.DRAINING,
@@ -122,15 +124,18 @@
         """Apply an update of the list.
 
         Returns the module's event, and the numbers of hosts that have left or changed. An entry that is
-        invalid is logged and leaves its host as it was.
+        invalid is logged and leaves its host as it was, also in a whole list.
         """
         entries, before = [], {}
+        ignored = list(update.unread) if isinstance(update, PartialUpdate) else []
         for listed in update.endpoints:
             try:
                 entries.append(self._apply_entry(listed, before))
-            except (ConfigError, ValueError) as fault:
+            except ValueError as fault:
+                ignored.append(listed.name)
                 self.log.say("list", f"entry {listed.name!r} ignored: {fault}")
         if update.snapshot:
+            entries += self._entries_kept(ignored, {entry.number for entry in entries})
             named = {entry.number for entry in entries}
             for number in [n for n in self.by_number if n not in named]:
                 before.setdefault(number, self.by_number.pop(number))
@@ -140,6 +145,24 @@
         changed = [number for number, host in before.items() if host and self.by_number.get(number) != host]
         return api.EndpointList(tuple(entries), update.snapshot), changed
 
+    def _entries_kept(self, names: list[str], named: set[int]) -> list[api.Endpoint]:
+        """The present entries of hosts with these names, but for those numbered in `named`.
+
+        They tell no rate: the module keeps the limit that it knows.
+        """
+        hosts = [self.by_number.get(self._number_by_name.get(name, 0)) for name in dict.fromkeys(names)]
+        return [
+            api.Endpoint(
+                host.number,
+                host.destination,
+                host.kind,
+                host.zone,
+                api.Readiness.SERVING if host.serving else api.Readiness.DRAINING,
+            )
+            for host in hosts
+            if host is not None and host.number not in named
+        ]
+
     def _displace(self, before: dict[int, Host | None]) -> list[api.Endpoint]:
         """Remove hosts whose address a newer host has taken over, and return them as gone.
 
@@ -221,47 +244,6 @@
         return destination in self._listed_hosts
 
 
-class WatchDecoder:
-    """Decodes a watch's byte stream into updates of the list. One update may be indented over several
-    lines."""
-
-    def __init__(self) -> None:
-        self._partial_line = bytearray()
-        self._partial_list = bytearray()  # complete lines of an incomplete list
-
-    def feed(self, data: bytes) -> tuple[list[ListUpdate], bool]:
-        """The updates that are complete now, and whether any line was completed.
-
-        `DecodeError` for what cannot be an update, `BadMessageError` for one that is too long or breaks off.
-        """
-        self._partial_line += data
-        *lines, rest = self._partial_line.split(b"\n")
-        self._partial_line = bytearray(rest)
-        if len(self._partial_line) + len(self._partial_list) > MAX_WATCH_LIST_BYTES:
-            raise http.BadMessageError(413, "a list of the watch is too long")
-        return [
-            update for line in lines if (update := self._decode_line(bytes(line).strip())) is not None
-        ], bool(lines)
-
-    def _decode_line(self, line: bytes) -> ListUpdate | None:
-        """Add a line to the partial list; the update, if that completes it."""
-        if not line:
-            if self._partial_list:
-                raise http.BadMessageError(400, "a list of the watch breaks off")
-            return None
-        first, self._partial_list = not self._partial_list, self._partial_list + line
-        if not first and not line.endswith(b"}"):  # a list can only end with a closing brace
-            return None
-        try:
-            update = msgspec.json.decode(self._partial_list, type=ListUpdate)
-        except msgspec.DecodeError as fault:
-            if "truncated" in str(fault):  # indented: more lines follow
-                return None
-            raise
-        self._partial_list = bytearray()
-        return update
-
-
 class Backoff:
     """Random delays between tries, whose span doubles up to a bound and is reset after a success.
 
@@ -391,6 +373,9 @@
             SERVICE_FIRST_DATA_TIMEOUT if config.shared_discovery else AGENT_FIRST_DATA_TIMEOUT
         )
         self._backoff = Backoff(config.settings.senders if config.shared_discovery else 1)
+        self._max_list_bytes = min(
+            MAX_WATCH_LIST_BYTES, int(LIST_MEMORY_SHARE * config.limits.memory_mb * BYTES_PER_MB)
+        )
         self._max_delay = MAX_RETRY_DELAY_SERVICE if config.shared_discovery else MAX_RETRY_DELAY_AGENT
 
     def run(self) -> None:
@@ -430,7 +415,8 @@
             sock.settimeout(seconds(self.first_data_timeout))
             target = f"/registry/instances?watch=1&from={self.versions.index}"
             sockets.send_all(sock, http.write_request("GET", target, host_header, ()))
-            parser, decoder = http.Parser(answer=True, stream=True), WatchDecoder()
+            parser = http.Parser(answer=True, stream=True)
+            decoder = WatchDecoder(lambda text: self.log.say("list", text), self._max_list_bytes)
             while not parser.eof:
                 try:
                     sock.settimeout(max(0.001, seconds(due - self.clock.now())))
