Refuse unsound values of a list's entry where they come in

Callers would have seen all senders end with status 70, and again behind each start, since the same list and the message for its destination came back: an address with a NUL reached connect (ValueError in the thread of a call), a negative weight reached the decisions as a limit (math domain error in the slow start).

An entry is checked whole before anything is changed by it: name, type, status, group, weight, start and an address in the form of a host name or an IP address. What is unsound is logged with the entry's name and its host stays as it was; the rest of the list holds.

--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -19,6 +19,10 @@
 from willownotch.net.rules import Rules, rules_of
 
 MAX_PERIOD_S = 0.05  # between two decision rounds: a client's answer waits for one
+MAX_HOST_CHARS, MAX_PORT = 253, 65535
+HOST_LABEL = r"[0-9A-Za-z_]([0-9A-Za-z_-]{0,61}[0-9A-Za-z_])?"
+HOST_NAME = re.compile(rf"{HOST_LABEL}(\.{HOST_LABEL})*")
+IPV6_ADDRESS = re.compile(r"[0-9A-Fa-f:.]{2,45}")
 MAX_READ_TRIES, READ_RETRY_DELAY_S = 30, 0.05
 READ_RETRY_ERRORS = {
     errno.EIO,
@@ -196,11 +200,16 @@
 
 
 def read_address(text: str, what: str) -> tuple[str, int]:
-    """Parse HOST:PORT. `what` names the address in the `ConfigError`."""
+    """Parse HOST:PORT. `what` names the address in the `ConfigError`.
+
+    HOST is an address or a name in the form of RFC 1123: what a connect could not even encode is refused.
+    """
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not re.fullmatch(r"[0-9]{1,5}", port) or int(port) > 65535:
-        raise ConfigError(f"{what} is not HOST:PORT: {text!r}")
-    return host.strip("[]"), int(port)
+    host = host.removeprefix("[").removesuffix("]")
+    valid = len(host) <= MAX_HOST_CHARS and (HOST_NAME.fullmatch(host) or IPV6_ADDRESS.fullmatch(host))
+    if not colon or not valid or not re.fullmatch(r"[0-9]{1,5}", port) or int(port) > MAX_PORT:
+        raise ConfigError(f"{what} is not HOST:PORT: {text[:MAX_HOST_CHARS]!r}")
+    return host, int(port)
 
 
 def module_settings(entry: SettingsEntry) -> api.Settings:
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 import socket
 import threading
 from collections.abc import Callable
@@ -42,6 +43,9 @@
 MAX_RETRY_DELAY_BUSY, BUSY_RESPONSE_TIME = timedelta(seconds=30), timedelta(milliseconds=300)
 GONE_RETENTION = timedelta(seconds=60)  # for which a host that left the list keeps its number
 LIST_MEMORY_SHARE = 1 / 32  # of the process's memory, for the text of one list
+MAX_RATE_PER_S, MAX_DESTINATION = 1e9, 10**9  # of an entry; clients name destinations by up to nine digits
+MAX_NAME_CHARS, MAX_SINCE_MS = 256, 10**15
+NAME_PATTERN = re.compile(r"[^\x00-\x1f\x7f\ud800-\udfff]+")
 BYTES_PER_MB = 1_000_000
 READINESS_BY_STATUS = {
     "Ready": api.Readiness.SERVING,
@@ -133,7 +137,7 @@
                 entries.append(self._apply_entry(listed, before))
             except ValueError as fault:
                 ignored.append(listed.name)
-                self.log.say("list", f"entry {listed.name!r} ignored: {fault}")
+                self.log.say("list", f"entry {listed.name[:MAX_NAME_CHARS]!r} ignored: {fault}")
         if update.snapshot:
             entries += self._entries_kept(ignored, {entry.number for entry in entries})
             named = {entry.number for entry in entries}
@@ -214,12 +218,8 @@
 
     def _apply_entry(self, listed: ListedEndpoint, before: dict[int, Host | None]) -> api.Endpoint:
         """Apply one entry of an update, and add its previous host to `before`. `ValueError` if invalid."""
-        if listed.type not in self.kinds:
-            raise ValueError(f"unknown type {listed.type!r}")
-        if listed.status not in READINESS_BY_STATUS:
-            raise ValueError(f"unknown status {listed.status!r}")
+        address = self._check_entry(listed)
         readiness, number = READINESS_BY_STATUS[listed.status], self.number(listed.name)
-        address = read_address(listed.address, "its address")
         zone = self.zones.index(listed.zone) if listed.zone in self.zones else 0
         before.setdefault(number, self.by_number.get(number))
         if readiness is api.Readiness.GONE:
@@ -239,6 +239,22 @@
             number, listed.group, self.kinds.index(listed.type), zone, readiness, listed.weight
         )
 
+    def _check_entry(self, listed: ListedEndpoint) -> tuple[str, int]:
+        """The address of a valid entry. Raises `ValueError` with what is wrong, and changes nothing."""
+        if len(listed.name) > MAX_NAME_CHARS or not NAME_PATTERN.fullmatch(listed.name):
+            raise ValueError(f"a name has 1 to {MAX_NAME_CHARS} characters, none of them a control character")
+        if listed.type not in self.kinds:
+            raise ValueError(f"unknown type {listed.type!r}")
+        if listed.status not in READINESS_BY_STATUS:
+            raise ValueError(f"unknown status {listed.status!r}")
+        if not 0 <= listed.group < MAX_DESTINATION:
+            raise ValueError(f"group {listed.group} is out of range")
+        if not 0.0 <= listed.weight < MAX_RATE_PER_S:
+            raise ValueError(f"weight {listed.weight} is out of range")
+        if not 0 <= listed.since_ms < MAX_SINCE_MS:
+            raise ValueError(f"since_ms {listed.since_ms} is out of range")
+        return read_address(listed.address, "its address")
+
     def listed(self, destination: int) -> bool:
         """Whether any host is listed for a destination."""
         return destination in self._listed_hosts
