Bound every number of the configuration, and its nesting, where it is read

A value out of it is refused with its path by the file's reader, and so by a follower (nack), by `check`, and by members before they commit it. Addresses have the form of a host; the text has 64 levels at most.

--- a/tests/decision_stories.py
+++ b/tests/decision_stories.py
@@ -16,9 +16,17 @@
 class Story:
     """One story of a controller, drawn from a seed; `play` raises whatever the module raises."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, given=None):
         self.random = Random(f"decisions {seed}")
-        self.drawn = settings(
+        self.drawn = given or self.draw_settings()
+        self.now, self.count = 0.0, 0
+        self.messages = {}  # by id, those without an end
+        self.attempts = {}  # by id, the numbers of attempts so far
+        self.out = []  # attempts in progress: (id, number, endpoint)
+        self.controller = Controller(self.drawn, seed)
+
+    def draw_settings(self):
+        return settings(
             slots=self.random.choice((1, 2, 8)),
             holding_room=self.random.choice((3, 20)),
             senders=self.random.choice((1, 2, 12, 200)),
@@ -32,11 +40,6 @@
             keepalive_s=self.random.choice((0.5, 5.0, float("inf"))),
             tenants=self.random.choice(((), (api.Tenant("a", 0.0), api.Tenant("b", 5.0)))),
         )
-        self.now, self.count = 0.0, 0
-        self.messages = {}  # by id, those without an end
-        self.attempts = {}  # by id, the numbers of attempts so far
-        self.out = []  # attempts in progress: (id, number, endpoint)
-        self.controller = Controller(self.drawn, seed)
 
     def play(self, rounds):
         for _ in range(rounds):
@@ -115,7 +118,7 @@
             api.Endpoint(
                 number,
                 self.random.choice(DESTINATIONS),
-                number % 3,
+                number % len(self.drawn.kinds),
                 number % 2,
                 self.random.choice(list(api.Readiness)),
                 self.random.choice(RATES),
@@ -126,12 +129,13 @@
 
     def message(self):
         self.count += 1
-        cls = self.random.choice(CLASSES)
+        number = self.random.randrange(len(self.drawn.classes))
+        cls = self.drawn.classes[number]
         left = self.random.choice((0.0, 0.05, 1.0, cls.deadline_s, 1e6))
         message = api.Message(
             f"m{self.count}",
             self.random.choice((*DESTINATIONS, 9)),
-            CLASSES.index(cls),
+            number,
             left,
             self.random.choice((0, 1, 7)),
             self.random.choice((None, "k1", "k2")),
--- a/willownotch/net/config.py
+++ b/willownotch/net/config.py
@@ -11,18 +11,19 @@
 from datetime import timedelta
 from math import inf
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
 from willownotch import interface as api
+from willownotch.json_text import decode_json
 from willownotch.net.rules import Rules, rules_of
 
 MAX_PERIOD_S = 0.05  # between two decision rounds: a client's answer waits for one
 MAX_HOST_CHARS, MAX_PORT = 253, 65535
 HOST_LABEL = r"[0-9A-Za-z_]([0-9A-Za-z_-]{0,61}[0-9A-Za-z_])?"
 HOST_NAME = re.compile(rf"{HOST_LABEL}(\.{HOST_LABEL})*")
-IPV6_ADDRESS = re.compile(r"[0-9A-Fa-f:.]{2,45}")
+IPV6_ADDRESS = re.compile(r"(?=.*:)[0-9A-Fa-f:.]{2,45}")
 MAX_READ_TRIES, READ_RETRY_DELAY_S = 30, 0.05
 READ_RETRY_ERRORS = {
     errno.EIO,
@@ -34,6 +35,12 @@
     errno.ESTALE,
 }
 
+MAX_SETTING = 1e9  # of any number in the configuration: as seconds some thirty years
+Number = Annotated[float, msgspec.Meta(ge=-MAX_SETTING, le=MAX_SETTING)]
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SETTING)]
+Positive = Annotated[float, msgspec.Meta(ge=1e-6, le=MAX_SETTING)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=int(MAX_SETTING))]
+
 Overlay = Callable[[Any], Any]  # from a file's decoded JSON to the JSON that applies
 
 
@@ -49,43 +56,43 @@
     """One class of message."""
 
     name: str
-    credit: float
-    promise_s: float
-    hard_limit_s: float
+    credit: Number
+    promise_s: Number
+    hard_limit_s: Number
     idempotency: str
-    late_share: float = 0.0
+    late_share: Amount = 0.0
     group: str | None = "all"
-    memory_span_s: float = 0.0
+    memory_span_s: Amount = 0.0
     one_at_a_time: bool = False
-    aim_stretch: float = 0.0
+    aim_stretch: Amount = 0.0
 
 
 class TenantEntry(CamelCaseStruct):
     """A tenant."""
 
     name: str
-    quota_per_s: float = 0.0
+    quota_per_s: Amount = 0.0
 
 
 class FamilyInfoEntry(CamelCaseStruct):
     """Settings of the kind of service."""
 
-    slots: int
+    slots: Count
     decay: str = "even"
     separate_routes: list[bool] = []
-    kind_batch: list[int] = []
-    fee_by_zone: list[float] = []
-    refusal_cost: float = 0.0
+    kind_batch: list[Count] = []
+    fee_by_zone: list[Amount] = []
+    refusal_cost: Amount = 0.0
 
 
 class PolicyLimitsEntry(CamelCaseStruct):
     """The limits on what a sender may do."""
 
-    max_open: int
-    max_attempts: int
-    connect_timeout_s: float = 1.5
-    keepalive_s: float | None = None
-    max_retry_after_s: float = 0.0
+    max_open: Count
+    max_attempts: Count
+    connect_timeout_s: Amount = 1.5
+    keepalive_s: Amount | None = None
+    max_retry_after_s: Amount = 0.0
     may_cancel: bool = False
     retry_after: bool = False
     second_copies: bool = False
@@ -94,20 +101,20 @@
 class RulesEntry(CamelCaseStruct):
     """Parameters of the delivery rules."""
 
-    cold_share: float
-    cold_s: float
-    fall_multiple: float
-    fall_s: float
-    grace_to_answer_s: float = 0.0
-    key_quiet_s: float = 0.0
-    ask_within_s: float = 10.0
+    cold_share: Positive
+    cold_s: Positive
+    fall_multiple: Positive
+    fall_s: Positive
+    grace_to_answer_s: Amount = 0.0
+    key_quiet_s: Amount = 0.0
+    ask_within_s: Amount = 10.0
 
 
 class CostsEntry(CamelCaseStruct, frozen=True):
     """Points deducted from the result."""
 
-    waste: float = 0.0
-    handshake: float = 0.0
+    waste: Amount = 0.0
+    handshake: Amount = 0.0
 
 
 class CallersEntry(CamelCaseStruct, frozen=True):
@@ -124,13 +131,13 @@
     family_info: FamilyInfoEntry
     policy_limits: PolicyLimitsEntry
     rules: RulesEntry
-    peers_total: int
+    peers_total: Count
     orgs: list[TenantEntry] = []
     costs: CostsEntry = CostsEntry()
     callers: CallersEntry = CallersEntry()
-    period_s: float = 0.005
+    period_s: Amount = 0.005
     discovery: str = "automatic"
-    over_share_worth: float = 1.0
+    over_share_worth: Amount = 1.0
     weight_kind: str = "none"
     zones: list[str] = []
 
@@ -138,9 +145,9 @@
 class Limits(msgspec.Struct):
     """Resource limits of the process."""
 
-    memory_mb: float = 192.0
-    sockets: int = 1024
-    disk_mb: float = 3.0
+    memory_mb: Amount = 192.0
+    sockets: Count = 1024
+    disk_mb: Amount = 3.0
 
 
 class ListedEndpoint(msgspec.Struct):
@@ -287,11 +294,11 @@
     decoded file.
     """
     try:
-        file = msgspec.json.decode(text, type=ConfigFile)
-        keys = frozenset(key_paths(msgspec.json.decode(text)))
+        file = decode_json(text, ConfigFile)
+        keys = frozenset(key_paths(decode_json(text)))
         if overlay is not None:
-            file = msgspec.convert(overlay(msgspec.json.decode(text)), ConfigFile)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError) as fault:
+            file = msgspec.convert(overlay(decode_json(text)), ConfigFile)
+    except msgspec.DecodeError as fault:
         raise ConfigError(f"the configuration cannot be read: {fault}") from None
     if old is not None and (missing := sorted(old.keys - keys)):
         raise ConfigError(f"the configuration is short of {missing[0]!r}, which it had before")
