Refuse an unsound change at the member that is asked for it

Callers saw members of the control plane end: `config put` of 1.5 MB with status 70 (the size was checked by the writer alone, and the link to it raised ValueError), of 900 levels with SIGSEGV in a thread of 256 KiB. By reading, a base of 2**70 raises OverflowError where the link encodes it, and an entry below a plain value of the file raises TypeError at every follower, which ends it at each start.

The member that is asked checks a change whole (levels, size, keys, base, author) before it is passed on. A message too large for its frame is dropped and counted by the link in place of ending it, as one that was lost. An overlay tells an entry below a plain value as a ConfigError, which a follower answers with a nack.

--- a/willownotch/channel/server.py
+++ b/willownotch/channel/server.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from willownotch.json_text import decode_json
+
 MAX_LINE_BYTES = 64 * 1024  # of a request
 READ_BYTES = 64 * 1024
 TIMEOUT_S = 2.0  # for a client to send a piece of its request, and to accept a piece of the answer
@@ -123,7 +125,7 @@
         try:
             if len(line) > self.max_line_bytes:
                 raise BadRequestError(f"a question of more than {self.max_line_bytes} bytes")
-            request = msgspec.json.decode(line, type=Request)
+            request = decode_json(line, Request)
             if request.ask not in self.handlers:
                 known = ", ".join(sorted(self.handlers)) or "nothing"
                 raise BadRequestError(f"unknown question {request.ask!r}, allowed: {known}")
--- a/willownotch/controlplane/entries.py
+++ b/willownotch/controlplane/entries.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from willownotch.controlplane.document import MAX_KEY_BYTES, Change, Document, DocumentError, check_change
+from willownotch.json_text import decode_json
 from willownotch.net.config import ConfigError, ConfigFile, read_config
 
 CONFIG, DATA = "config", "data"
@@ -147,8 +148,8 @@
             continue
         lines[key] = number
         try:
-            value = msgspec.json.decode(rest.strip())
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            value = decode_json(rest.strip())
+        except msgspec.DecodeError as error:
             message = str(error)
             position = BYTE_POSITION.search(message)
             errors.append(
@@ -183,7 +184,9 @@
         node = overlaid
         for part in path:
             node = _child(node, part)
-        value = msgspec.json.decode(entries[key])
+        value = decode_json(entries[key])
+        if not isinstance(node, dict | list):
+            raise ConfigError(f"{key!r} lies below a value that is no group of keys")
         if isinstance(node, list):
             rest = [item for item in node if item.get("name") != last]
             places = [n for n, item in enumerate(node) if item.get("name") == last]
@@ -196,7 +199,9 @@
 
 
 def _child(node: Any, part: str) -> Any:
-    """The child with a name; created if it does not exist."""
+    """The child with a name; created if it does not exist. Raises `ConfigError` if nothing lies below."""
+    if not isinstance(node, dict | list):
+        raise ConfigError(f"an entry lies below {part!r}, where the file has no group of keys")
     if isinstance(node, list):
         child = next((item for item in node if item.get("name") == part), None)
         if child is None:
@@ -217,9 +222,9 @@
     check_change(change)
     for key, text in change.sets.items():
         try:
-            value = msgspec.json.decode(text)
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            raise DocumentError(f"the value of {key!r} is no JSON text") from None
+            value = decode_json(text)
+        except msgspec.DecodeError as error:
+            raise DocumentError(f"the value of {key!r} is no JSON text that is taken: {error}") from None
         if (wrong := _find_error(key, value)) is not None:
             raise DocumentError(f"{key}: {wrong[1]}")
     for key in change.removes:
--- a/willownotch/controlplane/operators.py
+++ b/willownotch/controlplane/operators.py
@@ -11,12 +11,14 @@
 
 from willownotch.channel.server import BadRequestError
 from willownotch.controlplane.commit import AgreementView, Result
-from willownotch.controlplane.document import Change, Document, DocumentError
+from willownotch.controlplane.document import Change, Document, DocumentError, check_change
 from willownotch.controlplane.entries import encode
 from willownotch.controlplane.serving import StatusView
+from willownotch.json_text import decode_json
 
 CHANGE_ID_BYTES = 16
 DEFAULT_HISTORY_COMMITS = 20  # in a reply, where the request does not say how many
+MAX_REVISION, MAX_AUTHOR_CHARS = 2**63 - 1, 1024
 MAX_REQUEST_BYTES = 4 << 20  # a change, and what JSON adds to it
 
 
@@ -92,16 +94,23 @@
 
 
 def read_change(parameters: dict[str, str]) -> Change:
-    """The change in a request's parameters. Raises `BadRequestError` if it is missing or malformed."""
+    """The change in a request's parameters.
+
+    Raises `BadRequestError` if it is missing or malformed, or too large to be passed on to the writer.
+    """
     try:
-        request = msgspec.json.decode(parameters.get("change", ""), type=ChangeRequest)
+        request = decode_json(parameters.get("change", ""), ChangeRequest)
         change_id = bytes.fromhex(request.id)
         if len(change_id) != CHANGE_ID_BYTES:
             raise ValueError(f"an id has {2 * CHANGE_ID_BYTES} hexadecimal digits, not {request.id!r}")
+        if not 0 <= request.base <= MAX_REVISION or len(request.author) > MAX_AUTHOR_CHARS:
+            raise ValueError("its base or its author is out of range")
         sets = {key: encode(value) for key, value in request.sets.items()}
+        change = Change(change_id, request.author, request.base, sets, request.removes)
+        check_change(change)
     except (ValueError, OverflowError) as error:  # msgspec's errors are ValueErrors
         raise BadRequestError(f"no change: {error}") from None
-    return Change(change_id, request.author, request.base, sets, request.removes)
+    return change
 
 
 def reply_of(result: Result) -> ChangeReply:
--- a/willownotch/links/transport.py
+++ b/willownotch/links/transport.py
@@ -65,9 +65,13 @@
                         del self.transport.links[self.name]
                 return self._close()
             message, size = found
-            data = self.transport.close(message)
             with self.transport.lock:
                 self.waiting_bytes -= size
+            try:
+                data = self.transport.close(message)
+            except (ValueError, OverflowError):  # too large for a frame: the protocol goes on without it
+                self.transport.traffic["not sent: too large"] += 1
+                continue
             try:
                 if self.sock is None:
                     self.sock = self.transport.connect(self.address)
--- a/willownotch/peers/seal.py
+++ b/willownotch/peers/seal.py
@@ -148,7 +148,7 @@
             return "repeat", None
         try:
             return "", self._read(data[HEADER.size : -TAG_BYTES])
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, OverflowError):
             return "unreadable", None
 
 
