Start without a kept revision that no longer fits the configuration file

Callers would have seen every sender that follows the control plane end with 2 at each start: the revision that was in force is laid over the file before anything else, and where the two no longer fit (a class left the file, or a later version refuses a number that an earlier one took) the start ended. All followers have the same revision, so that is an outage of the fleet that no supervisor ends.

Such a revision is told on standard error and left aside; the sender serves by its file, which was read and found valid before, and follows on: the next revision that fits is applied. A folder of another sender or a damaged one still ends the start, since only an operator can tell what to do with it.

Evidence: a follower with a revision for a class is restarted with a file without that class: it ended with 2 on (connection refused in the test); it starts and accepts a hand-in now.

--- a/tests/test_unsound_changes.py
+++ b/tests/test_unsound_changes.py
@@ -1,8 +1,10 @@
 """A change of the control plane that nobody can use ends no member and no sender, and none at its restart."""
 
 import json
+import signal
 
 import pytest
+from following import Fleet
 from harness import until
 from member_processes import MemberFleet
 from test_links import Note, ends  # noqa: F401, a fixture
@@ -65,6 +67,25 @@
     assert one.transport.traffic["not sent: too large"] == 1
 
 
+def test_a_kept_revision_that_no_longer_fits_the_file_keeps_no_sender_from_starting(tmp_path):
+    """It ended with 2 at each start, until an operator had put the file or the folder right."""
+    fleet = Fleet(tmp_path)
+    try:
+        sender = fleet.start()
+        fleet.member.commit_entries("config/settings/services/order/credit 2\n")
+        fleet.wait_logged("revision 1 is in force")
+        fleet.member.unreachable = True
+        services = [c for c in sender.text["settings"]["services"] if c["name"] != "order"]
+        text = {**sender.text, "settings": {**sender.text["settings"], "services": services}}
+        sender.config.write_text(json.dumps(text), encoding="utf-8")
+        sender.restart(signal.SIGKILL)
+        assert sender.hand_in("status")[1].status == 202
+        fleet.wait_logged("no longer fits the configuration file")
+        assert any("is not applied" in line for line in sender.lines)
+    finally:
+        fleet.close()
+
+
 @pytest.mark.parametrize(
     "key", ["config/settings/services/order/credit/x", "config/settings/policyLimits/maxOpen/x/y"]
 )
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -560,9 +560,17 @@
 
         try:
             overlay = stored_overlay(blocks.follow, config.name)
-            config = configs.load(config_path, overlay=overlay)
         except (ValueError, OSError, StoreError) as fault:
             mistakes.append(f"willownotch: with the revision kept in {blocks.follow.folder}: {fault}")
+        try:
+            config = configs.load(config_path, overlay=overlay)
+        except configs.ConfigError as fault:
+            # Every sender that follows has this revision: none may be kept from starting by it.
+            overlay = None
+            print(
+                f"willownotch: the revision kept in {blocks.follow.folder} is not applied: {fault}",
+                file=sys.stderr,
+            )
     if config is not None:
         known = [c.name for c in config.settings.classes]
         unknown = sorted(set(blocks.bodies.class_) - set(known))
