Read the clock's origin and the slow starts of a folder with care

Callers would have seen a sender end at each start by a file of its own folder that holds what no process writes: a clock's origin beyond all dates, before all time or without a zone, and a slow start of an unknown state or without a zone. Times and states went unchecked into sums and an enumeration.

Both readers check what they read: an unsound origin is none, an unsound slow start is told in the log and nothing is known then, as with a file that cannot be read.

--- a/willownotch/net/slow_start_file.py
+++ b/willownotch/net/slow_start_file.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from datetime import datetime, timedelta
+from math import isfinite, isnan
 from pathlib import Path
 
 import msgspec
@@ -42,6 +43,26 @@
     complete: bool = True  # endpoints without a row were healthy
 
 
+def check_snapshot(snapshot: SlowStartSnapshot) -> None:
+    """Raise `ValueError` if no process can have written this."""
+    if snapshot.saved_at.tzinfo is None or not isfinite(snapshot.saved_s):
+        raise ValueError("its time is no time")
+    for row in snapshot.rows:
+        record = row.record
+        times = (
+            record.failing_since,
+            record.unreachable_at,
+            record.returned_at,
+            record.answered_at,
+            record.warm_at,
+            record.last_answer,
+        )
+        amounts = (record.usual, record.limit, record.pace)
+        unsound = any(isnan(at) for at in times) or not all(amount >= 0.0 for amount in amounts)
+        if record.state not in STATE_PRIORITY or unsound:
+            raise ValueError(f"the record of {row.name!r} is unsound")
+
+
 class SlowStartFile:
     """Reads the state that the previous process left, and writes this one's."""
 
@@ -54,9 +75,10 @@
         """The previous process's state with times on this process's clock. Empty if it cannot be read."""
         try:
             snapshot = msgspec.msgpack.decode(self._files.read_whole(self._path), type=SlowStartSnapshot)
+            check_snapshot(snapshot)
         except FileNotFoundError:
             return SlowStartRecords((), None)
-        except (OSError, msgspec.MsgspecError) as fault:
+        except (OSError, ValueError, RecursionError) as fault:  # msgspec's errors are ValueErrors
             self._log.say("slow start", f"the saved state of endpoints cannot be read: {fault}")
             return SlowStartRecords((), None)
         now = self._clock.now()
--- a/willownotch/net/timebase.py
+++ b/willownotch/net/timebase.py
@@ -18,11 +18,13 @@
 
 from willownotch.files.layer import Files
 from willownotch.files.replacing import replace_file
+from willownotch.json_text import decode_json
 from willownotch.net.clock import Clock, seconds
 from willownotch.net.log import Log
 
 NAME = "clock"
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
+ORIGIN_YEARS = range(1970, 9000)  # what is added to a later origin may be beyond all dates
 MIN_LOGGED_STEP = timedelta(seconds=1)  # a smaller difference to the wall clock is not logged
 WRITE_RETRY_DELAY = timedelta(seconds=1)
 
@@ -49,7 +51,7 @@
     Raises `OSError` if the file cannot be read.
     """
     try:
-        return msgspec.json.decode(files.read_whole(folder / NAME), type=Origin)
+        return decode_json(files.read_whole(folder / NAME), Origin)
     except FileNotFoundError:
         return None
     except msgspec.DecodeError:
@@ -58,7 +60,10 @@
 
 def continues(origin: Origin | None, boot: str, monotonic_s: float) -> bool:
     """Whether times may be counted from `origin`: it is of this boot, and not ahead of its clock."""
-    return origin is not None and bool(boot) and origin.boot == boot and origin.monotonic_s <= monotonic_s
+    if origin is None or not boot or origin.boot != boot:
+        return False
+    sound = origin.time.tzinfo is not None and origin.time.year in ORIGIN_YEARS
+    return sound and 0.0 <= origin.monotonic_s <= monotonic_s
 
 
 def restore_early(clock: Clock, folder: Path, files: Files) -> None:
