Answer a change that breaks a limit as refused, at the member that is asked

The check stands where the change is submitted now, and its answer is the outcome 'refused' with the text, as the writer's is.

--- a/willownotch/controlplane/member.py
+++ b/willownotch/controlplane/member.py
@@ -28,7 +28,7 @@
 from willownotch.controlplane import agreement, entries, operators, wire
 from willownotch.controlplane.commit import AgreementCore, AgreementTiming, Result, Stage
 from willownotch.controlplane.commit import Send as MemberSend
-from willownotch.controlplane.document import Change, Document, DocumentError
+from willownotch.controlplane.document import Change, Document, DocumentError, check_change
 from willownotch.controlplane.serving import FollowerService
 from willownotch.controlplane.settings import MemberSettings
 from willownotch.controlplane.store import START_OVER_HINT, Store, StoreError
@@ -502,6 +502,10 @@
 
     def _submit_change(self, parameters: dict[str, str]) -> operators.ChangeReply:
         change, waiter = operators.read_change(parameters), ChangeWaiter()
+        try:
+            check_change(change)
+        except DocumentError as fault:  # it may be too large to be passed on to the writer
+            return operators.reply_of(Result(change.id, agreement.Outcome.REFUSED, 0, str(fault)))
         now = time.monotonic()
         with self.lock:
             if self._stopping:
--- a/willownotch/controlplane/operators.py
+++ b/willownotch/controlplane/operators.py
@@ -11,7 +11,7 @@
 
 from willownotch.channel.server import BadRequestError
 from willownotch.controlplane.commit import AgreementView, Result
-from willownotch.controlplane.document import Change, Document, DocumentError, check_change
+from willownotch.controlplane.document import Change, Document, DocumentError
 from willownotch.controlplane.entries import encode
 from willownotch.controlplane.serving import StatusView
 from willownotch.json_text import decode_json
@@ -96,7 +96,7 @@
 def read_change(parameters: dict[str, str]) -> Change:
     """The change in a request's parameters.
 
-    Raises `BadRequestError` if it is missing or malformed, or too large to be passed on to the writer.
+    Raises `BadRequestError` if it is missing or malformed, or has more levels than are decoded.
     """
     try:
         request = decode_json(parameters.get("change", ""), ChangeRequest)
@@ -106,11 +106,9 @@
         if not 0 <= request.base <= MAX_REVISION or len(request.author) > MAX_AUTHOR_CHARS:
             raise ValueError("its base or its author is out of range")
         sets = {key: encode(value) for key, value in request.sets.items()}
-        change = Change(change_id, request.author, request.base, sets, request.removes)
-        check_change(change)
     except (ValueError, OverflowError) as error:  # msgspec's errors are ValueErrors
         raise BadRequestError(f"no change: {error}") from None
-    return change
+    return Change(change_id, request.author, request.base, sets, request.removes)
 
 
 def reply_of(result: Result) -> ChangeReply:
