Bound what one request costs per byte, and hold its body once

Causes: a chunk of one byte costs its decoder some hundred times its data; the lines of a head became objects before they were counted; empty lines before a request were skipped without a bound; a body of known length was copied from a growing buffer into another one.

Sound bodies of chunks of 8 bytes and more, and forty chunks of one byte, are taken as before.

--- a/willownotch/net/http.py
+++ b/willownotch/net/http.py
@@ -12,6 +12,10 @@
 
 MAX_HEAD_BYTES, MAX_BODY_BYTES, MAX_CHUNK_LINE_BYTES = 16 * 1024, 64 * 1024, 1024
 MAX_HEADERS = 100
+MAX_EMPTY_LINES = 16  # before a request
+# Of a chunked body: bytes that are not data, beyond as many as there are of data. Chunks of one byte cost
+# some hundred times the processor time of their data.
+MAX_CHUNK_OVERHEAD_BYTES = 256
 # How much a head may grow when it is written again for another process: spaces, Host, Content-Length.
 REWRITTEN_HEAD_SLACK_BYTES = 256
 READ_BYTES = 65536  # asked of a socket at once; half as much costs more rounds of parsing under load
@@ -110,14 +114,18 @@
 
 
 class ChunkedDecoder:
-    """Decodes a chunked body as it arrives; `done` after the last chunk and its trailers."""
+    """Decodes a chunked body as it arrives; `done` after the last chunk and its trailers.
 
-    def __init__(self) -> None:
-        self.done = False
+    `max_overhead_bytes` bounds the bytes that are not data, beyond as many as there are of data.
+    """
+
+    def __init__(self, max_overhead_bytes: int | None = None) -> None:
+        self.done, self.max_overhead_bytes = False, max_overhead_bytes
         self._remaining = 0  # bytes of the current chunk
         self._line_end_due = False  # the line end behind a chunk is still to come
         self._in_trailers = False
         self._trailer_bytes = 0
+        self._overhead_bytes = 0  # that are not data, less the bytes of data
 
     def feed(self, buffer: bytearray) -> bytes:
         """Decode from the front of `buffer`, remove what was used, and return the decoded bytes."""
@@ -128,6 +136,7 @@
                 del buffer[: self._remaining]
                 out += part
                 self._remaining -= len(part)
+                self._overhead_bytes -= len(part)
                 self._line_end_due = not self._remaining
                 if self._remaining:
                     break
@@ -139,6 +148,9 @@
                 break
             line = bytes(buffer[:end])
             del buffer[: end + 2]
+            self._overhead_bytes += end + 2
+            if self.max_overhead_bytes is not None and self._overhead_bytes > self.max_overhead_bytes:
+                raise BadMessageError(400, "too little data for the number of chunks")
             self._read_line(line)
         return bytes(out)
 
@@ -166,6 +178,8 @@
     `feed` takes bytes; `next` returns (head, body) when a message is complete. `head` is set as soon as a
     head is complete, and `begun` is true while part of a message is in. With `stream`, `body_part` returns an
     answer's body as it arrives, and `next` returns nothing.
+
+    The body of a request with a length is best read straight into `body_space`, which holds it once.
     """
 
     def __init__(
@@ -193,6 +207,10 @@
         self._remaining: int | None = None  # bytes of the body; None: until the connection ends
         self._chunks: ChunkedDecoder | None = None
         self._searched_to = 0
+        self._lines, self._counted_to = 0, 0  # line ends of a head so far, and where to go on counting
+        self._empty_lines = 0  # before the head
+        self._space: bytearray | None = None  # for the body of a request with a length
+        self._filled = 0  # bytes of it
 
     @property
     def begun(self) -> bool:
@@ -208,6 +226,8 @@
         """The head and body of the next message if it is complete, else None."""
         if not self.read_head() or self.stream:
             return None
+        if self._has_length():
+            return self._next_with_length()
         self._body += self.body_part()
         if len(self._body) > self.max_body_bytes:
             raise BadMessageError(413, "body too large")
@@ -217,6 +237,56 @@
         self._reset()
         return head, body
 
+    def _has_length(self) -> bool:
+        """Whether this is a request whose body has a stated length."""
+        return not self.answer and self._chunks is None and self._remaining is not None
+
+    def _next_with_length(self) -> tuple[Head, bytes] | None:
+        """As `next`, for a request whose body has a stated length."""
+        if self._space is None:
+            if len(self.buffer) < self._remaining:
+                return None
+            with memoryview(self.buffer) as view:
+                body = bytes(view[: self._remaining])
+            del self.buffer[: self._remaining]
+        else:
+            self._fill_space()
+            if self._filled < len(self._space):
+                return None
+            body, self._space = bytes(self._space), None
+        head = self.head
+        self._reset()
+        return head, body
+
+    def _fill_space(self) -> None:
+        """Move what was fed into the space for the body."""
+        count = min(len(self.buffer), len(self._space) - self._filled)
+        self._space[self._filled : self._filled + count] = self.buffer[:count]
+        del self.buffer[:count]
+        self._filled += count
+
+    def body_space(self) -> memoryview | None:
+        """Where the next bytes of a request's body belong, if nothing else can come before its end.
+
+        Read into it, and tell `received` how many bytes came.
+        """
+        if self.head is None or not self._has_length():
+            return None
+        if self._space is None:
+            self._space = bytearray(self._remaining)
+            self._fill_space()
+        return memoryview(self._space)[self._filled :]
+
+    def received(self, count: int) -> None:
+        """Record that so many bytes were read into `body_space`; 0 is the connection's end."""
+        self._filled += count
+        self.eof = self.eof or not count
+
+    def memory_needed(self) -> int:
+        """The bytes that are held for the message that is being read, all of its body included, if known."""
+        length = self._remaining if self.head is not None and self._has_length() else 0
+        return len(self.buffer) + len(self._body) + length
+
     def read_head(self) -> bool:
         """Parse the head if it is complete; whether there is one. The 1xx heads of an answer are skipped."""
         while self.head is None:
@@ -225,12 +295,20 @@
             while not self.answer and self.buffer.startswith(b"\r\n"):
                 # An empty line before a request is skipped, also if it came in two reads.
                 del self.buffer[:2]
-                self._searched_to = 0
+                self._searched_to = self._counted_to = 0
+                self._empty_lines += 1
+                if self._empty_lines > MAX_EMPTY_LINES:
+                    raise BadMessageError(400, "too many empty lines before a request")
             end = self.buffer.find(b"\r\n\r\n", max(0, self._searched_to - 3))
             if max(end, len(self.buffer) if end < 0 else 0) > MAX_HEAD_BYTES + self.slack:
                 raise BadMessageError(431, "head too large")
+            # Counted before the head is complete: its lines as objects take many times its bytes.
+            self._lines += self.buffer.count(b"\r\n", self._counted_to, end if end >= 0 else len(self.buffer))
+            if self._lines > MAX_HEADERS + 1 + self.slack and not self.answer:
+                raise BadMessageError(431, "too many headers")
             if end < 0:
                 self._searched_to = len(self.buffer)
+                self._counted_to = max(0, len(self.buffer) - 1)  # a line end may be cut in two
                 return False
             lines = bytes(self.buffer[:end]).split(b"\r\n")
             del self.buffer[: end + 4]
@@ -257,7 +335,7 @@
                 raise BadMessageError(501, "unknown transfer coding")
             if length is not None:
                 raise BadMessageError(400, "both a length and a transfer coding")
-            self._chunks = ChunkedDecoder()
+            self._chunks = ChunkedDecoder(None if self.answer else MAX_CHUNK_OVERHEAD_BYTES)
         elif length is not None:
             if not re.fullmatch(r"[0-9]{1,12}", length):
                 raise BadMessageError(400, "malformed content-length")
