--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,7 +24,7 @@
 from willownotch.interface import Outcome
 from willownotch.journal.records import AcceptedMessage, Entry, RelayStarted
 from willownotch.lifecycle import Event, SharedLifecycle
-from willownotch.net import client_side, http, registry, sockets
+from willownotch.net import client_side, http, list_watch, registry, sockets
 from willownotch.net import config as configs
 from willownotch.net import notices as notices_module
 from willownotch.net.attempts import Relay
@@ -40,7 +40,8 @@
 from willownotch.net.log import Log
 from willownotch.net.notices import Notice, NoticeSender
 from willownotch.net.pending import PendingReply
-from willownotch.net.registry import EndpointListWatcher, Platform
+from willownotch.net.list_watch import EndpointListWatcher
+from willownotch.net.registry import Platform
 from willownotch.net.start_conditions import MAX_START_DELAY
 
 REQUEST = http.write_request(
@@ -414,7 +415,7 @@
 
 def test_a_watch_that_trickles_a_partial_line_counts_as_silent(monkeypatch):
     """Each byte counted as data, so that the rest of the update was awaited forever."""
-    monkeypatch.setattr(registry, "SILENCE_TIMEOUT", timedelta(milliseconds=100))
+    monkeypatch.setattr(list_watch, "SILENCE_TIMEOUT", timedelta(milliseconds=100))
     discovery, clock, updates, ended = TricklingDiscovery(), Clock(), [], []
     platform = Platform(("127.0.0.1", discovery.listener.getsockname()[1]))
     watch = EndpointListWatcher(config(), platform, Log(clock), clock, updates.append)
@@ -426,7 +427,7 @@
             ended.append(fault)
 
     start("watch", once)
-    assert isinstance(until(lambda: ended)[0], registry.SilentError)
+    assert isinstance(until(lambda: ended)[0], list_watch.SilentError)
     assert (len(updates), watch.versions.index) == (1, 1)
     discovery.close()
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,15 +11,17 @@
 
 from willownotch.interface import Outcome, PeerJudgement, Rules, Timer
 from willownotch.net.clock import seconds
-from willownotch.net.registry import (
+from willownotch.net.list_watch import (
     AGENT_FIRST_DATA_TIMEOUT,
-    CONNECT_TIMEOUT,
-    LIST_CHANGE_GRACE,
     MAX_RETRY_DELAY_AFTER_SILENCE,
     MAX_RETRY_DELAY_AGENT,
+    SILENCE_TIMEOUT,
+)
+from willownotch.net.registry import (
+    CONNECT_TIMEOUT,
+    LIST_CHANGE_GRACE,
     MAX_RETRY_DELAY_BUSY,
     SERVICE_FIRST_DATA_TIMEOUT,
-    SILENCE_TIMEOUT,
     Backoff,
 )
 
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -45,10 +45,11 @@
     TenantParts,
 )
 from willownotch.net.folder import open_folder
+from willownotch.net.list_watch import EndpointListWatcher
 from willownotch.net.listening import listen
 from willownotch.net.log import Log
 from willownotch.net.notices import NoticeSender
-from willownotch.net.registry import EndpointListWatcher, Hosts, Platform
+from willownotch.net.registry import Hosts, Platform
 from willownotch.net.sockets import RETRIES
 from willownotch.startup import Startup
 
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -11,42 +11,31 @@
 from datetime import datetime, timedelta
 from itertools import takewhile
 
-import msgspec
-
 from willownotch import interface as api
-from willownotch.net import http, sockets
+from willownotch.net import sockets
 from willownotch.net.clock import Clock, seconds
-from willownotch.net.config import Config, ListedEndpoint, ListUpdate, read_address
-from willownotch.net.list_versions import ListVersions, StaleListError, UnconfirmedListError
+from willownotch.net.config import ListedEndpoint, ListUpdate, read_address
 from willownotch.net.log import Log
-from willownotch.net.watch_decoder import MAX_WATCH_LIST_BYTES, PartialUpdate, WatchDecoder
+from willownotch.net.watch_decoder import PartialUpdate
 
 # A sender that can reach discovery must know a change of the list 6 s later: soon after that nothing more may
 # be sent to an endpoint that is gone. Within that time a silent watch has to be detected and replaced.
 LIST_CHANGE_GRACE = timedelta(seconds=6)
-SILENCE_TIMEOUT = timedelta(seconds=3)  # a watch sends a line every 2 s; 50% more is allowed
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 # A socket, a port or a route may be missing for a moment.
 MAX_CONNECT_TRIES, SHORTAGE_RETRY_DELAY = 3, timedelta(milliseconds=10)
-# An agent on this machine answers at once and at no cost, and senders are expected to know what it knows, so
-# it is asked often. A service shared by all senders answers them one by one, and with 503 after a long wait.
-AGENT_FIRST_DATA_TIMEOUT, SERVICE_FIRST_DATA_TIMEOUT = timedelta(milliseconds=500), timedelta(seconds=2)
+SERVICE_FIRST_DATA_TIMEOUT = timedelta(seconds=2)  # of a service that all senders share
 # A delay is drawn from a span that doubles with each try, within these bounds.
 MIN_RETRY_SPAN, MAX_RETRY_SPAN = timedelta(milliseconds=100), timedelta(seconds=1)
-MAX_RETRY_DELAY_AGENT = timedelta(milliseconds=300)
 SERVICE_TIME_PER_SENDER = timedelta(milliseconds=200)  # in which a busy service answers one sender
 MIN_SERVICE_TIME = timedelta(milliseconds=5)  # however fast the last answer was
 # These hold if the service can answer all senders in time. After a silence less of the grace is left.
 MAX_RETRY_DELAY_SERVICE = LIST_CHANGE_GRACE - CONNECT_TIMEOUT - SERVICE_FIRST_DATA_TIMEOUT
-MAX_RETRY_DELAY_AFTER_SILENCE = MAX_RETRY_DELAY_SERVICE - SILENCE_TIMEOUT
-# A service that is down refuses at once. An overloaded one answers late, and its clients have to spread out.
-MAX_RETRY_DELAY_BUSY, BUSY_RESPONSE_TIME = timedelta(seconds=30), timedelta(milliseconds=300)
+MAX_RETRY_DELAY_BUSY = timedelta(seconds=30)  # an overloaded service answers late: its clients spread out
 GONE_RETENTION = timedelta(seconds=60)  # for which a host that left the list keeps its number
-LIST_MEMORY_SHARE = 1 / 32  # of the process's memory, for the text of one list
 MAX_RATE_PER_S, MAX_DESTINATION = 1e9, 10**9  # of an entry; clients name destinations by up to nine digits
 MAX_NAME_CHARS, MAX_SINCE_MS = 256, 10**15
 NAME_PATTERN = re.compile(r"[^\x00-\x1f\x7f\ud800-\udfff]+")
-BYTES_PER_MB = 1_000_000
 READINESS_BY_STATUS = {
     "Ready": api.Readiness.SERVING,
     "Terminating": api.Readiness.DRAINING,
@@ -360,107 +349,3 @@
         """Wait before the next try, but return at once if the address has moved since `moves` was read."""
         with self._changed:
             self._changed.wait_for(lambda: self.moves != moves, seconds(span))
-
-
-class SilentError(TimeoutError):
-    """A watch that had delivered data has fallen silent."""
-
-
-class BusyError(OSError):
-    """A watch was rejected by an overloaded service."""
-
-
-class EndpointListWatcher:
-    """Keeps a watch on the list of endpoints. One that breaks, falls silent or sends invalid data is
-    replaced, and the last list stays in force meanwhile."""
-
-    def __init__(
-        self,
-        config: Config,
-        platform: Platform,
-        log: Log,
-        clock: Clock,
-        on_update: Callable[[ListUpdate], None],
-    ) -> None:
-        self.platform, self.log, self.clock, self.on_update = platform, log, clock, on_update
-        self.versions = ListVersions(config.known.index if config.known else 0)
-        self._index_moves = platform.moves
-        self.first_data_timeout = (
-            SERVICE_FIRST_DATA_TIMEOUT if config.shared_discovery else AGENT_FIRST_DATA_TIMEOUT
-        )
-        self._backoff = Backoff(config.settings.senders if config.shared_discovery else 1)
-        self._max_list_bytes = min(
-            MAX_WATCH_LIST_BYTES, int(LIST_MEMORY_SHARE * config.limits.memory_mb * BYTES_PER_MB)
-        )
-        self._max_delay = MAX_RETRY_DELAY_SERVICE if config.shared_discovery else MAX_RETRY_DELAY_AGENT
-
-    def run(self) -> None:
-        """Watch until the process ends."""
-        while True:
-            moves, max_delay = self.platform.moves, self._max_delay
-            try:
-                self._watch()
-                reason = "the platform ended it"
-            except SilentError as fault:
-                reason, max_delay = str(fault), min(max_delay, MAX_RETRY_DELAY_AFTER_SILENCE)
-            except BusyError as fault:
-                reason, max_delay = str(fault), MAX_RETRY_DELAY_BUSY
-            except StaleListError as fault:
-                self.log.counters.add("list", "stale")
-                reason = str(fault)
-                if isinstance(fault, UnconfirmedListError):
-                    max_delay = timedelta(0)  # asked again at once, and at most once
-            except (OSError, http.BadMessageError, msgspec.DecodeError, UnicodeDecodeError) as fault:
-                reason = str(fault) or type(fault).__name__
-            self.log.say("watch", f"broken off, the last list is kept: {reason}")
-            self.platform.pause(self._backoff.next(max_delay), moves)
-
-    def _watch(self) -> None:
-        """Make one watch and deliver its updates until the platform ends it. Any failure raises."""
-        sock, host_header, moves = self.platform.connect()
-        if moves != self._index_moves:
-            # The versions of one agent mean nothing to another: asking from one could skip changes.
-            self.versions.forget()
-            self._index_moves = moves
-            self._backoff.reset()
-        self.versions.begin_watch()
-        try:
-            # Only complete lines count as data: a connection that trickles bytes is as silent as an idle one.
-            asked_at, has_data = self.clock.now(), False
-            due = asked_at + self.first_data_timeout
-            sock.settimeout(seconds(self.first_data_timeout))
-            target = f"/registry/instances?watch=1&from={self.versions.index}"
-            sockets.send_all(sock, http.write_request("GET", target, host_header, ()))
-            parser = http.Parser(answer=True, stream=True)
-            decoder = WatchDecoder(lambda text: self.log.say("list", text), self._max_list_bytes)
-            while not parser.eof:
-                try:
-                    sock.settimeout(max(0.001, seconds(due - self.clock.now())))
-                    parser.feed(sockets.receive(sock, http.READ_BYTES))
-                except TimeoutError:
-                    raise (
-                        SilentError("it fell silent") if has_data else TimeoutError("no data came")
-                    ) from None
-                if not parser.read_head():
-                    continue
-                if parser.head.status == 503 and self.clock.now() - asked_at >= BUSY_RESPONSE_TIME:
-                    raise BusyError("answered with 503 after a wait")
-                if parser.head.status != 200:
-                    raise http.BadMessageError(400, f"answered with {parser.head.status}")
-                updates, whole_line = decoder.feed(parser.body_part())
-                if whole_line:
-                    now = self.clock.now()
-                    if not has_data:
-                        self._backoff.reset(now - asked_at)
-                    due, has_data = now + SILENCE_TIMEOUT, True
-                for update in updates:
-                    self._deliver(update)
-                if parser.body_done():
-                    return
-        finally:
-            self.platform.close(sock)
-
-    def _deliver(self, update: ListUpdate) -> None:
-        """Pass an update on, and remember its version, from which the next watch continues."""
-        self.versions.take(update)
-        self.on_update(update)
