Decide by the books at the start which messages a former process left

The custody thread runs by then; if the new owner's frame had come, the book had left the store, and the message lost its mark and was sent as the process's own.

The books of the store as it was opened decide now, before any thread runs. What others took over since is told by an event that is handled behind the start, as for all other messages of these books.

--- a/willownotch/replica/service.py
+++ b/willownotch/replica/service.py
@@ -333,6 +333,7 @@
         in_journal = {entry.message.custody.book for entry in live.values() if entry.message.custody}
         self.store.disowned_books &= in_journal
         self._disowned_books = frozenset(self.store.disowned_books)
+        self._books_at_start = frozenset(self.store.books)
         outstanding: dict[str, dict[str, float]] = {}
         for ref, entry in live.items():
             mark = entry.message.custody
@@ -350,8 +351,11 @@
         )
 
     def is_of_former_process(self, mark: Custody | None) -> bool:
-        """Whether a message is in a book of a former process that this process has not acquired yet."""
-        return mark is not None and mark.book in self.store.books
+        """Whether a former process left a message in a book that had not been lost when this one began.
+
+        Others may have taken it over since: this process learns that by an event, behind its start.
+        """
+        return mark is not None and mark.book in self._books_at_start
 
     def is_disowned(self, mark: Custody) -> bool:
         """Whether a message was left in the journal by a former process that did not own its book."""
