Leave unrepeatable messages to the holders of their copies where replication is off

A message of a book that must not run twice is not sent by such a process. Its id and key stay in use, a hand-in of it is answered 202, and at its deadline a notice ends it, which does no harm if it was delivered. Those that may be repeated are sent as before. An upgrade hands these messages on.

--- a/willownotch/handover/state.py
+++ b/willownotch/handover/state.py
@@ -51,6 +51,7 @@
     unwritten: list[Record]
     discovery: tuple[str, int]
     list_index: int
+    left_to_others: list[AcceptedMessage] = field(default_factory=list)
     waits: dict[int, datetime] = field(default_factory=dict)
     # Connections to endpoints that came with the state. Older processes send some, and expect the field.
     idle: list[tuple[int, datetime]] = field(default_factory=list)
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -30,7 +30,12 @@
 from willownotch.net.config import Config, ListUpdate
 from willownotch.net.decision_loop_bodies import BodiesMixin
 from willownotch.net.decision_loop_handover import HandoverMixin
-from willownotch.net.decision_loop_replication import DEFAULT_RETRY_AFTER, REMEMBER_TIME, ReplicationMixin
+from willownotch.net.decision_loop_replication import (
+    DEFAULT_RETRY_AFTER,
+    REMEMBER_TIME,
+    LeftToOthers,
+    ReplicationMixin,
+)
 from willownotch.net.delivery import Delivery, same_message, soonest_first
 from willownotch.net.events import (
     Answer,
@@ -111,7 +116,7 @@
         self.slow_starts: SlowStartFile | None = None  # set if slow starts outlast the process
         self.stopped_at: datetime | None = None
         self._inbox: queue.SimpleQueue[QueueItem] = queue.SimpleQueue()
-        self._timers: list[tuple[datetime, int, int | Relay]] = []
+        self._timers: list[tuple[datetime, int, int | Relay | LeftToOthers]] = []
         self._timer_order = itertools.count()
         self._outstanding: dict[str, Delivery] = {}
         self._unanswered_notices: dict[str, tuple[AcceptedMessage, MessageEnded]] = {}  # by id
@@ -119,6 +124,7 @@
         self._blocked_relays: dict[str, list[Relay]] = {}  # by key
         self._ended_ids: dict[str, datetime] = {}  # by id: when a finished message is forgotten
         self._recovered: list[Entry] | None = []
+        self._left_to_others: dict[str, AcceptedMessage] = {}  # by id; see `_leave_to_others`
         self.lost_bodies: list[str] = []  # ids of messages whose body was missing at the start
         self._has_list = False
         self._started_at = clock.now()
@@ -210,9 +216,17 @@
             if entry.message.custody is not None:
                 if self.custody is not None and self.custody.is_of_former_process(entry.message.custody):
                     continue  # another sender may own its book by now: claimed first
+                if self.custody is None and self._is_left_to_others(entry):
+                    continue
                 entry.message = msgspec.structs.replace(entry.message, custody=None)
             if self._can_continue(entry, lost):
                 self._recovered.append(entry)
+        if self._left_to_others:
+            self.log.say(
+                "recover",
+                f"{len(self._left_to_others)} messages that must not run twice are left to the holders of "
+                "their copies: replication is off",
+            )
         outstanding, unanswered = len(self._recovered), len(self._unanswered_notices)
         self.log.say(
             "recover", f"{outstanding} messages owed and {unanswered} notices unanswered from before"
@@ -462,6 +476,10 @@
             self.bodies.discard(message)
             item.pending.settle(Answer(Verdict.ACCEPTED))
             return
+        if (left := self._left_to_others.get(message.ref)) is not None and same_message(message, left):
+            self.bodies.discard(message)
+            item.pending.settle(Answer(Verdict.ACCEPTED))
+            return
         if self._ended_ids.get(message.ref, now) > now:
             self.bodies.discard(message)
             item.pending.settle(Answer(Verdict.ACCEPTED))
@@ -469,7 +487,11 @@
         custody = self.custody.custody_for(message.message_class) if self.custody is not None else None
         # A message that was handed back may be handed in again under its id, but not while one of its relays
         # is in progress or its notice is unanswered.
-        id_in_use = existing is not None or message.ref in self._unanswered_notices
+        id_in_use = (
+            existing is not None
+            or message.ref in self._unanswered_notices
+            or message.ref in self._left_to_others
+        )
         checks = [
             (not self.lifecycle.current.listed, "early", "the sender is not ready yet"),
             (not self.hosts.listed(message.destination), "unlisted", "no endpoint of it is listed"),
@@ -606,7 +628,9 @@
         """Process due timers: those of the decision module, of blocked relays and of remote calls."""
         while self._timers and self._timers[0][0] <= now:
             target = heapq.heappop(self._timers)[2]
-            if isinstance(target, Relay) and target.remote:
+            if isinstance(target, LeftToOthers):
+                self._end_left_to_others(target.ref)
+            elif isinstance(target, Relay) and target.remote:
                 self._give_up_remote(target, now)
             elif isinstance(target, Relay):
                 waiting = self._blocked_relays.get(target.message.key or "", [])
--- a/willownotch/net/decision_loop_handover.py
+++ b/willownotch/net/decision_loop_handover.py
@@ -60,7 +60,7 @@
             live=self.journal.live,
             ended=self._ended_ids,
             unwritten=self._unwritten_records,
-            timers=[(when, target) for when, _, target in self._timers if not isinstance(target, Relay)],
+            timers=[(when, target) for when, _, target in self._timers if isinstance(target, int)],
             outstanding=[
                 OutstandingMessage(
                     delivery.message,
@@ -78,6 +78,7 @@
             unanswered=list(self._unanswered_notices.values()),
             discovery=self.config.discovery,
             list_index=self.list_index,
+            left_to_others=list(self._left_to_others.values()),
         )
 
     def _forward_items(self) -> None:
@@ -154,6 +155,8 @@
                     heapq.heappush(
                         self._timers, (call.ends_at + REMOTE_CALL_GRACE, next(self._timer_order), relay)
                     )
+        for message in state.left_to_others:
+            self._leave_to_others(message)
         for message, ended in state.unanswered:
             self._send_notice(message, ended)
         for ref in self.lost_bodies:
--- a/willownotch/net/decision_loop_replication.py
+++ b/willownotch/net/decision_loop_replication.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Collection
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import TYPE_CHECKING
 
@@ -29,9 +31,46 @@
 REMEMBER_TIME = timedelta(seconds=15)  # for which finished ids are kept, to recognise repeated hand-ins
 
 
+@dataclass(frozen=True, slots=True)
+class LeftToOthers:
+    """A timer: the time of a message that was left to other senders is up."""
+
+    ref: str
+
+
 class ReplicationMixin:
     """The methods of `DecisionLoop` that deal with replicated messages."""
 
+    def _is_left_to_others(self, entry: Entry) -> bool:
+        """Whether a replicated message is left to other senders, at a start without replication."""
+        message = entry.message
+        known = message.rules is not None or message.message_class in self.classes
+        if entry.ended is not None or not known or self._repeatable(message):
+            return False
+        self._leave_to_others(message)
+        return True
+
+    def _leave_to_others(self, message: AcceptedMessage) -> None:
+        """Keep a message without sending it, since it must not run twice and replication is off now.
+
+        Its copies are with other senders, which take this process for gone and go on with it. If none does,
+        the notice at its deadline ends it; a notice for a message that was delivered does no harm.
+        """
+        self._left_to_others[message.ref] = message
+        if message.key is not None:
+            self._key_blockers.setdefault(message.key, set()).add(message.ref)
+        heapq.heappush(self._timers, (message.ends_at, next(self._timer_order), LeftToOthers(message.ref)))
+
+    def _end_left_to_others(self, ref: str) -> None:
+        """End a message that was left to other senders, as its time is up."""
+        message = self._left_to_others.pop(ref, None)
+        if message is None:
+            return
+        self.log.say("recover", f"{ref} given up at its deadline: it was left to the holders of its copies")
+        ended = MessageEnded(ref, "given_up")
+        self._write([ended])
+        self._send_notice(message, ended)
+
     def _await_copies(self, delivery: Delivery) -> None:
         """Answer a message's client and start its relays only once enough other senders hold a copy."""
         ref, pending, delivery.replicating = delivery.message.ref, delivery.pending, True
