Tell one life of an endpoint from the next by its start

A repeat of a message whose key that process alone had remembered went to the new one, which remembers nothing: it ran a second time. A call that was decided on for the old process was begun at the new one.

The list's `since_ms` is the life of an endpoint in the decisions: an attempt remembers it, and a repeat that is safe at that endpoint alone is not made in another life. Right before a call's first byte the life is compared with the address.

--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -169,7 +169,7 @@
     """One entry of the endpoint list.
 
     `rate` is the listed limit of its destination in calls per second, or of this endpoint if its kind has
-    separate routes; 0 if none is listed.
+    separate routes; 0 if none is listed. `life` differs between two processes that are listed under one name.
     """
 
     number: int
@@ -178,6 +178,7 @@
     zone: int
     readiness: Readiness = Readiness.SERVING
     rate: float = 0.0
+    life: int = 0
 
 
 # Events
--- a/willownotch/net/registry.py
+++ b/willownotch/net/registry.py
@@ -151,6 +151,7 @@
                 host.kind,
                 host.zone,
                 api.Readiness.SERVING if host.serving else api.Readiness.DRAINING,
+                life=host.since_ms,
             )
             for host in hosts
             if host is not None and host.number not in named
@@ -225,7 +226,13 @@
             listed.since_ms,
         )
         return api.Endpoint(
-            number, listed.group, self.kinds.index(listed.type), zone, readiness, listed.weight
+            number,
+            listed.group,
+            self.kinds.index(listed.type),
+            zone,
+            readiness,
+            listed.weight,
+            listed.since_ms,
         )
 
     def _check_entry(self, listed: ListedEndpoint) -> tuple[str, int]:
--- a/willownotch/net/start_conditions.py
+++ b/willownotch/net/start_conditions.py
@@ -49,7 +49,7 @@
             relay.cancelled
             or host is None
             or not host.serving
-            or host.address != relay.host.address
+            or (host.address, host.since_ms) != (relay.host.address, relay.host.since_ms)
             or (waits is not None and now < waits)
             or now >= relay.ends_at
             # The module assumes that its decisions are carried out at once. A relay that is started later, or
--- a/willownotch/repeats.py
+++ b/willownotch/repeats.py
@@ -38,5 +38,7 @@
     first = risky[0][0]
     if job.cls.idempotency is Idempotency.UNSAFE or now > first.sent_at + job.cls.dedup_window_s - TICK_S:
         return False
+    # A new process under the endpoint's name remembers nothing of the one before it.
+    same = route is first.route and first.life in (None, route.entry.life)
     near = job.cls.dedup_scope is DedupScope.ZONE and route and route.entry.zone == first.route.entry.zone
-    return route in (None, first.route) or job.cls.dedup_scope is DedupScope.ALL or near
+    return route is None or same or job.cls.dedup_scope is DedupScope.ALL or near
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -147,6 +147,7 @@
     idle_s: float | None = None  # how long its connection had been idle; None for a new connection
     counted: bool = False  # its silence or its outcome has been counted as evidence
     has_outcome: bool = False  # at least one of its messages has its outcome
+    life: int | None = None  # of the endpoint's process that it went to; None if unknown
 
 
 @dataclass(slots=True, eq=False)
@@ -325,7 +326,7 @@
 
     def open_call(self, route: Route, now: float) -> Call:
         """Start a call, which takes a slot."""
-        call = Call(route, now)
+        call = Call(route, now, life=route.entry.life)
         self.slots_used += 1
         dest = self.active[route.entry.destination] = self.destinations[route.entry.destination]
         dest.calls += 1
