Forget destinations that have come and gone; test that a reset client's request is not taken up

Memory that grows under ever new names: the decisions kept a destination for each group that a list had ever named. Those without endpoints, messages or calls are forgotten once they are more than twice the others and 64; 2,000 destinations in turn left 2,000 before and under 200 now.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 import json
 import os
 import socket
+import struct
 import threading
 from datetime import timedelta
 from types import SimpleNamespace
@@ -57,6 +58,7 @@
     ],
     b"hello",
 )
+RESET = struct.pack("ii", 1, 0)  # of SO_LINGER: a close resets the connection
 SPAN = timedelta(seconds=PATIENCE)
 
 
@@ -238,6 +240,18 @@
         sock.close()
 
 
+def test_a_request_whose_client_was_gone_before_it_was_read_is_not_taken_up(clients):
+    """It was sent on with nobody to hear of it, while its client handed the message in elsewhere."""
+    sock, client = clients.connect()
+    with client.lock:  # so that it is not read yet
+        sock.sendall(REQUEST)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        sock.close()
+        until(client.is_gone)
+    until(lambda: client not in clients.client_side._clients)
+    assert clients.hand_ins == []
+
+
 def test_clients_without_a_whole_request_are_ended_before_those_that_were_served():
     """A client that kept its connection was ended for one that had never finished a request."""
     order, began, pairs = EvictionOrder(), Clock().now(), [socket.socketpair() for _ in range(7)]
--- a/tests/test_decision_stories.py
+++ b/tests/test_decision_stories.py
@@ -28,3 +28,14 @@
         events = [listed, api.Message(f"m{number}", 1, 0, 20.0)]
         assert any(isinstance(a, api.Send) for a in controller.handle(now, events))
         controller.handle(now + 0.1, [api.AttemptEnded(f"m{number}", 0, 1, api.Outcome.DELIVERED, 0.1, True)])
+
+
+def test_destinations_that_come_and_go_are_not_remembered_without_end():
+    controller = Controller(settings(), 1)
+    for number in range(2000):
+        entry = api.Endpoint(number, number, 0, 0)
+        controller.handle(
+            float(number), [api.EndpointList((entry,), True), api.Message(f"m{number}", number, 0, 0.5)]
+        )
+    assert len(controller.store.destinations) < 200
+    assert len(controller.store.routes) < 200
--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from willownotch.lab.soak.crowd import REF_PREFIX
 from willownotch.lab.soak.records import Call, Ending, Lifetime, Records, Request
 
 READY_MOST_S = 10.0  # for a restarted process
@@ -191,6 +192,8 @@
     by_ref: dict[str, list[Call]] = defaultdict(list)
     for call in records.calls:
         content = records.contents.get(call.ref)
+        if call.ref.startswith(REF_PREFIX):
+            continue  # of a crowd, whose messages may be repeated
         if content is None or (content.body, content.idempotency_key) != (call.body, call.idempotency_key):
             found.append(Broken("foreign", f"{call.ref!r} with {len(call.body)} bytes was never handed in"))
         by_ref[call.ref].append(call)
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -19,6 +19,7 @@
 )
 from willownotch.slow_start import SlowStart, State
 
+SPARE_DESTINATIONS = 64  # without endpoints, that are remembered
 DEMAND_MEAN_S = 10.0  # time constant of the average demand for a destination
 MIN_DEMAND_SPAN_S = 1.0  # demand is averaged over at least this, or the first message would be a high rate
 
@@ -249,6 +250,7 @@
         self.key_queues: dict[str, deque[Job]] = {}  # by key, its jobs in order of arrival
         self.active: dict[int, Destination] = {}  # with held jobs or calls: only these are visited each round
         self.slots_used = 0
+        self._max_destinations = SPARE_DESTINATIONS  # before those without endpoints are forgotten
 
     def update(self, news: EndpointList, now: float) -> list[Route]:
         """Apply an update of the endpoint list and return the routes that it names.
@@ -266,8 +268,21 @@
         for number, route in list(self.gone.items()):
             if not route.calls and now >= route.pool.wait_until:
                 self._forget(number)
+        self._forget_empty_destinations()
         return named
 
+    def _forget_empty_destinations(self) -> None:
+        """Remove destinations without endpoints, messages or calls, once there are many of them.
+
+        Some are kept: a destination that comes back has the limits that were reported for it.
+        """
+        if len(self.destinations) <= self._max_destinations:
+            return
+        listed = {route.entry.destination for route in self.routes.values()}
+        for number in self.destinations.keys() - listed - self.active.keys():
+            del self.destinations[number]
+        self._max_destinations = 2 * len(self.destinations) + SPARE_DESTINATIONS
+
     def _update_entry(self, entry: Endpoint, now: float) -> Route:
         """The route of a list entry, known or new. An endpoint that changes destination gets a new route."""
         route = self.routes.get(entry.number)
