Keep some descriptors for connections that wait, and serve a burst before any is closed

Now 16 descriptors are kept for those that wait, what was accepted is served first, and only what is still over the limit is closed.

The test of a client that was reset uses a poll of its own.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,7 @@
 import errno
 import json
 import os
+import select
 import socket
 import struct
 import threading
@@ -247,7 +248,9 @@
         sock.sendall(REQUEST)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         sock.close()
-        until(client.is_gone)
+        probe = select.poll()  # the client's own is its thread's
+        probe.register(client.sock, 0)
+        until(lambda: probe.poll(0))
     until(lambda: client not in clients.client_side._clients)
     assert clients.hand_ins == []
 
--- a/willownotch/net/client_side.py
+++ b/willownotch/net/client_side.py
@@ -53,7 +53,7 @@
 READ_BYTES = 4096  # asked of a socket at once: a head with a small body; larger bodies are read into place
 LINGER_TIMEOUT, MAX_LINGER_BYTES = timedelta(milliseconds=300), 256 * 1024  # read after the last answer
 PENDING_CHECK_INTERVAL = timedelta(milliseconds=10)  # between two looks at connections that wait for a place
-MAX_ACCEPTED_AT_ONCE = 64
+MAX_ACCEPTED_AT_ONCE = 16
 # Of the places, how many connections may have that have not sent a whole request yet: one part of so many.
 UNPROVEN_PARTS, MIN_UNPROVEN = 4, 8
 MAX_PIPELINING = 8  # clients served at the same time that send requests without waiting for answers
@@ -276,11 +276,11 @@
             self._serve_new(accepted[0], now)
             return
         for sock in accepted:
-            if len(self._pending) >= self.max_pending:
-                self._pending.close_one(now)
             self._pending.add(sock, now)
         if self._pending:
             self._serve_pending()
+        while len(self._pending) > self.max_pending and self._pending.close_one(now):
+            self.log.counters.add("connection closed", "no place")
 
     def _accept_all(self) -> list[socket.socket]:
         """The connections that were waiting to be accepted, up to some at once."""
--- a/willownotch/net/read_budget.py
+++ b/willownotch/net/read_budget.py
@@ -24,7 +24,7 @@
 MIN_READING_BYTES = 3 * 65536  # whatever the memory is, the largest request fits
 MIN_CONNECTIONS = 8
 PRIORITY_CLIENTS = 8  # served beyond the limit, if a whole request has come from them
-MAX_PENDING = 512  # connections that wait for a place without a thread
+MIN_PENDING, MAX_PENDING = 16, 512  # connections that wait for a place without a thread
 ROOM_TIMEOUT = timedelta(milliseconds=100)  # a request waits for room for so long
 CHECK_INTERVAL = timedelta(milliseconds=20)
 
@@ -34,17 +34,21 @@
     return max(0.0, limits.memory_mb - BASE_MEMORY_MB) * BYTES_PER_MB
 
 
+def descriptors_for_clients(config: Config) -> int:
+    """How many descriptors served clients may have together."""
+    return config.limits.sockets - config.settings.slots - OTHER_DESCRIPTORS - PRIORITY_CLIENTS - MIN_PENDING
+
+
 def max_client_connections(config: Config) -> int:
     """How many client connections are allowed by the limits on descriptors and memory."""
     by_memory = int(CONNECTIONS_SHARE * spare_bytes(config.limits) / CONNECTION_BYTES)
-    by_descriptors = config.limits.sockets - config.settings.slots - OTHER_DESCRIPTORS - PRIORITY_CLIENTS
-    return max(MIN_CONNECTIONS, min(MAX_CLIENTS, by_descriptors, by_memory))
+    return max(MIN_CONNECTIONS, min(MAX_CLIENTS, descriptors_for_clients(config), by_memory))
 
 
 def max_pending_connections(config: Config) -> int:
     """How many accepted connections may wait for a place, by the limit on descriptors."""
-    by_descriptors = config.limits.sockets - config.settings.slots - OTHER_DESCRIPTORS
-    return max(0, min(MAX_PENDING, by_descriptors - max_client_connections(config) - PRIORITY_CLIENTS))
+    spare = descriptors_for_clients(config) - max_client_connections(config)
+    return MIN_PENDING + max(0, min(MAX_PENDING, spare))
 
 
 def max_reading_bytes(limits: Limits) -> int:
