--- a/willownotch/lab/soak/endpoints.py
+++ b/willownotch/lab/soak/endpoints.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from random import Random
 
-from willownotch.lab.soak.plan import Conditions
+from willownotch.lab.soak.plan import Conditions, ListChangeKind
 from willownotch.lab.soak.records import Call, Notice, Records
 from willownotch.net import http
 
@@ -18,7 +18,22 @@
 WATCH_S = 2.0  # between two lines of a watch
 HANG_S = 30.0
 BIND_AGAIN_S = 0.01
-DESTINATION, COLD_DESTINATION = 7, 9
+DESTINATION, SIDE_DESTINATION, COLD_DESTINATION = 7, 8, 9
+WATCH_CHECK_S = 0.05  # between two looks at changes of the list
+UNSOUND_VALUES = (
+    {"address": "a..b:1"},
+    {"address": "a\0b:1"},
+    {"weight": -1.0},
+    {"weight": 1e308},
+    {"weight": "much"},
+    {"group": -1},
+    {"group": 2**62},
+    {"since_ms": "now"},
+    {"status": "Odd"},
+    {"type": "none"},
+    {"name": "s" * 10_000},
+    {"more": [[[[[[[[[[]]]]]]]]]]},
+)
 
 
 def wait_until_given_up(sock: socket.socket) -> None:
@@ -171,6 +186,7 @@
         conditions: Callable[[], Conditions],
         cold: tuple[str, int] | None = None,
         cold_rate: float = 0.0,
+        side: tuple[tuple[str, int], ...] = (),
     ) -> None:
         self.records, self.conditions, self.random = records, conditions, Random(len(endpoints))
         self.entries = [
@@ -179,8 +195,38 @@
         ]
         if cold is not None:
             self.entries.append(self._entry("s-cold", cold, COLD_DESTINATION, cold_rate))
+        self.side = [
+            self._entry(f"s-side-{number}", address, SIDE_DESTINATION, 100.0)
+            for number, address in enumerate(side)
+        ]
+        self.changes: list[list[dict]] = []  # of the list, in order
+        self.side_listed, self.lives = True, 0
+        self._list_lock = threading.Lock()
         super().__init__()
 
+    def change(self, kind: ListChangeKind) -> None:
+        """Change the list, as all watches are told."""
+        with self._list_lock:
+            self.lives += 1
+            if kind is ListChangeKind.UNSOUND:
+                found = [
+                    {**self._entry(f"s-odd-{n}", ("127.0.0.1", 1), SIDE_DESTINATION + 100, 1.0), **values}
+                    for n, values in enumerate(UNSOUND_VALUES)
+                ]
+            elif kind is ListChangeKind.EMPTY:
+                self.side_listed = False
+                found = [{**entry, "status": "Gone"} for entry in self.side]
+            else:
+                gone = [{**entry, "status": "Gone"} for entry in self.side if self.side_listed]
+                if kind is ListChangeKind.REFILL:
+                    self.side = [{**e, "name": f"{e['name']}-{self.lives}"} for e in self.side]
+                    found = gone + self.side
+                else:
+                    self.side = [{**e, "since_ms": 1000 * self.lives} for e in self.side]
+                    found = list(self.side)
+                self.side_listed = True
+            self.changes.append(found)
+
     @staticmethod
     def _entry(name: str, address: tuple[str, int], destination: int, rate: float) -> dict:
         return {
@@ -222,12 +268,29 @@
 
     def _watch(self, sock: socket.socket) -> bool:
         """Send the list, and empty lines for as long as discovery is up."""
-        whole = json.dumps({"index": 1, "snapshot": True, "endpoints": self.entries}) + "\n"
         sock.sendall(http.write_head("HTTP/1.1 200 OK", [("Transfer-Encoding", "chunked")]))
+        told, due = -1, 0.0  # changes that this watch has been told
         while not self.closing.is_set():
             if self.up():
-                data = whole.encode()
-                sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
-                whole = "\n"
-            self.closing.wait(WATCH_S)
+                lines, told = self._lines_since(told)
+                if lines or time.monotonic() >= due:
+                    data = b"".join(lines) or b"\n"
+                    sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+                    due = time.monotonic() + WATCH_S
+            self.closing.wait(WATCH_CHECK_S)
         return False
+
+    def _lines_since(self, told: int) -> tuple[list[bytes], int]:
+        """What a watch is told next: the whole list (-1), or the changes behind those that it was told."""
+        with self._list_lock:
+            count = len(self.changes)
+            if told < 0:
+                side = self.side if self.side_listed else []
+                updates = [(count, True, [*self.entries, *side])]
+            else:
+                updates = [(n + 1, False, self.changes[n]) for n in range(told, count)]
+        lines = [
+            json.dumps({"index": index + 1, "snapshot": whole, "endpoints": entries}).encode() + b"\n"
+            for index, whole, entries in updates
+        ]
+        return lines, count
--- a/willownotch/lab/soak/plan.py
+++ b/willownotch/lab/soak/plan.py
@@ -106,6 +106,23 @@
         return f"cold destination, limit {self.limit_per_s:.0f} {told}, load {self.load:.1f}: {outages}"
 
 
+class ListChangeKind(Enum):
+    """What befalls the list of endpoints."""
+
+    EMPTY = "the side destination loses its endpoints"
+    REFILL = "its endpoints come back under new names"
+    NEW_LIFE = "its endpoints come back under their names, started anew"
+    UNSOUND = "entries with unsound values"
+
+
+@dataclass(frozen=True)
+class ListChange:
+    """A change of the list at a time, in seconds from the beginning."""
+
+    at_s: float
+    kind: ListChangeKind
+
+
 @dataclass(frozen=True)
 class CrowdPlan:
     """Clients of each sender that never finish a request, in a span of seconds from the beginning."""
@@ -141,6 +158,7 @@
     cold: ColdPlan | None = None
     crowd: CrowdPlan | None = None
     machine: Machine = Machine()
+    list_changes: tuple[ListChange, ...] = ()
     pause_s: float | None = None  # of each client between two requests; drawn if None
 
     def describe(self) -> str:
@@ -150,6 +168,9 @@
         cold = f"; {self.cold.describe()}" if self.cold is not None else ""
         struck = sorted({fault.name for span in self.conditions for fault in span.answer_faults})
         answers = f"; answers: {' '.join(struck)}" if struck else ""
+        if self.list_changes:
+            changes = ", ".join(f"{c.at_s:.1f} s {c.kind.name.lower()}" for c in self.list_changes)
+            answers += f"; list: {changes}"
         if self.crowd is not None:
             crowd = self.crowd
             answers += (
@@ -279,6 +300,31 @@
     return tuple(sorted(found, key=lambda step: step.at_s))
 
 
+def draw_list_changes(seed: int, seconds: float) -> tuple[ListChange, ...]:
+    """Changes of the list in most runs, some of them right behind one another. Drawn apart from all else."""
+    random, found, at = Random(f"list {seed}"), [], 1.0
+    if random.random() < 0.3:
+        return ()
+    while at < seconds - 1.0:
+        found.append(ListChange(at, random.choice(list(ListChangeKind))))
+        at += random.choice((0.05, 0.5, 1.5, 3.0)) * random.uniform(0.8, 1.2)
+    return tuple(found)
+
+
+CROWD_CLIENTS = (50, 200, 500)  # of all senders together
+
+
+def draw_crowd(seed: int, senders: int, seconds: float) -> CrowdPlan | None:
+    """A crowd in a quarter of the runs. Drawn apart from all else of a seed."""
+    random = Random(f"crowd {seed}")
+    if random.random() < 0.75:
+        return None
+    kinds = [kind for kind in CrowdKind if kind not in (CrowdKind.HAND_INS, CrowdKind.LEAVERS)]
+    begin = random.uniform(0.5, seconds / 2)
+    count = max(10, random.choice(CROWD_CLIENTS) // senders)
+    return CrowdPlan(random.choice(kinds), count, begin, begin + random.uniform(2.0, seconds / 2))
+
+
 def draw(seed: int, seconds: float = 12.0, senders: int | None = None) -> Plan:
     """The run of a seed."""
     random = Random(seed)
@@ -286,6 +332,7 @@
     count = LARGE_FLEET if large else random.randint(1, 5)
     count = senders or count
     steps = draw_steps(random, count, seconds)
+    crowd = None if large else draw_crowd(seed, count, seconds)
     if large and senders is None:  # processes are dear: one in five senders is touched
         steps = tuple(step for step in steps if step.sender % 5 == 0)
     return Plan(
@@ -301,6 +348,9 @@
         tuple(random.choice((0.0, 0.0, 3600.0, -3600.0, 7.0)) for _ in range(4))
         if random.random() < 0.4
         else (),
+        crowd=crowd,
+        machine=Machine(32.0, 1024) if crowd is not None else Machine(),
+        list_changes=draw_list_changes(seed, seconds),
     )
 
 
--- a/willownotch/lab/soak/run.py
+++ b/willownotch/lab/soak/run.py
@@ -15,7 +15,7 @@
 from willownotch.lab.soak import crowd
 from willownotch.lab.soak.clients import Client, IdleCrowd
 from willownotch.lab.soak.cold import ColdEndpoint
-from willownotch.lab.soak.endpoints import COLD_DESTINATION, Endpoint, Platform
+from willownotch.lab.soak.endpoints import COLD_DESTINATION, SIDE_DESTINATION, Endpoint, Platform
 from willownotch.lab.soak.plan import Conditions, Plan, Step
 from willownotch.lab.soak.processes import ROOT, SenderProcesses
 from willownotch.lab.soak.records import Ending, Records
@@ -25,6 +25,7 @@
 HEARTBEAT_S = 0.005
 IN_TIME_S = 0.4  # for which a client waits
 MEMORY_EVERY_S = 0.1
+SIDE_ENDPOINTS, SIDE_PAUSE_S = 2, 0.02  # of the destination that list changes empty; between its messages
 JITTER_S = 0.002  # of the way to endpoints
 
 
@@ -86,6 +87,10 @@
         self.answer_proxies = self._answer_proxies()
         targets = self.answer_proxies or self.endpoints
         self.proxies = [Proxy(target.address, plan.seed + n) for n, target in enumerate(targets)]
+        self.side = [
+            Endpoint(self.records, self.conditions, plan.seed + 100 + n)
+            for n in range(SIDE_ENDPOINTS if plan.list_changes else 0)
+        ]
         self.cold = ColdEndpoint(self.records, plan.cold, plan.senders, plan.seed) if plan.cold else None
         self.platform = Platform(
             self.records,
@@ -93,6 +98,7 @@
             self.conditions,
             self.cold.address if self.cold else None,
             plan.cold.limit_per_s if plan.cold else 0.0,
+            tuple(endpoint.address for endpoint in self.side),
         )
         discovery = f"127.0.0.1:{self.platform.address[1]}"
         self.senders = [
@@ -137,6 +143,8 @@
                 client.thread.start()
             threads = [threading.Thread(target=self._steps, args=(sender,)) for sender in self.senders]
             threads.append(threading.Thread(target=self._change_proxy))
+            if self.plan.list_changes:
+                threads.append(threading.Thread(target=self._change_list))
             if self.plan.crowd is not None:
                 threads.append(threading.Thread(target=self._trouble))
             threading.Thread(target=self._measure_lateness, daemon=True).start()
@@ -157,7 +165,14 @@
             now = time.monotonic()
             for sender in self.senders:
                 sender.close()
-            for server in (*self.proxies, *self.answer_proxies, *self.endpoints, self.platform, self.cold):
+            for server in (
+                *self.proxies,
+                *self.answer_proxies,
+                *self.endpoints,
+                *self.side,
+                self.platform,
+                self.cold,
+            ):
                 if server is not None:
                     server.close()
             for proxy in self.answer_proxies:
@@ -184,6 +199,7 @@
                 for n in range(self.plan.clients)
             ]
             found += self._cold_clients(sender)
+            found += self._side_clients(sender)
             if self.plan.idle:
                 found.append(IdleCrowd(sender.address, self.plan.idle, self.stop))
         return found
@@ -209,6 +225,31 @@
             for n in range(self.plan.clients, self.plan.clients + cold.clients)
         ]
 
+    def _side_clients(self, sender: SenderProcesses) -> list[Client]:
+        """A client whose messages go to the destination that list changes empty and fill."""
+        if not self.side:
+            return []
+        number = self.plan.clients + (self.plan.cold.clients if self.plan.cold else 0)
+        return [
+            Client(
+                self.records,
+                sender.number,
+                sender.address,
+                number,
+                Random(self.plan.seed * 4211 + sender.number * 307),
+                self.stop,
+                destination=SIDE_DESTINATION,
+                pause_s=SIDE_PAUSE_S * self.plan.senders,
+                holders=sender.holders,
+            )
+        ]
+
+    def _change_list(self) -> None:
+        for change in self.plan.list_changes:
+            if self.stop.wait(max(0.0, self.began + change.at_s - time.monotonic())):
+                return
+            self.platform.change(change.kind)
+
     def _steps(self, sender: SenderProcesses) -> None:
         for step in [s for s in self.plan.steps if s.sender == sender.number]:
             self._step(sender, step)
