Scan the levels of a list without a copy of it

A whole list of 3,200 endpoints (0.49 MB) took 11 MB while it was read, most of it pieces of the text without its strings; a sender at 32 MB had 32.1 MB with that list alone.

--- a/tests/test_unsound_lists.py
+++ b/tests/test_unsound_lists.py
@@ -7,7 +7,7 @@
 import pytest
 from harness import Discovery, Host, Sender, until
 
-from willownotch.json_text import MAX_DEPTH, decode_json
+from willownotch.json_text import MAX_DEPTH, NestingScanner, decode_json
 from willownotch.net.watch_decoder import PartialUpdate, WatchDecoder
 
 SOUND = {"name": "s-1", "address": "127.0.0.1:1", "zone": "here", "type": "haulier", "group": 7}
@@ -120,3 +120,10 @@
     with pytest.raises(msgspec.DecodeError):
         decode_json(kind + text + ends[-1])
     assert decode_json(json.dumps("[{" * 1000)) == "[{" * 1000
+    assert decode_json(json.dumps('"\\[{' * 1000)) == '"\\[{' * 1000
+
+
+def test_text_of_strings_without_an_end_is_scanned_once():
+    """Each quote in it began another search to its end: 4 MB would have taken hours."""
+    for text in (b'"' + b'\\"' * 1_000_000, b'["' + b"\\" * 1_000_001, b'"' * 1_000_001):
+        NestingScanner().feed(text)
--- a/willownotch/json_text.py
+++ b/willownotch/json_text.py
@@ -12,8 +12,10 @@
 import msgspec
 
 MAX_DEPTH = 64
-STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
-BRACKET = re.compile(rb"[\[\]{}]")
+# A string, which may hold brackets, or a bracket. They are matched one by one, since a copy without strings
+# takes several times the text. A string without an end goes to the end of the text.
+STRING_OR_BRACKET = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"?|[\[\]{}]')
+OPENING, CLOSING = b"[{", b"]}"
 
 T = TypeVar("T")
 
@@ -36,16 +38,17 @@
 
         A string cannot go over a line's end, so each line is scanned by itself.
         """
-        if b'"' in line:
-            line = STRING.sub(b"", line)
-        for bracket in BRACKET.findall(line):
-            if bracket in b"]}":
-                self.depth -= 1
-                continue
-            self.depth += 1
-            if self.depth > MAX_DEPTH:
-                raise NestingError
-        return self.depth
+        depth = self.depth
+        for found in STRING_OR_BRACKET.finditer(line):
+            first = line[found.start()]
+            if first in OPENING:
+                depth += 1
+                if depth > MAX_DEPTH:
+                    raise NestingError
+            elif first in CLOSING:
+                depth -= 1
+        self.depth = depth
+        return depth
 
 
 def check_nesting(data: bytes) -> None:
