Leave memory for a long list of endpoints before clients get theirs

A listed endpoint takes 2.1 KB (27.6 MB with 3,200 of them where 20.8 are with one), which the limits on clients and on what is read did not reckon with. The decision loop tells the client side how many are listed, and both limits follow. Tests: the limits with a list of 3,200; those of places, crossings and sockets hold.

--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -6,7 +6,12 @@
 from harness import Discovery, Host, Sender
 from test_crossings import config
 
-from willownotch.net.read_budget import PRIORITY_CLIENTS, max_client_connections, max_pending_connections
+from willownotch.net.read_budget import (
+    PRIORITY_CLIENTS,
+    max_client_connections,
+    max_pending_connections,
+    max_reading_bytes,
+)
 
 
 @pytest.mark.parametrize("sockets", [64, 72, 128, 384, 1024, 4096])
@@ -20,6 +25,13 @@
         assert clients + PRIORITY_CLIENTS + pending <= sockets - found.settings.slots
 
 
+def test_a_long_list_takes_its_memory_from_clients():
+    found = config(limits={"sockets": 1024, "memory_mb": 32, "disk_mb": 3})
+    many, few = max_client_connections(found), max_client_connections(found, 3200)
+    assert 8 <= few < many / 3
+    assert max_reading_bytes(found.limits, 3200) < max_reading_bytes(found.limits)
+
+
 @pytest.mark.parametrize("sockets", [128, 384, 1024])
 def test_a_burst_of_new_connections_is_answered(sockets):
     """Where the descriptors left no place to wait, all but one of those accepted together were closed."""
--- a/willownotch/cli.py
+++ b/willownotch/cli.py
@@ -441,7 +441,7 @@
         if following is not None:
             following.config_applied(new)
 
-    decision_loop.retuned = retuned
+    decision_loop.retuned, decision_loop.listed = retuned, client_side.endpoints_listed
     reloader = ConfigReloader(
         path, config, platform, log, lambda new: decision_loop.post(SettingsUpdate(new)), overlay
     )
--- a/willownotch/net/client_side.py
+++ b/willownotch/net/client_side.py
@@ -56,6 +56,7 @@
 MAX_ACCEPTED_AT_ONCE = 16
 # Of the places, how many connections may have that have not sent a whole request yet: one part of so many.
 UNPROVEN_PARTS, MIN_UNPROVEN = 4, 8
+LISTED_STEP = 32  # endpoints more or fewer, before the limits are set anew
 MAX_PIPELINING = 8  # clients served at the same time that send requests without waiting for answers
 ENDED_AT_ONCE = 8  # client connections, to make room for others
 STOP_CHECK_INTERVAL = timedelta(milliseconds=25)
@@ -138,6 +139,7 @@
             decision_loop,
             start,
         )
+        self._listed = 0  # endpoints, as far as the limits reckon with them
         self.max_clients = max_client_connections(config)
         self._removed_classes: tuple[dict[str, Rules], datetime] = ({}, datetime.max.replace(tzinfo=UTC))
         self._clients: set[Client] = set()
@@ -160,9 +162,20 @@
         removed = {name: rules for name, rules in self.config.rules.items() if name not in config.rules}
         if removed:
             self._removed_classes = removed, self.clock.now() + REMOVED_CLASS_GRACE
-        self.config, self.max_clients = config, max_client_connections(config)
-        self.max_pending = max_pending_connections(config)
-        self.reading.max_bytes = max_reading_bytes(config.limits)
+        self.config = config
+        self._set_limits()
+
+    def endpoints_listed(self, count: int) -> None:
+        """Leave memory for so many endpoints. Thread-safe."""
+        if abs(count - self._listed) >= LISTED_STEP or not count:
+            self._listed = count
+            self._set_limits()
+
+    def _set_limits(self) -> None:
+        """Set how many clients are served and wait, and how much is read, by memory and descriptors."""
+        self.max_clients = max_client_connections(self.config, self._listed)
+        self.max_pending = max_pending_connections(self.config)
+        self.reading.max_bytes = max_reading_bytes(self.config.limits, self._listed)
 
     def stop(self, read_time: timedelta) -> None:
         """Accept no more connections, and let each open one finish its current request.
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -110,6 +110,7 @@
         self.list_index = config.known.index if config.known is not None else 0
         # Applies new settings to the other parts of the process.
         self.retuned: Callable[[Config], None] = lambda config: None
+        self.listed: Callable[[int], None] = lambda count: None  # told how many endpoints are listed
         self.shared: SharedState | None = None  # set if budgets or judgements are shared
         self._budget_parts: BudgetParts | None = None  # parts of budgets last received
         self.custody: CustodyService | None = None  # set if messages are replicated
@@ -331,6 +332,7 @@
             endpoint_list, _ = self.hosts.read(item)
             self.list_index = item.index
             self._has_list = self._has_list or bool(endpoint_list.entries)
+            self.listed(len(self.hosts.by_number))
             events.append(endpoint_list)
             if len(self.bodies.forecasts) > 2 * len(self.hosts.by_number) + SPARE_FORECASTS:
                 self.bodies.forget_destinations({host.destination for host in self.hosts.by_number.values()})
--- a/willownotch/net/decision_loop_handover.py
+++ b/willownotch/net/decision_loop_handover.py
@@ -128,6 +128,7 @@
             state.unwritten,
         )
         self.hosts.adopt(state.hosts)
+        self.listed(len(self.hosts.by_number))
         self.list_index = state.list_index
         for when, label in state.timers:
             heapq.heappush(self._timers, (when, next(self._timer_order), label))
--- a/willownotch/net/read_budget.py
+++ b/willownotch/net/read_budget.py
@@ -18,6 +18,7 @@
 BYTES_PER_MB = 1_000_000
 ALLOWANCE_BYTES = 4096  # that a connection may hold without a reservation
 BASE_MEMORY_MB = 22.5  # of the process in service, without clients
+ENDPOINT_BYTES = 2200  # of a listed endpoint, all that is known of it
 CONNECTION_BYTES = 32_000  # of a thread, its objects and the allowance
 CONNECTIONS_SHARE = 0.4  # of the memory beyond the base; the rest is for bodies, lists, notices and records
 READING_SHARE, MAX_READING_BYTES = 0.2, 16_000_000  # the same for what is being read
@@ -29,9 +30,9 @@
 CHECK_INTERVAL = timedelta(milliseconds=20)
 
 
-def spare_bytes(limits: Limits) -> float:
-    """The memory that the process may use beyond what it needs without clients."""
-    return max(0.0, limits.memory_mb - BASE_MEMORY_MB) * BYTES_PER_MB
+def spare_bytes(limits: Limits, listed: int = 0) -> float:
+    """The memory that the process may use beyond what it needs without clients, with so many endpoints."""
+    return max(0.0, (limits.memory_mb - BASE_MEMORY_MB) * BYTES_PER_MB - listed * ENDPOINT_BYTES)
 
 
 def descriptors_for_clients(config: Config) -> int:
@@ -39,9 +40,9 @@
     return config.limits.sockets - config.settings.slots - OTHER_DESCRIPTORS - PRIORITY_CLIENTS - MIN_PENDING
 
 
-def max_client_connections(config: Config) -> int:
-    """How many client connections are allowed by the limits on descriptors and memory."""
-    by_memory = int(CONNECTIONS_SHARE * spare_bytes(config.limits) / CONNECTION_BYTES)
+def max_client_connections(config: Config, listed: int = 0) -> int:
+    """How many client connections the limits on descriptors and memory allow beside so many endpoints."""
+    by_memory = int(CONNECTIONS_SHARE * spare_bytes(config.limits, listed) / CONNECTION_BYTES)
     return max(MIN_CONNECTIONS, min(MAX_CLIENTS, descriptors_for_clients(config), by_memory))
 
 
@@ -51,9 +52,9 @@
     return MIN_PENDING + max(0, min(MAX_PENDING, spare))
 
 
-def max_reading_bytes(limits: Limits) -> int:
+def max_reading_bytes(limits: Limits, listed: int = 0) -> int:
     """How many bytes of incomplete requests may be held, beyond the connections' allowances."""
-    return int(max(MIN_READING_BYTES, min(MAX_READING_BYTES, READING_SHARE * spare_bytes(limits))))
+    return int(max(MIN_READING_BYTES, min(MAX_READING_BYTES, READING_SHARE * spare_bytes(limits, listed))))
 
 
 @dataclass(slots=True)
