Reckon with 23 MB of the process and 2.5 KB of an endpoint

With 3,200 endpoints at 32 MB and a crowd of 600 beside bodies of 60 KB the process had 32.8 MB: 27.9 of it with the list alone. The limits reckon with 23 MB and 2,500 bytes now, which gives 112 clients at 32 MB and 12 beside 3,200 endpoints.

--- a/willownotch/net/read_budget.py
+++ b/willownotch/net/read_budget.py
@@ -17,8 +17,8 @@
 
 BYTES_PER_MB = 1_000_000
 ALLOWANCE_BYTES = 4096  # that a connection may hold without a reservation
-BASE_MEMORY_MB = 22.5  # of the process in service, without clients
-ENDPOINT_BYTES = 2200  # of a listed endpoint, all that is known of it
+BASE_MEMORY_MB = 23.0  # of the process in service, without clients
+ENDPOINT_BYTES = 2500  # of a listed endpoint, all that is known of it
 CONNECTION_BYTES = 32_000  # of a thread, its objects and the allowance
 CONNECTIONS_SHARE = 0.4  # of the memory beyond the base; the rest is for bodies, lists, notices and records
 READING_SHARE, MAX_READING_BYTES = 0.2, 16_000_000  # the same for what is being read
