Move accepting out of client_side.py, and log what clients hold while some wait for a place

client_side.py had grown to 800 lines; how connections are accepted and in which order they get a place is client_accepting.py, without a change of behaviour.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,7 +26,7 @@
 from willownotch.interface import Outcome
 from willownotch.journal.records import AcceptedMessage, Entry, RelayStarted
 from willownotch.lifecycle import Event, SharedLifecycle
-from willownotch.net import client_side, http, list_watch, registry, sockets
+from willownotch.net import client_accepting, client_side, http, list_watch, registry, sockets
 from willownotch.net import config as configs
 from willownotch.net import notices as notices_module
 from willownotch.net.attempts import Relay
@@ -225,7 +225,7 @@
             self._ending = value
 
     real = clients.client_side._clients_changed.wait
-    monkeypatch.setattr(client_side, "Client", CountingClient)
+    monkeypatch.setattr(client_accepting, "Client", CountingClient)
     monkeypatch.setattr(
         clients.client_side._clients_changed, "wait", lambda span=None: waits.append(span) or real(span)
     )
--- a/willownotch/net/client_side.py
+++ b/willownotch/net/client_side.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import errno
-import select
 import socket
 import threading
 import traceback
@@ -21,6 +20,7 @@
 from willownotch.journal.records import AcceptedMessage
 from willownotch.lifecycle import SharedLifecycle
 from willownotch.net import http, sockets
+from willownotch.net.client_accepting import AcceptingMixin
 from willownotch.net.client_connections import SILENT_TIMEOUT, Client, EvictionOrder, Stage
 from willownotch.net.client_requests import RefusedError, read_message, rewrite_request
 from willownotch.net.clock import ZERO, Clock, millis, seconds
@@ -30,9 +30,8 @@
 from willownotch.net.listening import listen
 from willownotch.net.log import Log
 from willownotch.net.pending import PendingReply
-from willownotch.net.pending_connections import PendingConnection, PendingConnections, Received
+from willownotch.net.pending_connections import PendingConnections
 from willownotch.net.read_budget import (
-    PRIORITY_CLIENTS,
     ReadBudget,
     Turns,
     max_client_connections,
@@ -52,13 +51,8 @@
 REQUEST_READ_TIMEOUT = timedelta(seconds=2)
 READ_BYTES = 4096  # asked of a socket at once: a head with a small body; larger bodies are read into place
 LINGER_TIMEOUT, MAX_LINGER_BYTES = timedelta(milliseconds=300), 256 * 1024  # read after the last answer
-PENDING_CHECK_INTERVAL = timedelta(milliseconds=10)  # between two looks at connections that wait for a place
-MAX_ACCEPTED_AT_ONCE = 16
-# Of the places, how many connections may have that have not sent a whole request yet: one part of so many.
-UNPROVEN_PARTS, MIN_UNPROVEN = 4, 8
 LISTED_STEP = 32  # endpoints more or fewer, before the limits are set anew
 MAX_PIPELINING = 8  # clients served at the same time that send requests without waiting for answers
-ENDED_AT_ONCE = 8  # client connections, to make room for others
 STOP_CHECK_INTERVAL = timedelta(milliseconds=25)
 # During a drain: between two looks at idle connections, and the time for a new connection's first request.
 DRAIN_CHECK_INTERVAL, DRAIN_FIRST_REQUEST_GRACE = timedelta(milliseconds=100), timedelta(milliseconds=800)
@@ -117,7 +111,7 @@
     pending: PendingReply | None = None
 
 
-class ClientSide:
+class ClientSide(AcceptingMixin):
     """The listener for clients, and the connections that it has accepted."""
 
     def __init__(
@@ -202,25 +196,6 @@
                         self._end(client, "stop", cut=now >= cut_at)
                 self._clients_changed.wait(seconds(STOP_CHECK_INTERVAL))
 
-    def _accept_backlog(self) -> None:
-        """Accept the connections that wait in the backlog: closing the listener would reset them."""
-        failures = 0
-        while len(self._clients) < self.max_clients and failures < sockets.MAX_TRIES:
-            try:
-                self._accept()
-            except BlockingIOError:
-                return  # the backlog is empty
-            except OSError:
-                failures += 1
-
-    def _end_pending(self) -> None:
-        """Serve pending connections with requests, as far as there is room, and close the others."""
-        self._pending.check()
-        while (connection := self._next_pending()) is not None:
-            self._serve_new(connection.sock, connection.accepted_at)
-        while (connection := self._pending.take()) is not None:
-            connection.sock.close()
-
     @staticmethod
     def _end(client: Client, why: str = "ended here", cut: bool = False) -> None:
         """Read no request after the current one. Shut down an idle connection; with `cut` also a reading one.
@@ -243,87 +218,6 @@
             except OSError:
                 pass  # the connection is closed already
 
-    def run(self) -> None:
-        """Accept connections until the process ends."""
-        waiting = select.poll()
-        waiting.register(self.listener, select.POLLIN)
-        while True:
-            try:
-                sockets.wait(waiting, millis(PENDING_CHECK_INTERVAL) if self._pending else None)
-                if self._stopping or self._redirect_to is not None:
-                    threading.Event().wait()  # the process is about to end, or another one accepts them
-                with self._accepting:  # an accepted connection is registered before clients are counted
-                    if self._redirect_to is not None or self._stopping:
-                        continue
-                    self._accept_waiting()
-            except BlockingIOError:
-                continue
-            except OSError as fault:
-                self.log.say("accept", f"cannot accept a connection: {fault}")
-                if fault.errno not in sockets.ACCEPT_RETRY_ERRORS:
-                    # Descriptors are short: wait until one is free, or for 0.1 s.
-                    with self._clients_changed:
-                        self._clients_changed.wait(0.1)
-
-    def _accept(self) -> None:
-        """Accept the next connection and serve it. Raises `BlockingIOError` if none is waiting."""
-        sock, _ = self.listener.accept()
-        self._serve_new(sock, self.clock.now())
-
-    def _serve_new(self, sock: socket.socket, accepted_at: datetime) -> None:
-        """Serve a connection that was accepted here."""
-        client = Client(sock, self.clock.now(), self._order)
-        client.opened = accepted_at
-        if not self._start_serving(client):
-            self._close(client)
-
-    def _has_room(self) -> bool:
-        """Whether one more connection may be served of which nothing is known yet."""
-        few_unproven = self._order.unproven_count() < max(MIN_UNPROVEN, self.max_clients // UNPROVEN_PARTS)
-        return len(self._clients) < self.max_clients and few_unproven
-
-    def _accept_waiting(self) -> None:
-        """Accept all connections that wait, and serve them in the order of `PendingConnections`."""
-        accepted, now = self._accept_all(), self.clock.now()
-        if len(accepted) == 1 and not self._pending and self._has_room():
-            self._serve_new(accepted[0], now)
-            return
-        for sock in accepted:
-            self._pending.add(sock, now)
-        if self._pending:
-            self._serve_pending()
-        while len(self._pending) > self.max_pending and self._pending.close_one(now):
-            self.log.counters.add("connection closed", "no place")
-
-    def _accept_all(self) -> list[socket.socket]:
-        """The connections that were waiting to be accepted, up to some at once."""
-        accepted: list[socket.socket] = []
-        try:
-            while len(accepted) < MAX_ACCEPTED_AT_ONCE:
-                accepted.append(self.listener.accept()[0])
-        except BlockingIOError:
-            pass  # no more are waiting
-        except OSError:
-            if not accepted:  # otherwise the next call shows it again
-                raise
-        return accepted
-
-    def _serve_pending(self) -> None:
-        """Serve pending connections: all that there is room for, and some more that have whole requests."""
-        self._pending.check()
-        while (connection := self._next_pending()) is not None:
-            self._serve_new(connection.sock, connection.accepted_at)
-        if self._pending.with_data() and len(self._clients) >= self.max_clients:
-            self._make_room()
-        if closed := self._pending.close_old(self.clock.now()):
-            self.log.counters.add("connection closed", "no place", closed)
-
-    def _next_pending(self) -> PendingConnection | None:
-        if self._has_room():
-            return self._pending.take()
-        room = self.max_clients + PRIORITY_CLIENTS - len(self._clients)
-        return self._pending.take(Received.WHOLE_REQUEST) if room > 0 else None
-
     def _start_serving(
         self, client: Client, data: bytes = b"", confirm: Callable[[], bool] | None = None
     ) -> bool:
@@ -455,20 +349,6 @@
                     return
                 self._clients_changed.wait(seconds(DRAIN_CHECK_INTERVAL))
 
-    def _make_room(self) -> None:
-        """At the limit, end connections that are least likely to be in use; their threads close them.
-
-        Hundreds of clients that connect and send nothing must not keep out those that send requests.
-        """
-        with self._clients_changed:
-            ending = sum(client.ending for client in self._clients)
-            for _ in range(min(ENDED_AT_ONCE, self._pending.with_data()) - ending):
-                client = self._order.next(self.clock.now(), bool(self._pending.count(Received.WHOLE_REQUEST)))
-                if client is None:
-                    break
-                self._end(client, "made room", cut=True)
-                self.log.say("crowded", f"{self.max_clients} client connections: ending the least active one")
-
     def _cut_slow_request(self, client: Client) -> None:
         """End a request that makes too little progress, for others that need its memory."""
         with self._clients_changed:
--- a/willownotch/net/memory.py
+++ b/willownotch/net/memory.py
@@ -1,14 +1,29 @@
-"""Tunes the C library's allocator for many threads with small stacks and bodies of up to 64 KiB.
+"""The process's memory: what is resident, and the C library's allocator.
 
-By default each thread that allocates gets an arena of its own, and each arena keeps what was freed: with 26
-threads and bodies of 64 KiB this held 5 MB more than was in use. One arena is enough, since Python's own lock
-lets one thread allocate at a time. Blocks as large as a body are better returned to the system at once.
+The allocator is tuned for many threads with small stacks and bodies of up to 64 KiB. By default each thread
+that allocates gets an arena of its own, and each arena keeps what was freed: with 26 threads and bodies of
+64 KiB this held 5 MB more than was in use. One arena is enough, since Python's own lock lets one thread
+allocate at a time. Blocks as large as a body are better returned to the system at once.
 """
 
 from __future__ import annotations
 
+import resource
+from pathlib import Path
+
 M_ARENA_MAX, M_MMAP_THRESHOLD = -8, -3  # of glibc's malloc.h
 MMAP_THRESHOLD_BYTES = 32 * 1024
+STATM = Path("/proc/self/statm")
+BYTES_PER_MB = 1_000_000
+
+
+def resident_mb() -> float:
+    """The resident memory of this process, in MB; 0 if the system does not tell."""
+    try:
+        pages = int(STATM.read_text(encoding="ascii").split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0.0
+    return pages * resource.getpagesize() / BYTES_PER_MB
 
 
 def configure_malloc() -> bool:
