Move hand-ins out of decision_loop.py, in functions of one job each

decision_loop.py had 850 lines, and taking up a hand-in was one function of 80. What is known of an id, why a message is rejected and how its client is told are functions of decision_loop_hand_in.py now; the order of the checks is as before.

--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -29,6 +29,7 @@
 from willownotch.net.clock import ZERO, Clock, millis, seconds, span
 from willownotch.net.config import Config, ListUpdate
 from willownotch.net.decision_loop_bodies import BodiesMixin
+from willownotch.net.decision_loop_hand_in import HandInMixin
 from willownotch.net.decision_loop_handover import HandoverMixin
 from willownotch.net.decision_loop_replication import (
     DEFAULT_RETRY_AFTER,
@@ -36,7 +37,7 @@
     LeftToOthers,
     ReplicationMixin,
 )
-from willownotch.net.delivery import Delivery, same_message, soonest_first
+from willownotch.net.delivery import Delivery, soonest_first
 from willownotch.net.events import (
     Answer,
     BodyLost,
@@ -82,7 +83,7 @@
 ROUND_GAP_FACTOR, MAX_ROUND_GAP = 3, timedelta(milliseconds=40)
 
 
-class DecisionLoop(BodiesMixin, HandoverMixin, ReplicationMixin):
+class DecisionLoop(BodiesMixin, HandInMixin, HandoverMixin, ReplicationMixin):
     """Runs the decision module. Other threads reach it only through `post` and the methods that say so."""
 
     def __init__(
@@ -449,109 +450,6 @@
         """Whether a message may be executed more than once."""
         return self._class_of_message(message).idempotency is not api.Idempotency.UNSAFE
 
-    def _hand_in(
-        self,
-        item: HandIn,
-        now: datetime,
-        events: list[api.Event],
-        records: list[Record],
-        new_deliveries: list[Delivery],
-    ) -> None:
-        """Add a message to this round, or answer its client at once if it is a repeat or is rejected.
-
-        Its record, event and delivery are added to the lists; its client is answered after the round.
-        """
-        message = item.message
-        if not item.pending.claim():
-            self.bodies.discard(message)
-            return
-        if self.shared is not None:
-            self.shared.record_demand(message.tenant)
-        existing = self._outstanding.get(message.ref)
-        if existing is not None and not existing.over:
-            self._hand_in_repeat(item, existing)
-            self.bodies.discard(message)
-            return
-        recovered = next((e.message for e in self._recovered or () if e.message.ref == message.ref), None)
-        if recovered is not None and same_message(message, recovered):
-            # Its client has no answer yet; if rejected, it would hand the message in under another id.
-            self.bodies.discard(message)
-            item.pending.settle(Answer(Verdict.ACCEPTED))
-            return
-        if (left := self._left_to_others.get(message.ref)) is not None and same_message(message, left):
-            self.bodies.discard(message)
-            item.pending.settle(Answer(Verdict.ACCEPTED))
-            return
-        if self._ended_ids.get(message.ref, now) > now:
-            self.bodies.discard(message)
-            item.pending.settle(Answer(Verdict.ACCEPTED))
-            return
-        custody = self.custody.custody_for(message.message_class) if self.custody is not None else None
-        # A message that was handed back may be handed in again under its id, but not while one of its relays
-        # is in progress or its notice is unanswered.
-        id_in_use = (
-            existing is not None
-            or message.ref in self._unanswered_notices
-            or message.ref in self._left_to_others
-        )
-        checks = [
-            (not self.lifecycle.current.listed, "early", "the sender is not ready yet"),
-            (not self.hosts.listed(message.destination), "unlisted", "no endpoint of it is listed"),
-            (id_in_use, "full", "its id is still in use"),
-            (self._outstanding_count >= self.settings.holding_room, "full", "too many messages outstanding"),
-            (custody is False, "custody", "too few other senders can hold a copy"),
-        ]
-        if id_in_use and self._may_have_run(message):  # 503 would invite a second execution under another id
-            self.bodies.discard(message)
-            item.pending.settle(Answer(Verdict.FAILED))
-            self.log.say("conflict", f"{message.ref} was handed in before and may have been executed: failed")
-            return
-        rejection = next(((event, reason) for failed, event, reason in checks if failed), None)
-        if rejection is None and not self._record_fits(message, new_deliveries, now, events):
-            rejection = "full", "the disk space for the journal is used up"
-        if rejection is not None:
-            event, reason = rejection
-            self.bodies.discard(message)
-            item.pending.settle(Answer(Verdict.REJECTED, DEFAULT_RETRY_AFTER, event))
-            text = f"rejected {message.ref} for destination {message.destination}"
-            self.log.say(
-                event,
-                f"{text}: {reason}, {self._outstanding_count} of {self.settings.holding_room} outstanding",
-            )
-            return
-        if custody:
-            message = msgspec.structs.replace(message, custody=custody)
-        delivery = self._outstanding[message.ref] = Delivery(
-            message, pending=item.pending, accepted_by=item.pending
-        )
-        self._outstanding_count += 1
-        new_deliveries.append(delivery)
-        records.append(message)
-        events.append(self._message_event(message, now))
-
-    def _may_have_run(self, message: AcceptedMessage) -> bool:
-        """Whether a finished message, still remembered, may have been executed and must not be repeated."""
-        if self._repeatable(message):
-            return False
-        existing, ended = (
-            self._outstanding.get(message.ref),
-            self._unanswered_notices.get(message.ref, (None, None))[1],
-        )
-        return (existing is not None and bool(existing.active_relays)) or (
-            ended is not None and ended.outcome == "given_up"
-        )
-
-    def _hand_in_repeat(self, item: HandIn, existing: Delivery) -> None:
-        """Answer a hand-in of an id that is outstanding: a repeat of the same message, or a conflict."""
-        if not same_message(item.message, existing.message):
-            self.log.say("conflict", f"{item.message.ref} is outstanding with other content: answered 409")
-            item.pending.settle(Answer(Verdict.CONFLICT))
-        elif existing.pending is not None:  # 503 would be wrong if the first hand-in is accepted after it
-            existing.repeats.append(item.pending)
-        else:
-            existing.confirmed = True
-            item.pending.settle(Answer(Verdict.ACCEPTED))
-
     def _message_event(
         self, message: AcceptedMessage, now: datetime, past: tuple[api.PastAttempt, ...] = ()
     ) -> api.Message:
