Keep the listener going beside hundreds that do not wait for their answers

Each of its system calls gives the interpreter away, and it looked at each of some 400 incomplete connections anew each 10 ms, beside eight served pipelining clients.

One poll asks for all that wait, told by SO_RCVLOWAT which have more than was looked at. While connections wait for a place one pipelining client is served at a time, and one unproven request parsed. A stalled request is ended also where only the part of the unproven is used up. The checksum of the sources is the interpreter's own (source_hash): xxhash was loaded by it without being configured (test_without_settings_nothing_is_shared).

--- a/willownotch/handover/version.py
+++ b/willownotch/handover/version.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+from importlib.util import source_hash
 from pathlib import Path
 
 SOURCES = (
@@ -26,10 +27,9 @@
 
 @functools.cache
 def version() -> bytes:
-    """Return a checksum of the sources that define the state, computed from the files at the first call."""
-    from xxhash import xxh3_128  # hashlib would load a cryptographic library of 3.5 MB
+    """Return a checksum of the sources that define the state, computed from the files at the first call.
 
-    root, digest = Path(__file__).parents[1], xxh3_128()
-    for name in SOURCES:
-        digest.update((root / name).read_bytes())
-    return digest.digest()
+    It is the interpreter's own checksum of sources: hashlib would load a cryptographic library of 3.5 MB.
+    """
+    root = Path(__file__).parents[1]
+    return source_hash(b"".join(source_hash((root / name).read_bytes()) for name in SOURCES))
--- a/willownotch/net/client_accepting.py
+++ b/willownotch/net/client_accepting.py
@@ -115,7 +115,7 @@
         self._pending.check()
         while (connection := self._next_pending()) is not None:
             self._serve_new(connection.sock, connection.accepted_at)
-        if self._pending.with_data() and len(self._clients) >= self.max_clients:
+        if self._pending.with_data() and not self._has_room():
             self._make_room()
         if closed := self._pending.close_old(self.clock.now()):
             self.log.counters.add("connection closed", "no place", closed)
@@ -155,12 +155,18 @@
         with self._clients_changed:
             ending = sum(client.ending for client in self._clients)
             for _ in range(min(ENDED_AT_ONCE, self._pending.with_data()) - ending):
-                client = self._order.next(self.clock.now(), bool(self._pending.count(Received.WHOLE_REQUEST)))
-                if client is None:
+                if (client := self._next_to_end()) is None:
                     break
                 self._end(client, "made room", cut=True)
                 self.log.say("crowded", f"{self.max_clients} client connections: ending the least active one")
 
+    def _next_to_end(self) -> Client | None:
+        """The client that is ended next: any at the limit of all, else one that has sent no whole request."""
+        now = self.clock.now()
+        if len(self._clients) < self.max_clients:
+            return self._order.next_unserved(now)
+        return self._order.next(now, bool(self._pending.count(Received.WHOLE_REQUEST)))
+
     def _log_pressure(self) -> None:
         """Log what clients hold, at times, while connections wait for a place."""
         now = self.clock.now()
--- a/willownotch/net/client_connections.py
+++ b/willownotch/net/client_connections.py
@@ -98,6 +98,11 @@
         """How many clients have sent no whole request, or have got their last answer."""
         return len(self._unserved) + len(self._queues[Stage.LEAVING])
 
+    def next_unserved(self, now: datetime) -> Client | None:
+        """Take out a client that has sent no whole request and makes too little progress, if there is one."""
+        with self._lock:
+            return self._slowest_unserved(now)
+
     def next(self, now: datetime, for_request: bool = True) -> Client | None:
         """Take out the client to end; None if there is none that may be ended yet.
 
--- a/willownotch/net/client_side.py
+++ b/willownotch/net/client_side.py
@@ -52,7 +52,8 @@
 READ_BYTES = 4096  # asked of a socket at once: a head with a small body; larger bodies are read into place
 LINGER_TIMEOUT, MAX_LINGER_BYTES = timedelta(milliseconds=300), 256 * 1024  # read after the last answer
 LISTED_STEP = 32  # endpoints more or fewer, before the limits are set anew
-MAX_PIPELINING = 8  # clients served at the same time that send requests without waiting for answers
+# Clients served at the same time that do not wait for their answers; the same while others wait for a place.
+MAX_PIPELINING, MAX_PIPELINING_CROWDED = 8, 1
 STOP_CHECK_INTERVAL = timedelta(milliseconds=25)
 # During a drain: between two looks at idle connections, and the time for a new connection's first request.
 DRAIN_CHECK_INTERVAL, DRAIN_FIRST_REQUEST_GRACE = timedelta(milliseconds=100), timedelta(milliseconds=800)
@@ -142,6 +143,7 @@
         self.reading = ReadBudget(max_reading_bytes(config.limits), clock, self._cut_slow_request)
         self._turns = Turns()
         self._pipelining = threading.Semaphore(MAX_PIPELINING)
+        self._pipelining_crowded = threading.Semaphore(MAX_PIPELINING_CROWDED)
         self._accepting = threading.Lock()
         self._pending = PendingConnections()  # guarded by `_accepting`
         self.max_pending = max_pending_connections(config)
@@ -426,7 +428,7 @@
         if not client.pipelines:
             return self._exchange(client, parser)
         client.at(Stage.READING, self.clock.now())  # while it waits it may be ended to make room
-        with self._pipelining:
+        with self._pipelining_crowded if self._pending else self._pipelining:
             return self._exchange(client, parser)
 
     def _exchange(self, client: Client, parser: http.Parser) -> bool:
--- a/willownotch/net/pending_connections.py
+++ b/willownotch/net/pending_connections.py
@@ -67,6 +67,7 @@
     sock: socket.socket
     accepted_at: datetime
     received: Received = Received.NOTHING
+    count: int = 0  # bytes that have come, as last looked at
 
 
 class PendingConnections:
@@ -77,8 +78,8 @@
             received: OrderedDict() for received in Received
         }
         self._part_is_next = False
-        self._silent = select.poll()
-        self._by_descriptor: dict[int, PendingConnection] = {}  # of those without data
+        self._awaiting = select.poll()  # those that may still send what matters
+        self._by_descriptor: dict[int, PendingConnection] = {}  # of the same
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._queues.values())
@@ -96,17 +97,33 @@
         sock.setblocking(False)
         connection = PendingConnection(sock, now)
         self._queues[Received.NOTHING][connection] = None
-        self._by_descriptor[sock.fileno()] = connection
-        self._silent.register(sock, select.POLLIN)
+        self._await_bytes(connection)
 
     def check(self) -> None:
         """Look at what has come since. A connection that has ended is closed."""
-        ready = sockets.wait(self._silent, 0) if self._by_descriptor else []
-        for connection in [
-            *self._queues[Received.PART],
-            *(self._by_descriptor[descriptor] for descriptor, _ in ready),
-        ]:
-            self._look_at(connection)
+        ready = sockets.wait(self._awaiting, 0) if self._by_descriptor else []
+        for descriptor, _ in ready:
+            self._look_at(self._by_descriptor[descriptor])
+
+    def _await_bytes(self, connection: PendingConnection) -> None:
+        """Have `check` look at a connection once there are more bytes than were looked at.
+
+        One call asks for all: hundreds of calls, each of which gives other threads the interpreter, would
+        keep the listener from its work.
+        """
+        if connection.count:
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, connection.count + 1)
+        self._by_descriptor[connection.sock.fileno()] = connection
+        self._awaiting.register(connection.sock, select.POLLIN)
+
+    def _await_no_more(self, connection: PendingConnection) -> None:
+        if self._by_descriptor.pop(connection.sock.fileno(), None) is not None:
+            self._awaiting.unregister(connection.sock)
+        if connection.count:
+            try:
+                connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, 1)
+            except OSError:
+                pass  # the connection is broken, which its thread finds
 
     def _look_at(self, connection: PendingConnection) -> None:
         try:
@@ -119,17 +136,20 @@
             self._remove(connection)
             connection.sock.close()
             return
-        received = classify(data, unread_bytes(connection.sock))
+        count = max(unread_bytes(connection.sock), len(data))
+        grown, received = count > connection.count, classify(data, count)
+        self._await_no_more(connection)
+        connection.count = count
         if received is not connection.received:
-            self._remove(connection)
+            self._queues[connection.received].pop(connection)
             connection.received = received
             self._queues[received][connection] = None
+        if received is Received.PART and grown:  # otherwise it has ended, or its buffer is full
+            self._await_bytes(connection)
 
     def _remove(self, connection: PendingConnection) -> None:
         self._queues[connection.received].pop(connection, None)
-        if connection.received is Received.NOTHING:
-            self._by_descriptor.pop(connection.sock.fileno(), None)
-            self._silent.unregister(connection.sock)
+        self._await_no_more(connection)
 
     def take(self, least: Received = Received.NOTHING) -> PendingConnection | None:
         """Take out the next connection, on which at least this has come; None if there is none.
--- a/willownotch/net/read_budget.py
+++ b/willownotch/net/read_budget.py
@@ -131,7 +131,7 @@
     answers: hundreds of those would take the processor from clients that wait for one answer at a time.
     """
 
-    MAX_AT_ONCE = 2
+    MAX_AT_ONCE = 1
 
     def __init__(self) -> None:
         self._free = threading.Semaphore(self.MAX_AT_ONCE)
