Look at a pending connection again whatever setsockopt answers

Its connection waited for a place with part of a request; the low-water mark failed, and it was never looked at again. Had it failed where the mark is taken back, its thread would not have been told of what had come.

The call is repeated as other calls are; without the mark the connection is looked at each round, and it is left aside only where the kernel told of no more bytes although it had the mark. Connections that are accepted together and have room are served at once. Evidence: the rest of a request is seen with 0, 1, 5 and 1,000 failures; a connection that has stopped is looked at once for each piece.

--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -1,11 +1,14 @@
 """Places for clients: what the limits give, and that a burst of connections is served where they suffice."""
 
+import errno
 import socket
 
 import pytest
-from harness import Discovery, Host, Sender
+from harness import Discovery, Host, Sender, until
 from test_crossings import config
 
+from willownotch.net.clock import Clock
+from willownotch.net.pending_connections import PendingConnections, Received
 from willownotch.net.read_budget import (
     PRIORITY_CLIENTS,
     max_client_connections,
@@ -49,3 +52,57 @@
     finally:
         sender.close()
         discovery.close()
+
+
+class PoorSocket:
+    """A connection whose `setsockopt` fails for want of memory as often as told."""
+
+    def __init__(self, sock, failures):
+        self.sock, self.failures = sock, failures
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def setsockopt(self, *arguments):
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.ENOMEM, "no memory")
+        self.sock.setsockopt(*arguments)
+
+
+@pytest.mark.parametrize("failures", [0, 1, 5, 1000])
+def test_the_rest_of_a_request_is_seen_though_setsockopt_fails(failures):
+    """Its connection was never looked at again, or its thread was never told of what had come."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    theirs = socket.create_connection(listener.getsockname())
+    ours, now = PoorSocket(listener.accept()[0], failures), Clock().now()
+    pending = PendingConnections()
+    pending.add(ours, now)
+    theirs.sendall(b"POST /api HTTP/1.1\r\nContent-Length: 5\r\n\r\nhe")
+    until(lambda: pending.check() or pending.count(Received.PART))
+    assert pending.take(Received.WHOLE_REQUEST) is None
+    theirs.sendall(b"llo")
+    until(lambda: pending.check() or pending.count(Received.WHOLE_REQUEST))
+    assert pending.take(Received.WHOLE_REQUEST).sock is ours and not pending
+    assert ours.getsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT) == 1
+    for sock in (listener, theirs, ours):
+        sock.close()
+
+
+def test_a_connection_that_stops_in_a_request_is_looked_at_once_for_each_piece():
+    listener = socket.create_server(("127.0.0.1", 0))
+    theirs = socket.create_connection(listener.getsockname())
+    ours, _ = listener.accept()
+    pending, looks = PendingConnections(), []
+    real = pending._look_at
+    pending._look_at = lambda connection: looks.append(connection) or real(connection)
+    pending.add(ours, Clock().now())
+    for piece in (b"POST /api HTTP/1.1\r\n", b"Content-Length: 5\r\n\r\n"):
+        theirs.sendall(piece)
+        before = len(looks)
+        until(lambda b=before: pending.check() or len(looks) > b)
+        for _ in range(50):
+            pending.check()
+    assert len(looks) == 2
+    for sock in (listener, theirs, ours):
+        sock.close()
--- a/willownotch/lab/soak/endpoints.py
+++ b/willownotch/lab/soak/endpoints.py
@@ -277,7 +277,7 @@
                     data = b"".join(lines) or b"\n"
                     sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
                     due = time.monotonic() + WATCH_S
-            self.closing.wait(WATCH_CHECK_S)
+            self.closing.wait(WATCH_CHECK_S if self.side else WATCH_S)
         return False
 
     def _lines_since(self, told: int) -> tuple[list[bytes], int]:
--- a/willownotch/net/client_accepting.py
+++ b/willownotch/net/client_accepting.py
@@ -86,12 +86,12 @@
 
     def _accept_waiting(self) -> None:
         """Accept all connections that wait, and serve them in the order of `PendingConnections`."""
-        accepted, now = self._accept_all(), self.clock.now()
-        if len(accepted) == 1 and not self._pending and self._has_room():
-            self._serve_new(accepted[0], now)
-            return
-        for sock in accepted:
-            self._pending.add(sock, now)
+        now = self.clock.now()
+        for sock in self._accept_all():
+            if not self._pending and self._has_room():
+                self._serve_new(sock, now)
+            else:
+                self._pending.add(sock, now)
         if self._pending:
             self._serve_pending()
         while len(self._pending) > self.max_pending and self._pending.close_one(now):
--- a/willownotch/net/pending_connections.py
+++ b/willownotch/net/pending_connections.py
@@ -68,6 +68,7 @@
     accepted_at: datetime
     received: Received = Received.NOTHING
     count: int = 0  # bytes that have come, as last looked at
+    low_water: bool = False  # whether the kernel tells it only once there are more
 
 
 class PendingConnections:
@@ -111,19 +112,26 @@
         One call asks for all: hundreds of calls, each of which gives other threads the interpreter, would
         keep the listener from its work.
         """
-        if connection.count:
-            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, connection.count + 1)
+        connection.low_water = connection.count > 0 and self._set_low_water(connection, connection.count + 1)
         self._by_descriptor[connection.sock.fileno()] = connection
         self._awaiting.register(connection.sock, select.POLLIN)
 
     def _await_no_more(self, connection: PendingConnection) -> None:
         if self._by_descriptor.pop(connection.sock.fileno(), None) is not None:
             self._awaiting.unregister(connection.sock)
-        if connection.count:
-            try:
-                connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, 1)
-            except OSError:
-                pass  # the connection is broken, which its thread finds
+        if connection.low_water:
+            self._set_low_water(connection, 1)
+            connection.low_water = False
+
+    @staticmethod
+    def _set_low_water(connection: PendingConnection, count: int) -> bool:
+        """Have the kernel tell a connection as readable only with so many bytes; whether it does."""
+        level, option = socket.SOL_SOCKET, socket.SO_RCVLOWAT
+        try:
+            sockets.retry_transient("setsockopt", lambda: connection.sock.setsockopt(level, option, count))
+        except OSError:  # the connection is broken, which its thread finds
+            return False
+        return True
 
     def _look_at(self, connection: PendingConnection) -> None:
         try:
@@ -137,14 +145,16 @@
             connection.sock.close()
             return
         count = max(unread_bytes(connection.sock), len(data))
-        grown, received = count > connection.count, classify(data, count)
+        # Told without more bytes, it has ended, or its buffer is full.
+        stopped = connection.low_water and count <= connection.count
+        received = classify(data, count)
         self._await_no_more(connection)
         connection.count = count
         if received is not connection.received:
             self._queues[connection.received].pop(connection)
             connection.received = received
             self._queues[received][connection] = None
-        if received is Received.PART and grown:  # otherwise it has ended, or its buffer is full
+        if received is Received.PART and not stopped:
             self._await_bytes(connection)
 
     def _remove(self, connection: PendingConnection) -> None:
