Hold a turn of pipelining clients for an answer alone, not for bytes that are still to come

A client that sends without waiting for answers kept its turn while it waited for the rest of a request (up to 2 s), through the delay behind a bad request (up to 0.5 s) and through a blocked write; those that waited for the turn kept their places though they were ended.

A turn goes from a request that was read whole to its answer. Who waits for one and whose place is needed is answered 503, and a client that does not read its answers is let go after 0.25 s of a blocked write. A request that came from another process is no sign of pipelining. The soak has a steady destination beside the one that is emptied, and two plans of it are played in each run of the tests.

Evidence: nine clients that stop behind whole requests kept a tenth waiting before; it is answered at once.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -255,6 +255,22 @@
     assert clients.hand_ins == []
 
 
+def test_a_client_that_stops_behind_whole_requests_holds_no_turn_of_others(clients):
+    """Few that do not wait for their answers are served at a time; one that stopped kept its turn for 2 s."""
+    stopped = [clients.connect() for _ in range(client_side.MAX_PIPELINING + 1)]
+    for sock, client in stopped:
+        sock.sendall(REQUEST * 2 + REQUEST[:-3])
+        until(lambda client=client: client.requests_read == 2 and client.stage is Stage.READING)
+    sock, _ = clients.connect()
+    sock.sendall(REQUEST * 3)
+    data = b""
+    while data.count(b"202 Accepted") < 3:
+        data += sock.recv(65536)
+    assert all(client.stage is Stage.READING for _, client in stopped)
+    for each, _ in (*stopped, (sock, None)):
+        each.close()
+
+
 def test_clients_without_a_whole_request_are_ended_before_those_that_were_served():
     """A client that kept its connection was ended for one that had never finished a request."""
     order, began, pairs = EvictionOrder(), Clock().now(), [socket.socketpair() for _ in range(7)]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,13 +3,26 @@
 import contextlib
 import os
 import socket
+from dataclasses import replace
 
 import pytest
 
 from willownotch.lab.faults.proxy import Proxy, Trouble, abort
 from willownotch.lab.faults.shim import CallFault
 from willownotch.lab.soak import connections
-from willownotch.lab.soak.plan import Action, Conditions, Plan, Step, draw, draw_cold
+from willownotch.lab.soak.crowd import CrowdKind
+from willownotch.lab.soak.plan import (
+    Action,
+    Conditions,
+    CrowdPlan,
+    ListChange,
+    ListChangeKind,
+    Machine,
+    Plan,
+    Step,
+    draw,
+    draw_cold,
+)
 from willownotch.lab.soak.records import (
     NONE_COUNTED,
     Call,
@@ -76,6 +89,32 @@
 }
 
 
+EMPTY, REFILL = ListChangeKind.EMPTY, ListChangeKind.REFILL
+NEW_LIFE, UNSOUND = ListChangeKind.NEW_LIFE, ListChangeKind.UNSOUND
+LIST_CHANGES = tuple(
+    ListChange(at, kind)
+    for at, kind in (
+        (0.8, EMPTY),
+        (1.3, UNSOUND),
+        (1.8, REFILL),
+        (2.2, NEW_LIFE),
+        (2.3, EMPTY),
+        (3.4, NEW_LIFE),
+        (4.0, EMPTY),
+    )
+)
+HUNG = (Conditions(0.0, hang=0.85, error=0.15), Conditions(4.5))
+PLANS["a destination emptied while calls hang, through a kill and an upgrade"] = replace(
+    fixed((2.5, Action.KILL), (4.2, Action.UPGRADE), conditions=HUNG), list_changes=LIST_CHANGES
+)
+PLANS["a crowd at the least memory, through a kill and an upgrade"] = replace(
+    fixed((1.5, Action.UPGRADE), (3.0, Action.KILL)),
+    crowd=CrowdPlan(CrowdKind.MIXED, 200, 0.5, 5.0),
+    machine=Machine(32.0, 1024),
+    list_changes=LIST_CHANGES,
+)
+
+
 @pytest.mark.parametrize("name", PLANS)
 def test_orders_that_once_broke_a_rule(name):
     report = play(PLANS[name])
--- a/willownotch/lab/soak/endpoints.py
+++ b/willownotch/lab/soak/endpoints.py
@@ -18,7 +18,7 @@
 WATCH_S = 2.0  # between two lines of a watch
 HANG_S = 30.0
 BIND_AGAIN_S = 0.01
-DESTINATION, SIDE_DESTINATION, COLD_DESTINATION = 7, 8, 9
+DESTINATION, SIDE_DESTINATION, COLD_DESTINATION, STEADY_DESTINATION = 7, 8, 9, 10
 WATCH_CHECK_S = 0.05  # between two looks at changes of the list
 UNSOUND_VALUES = (
     {"address": "a..b:1"},
@@ -187,6 +187,7 @@
         cold: tuple[str, int] | None = None,
         cold_rate: float = 0.0,
         side: tuple[tuple[str, int], ...] = (),
+        steady: tuple[str, int] | None = None,
     ) -> None:
         self.records, self.conditions, self.random = records, conditions, Random(len(endpoints))
         self.entries = [
@@ -195,6 +196,8 @@
         ]
         if cold is not None:
             self.entries.append(self._entry("s-cold", cold, COLD_DESTINATION, cold_rate))
+        if steady is not None:
+            self.entries.append(self._entry("s-steady", steady, STEADY_DESTINATION, 100.0))
         self.side = [
             self._entry(f"s-side-{number}", address, SIDE_DESTINATION, 100.0)
             for number, address in enumerate(side)
--- a/willownotch/lab/soak/run.py
+++ b/willownotch/lab/soak/run.py
@@ -15,7 +15,13 @@
 from willownotch.lab.soak import crowd
 from willownotch.lab.soak.clients import Client, IdleCrowd
 from willownotch.lab.soak.cold import ColdEndpoint
-from willownotch.lab.soak.endpoints import COLD_DESTINATION, SIDE_DESTINATION, Endpoint, Platform
+from willownotch.lab.soak.endpoints import (
+    COLD_DESTINATION,
+    SIDE_DESTINATION,
+    STEADY_DESTINATION,
+    Endpoint,
+    Platform,
+)
 from willownotch.lab.soak.plan import Conditions, Plan, Step
 from willownotch.lab.soak.processes import ROOT, SenderProcesses
 from willownotch.lab.soak.records import Ending, Records
@@ -25,7 +31,7 @@
 HEARTBEAT_S = 0.005
 IN_TIME_S = 0.4  # for which a client waits
 MEMORY_EVERY_S = 0.1
-SIDE_ENDPOINTS, SIDE_PAUSE_S = 2, 0.02  # of the destination that list changes empty; between its messages
+SIDE_ENDPOINTS, SIDE_PAUSE_S = 3, 0.02  # of the destination that list changes empty; between its messages
 JITTER_S = 0.002  # of the way to endpoints
 
 
@@ -87,6 +93,7 @@
         self.answer_proxies = self._answer_proxies()
         targets = self.answer_proxies or self.endpoints
         self.proxies = [Proxy(target.address, plan.seed + n) for n, target in enumerate(targets)]
+        # The first is steady: its destination shares the slots with the one that list changes empty.
         self.side = [
             Endpoint(self.records, self.conditions, plan.seed + 100 + n)
             for n in range(SIDE_ENDPOINTS if plan.list_changes else 0)
@@ -98,7 +105,8 @@
             self.conditions,
             self.cold.address if self.cold else None,
             plan.cold.limit_per_s if plan.cold else 0.0,
-            tuple(endpoint.address for endpoint in self.side),
+            tuple(endpoint.address for endpoint in self.side[1:]),
+            self.side[0].address if self.side else None,
         )
         discovery = f"127.0.0.1:{self.platform.address[1]}"
         self.senders = [
@@ -226,7 +234,7 @@
         ]
 
     def _side_clients(self, sender: SenderProcesses) -> list[Client]:
-        """A client whose messages go to the destination that list changes empty and fill."""
+        """Clients of the destination that list changes empty and fill, and of the steady one beside it."""
         if not self.side:
             return []
         number = self.plan.clients + (self.plan.cold.clients if self.plan.cold else 0)
@@ -235,13 +243,14 @@
                 self.records,
                 sender.number,
                 sender.address,
-                number,
-                Random(self.plan.seed * 4211 + sender.number * 307),
+                number + n,
+                Random(self.plan.seed * 4211 + sender.number * 307 + n),
                 self.stop,
-                destination=SIDE_DESTINATION,
+                destination=destination,
                 pause_s=SIDE_PAUSE_S * self.plan.senders,
                 holders=sender.holders,
             )
+            for n, destination in enumerate((SIDE_DESTINATION, STEADY_DESTINATION))
         ]
 
     def _change_list(self) -> None:
--- a/willownotch/net/client_side.py
+++ b/willownotch/net/client_side.py
@@ -6,7 +6,8 @@
 import socket
 import threading
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
@@ -54,6 +55,7 @@
 LISTED_STEP = 32  # endpoints more or fewer, before the limits are set anew
 # Clients served at the same time that do not wait for their answers; the same while others wait for a place.
 MAX_PIPELINING, MAX_PIPELINING_CROWDED = 8, 1
+TURN_CHECK_INTERVAL, PIPELINING_WRITE_TIMEOUT = timedelta(milliseconds=50), timedelta(milliseconds=250)
 STOP_CHECK_INTERVAL = timedelta(milliseconds=25)
 # During a drain: between two looks at idle connections, and the time for a new connection's first request.
 DRAIN_CHECK_INTERVAL, DRAIN_FIRST_REQUEST_GRACE = timedelta(milliseconds=100), timedelta(milliseconds=800)
@@ -69,11 +71,11 @@
     """Another process has taken over this client's connection."""
 
 
-class NoRoomError(http.BadMessageError):
-    """There is no memory to read a request now. Handing it in again is harmless."""
+class CrowdedError(http.BadMessageError):
+    """A request is not answered now for want of memory or of a turn. Handing it in again is harmless."""
 
-    def __init__(self, size: int) -> None:
-        super().__init__(503, f"no room to read a request of {size} bytes now")
+    def __init__(self, text: str) -> None:
+        super().__init__(503, text)
 
 
 def retry_after_header(span: timedelta) -> tuple[str, str]:
@@ -370,7 +372,7 @@
             if data:
                 parser.slack = http.REWRITTEN_HEAD_SLACK_BYTES  # for the request that was passed on with it
                 parser.feed(data)
-            while self._exchange_in_turn(client, parser):
+            while self._exchange(client, parser):
                 pass
         except ConnectionMovedError:
             client.close_reason = "passed on"
@@ -422,36 +424,53 @@
         except OSError:
             pass  # the client has closed, or sends nothing
 
-    def _exchange_in_turn(self, client: Client, parser: http.Parser) -> bool:
-        """As `_exchange`; few of those that do not wait for their answers are served at the same time."""
-        client.pipelines = parser.begun and client.requests_read > 0
+    @contextmanager
+    def _turn(self, client: Client) -> Iterator[None]:
+        """A turn to answer a request that was read: few clients at a time that do not wait for their answers.
+
+        Raises `CrowdedError` if the client's place is needed before it has a turn.
+        """
         if not client.pipelines:
-            return self._exchange(client, parser)
+            yield
+            return
         client.at(Stage.READING, self.clock.now())  # while it waits it may be ended to make room
-        with self._pipelining_crowded if self._pending else self._pipelining:
-            return self._exchange(client, parser)
+        gate = self._pipelining_crowded if self._pending else self._pipelining
+        while not gate.acquire(timeout=seconds(TURN_CHECK_INTERVAL)):
+            if client.ending:
+                raise CrowdedError("requests were sent without waiting for answers")
+        try:
+            client.at(Stage.ANSWERING, self.clock.now())
+            client.sock.settimeout(seconds(PIPELINING_WRITE_TIMEOUT))
+            yield
+        finally:
+            gate.release()
 
     def _exchange(self, client: Client, parser: http.Parser) -> bool:
         """Read one request and answer it; whether the connection is kept."""
         try:
             found, arrived = self._read(client, parser)
+            if found is None:
+                return False
+            with self._turn(client):
+                kept = self._answer_request(client, parser, *found, arrived)
         except http.BadMessageError as fault:
-            self.reading.release(client)
             self._answer_unreadable(client, fault)
             return False
-        if found is None:
-            return False
-        try:
-            return self._answer_request(client, parser, *found, arrived)
         finally:
             self.reading.release(client)
+        if kept and client.bad_in_a_row:
+            # A client that repeats a bad request at once must not take processor time from the others.
+            delay = min(MAX_BAD_REQUEST_DELAY, BAD_REQUEST_DELAY * 2 ** min(client.bad_in_a_row - 1, 10))
+            client.at(Stage.LEAVING, self.clock.now())
+            client.wait_ended(delay)
+        return kept
 
     def _answer_unreadable(self, client: Client, fault: http.BadMessageError) -> None:
         """Give the last answer on a connection: it is unknown where its next request begins."""
         headers = [("Connection", "close")]
-        if isinstance(fault, NoRoomError):
+        if isinstance(fault, CrowdedError):
             self.log.say("crowded", f"connection {client.number}: {fault}, answered {fault.status}")
-            self.log.counters.add("request refused", "no memory to read it")
+            self.log.counters.add("request refused", "crowded")
             headers.append(retry_after_header(DEFAULT_RETRY_AFTER))
         else:
             self.log.say("bad", f"{fault}, answered {fault.status}")
@@ -509,11 +528,6 @@
             if reply.message is not None:
                 self.decision_loop.post(Withdraw(reply.message, reply.pending))
             return False
-        if client.bad_in_a_row and not last:
-            # A client that repeats a bad request at once must not take processor time from the others.
-            delay = min(MAX_BAD_REQUEST_DELAY, BAD_REQUEST_DELAY * 2 ** min(client.bad_in_a_row - 1, 10))
-            client.at(Stage.LEAVING, self.clock.now())
-            client.wait_ended(delay)
         if last:
             client.close_reason = "last answer"
         return not last
@@ -521,7 +535,9 @@
     def _read(self, client: Client, parser: http.Parser) -> tuple[tuple[http.Head, bytes] | None, datetime]:
         """The next request, None at the connection's end, and when its first byte came."""
         arrived, expect_seen = client.arrived or self.clock.now(), False
+        passed_on = client.arrived is not None  # with a request that another process has read
         first, client.arrived = not client.requests_read, None
+        client.pipelines = parser.begun and not first and not passed_on
         with client.lock:
             if self._redirect_to is not None and not parser.begun:
                 self._move_connection(client)
@@ -578,10 +594,10 @@
         return len(data)
 
     def _reserve(self, client: Client, parser: http.Parser) -> None:
-        """Reserve the memory that a request needs. Raises `NoRoomError` if there is none for it now."""
+        """Reserve the memory that a request needs. Raises `CrowdedError` if there is none for it now."""
         needed = parser.memory_needed()
         if not self.reading.reserve(client, needed):
-            raise NoRoomError(needed)
+            raise CrowdedError(f"no room to read a request of {needed} bytes now")
 
     def _answer(
         self, client: Client, head: http.Head, body: bytes, arrived: datetime, read_at: datetime
