--- a/benchmarks/client_side_cost.py
+++ b/benchmarks/client_side_cost.py
@@ -128,6 +128,18 @@
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
 
+def port_when_ready(lines) -> int:
+    """The port for clients, once the sender has said that it listens and that it is ready, in any order."""
+    port, ready = 0, False
+    for line in lines:
+        if "listening on " in line:
+            port = int(line.split("listening on ")[1].split(",")[0].rpartition(":")[2])
+        ready = ready or "to ready" in line
+        if port and ready:
+            return port
+    raise RuntimeError("the sender has ended")
+
+
 def play(program: Path, way: str) -> dict[str, float]:
     """One play."""
     fresh = multiprocessing.get_context("spawn")  # a fork would copy locks that other threads hold
@@ -153,9 +165,7 @@
             text=True,
         )
         try:
-            line = next(line for line in sender.stderr if "listening on" in line)
-            port = int(line.split("listening on ")[1].split(",")[0].rpartition(":")[2])
-            next(line for line in sender.stderr if "to ready" in line)
+            port = port_when_ready(sender.stderr)
             threading.Thread(target=sender.stderr.read, daemon=True).start()
             ours, theirs = fresh.Pipe()
             before = processor_s(sender.pid)
