--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+from types import SimpleNamespace
 
 import pytest
 from harness import Discovery, Host, Sender, until
@@ -89,6 +90,27 @@
         sock.close()
 
 
+def test_a_look_that_fails_for_want_of_memory_ends_nothing():
+    """A stop looks once more at those that wait, on the thread that ends the process."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    theirs = socket.create_connection(listener.getsockname())
+    ours, _ = listener.accept()
+    pending = PendingConnections()
+    pending.add(ours, Clock().now())
+    theirs.sendall(b"GET / HTTP/1.1\r\n\r\n")
+
+    def no_memory(timeout_ms):
+        raise OSError(errno.ENOMEM, "no memory")
+
+    real, pending._awaiting = pending._awaiting, SimpleNamespace(poll=no_memory)
+    pending.check()
+    assert len(pending) == 1 and not pending.with_data()
+    pending._awaiting = real
+    until(lambda: pending.check() or pending.count(Received.WHOLE_REQUEST))
+    for sock in (listener, theirs, ours):
+        sock.close()
+
+
 def test_a_connection_that_stops_in_a_request_is_looked_at_once_for_each_piece():
     listener = socket.create_server(("127.0.0.1", 0))
     theirs = socket.create_connection(listener.getsockname())
--- a/willownotch/net/pending_connections.py
+++ b/willownotch/net/pending_connections.py
@@ -102,7 +102,10 @@
 
     def check(self) -> None:
         """Look at what has come since. A connection that has ended is closed."""
-        ready = sockets.wait(self._awaiting, 0) if self._by_descriptor else []
+        try:
+            ready = sockets.wait(self._awaiting, 0) if self._by_descriptor else []
+        except OSError:
+            return  # the system is short of memory: the next look tells the same
         for descriptor, _ in ready:
             self._look_at(self._by_descriptor[descriptor])
 
