--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -277,6 +277,40 @@
         return [outcome for _, ref, outcome in self.notices if ref == message]
 
 
+class Network:
+    """A proxy for the datagrams of peers: each advertises an address here, which leads to its own.
+
+    Datagrams go on from their sender's address here, so that answers come through, too. `parts` are the sides
+    of a cut: nothing goes from a member of one to a member of another.
+    """
+
+    def __init__(self, record: Record, names: tuple[str, ...]) -> None:
+        self.record, self.parts = record, ()  # type: Record, tuple[frozenset[str], ...]
+        self.own = {name: ("127.0.0.1", free_port()) for name in names}
+        self._names = {address: name for name, address in self.own.items()}
+        self._doors = {name: socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for name in names}
+        for name, door in self._doors.items():
+            door.bind(("127.0.0.1", 0))
+            threading.Thread(target=self._pass_on, args=(name, door), daemon=True).start()
+        self.advertised = {name: f"127.0.0.1:{door.getsockname()[1]}" for name, door in self._doors.items()}
+
+    def cut(self, *parts: frozenset[str]) -> None:
+        """Cut the members into these sides; none of them heals the cut."""
+        self.parts = parts
+        self.record.say(f"network: {' | '.join(' '.join(sorted(part)) for part in parts) or 'whole'}")
+
+    def _pass_on(self, target: str, door: socket.socket) -> None:
+        while True:
+            try:
+                data, address = door.recvfrom(65535)
+            except OSError:
+                continue  # an earlier datagram was refused
+            source = self._names.get(address)
+            apart = any((source in part) != (target in part) for part in self.parts)
+            if source is not None and not apart:
+                self._doors[source].sendto(data, self.own[target])
+
+
 @dataclass
 class Call:
     """A call whose last byte has come."""
@@ -373,12 +407,13 @@
     tenant: str = "erongo-haulage",
     thread: str | None = None,
     again: bool = False,
+    keyed: bool = False,
 ) -> int | None:
     """Hand one message in on a new connection. The status of the answer, or None without one in 400 ms."""
     host, _, port = address.rpartition(":")
     target = "/api" + (f"?thread={thread}" if thread else "")
     body = f"body of {ref}".encode()
-    key = f"Idempotency-Key: k{ref}\r\n" if kind == "slot-order" else ""
+    key = f"Idempotency-Key: k{ref}\r\n" if keyed or kind == "slot-order" else ""
     text = (
         f"POST {target} HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: {ref}\r\nRequest-Class: {kind}\r\n"
         f"Tenant: {tenant}\r\nRequest-Timeout-Ms: {timeout_ms}\r\n{key}"
