--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,6 +13,8 @@
 DEST, CHARGES, TENANT, MOST_AGAIN = 7, 3, "dune-carriers", 3
 DEADLINE_MS = 20000
 DISCOVERY_DOWN_S = 8.0
+HANG_S = 8.0  # "take calls and answer none for 5.2 to 17 s"
+BESIDE = 4  # messages for sound partners beside each charge: the hung one "gets up to 25% of the traffic"
 AGAIN_S = 0.6  # a client's wait before it hands a refused message in again
 
 
@@ -27,14 +29,11 @@
 
 def case(record: s.Record, folder: Path, senders: list[s.Sender]) -> list[str]:
     """Play it; what broke the rule."""
-    hangs_until = [float("inf")]
-
-    def behave(call: s.Call) -> tuple[int, dict[str, str]] | None:
-        """Take calls and answer none, until the spell is over; those taken before stay unanswered."""
-        return None if call.at < hangs_until[0] else (200, {})
-
-    host = s.Endpoint(record, "terminal", behave)
-    platform = s.Platform(record, [host.entry(DEST, "terminal-operator")])
+    hangs_until = [0.0]
+    host = s.Endpoint(record, "terminal", s.hanging(lambda: hangs_until[0]))
+    others = [s.Endpoint(record, f"haulier{number}", s.sound) for number in range(3)]
+    entries = [other.entry(DEST + 1 + number) for number, other in enumerate(others)]
+    platform = s.Platform(record, [host.entry(DEST, "terminal-operator"), *entries])
     (folder / "keys").write_text("1 " + "ab" * 32 + "\n", encoding="utf-8")
     ports = [s.free_port(), s.free_port()]
     for number in range(2):
@@ -46,6 +45,7 @@
     time.sleep(4.5)  # a new process spends its reserve alone for the length of a loan, 3 s
 
     sender, taken = senders[0], []
+    hangs_until[0] = time.monotonic() + HANG_S
     for number in range(CHARGES):
         ref = f"fee{number}"
         status = s.hand_in(
@@ -54,6 +54,9 @@
         if status not in (200, 202):
             raise s.UnableError(f"{ref} was answered {status}")
         taken.append(ref)
+        for beside in range(BESIDE):
+            name = f"beside{number}.{beside}"
+            s.hand_in(record, sender.address, name, "slot-status", DEST + 1 + beside % 3, DEADLINE_MS)
         time.sleep(1.0)  # 1 a second of the 1.5 that are this sender's part of 3
     s.wait_until(lambda: any(host.of(ref) for ref in taken), 5.0, "a charge is called")
     called = [ref for ref in taken if host.of(ref)]
@@ -64,7 +67,6 @@
         record.say("discovery is down")
         sender.kill()
         time.sleep(0.6)
-        hangs_until[0] = time.monotonic()
         sender.start()
         sender.wait_ready()
         time.sleep(max(0.0, discovery_back - time.monotonic()))
@@ -72,7 +74,9 @@
         record.say("discovery is back")
     ends = time.monotonic() + 26.0
     again: dict[str, str] = {}  # the id under which a charge was handed in again
-    while time.monotonic() < ends and not all(platform.outcomes(ref) for ref in taken):
+    while time.monotonic() < ends and not all(
+        platform.outcomes(ref) or any(call.status == 200 for call in host.of(ref)) for ref in taken
+    ):
         time.sleep(0.05)
     for ref in taken:
         if "handed_back" in platform.outcomes(ref):  # "handing it in again is harmless"
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 import time
 from pathlib import Path
@@ -11,6 +12,7 @@
 
 DEST = 7
 DEADLINE_MS = 20000
+READY_S, KILL_S = 6.0, 3.7  # until the old process gets SIGTERM; from that to SIGKILL
 HANG_S = 14.0  # "took calls and answered none for a stretch of 5.2 to 17 s"
 
 
@@ -24,17 +26,9 @@
 
 def case(record: s.Record, folder: Path, senders: list[s.Sender]) -> list[str]:
     """Play it; what broke the rule."""
-    hangs_until = [float("inf")]
-
-    def hanging(call: s.Call) -> tuple[int, dict[str, str]] | None:
-        """Take calls and answer none, until the spell is over; those taken before stay unanswered."""
-        return None if call.at < hangs_until[0] else (200, {})
-
-    def sound(call: s.Call) -> tuple[int, dict[str, str]]:
-        time.sleep(0.2)
-        return 200, {}
-
-    terminal, haulier = s.Endpoint(record, "terminal", hanging), s.Endpoint(record, "haulier", sound)
+    hangs_until = [0.0]
+    terminal = s.Endpoint(record, "terminal", s.hanging(lambda: hangs_until[0]))
+    haulier = s.Endpoint(record, "haulier", s.sound)
     platform = s.Platform(record, [terminal.entry(DEST, "terminal-operator"), haulier.entry(DEST + 1)])
     (folder / "keys").write_text("1 " + "ab" * 32 + "\n", encoding="utf-8")
     ports = [s.free_port(), s.free_port()]
@@ -52,32 +46,35 @@
         if s.hand_in(record, sender.address, ref, "fee-payment", dest, DEADLINE_MS, thread=ref) in (200, 202):
             taken.append(ref)
 
+    hangs_until[0] = began + HANG_S
     for number in range(3):
         charge(f"hung{number}", DEST)
+        for beside in range(3):  # the hung partner "gets up to 25% of the traffic"
+            charge(f"beside{number}.{beside}", DEST + 1)
     s.wait_until(lambda: bool(terminal.calls), 3.0, "a call is out")
     new = sender.start(LB_MANAGEMENT=f"127.0.0.1:{s.free_port()}") if s.TROUBLE else old
-    number, left_out, end = 0, 0, None
+    started, number, left_out, end = time.monotonic(), 0, 0, None
+    due = [(READY_S, signal.SIGTERM), (READY_S + KILL_S, signal.SIGKILL)] if s.TROUBLE else []
     while time.monotonic() - began < HANG_S:
         ref = f"sound{number}"
         charge(ref, DEST + 1)
         left_out += ref not in taken
         number += 1
+        if due and time.monotonic() - started >= due[0][0]:
+            sender.signal(due.pop(0)[1], old)
         if end is None and new.poll() is not None:
             end = new.returncode
             record.say(f"the new process has ended with {end}")
         time.sleep(0.25)
-    hangs_until[0] = time.monotonic()
     record.say(f"{left_out} of {number} hand-ins for the sound partner were not taken on")
-    broken = []
-    if end is not None:
-        last = sender.log().splitlines()[-1]
-        broken.append(f"the new process ended by itself with exit code {end}: {last}")
-    if end is not None and old.poll() is not None:
-        broken.append(
-            f"the old process ended, too, with {old.returncode}: nothing serves; "
-            f"{left_out} of {number} hand-ins for the sound partner were not taken on"
-        )
-    return broken
+    if end is None:
+        return []
+    last = sender.log().splitlines()[-1]
+    record.say(f"the old process: {old.poll()}")
+    return [
+        f"the new process, which got no signal, ended with exit code {end}: {last}; "
+        f"{left_out} of {number} hand-ins for the sound partner were not taken on"
+    ]
 
 
 if __name__ == "__main__":
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -397,6 +397,22 @@
         }
 
 
+def hanging(until: Callable[[], float]) -> Callable[[Call], tuple[int, dict[str, str]]]:
+    """How an endpoint behaves that answers nothing before a time, and then what is still open, too."""
+
+    def behave(call: Call) -> tuple[int, dict[str, str]]:
+        call.ended.wait(max(0.0, until() - time.monotonic()))
+        return 200, {}
+
+    return behave
+
+
+def sound(call: Call) -> tuple[int, dict[str, str]]:
+    """How an endpoint behaves that has no trouble."""
+    time.sleep(0.2)
+    return 200, {}
+
+
 def hand_in(
     record: Record,
     address: str,
