Refuse above a hard part of a quota only what cannot have run

After the restart two of three charges are told as handed_back, their client hands each in again as the pages allow, and each is called a second time.

A new process may spend only its reserve for the length of a loan, so it refuses nearly all of them. With a list at once the messages come before the first parts do, which is why it takes silent discovery.

Why this fix works: the attempts are put into the job before the part is decided on, and the part refuses only what may_refuse allows, as everywhere else.

--- a/tests/decision_stories.py
+++ b/tests/decision_stories.py
@@ -50,12 +50,15 @@
 
     def round(self, events):
         for action in self.controller.handle(self.now, [e for e in events if e is not None]):
-            if isinstance(action, api.Send):
-                number = self.attempts.get(action.ref, 0)
-                self.attempts[action.ref] = number + 1
-                self.out.append((action.ref, number, action.endpoint))
-            elif isinstance(action, api.Refuse | api.Fail):
-                self.messages.pop(action.ref, None)
+            self.carried_out(action)
+
+    def carried_out(self, action):
+        if isinstance(action, api.Send):
+            number = self.attempts.get(action.ref, 0)
+            self.attempts[action.ref] = number + 1
+            self.out.append((action.ref, number, action.endpoint))
+        elif isinstance(action, api.Refuse | api.Fail):
+            self.messages.pop(action.ref, None)
 
     def restart(self):
         """A new process: a new controller, the messages that are owed, and what the folder tells."""
@@ -65,17 +68,20 @@
             self.controller.handle(self.now, [records])
         if self.random.random() < 0.7:
             self.round([self.listed()])
-        back = []
-        for message, ends_at in list(self.messages.values()):
-            count = self.attempts.get(message.ref, 0)
-            past = tuple(
-                api.PastAttempt(self.random.choice(ENDPOINTS), self.random.uniform(0, 9), True)
-                for _ in range(count)
-            )
-            back.append(self.retimed(message, ends_at - self.now, past))
+        back = [
+            self.retimed(message, ends_at - self.now, self.past_of(message.ref))
+            for message, ends_at in self.messages.values()
+        ]
         self.out = []
         self.round(back)
 
+    def past_of(self, ref):
+        """What a restarted process knows of the attempts of a message: here, that each may have run."""
+        return tuple(
+            api.PastAttempt(self.random.choice(ENDPOINTS), self.random.uniform(0, 9), True)
+            for _ in range(self.attempts.get(ref, 0))
+        )
+
     @staticmethod
     def retimed(message, left_s, past):
         return api.Message(
--- /dev/null
+++ b/tests/test_accepted_before_sockets.py
@@ -0,0 +1,113 @@
+"""Messages that were accepted before a restart, for a tenant whose part of a shared quota is hard."""
+
+import signal
+import threading
+
+import harness
+import pytest
+from harness import SETTINGS, Discovery, Host, Sender, until
+from meshed import KEYS
+
+from willownotch.channel.client import ask
+
+PATIENCE = 20.0
+QUOTA_PER_S = 8.0  # of all senders; the burst of 2 s of one sender's half is eight messages
+LEFT_MS = 20_000
+
+
+class SilentDiscovery(Discovery):
+    """A discovery service that answers no request for the list while `up` is cleared, but takes notices."""
+
+    def __init__(self, hosts):
+        self.up = threading.Event()
+        self.up.set()
+        super().__init__(hosts)
+
+    def answer(self, head, body, sock, caller=None):
+        if head.method == "GET":
+            self.up.wait(PATIENCE * 3)
+        return super().answer(head, body, sock, caller)
+
+    def outcomes(self):
+        return {notice["message"]: notice["outcome"] for notice in self.notices}
+
+
+class QuotaSender(Sender):
+    """One of two senders that share a quota by hard parts; the other one is never started."""
+
+    def __init__(self, discovery, folder):
+        (folder / "keys").write_text(KEYS, encoding="utf-8")
+        self.control = folder / "control"
+        text = {
+            "name": "t0",
+            "listen": "127.0.0.1:0",
+            "discovery": discovery.address,
+            "seed": "5f",
+            "limits": {"sockets": 1024, "disk_mb": 3},
+            "settings": {**SETTINGS, "orgs": [{"name": "acme", "quotaPerS": QUOTA_PER_S}]},
+        }
+        settings = (
+            f"peers {{\n listen 127.0.0.1:0\n keys {folder / 'keys'}\n}}\n"
+            "shared {\n budgets yes\n instances 2\n hard acme\n}\n"
+            f"control {{\n socket {self.control}\n}}\n"
+        )
+        super().__init__(text=text, settings=settings)
+
+    def part(self):
+        """The part of the quota that may be spent now."""
+        return ask(self.control, "shared")["budgets"][0]["part"]
+
+    def start_after_kill(self):
+        self.process.send_signal(signal.SIGKILL)
+        self.process.wait(harness.PATIENCE)
+        self.start()
+
+
+@pytest.fixture
+def host():
+    host = Host()
+    yield host
+    host.close()
+
+
+@pytest.fixture
+def discovery(host):
+    discovery = SilentDiscovery([host])
+    yield discovery
+    discovery.close()
+
+
+@pytest.fixture
+def sender(discovery, tmp_path):
+    sender = QuotaSender(discovery, tmp_path)
+    sender.ready()
+    until(lambda: sender.part() == 0.5, PATIENCE)  # at first only what is never lent may be spent
+    yield sender
+    sender.close()
+
+
+def hand_in_fees(sender, count, key=None):
+    """Hand in fees, each until it is accepted within the sender's part; return the accepted ids."""
+    accepted = []
+
+    def hand_in():
+        ref, answer = sender.hand_in("fee", key, left=LEFT_MS)
+        accepted.extend([ref] if answer.status == 202 else [])
+        return answer.status == 202
+
+    for _ in range(count):
+        until(hand_in)
+    return accepted
+
+
+def test_fees_that_may_have_run_are_not_handed_back_above_the_part_of_a_restarted_sender(
+    host, discovery, sender
+):
+    """They were refused above the little that a new process may spend, and ran again under other ids."""
+    host.held.clear()
+    fees = hand_in_fees(sender, 3)
+    until(lambda: len(host.calls) == len(fees))
+    discovery.up.clear()
+    sender.start_after_kill()
+    until(lambda: len(discovery.outcomes()) == len(fees))
+    assert discovery.outcomes() == dict.fromkeys(fees, "given_up")
--- a/tests/test_decision_stories.py
+++ b/tests/test_decision_stories.py
@@ -3,6 +3,7 @@
 import pytest
 from decision_stories import Story, emptied_destination
 from helpers import settings
+from refusal_stories import RefusalStory
 
 from willownotch import interface as api
 from willownotch.control import Controller
@@ -19,6 +20,14 @@
     Story(seed).play(150)
 
 
+@pytest.mark.parametrize("seed", range(150))
+def test_no_drawn_story_refuses_what_may_have_run_and_must_not_be_repeated(seed):
+    """Its client may hand a refused message in again under another id: it would run twice."""
+    story = RefusalStory(seed)
+    story.play(150)
+    assert not story.wrong, story.wrong
+
+
 @pytest.mark.parametrize("quiet_s", [3600.0, 86400.0, 30 * 86400.0])
 def test_a_delivery_after_a_long_quiet_time_ends_no_process(quiet_s):
     """The pace grows with the seconds since the last success, and its power was out of a float's range."""
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -181,6 +181,7 @@
         # Little time left at a first hand-in does not mean lost time: only a retry has been on its way.
         back = message.is_retry or not self.settings.clients_mark_retries
         job = job_of(message, message.rules or self.settings.classes[message.message_class], self.now, back)
+        self.store.restore_attempts(job, message.past, self.now)
         self.arrivals.add(1.0, self.now)
         if message.is_retry and message.destination in self.store.destinations:
             for route in self.store.destinations[message.destination].routes.values():
@@ -195,14 +196,13 @@
             # Room for at least one message, or a sender with little traffic would be over quota with each.
             within = bucket.refill(rate, self.now, max(1.0, rate * TENANT_BURST_S))
             bucket.tokens -= within
-            if own.hard and not within:  # by then the quota has room for one more
+            if own.hard and not within and may_refuse(job):  # by then the quota has room for one more
                 back = min(self.settings.max_retry_after_s, 1 / max(rate, 0.1))
                 return self.out.append(api.Refuse(message.ref, back))
             job.worth *= 1.0 if within else self.settings.over_share_worth
         most = max(cls.worth for cls in self.settings.classes) or 1.0
         job.priority = (MAX_PRIORITY - 1) * job.worth / most + self.random.random()
         self.store.add(job)
-        self.store.restore_attempts(job, message.past, self.now)
         if job.key is not None and job.risky():  # an attempt from before a restart may still run
             self.key_quiet_until[job.key] = self.now + self.settings.rules.key_quiet_s
 
