Decide nothing by a tenant's quota again for messages that were accepted before

The quota was spent when it was accepted; a new process has its reserve alone, so the answer comes out differently.

Change: the event says that a message was `accepted` before; the decision loop sets it at the one place through which all of these ways go (_restore), the module also takes attempts as proof of it, and the quota is asked for new hand-ins alone (_admit). So that a restart does not grant the burst anew, a new process is told when what is still owed was accepted (QuotaSpent) and replays the bucket; messages of another sender's book spend nothing here, they spent that sender's part.

--- a/tests/decision_stories.py
+++ b/tests/decision_stories.py
@@ -93,6 +93,7 @@
             message.key,
             is_retry=True,
             past=past,
+            accepted=True,
         )
 
     def event(self):
--- /dev/null
+++ b/tests/test_accepted_before.py
@@ -0,0 +1,66 @@
+"""The module and messages that were accepted before it had them: nothing of a hand-in is decided again."""
+
+from random import Random
+
+import pytest
+from helpers import CLASSES, SAFE, UNSAFE, answers, sends, settings
+
+from willownotch import interface as api
+from willownotch.control import Controller
+
+LISTED = api.EndpointList((api.Endpoint(1, 1, 0, 0),), True)
+# Exact in binary, so that no sum depends on how it is split.
+QUOTA_PER_S, PART, STEP_S = 8.0, 0.5, 1 / 64
+SPAN_S, LEFT_S = 6.0, 1000.0
+
+
+def new_controller(**changes):
+    """A controller with one tenant, whose part of the quota is hard."""
+    changes = {"tenants": (api.Tenant("a", QUOTA_PER_S),), "holding_room": 1000, **changes}
+    controller = Controller(settings(**changes), 1)
+    controller.handle(0.0, [api.TenantPart(0, PART, hard=True)])
+    return controller
+
+
+def message(ref, cls=SAFE, **more):
+    return api.Message(ref, 1, CLASSES.index(cls), LEFT_S, **more)
+
+
+def test_untried_messages_that_were_accepted_before_are_not_refused_above_a_hard_part():
+    """A restart refused what it found accepted and untried, though its quota was spent before."""
+    controller = new_controller()
+    out = controller.handle(1.0, [message(f"m{n}", UNSAFE, accepted=True) for n in range(50)])
+    assert answers(out) == []
+    assert sends(controller.handle(1.1, [LISTED]))
+
+
+def test_messages_with_attempts_of_another_process_are_not_refused_above_a_hard_part():
+    """What has attempts has been accepted, whether or not it is said to be."""
+    controller = new_controller()
+    past = (api.PastAttempt(1, 0.5, may_have_run=False),)
+    assert answers(controller.handle(1.0, [message(f"m{n}", past=past) for n in range(50)])) == []
+
+
+def accepted_at(times, restart_at=None):
+    """Which of the hand-ins at these times are accepted, with a restart of the sender while all are owed."""
+    controller, accepted = new_controller(), []
+    for now in times:
+        if restart_at is not None and now >= restart_at:
+            controller = new_controller()
+            spent = api.QuotaSpent(0, tuple(restart_at - at for at in accepted))
+            again = [message(f"m{at}", accepted=True) for at in accepted]
+            controller.handle(restart_at, [api.TenantPart(0, PART, hard=True), spent, *again])
+            restart_at = None
+        if not answers(controller.handle(now, [message(f"m{now}")])):
+            accepted.append(now)
+    return accepted
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_a_restart_grants_a_tenant_neither_more_nor_less_of_its_part(seed):
+    """Neither the burst anew, nor less because what is owed is charged once more."""
+    random = Random(f"hand-ins {seed}")
+    steps = sorted(random.sample(range(int(SPAN_S / STEP_S)), random.choice((20, 60, 200))))
+    times = [1.0 + step * STEP_S for step in steps]
+    restart_at = 1.0 + random.randrange(int(SPAN_S / STEP_S)) * STEP_S
+    assert accepted_at(times, restart_at) == accepted_at(times)
--- a/tests/test_accepted_before_sockets.py
+++ b/tests/test_accepted_before_sockets.py
@@ -12,6 +12,7 @@
 
 PATIENCE = 20.0
 QUOTA_PER_S = 8.0  # of all senders; the burst of 2 s of one sender's half is eight messages
+FEES = 8
 LEFT_MS = 20_000
 
 
@@ -111,3 +112,19 @@
     sender.start_after_kill()
     until(lambda: len(discovery.outcomes()) == len(fees))
     assert discovery.outcomes() == dict.fromkeys(fees, "given_up")
+
+
+def test_accepted_fees_that_were_never_tried_are_tried_after_a_restart_above_its_part(
+    host, discovery, sender
+):
+    """All behind the one that hung were handed back without a call, though their quota was spent before."""
+    host.held.clear()
+    fees = hand_in_fees(sender, FEES, key="booking")
+    until(lambda: host.calls)
+    discovery.up.clear()
+    sender.start_after_kill()
+    host.held.set()
+    until(lambda: discovery.outcomes().get(fees[0]) == "given_up")  # its call may have run
+    discovery.up.set()
+    until(lambda: len(host.refs()) + len(discovery.outcomes()) > FEES, PATIENCE)
+    assert (host.refs(), discovery.outcomes()) == (fees, {fees[0]: "given_up"})
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -55,6 +55,14 @@
     return min((r.pool.min_cost or TICK_S for r in dest.routes.values()), default=TICK_S)
 
 
+def quota_burst(rate: float) -> float:
+    """How many messages a quota of `rate` messages per second may accept at once.
+
+    Room for at least one, or a sender with little traffic would be over quota with each.
+    """
+    return max(1.0, rate * TENANT_BURST_S)
+
+
 class Controller:
     """The decisions of one sender. `handle` processes a round of events, then dispatches once."""
 
@@ -130,6 +138,8 @@
             self._apply_judgement(event)
         elif isinstance(event, api.Withdrawn) and event.ref in self.store.jobs:
             self.store.finish(self.store.jobs[event.ref])
+        elif isinstance(event, api.QuotaSpent):
+            self._charge_spent(event)
         elif isinstance(event, api.TenantPart):
             self.tenant_parts[event.tenant] = event
         elif isinstance(event, api.SettingsChanged):
@@ -178,6 +188,7 @@
         return api.SlowStartRecords(tuple(records), self.now if known else None)
 
     def _accept(self, message: api.Message) -> None:
+        """Hold a message; what its hand-in is decided by is left out for one that was accepted before."""
         # Little time left at a first hand-in does not mean lost time: only a retry has been on its way.
         back = message.is_retry or not self.settings.clients_mark_retries
         job = job_of(message, message.rules or self.settings.classes[message.message_class], self.now, back)
@@ -188,24 +199,45 @@
                 route.slow_start.suspect(len(route.pool.cold_calls))
         if not message.is_retry and not message.past:
             self.store.destinations.setdefault(message.destination, Destination()).add_demand(self.now)
-        quotas = MEAN_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
-        part = max(1 / self.settings.senders, min(1.0, self.arrivals.at(self.now) / quotas))
-        for tenant in self.settings.tenants[message.tenant : message.tenant + 1]:
-            own = self.tenant_parts.get(message.tenant) or api.TenantPart(message.tenant, part)
-            bucket, rate = self.quotas[tenant.name], own.part * tenant.quota_per_s
-            # Room for at least one message, or a sender with little traffic would be over quota with each.
-            within = bucket.refill(rate, self.now, max(1.0, rate * TENANT_BURST_S))
-            bucket.tokens -= within
-            if own.hard and not within and may_refuse(job):  # by then the quota has room for one more
-                back = min(self.settings.max_retry_after_s, 1 / max(rate, 0.1))
-                return self.out.append(api.Refuse(message.ref, back))
-            job.worth *= 1.0 if within else self.settings.over_share_worth
+        if not (message.accepted or message.past) and not self._admit(message, job):
+            return
         most = max(cls.worth for cls in self.settings.classes) or 1.0
         job.priority = (MAX_PRIORITY - 1) * job.worth / most + self.random.random()
         self.store.add(job)
         if job.key is not None and job.risky():  # an attempt from before a restart may still run
             self.key_quiet_until[job.key] = self.now + self.settings.rules.key_quiet_s
 
+    def _admit(self, message: api.Message, job: Job) -> bool:
+        """Decide on a hand-in by its tenant's quota, and spend one of it; return whether it is accepted."""
+        for tenant in self.settings.tenants[message.tenant : message.tenant + 1]:
+            own = self._tenant_part(message.tenant)
+            bucket, rate = self.quotas[tenant.name], own.part * tenant.quota_per_s
+            within = bucket.take(rate, self.now, quota_burst(rate))
+            if own.hard and not within:  # by then the quota has room for one more
+                back = min(self.settings.max_retry_after_s, 1 / max(rate, 0.1))
+                self.out.append(api.Refuse(message.ref, back))
+                return False
+            job.worth *= 1.0 if within else self.settings.over_share_worth
+        return True
+
+    def _tenant_part(self, number: int) -> api.TenantPart:
+        """This sender's part of a tenant's quota: as it was told, or estimated from its arrivals."""
+        quotas = MEAN_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
+        part = max(1 / self.settings.senders, min(1.0, self.arrivals.at(self.now) / quotas))
+        return self.tenant_parts.get(number) or api.TenantPart(number, part)
+
+    def _charge_spent(self, spent: api.QuotaSpent) -> None:
+        """Take from a quota what the former process spent: else a restart would grant its burst anew."""
+        for tenant in self.settings.tenants[spent.tenant : spent.tenant + 1]:
+            bucket, rate = self.quotas[tenant.name], self._tenant_part(spent.tenant).part * tenant.quota_per_s
+            burst = quota_burst(rate)
+            replayed = Bucket(burst, self.now - max(spent.ago_s, default=0.0))
+            for ago_s in sorted(spent.ago_s, reverse=True):
+                replayed.take(rate, self.now - ago_s, burst)
+            replayed.refill(rate, self.now, burst)
+            bucket.refill(rate, self.now, burst)
+            bucket.tokens = min(bucket.tokens, replayed.tokens)
+
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         job = self.store.jobs.get(event.ref)
         known = job is not None and 0 <= event.attempt < len(job.attempts)
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -242,11 +242,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Message:
-    """A new message, which must get one final answer within `time_left_s`.
+    """A message, which must get one final answer within `time_left_s`.
 
-    `is_retry`: its client has handed it in before. `past` has its attempts from before a restart; they count
-    from 0 like all others. `rules`, if set, replace the class of that number: those in force when the message
-    was accepted.
+    `is_retry`: its client has handed it in before. `accepted`: no client waits, since a former process or
+    another sender accepted it; what a hand-in is decided by is not decided again. `past` has its attempts
+    from before then, which count from 0 like all others. `rules`, if set, replace the class of that number:
+    those in force when the message was accepted.
     """
 
     ref: str
@@ -259,6 +260,15 @@
     is_retry: bool = False
     past: tuple[PastAttempt, ...] = ()
     rules: MessageClass | None = None
+    accepted: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class QuotaSpent:
+    """How long ago, in seconds, the former process accepted messages by a tenant's quota, one of it each."""
+
+    tenant: int
+    ago_s: tuple[float, ...]
 
 
 @dataclass(slots=True, frozen=True)
--- a/willownotch/lab/model/node.py
+++ b/willownotch/lab/model/node.py
@@ -358,5 +358,6 @@
                     held.item.key,
                     is_retry=True,
                     past=tuple(past),
+                    accepted=True,
                 )
             )
--- a/willownotch/lab/recovery/play.py
+++ b/willownotch/lab/recovery/play.py
@@ -201,10 +201,10 @@
                 )
                 for out in sender.attempts.get(handed.ref, ())
             )
-            events.append(self._message(handed, past))
+            events.append(self._message(handed, past, accepted=True))
         self._handle(sender, events)
 
-    def _message(self, handed: Handed, past: tuple[PastAttempt, ...] = ()) -> Message:
+    def _message(self, handed: Handed, past: tuple[PastAttempt, ...] = (), accepted: bool = False) -> Message:
         return Message(
             handed.ref,
             1,
@@ -212,6 +212,7 @@
             handed.ends_at - self.now,
             is_retry=bool(past) or handed.tries > 0,
             past=past,
+            accepted=accepted,
         )
 
     def _restart(self, restart: Restart) -> None:
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -204,11 +204,13 @@
         """Restore the state from the journal. Unanswered notices are sent at once; outstanding messages wait
         briefly for the list of endpoints."""
         self._recovered, lost = [], set(self.lost_bodies)
-        remember_until = self.clock.now() + REMEMBER_TIME
-        self._ended_ids.update(dict.fromkeys(self.journal.finished, remember_until))
+        now = self.clock.now()
+        self._ended_ids.update(dict.fromkeys(self.journal.finished, now + REMEMBER_TIME))
+        known: list[api.Event] = [*self._spent_quotas(now)]
         if self.slow_starts is not None:
-            slow_starts = self.slow_starts.read(self.hosts.number)
-            self.controller.handle(self.clock.module_s(self.clock.now()), [slow_starts])
+            known.append(self.slow_starts.read(self.hosts.number))
+        if known:
+            self.controller.handle(self.clock.module_s(now), known)
         if self.shared is not None:
             self.shared.configure({t.name: t.quota_per_s for t in self.settings.tenants})
         disowned = self._discard_disowned() if self.custody is not None else ()
@@ -451,9 +453,13 @@
         return self._class_of_message(message).idempotency is not api.Idempotency.UNSAFE
 
     def _message_event(
-        self, message: AcceptedMessage, now: datetime, past: tuple[api.PastAttempt, ...] = ()
+        self,
+        message: AcceptedMessage,
+        now: datetime,
+        past: tuple[api.PastAttempt, ...] = (),
+        accepted: bool = False,
     ) -> api.Message:
-        """The decision module's event for a message, with its past attempts if it was recovered."""
+        """The decision module's event for a message; `accepted` before this process had it, with attempts."""
         return api.Message(
             message.ref,
             message.destination,
@@ -464,6 +470,7 @@
             is_retry=message.is_retry or bool(past),
             past=past,
             rules=self._class_of_message(message),
+            accepted=accepted,
         )
 
     def _restore(self, entry: Entry, now: datetime) -> api.Message:
@@ -480,7 +487,20 @@
             past.append(api.PastAttempt(host, ago_s, entry.may_have_run(number)))
         self._outstanding[entry.message.ref] = Delivery(entry.message, relay_count=len(past))
         self._outstanding_count += 1
-        return self._message_event(entry.message, now, tuple(past))
+        return self._message_event(entry.message, now, tuple(past), accepted=True)
+
+    def _spent_quotas(self, now: datetime) -> list[api.QuotaSpent]:
+        """What was spent of quotas before this process on messages that are still owed, by tenant."""
+        ago_s: dict[str, list[float]] = {}
+        for entry in self.journal.live.values():
+            if entry.ended is None:
+                accepted_at = entry.message.at or now
+                ago_s.setdefault(entry.message.tenant, []).append(max(0.0, seconds(now - accepted_at)))
+        return [
+            api.QuotaSpent(self.tenants[name], tuple(spans))
+            for name, spans in ago_s.items()
+            if name in self.tenants
+        ]
 
     def _relay_ended(
         self, ended: RelayEnded, now: datetime, events: list[api.Event], records: list[Record]
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -50,6 +50,12 @@
         self.filled_at = now
         return self.tokens >= 1.0
 
+    def take(self, rate: float, now: float, capacity: float) -> bool:
+        """Refill up to now and take a token; return whether there was one."""
+        taken = self.refill(rate, now, capacity)
+        self.tokens -= taken
+        return taken
+
 
 @dataclass(slots=True)
 class FadingSum:
