Shed no message that was accepted before to keep a limit of holding

What callers saw: a sender with a full destination (4 calls out, 20 messages held, of 20 that may be held) is killed and started again; five of its 24 accepted messages are told as handed_back at once, with 19 s left, whether tried or not. By the module alone the same goes for a book that is taken over beside a sender's own messages.

Cause: the limits of holding belong to hand-ins, but _give_up counts whatever the module has. After a restart all owed messages are held at once, also those whose calls were out before, so what was within the limits is above them.

Change: the store knows which jobs were accepted before; they neither count for the limits nor are shed. Hand-ins are shed by the same limits as ever, and the decision loop still takes none above holding_room in all.

The process test fails before with the five above and holds after; the module's test of hand-ins beside 50 owed messages fails before (46 of the owed ones refused) and holds after.

--- a/tests/refusal_stories.py
+++ b/tests/refusal_stories.py
@@ -8,6 +8,8 @@
 from willownotch import interface as api
 
 CELLED = replace(ZONED, name="celled", dedup_scope=api.DedupScope.ENDPOINT)
+MAX_LATENCY_S = 0.5
+END_MARGIN_S = MAX_LATENCY_S + 0.1  # with less time left, a message may be ended without a call
 PROVE_NOTHING_RAN = (api.Outcome.REJECTED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT)
 
 
@@ -16,7 +18,9 @@
 
     def __init__(self, seed):
         self.may_have_run = {}  # by id, of each attempt so far; one without an outcome may have run
-        self.wrong = []  # a text for each answer that is not allowed
+        self.accepted = set()  # ids of messages that came once more after they were accepted
+        self.wrong = []  # a text for each refusal of what may have run
+        self.untried = []  # a text for each message that was accepted before and ended without a call
         super().__init__(seed)
 
     def draw_settings(self):
@@ -27,6 +31,8 @@
             self.may_have_run.setdefault(action.ref, []).append(True)
         elif isinstance(action, api.Refuse) and action.ref in self.messages:
             self.check_refusal(action.ref)
+        if isinstance(action, api.Refuse | api.Fail) and action.ref in self.accepted:
+            self.check_untried(action.ref)
         super().carried_out(action)
 
     def check_refusal(self, ref):
@@ -36,11 +42,22 @@
         if any(self.may_have_run.get(ref, ())) and not harmless:
             self.wrong.append(f"{ref}, {cls.name}, may have run and was refused at {self.now:.2f} s")
 
+    def check_untried(self, ref):
+        left_s = self.messages[ref][1] - self.now if ref in self.messages else 0.0
+        if not self.may_have_run.get(ref) and left_s > END_MARGIN_S:
+            self.untried.append(f"{ref} was ended at {self.now:.2f} s with {left_s:.2f} s left")
+
     def ended(self):
         event = super().ended()
-        if event is not None and event.outcome in PROVE_NOTHING_RAN:
+        if event is None:
+            return None
+        if event.outcome in PROVE_NOTHING_RAN:
             self.may_have_run[event.ref][event.attempt] = False
-        return event
+        return replace(event, took_s=min(event.took_s, MAX_LATENCY_S))
+
+    def retimed(self, message, left_s, past):
+        self.accepted.add(message.ref)
+        return super().retimed(message, left_s, past)
 
     def past_of(self, ref):
         return tuple(
--- a/tests/test_accepted_before.py
+++ b/tests/test_accepted_before.py
@@ -6,7 +6,7 @@
 from helpers import CLASSES, SAFE, UNSAFE, answers, sends, settings
 
 from willownotch import interface as api
-from willownotch.control import Controller
+from willownotch.control import DEST_HELD_SHARE, Controller
 
 LISTED = api.EndpointList((api.Endpoint(1, 1, 0, 0),), True)
 # Exact in binary, so that no sum depends on how it is split.
@@ -64,3 +64,15 @@
     times = [1.0 + step * STEP_S for step in steps]
     restart_at = 1.0 + random.randrange(int(SPAN_S / STEP_S)) * STEP_S
     assert accepted_at(times, restart_at) == accepted_at(times)
+
+
+def test_limits_of_holding_stay_as_they_are_for_hand_ins_beside_what_was_accepted_before():
+    """What a restart brings back takes no room from hand-ins, and gives them none."""
+    room = 10
+    controller = Controller(settings(holding_room=room), 1)
+    again = [message(f"again{n}", accepted=True) for n in range(5 * room)]
+    assert answers(controller.handle(1.0, again)) == []
+    out = controller.handle(1.1, [message(f"new{n}") for n in range(2 * room)])
+    kept = 2 * room - len(answers(out))
+    assert 0 < kept <= DEST_HELD_SHARE * room
+    assert all(answer.ref.startswith("new") for answer in answers(out))
--- a/tests/test_accepted_before_sockets.py
+++ b/tests/test_accepted_before_sockets.py
@@ -9,11 +9,15 @@
 from meshed import KEYS
 
 from willownotch.channel.client import ask
+from willownotch.control import DEST_HELD_SHARE, DEST_SHARE
 
 PATIENCE = 20.0
 QUOTA_PER_S = 8.0  # of all senders; the burst of 2 s of one sender's half is eight messages
 FEES = 8
 LEFT_MS = 20_000
+# As many messages of one destination as a sender holds beside those whose calls are out.
+OUT = int(DEST_SHARE * SETTINGS["familyInfo"]["slots"])
+HELD = int(DEST_HELD_SHARE * SETTINGS["policyLimits"]["maxOpen"])
 
 
 class SilentDiscovery(Discovery):
@@ -128,3 +132,24 @@
     discovery.up.set()
     until(lambda: len(host.refs()) + len(discovery.outcomes()) > FEES, PATIENCE)
     assert (host.refs(), discovery.outcomes()) == (fees, {fees[0]: "given_up"})
+
+
+def test_messages_that_were_accepted_are_not_shed_when_a_restart_brings_them_all_back(host, discovery):
+    """Those whose calls were out came back beside those that were held, and the least of them were shed."""
+    host.held.clear()
+    sender = Sender(discovery).ready()
+    try:
+        answers = [sender.hand_in("status", left=LEFT_MS) for _ in range(OUT + HELD)]
+        accepted = {ref for ref, answer in answers if answer.status == 202}
+        assert len(accepted) == OUT + HELD
+        until(lambda: len(host.calls) == OUT)
+        discovery.up.clear()
+        sender.process.kill()
+        sender.process.wait(harness.PATIENCE)
+        sender.start()
+        discovery.up.set()
+        host.held.set()
+        until(lambda: accepted <= set(host.refs()[OUT:]) | discovery.outcomes().keys(), PATIENCE)
+        assert discovery.outcomes() == {}
+    finally:
+        sender.close()
--- a/tests/test_decision_stories.py
+++ b/tests/test_decision_stories.py
@@ -28,6 +28,14 @@
     assert not story.wrong, story.wrong
 
 
+@pytest.mark.parametrize("seed", range(150))
+def test_no_drawn_story_ends_untried_what_was_accepted_before(seed):
+    """Accepted ones were shed when a restart or a book brought back more than may be held."""
+    story = RefusalStory(seed)
+    story.play(150)
+    assert not story.untried, story.untried
+
+
 @pytest.mark.parametrize("quiet_s", [3600.0, 86400.0, 30 * 86400.0])
 def test_a_delivery_after_a_long_quiet_time_ends_no_process(quiet_s):
     """The pace grows with the seconds since the last success, and its power was out of a float's range."""
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -199,11 +199,12 @@
                 route.slow_start.suspect(len(route.pool.cold_calls))
         if not message.is_retry and not message.past:
             self.store.destinations.setdefault(message.destination, Destination()).add_demand(self.now)
-        if not (message.accepted or message.past) and not self._admit(message, job):
+        accepted_before = message.accepted or bool(message.past)
+        if not accepted_before and not self._admit(message, job):
             return
         most = max(cls.worth for cls in self.settings.classes) or 1.0
         job.priority = (MAX_PRIORITY - 1) * job.worth / most + self.random.random()
-        self.store.add(job)
+        self.store.add(job, accepted_before)
         if job.key is not None and job.risky():  # an attempt from before a restart may still run
             self.key_quiet_until[job.key] = self.now + self.settings.rules.key_quiet_s
 
@@ -493,13 +494,19 @@
             for job in [j for j in dest.held.values() if j.attempts or j.ends_at - self.now < least]:
                 if job.ends_at - self.now < least or not may_send(job, None, self.now, self.settings):
                     self._end(job)
-            self._shed([dest], len(dest.held) - DEST_HELD_SHARE * self.settings.holding_room)
-        self._shed(dests, len(self.store.jobs) - HELD_SHARE * self.settings.holding_room)
+            new_here = len(dest.held) - len(self.store.accepted_before & dest.held.keys())
+            self._shed([dest], new_here - DEST_HELD_SHARE * self.settings.holding_room)
+        new = len(self.store.jobs) - len(self.store.accepted_before)
+        self._shed(dests, new - HELD_SHARE * self.settings.holding_room)
 
     def _shed(self, dests: list[Destination], excess: float) -> None:
-        """End the jobs of least worth; among equals the newest, since the older ones have waited."""
+        """End the jobs of least worth; among equals the newest, since the older ones have waited.
+
+        Limits of holding are for hand-ins: jobs that were accepted before neither count nor are shed.
+        """
         if excess > 0:
-            for job in self._ranked(dests)[-int(excess + 1) :]:
+            new = [job for job in self._ranked(dests) if job.ref not in self.store.accepted_before]
+            for job in new[-int(excess + 1) :]:
                 self._end(job)
 
     def _dispatch(self) -> None:
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -250,6 +250,7 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.jobs: dict[str, Job] = {}
+        self.accepted_before: set[str] = set()  # ids of those jobs that came with their acceptance
         self.destinations: dict[int, Destination] = {}
         self.routes: dict[int, Route] = {}
         self.gone: dict[int, Route] = {}  # no longer listed, but still with calls or a wait
@@ -319,9 +320,11 @@
         routes = self.destinations[route.entry.destination].routes.values()
         return [r for r in routes if r.pool is route.pool]
 
-    def add(self, job: Job) -> None:
-        """Hold a new job."""
+    def add(self, job: Job, accepted_before: bool = False) -> None:
+        """Hold a new job. `accepted_before`: by a former process or by another sender."""
         self.jobs[job.ref] = job
+        if accepted_before:
+            self.accepted_before.add(job.ref)
         self.hold(job)
         if job.key is not None:
             self.key_queues.setdefault(job.key, deque()).append(job)
@@ -380,6 +383,7 @@
         self.deactivate_if_idle(job.dest)
         if not job.outstanding():
             self.jobs.pop(job.ref, None)
+            self.accepted_before.discard(job.ref)
             queue = self.key_queues.get(job.key, ())
             if job in queue:
                 queue.remove(job)
