Keep with an accepted message that it was above its tenant's quota

So what was accepted within a quota could be ranked, and shed, behind what was not.

Change: the module says whether a job was above its quota when it was accepted (is_over_share), the decision loop puts it into the message's record before that is written, and the event of a message that comes again has it. What was above the quota is not charged by QuotaSpent, as it took nothing.

Evidence: test_what_was_above_its_tenants_quota_* in the module and over a restart fail before and hold after.

--- a/tests/test_accepted_before.py
+++ b/tests/test_accepted_before.py
@@ -6,7 +6,7 @@
 from helpers import CLASSES, SAFE, UNSAFE, answers, sends, settings
 
 from willownotch import interface as api
-from willownotch.control import DEST_HELD_SHARE, Controller
+from willownotch.control import DEST_HELD_SHARE, TENANT_BURST_S, Controller
 
 LISTED = api.EndpointList((api.Endpoint(1, 1, 0, 0),), True)
 # Exact in binary, so that no sum depends on how it is split.
@@ -76,3 +76,24 @@
     kept = 2 * room - len(answers(out))
     assert 0 < kept <= DEST_HELD_SHARE * room
     assert all(answer.ref.startswith("new") for answer in answers(out))
+
+
+def test_what_was_above_its_tenants_quota_stays_worth_less_and_the_rest_does_not_become_so():
+    """A restart decided it again: the first few had their full worth, whatever they had been."""
+    worth = 0.25
+    tenants = (api.Tenant("a", QUOTA_PER_S),)
+    before = Controller(settings(tenants=tenants, over_share_worth=worth), 1)
+    before.handle(0.0, [api.TenantPart(0, PART)])
+    refs = [f"m{n}" for n in range(20)]
+    before.handle(1.0, [message(ref) for ref in refs])
+    over = [before.is_over_share(ref) for ref in refs]
+    assert over.count(True) == 20 - QUOTA_PER_S * PART * TENANT_BURST_S
+    after = Controller(settings(tenants=tenants, over_share_worth=worth), 1)
+    after.handle(
+        2.0,
+        [
+            message(ref, accepted=True, over_share=was)
+            for ref, was in zip(reversed(refs), reversed(over), strict=True)
+        ],
+    )
+    assert [after.store.jobs[ref].worth for ref in refs] == [before.store.jobs[ref].worth for ref in refs]
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -202,6 +202,7 @@
         accepted_before = message.accepted or bool(message.past)
         if not accepted_before and not self._admit(message, job):
             return
+        job.worth *= self.settings.over_share_worth if job.over_share else 1.0
         most = max(cls.worth for cls in self.settings.classes) or 1.0
         job.priority = (MAX_PRIORITY - 1) * job.worth / most + self.random.random()
         self.store.add(job, accepted_before)
@@ -218,9 +219,13 @@
                 back = min(self.settings.max_retry_after_s, 1 / max(rate, 0.1))
                 self.out.append(api.Refuse(message.ref, back))
                 return False
-            job.worth *= 1.0 if within else self.settings.over_share_worth
+            job.over_share = not within
         return True
 
+    def is_over_share(self, ref: str) -> bool:
+        """Whether a message in hand was above its tenant's quota when it was accepted."""
+        return ref in self.store.jobs and self.store.jobs[ref].over_share
+
     def _tenant_part(self, number: int) -> api.TenantPart:
         """This sender's part of a tenant's quota: as it was told, or estimated from its arrivals."""
         quotas = MEAN_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -245,9 +245,9 @@
     """A message, which must get one final answer within `time_left_s`.
 
     `is_retry`: its client has handed it in before. `accepted`: no client waits, since a former process or
-    another sender accepted it; what a hand-in is decided by is not decided again. `past` has its attempts
-    from before then, which count from 0 like all others. `rules`, if set, replace the class of that number:
-    those in force when the message was accepted.
+    another sender accepted it; what a hand-in is decided by is not decided again. `over_share`: it was above
+    its tenant's quota then. `past` has its attempts from before then, which count from 0 like all others.
+    `rules`, if set, replace the class of that number: those in force when the message was accepted.
     """
 
     ref: str
@@ -261,6 +261,7 @@
     past: tuple[PastAttempt, ...] = ()
     rules: MessageClass | None = None
     accepted: bool = False
+    over_share: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/willownotch/journal/records.py
+++ b/willownotch/journal/records.py
@@ -49,6 +49,7 @@
     at: datetime | None = None  # when the message was handed in
     rules: Rules | None = None  # in force when it was accepted; None in records of an earlier version
     custody: Custody | None = None  # None: only this journal has the message
+    over_share: bool = False  # above its tenant's quota; earlier versions neither write nor read it
 
     def body_size(self) -> int:
         """Return the bytes of the body in the record or in the store; 0 if it is not stored."""
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -283,6 +283,7 @@
             self.lifecycle.tell(Event.LISTED, now)
         self._fire_timers(now, events)
         actions = self.controller.handle(self.clock.module_s(now), events) if events else []
+        self._note_over_share(new_deliveries, records)
         ends = self._final_outcomes(actions, records, new_deliveries)
         self._write(records)
         self._release_written_notices(now)
@@ -471,6 +472,7 @@
             past=past,
             rules=self._class_of_message(message),
             accepted=accepted,
+            over_share=message.over_share,
         )
 
     def _restore(self, entry: Entry, now: datetime) -> api.Message:
@@ -493,7 +495,7 @@
         """What was spent of quotas before this process on messages that are still owed, by tenant."""
         ago_s: dict[str, list[float]] = {}
         for entry in self.journal.live.values():
-            if entry.ended is None:
+            if entry.ended is None and not entry.message.over_share:
                 accepted_at = entry.message.at or now
                 ago_s.setdefault(entry.message.tenant, []).append(max(0.0, seconds(now - accepted_at)))
         return [
@@ -560,6 +562,15 @@
             else:
                 events.append(api.Timer(target))
 
+    def _note_over_share(self, new_deliveries: list[Delivery], records: list[Record]) -> None:
+        """Put it into the record of a message that it is above its tenant's quota: it stays worth less."""
+        noted = {}
+        for delivery in new_deliveries:
+            if self.controller.is_over_share(delivery.message.ref):
+                delivery.message = msgspec.structs.replace(delivery.message, over_share=True)
+                noted[delivery.message.ref] = delivery.message
+        records[:] = [noted.get(r.ref, r) if isinstance(r, AcceptedMessage) else r for r in records]
+
     def _final_outcomes(
         self, actions: list[api.Action], records: list[Record], new_deliveries: list[Delivery]
     ) -> dict[str, MessageEnded]:
--- a/willownotch/state.py
+++ b/willownotch/state.py
@@ -173,6 +173,7 @@
     attempts: list[list] = field(default_factory=list)
     finished: bool = False
     counted: bool = False  # counted for the next step of its pool's cuts
+    over_share: bool = False  # it was above its tenant's quota when it was accepted
 
     def risky(self) -> list[list]:
         """Attempts that may have run or are still out; they decide whether a repeat is allowed."""
@@ -238,6 +239,7 @@
         ends_at,
         min(wanted_at, ends_at),
         worth=cls.worth,
+        over_share=message.over_share,
     )
 
 
