Count no message that was accepted before as an arrival or as demand

A backlog of 500 untried messages that is restored before the first list gives its destination a demand of 520 a second where the process before recorded 5; the bound of the slow start of a cold endpoint follows the demand. The same messages are 500 arrivals, from which the part of a quota is estimated where none is told.

Cause: what a hand-in is decided by was done again for what had been accepted: both rates counted each message that came to the module, but for those with attempts in the demand. A demand that is known already keeps the recorded one out.

Change: both are counted where a hand-in is decided on (_admit). A repeated hand-in, or attempts of a former process, are still taken for a sign that an endpoint was out: that is evidence of endpoints and no decision on the message.

Evidence: the two new tests fail before (500 arrivals, 520.2 a second) and hold after.

--- a/tests/test_accepted_before.py
+++ b/tests/test_accepted_before.py
@@ -1,5 +1,6 @@
 """The module and messages that were accepted before it had them: nothing of a hand-in is decided again."""
 
+from math import inf
 from random import Random
 
 import pytest
@@ -7,6 +8,7 @@
 
 from willownotch import interface as api
 from willownotch.control import DEST_HELD_SHARE, TENANT_BURST_S, Controller
+from willownotch.slow_start import State
 
 LISTED = api.EndpointList((api.Endpoint(1, 1, 0, 0),), True)
 # Exact in binary, so that no sum depends on how it is split.
@@ -97,3 +99,26 @@
         ],
     )
     assert [after.store.jobs[ref].worth for ref in refs] == [before.store.jobs[ref].worth for ref in refs]
+
+
+def test_messages_that_were_accepted_before_are_no_arrivals():
+    """They were counted when they were handed in; a restart took its backlog for a burst of demand."""
+    tenants = (api.Tenant("a", QUOTA_PER_S), api.Tenant("b", QUOTA_PER_S))
+    controller = Controller(settings(tenants=tenants, senders=50, holding_room=1000), 1)
+    controller.handle(1.0, [message(f"m{n}", accepted=True) for n in range(500)])
+    assert controller.arrivals.at(1.0) == 0.0
+    assert controller.store.destinations[1].demand_rate(1.0) == 0.0
+    assert controller._tenant_part(0).part == 1 / 50
+
+
+def test_a_backlog_that_is_restored_before_the_list_replaces_no_recorded_demand():
+    """The slow start of a cold endpoint is bounded by the demand: a backlog of 500 was 500 a second."""
+    usual_per_s = 5.0
+    controller = Controller(settings(holding_room=1000), 1)
+    record = api.SlowStartRecord(
+        1, State.RECOVERING.value, 0.0, 0.0, 0.9, 0.9, 11.0, False, False, 0.9, usual_per_s, 50.0, inf
+    )
+    controller.handle(1.0, [api.SlowStartRecords((record,), 0.95)])
+    controller.handle(1.3, [message(f"m{n}", accepted=True) for n in range(500)])
+    controller.handle(1.4, [LISTED])
+    assert controller.store.destinations[1].demand_rate(1.4) == pytest.approx(usual_per_s)
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -193,13 +193,10 @@
         back = message.is_retry or not self.settings.clients_mark_retries
         job = job_of(message, message.rules or self.settings.classes[message.message_class], self.now, back)
         self.store.restore_attempts(job, message.past, self.now)
-        self.arrivals.add(1.0, self.now)
+        accepted_before = message.accepted or bool(message.past)
         if message.is_retry and message.destination in self.store.destinations:
             for route in self.store.destinations[message.destination].routes.values():
                 route.slow_start.suspect(len(route.pool.cold_calls))
-        if not message.is_retry and not message.past:
-            self.store.destinations.setdefault(message.destination, Destination()).add_demand(self.now)
-        accepted_before = message.accepted or bool(message.past)
         if not accepted_before and not self._admit(message, job):
             return
         job.worth *= self.settings.over_share_worth if job.over_share else 1.0
@@ -210,7 +207,10 @@
             self.key_quiet_until[job.key] = self.now + self.settings.rules.key_quiet_s
 
     def _admit(self, message: api.Message, job: Job) -> bool:
-        """Decide on a hand-in by its tenant's quota, and spend one of it; return whether it is accepted."""
+        """Count a hand-in and decide on it by its tenant's quota; return whether it is accepted."""
+        self.arrivals.add(1.0, self.now)
+        if not message.is_retry:
+            self.store.destinations.setdefault(message.destination, Destination()).add_demand(self.now)
         for tenant in self.settings.tenants[message.tenant : message.tenant + 1]:
             own = self._tenant_part(message.tenant)
             bucket, rate = self.quotas[tenant.name], own.part * tenant.quota_per_s
