Judge no message by the first tenant's quota if its own tenant was removed

Where a reload removes a tenant while its hand-ins are on their way to the decision loop, they are taken for messages of the first tenant in the settings: they spend its quota, and above a hard part nine of ten are refused and then the first tenant's own message too.

Change: such a message has no tenant and no quota applies to it; the next one of its tenant is answered 400 by the client side, as before. The two places of the module that look a tenant up share one method.

Evidence: test_messages_of_a_tenant_that_a_reload_removed_* fails before and holds after, with 615 tests of the module, of rounds, of reloads and of the adapter.

--- a/tests/test_accepted_before_rounds.py
+++ b/tests/test_accepted_before_rounds.py
@@ -158,3 +158,12 @@
     assert msgspec.msgpack.decode(encoded, type=older).ref == "m"
     shorter = msgspec.msgpack.encode(older(*(getattr(message, name) for name in names)))
     assert msgspec.msgpack.decode(shorter, type=AcceptedMessage) == rounds.message("m")
+
+
+def test_messages_of_a_tenant_that_a_reload_removed_spend_no_other_tenants_quota(rounds):
+    """They were taken for messages of the first tenant in the settings, and refused what was its own."""
+    rounds.loop._round([no_room()])
+    rounds.hand_in(*FEE_REFS, tenant="removed")
+    assert rounds.owed() == set(FEE_REFS)
+    rounds.hand_in("own")
+    assert "own" in rounds.owed()
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -211,17 +211,24 @@
         self.arrivals.add(1.0, self.now)
         if not message.is_retry:
             self.store.destinations.setdefault(message.destination, Destination()).add_demand(self.now)
-        for tenant in self.settings.tenants[message.tenant : message.tenant + 1]:
-            own = self._tenant_part(message.tenant)
-            bucket, rate = self.quotas[tenant.name], own.part * tenant.quota_per_s
-            within = bucket.take(rate, self.now, quota_burst(rate))
-            if own.hard and not within:  # by then the quota has room for one more
-                back = min(self.settings.max_retry_after_s, 1 / max(rate, 0.1))
-                self.out.append(api.Refuse(message.ref, back))
-                return False
-            job.over_share = not within
+        tenant = self._tenant(message.tenant)
+        if tenant is None:
+            return True
+        own = self._tenant_part(message.tenant)
+        rate = own.part * tenant.quota_per_s
+        within = self.quotas[tenant.name].take(rate, self.now, quota_burst(rate))
+        if own.hard and not within:  # by then the quota has room for one more
+            back = min(self.settings.max_retry_after_s, 1 / max(rate, 0.1))
+            self.out.append(api.Refuse(message.ref, back))
+            return False
+        job.over_share = not within
         return True
 
+    def _tenant(self, number: int | None) -> api.Tenant | None:
+        """The tenant of that number; None if the settings have none."""
+        tenants = self.settings.tenants
+        return tenants[number] if number is not None and number < len(tenants) else None
+
     def is_over_share(self, ref: str) -> bool:
         """Whether a message in hand was above its tenant's quota when it was accepted."""
         return ref in self.store.jobs and self.store.jobs[ref].over_share
@@ -234,15 +241,18 @@
 
     def _charge_spent(self, spent: api.QuotaSpent) -> None:
         """Take from a quota what the former process spent: else a restart would grant its burst anew."""
-        for tenant in self.settings.tenants[spent.tenant : spent.tenant + 1]:
-            bucket, rate = self.quotas[tenant.name], self._tenant_part(spent.tenant).part * tenant.quota_per_s
-            burst = quota_burst(rate)
-            replayed = Bucket(burst, self.now - max(spent.ago_s, default=0.0))
-            for ago_s in sorted(spent.ago_s, reverse=True):
-                replayed.take(rate, self.now - ago_s, burst)
-            replayed.refill(rate, self.now, burst)
-            bucket.refill(rate, self.now, burst)
-            bucket.tokens = min(bucket.tokens, replayed.tokens)
+        tenant = self._tenant(spent.tenant)
+        if tenant is None:
+            return
+        rate = self._tenant_part(spent.tenant).part * tenant.quota_per_s
+        burst = quota_burst(rate)
+        replayed = Bucket(burst, self.now - max(spent.ago_s, default=0.0))
+        for ago_s in sorted(spent.ago_s, reverse=True):
+            replayed.take(rate, self.now - ago_s, burst)
+        replayed.refill(rate, self.now, burst)
+        bucket = self.quotas[tenant.name]
+        bucket.refill(rate, self.now, burst)
+        bucket.tokens = min(bucket.tokens, replayed.tokens)
 
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         job = self.store.jobs.get(event.ref)
--- a/willownotch/interface.py
+++ b/willownotch/interface.py
@@ -244,6 +244,7 @@
 class Message:
     """A message, which must get one final answer within `time_left_s`.
 
+    `tenant` is None for a client account that the settings do not name any more: no quota applies.
     `is_retry`: its client has handed it in before. `accepted`: no client waits, since a former process or
     another sender accepted it; what a hand-in is decided by is not decided again. `over_share`: it was above
     its tenant's quota then. `past` has its attempts from before then, which count from 0 like all others.
@@ -254,7 +255,7 @@
     destination: int
     message_class: int
     time_left_s: float
-    tenant: int = 0
+    tenant: int | None = 0
     key: str | None = None
     cost_hint_s: float = 0.0
     is_retry: bool = False
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -466,7 +466,7 @@
             message.destination,
             self.classes.get(message.message_class, 0),
             seconds(message.ends_at - now),
-            self.tenants.get(message.tenant, 0),
+            self.tenants.get(message.tenant),
             message.key,
             is_retry=message.is_retry or bool(past),
             past=past,
