Soak senders that hold a quota in hard parts, and judge what restarts make of what is owed

What: `--quota` draws senders with the smallest settings that have hard parts (peers that are not heard, shared budgets), killed in series while calls hang and discovery is silent.

--- a/willownotch/lab/soak/__main__.py
+++ b/willownotch/lab/soak/__main__.py
@@ -1,6 +1,6 @@
 """Play seeds by hand: `python -m willownotch.lab.soak --seeds 1-50 --seconds 12 --json FILE`.
 
-Fleets beside a destination that returns cold: `--cold`.
+Fleets beside a destination that returns cold: `--cold`; whose tenant's quota is in hard parts: `--quota`.
 
 One seed again, with the processes' lines: `python -m willownotch.lab.soak --seeds 17 --lines`.
 """
@@ -19,6 +19,7 @@
 from willownotch.lab.soak.crowd import CrowdKind
 from willownotch.lab.soak.plan import Plan, draw, draw_cold, pressure
 from willownotch.lab.soak.processes import ROOT
+from willownotch.lab.soak.quota import draw_quota
 from willownotch.lab.soak.run import Report, play
 
 TIMES = ("began", "ready", "stop_at", "succeeded_at", "killed_at", "ended")
@@ -69,6 +70,7 @@
 @click.option("--seconds", default=12.0, show_default=True, help="How long each is under load.")
 @click.option("--beside", default=1, show_default=True, help="How many are played at the same time.")
 @click.option("--cold", is_flag=True, help="Fleets beside a destination that fails and returns cold.")
+@click.option("--quota", is_flag=True, help="Fleets that share a quota by hard parts, killed unlisted.")
 @click.option("--senders", type=int, help="How many senders, in place of the drawn number.")
 @click.option("--crowd", type=click.Choice([kind.value for kind in CrowdKind]), help="One sender beside it.")
 @click.option("--count", default=600, show_default=True, help="How many clients the crowd has.")
@@ -87,6 +89,7 @@
     beside: int,
     senders: int | None,
     cold: bool,
+    quota: bool,
     crowd: str | None,
     count: int,
     memory: float,
@@ -99,6 +102,8 @@
     def plan_of(seed: int) -> Plan:
         if crowd is not None:
             return pressure(CrowdKind(crowd), count, memory, seed=seed)
+        if quota:
+            return draw_quota(seed, seconds, senders)
         return draw_cold(seed, senders) if cold else draw(seed, seconds, senders)
 
     rows = []
--- a/willownotch/lab/soak/clients.py
+++ b/willownotch/lab/soak/clients.py
@@ -17,6 +17,7 @@
 BODY_MOST, LARGE_BODY_MOST = 400, 60_000  # bytes
 PAUSE_EACH_S = 0.0006  # between two requests of a client, for each other client of the run
 CLASSES = ("order", "status", "fee")
+KEYED_SHARE = 0.3  # of the clients, that send fees of one key
 COLD_LEFT_S = 10.0  # what is held in an outage of the cold destination waits for its return
 
 
@@ -35,6 +36,7 @@
         destination: int = DESTINATION,
         pause_s: float | None = None,
         holders: Callable[[int], tuple[int, ...]] = lambda port: (),
+        keyed_share: float = KEYED_SHARE,
     ) -> None:
         self.records, self.sender, self.address, self.number = records, sender, address, number
         self.random, self.stop = random, stop
@@ -45,7 +47,7 @@
         if pause_s is not None:
             self.pause_s = pause_s
         self.destination = destination
-        self.key = f"k{sender}-{number}" if random.random() < 0.3 else None
+        self.key = f"k{sender}-{number}" if random.random() < keyed_share else None
         self.find_holders = holders  # by the local port of a connection: the processes that have it
         self._sock: socket.socket | None = None
         self._holders: tuple[int, ...] = ()
--- a/willownotch/lab/soak/plan.py
+++ b/willownotch/lab/soak/plan.py
@@ -133,6 +133,14 @@
     to_s: float = 8.0
 
 
+@dataclass(frozen=True)
+class QuotaPlan:
+    """The quota of the tenant, in messages a second, of which each sender owns a hard part."""
+
+    quota_per_s: float
+    keyed_share: float = 0.7  # of the clients, that send fees of one key
+
+
 @dataclass(frozen=True)
 class Machine:
     """What a sender's process may use."""
@@ -156,6 +164,7 @@
     call_faults: tuple[CallFault, ...]
     clock_steps_s: tuple[float, ...]  # of the wall clock, for the processes of a sender in turn
     cold: ColdPlan | None = None
+    quota: QuotaPlan | None = None
     crowd: CrowdPlan | None = None
     machine: Machine = Machine()
     list_changes: tuple[ListChange, ...] = ()
@@ -166,6 +175,7 @@
         steps = ", ".join(f"{s.at_s:.1f} s n{s.sender} {s.action.value}" for s in self.steps)
         faults = " ".join(fault.text() for fault in self.call_faults) or "none"
         cold = f"; {self.cold.describe()}" if self.cold is not None else ""
+        cold += f"; quota {self.quota.quota_per_s:g} a second" if self.quota is not None else ""
         struck = sorted({fault.name for span in self.conditions for fault in span.answer_faults})
         answers = f"; answers: {' '.join(struck)}" if struck else ""
         if self.list_changes:
--- a/willownotch/lab/soak/processes.py
+++ b/willownotch/lab/soak/processes.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 from willownotch.lab.faults import shim
-from willownotch.lab.soak import connections
+from willownotch.lab.soak import connections, quota
 from willownotch.lab.soak.plan import HOLD_MOST_S, KILL_AFTER_S, RESTART_AFTER_S, Action, Plan
 from willownotch.lab.soak.records import Lifetime, Records
 from willownotch.net import http
@@ -68,6 +68,9 @@
 
 def settings_of(plan: Plan) -> dict:
     """The settings of a plan's senders."""
+    if plan.quota is not None:
+        tenant = {"name": quota.TENANT, "quotaPerS": plan.quota.quota_per_s}
+        return {**SETTINGS, "peersTotal": plan.senders, "orgs": [tenant]}
     rules = plan.cold.rules() if plan.cold is not None else None
     if rules is None:
         return SETTINGS
@@ -132,6 +135,10 @@
             ),
             encoding="utf-8",
         )
+        self.settings = self.folder / "settings.conf"
+        if plan.quota is not None:
+            (self.folder / "keys").write_text(quota.KEYS, encoding="utf-8")
+            self.settings.write_text(quota.settings_text(plan, self.folder), encoding="utf-8")
         self.life: Lifetime | None = None
         self.process: subprocess.Popen | None = None
         self._lock = threading.Lock()  # one action after the other; their ends come later
@@ -149,6 +156,8 @@
             "LB_STATE": str(self.state),
             "LB_MANAGEMENT": "127.0.0.1:0",
         }
+        if self.plan.quota is not None:
+            env["WILLOWNOTCH_SETTINGS"] = str(self.settings)
         steps = self.plan.clock_steps_s
         step_s = steps[life.number % len(steps)] if steps else 0.0
         if self.plan.call_faults or step_s:
--- a/willownotch/lab/soak/records.py
+++ b/willownotch/lab/soak/records.py
@@ -118,6 +118,7 @@
     surplus: list[str] = field(default_factory=list)  # bytes that clients got beyond their answers
     actions: list[str] = field(default_factory=list)
     falls: list[Fall] = field(default_factory=list)
+    quota_per_s: float = 0.0  # of the tenant, held in hard parts by the senders; 0: not shared
     fullest: float = (
         NONE_COUNTED  # the fullest window of the slow starts: calls over what is granted, as a part of N
     )
--- a/willownotch/lab/soak/run.py
+++ b/willownotch/lab/soak/run.py
@@ -13,7 +13,7 @@
 from willownotch.lab.faults.answers import AnswerFault, AnswerProxy
 from willownotch.lab.faults.proxy import Proxy, Trouble
 from willownotch.lab.soak import crowd
-from willownotch.lab.soak.clients import Client, IdleCrowd
+from willownotch.lab.soak.clients import KEYED_SHARE, Client, IdleCrowd
 from willownotch.lab.soak.cold import ColdEndpoint
 from willownotch.lab.soak.endpoints import (
     COLD_DESTINATION,
@@ -86,6 +86,7 @@
 
     def __init__(self, plan: Plan, folder: Path, program: Path = ROOT) -> None:
         self.plan, self.records, self.began = plan, Records(), time.monotonic()
+        self.records.quota_per_s = plan.quota.quota_per_s if plan.quota else 0.0
         self.endpoints = [
             Endpoint(self.records, self.conditions, plan.seed + n) for n in range(plan.endpoints)
         ]
@@ -203,6 +204,7 @@
                     self.plan.clients * self.plan.senders,
                     pause_s=self.plan.pause_s,
                     holders=sender.holders,
+                    keyed_share=self.plan.quota.keyed_share if self.plan.quota else KEYED_SHARE,
                 )
                 for n in range(self.plan.clients)
             ]
--- a/willownotch/lab/soak/verdict.py
+++ b/willownotch/lab/soak/verdict.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from willownotch.lab.soak import restarts
 from willownotch.lab.soak.crowd import REF_PREFIX
 from willownotch.lab.soak.records import Call, Ending, Lifetime, Records, Request
 
@@ -21,7 +22,6 @@
 KILL_MARGIN_S = 0.05  # before a kill: what was written then can have met it
 MEMORY_SPAN_S = 15.0  # of the keyed class
 AWARE_MOST = 2 / 3  # of the calls under which a cold destination falls
-NEVER_RAN = (429, 503)
 BAD_LINE = re.compile(r"\S+Z \S+ (?:error|dead): |Traceback")
 
 
@@ -43,6 +43,9 @@
         *(Broken("second answer", text) for text in records.surplus),
         *_processes(records),
         *_falls(records),
+        *(Broken("refused, may have run", text) for text in restarts.refused_though_run(records)),
+        *(Broken("ended untried", text) for text in restarts.ended_untried(records)),
+        *(Broken("over quota", text) for text in restarts.over_quota(records)),
     ]
 
 
@@ -211,7 +214,7 @@
                             f"at {may_have_run:.3f}",
                         )
                     )
-            elif call.status not in NEVER_RAN:
+            elif call.status not in restarts.NEVER_RAN:
                 may_have_run = call.began
     return found
 
