Move the tenants' quotas out of the controller into a module of their own

What: `quotas.py` has the buckets, the parts as told or estimated, the decision on a hand-in and what a restart is charged; the controller asks it and turns a refusal into its action. No behaviour changes.

--- a/tests/test_accepted_before.py
+++ b/tests/test_accepted_before.py
@@ -7,7 +7,8 @@
 from helpers import CLASSES, SAFE, UNSAFE, answers, sends, settings
 
 from willownotch import interface as api
-from willownotch.control import DEST_HELD_SHARE, TENANT_BURST_S, Controller
+from willownotch.control import DEST_HELD_SHARE, Controller
+from willownotch.quotas import TENANT_BURST_S
 from willownotch.slow_start import State
 
 LISTED = api.EndpointList((api.Endpoint(1, 1, 0, 0),), True)
@@ -106,9 +107,9 @@
     tenants = (api.Tenant("a", QUOTA_PER_S), api.Tenant("b", QUOTA_PER_S))
     controller = Controller(settings(tenants=tenants, senders=50, holding_room=1000), 1)
     controller.handle(1.0, [message(f"m{n}", accepted=True) for n in range(500)])
-    assert controller.arrivals.at(1.0) == 0.0
+    assert controller.quotas.arrivals.at(1.0) == 0.0
     assert controller.store.destinations[1].demand_rate(1.0) == 0.0
-    assert controller._tenant_part(0).part == 1 / 50
+    assert controller.quotas.part(0, 1.0).part == 1 / 50
 
 
 def test_a_backlog_that_is_restored_before_the_list_replaces_no_recorded_demand():
--- a/willownotch/control.py
+++ b/willownotch/control.py
@@ -2,8 +2,8 @@
 
 Calls in flight usually stay under the high-percentile concurrency limit (docs/design.md): F x min cost x max
 rate (`concurrency_limit.py`). Exceptions: pace (`pacing.py`), slow start and trials (`slow_start.py`), health
-(`_record_evidence`), silence (`_check_silence`), lost idle connections (`_count_reuse`). What is remembered
-is in `willownotch/state.py`.
+(`_record_evidence`), silence (`_check_silence`), lost idle connections (`_count_reuse`). Tenants' quotas are
+in `quotas.py`, what is remembered in `willownotch/state.py`.
 """
 
 from __future__ import annotations
@@ -26,10 +26,11 @@
 )
 from willownotch.interface import Idempotency, Outcome
 from willownotch.pacing import PACE_GAP_S, even_share, record_limit, record_refusal
+from willownotch.quotas import TenantQuotas
 from willownotch.repeats import RAN_BY_OUTCOME, may_refuse, may_send
 from willownotch.silence import gets_no_answer, silence_s
 from willownotch.slow_start import FEW_SENDERS, MIN_FLEET_PER_S, SEND_LAG_S, Bounds, SlowStart, State, Traffic
-from willownotch.state import Bucket, Call, Destination, FadingSum, Job, Pool, Ran, Route, Store, ewma, job_of
+from willownotch.state import Call, Destination, FadingSum, Job, Pool, Ran, Route, Store, ewma, job_of
 
 DEST_SHARE, DEGRADED_SHARE = 0.75, 0.5  # of the slots: one destination; a degraded one, or all of these
 FAILURE_STEP, REFUSAL_STEP, FAILING_SCORE = 0.4, 0.1, 0.6  # reached by two failures or nine refusals
@@ -39,7 +40,7 @@
 CERTAIN_FACTOR = 2.0  # x the silence allowed at an unknown endpoint: failing for longer, it is certainly out
 HELD_SHARE, DEST_HELD_SHARE = 0.9, 0.5  # of the holding room: all held messages; those for one destination
 CLOSE_CALLS, SPARSE_PER_S = 100, 1.0  # calls that close idle connections after a refused one, if so sparse
-TENANT_BURST_S, MEAN_S = 2.0, 10.0  # of a quota that may be used at once; time that traffic is averaged over
+MEAN_S = 10.0  # time that calls on idle connections are averaged over
 REFUSE_S, MIN_HANDSHAKE_COST = 1.0, 0.02  # a full connection table refuses sooner; x a message's worth
 LIST_RETRY_S, TICK_TIMER, LIST_TIMER = 1.0, 1, 2  # first delay before a failed list call is retried; timers
 
@@ -55,19 +56,11 @@
     return min((r.pool.min_cost or TICK_S for r in dest.routes.values()), default=TICK_S)
 
 
-def quota_burst(rate: float) -> float:
-    """How many messages a quota of `rate` messages per second may accept at once.
-
-    Room for at least one, or a sender with little traffic would be over quota with each.
-    """
-    return max(1.0, rate * TENANT_BURST_S)
-
-
 class Controller:
     """The decisions of one sender. `handle` processes a round of events, then dispatches once."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.random, self.store, self.quotas = random.Random(seed), Store(settings), {}
+        self.random, self.store, self.quotas = random.Random(seed), Store(settings), TenantQuotas()
         self._apply_settings(settings)
         self.ready_times: dict[int, float] = {}  # by route, its `_ready_at` until something is sent
         self.windows: dict[Pool, float] = {}  # as of this dispatch
@@ -76,7 +69,7 @@
         self.closing: dict[int, int] = {}  # by kind, calls after which idle connections are still closed
         self.now, self.out, self.degraded_calls, self.cancel_at, self.kill_at = 0.0, [], 0, -inf, inf
         self.due, self.timer_at = inf, -inf  # when there is something to do next; the timer that is set
-        self.arrivals, self.reuses, self.lost = FadingSum(MEAN_S), FadingSum(MEAN_S), FadingSum(MEAN_S)
+        self.reuses, self.lost = FadingSum(MEAN_S), FadingSum(MEAN_S)  # calls on idle connections
         self.restored: dict[int, api.SlowStartRecord] | None = None  # of endpoints not listed yet
         self.saved_at = -inf  # when the previous process last stored what it knew
         self.unrecorded_since = -inf  # start of this process, if the previous one left no record
@@ -85,9 +78,8 @@
     def _apply_settings(self, settings: api.Settings) -> None:
         """Use these settings from now on; messages keep their class, tenants what is left of their quota."""
         self.settings = self.store.settings = settings
-        self.default_silence_s, self.tenant_parts = min(c.wanted_s for c in settings.classes), {}
-        fresh = {t.name: Bucket(t.quota_per_s * TENANT_BURST_S, 0.0) for t in settings.tenants}
-        self.quotas = {name: self.quotas.get(name, bucket) for name, bucket in fresh.items()}
+        self.default_silence_s = min(c.wanted_s for c in settings.classes)
+        self.quotas.configure(settings)
         for route in self.store.routes.values() if settings.listed_rates else ():
             route.pool.limit = route.pool.limit or route.entry.rate
 
@@ -139,9 +131,9 @@
         elif isinstance(event, api.Withdrawn) and event.ref in self.store.jobs:
             self.store.finish(self.store.jobs[event.ref])
         elif isinstance(event, api.QuotaSpent):
-            self._charge_spent(event)
+            self.quotas.charge_spent(event, self.now)
         elif isinstance(event, api.TenantPart):
-            self.tenant_parts[event.tenant] = event
+            self.quotas.set_part(event)
         elif isinstance(event, api.SettingsChanged):
             self._apply_settings(event.settings)
         elif isinstance(event, api.Stopping):
@@ -208,52 +200,20 @@
 
     def _admit(self, message: api.Message, job: Job) -> bool:
         """Count a hand-in and decide on it by its tenant's quota; return whether it is accepted."""
-        self.arrivals.add(1.0, self.now)
         if not message.is_retry:
             self.store.destinations.setdefault(message.destination, Destination()).add_demand(self.now)
-        tenant = self._tenant(message.tenant)
-        if tenant is None:
-            return True
-        own = self._tenant_part(message.tenant)
-        rate = own.part * tenant.quota_per_s
-        within = self.quotas[tenant.name].take(rate, self.now, quota_burst(rate))
-        if own.hard and not within:  # by then the quota has room for one more
-            back = min(self.settings.max_retry_after_s, 1 / max(rate, 0.1))
+        decision = self.quotas.admit(message.tenant, self.now)
+        if decision.refused:
+            back = min(self.settings.max_retry_after_s, decision.next_in_s)
             self.out.append(api.Refuse(message.ref, back))
             return False
-        job.over_share = not within
+        job.over_share = not decision.within
         return True
 
-    def _tenant(self, number: int | None) -> api.Tenant | None:
-        """The tenant of that number; None if the settings have none."""
-        tenants = self.settings.tenants
-        return tenants[number] if number is not None and number < len(tenants) else None
-
     def is_over_share(self, ref: str) -> bool:
         """Whether a message in hand was above its tenant's quota when it was accepted."""
         return ref in self.store.jobs and self.store.jobs[ref].over_share
 
-    def _tenant_part(self, number: int) -> api.TenantPart:
-        """This sender's part of a tenant's quota: as it was told, or estimated from its arrivals."""
-        quotas = MEAN_S * sum(t.quota_per_s for t in self.settings.tenants) or inf
-        part = max(1 / self.settings.senders, min(1.0, self.arrivals.at(self.now) / quotas))
-        return self.tenant_parts.get(number) or api.TenantPart(number, part)
-
-    def _charge_spent(self, spent: api.QuotaSpent) -> None:
-        """Take from a quota what the former process spent: else a restart would grant its burst anew."""
-        tenant = self._tenant(spent.tenant)
-        if tenant is None:
-            return
-        rate = self._tenant_part(spent.tenant).part * tenant.quota_per_s
-        burst = quota_burst(rate)
-        replayed = Bucket(burst, self.now - max(spent.ago_s, default=0.0))
-        for ago_s in sorted(spent.ago_s, reverse=True):
-            replayed.take(rate, self.now - ago_s, burst)
-        replayed.refill(rate, self.now, burst)
-        bucket = self.quotas[tenant.name]
-        bucket.refill(rate, self.now, burst)
-        bucket.tokens = min(bucket.tokens, replayed.tokens)
-
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         job = self.store.jobs.get(event.ref)
         known = job is not None and 0 <= event.attempt < len(job.attempts)
--- a/willownotch/handover/version.py
+++ b/willownotch/handover/version.py
@@ -10,6 +10,7 @@
     "control.py",
     "concurrency_limit.py",
     "pacing.py",
+    "quotas.py",
     "repeats.py",
     "silence.py",
     "slow_start.py",
