--- a/willownotch/handover/predecessor.py
+++ b/willownotch/handover/predecessor.py
@@ -208,6 +208,9 @@
         answer = link.receive(STATE_READ_TIMEOUT)
         if answer is None or answer.kind is not Kind.STATE_READ:
             return False
+        if state is None and (given_up := self.endpoint_side.give_up_calls()):
+            # The other process finds in the journal that they may have run, and may make them again at once.
+            self.log.say("upgrade", f"{given_up} calls in progress are given up, which may have run")
         self._passing = ClientPassing(link, self.clock, self.log)
         self._lock_passed = answer.data == LOCK_WANTED
         link.send(Kind.HANDED_OVER, fds=(self.lock.fileno(),) if self._lock_passed else ())
--- a/willownotch/net/endpoint_side.py
+++ b/willownotch/net/endpoint_side.py
@@ -157,6 +157,17 @@
             while self._calls_in_progress and (left := deadline - self.clock.now()) > ZERO:
                 self._call_ended.wait(seconds(left))
 
+    def give_up_calls(self) -> int:
+        """Close the connections of all calls in progress; return how many relays they carried.
+
+        Each of these relays may have been executed. None is on its way any more once this returns.
+        """
+        with self._lock:
+            relays = list(self._relays.values())
+        for relay in relays:
+            self.cancel(relay)
+        return len(relays)
+
     def reopen(self) -> None:
         """Start calls again, first those that were held back."""
         with self._lock:
