Take a call of the previous process for open as long as any of its messages is waited for

Cause: in case the old process hangs and never reports, the new one stops waiting for each message one second after that message's time-out. The old one keeps a call for as long as it waits for any of its messages.

Change: messages that went to one endpoint in one round count as one call, which is open until the last of their time-outs, but not beyond a message's own time. Two calls of one round to one endpoint are taken for one: that only waits longer for a process that hangs.

--- a/tests/test_accepted_before_rounds.py
+++ b/tests/test_accepted_before_rounds.py
@@ -45,11 +45,11 @@
         text = '{"index":1,"snapshot":true,"endpoints":[' + entry + "]}\n"
         return WatchDecoder().feed(text.encode())[0][0]
 
-    def message(self, ref, tenant=TENANT, custody=None):
-        now, rules = self.clock.now(), self.config.rules["fee"]
+    def message(self, ref, tenant=TENANT, custody=None, message_class="fee"):
+        now, rules = self.clock.now(), self.config.rules[message_class]
         ends_at = now + timedelta(seconds=20)
         return AcceptedMessage(
-            ref, 7, "fee", tenant, ends_at, body=b"x", at=now, rules=rules, custody=custody
+            ref, 7, message_class, tenant, ends_at, body=b"x", at=now, rules=rules, custody=custody
         )
 
     def hand_in(self, *refs, **more):
--- a/tests/test_upgrade_versions.py
+++ b/tests/test_upgrade_versions.py
@@ -6,6 +6,9 @@
 import harness
 import pytest
 from harness import PATIENCE, ROOT, SETTINGS, Discovery, Host, Sender, given_up, until
+from test_accepted_before_rounds import Rounds
+
+from willownotch.net.decision_loop_handover import REMOTE_CALL_GRACE
 
 LEFT_MS = 20_000
 # One copy of a message at a time, as some deployments want it.
@@ -91,3 +94,25 @@
     host = CountingHost(lambda head: "booking")
     play(host, next_version, [("fee", "booking"), ("fee", "booking")])
     assert host.most_out == 1
+
+
+def test_a_message_is_not_sent_again_while_its_call_is_open_for_others_in_the_old_process(tmp_path):
+    """Between equal versions: its own time was over, and the new process took its call for closed."""
+    folders = [tmp_path / name for name in ("old", "new")]
+    for folder in folders:
+        folder.mkdir()
+    before, after = map(Rounds, folders)
+    before.hand_in("fee")  # waited for until its time is over
+    before.hand_in("status", message_class="status")
+    fee, status = before.relays
+    assert status.begun_at == fee.begun_at  # as in one call
+    assert status.ends_at + REMOTE_CALL_GRACE < fee.ends_at
+    after.loop.adopt(before.loop._handover_state())
+    after.clock.at = status.ends_at + 2 * REMOTE_CALL_GRACE
+    after.loop._round([])
+    assert after.loop._inbox.empty()  # no end of a call was taken for granted
+    after.clock.at = fee.ends_at + 2 * REMOTE_CALL_GRACE
+    after.loop._round([])
+    assert not after.loop._inbox.empty()
+    for rounds in (before, after):
+        rounds.journal.close()
--- a/willownotch/net/decision_loop_handover.py
+++ b/willownotch/net/decision_loop_handover.py
@@ -132,6 +132,7 @@
         self.list_index = state.list_index
         for when, label in state.timers:
             heapq.heappush(self._timers, (when, next(self._timer_order), label))
+        call_ends = self._remote_call_ends(state)
         for known in state.outstanding:
             delivery = self._outstanding[known.message.ref] = Delivery(
                 known.message, known.count, over=known.over
@@ -153,8 +154,9 @@
                 if call.gated:
                     self._block_relay(relay)
                 else:  # in case the previous process hangs and never reports its end
+                    waited_until = min(call_ends[call.endpoint, call.begun_at], known.message.ends_at)
                     heapq.heappush(
-                        self._timers, (call.ends_at + REMOTE_CALL_GRACE, next(self._timer_order), relay)
+                        self._timers, (waited_until + REMOTE_CALL_GRACE, next(self._timer_order), relay)
                     )
         for message in state.left_to_others:
             self._leave_to_others(message)
@@ -174,6 +176,19 @@
         )
         self._round([SettingsUpdate(self.config)] if state.config.settings != self.settings else [])
 
+    @staticmethod
+    def _remote_call_ends(state: HandoverState) -> dict[tuple[int, datetime], datetime]:
+        """When the previous process closes each of its calls, by endpoint and start.
+
+        Messages that were sent together share a call, which stays open until none of them is waited for.
+        """
+        found: dict[tuple[int, datetime], datetime] = {}
+        for message in state.outstanding:
+            for call in message.active_relays:
+                key = call.endpoint, call.begun_at
+                found[key] = max(call.ends_at, found.get(key, call.ends_at))
+        return found
+
     def _remote_ended(self, item: RemoteEnded, now: datetime) -> list[RelayEnded]:
         """The ends of calls that the previous process reports.
 
