Keep the parts of quotas that tenants have over a reload

A reload drops all parts of quotas; until the next one is told nothing is hard, and whatever is handed in is accepted. Counted parts (`share-quotas`) are told only when they change, so they could be lost for good.

Cause: parts are kept by the tenant's number, and a reload may give the numbers to others.

Change: they are carried over by the tenant's name.

--- a/willownotch/quotas.py
+++ b/willownotch/quotas.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import inf
 
 from willownotch import interface as api
@@ -49,14 +49,21 @@
         self._parts: dict[int, api.TenantPart] = {}  # as told, by the tenant's number
 
     def configure(self, settings: api.Settings) -> None:
-        """Use these tenants from now on. Those that stay keep what is left of their quota."""
-        self.tenants, self.senders, self._parts = settings.tenants, settings.senders, {}
+        """Use these tenants from now on. Those that stay keep their part, and what is left of their quota."""
+        parts = {self.tenants[number].name: part for number, part in self._parts.items()}
+        self.tenants, self.senders = settings.tenants, settings.senders
+        self._parts = {
+            number: replace(parts[tenant.name], tenant=number)
+            for number, tenant in enumerate(settings.tenants)
+            if tenant.name in parts
+        }
         fresh = {t.name: Bucket(t.quota_per_s * TENANT_BURST_S, 0.0) for t in settings.tenants}
         self._buckets = {name: self._buckets.get(name, bucket) for name, bucket in fresh.items()}
 
     def set_part(self, part: api.TenantPart) -> None:
         """Use a part that was counted or lent, in place of the estimate."""
-        self._parts[part.tenant] = part
+        if self._tenant(part.tenant) is not None:
+            self._parts[part.tenant] = part
 
     def admit(self, number: int | None, now: float) -> QuotaDecision:
         """Count a hand-in of a tenant, and spend one of its quota if there is one."""
