Tell the decisions the parts of budgets before the first hand-in, over upgrades too

What callers saw: a restarted sender accepts whatever comes until its parts are first reported, since none is hard before: 20 of 20 hand-ins where its reserve and its burst allow one. After an upgrade between equal versions it has no budgets at all: it spends the last part that the process before had heard of for as long as it runs, and lends nothing.

Cause: the membership's thread reports the parts once it has budgets, which it was given by the decision loop at its start, and reports the next time 0.1 s later. A loop that adopts a state gave it none.

Change: whoever sets the quotas (a start, an upgrade, a reload) gets the parts as of then, and hands them to the module before any hand-in. So an upgraded sender spends its reserve for the length of one loan, like a restarted one: it does not know what was lent.

--- a/tests/test_accepted_before_sockets.py
+++ b/tests/test_accepted_before_sockets.py
@@ -10,6 +10,7 @@
 
 from willownotch.channel.client import ask
 from willownotch.control import DEST_HELD_SHARE, DEST_SHARE
+from willownotch.quotas import TENANT_BURST_S
 
 PATIENCE = 20.0
 QUOTA_PER_S = 8.0  # of all senders; the burst of 2 s of one sender's half is eight messages
@@ -60,7 +61,10 @@
 
     def part(self):
         """The part of the quota that may be spent now."""
-        return ask(self.control, "shared")["budgets"][0]["part"]
+        return self.budgets()[0]["part"]
+
+    def budgets(self):
+        return ask(self.control, "shared")["budgets"]
 
     def start_after_kill(self):
         self.process.send_signal(signal.SIGKILL)
@@ -153,3 +157,24 @@
         assert discovery.outcomes() == {}
     finally:
         sender.close()
+
+
+def test_a_restarted_sender_accepts_no_more_than_its_part_before_it_has_heard_of_it(discovery, sender):
+    """Until its parts were first reported none of them was hard, and all hand-ins were accepted."""
+    sender.restart()
+    answers = [sender.hand_in("status", left=LEFT_MS)[1].status for _ in range(20)]
+    assert answers.count(202) <= 1 + sender.part() * QUOTA_PER_S * TENANT_BURST_S
+    assert 503 in answers
+
+
+def test_an_upgraded_sender_goes_on_sharing_its_quota(sender):
+    """The next process had no budgets: it spent the last part that the one before had heard of for ever."""
+    old, _ = sender.upgrade()
+    try:
+        sender.ready()
+        assert [budget["name"] for budget in sender.budgets()] == ["acme"]
+        until(lambda: sender.part() == 0.5, PATIENCE)
+    finally:
+        old.kill()
+        old.wait(harness.PATIENCE)
+        old.stderr.close()
--- a/willownotch/net/decision_loop.py
+++ b/willownotch/net/decision_loop.py
@@ -359,6 +359,14 @@
             if (number := self.hosts.number_listed(name)) is not None
         ]
 
+    def _share_budgets(self, now: datetime, events: list[api.Event]) -> None:
+        """Share the quotas of the present settings, and add the parts, before any hand-in is decided."""
+        if self.shared is None:
+            return
+        parts = self.shared.configure({t.name: t.quota_per_s for t in self.settings.tenants})
+        if parts is not None:
+            self._apply_shared_state(parts, now, events)
+
     def _expire_budget_parts(self, events: list[api.Event]) -> None:
         """Fall back to the parts of budgets that are never lent, since the received ones have expired."""
         last, self._budget_parts = self._budget_parts, None
@@ -374,9 +382,8 @@
         self.config, self.settings = config, self._settings_of(config)
         self._index_names()
         self.retuned(config)
-        if self.shared is not None:
-            self.shared.configure({t.name: t.quota_per_s for t in self.settings.tenants})
         events.append(api.SettingsChanged(self.settings))
+        self._share_budgets(self.clock.now(), events)
         self.log.say(
             "retune",
             f"new settings hold: classes {', '.join(self.classes)}, "
--- a/willownotch/net/decision_loop_handover.py
+++ b/willownotch/net/decision_loop_handover.py
@@ -174,7 +174,9 @@
             f"taken over: {self._outstanding_count} messages owed, {remote} calls out in the process "
             f"before, {len(self._unanswered_notices)} notices unanswered",
         )
-        self._round([SettingsUpdate(self.config)] if state.config.settings != self.settings else [])
+        # Also if nothing has changed: this process has to share the quotas from its first hand-in on.
+        changed = state.config.settings != self.settings or self.shared is not None
+        self._round([SettingsUpdate(self.config)] if changed else [])
 
     @staticmethod
     def _remote_call_ends(state: HandoverState) -> dict[tuple[int, datetime], datetime]:
--- a/willownotch/net/decision_loop_recovery.py
+++ b/willownotch/net/decision_loop_recovery.py
@@ -23,13 +23,13 @@
         self._recovered, lost = [], set(self.lost_bodies)
         now = self.clock.now()
         self._ended_ids.update(dict.fromkeys(self.journal.finished, now + REMEMBER_TIME))
-        known: list[api.Event] = [*self._spent_quotas(now)]
+        known: list[api.Event] = []
+        self._share_budgets(now, known)
+        known += self._spent_quotas(now)
         if self.slow_starts is not None:
             known.append(self.slow_starts.read(self.hosts.number))
         if known:
             self.controller.handle(self.clock.module_s(now), known)
-        if self.shared is not None:
-            self.shared.configure({t.name: t.quota_per_s for t in self.settings.tenants})
         disowned = self._discard_disowned() if self.custody is not None else ()
         for entry in list(self.journal.live.values()):
             if entry.message.ref in disowned:
--- a/willownotch/shared/service.py
+++ b/willownotch/shared/service.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -125,11 +126,16 @@
 
     # Called by the sender, on any thread
 
-    def configure(self, quotas: dict[str, float]) -> None:
-        """Sets the tenants' quotas in messages a second."""
+    def configure(self, quotas: dict[str, float]) -> BudgetParts | None:
+        """Sets the tenants' quotas in messages a second; returns the parts as of now, if budgets are shared.
+
+        Until the next report nothing else says which of them are hard.
+        """
         with self.lock:
-            if self.budgets is not None:
-                self.budgets.configure(quotas)
+            if self.budgets is None:
+                return None
+            self.budgets.configure(quotas)
+            return self._parts(time.monotonic())
 
     def record_demand(self, name: str) -> None:
         """Counts a message of a tenant, whether it is accepted or not."""
@@ -160,12 +166,17 @@
 
     def _report_parts(self, now: float) -> None:
         """Reports the parts at once if one has shrunk, else at the interval."""
-        parts = {name: self.budgets.part(name, now, LEAD_S) / 1e6 for name in self.budgets.budgets}
-        shrunk = any(part < self._reported_parts.get(name, 1.0) for name, part in parts.items())
+        found = self._parts(now)
+        shrunk = any(part < self._reported_parts.get(name, 1.0) for name, part in found.parts.items())
         if shrunk or now - self._parts_reported_at >= REPORT_INTERVAL_S:
-            self._reported_parts, self._parts_reported_at = parts, now
-            floor = self.budgets.own_part() * self.budgets.reserved_share / 1e6
-            self.tell(BudgetParts(parts, floor, frozenset(self.settings.hard), now + STALE_S))
+            self._reported_parts, self._parts_reported_at = found.parts, now
+            self.tell(found)
+
+    def _parts(self, now: float) -> BudgetParts:
+        """Returns the parts that may be spent. The caller holds the lock."""
+        parts = {name: self.budgets.part(name, now, LEAD_S) / 1e6 for name in self.budgets.budgets}
+        floor = self.budgets.own_part() * self.budgets.reserved_share / 1e6
+        return BudgetParts(parts, floor, frozenset(self.settings.hard), now + STALE_S)
 
     def _report_findings(self, now: float) -> None:
         """Reports verdicts and limits that have changed since the last report."""
