Give each process that plays a soak ports that no other one has

Change: a process that plays holds a datagram port of its own for its part, and takes the next part if another one has it.

--- a/willownotch/lab/soak/processes.py
+++ b/willownotch/lab/soak/processes.py
@@ -84,15 +84,36 @@
 
 
 PORT_FIRST, PORT_SHARE, PORT_PARTS = 16000, 160, 100  # a part for each process that plays
+GUARD_FIRST = PORT_FIRST - PORT_PARTS  # a port for each part, held by the process that has the part
 PEAK_MEMORY = re.compile(r"^VmHWM:\s+(\d+) kB", re.MULTILINE)
 BYTES_PER_MB = 1_000_000
 MANAGED = re.compile(r"operators are answered at ([\d.]+):(\d+)")
 
 
+def claim_part() -> int:
+    """The number of a part of the ports that no other process that plays has while this one runs.
+
+    Two that shared a part took each other's senders for their own, in the moments in which a port was free.
+    """
+    for number in range(os.getpid(), os.getpid() + PORT_PARTS):
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            guard.bind(("127.0.0.1", GUARD_FIRST + number % PORT_PARTS))
+        except OSError:
+            guard.close()
+            continue
+        claim_part.guards.append(guard)
+        return number % PORT_PARTS
+    raise OSError("no part of the ports is free")
+
+
+claim_part.guards = []  # kept open for as long as this process runs
+
+
 def free_port() -> int:
     """A port that nobody has now, and that no connection is given: below the range of those."""
     if not free_port.left:
-        first = PORT_FIRST + os.getpid() % PORT_PARTS * PORT_SHARE
+        first = PORT_FIRST + claim_part() * PORT_SHARE
         free_port.left = iter([*range(first, first + PORT_SHARE)] * PORT_PARTS)
     for port in free_port.left:
         with socket.socket() as sock:
