--- a/tests/test_accepted_before.py
+++ b/tests/test_accepted_before.py
@@ -123,3 +123,11 @@
     controller.handle(1.3, [message(f"m{n}", accepted=True) for n in range(500)])
     controller.handle(1.4, [LISTED])
     assert controller.store.destinations[1].demand_rate(1.4) == pytest.approx(usual_per_s)
+
+
+def test_a_reload_to_a_smaller_room_ends_nothing_that_was_accepted():
+    """Limits of holding are for hand-ins: a reload sheds what this very process has accepted."""
+    controller = Controller(settings(holding_room=100), 1)
+    assert answers(controller.handle(1.0, [message(f"m{n}") for n in range(40)])) == []
+    smaller = api.SettingsChanged(settings(holding_room=10))
+    assert answers(controller.handle(2.0, [smaller])) == []
